--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,189 @@
+// Package telemetry gives every process its logger and its OpenTelemetry
+// counters: one series per refusal code, per retry reason, per invariant that
+// was found broken, and per named event.
+package telemetry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Telemetry holds the counters and the logger of one process. It is safe for
+// concurrent use.
+type Telemetry struct {
+	logger     *zap.Logger
+	handler    fasthttp.RequestHandler
+	meter      metric.Meter
+	refusals   metric.Int64Counter
+	retries    metric.Int64Counter
+	violations metric.Int64Counter
+	events     metric.Int64Counter
+
+	mu sync.Mutex
+	// totals mirrors the counters, so that tests and status pages can read
+	// them; the key is the kind of counter and its label.
+	totals map[Series]int64
+	gauges map[string]struct{}
+}
+
+// Series names one counter: its kind and its label.
+type Series struct {
+	Kind  string `json:"kind"`
+	Label string `json:"label"`
+}
+
+// The kinds of counters.
+const (
+	KindRefusal   = "refusal"
+	KindRetry     = "retry"
+	KindViolation = "violation"
+	KindEvent     = "event"
+)
+
+// NewLogger builds a logger. format is "json" or "console"; level is one of
+// zap's level names.
+func NewLogger(format, level string) (logger *zap.Logger, err error) {
+	defer func() { err = errors.Wrap(err, "build logger") }()
+	config := zap.NewProductionConfig()
+	if format == "console" {
+		config = zap.NewDevelopmentConfig()
+		config.DisableStacktrace = true
+	} else if format != "json" {
+		return nil, errors.Errorf("log format %q is neither json nor console", format)
+	}
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	config.Level = zap.NewAtomicLevelAt(parsed)
+	config.DisableCaller = true
+	return config.Build()
+}
+
+// New returns the telemetry of the process called node.
+func New(node spool.NodeID, logger *zap.Logger) (t *Telemetry, err error) {
+	defer func() { err = errors.Wrap(err, "start telemetry") }()
+	registry := prometheus.NewRegistry()
+	reader, err := exporter.New(exporter.WithRegisterer(registry))
+	if err != nil {
+		return nil, err
+	}
+	meter := sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("baobabspool")
+	t = &Telemetry{
+		logger:  logger.With(zap.String("node", string(node))),
+		handler: fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})),
+		meter:   meter,
+		totals:  map[Series]int64{},
+		gauges:  map[string]struct{}{},
+	}
+	for name, counter := range map[string]*metric.Int64Counter{
+		"baobabspool_refusals": &t.refusals, "baobabspool_retries": &t.retries,
+		"baobabspool_violations": &t.violations, "baobabspool_events": &t.events,
+	} {
+		if *counter, err = meter.Int64Counter(name); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+// Logger returns the logger of one part. Its messages start with the part's
+// name in brackets.
+func (t *Telemetry) Logger(part string) *zap.Logger {
+	return t.logger.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return prefixCore{Core: core, prefix: "[" + part + "] "}
+	}))
+}
+
+// Refused counts a refusal.
+func (t *Telemetry) Refused(code spool.Code) { t.add(t.refusals, KindRefusal, "code", string(code)) }
+
+// Retried counts a retry by the failure that caused it.
+func (t *Telemetry) Retried(failure spool.Failure) {
+	t.add(t.retries, KindRetry, "reason", string(failure))
+}
+
+// Violated counts an invariant that was found broken and logs it.
+func (t *Telemetry) Violated(invariant string, fields ...zap.Field) {
+	t.add(t.violations, KindViolation, "invariant", invariant)
+	t.Logger("invariant").Error("invariant is broken", append(fields, zap.String("invariant", invariant))...)
+}
+
+// Event counts a named event.
+func (t *Telemetry) Event(name string) { t.add(t.events, KindEvent, "event", name) }
+
+// Gauge registers a value that is read whenever the metrics are. A second
+// registration of a name is ignored.
+func (t *Telemetry) Gauge(name string, read func() int64) (err error) {
+	defer func() { err = errors.Wrapf(err, "register gauge %s", name) }()
+	t.mu.Lock()
+	_, known := t.gauges[name]
+	t.gauges[name] = struct{}{}
+	t.mu.Unlock()
+	if known {
+		return nil
+	}
+	_, err = t.meter.Int64ObservableGauge(name, metric.WithInt64Callback(
+		func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(read())
+			return nil
+		}))
+	return err
+}
+
+// Totals returns a copy of every counter.
+func (t *Telemetry) Totals() map[Series]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	totals := make(map[Series]int64, len(t.totals))
+	for series, count := range t.totals {
+		totals[series] = count
+	}
+	return totals
+}
+
+// Handler answers /metrics in the Prometheus text format.
+func (t *Telemetry) Handler() fasthttp.RequestHandler { return t.handler }
+
+func (t *Telemetry) add(counter metric.Int64Counter, kind, key, label string) {
+	counter.Add(context.Background(), 1, metric.WithAttributes(attribute.String(key, label)))
+	t.mu.Lock()
+	t.totals[Series{Kind: kind, Label: label}]++
+	t.mu.Unlock()
+}
+
+// prefixCore puts a fixed prefix in front of every message.
+type prefixCore struct {
+	zapcore.Core
+	prefix string
+}
+
+func (c prefixCore) With(fields []zapcore.Field) zapcore.Core {
+	return prefixCore{Core: c.Core.With(fields), prefix: c.prefix}
+}
+
+func (c prefixCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(entry.Level) {
+		return checked.AddCore(entry, c)
+	}
+	return checked
+}
+
+func (c prefixCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	entry.Message = c.prefix + entry.Message
+	return c.Core.Write(entry, fields)
+}
--- /dev/null
+++ b/internal/wire/messages.go
@@ -0,0 +1,285 @@
+package wire
+
+import (
+	"encoding/json"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Methods between the system's processes.
+const (
+	MethodForward        = "entry.forward"
+	MethodHeartbeat      = "entry.heartbeat"
+	MethodProbe          = "entry.probe"
+	MethodHandover       = "entry.handover"
+	MethodHold           = "journal.hold"
+	MethodSeal           = "journal.seal"
+	MethodRelease        = "journal.release"
+	MethodLease          = "limit.lease"
+	MethodPull           = "control.pull"
+	MethodRun            = "endpoint.run"
+	MethodRenew          = "endpoint.renew"
+	MethodFate           = "endpoint.fate"
+	MethodEndpointStatus = "endpoint.status"
+)
+
+// RunKind tells what kind of call an agent is to make.
+type RunKind string
+
+// The kinds of calls.
+const (
+	RunModel   RunKind = "model"
+	RunService RunKind = "service"
+)
+
+// RunRequest asks an agent to make one call to its endpoint.
+type RunRequest struct {
+	// Kind tells whether Messages or Service is used.
+	Kind RunKind `json:"kind"`
+	// Correlation identifies this dispatch and is echoed in each chunk and in
+	// the reply.
+	Correlation string `json:"correlation"`
+	// Entry is the node that owns the program.
+	Entry spool.NodeID `json:"entry"`
+	// Account, Program and Call name the action; together they are the key of
+	// the at-most-once check.
+	Account spool.AccountID `json:"account"`
+	Program spool.ProgramID `json:"program"`
+	Call    spool.CallID    `json:"call"`
+	// Stream and Epoch fence the owner.
+	Stream spool.Stream `json:"stream"`
+	Epoch  spool.Epoch  `json:"epoch"`
+	// Idempotent is false for an action that must run at most once.
+	Idempotent bool `json:"idempotent"`
+	// Alarm, Weight and Attained order the call in the agent's queue.
+	Alarm    bool    `json:"alarm,omitempty"`
+	Weight   float64 `json:"weight,omitempty"`
+	Attained int     `json:"attained,omitempty"`
+	// DeadlineIn is the time left for the call when the request was sent; a
+	// duration, since the clocks of two VMs differ.
+	DeadlineIn clock.Millis `json:"deadlineInMs,omitempty"`
+
+	// Model and MaxTokens are those of the model call.
+	Model     spool.ModelName `json:"model,omitempty"`
+	MaxTokens int             `json:"maxTokens,omitempty"`
+	// BaseCount and BaseDigest name the history that the agent is expected to
+	// hold: the number of messages and their digest. The agent answers with
+	// CodeNeedHistory when it does not hold it.
+	BaseCount  int    `json:"baseCount,omitempty"`
+	BaseDigest string `json:"baseDigest,omitempty"`
+	// Messages follow the base; with BaseCount 0 they are the whole prompt.
+	Messages []spool.Message `json:"messages,omitempty"`
+
+	// Service is the request of a service call; Correlation and Call of it are
+	// set by the agent.
+	Service *spool.ServiceCall `json:"service,omitempty"`
+}
+
+// RunReply is the end of a call.
+type RunReply struct {
+	// Correlation is that of the request.
+	Correlation string `json:"correlation"`
+	// Engine is the result of a model call.
+	Engine *spool.EngineResult `json:"engine,omitempty"`
+	// Service is the result of a service call.
+	Service *spool.ServiceResult `json:"service,omitempty"`
+	// Load is the agent's state at the end of the call.
+	Load EndpointStatus `json:"load"`
+}
+
+// EndpointStatus is the state of an agent and its endpoint.
+type EndpointStatus struct {
+	// Endpoint names the agent.
+	Endpoint spool.EndpointID `json:"endpoint"`
+	// Window, Running and Queued are those of the gate.
+	Window  int `json:"window"`
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	// Cold and Draining tell why the window is small.
+	Cold     bool `json:"cold,omitempty"`
+	Draining bool `json:"draining,omitempty"`
+	// MillisPerCall is the moving average of service time without queueing.
+	MillisPerCall float64 `json:"millisPerCall"`
+	// ControlOffset is the offset of the control stream that is in force.
+	ControlOffset spool.Offset `json:"controlOffset"`
+	// Held lists programs whose memory the engine holds, with the tokens of
+	// the prefix; only in the answer to endpoint.status.
+	Held map[spool.ProgramID]int `json:"held,omitempty"`
+}
+
+// RenewRequest renews the engine memory of programs.
+type RenewRequest struct {
+	// Entry is the owner.
+	Entry spool.NodeID `json:"entry"`
+	// Programs are still under way.
+	Programs []spool.ProgramID `json:"programs"`
+	// Ended are gone; their memory is to be freed at once.
+	Ended []spool.ProgramID `json:"ended,omitempty"`
+	// LeaseFor is the time for which the memory may be kept.
+	LeaseFor clock.Millis `json:"leaseForMs"`
+}
+
+// FateRequest asks what became of a call and fences older epochs.
+type FateRequest struct {
+	Account spool.AccountID `json:"account"`
+	Program spool.ProgramID `json:"program"`
+	Call    spool.CallID    `json:"call"`
+	Stream  spool.Stream    `json:"stream"`
+	Epoch   spool.Epoch     `json:"epoch"`
+}
+
+// Fate is what an agent knows of a call.
+type Fate string
+
+// The fates.
+const (
+	// FateNotSeen means that the agent has kept watch since before the call
+	// could have been sent, has not seen it, and will refuse it from now on.
+	FateNotSeen Fate = "notSeen"
+	// FateRunning means that the call is under way.
+	FateRunning Fate = "running"
+	// FateDone means that the call ended; Reply is set.
+	FateDone Fate = "done"
+	// FateUnknown means that the agent cannot tell.
+	FateUnknown Fate = "unknown"
+)
+
+// FateReply answers a FateRequest.
+type FateReply struct {
+	Fate Fate `json:"fate"`
+	// Reply is set with FateDone.
+	Reply *RunReply `json:"reply,omitempty"`
+	// AgentSince is how long the agent has been running.
+	AgentSince clock.Millis `json:"agentSinceMs"`
+}
+
+// PullRequest asks a node for control records.
+type PullRequest struct {
+	// After is the highest offset that the asking node has applied.
+	After spool.Offset `json:"after"`
+	// Wait bounds the long poll.
+	Wait clock.Millis `json:"waitMs"`
+	// Node is the asking node.
+	Node spool.NodeID `json:"node"`
+}
+
+// PullReply holds control records or a snapshot.
+type PullReply struct {
+	// Batches follow After without gaps.
+	Batches []spool.Batch `json:"batches,omitempty"`
+	// Snapshot is set instead when the answering node no longer has the batches;
+	// it holds the state at offset SnapshotAt.
+	Snapshot   json.RawMessage `json:"snapshot,omitempty"`
+	SnapshotAt spool.Offset    `json:"snapshotAt,omitempty"`
+	// FreshFor is how long ago the answering node last heard, directly or
+	// through others, from the log; negative when it never has.
+	FreshFor clock.Millis `json:"freshForMs"`
+}
+
+// HeartbeatRequest tells a peer that the sender lives.
+type HeartbeatRequest struct {
+	Node          spool.NodeID                 `json:"node"`
+	FailureDomain spool.FailureDomain          `json:"failureDomain"`
+	ControlOffset spool.Offset                 `json:"controlOffset"`
+	Owned         map[spool.Stream]spool.Epoch `json:"owned,omitempty"`
+	// Promise asks the receiver not to claim the listed streams within
+	// PromiseFor; the reply repeats those it promises.
+	Promise    []spool.Stream `json:"promise,omitempty"`
+	PromiseFor clock.Millis   `json:"promiseForMs,omitempty"`
+}
+
+// HeartbeatReply answers a heartbeat.
+type HeartbeatReply struct {
+	Node          spool.NodeID                 `json:"node"`
+	ControlOffset spool.Offset                 `json:"controlOffset"`
+	Owned         map[spool.Stream]spool.Epoch `json:"owned,omitempty"`
+	Promised      []spool.Stream               `json:"promised,omitempty"`
+}
+
+// ProbeRequest asks a member to check whether a third one answers.
+type ProbeRequest struct {
+	Node    spool.NodeID `json:"node"`
+	Address string       `json:"address"`
+}
+
+// ProbeReply answers a ProbeRequest.
+type ProbeReply struct {
+	Alive bool `json:"alive"`
+}
+
+// HandoverRequest asks an owner to release a stream to the sender.
+type HandoverRequest struct {
+	Stream spool.Stream `json:"stream"`
+	To     spool.NodeID `json:"to"`
+}
+
+// HoldRequest asks a holder to keep a batch that is not yet on the log.
+type HoldRequest struct {
+	Stream spool.Stream `json:"stream"`
+	Epoch  spool.Epoch  `json:"epoch"`
+	// Sequence counts the owner's batches of this epoch from 1.
+	Sequence uint64      `json:"sequence"`
+	Batch    spool.Batch `json:"batch"`
+	// Committed is the highest sequence that is on the log; the holder drops
+	// batches up to it.
+	Committed uint64 `json:"committed"`
+}
+
+// HoldReply answers a HoldRequest. A fenced request fails with CodeFenced.
+type HoldReply struct {
+	// Held is the highest sequence held without a gap.
+	Held uint64 `json:"held"`
+}
+
+// SealRequest fences lower epochs of a stream and asks for what is held.
+type SealRequest struct {
+	Stream spool.Stream `json:"stream"`
+	Epoch  spool.Epoch  `json:"epoch"`
+}
+
+// SealReply holds the batches of lower epochs in order.
+type SealReply struct {
+	Batches []spool.Batch `json:"batches,omitempty"`
+}
+
+// LeaseRequest asks a pool's owner for tokens of an account.
+type LeaseRequest struct {
+	Account spool.AccountID `json:"account"`
+	Node    spool.NodeID    `json:"node"`
+	// Want is the number of requests that the sender would like to admit.
+	Want float64 `json:"want"`
+}
+
+// LeaseReply grants tokens.
+type LeaseReply struct {
+	// Granted may be used until the lease ends, counted from the moment when
+	// the request was sent.
+	Granted  float64      `json:"granted"`
+	LeaseFor clock.Millis `json:"leaseForMs"`
+	// RetryAfter is the wait until more may be granted.
+	RetryAfter clock.Millis `json:"retryAfterMs"`
+}
+
+// ForwardRequest carries a caller's operation to the owner of its program. It
+// never contains a key.
+type ForwardRequest struct {
+	// Operation is one of the operations of package entry.
+	Operation string `json:"operation"`
+	// Correlation is echoed in each chunk and in the reply.
+	Correlation string          `json:"correlation"`
+	Account     spool.AccountID `json:"account"`
+	// KeyID lets the owner end the call when the key is withdrawn.
+	KeyID   string          `json:"keyID"`
+	Program spool.ProgramID `json:"program,omitempty"`
+	// DeadlineIn is the time left when the request was sent.
+	DeadlineIn clock.Millis `json:"deadlineInMs,omitempty"`
+	// Body is the operation's own message.
+	Body json.RawMessage `json:"body,omitempty"`
+}
+
+// ForwardReply carries the owner's answer.
+type ForwardReply struct {
+	Correlation string          `json:"correlation"`
+	Body        json.RawMessage `json:"body,omitempty"`
+}
--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,234 @@
+// Package wire holds the messages between the system's processes and the
+// jsonrpc2 connections that carry them. A connection has an application
+// heartbeat, so one that went silent is noticed and replaced; every request
+// carries a correlation id that the reply and each chunk must repeat.
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"sync"
+
+	"github.com/alitto/pond/v2"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Methods of the connection itself.
+const (
+	methodPing   = "wire.ping"
+	methodCancel = "wire.cancel"
+	methodChunk  = "wire.chunk"
+)
+
+// refusalCode is the jsonrpc2 error code of an error whose data is a Refusal.
+const refusalCode = -32000
+
+// maxConcurrentRequests bounds the requests that one server works on at a time.
+const maxConcurrentRequests = 4096
+
+// Send passes one chunk of a streamed answer to the caller of a method.
+type Send func(chunk any) error
+
+// HandlerFunc answers one request. params is the JSON form of the request. The
+// context ends when the caller cancels or its connection is lost. A *Refusal is
+// passed to the caller as it is; any other error becomes CodeInternal.
+type HandlerFunc func(ctx context.Context, params json.RawMessage, send Send) (any, error)
+
+// Handle adapts a function with a typed request to a HandlerFunc.
+func Handle[Request any](handler func(ctx context.Context, request Request, send Send) (any, error)) HandlerFunc {
+	return func(ctx context.Context, params json.RawMessage, send Send) (any, error) {
+		var request Request
+		if err := json.Unmarshal(params, &request); err != nil {
+			return nil, spool.Refuse(spool.CodeBadRequest, "request does not decode: %v", err)
+		}
+		return handler(ctx, request, send)
+	}
+}
+
+// Mux maps methods to their handlers. It must not change once a server uses it.
+type Mux map[string]HandlerFunc
+
+// Server answers the requests of other processes.
+type Server struct {
+	listener net.Listener
+	pool     pond.Pool
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	mu sync.Mutex
+	// conns holds every open connection.
+	conns map[*jsonrpc2.Conn]struct{}
+}
+
+// Listen starts a server on address; an empty port picks a free one. tlsConfig
+// may be nil for plain TCP.
+func Listen(address string, mux Mux, tlsConfig *tls.Config) (server *Server, err error) {
+	defer func() { err = errors.Wrapf(err, "listen on %s", address) }()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if tlsConfig != nil {
+		listener = tls.NewListener(listener, tlsConfig)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	server = &Server{
+		listener: listener,
+		pool:     pond.NewPool(maxConcurrentRequests),
+		ctx:      ctx,
+		cancel:   cancel,
+		conns:    map[*jsonrpc2.Conn]struct{}{},
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			server.serve(conn, mux)
+		}
+	}()
+	return server, nil
+}
+
+// Address returns the host:port that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close stops accepting, closes every connection and cancels the requests
+// under way. Callers that must not be cut are served before Close is called.
+func (s *Server) Close() error {
+	err := s.listener.Close()
+	s.cancel()
+	s.mu.Lock()
+	conns := s.conns
+	s.conns = map[*jsonrpc2.Conn]struct{}{}
+	s.mu.Unlock()
+	for conn := range conns {
+		_ = conn.Close()
+	}
+	return errors.Wrap(err, "close listener")
+}
+
+func (s *Server) serve(conn net.Conn, mux Mux) {
+	session := &session{server: s, mux: mux, running: map[string]context.CancelFunc{}}
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+	rpc := jsonrpc2.NewConn(s.ctx, stream, session)
+	s.mu.Lock()
+	s.conns[rpc] = struct{}{}
+	s.mu.Unlock()
+	go func() {
+		<-rpc.DisconnectNotify()
+		session.cancelAll()
+		s.mu.Lock()
+		delete(s.conns, rpc)
+		s.mu.Unlock()
+	}()
+}
+
+// envelope frames the parameters of every request.
+type envelope struct {
+	Correlation string          `json:"correlation"`
+	Body        json.RawMessage `json:"body,omitempty"`
+}
+
+// session is the server's side of one connection.
+type session struct {
+	server *Server
+	mux    Mux
+
+	mu sync.Mutex
+	// running maps the correlation of each request under way to its cancel.
+	running map[string]context.CancelFunc
+}
+
+// Handle receives one request or notification. It runs on the connection's
+// reader, so work is handed to the pool.
+func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	var frame envelope
+	if request.Params != nil {
+		if err := json.Unmarshal(*request.Params, &frame); err != nil {
+			s.replyError(ctx, conn, request, spool.Refuse(spool.CodeBadRequest, "envelope does not decode: %v", err))
+			return
+		}
+	}
+	switch request.Method {
+	case methodPing:
+		_ = conn.Reply(ctx, request.ID, struct{}{})
+		return
+	case methodCancel:
+		s.cancel(frame.Correlation)
+		return
+	}
+	handler, ok := s.mux[request.Method]
+	if !ok {
+		s.replyError(ctx, conn, request, spool.Refuse(spool.CodeBadRequest, "method %q does not exist", request.Method))
+		return
+	}
+	callCtx, cancel := context.WithCancel(s.server.ctx)
+	s.mu.Lock()
+	s.running[frame.Correlation] = cancel
+	s.mu.Unlock()
+	s.server.pool.Submit(func() {
+		defer s.cancel(frame.Correlation)
+		s.run(callCtx, conn, request, handler, frame)
+	})
+}
+
+func (s *session) run(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, handler HandlerFunc, frame envelope) {
+	send := func(chunk any) error {
+		body, err := json.Marshal(chunk)
+		if err != nil {
+			return errors.Wrap(err, "encode chunk")
+		}
+		return conn.Notify(ctx, methodChunk, envelope{Correlation: frame.Correlation, Body: body})
+	}
+	result, err := handler(ctx, frame.Body, send)
+	if err != nil {
+		s.replyError(ctx, conn, request, err)
+		return
+	}
+	body, err := json.Marshal(result)
+	if err != nil {
+		s.replyError(ctx, conn, request, err)
+		return
+	}
+	_ = conn.Reply(ctx, request.ID, envelope{Correlation: frame.Correlation, Body: body})
+}
+
+func (s *session) replyError(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, err error) {
+	if request.Notif {
+		return
+	}
+	refusal := &spool.Refusal{}
+	if !errors.As(err, &refusal) {
+		refusal = &spool.Refusal{Code: spool.CodeInternal, Message: err.Error(), NotRun: spool.NotRunUnknown}
+	}
+	reply := &jsonrpc2.Error{Code: refusalCode, Message: refusal.Message}
+	reply.SetError(refusal)
+	_ = conn.ReplyWithError(ctx, request.ID, reply)
+}
+
+func (s *session) cancel(correlation string) {
+	s.mu.Lock()
+	cancel := s.running[correlation]
+	delete(s.running, correlation)
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (s *session) cancelAll() {
+	s.mu.Lock()
+	running := s.running
+	s.running = map[string]context.CancelFunc{}
+	s.mu.Unlock()
+	for _, cancel := range running {
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,115 @@
+package wire_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+func TestWire(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "wire")
+}
+
+type text struct {
+	Value string `json:"value"`
+}
+
+var _ = ginkgo.Describe("Clients", func() {
+	var (
+		server    *wire.Server
+		clients   *wire.Clients
+		cancelled chan struct{}
+	)
+
+	ginkgo.BeforeEach(func() {
+		cancelled = make(chan struct{}, 1)
+		mux := wire.Mux{
+			"test.stream": wire.Handle(func(_ context.Context, request text, send wire.Send) (any, error) {
+				for _, letter := range request.Value {
+					if err := send(text{string(letter)}); err != nil {
+						return nil, err
+					}
+				}
+				return request, nil
+			}),
+			"test.refuse": wire.Handle(func(context.Context, text, wire.Send) (any, error) {
+				return nil, errors.Wrap(spool.Refuse(spool.CodeDraining, "draining").WithRetryAfter(70), "annotated")
+			}),
+			"test.hang": wire.Handle(func(ctx context.Context, _ text, _ wire.Send) (any, error) {
+				<-ctx.Done()
+				cancelled <- struct{}{}
+				return nil, ctx.Err()
+			}),
+		}
+		var err error
+		server, err = wire.Listen("127.0.0.1:0", mux, nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		clients = wire.NewClients("client", wire.WithSilentAfter(200, 50))
+		ginkgo.DeferCleanup(func() {
+			clients.Close()
+			_ = server.Close()
+		})
+	})
+
+	ginkgo.It("delivers every chunk in order before the reply", func() {
+		got := ""
+		reply := text{}
+		err := clients.Call(context.Background(), server.Address(), "test.stream", text{"abcdefghij"}, &reply, func(chunk json.RawMessage) error {
+			piece := text{}
+			got += func() string { _ = json.Unmarshal(chunk, &piece); return piece.Value }()
+			return nil
+		})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(got).To(gomega.Equal("abcdefghij"))
+		gomega.Expect(reply.Value).To(gomega.Equal("abcdefghij"))
+	})
+
+	ginkgo.It("passes a refusal on with all its fields", func() {
+		err := clients.Call(context.Background(), server.Address(), "test.refuse", text{}, nil, nil)
+		refusal := &spool.Refusal{}
+		gomega.Expect(errors.As(err, &refusal)).To(gomega.BeTrue())
+		gomega.Expect(*refusal).To(gomega.Equal(*spool.Refuse(spool.CodeDraining, "draining").WithRetryAfter(70)))
+	})
+
+	ginkgo.It("cancels the request at the server when the caller goes away", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		err := clients.Call(ctx, server.Address(), "test.hang", text{}, nil, nil)
+		gomega.Expect(errors.Is(err, context.DeadlineExceeded)).To(gomega.BeTrue())
+		gomega.Eventually(cancelled).Should(gomega.Receive())
+	})
+
+	ginkgo.It("proves that a call was not sent when nobody listens", func() {
+		address := server.Address()
+		gomega.Expect(server.Close()).To(gomega.Succeed())
+		err := clients.Call(context.Background(), address, "test.stream", text{}, nil, nil)
+		gomega.Expect(errors.Is(err, spool.ErrNotSent)).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("reports a call as lost when the server dies", func() {
+		time.AfterFunc(50*time.Millisecond, func() { _ = server.Close() })
+		err := clients.Call(context.Background(), server.Address(), "test.hang", text{}, nil, nil)
+		gomega.Expect(errors.Is(err, spool.ErrNotSent)).To(gomega.BeFalse())
+		gomega.Expect(err).To(gomega.HaveOccurred())
+	})
+
+	ginkgo.It("closes a connection that accepts but never answers", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(listener.Close)
+		started := time.Now()
+		err = clients.Call(context.Background(), listener.Addr().String(), "test.stream", text{}, nil, nil)
+		gomega.Expect(errors.Is(err, wire.ErrSilent)).To(gomega.BeTrue())
+		gomega.Expect(time.Since(started)).To(gomega.BeNumerically("<", 2*time.Second))
+	})
+})
--- /dev/null
+++ b/pkg/clock/clock.go
@@ -0,0 +1,75 @@
+// Package clock provides the project's time type, in milliseconds, and the
+// clocks that produce it. Decision code takes the time as an argument, so the
+// same code runs against the system clock and in virtual time.
+package clock
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+)
+
+// Millis is an instant in milliseconds since the Unix epoch, or a duration in
+// milliseconds, depending on where it is used.
+type Millis int64
+
+// Units of Millis used as a duration.
+const (
+	Second Millis = 1000
+	Minute        = 60 * Second
+	Hour          = 60 * Minute
+)
+
+// Duration converts m, read as a duration, for use with the standard library.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// String formats m as a number of milliseconds with its unit.
+func (m Millis) String() string { return fmt.Sprintf("%dms", int64(m)) }
+
+// FromDuration converts d and rounds down to whole milliseconds.
+func FromDuration(d time.Duration) Millis { return Millis(d / time.Millisecond) }
+
+// Clock tells the current time.
+type Clock interface {
+	// Now returns the current instant. It never goes backwards.
+	Now() Millis
+}
+
+type systemClock struct {
+	start time.Time
+	base  Millis
+}
+
+// System returns a clock that starts at the wall-clock time and then follows
+// the monotonic clock, so an adjustment of the wall clock cannot expire leases.
+func System() Clock {
+	start := time.Now()
+	return systemClock{start: start, base: Millis(start.UnixMilli())}
+}
+
+func (c systemClock) Now() Millis { return c.base + FromDuration(time.Since(c.start)) }
+
+// Manual is a clock that moves only when told to. Tests and the bench use it.
+// It is safe for concurrent use.
+type Manual struct {
+	now atomic.Int64
+}
+
+// NewManual returns a manual clock that shows start.
+func NewManual(start Millis) *Manual {
+	clock := &Manual{}
+	clock.now.Store(int64(start))
+	return clock
+}
+
+// Now returns the instant that the clock was last set to.
+func (c *Manual) Now() Millis { return Millis(c.now.Load()) }
+
+// Advance moves the clock forward by d and returns the new instant. A negative
+// d is ignored.
+func (c *Manual) Advance(d Millis) Millis {
+	if d < 0 {
+		return c.Now()
+	}
+	return Millis(c.now.Add(int64(d)))
+}
--- /dev/null
+++ b/pkg/spool/refusal.go
@@ -0,0 +1,107 @@
+package spool
+
+import (
+	"fmt"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+)
+
+// NotRun tells the caller of a refused request whether the request had any
+// effect. "true" is said only by a process that can prove it.
+type NotRun string
+
+// The values of NotRun.
+const (
+	NotRunTrue    NotRun = "true"
+	NotRunFalse   NotRun = "false"
+	NotRunUnknown NotRun = "unknown"
+)
+
+// Code is the stable identifier of a refusal reason. Callers may depend on it
+// and each code has its own counter.
+type Code string
+
+// The refusal codes.
+const (
+	CodeBadRequest       Code = "badRequest"
+	CodeTooLarge         Code = "tooLarge"
+	CodeUnauthorized     Code = "unauthorized"
+	CodeKeyWithdrawn     Code = "keyWithdrawn"
+	CodeNotFound         Code = "notFound"
+	CodeConflict         Code = "conflict"
+	CodeRateLimited      Code = "rateLimited"
+	CodeBudgetExhausted  Code = "budgetExhausted"
+	CodeOverloaded       Code = "overloaded"
+	CodeNoEndpoint       Code = "noEndpoint"
+	CodeDraining         Code = "draining"
+	CodeFenced           Code = "fenced"
+	CodeNotOwner         Code = "notOwner"
+	CodeNoOwner          Code = "noOwner"
+	CodeLogUnavailable   Code = "logUnavailable"
+	CodeIsolated         Code = "isolated"
+	CodeDeadlineExceeded Code = "deadlineExceeded"
+	CodeCancelled        Code = "cancelled"
+	CodeProgramEnded     Code = "programEnded"
+	CodeUnknownFate      Code = "unknownFate"
+	CodeNeedHistory      Code = "needHistory"
+	CodeEndpointFailed   Code = "endpointFailed"
+	CodeShuttingDown     Code = "shuttingDown"
+	CodeInternal         Code = "internal"
+)
+
+// httpStatus maps each code to the status of the HTTP answer.
+var httpStatus = map[Code]int{
+	CodeBadRequest: 400, CodeTooLarge: 413, CodeUnauthorized: 401, CodeKeyWithdrawn: 401,
+	CodeNotFound: 404, CodeConflict: 409, CodeRateLimited: 429, CodeBudgetExhausted: 402,
+	CodeOverloaded: 503, CodeNoEndpoint: 503, CodeDraining: 503, CodeFenced: 503,
+	CodeNotOwner: 503, CodeNoOwner: 503, CodeLogUnavailable: 503, CodeIsolated: 503,
+	CodeDeadlineExceeded: 504, CodeCancelled: 499, CodeProgramEnded: 410,
+	CodeUnknownFate: 502, CodeNeedHistory: 409, CodeEndpointFailed: 502,
+	CodeShuttingDown: 503, CodeInternal: 500,
+}
+
+// Refusal is the error of a request that was not answered in full. It crosses
+// process boundaries, so its fields are exported for the codec.
+type Refusal struct {
+	// Code is one of the codes above.
+	Code Code `json:"code"`
+	// Message explains the refusal in a sentence and never contains a key.
+	Message string `json:"message"`
+	// NotRun is NotRunTrue only when the request provably had no effect.
+	NotRun NotRun `json:"notRun"`
+	// RetryAfter is the wait, in milliseconds, after which a retry may succeed;
+	// 0 when a retry is pointless.
+	RetryAfter clock.Millis `json:"retryAfterMs"`
+	// Owner is the node to ask instead, set only with CodeNotOwner.
+	Owner NodeID `json:"owner,omitempty"`
+}
+
+// Refuse returns a refusal of a request that provably did not run.
+func Refuse(code Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Message: fmt.Sprintf(format, args...), NotRun: NotRunTrue}
+}
+
+// WithNotRun returns a copy of r that says n about the effect of the request.
+func (r *Refusal) WithNotRun(n NotRun) *Refusal {
+	other := *r
+	other.NotRun = n
+	return &other
+}
+
+// WithRetryAfter returns a copy of r that suggests a retry after wait.
+func (r *Refusal) WithRetryAfter(wait clock.Millis) *Refusal {
+	other := *r
+	other.RetryAfter = wait
+	return &other
+}
+
+// Error describes the refusal with its code.
+func (r *Refusal) Error() string { return string(r.Code) + ": " + r.Message }
+
+// Status returns the status code of the HTTP answer.
+func (r *Refusal) Status() int {
+	if status, ok := httpStatus[r.Code]; ok {
+		return status
+	}
+	return httpStatus[CodeInternal]
+}
