Add platform adapters and the stand-ins of the platform

The system needs a log, a list of VMs, engines and plain services to run against. internal/platform holds the adapters, on fasthttp's message types with a transport that never repeats a request and closes the connection when the context ends: fasthttp's own client repeats a POST whose connection was closed without an answer, which would double an append. internal/standin and cmd/standin are small stand-ins with fault switches on a control port.

--- /dev/null
+++ b/internal/platform/service.go
@@ -0,0 +1,61 @@
+package platform
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Headers that carry the identifiers of a call to a plain service.
+const (
+	HeaderCorrelation = "X-Correlation-Id"
+	HeaderCall        = "X-Call-Id"
+)
+
+// ErrCrossedAnswer means that an answer carried another call's correlation.
+var ErrCrossedAnswer = errors.New("answer belongs to another call")
+
+// Service is the client of one plain service.
+type Service struct {
+	transport *transport
+}
+
+var _ spool.Service = (*Service)(nil)
+
+// NewService returns a client of the service at address, a host:port.
+func NewService(address string) *Service { return &Service{transport: newTransport(address)} }
+
+// Call sends one request, once.
+func (s *Service) Call(ctx context.Context, call spool.ServiceCall) (result spool.ServiceResult, err error) {
+	defer func() { err = errors.Wrap(err, "call service") }()
+	request := s.transport.request(call.Method, call.Path, call.Body)
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.Set(HeaderCorrelation, call.Correlation)
+	request.Header.Set(HeaderCall, call.Call)
+	c, err := s.transport.dial(ctx)
+	if err != nil {
+		return result, err
+	}
+	defer func() { _ = c.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	if err := writeRequest(c, request); err != nil {
+		return result, cause(ctx, err)
+	}
+	if err := response.ReadLimitBody(c.reader, maxBody); err != nil {
+		return result, cause(ctx, err)
+	}
+	if string(response.Header.Peek(HeaderCorrelation)) != call.Correlation {
+		return result, ErrCrossedAnswer
+	}
+	return spool.ServiceResult{
+		Correlation: call.Correlation,
+		Status:      response.StatusCode(),
+		Body:        append([]byte(nil), response.Body()...),
+	}, nil
+}
--- /dev/null
+++ b/internal/platform/transport.go
@@ -0,0 +1,258 @@
+// Package platform adapts the platform's services to the interfaces of package
+// spool: the log, the list of VMs, the model engines and the plain services.
+// The adapters are thin, so another platform needs only another set of them.
+package platform
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http/httputil"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	dialTimeout = 1 * clock.Second
+	// requestTimeout bounds every request that does not wait on purpose.
+	requestTimeout = 3 * clock.Second
+	// maxIdle bounds the idle connections kept per address.
+	maxIdle = 16
+	// maxBody bounds an answer that is read whole.
+	maxBody = 64 << 20
+)
+
+// errStatus is an answer with an unexpected status.
+type errStatus struct {
+	status int
+	body   string
+}
+
+func (e *errStatus) Error() string {
+	return fasthttp.StatusMessage(e.status) + ": " + e.body
+}
+
+// Is makes the statuses by which an endpoint says that it ran nothing equal to
+// the sentinels of package spool.
+func (e *errStatus) Is(target error) bool {
+	switch e.status {
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		return target == spool.ErrRejected
+	case fasthttp.StatusPreconditionFailed:
+		return target == spool.ErrStaleFence
+	}
+	return false
+}
+
+// conn is a connection with its buffers.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+}
+
+// transport sends requests to one address. Unlike fasthttp's own client it
+// never repeats a request, and a cancelled context closes the connection at
+// once, which the other side sees.
+type transport struct {
+	address string
+
+	mu   sync.Mutex
+	idle []*conn
+}
+
+func newTransport(address string) *transport { return &transport{address: address} }
+
+func (t *transport) dial(ctx context.Context) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
+	defer cancel()
+	dialer := &net.Dialer{}
+	raw, err := dialer.DialContext(ctx, "tcp", t.address)
+	if err != nil {
+		return nil, errors.Wrap(spool.ErrNotSent, err.Error())
+	}
+	return &conn{Conn: raw, reader: bufio.NewReader(raw), writer: bufio.NewWriter(raw)}, nil
+}
+
+func (t *transport) take() *conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.idle) == 0 {
+		return nil
+	}
+	last := t.idle[len(t.idle)-1]
+	t.idle = t.idle[:len(t.idle)-1]
+	return last
+}
+
+func (t *transport) put(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.idle) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	t.idle = append(t.idle, c)
+}
+
+// get sends an idempotent request, on an idle connection when there is one, and
+// decodes the JSON answer into result. A connection that the other side has
+// closed in the meantime is replaced once.
+func (t *transport) get(ctx context.Context, path string, wait clock.Millis, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, (wait + requestTimeout).Duration())
+	defer cancel()
+	request := t.request(fasthttp.MethodGet, path, nil)
+	defer fasthttp.ReleaseRequest(request)
+	if idle := t.take(); idle != nil {
+		body, err := t.exchange(ctx, idle, request)
+		status := &errStatus{}
+		if err == nil || errors.As(err, &status) || ctx.Err() != nil {
+			return decode(body, err, result)
+		}
+	}
+	fresh, err := t.dial(ctx)
+	if err != nil {
+		return err
+	}
+	body, err := t.exchange(ctx, fresh, request)
+	return decode(body, err, result)
+}
+
+// send sends a request once, on a connection of its own, and returns the
+// answer. An error that wraps spool.ErrNotSent proves that nothing was sent.
+func (t *transport) send(ctx context.Context, method, path string, body any, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout.Duration())
+	defer cancel()
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(spool.ErrNotSent, err.Error())
+	}
+	request := t.request(method, path, encoded)
+	defer fasthttp.ReleaseRequest(request)
+	fresh, err := t.dial(ctx)
+	if err != nil {
+		return err
+	}
+	answer, err := t.exchange(ctx, fresh, request)
+	return decode(answer, err, result)
+}
+
+func (t *transport) request(method, path string, body []byte) *fasthttp.Request {
+	request := fasthttp.AcquireRequest()
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + t.address + path)
+	if body != nil {
+		request.Header.SetContentType("application/json")
+		request.SetBody(body)
+	}
+	return request
+}
+
+// exchange sends request over c and reads the whole answer. It keeps c when the
+// answer was read to its end and closes it otherwise.
+func (t *transport) exchange(ctx context.Context, c *conn, request *fasthttp.Request) (body []byte, err error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	if err = writeRequest(c, request); err == nil {
+		err = response.ReadLimitBody(c.reader, maxBody)
+	}
+	if err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	body = append([]byte(nil), response.Body()...)
+	if !stop() || response.ConnectionClose() {
+		_ = c.Close()
+	} else {
+		t.put(c)
+	}
+	if response.StatusCode() >= fasthttp.StatusMultipleChoices {
+		return body, &errStatus{status: response.StatusCode(), body: string(body)}
+	}
+	return body, nil
+}
+
+func writeRequest(c *conn, request *fasthttp.Request) error {
+	if err := request.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+func decode(body []byte, err error, result any) error {
+	if err != nil || result == nil {
+		return err
+	}
+	return errors.Wrap(json.Unmarshal(body, result), "decode answer")
+}
+
+// events opens a stream of server-sent events and passes the data of each to
+// onEvent until the stream ends, onEvent fails or ctx ends.
+func (t *transport) events(ctx context.Context, path string, body any, onEvent func(data []byte) error) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(spool.ErrNotSent, err.Error())
+	}
+	c, err := t.dial(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	request := t.request(fasthttp.MethodPost, path, encoded)
+	defer fasthttp.ReleaseRequest(request)
+	if err := writeRequest(c, request); err != nil {
+		return err
+	}
+	header := fasthttp.ResponseHeader{}
+	if err := header.Read(c.reader); err != nil {
+		return cause(ctx, err)
+	}
+	stream := bodyReader(c, &header)
+	if header.StatusCode() != fasthttp.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(stream, 4096))
+		return &errStatus{status: header.StatusCode(), body: string(text)}
+	}
+	return cause(ctx, readEvents(stream, onEvent))
+}
+
+func bodyReader(c *conn, header *fasthttp.ResponseHeader) io.Reader {
+	if length := header.ContentLength(); length >= 0 {
+		return io.LimitReader(c.reader, int64(length))
+	}
+	return httputil.NewChunkedReader(c.reader)
+}
+
+// cause prefers the reason why ctx ended over the read error that it produced.
+func cause(ctx context.Context, err error) error {
+	if err != nil && ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+func readEvents(stream io.Reader, onEvent func(data []byte) error) error {
+	const prefix = "data: "
+	scanner := bufio.NewScanner(stream)
+	scanner.Buffer(nil, maxBody)
+	for scanner.Scan() {
+		line := scanner.Bytes()
+		if len(line) <= len(prefix) || string(line[:len(prefix)]) != prefix {
+			continue
+		}
+		if err := onEvent(line[len(prefix):]); err != nil {
+			return err
+		}
+	}
+	return scanner.Err()
+}
--- /dev/null
+++ b/internal/standin/engine_http.go
@@ -0,0 +1,177 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// ServeEngine starts the engine as a server. The control port shows the
+// settings at /, the counters at /stats, and restarts the engine on POST
+// /restart.
+func ServeEngine(engine *Engine, address, control string) (*Server, error) {
+	settings := switches(engine.Settings, engine.SetSettings)
+	return Serve(address, control, engine.handle, func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case "/stats":
+			reply(ctx, engine.Stats())
+		case "/restart":
+			engine.Restart()
+		default:
+			settings(ctx)
+		}
+	})
+}
+
+func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
+	if seesKey(ctx) {
+		e.mu.Lock()
+		e.stats.KeysSeen++
+		e.mu.Unlock()
+	}
+	path := string(ctx.Path())
+	switch {
+	case path == "/v1/generate":
+		e.handleGenerate(ctx)
+	case path == "/v1/load":
+		reply(ctx, e.load())
+	case path == "/v1/events":
+		after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
+		reply(ctx, e.eventsAfter(after))
+	case path == "/v1/sessions":
+		reply(ctx, e.Sessions())
+	case strings.HasPrefix(path, "/v1/sessions/") && ctx.IsDelete():
+		e.free(spool.ProgramID(strings.TrimPrefix(path, "/v1/sessions/")))
+	case path == "/v1/orders":
+		e.handleOrder(ctx)
+	default:
+		ctx.Error("not found", fasthttp.StatusNotFound)
+	}
+}
+
+func (e *Engine) handleOrder(ctx *fasthttp.RequestCtx) {
+	var order spool.EngineOrder
+	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if !e.order(order) {
+		ctx.Error("fencing number is old", fasthttp.StatusPreconditionFailed)
+	}
+}
+
+func (e *Engine) handleGenerate(ctx *fasthttp.RequestCtx) {
+	var call spool.EngineCall
+	if err := json.Unmarshal(ctx.PostBody(), &call); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	ready, cut, generation, ok := e.enter(call.Priority)
+	if !ok {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+		return
+	}
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		stream := &answerStream{engine: e, call: call, generation: generation, cut: cut, writer: w}
+		completed := false
+		defer func() { e.leave(ready, generation, completed) }()
+		select {
+		case <-ready:
+			completed = stream.run()
+		case <-cut:
+		}
+	})
+}
+
+// answerStream is one answer being streamed.
+type answerStream struct {
+	engine     *Engine
+	call       spool.EngineCall
+	generation uint64
+	cut        chan struct{}
+	writer     *bufio.Writer
+}
+
+// run streams the answer and reports whether it got to its end.
+func (g *answerStream) run() bool {
+	settings := g.engine.Settings()
+	cached := g.engine.lookup(g.call.Program, g.call.Messages)
+	prompt := tokensOf(g.call.Messages)
+	if !g.sleep(float64(prompt-cached) / settings.PrefillTokensPerMs) {
+		return false
+	}
+	words := Answer(g.call.Messages, g.call.MaxTokens)
+	for i, word := range words {
+		if !g.sleep(settings.TokenMs) {
+			return false
+		}
+		for g.engine.Settings().Silent {
+			if !g.sleep(10) {
+				return false
+			}
+		}
+		chunk := spool.Chunk{Correlation: g.call.Correlation, Index: i, Text: word}
+		if !g.send(platform.GenerateEvent{Chunk: &chunk}) {
+			return false
+		}
+	}
+	text := strings.Join(words, "")
+	answered := append(append([]spool.Message(nil), g.call.Messages...), spool.Message{Role: "assistant", Content: text})
+	g.engine.store(g.call.Program, g.generation, answered)
+	return g.send(platform.GenerateEvent{Result: &spool.EngineResult{
+		Correlation: g.call.Correlation, Text: text, PromptTokens: prompt,
+		CachedTokens: cached, GeneratedTokens: len(words),
+	}})
+}
+
+func (g *answerStream) sleep(millis float64) bool {
+	select {
+	case <-time.After(time.Duration(millis * float64(time.Millisecond))):
+		return true
+	case <-g.cut:
+		return false
+	}
+}
+
+func (g *answerStream) send(event platform.GenerateEvent) bool {
+	body, err := json.Marshal(event)
+	if err != nil {
+		return false
+	}
+	if _, err := fmt.Fprintf(g.writer, "data: %s\n\n", body); err != nil {
+		return false
+	}
+	return g.writer.Flush() == nil
+}
+
+// Answer returns the pieces of the engine's answer to a prompt. The first piece
+// names the number of messages and their digest, so a caller that keeps its own
+// transcript can tell whether the engine saw exactly that.
+func Answer(messages []spool.Message, maxTokens int) []string {
+	pieces := []string{fmt.Sprintf("seen=%d:%016x", len(messages), Digest(messages))}
+	for i := 1; i < max(maxTokens, 1); i++ {
+		pieces = append(pieces, " w"+strconv.Itoa(i))
+	}
+	return pieces
+}
+
+// Digest is the stand-in's own digest of a prompt.
+func Digest(messages []spool.Message) uint64 {
+	digest := xxhash.New()
+	for _, message := range messages {
+		_, _ = digest.WriteString(message.Role + "\x00" + message.Content + "\x00")
+	}
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/standin/log.go
@@ -0,0 +1,234 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// LogFaults are the fault switches of the log.
+type LogFaults struct {
+	// Down makes every request fail without effect.
+	Down bool `json:"down"`
+	// SlowMs delays every append.
+	SlowMs clock.Millis `json:"slowMs"`
+	// LoseAnswers is the share of appends, 0 to 1, that take effect but whose
+	// answer is lost.
+	LoseAnswers float64 `json:"loseAnswers"`
+	// RetainBatches is how many batches each stream keeps; 0 for all.
+	RetainBatches int `json:"retainBatches"`
+}
+
+// LogStats counts what the log has done.
+type LogStats struct {
+	Appends int64 `json:"appends"`
+	Bytes   int64 `json:"bytes"`
+	Reads   int64 `json:"reads"`
+}
+
+// Log is the stand-in of the platform's log. It also implements spool.Log, so
+// tests can use it without a network.
+type Log struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	faults  LogFaults
+	stats   LogStats
+	random  *rand.Rand
+	streams map[spool.Stream]*logStream
+}
+
+var _ spool.Log = (*Log)(nil)
+
+type logStream struct {
+	// first is the offset of batches[0].
+	first   spool.Offset
+	batches []spool.Batch
+	// grown is closed and replaced whenever a batch is added.
+	grown chan struct{}
+}
+
+// NewLog returns an empty log. seed feeds the choice of lost answers.
+func NewLog(seed uint64) *Log {
+	return &Log{
+		clock:   clock.System(),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		streams: map[spool.Stream]*logStream{},
+	}
+}
+
+// Faults returns the switches in force.
+func (l *Log) Faults() LogFaults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
+// SetFaults changes the switches.
+func (l *Log) SetFaults(faults LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = faults
+}
+
+// Stats returns the counters.
+func (l *Log) Stats() LogStats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stats
+}
+
+// All returns every batch that a stream still keeps.
+func (l *Log) All(stream spool.Stream) []spool.Batch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]spool.Batch(nil), l.stream(stream).batches...)
+}
+
+func (l *Log) stream(name spool.Stream) *logStream {
+	stream := l.streams[name]
+	if stream == nil {
+		stream = &logStream{first: 1, grown: make(chan struct{})}
+		l.streams[name] = stream
+	}
+	return stream
+}
+
+// Append adds a batch.
+func (l *Log) Append(ctx context.Context, name spool.Stream, batch spool.Batch) (spool.Offset, error) {
+	faults := l.Faults()
+	if faults.Down {
+		return 0, spool.ErrLogUnavailable
+	}
+	select {
+	case <-time.After(faults.SlowMs.Duration()):
+	case <-ctx.Done():
+		return 0, spool.ErrOutcomeUnknown
+	}
+	encoded, err := json.Marshal(batch)
+	if err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	stream := l.stream(name)
+	batch.Offset = stream.first + spool.Offset(len(stream.batches))
+	stream.batches = append(stream.batches, batch)
+	l.stats.Appends++
+	l.stats.Bytes += int64(len(encoded))
+	if keep := l.faults.RetainBatches; keep > 0 && len(stream.batches) > keep {
+		drop := len(stream.batches) - keep
+		stream.batches = append([]spool.Batch(nil), stream.batches[drop:]...)
+		stream.first += spool.Offset(drop)
+	}
+	close(stream.grown)
+	stream.grown = make(chan struct{})
+	if l.random.Float64() < l.faults.LoseAnswers {
+		return 0, spool.ErrOutcomeUnknown
+	}
+	return batch.Offset, nil
+}
+
+// Read returns the batches after the given offset.
+func (l *Log) Read(ctx context.Context, name spool.Stream, after spool.Offset, wait clock.Millis) (spool.Page, error) {
+	deadline := time.After(wait.Duration())
+	for {
+		page, grown, err := l.page(name, after)
+		if err != nil || len(page.Batches) > 0 || wait <= 0 {
+			return page, err
+		}
+		select {
+		case <-grown:
+		case <-deadline:
+			wait = 0
+		case <-ctx.Done():
+			return spool.Page{}, spool.ErrLogUnavailable
+		}
+	}
+}
+
+// maxPage bounds the batches of one page.
+const maxPage = 512
+
+func (l *Log) page(name spool.Stream, after spool.Offset) (spool.Page, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Down {
+		return spool.Page{}, nil, spool.ErrLogUnavailable
+	}
+	l.stats.Reads++
+	stream := l.stream(name)
+	page := spool.Page{First: stream.first, Last: stream.first + spool.Offset(len(stream.batches)) - 1}
+	if after+1 < stream.first {
+		return page, stream.grown, spool.ErrTrimmed
+	}
+	if after < page.Last {
+		batches := stream.batches[after+1-stream.first:]
+		page.Batches = append(page.Batches, batches[:min(len(batches), maxPage)]...)
+	}
+	return page, stream.grown, nil
+}
+
+// ServeLog starts the log as a server.
+func ServeLog(log *Log, address, control string) (*Server, error) {
+	faults := switches(log.Faults, log.SetFaults)
+	return Serve(address, control, log.handle, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/stats" {
+			reply(ctx, log.Stats())
+			return
+		}
+		faults(ctx)
+	})
+}
+
+func (l *Log) handle(ctx *fasthttp.RequestCtx) {
+	name, ok := strings.CutPrefix(string(ctx.Path()), "/v1/streams/")
+	if !ok || name == "" {
+		ctx.Error("not found", fasthttp.StatusNotFound)
+		return
+	}
+	if ctx.IsPost() {
+		l.handleAppend(ctx, spool.Stream(name))
+		return
+	}
+	after := ctx.QueryArgs().GetUintOrZero("after")
+	wait := ctx.QueryArgs().GetUintOrZero("waitMs")
+	page, err := l.Read(ctx, spool.Stream(name), spool.Offset(after), clock.Millis(wait))
+	if err != nil && page.First == 0 {
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
+	reply(ctx, page)
+}
+
+type appended struct {
+	Offset spool.Offset `json:"offset"`
+}
+
+func (l *Log) handleAppend(ctx *fasthttp.RequestCtx, name spool.Stream) {
+	var batch spool.Batch
+	if err := json.Unmarshal(ctx.PostBody(), &batch); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	offset, err := l.Append(context.Background(), name, batch)
+	switch err {
+	case nil:
+		reply(ctx, appended{Offset: offset})
+	case spool.ErrOutcomeUnknown:
+		// The connection is closed without an answer.
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+	default:
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,122 @@
+package standin
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+)
+
+// ServiceFaults are the fault switches of a plain service.
+type ServiceFaults struct {
+	// SlowMs delays every answer.
+	SlowMs clock.Millis `json:"slowMs"`
+	// Hang makes requests run without ever being answered.
+	Hang bool `json:"hang"`
+	// DropAnswers closes the connection after the request has run.
+	DropAnswers bool `json:"dropAnswers"`
+}
+
+// ServiceStats counts what the service has seen.
+type ServiceStats struct {
+	// Executions counts the runs of each call identifier.
+	Executions map[string]int `json:"executions"`
+	// KeysSeen counts requests that contained a caller's key.
+	KeysSeen int `json:"keysSeen"`
+}
+
+// Service is the stand-in of a plain service. It has no check of its own
+// against repeats, so a repeated call shows in its counts.
+type Service struct {
+	mu     sync.Mutex
+	faults ServiceFaults
+	stats  ServiceStats
+}
+
+// NewService returns a service without faults.
+func NewService() *Service {
+	return &Service{stats: ServiceStats{Executions: map[string]int{}}}
+}
+
+// Faults returns the switches in force.
+func (s *Service) Faults() ServiceFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetFaults changes the switches.
+func (s *Service) SetFaults(faults ServiceFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Stats returns a copy of the counters.
+func (s *Service) Stats() ServiceStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stats := ServiceStats{KeysSeen: s.stats.KeysSeen, Executions: map[string]int{}}
+	for call, count := range s.stats.Executions {
+		stats.Executions[call] = count
+	}
+	return stats
+}
+
+// ServeService starts the service as a server.
+func ServeService(service *Service, address, control string) (*Server, error) {
+	faults := switches(service.Faults, service.SetFaults)
+	return Serve(address, control, service.handle, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/stats" {
+			reply(ctx, service.Stats())
+			return
+		}
+		faults(ctx)
+	})
+}
+
+// hangFor is longer than any caller waits.
+const hangFor = 10 * time.Minute
+
+func (s *Service) handle(ctx *fasthttp.RequestCtx) {
+	call := string(ctx.Request.Header.Peek(platform.HeaderCall))
+	correlation := string(ctx.Request.Header.Peek(platform.HeaderCorrelation))
+	s.mu.Lock()
+	s.stats.Executions[call]++
+	if seesKey(ctx) {
+		s.stats.KeysSeen++
+	}
+	faults := s.faults
+	s.mu.Unlock()
+	switch {
+	case faults.Hang:
+		time.Sleep(hangFor)
+	case faults.DropAnswers:
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+		return
+	}
+	time.Sleep(faults.SlowMs.Duration())
+	ctx.Response.Header.Set(platform.HeaderCorrelation, correlation)
+	reply(ctx, serviceAnswer{Call: call, Path: string(ctx.Path()), Bytes: len(ctx.PostBody())})
+}
+
+type serviceAnswer struct {
+	Call  string `json:"call"`
+	Path  string `json:"path"`
+	Bytes int    `json:"bytes"`
+}
+
+// keyPrefix is what every caller's key starts with.
+const keyPrefix = "bsk_"
+
+// seesKey reports whether any part of a request contains a caller's key.
+func seesKey(ctx *fasthttp.RequestCtx) bool {
+	return strings.Contains(ctx.Request.Header.String(), keyPrefix) ||
+		strings.Contains(string(ctx.PostBody()), keyPrefix)
+}
--- a/pkg/spool/platform.go
+++ b/pkg/spool/platform.go
@@ -256,8 +256,17 @@
 	Body []byte `json:"body,omitempty"`
 }
 
-// ErrNotSent means that a request provably did not reach the endpoint.
-var ErrNotSent = errors.New("request was not sent")
+// Errors of endpoints.
+var (
+	// ErrNotSent means that a request provably did not reach the endpoint.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrRejected means that the endpoint answered that it did not run the
+	// request.
+	ErrRejected = errors.New("endpoint rejected the request")
+	// ErrStaleFence means that an engine refused an order with an old fencing
+	// number.
+	ErrStaleFence = errors.New("fencing number is old")
+)
 
 // Service is one plain service.
 type Service interface {
