Close silent connections at the server and bind flags to the environment

A client whose VM is gone without closing its connection left its requests running at the server for good.

--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,105 @@
+// Package config binds the flags of the commands to environment variables and
+// collects every error in a configuration, so that an operator sees all of them
+// at once.
+package config
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+)
+
+// Prefix starts the name of every environment variable.
+const Prefix = "BAOBABSPOOL_"
+
+// Variable returns the environment variable of a flag: "log-address" is read
+// from BAOBABSPOOL_LOG_ADDRESS.
+func Variable(flag string) string {
+	return Prefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// Bind makes command take each flag that is not given from its environment
+// variable, and names the variable in the flag's help.
+func Bind(command *cobra.Command) {
+	command.Flags().VisitAll(func(flag *pflag.Flag) {
+		flag.Usage += " [" + Variable(flag.Name) + "]"
+	})
+	previous := command.PreRunE
+	command.PreRunE = func(command *cobra.Command, args []string) error {
+		if err := apply(command.Flags()); err != nil {
+			return err
+		}
+		if previous == nil {
+			return nil
+		}
+		return previous(command, args)
+	}
+}
+
+func apply(flags *pflag.FlagSet) error {
+	var problems Problems
+	flags.VisitAll(func(flag *pflag.Flag) {
+		value, set := os.LookupEnv(Variable(flag.Name))
+		if !set || flag.Changed {
+			return
+		}
+		if err := flags.Set(flag.Name, value); err != nil {
+			problems.Add(Variable(flag.Name), "%v", err)
+		}
+	})
+	return problems.Err()
+}
+
+// Problem is one error in a configuration.
+type Problem struct {
+	// Name is the flag or setting.
+	Name string
+	// Reason says what is wrong with its value.
+	Reason string
+}
+
+// Problems collects the errors of a configuration.
+type Problems struct {
+	list []Problem
+}
+
+// Add records a problem.
+func (p *Problems) Add(name, format string, args ...any) {
+	p.list = append(p.list, Problem{Name: name, Reason: fmt.Sprintf(format, args...)})
+}
+
+// Require records a problem when value is empty.
+func (p *Problems) Require(name, value string) {
+	if value == "" {
+		p.Add(name, "is required")
+	}
+}
+
+// Address records a problem when value is not an IP address with a port.
+func (p *Problems) Address(name, value string) {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil {
+		p.Add(name, "%q is not host:port", value)
+		return
+	}
+	if net.ParseIP(host) == nil {
+		p.Add(name, "%q is not an IP address", host)
+	}
+}
+
+// Err returns nil when there is no problem, else one error that names them all.
+func (p *Problems) Err() error {
+	if len(p.list) == 0 {
+		return nil
+	}
+	lines := make([]string, len(p.list))
+	for i, problem := range p.list {
+		lines[i] = problem.Name + ": " + problem.Reason
+	}
+	return errors.New("configuration is not valid:\n  " + strings.Join(lines, "\n  "))
+}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -10,11 +10,14 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/alitto/pond/v2"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -31,6 +34,10 @@
 // maxConcurrentRequests bounds the requests that one server works on at a time.
 const maxConcurrentRequests = 4096
 
+// defaultIdleAfter is how long a client may stay silent before the server closes
+// its connection and cancels its requests. Clients send a heartbeat every 500 ms.
+const defaultIdleAfter = 5 * clock.Second
+
 // Send passes one chunk of a streamed answer to the caller of a method.
 type Send func(chunk any) error
 
@@ -55,19 +62,29 @@
 
 // Server answers the requests of other processes.
 type Server struct {
-	listener net.Listener
-	pool     pond.Pool
-	ctx      context.Context
-	cancel   context.CancelFunc
+	listener  net.Listener
+	pool      pond.Pool
+	ctx       context.Context
+	cancel    context.CancelFunc
+	idleAfter clock.Millis
 
 	mu sync.Mutex
 	// conns holds every open connection.
 	conns map[*jsonrpc2.Conn]struct{}
 }
 
-// Listen starts a server on address; an empty port picks a free one. tlsConfig
-// may be nil for plain TCP.
-func Listen(address string, mux Mux, tlsConfig *tls.Config) (server *Server, err error) {
+// ServerOption changes a default of a Server.
+type ServerOption func(*Server)
+
+// WithIdleAfter sets how long a client may stay silent before its connection is
+// closed and its requests are cancelled.
+func WithIdleAfter(idleAfter clock.Millis) ServerOption {
+	return func(s *Server) { s.idleAfter = idleAfter }
+}
+
+// Listen starts a server on address; port 0 picks a free one. tlsConfig may be
+// nil for plain TCP.
+func Listen(address string, mux Mux, tlsConfig *tls.Config, options ...ServerOption) (server *Server, err error) {
 	defer func() { err = errors.Wrapf(err, "listen on %s", address) }()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -78,11 +95,15 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	server = &Server{
-		listener: listener,
-		pool:     pond.NewPool(maxConcurrentRequests),
-		ctx:      ctx,
-		cancel:   cancel,
-		conns:    map[*jsonrpc2.Conn]struct{}{},
+		listener:  listener,
+		pool:      pond.NewPool(maxConcurrentRequests),
+		ctx:       ctx,
+		cancel:    cancel,
+		idleAfter: defaultIdleAfter,
+		conns:     map[*jsonrpc2.Conn]struct{}{},
+	}
+	for _, option := range options {
+		option(server)
 	}
 	go func() {
 		for {
@@ -116,13 +137,14 @@
 
 func (s *Server) serve(conn net.Conn, mux Mux) {
 	session := &session{server: s, mux: mux, running: map[string]context.CancelFunc{}}
+	session.heard.Store(time.Now().UnixNano())
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
 	rpc := jsonrpc2.NewConn(s.ctx, stream, session)
 	s.mu.Lock()
 	s.conns[rpc] = struct{}{}
 	s.mu.Unlock()
 	go func() {
-		<-rpc.DisconnectNotify()
+		session.watch(rpc)
 		session.cancelAll()
 		s.mu.Lock()
 		delete(s.conns, rpc)
@@ -140,15 +162,37 @@
 type session struct {
 	server *Server
 	mux    Mux
+	// heard is the time of the last message, in nanoseconds.
+	heard atomic.Int64
 
 	mu sync.Mutex
 	// running maps the correlation of each request under way to its cancel.
 	running map[string]context.CancelFunc
 }
 
+// watch returns when the connection has ended; it closes one whose client has
+// gone silent, because such a connection may never report an error.
+func (s *session) watch(conn *jsonrpc2.Conn) {
+	idleAfter := s.server.idleAfter.Duration()
+	ticker := time.NewTicker(idleAfter / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-conn.DisconnectNotify():
+			return
+		case <-ticker.C:
+			if time.Since(time.Unix(0, s.heard.Load())) > idleAfter {
+				_ = conn.Close()
+				return
+			}
+		}
+	}
+}
+
 // Handle receives one request or notification. It runs on the connection's
 // reader, so work is handed to the pool.
 func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	s.heard.Store(time.Now().UnixNano())
 	var frame envelope
 	if request.Params != nil {
 		if err := json.Unmarshal(*request.Params, &frame); err != nil {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -52,7 +52,7 @@
 			}),
 		}
 		var err error
-		server, err = wire.Listen("127.0.0.1:0", mux, nil)
+		server, err = wire.Listen("127.0.0.1:0", mux, nil, wire.WithIdleAfter(200))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		clients = wire.NewClients("client", wire.WithSilentAfter(200, 50))
 		ginkgo.DeferCleanup(func() {
@@ -112,4 +112,11 @@
 		gomega.Expect(errors.Is(err, wire.ErrSilent)).To(gomega.BeTrue())
 		gomega.Expect(time.Since(started)).To(gomega.BeNumerically("<", 2*time.Second))
 	})
+
+	ginkgo.It("cancels the requests of a client that goes silent without closing", func() {
+		mute := wire.NewClients("mute", wire.WithSilentAfter(60_000, 60_000))
+		ginkgo.DeferCleanup(mute.Close)
+		go func() { _ = mute.Call(context.Background(), server.Address(), "test.hang", text{}, nil, nil) }()
+		gomega.Eventually(cancelled, "2s").Should(gomega.Receive())
+	})
 })
