Add the scheduling policies in their first form

Cause: agents and entries need policies to build by name. Change: routers roundRobin, leastLoaded, affinity; queues fcfs, fair; gates fixed, adaptive; retries always, budgeted. Gate events GateStarted and GateEnded let a gate see that its endpoint is idle.

--- /dev/null
+++ b/pkg/policy/order/order.go
@@ -0,0 +1,67 @@
+// Package order holds the queue orders: fcfs is the baseline, fair serves alarms
+// first, then accounts by weighted fair queueing, and within an account the
+// program that has had the least service.
+//
+// Ways weighed. Deficit round robin is O(1) but serves an account in bursts of
+// its quantum, which is a whole call here. Start-time fair queueing needs one
+// tag per account and a heap, and bounds how far an account can fall behind by
+// one call. Shortest remaining time needs the shape of a program, which is
+// unknown; attained service is known.
+package order
+
+import (
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Names of the queue orders.
+const (
+	FCFS = "fcfs"
+	Fair = "fair"
+)
+
+func init() {
+	spool.Queues.Register(FCFS, func(uint64, spool.Options) spool.Queue { return newFCFS() })
+	spool.Queues.Register(Fair, newFair)
+}
+
+// fcfs serves calls in the order of their arrival in the queue.
+type fcfs struct {
+	// calls may hold calls that were removed; waiting tells which still wait.
+	calls   []spool.CallView
+	waiting map[string]struct{}
+}
+
+func newFCFS() *fcfs { return &fcfs{waiting: map[string]struct{}{}} }
+
+// Push adds call at the end.
+func (q *fcfs) Push(_ clock.Millis, call spool.CallView) {
+	q.calls = append(q.calls, call)
+	q.waiting[call.Correlation] = struct{}{}
+}
+
+// Pop takes the oldest call.
+func (q *fcfs) Pop(clock.Millis) (spool.CallView, bool) {
+	for len(q.calls) > 0 {
+		call := q.calls[0]
+		q.calls[0] = spool.CallView{}
+		q.calls = q.calls[1:]
+		if q.Remove(call.Correlation) {
+			return call, true
+		}
+	}
+	return spool.CallView{}, false
+}
+
+// Remove takes out one call.
+func (q *fcfs) Remove(correlation string) bool {
+	_, ok := q.waiting[correlation]
+	delete(q.waiting, correlation)
+	return ok
+}
+
+// Served does nothing.
+func (q *fcfs) Served(clock.Millis, spool.CallView, int) {}
+
+// Len counts the waiting calls.
+func (q *fcfs) Len() int { return len(q.waiting) }
--- /dev/null
+++ b/pkg/policy/policy.go
@@ -0,0 +1,12 @@
+// Package policy registers every policy plug-in of the tree. Processes import
+// it for its side effects and build policies by name from the registries of
+// package spool.
+package policy
+
+import (
+	// Each import registers the policies of one kind.
+	_ "github.com/baobabspool/baobabspool/pkg/policy/gate"
+	_ "github.com/baobabspool/baobabspool/pkg/policy/order"
+	_ "github.com/baobabspool/baobabspool/pkg/policy/retry"
+	_ "github.com/baobabspool/baobabspool/pkg/policy/routing"
+)
--- a/pkg/spool/policy.go
+++ b/pkg/spool/policy.go
@@ -97,6 +97,13 @@
 	// GateCacheEmptied means that a call found no cached prefix although the
 	// engine held one a moment ago.
 	GateCacheEmptied
+	// GateStarted is a call that was sent to the endpoint. It lets a gate tell an
+	// idle endpoint, whose restart breaks no call, from a busy one. A process
+	// that sends it ends each call with GateCompleted, GateFailed or GateEnded.
+	GateStarted
+	// GateEnded is a call that ended without telling anything about the
+	// endpoint, for example one that its caller cancelled.
+	GateEnded
 )
 
 // GateEvent is an observation about one endpoint.
