Add settings, keyring and the control reader

Cause: entries and agents need the operators' settings, keys, accounts, services, drains and engine orders, and are written against this API now.

--- /dev/null
+++ b/internal/control/load.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// ErrNoSnapshot means that retention removed records before a snapshot of them
+// was appended. A node then needs the state from a peer.
+var ErrNoSnapshot = errors.New("log holds no snapshot of the records that were removed")
+
+// loadSnapshot rebuilds the state from the latest complete snapshot on the log
+// from which reading can go on. first is the lowest offset that is kept.
+func loadSnapshot(ctx context.Context, log spool.Log, first spool.Offset) (state *State, err error) {
+	defer func() { err = errors.Wrap(err, "load snapshot from the log") }()
+	found := collector{parts: map[string][]SnapshotPart{}}
+	for after := first - 1; ; {
+		page, err := log.Read(ctx, spool.ControlStream, after, 0)
+		if errors.Is(err, spool.ErrTrimmed) && page.First > after+1 {
+			after = page.First - 1
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		for _, batch := range page.Batches {
+			after = batch.Offset
+			data := found.add(batch)
+			if data == nil {
+				continue
+			}
+			candidate, err := RestoreCompressed(data)
+			if err != nil || candidate.offset < page.First-1 {
+				continue
+			}
+			candidate.snapshot = SnapshotMark{Covers: candidate.offset, At: batch.At}
+			state = candidate
+		}
+		if len(page.Batches) > 0 && after < page.Last {
+			continue
+		}
+		if state == nil {
+			return nil, ErrNoSnapshot
+		}
+		return state, nil
+	}
+}
+
+// follow brings state to the end of the log. It returns the state to use from
+// then on, which is another one when a snapshot had to be loaded. applied is
+// called after each batch and may be nil.
+func follow(ctx context.Context, log spool.Log, state *State, applied func(spool.Batch, []Rejection)) (_ *State, err error) {
+	defer func() { err = errors.Wrap(err, "read the control stream") }()
+	for {
+		page, err := log.Read(ctx, spool.ControlStream, state.offset, 0)
+		if errors.Is(err, spool.ErrTrimmed) || (err == nil && gapAfter(state.offset, page.Batches)) {
+			loaded, err := loadSnapshot(ctx, log, page.First)
+			if err != nil {
+				return state, err
+			}
+			if loaded.offset <= state.offset {
+				return state, ErrNoSnapshot
+			}
+			state = loaded
+			continue
+		}
+		if err != nil {
+			return state, err
+		}
+		for _, batch := range page.Batches {
+			rejected, err := state.Apply(batch)
+			if err != nil {
+				return state, err
+			}
+			if applied != nil {
+				applied(batch, rejected)
+			}
+		}
+		if len(page.Batches) == 0 || state.offset >= page.Last {
+			return state, nil
+		}
+	}
+}
+
+// gapAfter reports whether batches leave out the batch after offset.
+func gapAfter(offset spool.Offset, batches []spool.Batch) bool {
+	return len(batches) > 0 && batches[0].Offset > offset+1
+}
+
+// backoff counts failures in a row and returns growing waits.
+type backoff struct {
+	failures int
+}
+
+const (
+	firstBackoff clock.Millis = 50
+	maxBackoff   clock.Millis = 1000
+)
+
+// next returns the wait after another failure. jitter is in [0,1).
+func (b *backoff) next(jitter float64) clock.Millis {
+	wait := min(maxBackoff, firstBackoff<<min(b.failures, 10))
+	b.failures++
+	return wait/2 + clock.Millis(float64(wait)/2*jitter)
+}
+
+func (b *backoff) reset() { b.failures = 0 }
--- /dev/null
+++ b/internal/control/reader.go
@@ -0,0 +1,402 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/keyring"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	defaultWait      = 1 * clock.Second
+	defaultRetention = 1 * clock.Hour
+	// replyGrace is added to the wait of a long poll before the request counts
+	// as failed.
+	replyGrace = 1 * clock.Second
+	// idlePoll is how often a loop that has nothing to do looks again.
+	idlePoll clock.Millis = 200
+)
+
+// Config says where a node runs and how it reads.
+type Config struct {
+	// Node, Role, FailureDomain and Region describe this process.
+	Node          spool.NodeID
+	Role          spool.Role
+	FailureDomain spool.FailureDomain
+	Region        spool.Region
+	// Wait bounds one long poll; 0 for 1 s.
+	Wait clock.Millis
+	// LogReaders is how many entries of each failure domain read the log while
+	// the others pull from them; 0 for all.
+	LogReaders int
+	// Retention is how long the log keeps records; 0 for 1 h. A node that is
+	// responsible for snapshots appends one after half of it.
+	Retention clock.Millis
+	// RelayBytes bounds the recent records kept for other nodes; 0 for 1 MiB.
+	RelayBytes int
+}
+
+// Option adds a collaborator to a Reader.
+type Option func(*Reader)
+
+// WithLog makes the node read the log.
+func WithLog(log spool.Log) Option { return func(r *Reader) { r.log = log } }
+
+// WithPeers gives the node the VM list, from which it picks entries to pull from.
+func WithPeers(peers func() []spool.VM) Option { return func(r *Reader) { r.peers = peers } }
+
+// WithClients gives the node its connections; without them it does not pull.
+func WithClients(clients *wire.Clients) Option { return func(r *Reader) { r.clients = clients } }
+
+// WithClock replaces the system clock.
+func WithClock(source clock.Clock) Option { return func(r *Reader) { r.clock = source } }
+
+// WithTelemetry makes the node count and log what happens.
+func WithTelemetry(t *telemetry.Telemetry) Option { return func(r *Reader) { r.telemetry = t } }
+
+// Reader keeps the control state of one process up to date and answers from
+// it. It is safe for concurrent use.
+type Reader struct {
+	config    Config
+	log       spool.Log
+	peers     func() []spool.VM
+	clients   *wire.Clients
+	clock     clock.Clock
+	telemetry *telemetry.Telemetry
+	logger    *zap.Logger
+	ctx       context.Context
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+
+	mu sync.RWMutex
+	// state never goes back: it is replaced only by one with a higher offset.
+	state *State
+	relay *relayBuffer
+	// changed is closed, and replaced, with each change of state.
+	changed chan struct{}
+	// watched holds the channel of each key that somebody watches; a channel is
+	// closed when it is taken out.
+	watched map[string]chan struct{}
+	fresh   freshness
+	// responsible is set while this node appends snapshots.
+	responsible bool
+	// first is the lowest offset on the log when it was last read.
+	first spool.Offset
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+
+	// snapshotMu guards the cached snapshot for peers.
+	snapshotMu sync.Mutex
+	snapshotAt spool.Offset
+	snapshot   []byte
+}
+
+// NewReader starts following the control stream. It needs a log, or peers and
+// clients, or both.
+func NewReader(config Config, options ...Option) (reader *Reader, err error) {
+	defer func() { err = errors.Wrapf(err, "start control reader of node %q", config.Node) }()
+	if config.Node == "" {
+		return nil, errors.New("node is empty")
+	}
+	config.Wait = orDefault(config.Wait, defaultWait)
+	config.Retention = orDefault(config.Retention, defaultRetention)
+	seed := xxhash.Sum64String(string(config.Node))
+	r := &Reader{
+		config: config, state: NewState(), changed: make(chan struct{}), watched: map[string]chan struct{}{},
+		clock: clock.System(), logger: zap.NewNop(), random: rand.New(rand.NewPCG(seed, seed)),
+		relay: newRelayBuffer(orDefault(config.RelayBytes, defaultRelayBytes)),
+	}
+	for _, option := range options {
+		option(r)
+	}
+	pulls := r.peers != nil && r.clients != nil
+	if r.log == nil && !pulls {
+		return nil, errors.New("neither a log nor peers are given")
+	}
+	if r.telemetry != nil {
+		r.logger = r.telemetry.Logger("control")
+		if err := r.registerGauges(); err != nil {
+			return nil, err
+		}
+	}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.fresh = newFreshness(r.clock.Now())
+	if r.log != nil {
+		r.running.Add(1)
+		go func() { defer r.running.Done(); r.readLog() }()
+	}
+	if pulls {
+		r.running.Add(1)
+		go func() { defer r.running.Done(); r.pull() }()
+	}
+	r.running.Add(1)
+	go func() { defer r.running.Done(); r.housekeep() }()
+	return r, nil
+}
+
+func orDefault[T int | clock.Millis](value, fallback T) T {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+func (r *Reader) registerGauges() error {
+	if err := r.telemetry.Gauge("baobabspool_control_offset", func() int64 { return int64(r.Offset()) }); err != nil {
+		return err
+	}
+	return r.telemetry.Gauge("baobabspool_control_fresh_ms", func() int64 {
+		r.mu.RLock()
+		defer r.mu.RUnlock()
+		return int64(r.fresh.freshFor(r.clock.Now()))
+	})
+}
+
+// Close stops the reader and waits for its goroutines. What it has read stays
+// available.
+func (r *Reader) Close() {
+	r.cancel()
+	r.running.Wait()
+}
+
+// Authenticate returns the account and the identifier of a key. It fails with
+// a *spool.Refusal, which never contains the key.
+func (r *Reader) Authenticate(key string) (account spool.AccountID, id string, err error) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	now := r.clock.Now()
+	if r.fresh.isolated(now, r.isolation()) {
+		return "", "", spool.Refuse(spool.CodeIsolated, "this entry has lost touch with the control stream").WithRetryAfter(clock.Second)
+	}
+	account, id, err = r.state.ring.Verify(key, now)
+	switch {
+	case errors.Is(err, keyring.ErrWithdrawn):
+		return "", id, spool.Refuse(spool.CodeKeyWithdrawn, "key %s was withdrawn or has expired", id)
+	case err != nil:
+		return "", "", spool.Refuse(spool.CodeUnauthorized, "key is not valid")
+	}
+	if holder, ok := r.state.Account(account); !ok || holder.Closed {
+		return "", id, spool.Refuse(spool.CodeUnauthorized, "account of key %s is closed", id)
+	}
+	return account, id, nil
+}
+
+// isolation returns how long the node may be out of touch.
+func (r *Reader) isolation() clock.Millis {
+	return r.state.tree.At(r.place()).Duration(settings.ControlIsolationMs)
+}
+
+func (r *Reader) place() settings.Scope {
+	return settings.Scope{Region: r.config.Region, FailureDomain: r.config.FailureDomain}
+}
+
+// Isolated reports whether the node refuses keyed requests because it has lost
+// touch with the log and all peers, or has not loaded the state yet.
+func (r *Reader) Isolated() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.fresh.isolated(r.clock.Now(), r.isolation())
+}
+
+// Withdrawn returns a channel that is closed when the key is withdrawn or
+// expires or its account is closed, and at once when it is not in force.
+func (r *Reader) Withdrawn(keyID string) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if watched, ok := r.watched[keyID]; ok {
+		return watched
+	}
+	watched := make(chan struct{})
+	if r.live(keyID) {
+		r.watched[keyID] = watched
+	} else {
+		close(watched)
+	}
+	return watched
+}
+
+// live reports whether a key is in force.
+func (r *Reader) live(keyID string) bool {
+	key, _, ok := r.state.ring.Get(keyID)
+	if !ok || !key.Live(r.clock.Now()) {
+		return false
+	}
+	account, ok := r.state.Account(key.Account)
+	return ok && !account.Closed
+}
+
+// closeWatched closes the channels of the keys that are no longer in force.
+func (r *Reader) closeWatched() {
+	for id, watched := range r.watched {
+		if !r.live(id) {
+			close(watched)
+			delete(r.watched, id)
+		}
+	}
+}
+
+// Settings returns the values for a scope. They do not change; call again after
+// Changed.
+func (r *Reader) Settings(at settings.Scope) settings.Values {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.state.tree.At(at)
+}
+
+// Draining reports whether the failure domain or the endpoint is taken out.
+func (r *Reader) Draining(domain spool.FailureDomain, endpoint spool.EndpointID) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.state.Draining(domain, endpoint)
+}
+
+// Services returns the services by name.
+func (r *Reader) Services() map[spool.ServiceName]Service {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.state.Services()
+}
+
+// Accounts lists the accounts, closed ones included.
+func (r *Reader) Accounts() []Account {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.state.Accounts()
+}
+
+// Orders returns the orders in force for an endpoint by ascending fence.
+func (r *Reader) Orders(endpoint spool.EndpointID) []spool.EngineOrder {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return append([]spool.EngineOrder(nil), r.state.Orders(endpoint)...)
+}
+
+// Offset returns the highest offset that is in force.
+func (r *Reader) Offset() spool.Offset {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.state.offset
+}
+
+// Changed returns a channel that is closed with the next change.
+func (r *Reader) Changed() <-chan struct{} {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.changed
+}
+
+// Ready reports whether the state has been loaded.
+func (r *Reader) Ready() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.fresh.loaded
+}
+
+// Image returns the JSON form of the state with its offset.
+func (r *Reader) Image() ([]byte, error) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.state.MarshalJSON()
+}
+
+// SetResponsible tells the node whether it appends the snapshots. At any time
+// one node of the system should be told so; several do no harm.
+func (r *Reader) SetResponsible(responsible bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.responsible = responsible
+}
+
+// apply applies batches that were read from the log or a peer. It fails with
+// ErrGap when a batch is missing.
+func (r *Reader) apply(batches []spool.Batch) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.state.offset
+	defer func() {
+		if r.state.offset > before {
+			r.announce()
+		}
+	}()
+	for _, batch := range batches {
+		if batch.Offset <= r.state.offset {
+			continue
+		}
+		rejected, err := r.state.Apply(batch)
+		if err != nil {
+			return err
+		}
+		r.relay.add(batch)
+		r.report(batch, rejected)
+	}
+	return nil
+}
+
+// announce wakes those who wait for a change.
+func (r *Reader) announce() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.closeWatched()
+}
+
+func (r *Reader) report(batch spool.Batch, rejected []Rejection) {
+	for _, rejection := range rejected {
+		name := "control.badRecord"
+		if lost := (&settings.ConflictError{}); errors.As(rejection.Err, &lost) {
+			name = "control.conflict"
+		}
+		r.event(name)
+		r.logger.Warn("control record was skipped", zap.Int64("offset", int64(batch.Offset)),
+			zap.Int("index", rejection.Index), zap.String("writer", string(batch.Writer)), zap.Error(rejection.Err))
+	}
+}
+
+// restore replaces the state by a later one.
+func (r *Reader) restore(state *State) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if state.offset <= r.state.offset {
+		return false
+	}
+	r.state = state
+	r.relay.clear()
+	r.announce()
+	r.event("control.snapshotLoaded")
+	return true
+}
+
+func (r *Reader) event(name string) {
+	if r.telemetry != nil {
+		r.telemetry.Event(name)
+	}
+}
+
+// pause waits for d or until the reader is closed; it reports false then.
+func (r *Reader) pause(d clock.Millis) bool {
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
+}
+
+func (r *Reader) jitter() float64 {
+	r.randomMu.Lock()
+	defer r.randomMu.Unlock()
+	return r.random.Float64()
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,283 @@
+package control
+
+import (
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/keyring"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// sweepEvery and keepRemoved bound what is kept of removed values: at 35,000
+	// changes a day a removal is remembered for more than a day. Every reader
+	// sweeps at the same offsets, so their states stay equal.
+	sweepEvery  spool.Offset = 4096
+	keepRemoved spool.Offset = 40000
+	// maxOrders bounds the subjects with orders per endpoint.
+	maxOrders = 64
+)
+
+// ErrGap means that a batch does not follow the state's offset.
+var ErrGap = errors.New("batch does not follow the offset that is in force")
+
+// Rejection is a record that was not applied.
+type Rejection struct {
+	// Offset and Index locate the record.
+	Offset spool.Offset `json:"offset"`
+	Index  int          `json:"index"`
+	// Err is why; it is a *settings.ConflictError for a lost compare-and-set.
+	Err error `json:"-"`
+}
+
+// State is the fold of the control stream. Two states with the same offset are
+// equal, whichever way they were reached. It is not safe for concurrent use.
+type State struct {
+	offset   spool.Offset
+	tree     *settings.Tree
+	ring     *keyring.Ring
+	accounts *settings.Table[Account]
+	services *settings.Table[Service]
+	orders   *settings.Table[[]spool.EngineOrder]
+	// snapshot locates the latest snapshot on the stream. It is not part of the
+	// state that a snapshot holds.
+	snapshot SnapshotMark
+}
+
+// SnapshotMark locates a snapshot on the stream.
+type SnapshotMark struct {
+	// Covers is the offset of the state in the snapshot.
+	Covers spool.Offset
+	// At is the clock of its writer.
+	At clock.Millis
+}
+
+// NewState returns the state before the first batch.
+func NewState() *State {
+	return &State{
+		tree:     settings.NewTree(),
+		ring:     keyring.New(),
+		accounts: settings.NewTable[Account](),
+		services: settings.NewTable[Service](),
+		orders:   settings.NewTable[[]spool.EngineOrder](),
+	}
+}
+
+// Offset returns the highest offset applied.
+func (s *State) Offset() spool.Offset { return s.offset }
+
+// Settings returns the tree.
+func (s *State) Settings() *settings.Tree { return s.tree }
+
+// Keys returns the ring.
+func (s *State) Keys() *keyring.Ring { return s.ring }
+
+// Apply applies the next batch. A batch at or below the state's offset is
+// ignored. A record that does not decode or breaks a rule is skipped. When any
+// record lost its compare-and-set, none of the batch is applied, so that a file
+// of settings is published whole or not at all. Apply returns the records that
+// were not applied; its error is ErrGap, in which case nothing happened.
+func (s *State) Apply(batch spool.Batch) (rejected []Rejection, err error) {
+	if batch.Offset <= s.offset {
+		return nil, nil
+	}
+	if batch.Offset != s.offset+1 {
+		return nil, errors.Wrapf(ErrGap, "offset %d after %d", batch.Offset, s.offset)
+	}
+	contents := make([]any, len(batch.Records))
+	paths := map[string]bool{}
+	var conflict error
+	for i, record := range batch.Records {
+		content, err := DecodeRecord(record)
+		if err == nil {
+			err = s.check(content, paths)
+		}
+		if err == nil {
+			contents[i] = content
+			continue
+		}
+		rejected = append(rejected, Rejection{Offset: batch.Offset, Index: i, Err: err})
+		if lost := (&settings.ConflictError{}); errors.As(err, &lost) {
+			conflict = err
+		}
+	}
+	s.offset = batch.Offset
+	for i, content := range contents {
+		switch {
+		case content == nil:
+		case conflict != nil:
+			rejected = append(rejected, Rejection{Offset: batch.Offset, Index: i, Err: conflict})
+		default:
+			s.apply(content, batch)
+		}
+	}
+	s.sweep()
+	return rejected, nil
+}
+
+// check returns why content cannot be applied to the state. paths collects the
+// paths of the batch; the second change of a path in a batch is refused.
+func (s *State) check(content any, paths map[string]bool) error {
+	var name string
+	var base spool.Offset
+	var err error
+	switch content := content.(type) {
+	case settings.Change:
+		name, base, err = content.Path.String(), content.Base, s.tree.CheckBase(content)
+	case keyring.Stored:
+		name, base, err = "key/"+content.ID, content.Base, s.ring.CheckBase(content)
+	case Account:
+		name, base, err = "accounts/"+string(content.ID), content.Base, s.accounts.Check(string(content.ID), content.Base)
+	case Service:
+		name, base, err = "services/"+string(content.Name), content.Base, s.services.Check(string(content.Name), content.Base)
+	case Order:
+		name, base, err = "order/"+string(content.Endpoint), content.Base, s.checkOrder(content)
+	default:
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, name)
+	}
+	if base < 0 || base > s.offset {
+		return errors.Errorf("%s: base %d is not an offset before the record", name, base)
+	}
+	if paths[name] {
+		return errors.Errorf("%s: is changed twice in one batch", name)
+	}
+	paths[name] = true
+	return nil
+}
+
+func (s *State) checkOrder(order Order) error {
+	if err := s.orders.Check(string(order.Endpoint), order.Base); err != nil {
+		return err
+	}
+	entry, _ := s.orders.Get(string(order.Endpoint))
+	if order.Clear {
+		return nil
+	}
+	if len(entry.Value) >= maxOrders && findOrder(entry.Value, order.subject()) < 0 {
+		return errors.Errorf("endpoint has orders on %d subjects, which is the limit", maxOrders)
+	}
+	return nil
+}
+
+func (s *State) apply(content any, batch spool.Batch) {
+	switch content := content.(type) {
+	case settings.Change:
+		_ = s.tree.Apply(content, batch.Offset)
+	case keyring.Stored:
+		s.ring.Apply(content, batch.Offset)
+	case Account:
+		content.Base = 0
+		s.accounts.Put(string(content.ID), content, batch.Offset)
+	case Service:
+		content.Base = 0
+		if content.Removed {
+			s.services.Remove(string(content.Name), batch.Offset)
+			return
+		}
+		s.services.Put(string(content.Name), content, batch.Offset)
+	case Order:
+		s.applyOrder(content, batch.Offset)
+	case SnapshotPart:
+		if content.Part == content.Parts-1 && content.Covers > s.snapshot.Covers {
+			s.snapshot = SnapshotMark{Covers: content.Covers, At: batch.At}
+		}
+	}
+}
+
+func (s *State) applyOrder(order Order, offset spool.Offset) {
+	if order.Clear {
+		s.orders.Remove(string(order.Endpoint), offset)
+		return
+	}
+	entry, _ := s.orders.Get(string(order.Endpoint))
+	orders := append([]spool.EngineOrder(nil), entry.Value...)
+	if i := findOrder(orders, order.subject()); i >= 0 {
+		orders = append(orders[:i], orders[i+1:]...)
+	}
+	order.Order.Fence = uint64(offset)
+	s.orders.Put(string(order.Endpoint), append(orders, order.Order), offset)
+}
+
+func findOrder(orders []spool.EngineOrder, subject string) int {
+	for i, order := range orders {
+		if (Order{Order: order}).subject() == subject {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *State) sweep() {
+	if s.offset%sweepEvery != 0 || s.offset <= keepRemoved {
+		return
+	}
+	through := s.offset - keepRemoved
+	s.tree.Sweep(through)
+	s.ring.Sweep(through)
+	s.services.Sweep(through)
+	s.orders.Sweep(through)
+}
+
+// Account returns an account.
+func (s *State) Account(id spool.AccountID) (Account, bool) {
+	entry, ok := s.accounts.Get(string(id))
+	return entry.Value, ok
+}
+
+// Accounts lists the accounts in order of their identifiers.
+func (s *State) Accounts() []Account {
+	accounts := []Account{}
+	for _, name := range s.accounts.Names() {
+		entry, _ := s.accounts.Get(name)
+		accounts = append(accounts, entry.Value)
+	}
+	return accounts
+}
+
+// Services returns the services by name.
+func (s *State) Services() map[spool.ServiceName]Service {
+	services := map[spool.ServiceName]Service{}
+	for _, name := range s.services.Names() {
+		entry, _ := s.services.Get(name)
+		services[entry.Value.Name] = entry.Value
+	}
+	return services
+}
+
+// Orders returns the orders in force for an endpoint, by ascending fence. For
+// each model and adapter, and for the role, it holds the latest order.
+func (s *State) Orders(endpoint spool.EndpointID) []spool.EngineOrder {
+	entry, _ := s.orders.Get(string(endpoint))
+	return entry.Value
+}
+
+// OrderedEndpoints lists the endpoints that have orders.
+func (s *State) OrderedEndpoints() []string { return s.orders.Names() }
+
+// Draining reports whether the failure domain or the endpoint is taken out.
+func (s *State) Draining(domain spool.FailureDomain, endpoint spool.EndpointID) bool {
+	return s.tree.At(settings.Scope{FailureDomain: domain}).Boolean(settings.DrainFailureDomain) ||
+		s.tree.Flag(settings.DrainEndpoint, string(endpoint))
+}
+
+// Drains lists the paths of the drains in force.
+func (s *State) Drains() []string {
+	drains := []string{}
+	for _, name := range s.tree.Paths("") {
+		path, err := settings.ParsePath(name)
+		if err != nil || (path.Name != string(settings.DrainFailureDomain) && path.Name != string(settings.DrainEndpoint)) {
+			continue
+		}
+		if raw, _, _ := s.tree.Get(path); string(raw) == "true" {
+			drains = append(drains, name)
+		}
+	}
+	sort.Strings(drains)
+	return drains
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -172,6 +172,9 @@
 	// it holds the state at offset SnapshotAt.
 	Snapshot   json.RawMessage `json:"snapshot,omitempty"`
 	SnapshotAt spool.Offset    `json:"snapshotAt,omitempty"`
+	// Last is the offset that the answering node has applied. The asking node is
+	// as fresh as the answering one only once it has reached Last.
+	Last spool.Offset `json:"last"`
 	// FreshFor is how long ago the answering node last heard, directly or
 	// through others, from the log; negative when it never has.
 	FreshFor clock.Millis `json:"freshForMs"`
--- /dev/null
+++ b/pkg/settings/path.go
@@ -0,0 +1,166 @@
+package settings
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Level is the breadth of a setting. A narrower level overrides a broader one.
+type Level int
+
+// The levels, from the broadest to the narrowest.
+const (
+	LevelFleet Level = iota
+	LevelRegion
+	LevelFailureDomain
+	LevelAccount
+	LevelProgram
+	levelCount
+)
+
+var levelNames = [levelCount]string{"fleet", "region", "failureDomain", "account", "program"}
+
+// String returns the level's name as it appears in paths.
+func (l Level) String() string {
+	if l < 0 || l >= levelCount {
+		return "unknown"
+	}
+	return levelNames[l]
+}
+
+// ErrBadPath means that a path does not follow the grammar of Path.
+var ErrBadPath = errors.New("path is malformed")
+
+// maxIdentifier bounds the bytes of an identifier in a path. A program's
+// identifier grows with the depth of its tree.
+const maxIdentifier = 200
+
+// Target is one place in the tree: a level and the identifier of the region,
+// failure domain, account or program. The identifier is empty for the fleet.
+type Target struct {
+	Level Level
+	ID    string
+}
+
+// Path names one value: where it is set and which setting. Its text form is
+// fleet/NAME or LEVEL/ID/NAME, followed by [KEY] for settings that hold one
+// value per endpoint, for example "account/acme/limit.burst" and
+// "fleet/drain.endpoint[ndar-a-1]".
+type Path struct {
+	Target
+	// Name is the setting.
+	Name string
+	// Key names the endpoint of a keyed setting; empty for the others.
+	Key string
+}
+
+// String returns the text form.
+func (p Path) String() string {
+	text := p.Level.String() + "/"
+	if p.Level != LevelFleet {
+		text += p.ID + "/"
+	}
+	text += p.Name
+	if p.Key != "" {
+		text += "[" + p.Key + "]"
+	}
+	return text
+}
+
+// MarshalText returns the text form.
+func (p Path) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// UnmarshalText parses the text form.
+func (p *Path) UnmarshalText(text []byte) error {
+	parsed, err := ParsePath(string(text))
+	if err != nil {
+		return err
+	}
+	*p = parsed
+	return nil
+}
+
+// ParsePath parses the text form of a path. It checks the grammar only; Check
+// tells whether the setting exists. Errors wrap ErrBadPath.
+func ParsePath(text string) (path Path, err error) {
+	defer func() { err = errors.Wrapf(err, "%.250q", text) }()
+	parts := strings.Split(text, "/")
+	level := levelOf(parts[0])
+	want := 3
+	if level == LevelFleet {
+		want = 2
+	}
+	if level == levelCount {
+		return Path{}, errors.Wrapf(ErrBadPath, "level must be one of %s", strings.Join(levelNames[:], ", "))
+	}
+	if len(parts) != want {
+		return Path{}, errors.Wrapf(ErrBadPath, "a %s path has %d parts separated by /", level, want)
+	}
+	path.Level = level
+	if level != LevelFleet {
+		path.ID = parts[1]
+		if err := CheckIdentifier(path.ID); err != nil {
+			return Path{}, err
+		}
+	}
+	path.Name = parts[want-1]
+	if name, rest, keyed := strings.Cut(path.Name, "["); keyed {
+		key, closed := strings.CutSuffix(rest, "]")
+		if !closed {
+			return Path{}, errors.Wrap(ErrBadPath, "key is not closed by ]")
+		}
+		if err := CheckIdentifier(key); err != nil {
+			return Path{}, err
+		}
+		path.Name, path.Key = name, key
+	}
+	return path, CheckIdentifier(path.Name)
+}
+
+// CheckIdentifier checks that id has 1 to 200 letters, digits, dots, hyphens or
+// underscores. Errors wrap ErrBadPath.
+func CheckIdentifier(id string) error {
+	if id == "" || len(id) > maxIdentifier {
+		return errors.Wrapf(ErrBadPath, "an identifier has 1 to %d characters", maxIdentifier)
+	}
+	for _, r := range id {
+		switch {
+		case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '.', r == '-', r == '_':
+		default:
+			return errors.Wrapf(ErrBadPath, "identifier contains %q; letters, digits, dots, hyphens and underscores are allowed", r)
+		}
+	}
+	return nil
+}
+
+func levelOf(name string) Level {
+	for level, known := range levelNames {
+		if name == known {
+			return Level(level)
+		}
+	}
+	return levelCount
+}
+
+// Scope says for whom values are looked up. Empty fields are left out of the
+// lookup.
+type Scope struct {
+	Region        spool.Region
+	FailureDomain spool.FailureDomain
+	Account       spool.AccountID
+	Program       spool.ProgramID
+}
+
+// targets returns the places that apply to the scope, broadest first.
+func (s Scope) targets() [levelCount]Target {
+	return [levelCount]Target{
+		{Level: LevelFleet},
+		{Level: LevelRegion, ID: string(s.Region)},
+		{Level: LevelFailureDomain, ID: string(s.FailureDomain)},
+		{Level: LevelAccount, ID: string(s.Account)},
+		{Level: LevelProgram, ID: string(s.Program)},
+	}
+}
--- /dev/null
+++ b/pkg/settings/reference.go
@@ -0,0 +1,68 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Reference returns the table of every known setting in Markdown. It is the
+// source of the reference in docs/operations.md.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("| setting | type | unit | range | default | levels | meaning |\n|---|---|---|---|---|---|---|\n")
+	for _, spec := range Specs() {
+		span := "-"
+		switch spec.Kind {
+		case KindBoolean:
+			span = "true, false"
+		case KindText:
+			span = "a registered policy"
+		default:
+			span = format(spec.Min) + " to " + format(spec.Max)
+		}
+		name := spec.Name
+		if spec.Keyed {
+			name += "[ENDPOINT]"
+		}
+		unit := spec.Unit
+		if unit == "" {
+			unit = "-"
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s | %s |\n", name, spec.Kind, unit, span, spec.Default, spec.levelNames(), spec.Description)
+	}
+	return b.String()
+}
+
+// suggestion names the known setting that is closest to a misspelt one.
+func suggestion(name string) string {
+	best, bestDistance := "", 4
+	for _, spec := range Specs() {
+		if distance := editDistance(name, spec.Name); distance < bestDistance {
+			best, bestDistance = spec.Name, distance
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf(", did you mean %q?", best)
+}
+
+// editDistance counts the insertions, deletions and substitutions from a to b.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := diagonal
+			if a[i] != b[j] {
+				cost = 1 + min(diagonal, row[j], row[j+1])
+			}
+			diagonal, row[j+1] = row[j+1], cost
+		}
+	}
+	return row[len(b)]
+}
