--- /dev/null
+++ b/internal/streams/cluster_test.go
@@ -0,0 +1,246 @@
+package streams_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/streams"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+func TestStreams(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "streams")
+}
+
+// memoryLog is a log without faults other than being down.
+type memoryLog struct {
+	mu      sync.Mutex
+	streams map[spool.Stream][]spool.Batch
+	changed chan struct{}
+	down    bool
+	appends int
+}
+
+func newMemoryLog() *memoryLog {
+	return &memoryLog{streams: map[spool.Stream][]spool.Batch{}, changed: make(chan struct{})}
+}
+
+func (l *memoryLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func (l *memoryLog) appended() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+func (l *memoryLog) Append(_ context.Context, stream spool.Stream, batch spool.Batch) (spool.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, spool.ErrLogUnavailable
+	}
+	l.appends++
+	batch.Offset = spool.Offset(len(l.streams[stream]) + 1)
+	l.streams[stream] = append(l.streams[stream], batch)
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return batch.Offset, nil
+}
+
+func (l *memoryLog) Read(ctx context.Context, stream spool.Stream, after spool.Offset, wait clock.Millis) (spool.Page, error) {
+	timeout := time.After(wait.Duration())
+	for {
+		l.mu.Lock()
+		batches, changed, down := l.streams[stream], l.changed, l.down
+		l.mu.Unlock()
+		if down {
+			return spool.Page{}, spool.ErrLogUnavailable
+		}
+		if last := spool.Offset(len(batches)); last > after {
+			return spool.Page{Batches: batches[after:min(last, after+100)], First: 1, Last: last}, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return spool.Page{First: 1, Last: spool.Offset(len(batches))}, nil
+		case <-ctx.Done():
+			return spool.Page{}, ctx.Err()
+		}
+	}
+}
+
+// cluster runs several managers that reach each other without sockets.
+type cluster struct {
+	log *memoryLog
+
+	mu    sync.Mutex
+	nodes map[string]*node
+	cut   map[string]bool
+}
+
+type node struct {
+	vm       spool.VM
+	manager  *streams.Manager
+	handlers wire.Mux
+	user     *recorder
+}
+
+func newCluster() *cluster {
+	return &cluster{log: newMemoryLog(), nodes: map[string]*node{}, cut: map[string]bool{}}
+}
+
+func (c *cluster) VMs(context.Context) ([]spool.VM, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	vms := []spool.VM{
+		{ID: "model-2", Role: spool.RoleEndpoint, State: spool.VMLive, Service: "appraiser-models"},
+		{ID: "model-1", Role: spool.RoleEndpoint, State: spool.VMLive, Service: "appraiser-models"},
+		{ID: "model-3", Role: spool.RoleEndpoint, State: spool.VMLeaving, Service: "appraiser-models"},
+	}
+	for _, n := range c.nodes {
+		vms = append(vms, n.vm)
+	}
+	return vms, nil
+}
+
+func (c *cluster) Call(ctx context.Context, address, method string, request, result any, _ func(json.RawMessage) error) error {
+	c.mu.Lock()
+	n, cut := c.nodes[address], c.cut[address]
+	c.mu.Unlock()
+	if n == nil {
+		return spool.ErrNotSent
+	}
+	if cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	params, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	reply, err := n.handlers[method](ctx, params, nil)
+	if err != nil {
+		return errors.Wrap(err, "remote")
+	}
+	body, err := json.Marshal(reply)
+	if err != nil || result == nil {
+		return err
+	}
+	return json.Unmarshal(body, result)
+}
+
+func (c *cluster) start(i int, change func(*streams.Config)) *node {
+	name := fmt.Sprintf("entry-%d", i)
+	domain := spool.FailureDomain([]string{"ndar-a", "dkr-b", "ths-c", "klk-d"}[i%4])
+	n := &node{user: newRecorder(), vm: spool.VM{
+		ID: spool.NodeID(name), Role: spool.RoleEntry, State: spool.VMLive,
+		FailureDomain: domain, Region: "sn-west", Address: name,
+	}}
+	config := streams.Config{
+		Node: n.vm.ID, Address: name, FailureDomain: domain, Region: "sn-west", StreamCount: 4,
+		ListEvery: 50, HeartbeatEvery: 50, DeadAfter: 150, HandoverEvery: 20, AppendsPerSecond: 400,
+		PollWait: 100, PeerTimeout: 100, TickEvery: 5,
+	}
+	if change != nil {
+		change(&config)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var err error
+	n.manager, err = streams.New(config, streams.WithLog(c.log), streams.WithVMList(c),
+		streams.WithCaller(c), streams.WithApplier(n.user))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	n.handlers = n.manager.Handlers()
+	c.nodes[name] = n
+	return n
+}
+
+// crash ends a node without notice; delist also takes it off the VM list.
+func (c *cluster) crash(n *node, delist bool) {
+	n.manager.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[n.vm.Address] = true
+	if delist {
+		delete(c.nodes, n.vm.Address)
+	}
+}
+
+func (c *cluster) close() {
+	c.mu.Lock()
+	nodes := c.nodes
+	c.nodes = map[string]*node{}
+	c.mu.Unlock()
+	for _, n := range nodes {
+		n.manager.Close()
+	}
+}
+
+func (c *cluster) owner(stream spool.Stream) *node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.nodes {
+		if _, ok := n.manager.Epoch(stream); ok {
+			return n
+		}
+	}
+	return nil
+}
+
+// recorder keeps the values that were applied to each stream, in order.
+type recorder struct {
+	mu     sync.Mutex
+	values map[spool.Stream][]string
+}
+
+func newRecorder() *recorder { return &recorder{values: map[spool.Stream][]string{}} }
+
+func (r *recorder) Reset(stream spool.Stream, _ spool.Epoch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.values[stream] = nil
+}
+
+func (r *recorder) Apply(stream spool.Stream, batch spool.Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range batch.Records {
+		r.values[stream] = append(r.values[stream], string(record.Data))
+	}
+}
+
+func (r *recorder) Serving(spool.Stream, spool.Epoch) {}
+
+func (r *recorder) Lost(spool.Stream) {}
+
+func (r *recorder) Snapshot(stream spool.Stream) (records []spool.Record) {
+	for _, value := range r.of(stream) {
+		records = append(records, record(value))
+	}
+	return records
+}
+
+func (r *recorder) of(stream spool.Stream) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.values[stream]...)
+}
+
+func record(value string) spool.Record {
+	return spool.Record{Kind: "test.value", Data: json.RawMessage(value)}
+}
--- /dev/null
+++ b/internal/streams/config.go
@@ -0,0 +1,63 @@
+package streams
+
+import "github.com/baobabspool/baobabspool/pkg/clock"
+
+const (
+	// eventQueue bounds the messages that wait for the control goroutine.
+	eventQueue = 4096
+	// spareLogTasks lets the VM list be read beside one append and one read per
+	// stream.
+	spareLogTasks = 4
+	// peerTasks bounds the requests to other entries that are under way.
+	peerTasks = 256
+
+	// defaultAppendsPerSecond leaves a tenth of 100 appends a second for claims
+	// of other entries and for the control stream.
+	defaultAppendsPerSecond = 90
+	defaultBatchBytes       = 512 << 10
+	defaultBacklogBytes     = 8 << 20
+	defaultHolderBytes      = 16 << 20
+	defaultHolders          = 2
+	defaultFanout           = 4
+
+	defaultRetention      = clock.Hour
+	defaultPollWait       = 500 * clock.Millis(1)
+	defaultLogTimeout     = 2 * clock.Second
+	defaultPeerTimeout    = 500 * clock.Millis(1)
+	defaultTickEvery      = 10 * clock.Millis(1)
+	defaultListEvery      = 1 * clock.Second
+	defaultHeartbeatEvery = 500 * clock.Millis(1)
+	defaultDeadAfter      = 1500 * clock.Millis(1)
+	defaultHandoverEvery  = 500 * clock.Millis(1)
+)
+
+func (c Config) withDefaults() Config {
+	for value, fallback := range map[*clock.Millis]clock.Millis{
+		&c.Retention: defaultRetention, &c.PollWait: defaultPollWait,
+		&c.LogTimeout: defaultLogTimeout, &c.PeerTimeout: defaultPeerTimeout,
+		&c.TickEvery: defaultTickEvery, &c.ListEvery: defaultListEvery,
+		&c.HeartbeatEvery: defaultHeartbeatEvery, &c.DeadAfter: defaultDeadAfter,
+		&c.HandoverEvery: defaultHandoverEvery,
+	} {
+		if *value == 0 {
+			*value = fallback
+		}
+	}
+	for value, fallback := range map[*int]int{
+		&c.AppendsPerSecond: defaultAppendsPerSecond, &c.BatchBytes: defaultBatchBytes,
+		&c.BacklogBytes: defaultBacklogBytes, &c.HolderBytes: defaultHolderBytes,
+		&c.Holders: defaultHolders, &c.Fanout: defaultFanout,
+	} {
+		if *value == 0 {
+			*value = fallback
+		}
+	}
+	return c
+}
+
+// appendInterval spreads the appends of the whole system over its streams.
+func (c Config) appendInterval() clock.Millis {
+	total := clock.Millis(c.StreamCount) * clock.Second
+	rate := clock.Millis(c.AppendsPerSecond)
+	return (total + rate - 1) / rate
+}
--- /dev/null
+++ b/internal/streams/events.go
@@ -0,0 +1,174 @@
+package streams
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/journal"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// event is a message to the control goroutine.
+type event interface {
+	handle(c *control, now clock.Millis)
+}
+
+// submission is one Submit under way.
+type submission struct {
+	ticket   journal.Ticket
+	stream   spool.Stream
+	records  []spool.Record
+	needsLog bool
+	answer   chan *spool.Refusal
+}
+
+func (e *submission) handle(c *control, now clock.Millis) {
+	s, ok := c.stream(e.stream)
+	if !ok {
+		e.answer <- spool.Refuse(spool.CodeBadRequest, "stream %q does not exist", e.stream)
+		return
+	}
+	c.waiting[e.ticket] = e
+	c.execute(s, s.journal.Submit(now, e.ticket, e.records, e.needsLog))
+}
+
+// cancellation tells that the caller of Submit no longer waits.
+type cancellation struct{ submission *submission }
+
+func (e cancellation) handle(c *control, now clock.Millis) {
+	if s, ok := c.stream(e.submission.stream); ok {
+		c.execute(s, s.journal.Cancel(now, e.submission.ticket))
+	}
+}
+
+// appended is the answer to an append.
+type appended struct {
+	stream spool.Stream
+	id     string
+	err    error
+}
+
+func (e appended) handle(c *control, now clock.Millis) {
+	s, _ := c.stream(e.stream)
+	c.execute(s, s.journal.Appended(now, e.id, e.err))
+}
+
+// readDone is the answer to a read.
+type readDone struct {
+	stream spool.Stream
+	serial uint64
+	page   spool.Page
+	err    error
+}
+
+func (e readDone) handle(c *control, now clock.Millis) {
+	s, _ := c.stream(e.stream)
+	c.execute(s, s.journal.ReadDone(now, e.serial, e.page, e.err))
+}
+
+// holdDone is the answer to a message to a holder.
+type holdDone struct {
+	stream      spool.Stream
+	command     journal.Hold
+	incarnation string
+	err         error
+}
+
+func (e holdDone) handle(c *control, now clock.Millis) {
+	s, _ := c.stream(e.stream)
+	c.execute(s, s.journal.HoldDone(now, e.command, e.incarnation, e.err == nil, isFenced(e.err)))
+}
+
+// sealDone is the answer to a seal.
+type sealDone struct {
+	stream  spool.Stream
+	command journal.Seal
+	units   []journal.Unit
+	err     error
+}
+
+func (e sealDone) handle(c *control, now clock.Millis) {
+	s, _ := c.stream(e.stream)
+	c.execute(s, s.journal.SealDone(now, e.command.Node, e.command.Epoch, e.units, e.err == nil, isFenced(e.err)))
+}
+
+// snapshotTaken is the user's compact state.
+type snapshotTaken struct {
+	stream  spool.Stream
+	epoch   spool.Epoch
+	records []spool.Record
+}
+
+func (e snapshotTaken) handle(c *control, now clock.Millis) {
+	s, _ := c.stream(e.stream)
+	c.execute(s, s.journal.SnapshotTaken(now, e.epoch, e.records))
+}
+
+// listDone is the answer to a read of the VM list.
+type listDone struct {
+	vms []spool.VM
+	err error
+}
+
+func (e listDone) handle(c *control, now clock.Millis) { c.listed(now, e.vms, e.err) }
+
+// leaving asks to hand every stream over.
+type leaving struct{ done chan struct{} }
+
+func (e leaving) handle(c *control, now clock.Millis) {
+	c.leaving = append(c.leaving, e.done)
+	c.tick(now)
+}
+
+// query is a request that the control goroutine answers.
+type query[Request, Reply any] struct {
+	request Request
+	answer  func(c *control, now clock.Millis, request Request) (Reply, error)
+	reply   chan result[Reply]
+}
+
+type result[Reply any] struct {
+	reply Reply
+	err   error
+}
+
+func (e query[Request, Reply]) handle(c *control, now clock.Millis) {
+	reply, err := e.answer(c, now, e.request)
+	e.reply <- result[Reply]{reply, err}
+}
+
+// ask runs a query and waits for its answer.
+func ask[Request, Reply any](ctx context.Context, m *Manager, request Request, answer func(*control, clock.Millis, Request) (Reply, error)) (reply Reply, err error) {
+	q := query[Request, Reply]{request: request, answer: answer, reply: make(chan result[Reply], 1)}
+	if !m.send(q) {
+		return reply, spool.Refuse(spool.CodeShuttingDown, "entry %s is shutting down", m.config.Node)
+	}
+	select {
+	case r := <-q.reply:
+		return r.reply, r.err
+	case <-ctx.Done():
+		return reply, ctx.Err()
+	case <-m.ctx.Done():
+		return reply, spool.Refuse(spool.CodeShuttingDown, "entry %s is shutting down", m.config.Node).
+			WithNotRun(spool.NotRunUnknown)
+	}
+}
+
+func handler[Request, Reply any](m *Manager, answer func(*control, clock.Millis, Request) (Reply, error)) wire.HandlerFunc {
+	return wire.Handle(func(ctx context.Context, request Request, _ wire.Send) (any, error) {
+		reply, err := ask(ctx, m, request, answer)
+		if err != nil {
+			return nil, err
+		}
+		return reply, nil
+	})
+}
+
+// isFenced reports whether a holder refused because of a higher epoch.
+func isFenced(err error) bool {
+	refusal := &spool.Refusal{}
+	return errors.Is(err, journal.ErrFenced) || (errors.As(err, &refusal) && refusal.Code == spool.CodeFenced)
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -230,6 +230,9 @@
 type HoldReply struct {
 	// Held is the highest sequence held without a gap.
 	Held uint64 `json:"held"`
+	// Incarnation differs for each start of the holder's process. A restarted
+	// holder has forgotten what it held and which epochs it had sealed.
+	Incarnation string `json:"incarnation"`
 }
 
 // SealRequest fences lower epochs of a stream and asks for what is held.
@@ -243,6 +246,12 @@
 	Batches []spool.Batch `json:"batches,omitempty"`
 }
 
+// ReleaseRequest tells a holder that everything of lower epochs is on the log.
+type ReleaseRequest struct {
+	Stream spool.Stream `json:"stream"`
+	Epoch  spool.Epoch  `json:"epoch"`
+}
+
 // LeaseRequest asks a pool's owner for tokens of an account.
 type LeaseRequest struct {
 	Account spool.AccountID `json:"account"`
--- /dev/null
+++ b/pkg/journal/command.go
@@ -0,0 +1,123 @@
+package journal
+
+import (
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Command is a side effect that a state machine asks for. It is one of the
+// types in this file.
+type Command interface{ command() }
+
+// Ticket identifies a submission. The caller of Submit chooses it; it must be
+// unique within the journal.
+type Ticket uint64
+
+type (
+	// Append asks for an append to the stream. The answer goes to Appended.
+	Append struct {
+		// Batch is the batch to append.
+		Batch spool.Batch
+	}
+
+	// Read asks for a read of the stream. The answer goes to ReadDone.
+	Read struct {
+		// Serial identifies the read, so that an answer to an earlier claim's read
+		// is ignored.
+		Serial uint64
+		// After is the offset to read after; Wait bounds the long poll.
+		After spool.Offset
+		Wait  clock.Millis
+	}
+
+	// Hold sends units to a holder. The answer goes to HoldDone.
+	Hold struct {
+		// Node is the holder.
+		Node spool.NodeID
+		// Epoch is the sender's claim; Committed is the highest sequence that is
+		// on the stream.
+		Epoch     spool.Epoch
+		Committed uint64
+		// Units are in the order of their sequences; none only asks for the
+		// holder's incarnation and tells it Committed.
+		Units []Unit
+	}
+
+	// Seal asks a node to fence lower epochs and to return the units it holds.
+	// The answer goes to SealDone.
+	Seal struct {
+		// Node is the holder or previous owner; Epoch is the new claim.
+		Node  spool.NodeID
+		Epoch spool.Epoch
+	}
+
+	// Release tells a node that everything of epochs below Epoch is on the
+	// stream. It needs no answer.
+	Release struct {
+		// Node is a previous holder or owner.
+		Node  spool.NodeID
+		Epoch spool.Epoch
+	}
+
+	// Answer ends a submission.
+	Answer struct {
+		// Ticket is that of the submission.
+		Ticket Ticket
+		// Refusal is nil when the submission is durable.
+		Refusal *spool.Refusal
+	}
+
+	// Reset tells the user of the stream to drop its state.
+	Reset struct {
+		// Epoch is the highest epoch known so far.
+		Epoch spool.Epoch
+	}
+
+	// Apply passes the next unit, or the records of a snapshot, to the user.
+	Apply struct {
+		// Batch is the unit; its offset is 0 while it is not on the stream.
+		Batch spool.Batch
+	}
+
+	// Serving tells that the node serves the stream from now on.
+	Serving struct {
+		// Epoch is the node's claim.
+		Epoch spool.Epoch
+	}
+
+	// Lost tells that the node no longer serves, or has given up its claim.
+	Lost struct {
+		// Released is true after a handover, false when another node has taken
+		// the stream or won the claim.
+		Released bool
+	}
+
+	// Retain passes units that are acknowledged but not on the stream to the
+	// node's own holder, where the next owner finds them.
+	Retain struct {
+		// Epoch is the claim that was lost.
+		Epoch spool.Epoch
+		// Units are in order.
+		Units []Unit
+	}
+
+	// Snapshot asks the user for its compact state. The answer goes to
+	// SnapshotTaken and must reflect exactly the units applied before.
+	Snapshot struct {
+		// Epoch is the claim that asks.
+		Epoch spool.Epoch
+	}
+)
+
+func (Append) command()   {}
+func (Read) command()     {}
+func (Hold) command()     {}
+func (Seal) command()     {}
+func (Release) command()  {}
+func (Answer) command()   {}
+func (Reset) command()    {}
+func (Apply) command()    {}
+func (Serving) command()  {}
+func (Lost) command()     {}
+func (Retain) command()   {}
+func (Snapshot) command() {}
--- /dev/null
+++ b/pkg/journal/fold.go
@@ -0,0 +1,204 @@
+package journal
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// State is what the fold has learnt of a stream. Snapshots carry it, so that a
+// reader can start after the claim has been removed by retention.
+type State struct {
+	// Epoch is the highest claimed; 0 when nobody has claimed the stream.
+	Epoch spool.Epoch `json:"epoch"`
+	// Owner is the writer of the claim.
+	Owner spool.NodeID `json:"owner"`
+	// Released means that the owner has given the stream up with nothing left to
+	// recover.
+	Released bool `json:"released,omitempty"`
+	// Recovered is the highest epoch whose owner has appended everything that
+	// earlier owners had left at holders. Units of lower epochs are void.
+	Recovered spool.Epoch `json:"recovered"`
+	// Owners and Holders are the nodes that may hold units which are not on the
+	// stream: those of every epoch from Recovered on.
+	Owners  []spool.NodeID `json:"owners,omitempty"`
+	Holders []spool.NodeID `json:"holders,omitempty"`
+	// Applied is the highest sequence on the stream of each epoch from Recovered
+	// on. Units are appended in the order of their sequences, so it identifies
+	// every duplicate in constant memory.
+	Applied map[spool.Epoch]uint64 `json:"applied,omitempty"`
+	// Since is the writer's time of the latest snapshot or, without one, of the
+	// first batch.
+	Since clock.Millis `json:"sinceMs"`
+}
+
+func (s State) clone() State {
+	s.Owners = slices.Clone(s.Owners)
+	s.Holders = slices.Clone(s.Holders)
+	s.Applied = maps.Clone(s.Applied)
+	return s
+}
+
+// Fold applies the validity rules to the batches of one stream. All readers use
+// it, so they agree on the owner and on the order of units.
+type Fold struct {
+	state  State
+	offset spool.Offset
+	// current holds the holders named in the current epoch.
+	current []spool.NodeID
+	void    int
+	repeats int
+}
+
+// NewFold returns a fold that continues from state after the batch at offset.
+func NewFold(state State, offset spool.Offset) *Fold {
+	state = state.clone()
+	if state.Applied == nil {
+		state.Applied = map[spool.Epoch]uint64{}
+	}
+	return &Fold{state: state, offset: offset, current: slices.Clone(state.Holders)}
+}
+
+// State returns a copy of the fold's state.
+func (f *Fold) State() State { return f.state.clone() }
+
+// Epoch returns the highest claimed epoch.
+func (f *Fold) Epoch() spool.Epoch { return f.state.Epoch }
+
+// Offset returns the offset of the last batch that was folded.
+func (f *Fold) Offset() spool.Offset { return f.offset }
+
+// Void counts the batches that were dropped as invalid or malformed, and
+// Repeats the units that were dropped as duplicates.
+func (f *Fold) Void() int { return f.void }
+
+// Repeats counts the units that were dropped as duplicates.
+func (f *Fold) Repeats() int { return f.repeats }
+
+// Add folds the next batch and returns its valid units in order.
+func (f *Fold) Add(batch spool.Batch) []Unit {
+	f.offset = batch.Offset
+	if f.state.Since == 0 {
+		f.state.Since = batch.At
+	}
+	if len(batch.Records) == 0 {
+		f.void++
+		return nil
+	}
+	if batch.Records[0].Kind == KindClaim {
+		f.claim(batch)
+		return nil
+	}
+	if !f.valid(batch) {
+		f.void++
+		return nil
+	}
+	return f.records(batch)
+}
+
+// valid applies the rule of the design: the epoch is the highest claimed before
+// the batch and the writer is the owner of that claim.
+func (f *Fold) valid(batch spool.Batch) bool {
+	return batch.Epoch == f.state.Epoch && batch.Writer == f.state.Owner && !f.state.Released
+}
+
+func (f *Fold) claim(batch spool.Batch) {
+	var claim Claim
+	if batch.Epoch <= f.state.Epoch || json.Unmarshal(batch.Records[0].Data, &claim) != nil {
+		f.void++
+		return
+	}
+	if f.state.Released {
+		f.state.Owners, f.state.Holders = nil, nil
+	}
+	f.state.Epoch, f.state.Owner, f.state.Released = batch.Epoch, batch.Writer, false
+	f.current = claim.Holders
+	f.state.Owners = union(f.state.Owners, []spool.NodeID{batch.Writer})
+	f.state.Holders = union(f.state.Holders, claim.Holders)
+}
+
+func (f *Fold) records(batch spool.Batch) (units []Unit) {
+	records := batch.Records
+	for len(records) > 0 {
+		switch records[0].Kind {
+		case KindHolders:
+			f.holders(records[0])
+		case KindRecovered:
+			f.recovered()
+		case KindRelease:
+			f.state.Released = true
+		case KindSnapshot:
+			f.snapshot(batch)
+			return units
+		default:
+			unit, rest, err := decodeUnit(records)
+			if err != nil {
+				f.void++
+				return units
+			}
+			records = rest
+			if f.fresh(unit) {
+				unit.Batch.Offset = batch.Offset
+				units = append(units, unit)
+			}
+			continue
+		}
+		records = records[1:]
+	}
+	return units
+}
+
+// fresh reports whether a unit in a valid batch is applied, and notes it.
+func (f *Fold) fresh(unit Unit) bool {
+	epoch := unit.Batch.Epoch
+	if epoch > f.state.Epoch || epoch < f.state.Recovered || unit.Sequence <= f.state.Applied[epoch] {
+		f.repeats++
+		return false
+	}
+	f.state.Applied[epoch] = unit.Sequence
+	return true
+}
+
+func (f *Fold) holders(record spool.Record) {
+	var claim Claim
+	if json.Unmarshal(record.Data, &claim) != nil {
+		f.void++
+		return
+	}
+	f.current = union(f.current, claim.Holders)
+	f.state.Holders = union(f.state.Holders, claim.Holders)
+}
+
+func (f *Fold) recovered() {
+	f.state.Recovered = f.state.Epoch
+	f.state.Owners = []spool.NodeID{f.state.Owner}
+	f.state.Holders = slices.Clone(f.current)
+	maps.DeleteFunc(f.state.Applied, func(epoch spool.Epoch, _ uint64) bool { return epoch < f.state.Epoch })
+}
+
+func (f *Fold) snapshot(batch spool.Batch) {
+	if header, ok := decodeSnapshot(batch); ok && header.Part == header.Parts {
+		f.state.Since = batch.At
+	}
+}
+
+func decodeSnapshot(batch spool.Batch) (header snapshotHeader, ok bool) {
+	if len(batch.Records) == 0 || batch.Records[0].Kind != KindSnapshot {
+		return header, false
+	}
+	err := json.Unmarshal(batch.Records[0].Data, &header)
+	return header, err == nil && header.Part >= 1 && header.Part <= header.Parts
+}
+
+func union(a, b []spool.NodeID) []spool.NodeID {
+	result := slices.Clone(a)
+	for _, node := range b {
+		if !slices.Contains(result, node) {
+			result = append(result, node)
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/pkg/journal/holder.go
@@ -0,0 +1,126 @@
+package journal
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Errors of a holder.
+var (
+	// ErrFenced means that the holder has seen a higher epoch.
+	ErrFenced = errors.New("epoch is fenced")
+	// ErrFull means that the holder's memory for copies is used up.
+	ErrFull = errors.New("holder is full")
+)
+
+// Holder keeps copies of units that are not yet on their stream, for all the
+// streams of which this node is a holder. It is not safe for concurrent use.
+type Holder struct {
+	incarnation string
+	limit       int
+	used        int
+	streams     map[spool.Stream]*copies
+}
+
+// copies are the units of one stream.
+type copies struct {
+	// fence is the highest epoch seen; lower ones are refused.
+	fence spool.Epoch
+	// units are ordered by epoch and sequence, without repeats.
+	units []Unit
+}
+
+// NewHolder returns an empty holder. incarnation must differ for each start of
+// the process; limit bounds the copies in bytes.
+func NewHolder(incarnation string, limit int) *Holder {
+	return &Holder{incarnation: incarnation, limit: limit, streams: map[spool.Stream]*copies{}}
+}
+
+// Incarnation returns the value that identifies this start of the process.
+func (h *Holder) Incarnation() string { return h.incarnation }
+
+// Used returns the bytes and the number of the copies.
+func (h *Holder) Used() (bytes, units int) {
+	for _, c := range h.streams {
+		units += len(c.units)
+	}
+	return h.used, units
+}
+
+// Hold keeps units of an epoch and drops those up to the committed sequence. It
+// fails with ErrFenced or ErrFull; in the latter case it keeps none of them.
+func (h *Holder) Hold(stream spool.Stream, epoch spool.Epoch, committed uint64, units []Unit) error {
+	c := h.stream(stream)
+	if epoch < c.fence {
+		return errors.Wrapf(ErrFenced, "epoch %d of stream %s is below %d", epoch, stream, c.fence)
+	}
+	c.fence = epoch
+	h.drop(c, func(unit Unit) bool { return unit.Batch.Epoch == epoch && unit.Sequence <= committed })
+	size := 0
+	for _, unit := range units {
+		size += Size(unit.Batch.Records)
+	}
+	if h.used+size > h.limit {
+		return errors.Wrapf(ErrFull, "%d bytes are held, limit is %d", h.used, h.limit)
+	}
+	h.keep(c, units)
+	return nil
+}
+
+// Retain keeps units that this node acknowledged as an owner and could not
+// append. It ignores the fence and the limit, since they are acknowledged.
+func (h *Holder) Retain(stream spool.Stream, units []Unit) { h.keep(h.stream(stream), units) }
+
+// Seal refuses epochs below epoch from now on and returns the units held of
+// them. It fails with ErrFenced when a higher epoch has sealed the stream.
+func (h *Holder) Seal(stream spool.Stream, epoch spool.Epoch) (units []Unit, err error) {
+	c := h.stream(stream)
+	if epoch < c.fence {
+		return nil, errors.Wrapf(ErrFenced, "epoch %d of stream %s is below %d", epoch, stream, c.fence)
+	}
+	c.fence = epoch
+	for _, unit := range c.units {
+		if unit.Batch.Epoch < epoch {
+			units = append(units, unit)
+		}
+	}
+	return units, nil
+}
+
+// Release drops the units of epochs below epoch, which are on the stream.
+func (h *Holder) Release(stream spool.Stream, epoch spool.Epoch) {
+	h.drop(h.stream(stream), func(unit Unit) bool { return unit.Batch.Epoch < epoch })
+}
+
+func (h *Holder) stream(stream spool.Stream) *copies {
+	c := h.streams[stream]
+	if c == nil {
+		c = &copies{}
+		h.streams[stream] = c
+	}
+	return c
+}
+
+func (h *Holder) keep(c *copies, units []Unit) {
+	for _, unit := range units {
+		at, found := slices.BinarySearchFunc(c.units, unit, compareUnits)
+		if found {
+			continue
+		}
+		c.units = slices.Insert(c.units, at, unit)
+		h.used += Size(unit.Batch.Records)
+	}
+}
+
+func (h *Holder) drop(c *copies, gone func(Unit) bool) {
+	c.units = slices.DeleteFunc(c.units, func(unit Unit) bool {
+		if !gone(unit) {
+			return false
+		}
+		h.used -= Size(unit.Batch.Records)
+		return true
+	})
+}
--- /dev/null
+++ b/pkg/journal/journal.go
@@ -0,0 +1,347 @@
+package journal
+
+import (
+	"fmt"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Phase is what a journal is doing.
+type Phase int
+
+// The phases in the order in which a claim passes through them.
+const (
+	// PhaseIdle means that the node neither owns nor claims the stream.
+	PhaseIdle Phase = iota
+	// PhaseReading means that the stream is read before a claim.
+	PhaseReading
+	// PhaseClaiming means that the claim is appended and not yet read back.
+	PhaseClaiming
+	// PhaseSealing means that previous holders are asked for what they hold.
+	PhaseSealing
+	// PhaseRestoring means that what they returned is being appended.
+	PhaseRestoring
+	// PhaseServing means that submissions are taken.
+	PhaseServing
+	// PhaseReleasing means that the rest is appended before the release.
+	PhaseReleasing
+)
+
+// Config holds the numbers of a journal. New replaces zero values by defaults.
+type Config struct {
+	// Stream is the stream and Node is this process.
+	Stream spool.Stream
+	Node   spool.NodeID
+	// AppendInterval is the least time between two appends.
+	AppendInterval clock.Millis
+	// BatchBytes bounds one append and one message to a holder.
+	BatchBytes int
+	// BacklogBytes bounds what is submitted and not yet on the stream.
+	BacklogBytes int
+	// PollWait is the long poll on the tail of the stream.
+	PollWait clock.Millis
+	// RetryAfter is the wait after a failed append, read, hold or seal.
+	RetryAfter clock.Millis
+	// OpenWait is how long a new owner waits for its holders to answer.
+	OpenWait clock.Millis
+	// ExposeAfter is how long an append may take before its units go to holders
+	// as well, so that later submissions need not wait for it.
+	ExposeAfter clock.Millis
+	// Retention is how long the log keeps records; a snapshot is due at half.
+	Retention clock.Millis
+}
+
+const (
+	defaultAppendInterval = 89 * clock.Millis(1) // 8 streams stay at 90 appends a second
+	defaultBatchBytes     = 512 << 10
+	defaultBacklogBytes   = 8 << 20
+	defaultPollWait       = 500 * clock.Millis(1)
+	defaultRetryAfter     = 200 * clock.Millis(1)
+	defaultOpenWait       = 300 * clock.Millis(1)
+	defaultExposeAfter    = 100 * clock.Millis(1)
+	defaultRetention      = clock.Hour
+)
+
+func (c Config) withDefaults() Config {
+	for value, fallback := range map[*clock.Millis]clock.Millis{
+		&c.AppendInterval: defaultAppendInterval, &c.PollWait: defaultPollWait,
+		&c.RetryAfter: defaultRetryAfter, &c.OpenWait: defaultOpenWait,
+		&c.ExposeAfter: defaultExposeAfter, &c.Retention: defaultRetention,
+	} {
+		if *value == 0 {
+			*value = fallback
+		}
+	}
+	if c.BatchBytes == 0 {
+		c.BatchBytes = defaultBatchBytes
+	}
+	if c.BacklogBytes == 0 {
+		c.BacklogBytes = defaultBacklogBytes
+	}
+	return c
+}
+
+// Stats counts what a journal has done.
+type Stats struct {
+	Appends  int `json:"appends"`
+	Bytes    int `json:"bytes"`
+	Units    int `json:"units"`
+	HeldAcks int `json:"heldAcks"`
+	Claims   int `json:"claims"`
+	Lost     int `json:"lost"`
+	Backlog  int `json:"backlogBytes"`
+	Void     int `json:"void"`
+	Repeats  int `json:"repeats"`
+	NoState  int `json:"noState"`
+}
+
+// entry is a submission on its way to the stream.
+type entry struct {
+	unit     Unit
+	ticket   Ticket
+	needsLog bool
+	size     int
+	// answered is true once the caller has its answer, or there is none.
+	answered bool
+	// exposed means that holders may have the unit.
+	exposed bool
+	// appended means that an append that contained the unit may have taken
+	// effect.
+	appended bool
+}
+
+// Journal is one stream at one node. It is not safe for concurrent use.
+type Journal struct {
+	config Config
+	phase  Phase
+	epoch  spool.Epoch
+	fold   *Fold
+	replay *Replay
+
+	// units have a sequence and are not known to be on the stream; in order.
+	units []*entry
+	// staged wait for an append to take them along.
+	staged []*entry
+	// backlog is the size of units and staged.
+	backlog int
+	// sequence is the last one given out; applied and committed are the highest
+	// passed to the user and found on the stream.
+	sequence  uint64
+	applied   uint64
+	committed uint64
+
+	attempt  *attempt
+	attempts uint64
+	// appendAt is the earliest instant of the next append.
+	appendAt clock.Millis
+	// logDown is set by a failed append or read and cleared by a good read.
+	logDown bool
+
+	reading   bool
+	serial    uint64
+	readAt    clock.Millis
+	readStart clock.Millis
+	confirmed clock.Millis
+
+	peers map[spool.NodeID]*peer
+	// order lists the peers in the order of the claim, for stable iteration.
+	order    []spool.NodeID
+	openBy   clock.Millis
+	seals    map[spool.NodeID]*sealing
+	restore  []Unit
+	marked   bool
+	released bool
+
+	snapshots *snapshotting
+	stats     Stats
+	out       []Command
+}
+
+// New returns an idle journal.
+func New(config Config) *Journal {
+	return &Journal{config: config.withDefaults()}
+}
+
+// Phase returns what the journal is doing.
+func (j *Journal) Phase() Phase { return j.phase }
+
+// Epoch returns the node's claim while it is at least claiming.
+func (j *Journal) Epoch() spool.Epoch { return j.epoch }
+
+// Serving reports whether submissions are taken.
+func (j *Journal) Serving() bool { return j.phase == PhaseServing }
+
+// Confirmed returns the instant up to which the stream provably held no newer
+// claim.
+func (j *Journal) Confirmed() (clock.Millis, bool) { return j.confirmed, j.phase >= PhaseServing }
+
+// Stats returns the counters.
+func (j *Journal) Stats() Stats {
+	stats := j.stats
+	stats.Backlog = j.backlog
+	if j.fold != nil {
+		stats.Void, stats.Repeats = j.fold.Void(), j.fold.Repeats()
+	}
+	return stats
+}
+
+// LogDown reports whether the last contact with the log failed.
+func (j *Journal) LogDown() bool { return j.logDown }
+
+// Submit takes records that are to be applied together. The answer may come at
+// once. With needsLog the submission counts as durable only when it is on the
+// stream; otherwise a holder in another failure domain is enough.
+func (j *Journal) Submit(now clock.Millis, ticket Ticket, records []spool.Record, needsLog bool) []Command {
+	if refusal := j.refuse(records, needsLog); refusal != nil {
+		return append(j.flush(), Answer{Ticket: ticket, Refusal: refusal})
+	}
+	e := &entry{ticket: ticket, needsLog: needsLog, size: Size(records)}
+	e.unit.Batch = spool.Batch{Writer: j.config.Node, Epoch: j.epoch, At: now, Records: records}
+	j.backlog += e.size
+	if needsLog || !j.usable() {
+		j.staged = append(j.staged, e)
+	} else {
+		j.number(e)
+		e.exposed = true
+	}
+	return j.Tick(now)
+}
+
+func (j *Journal) refuse(records []spool.Record, needsLog bool) *spool.Refusal {
+	size := Size(records)
+	switch {
+	case j.phase != PhaseServing:
+		return j.notServing()
+	case len(records) == 0:
+		return spool.Refuse(spool.CodeBadRequest, "a submission needs at least one record")
+	case size > j.config.BatchBytes:
+		return spool.Refuse(spool.CodeTooLarge, "submission of %d bytes exceeds the limit of %d", size, j.config.BatchBytes)
+	case j.backlog+size > j.config.BacklogBytes:
+		return spool.Refuse(spool.CodeOverloaded, "stream %s has %d bytes that are not yet on the log", j.config.Stream, j.backlog).
+			WithRetryAfter(j.drainTime())
+	case j.logDown && !needsLog && !j.usable():
+		return spool.Refuse(spool.CodeLogUnavailable, "log is unavailable and no holder of stream %s answers", j.config.Stream).
+			WithRetryAfter(j.config.RetryAfter)
+	}
+	return nil
+}
+
+func (j *Journal) notServing() *spool.Refusal {
+	if j.phase != PhaseIdle {
+		return spool.Refuse(spool.CodeNoOwner, "stream %s is changing its owner", j.config.Stream).
+			WithRetryAfter(j.config.RetryAfter)
+	}
+	refusal := spool.Refuse(spool.CodeNotOwner, "this node does not own stream %s", j.config.Stream)
+	if j.fold != nil && !j.fold.state.Released && j.fold.state.Owner != j.config.Node {
+		refusal.Owner = j.fold.state.Owner
+	}
+	return refusal.WithRetryAfter(j.config.RetryAfter)
+}
+
+// drainTime estimates how long the backlog takes at the append interval.
+func (j *Journal) drainTime() clock.Millis {
+	return j.config.RetryAfter + clock.Millis(j.backlog/j.config.BatchBytes)*j.config.AppendInterval
+}
+
+// Cancel withdraws a submission whose caller no longer waits. The answer says
+// truthfully whether the records can still reach the stream.
+func (j *Journal) Cancel(now clock.Millis, ticket Ticket) []Command {
+	for i, e := range j.staged {
+		if e.ticket == ticket {
+			j.staged = append(j.staged[:i:i], j.staged[i+1:]...)
+			j.backlog -= e.size
+			j.answer(e, j.late(spool.NotRunTrue))
+			return j.Tick(now)
+		}
+	}
+	for _, e := range j.units {
+		if e.ticket == ticket && !e.answered {
+			j.answer(e, j.late(spool.NotRunUnknown))
+		}
+	}
+	return j.flush()
+}
+
+func (j *Journal) late(notRun spool.NotRun) *spool.Refusal {
+	if j.logDown {
+		return spool.Refuse(spool.CodeLogUnavailable, "log is unavailable and the caller no longer waits").
+			WithNotRun(notRun).WithRetryAfter(j.config.RetryAfter)
+	}
+	return spool.Refuse(spool.CodeDeadlineExceeded, "submission is not durable yet and the caller no longer waits").WithNotRun(notRun)
+}
+
+// number gives a submission its place in the order.
+func (j *Journal) number(e *entry) {
+	j.sequence++
+	e.unit.Sequence = j.sequence
+	e.unit.Batch.ID = UnitID(j.config.Node, j.epoch, j.sequence)
+	j.units = append(j.units, e)
+}
+
+// Tick lets time pass: it retries, sends to holders and appends what is due.
+func (j *Journal) Tick(now clock.Millis) []Command {
+	if j.phase == PhaseIdle {
+		return j.flush()
+	}
+	j.read(now)
+	j.takeover(now)
+	if j.phase >= PhaseServing {
+		j.expose(now)
+		j.hold(now)
+		j.advance()
+		j.snapshotDue(now)
+	}
+	j.appendDue(now)
+	return j.flush()
+}
+
+// advance passes units to the user, in order, as far as they are durable.
+func (j *Journal) advance() {
+	held := j.heldUpTo()
+	for _, e := range j.units {
+		if e.unit.Sequence <= j.applied {
+			continue
+		}
+		if !e.exposed || e.unit.Sequence > held {
+			return
+		}
+		j.apply(e.unit)
+		if !e.needsLog {
+			j.stats.HeldAcks++
+			j.answer(e, nil)
+		}
+	}
+}
+
+func (j *Journal) apply(unit Unit) {
+	if unit.Batch.Epoch == j.epoch {
+		j.applied = unit.Sequence
+	}
+	j.emit(Apply{Batch: unit.Batch})
+}
+
+func (j *Journal) answer(e *entry, refusal *spool.Refusal) {
+	if e.answered {
+		return
+	}
+	e.answered = true
+	j.emit(Answer{Ticket: e.ticket, Refusal: refusal})
+}
+
+func (j *Journal) emit(command Command) { j.out = append(j.out, command) }
+
+func (j *Journal) flush() []Command {
+	out := j.out
+	j.out = nil
+	return out
+}
+
+// batch returns a batch of this node's epoch with a unique identifier.
+func (j *Journal) batch(now clock.Millis, records []spool.Record) spool.Batch {
+	j.attempts++
+	return spool.Batch{
+		ID:     fmt.Sprintf("%s/%d-%d-%d", j.config.Node, j.epoch, now, j.attempts),
+		Writer: j.config.Node, Epoch: j.epoch, At: now, Records: records,
+	}
+}
--- /dev/null
+++ b/pkg/journal/replay.go
@@ -0,0 +1,94 @@
+package journal
+
+import (
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Replay reads a stream from its beginning. When retention has removed the
+// beginning it keeps what it reads until the end, and then starts from the
+// complete snapshot of the highest epoch.
+type Replay struct {
+	fold    *Fold
+	trimmed bool
+	// kept holds the batches read so far of a trimmed stream.
+	kept []spool.Batch
+	// parts collects the snapshot that is being read; best is the one to use.
+	parts []spool.Record
+	part  snapshotHeader
+	best  *snapshot
+}
+
+// snapshot is a complete snapshot.
+type snapshot struct {
+	state   State
+	records []spool.Record
+}
+
+// NewReplay returns a replay of a stream whose first kept batch is at first.
+func NewReplay(first spool.Offset) *Replay {
+	if first <= 1 {
+		return &Replay{fold: NewFold(State{}, 0)}
+	}
+	return &Replay{fold: NewFold(State{}, first-1), trimmed: true}
+}
+
+// Offset returns the offset after which to read on.
+func (r *Replay) Offset() spool.Offset { return r.fold.Offset() }
+
+// Add takes the next batch and returns the units that can be applied already.
+func (r *Replay) Add(batch spool.Batch) []Unit {
+	if !r.trimmed {
+		return r.fold.Add(batch)
+	}
+	r.fold.offset = batch.Offset
+	header, ok := decodeSnapshot(batch)
+	if !ok {
+		r.kept = append(r.kept, batch)
+		return nil
+	}
+	r.snapshot(header, batch)
+	return nil
+}
+
+// snapshot collects the parts, which come in order; parts may be repeated and
+// other batches may stand between them.
+func (r *Replay) snapshot(header snapshotHeader, batch spool.Batch) {
+	if header.Part == 1 && header.ID != r.part.ID {
+		r.part, r.parts = snapshotHeader{ID: header.ID, State: header.State}, nil
+	}
+	if header.ID != r.part.ID || header.Part != r.part.Part+1 {
+		return
+	}
+	r.part.Part = header.Part
+	r.parts = append(r.parts, batch.Records[1:]...)
+	if header.Part < header.Parts {
+		return
+	}
+	if r.best == nil || r.part.State.Epoch >= r.best.state.Epoch {
+		r.best = &snapshot{state: r.part.State, records: r.parts}
+		r.best.state.Since = batch.At
+	}
+	r.part, r.parts = snapshotHeader{}, nil
+}
+
+// Finish is called at the end of the stream. It returns the fold to continue
+// with, the records of the snapshot that comes first, and the units after it.
+// found is false when a trimmed stream holds no complete snapshot; earlier state
+// is lost then.
+func (r *Replay) Finish() (fold *Fold, start []spool.Record, units []Unit, found bool) {
+	if !r.trimmed {
+		return r.fold, nil, nil, true
+	}
+	offset := r.fold.offset
+	found = r.best != nil
+	if found {
+		fold, start = NewFold(r.best.state, 0), r.best.records
+	} else {
+		fold = NewFold(State{}, 0)
+	}
+	for _, batch := range r.kept {
+		units = append(units, fold.Add(batch)...)
+	}
+	fold.offset = offset
+	return fold, start, units, found
+}
--- /dev/null
+++ b/pkg/journal/takeover.go
@@ -0,0 +1,332 @@
+package journal
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// sealing is one node that a new owner must hear from before it serves.
+type sealing struct {
+	// holder is true for a holder. A previous owner is asked too, but everything
+	// that it has acknowledged is at a holder as well.
+	holder  bool
+	done    bool
+	asked   bool
+	retryAt clock.Millis
+	tries   int
+}
+
+// ownerTries bounds the attempts to reach a previous owner that is no holder.
+const ownerTries = 2
+
+// Claim starts to take the stream, naming the holders to use. It is ignored
+// unless the journal is idle.
+func (j *Journal) Claim(now clock.Millis, holders []spool.NodeID) []Command {
+	if j.phase != PhaseIdle {
+		return j.flush()
+	}
+	stats := j.Stats()
+	*j = Journal{config: j.config, phase: PhaseReading, replay: NewReplay(0), stats: stats, attempts: j.attempts, serial: j.serial}
+	j.peers = map[spool.NodeID]*peer{}
+	for _, node := range holders {
+		j.order = append(j.order, node)
+		j.peers[node] = &peer{}
+	}
+	j.emit(Reset{})
+	return j.Tick(now)
+}
+
+// finishReading ends the replay and appends the claim.
+func (j *Journal) finishReading(now clock.Millis, last spool.Offset) {
+	fold, start, units, found := j.replay.Finish()
+	j.fold, j.replay = fold, nil
+	if !found {
+		j.stats.NoState++
+	}
+	if len(start) > 0 {
+		j.emit(Apply{Batch: spool.Batch{Epoch: fold.Epoch(), Records: start}})
+	}
+	for _, unit := range units {
+		j.emit(Apply{Batch: unit.Batch})
+	}
+	// An epoch never exceeds the offset of its claim, so an epoch above the last
+	// offset is new even when retention has removed every earlier claim.
+	j.epoch = max(fold.Epoch(), spool.Epoch(last)) + 1
+	j.phase = PhaseClaiming
+	j.appendAt = now
+}
+
+// follow folds one batch at the tail and reports whether the journal goes on.
+func (j *Journal) follow(now clock.Millis, batch spool.Batch) bool {
+	before := j.fold.State()
+	units := j.fold.Add(batch)
+	if a := j.attempt; a != nil && a.batch.ID == batch.ID {
+		j.snapshots.confirm(a.part)
+		j.adopt(a.adopted)
+		j.attempt = nil
+	}
+	// While claiming, a lower epoch of another node is no loss: the own claim
+	// still takes the stream when it appears.
+	if after := j.fold.Epoch(); after >= j.epoch && !j.won() {
+		j.lose(spool.NotRunTrue)
+		return false
+	}
+	for _, unit := range units {
+		j.committedUnit(unit)
+	}
+	switch {
+	case j.phase == PhaseClaiming && j.won():
+		j.startSealing(now, before)
+	case j.phase == PhaseRestoring && j.fold.state.Recovered == j.epoch:
+		j.startServing()
+	case j.phase == PhaseReleasing && j.fold.state.Released:
+		j.finishRelease()
+		return false
+	}
+	return true
+}
+
+func (j *Journal) won() bool {
+	return j.fold.state.Epoch == j.epoch && j.fold.state.Owner == j.config.Node
+}
+
+// committedUnit handles a unit that was found valid on the stream.
+func (j *Journal) committedUnit(unit Unit) {
+	if unit.Batch.Epoch != j.epoch || j.phase < PhaseServing {
+		j.emit(Apply{Batch: unit.Batch})
+		return
+	}
+	j.stats.Units++
+	j.committed = unit.Sequence
+	if unit.Sequence > j.applied {
+		j.apply(unit)
+	}
+	for len(j.units) > 0 && j.units[0].unit.Sequence <= unit.Sequence {
+		e := j.units[0]
+		j.units[0] = nil
+		j.units = j.units[1:]
+		j.backlog -= e.size
+		j.answer(e, nil)
+	}
+}
+
+// startSealing fences the previous holders and asks for what they hold.
+func (j *Journal) startSealing(now clock.Millis, before State) {
+	j.stats.Claims++
+	j.phase = PhaseSealing
+	j.openBy = now + j.config.OpenWait
+	j.seals = map[spool.NodeID]*sealing{}
+	if before.Released {
+		return
+	}
+	for _, node := range before.Owners {
+		j.seals[node] = &sealing{}
+	}
+	for _, node := range before.Holders {
+		j.seals[node] = &sealing{holder: true}
+	}
+}
+
+// takeover drives the phases between the claim and serving.
+func (j *Journal) takeover(now clock.Millis) {
+	if j.phase != PhaseSealing {
+		return
+	}
+	open := now >= j.openBy
+	for _, node := range sorted(j.seals) {
+		seal := j.seals[node]
+		if !seal.done && !seal.asked && now >= seal.retryAt {
+			seal.asked = true
+			j.emit(Seal{Node: node, Epoch: j.epoch})
+		}
+		if !seal.done {
+			open = false
+		}
+	}
+	j.hold(now)
+	if j.allSealed() && (open || j.allOpen()) {
+		slices.SortStableFunc(j.restore, compareUnits)
+		j.phase = PhaseRestoring
+	}
+}
+
+func compareUnits(a, b Unit) int {
+	return cmp.Or(cmp.Compare(a.Batch.Epoch, b.Batch.Epoch), cmp.Compare(a.Sequence, b.Sequence))
+}
+
+func (j *Journal) allSealed() bool {
+	for _, seal := range j.seals {
+		if !seal.done {
+			return false
+		}
+	}
+	return true
+}
+
+// SealDone takes the answer to a Seal command. ok is false when the node gave
+// none; fenced means that it has been sealed by a higher epoch.
+func (j *Journal) SealDone(now clock.Millis, node spool.NodeID, epoch spool.Epoch, units []Unit, ok, fenced bool) []Command {
+	seal := j.seals[node]
+	if seal == nil || j.phase != PhaseSealing || epoch != j.epoch {
+		return j.Tick(now)
+	}
+	seal.asked = false
+	switch {
+	case fenced:
+		j.lose(spool.NotRunUnknown)
+	case ok:
+		seal.done = true
+		j.restore = append(j.restore, units...)
+	default:
+		seal.retryAt = now + j.config.RetryAfter
+		seal.tries++
+		seal.done = !seal.holder && seal.tries >= ownerTries
+	}
+	return j.Tick(now)
+}
+
+// Gone tells that the platform no longer lists a node, so that nothing held
+// there can be recovered.
+func (j *Journal) Gone(now clock.Millis, node spool.NodeID) []Command {
+	if seal := j.seals[node]; seal != nil && !seal.asked && j.phase == PhaseSealing {
+		seal.done = true
+	}
+	return j.Tick(now)
+}
+
+// Awaited lists the nodes whose answer to a seal is missing.
+func (j *Journal) Awaited() (nodes []spool.NodeID) {
+	if j.phase != PhaseSealing {
+		return nil
+	}
+	for _, node := range sorted(j.seals) {
+		if !j.seals[node].done {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// restoreRecords returns the next recovered units and, with the last of them,
+// the marker that ends the recovery.
+func (j *Journal) restoreRecords() []spool.Record {
+	j.dropRestored()
+	var units []Unit
+	size := 0
+	for _, unit := range j.restore {
+		if size += Size(unit.Batch.Records); size > j.config.BatchBytes && len(units) > 0 {
+			return EncodeUnits(units)
+		}
+		units = append(units, unit)
+	}
+	return append(EncodeUnits(units), encode(KindRecovered, struct{}{}))
+}
+
+// dropRestored removes the recovered units that are on the stream by now; two
+// holders usually return the same ones.
+func (j *Journal) dropRestored() {
+	keep := j.restore[:0:0]
+	for i, unit := range j.restore {
+		repeated := i > 0 && compareUnits(j.restore[i-1], unit) == 0
+		if !repeated && unit.Sequence > j.fold.state.Applied[unit.Batch.Epoch] && unit.Batch.Epoch >= j.fold.state.Recovered {
+			keep = append(keep, unit)
+		}
+	}
+	j.restore = keep
+}
+
+func (j *Journal) startServing() {
+	j.phase = PhaseServing
+	j.restore = nil
+	j.confirmed = j.readStart
+	for _, p := range j.peers {
+		p.usable = p.opened
+	}
+	for _, node := range sorted(j.seals) {
+		j.emit(Release{Node: node, Epoch: j.epoch})
+	}
+	j.seals = nil
+	j.snapshots = &snapshotting{}
+	j.emit(Serving{Epoch: j.epoch})
+}
+
+// HandOver stops taking submissions, appends the rest and releases the stream.
+func (j *Journal) HandOver(now clock.Millis) []Command {
+	if j.phase == PhaseServing {
+		j.phase = PhaseReleasing
+	}
+	return j.Tick(now)
+}
+
+func (j *Journal) finishRelease() {
+	for _, node := range j.order {
+		j.emit(Release{Node: node, Epoch: j.epoch + 1})
+	}
+	j.reset()
+	j.emit(Lost{Released: true})
+}
+
+// Sealed handles a seal by a new owner that reached this node as the previous
+// owner. It retains what is acknowledged or may be held, and is not known to be
+// on the stream, for the new owner.
+func (j *Journal) Sealed(_ clock.Millis, epoch spool.Epoch) []Command {
+	if j.phase >= PhaseClaiming && epoch > j.epoch {
+		j.lose(spool.NotRunUnknown)
+	}
+	return j.flush()
+}
+
+func (j *Journal) exposed() (units []Unit) {
+	for _, e := range j.units {
+		if e.exposed {
+			units = append(units, e.unit)
+		}
+	}
+	return units
+}
+
+// lose gives the stream up because another node has claimed it. appended says
+// what is known of appends without an answer: after the tail was read up to the
+// other claim, they are not on the stream and never will be valid.
+func (j *Journal) lose(appended spool.NotRun) {
+	if j.phase == PhaseIdle {
+		return
+	}
+	j.stats.Lost++
+	retained := j.exposed()
+	for _, e := range slices.Concat(j.units, j.staged) {
+		notRun := spool.NotRunTrue
+		if e.exposed {
+			notRun = spool.NotRunUnknown
+		} else if e.appended || j.inFlight(e) {
+			notRun = appended
+		}
+		refusal := spool.Refuse(spool.CodeNotOwner, "stream %s has a new owner", j.config.Stream).WithNotRun(notRun)
+		if j.fold.state.Owner != j.config.Node {
+			refusal.Owner = j.fold.state.Owner
+		}
+		j.answer(e, refusal)
+	}
+	if len(retained) > 0 {
+		j.emit(Retain{Epoch: j.epoch, Units: retained})
+	}
+	j.reset()
+	j.emit(Lost{})
+}
+
+func (j *Journal) inFlight(e *entry) bool {
+	return j.attempt != nil && slices.Contains(j.attempt.entries, e)
+}
+
+// reset returns to idle. A read or append under way is answered later and
+// ignored.
+func (j *Journal) reset() {
+	fold := j.fold
+	if fold == nil {
+		fold = NewFold(State{}, 0)
+	}
+	*j = Journal{config: j.config, fold: fold, stats: j.stats, attempts: j.attempts, serial: j.serial, out: j.out}
+}
--- /dev/null
+++ b/pkg/membership/rendezvous.go
@@ -0,0 +1,91 @@
+// Package membership is one entry's view of the others: who lives, who owns
+// which stream, which stream to claim and when to hand one over. It is a
+// deterministic state machine.
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// score is the rendezvous weight of a node for a key.
+func score(key string, node spool.NodeID) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(string(node))
+	return digest.Sum64()
+}
+
+// Rank orders nodes by rendezvous hashing for key, best first. A node that comes
+// or goes does not change the order of the others.
+func Rank(key string, nodes []spool.NodeID) []spool.NodeID {
+	type ranked struct {
+		node  spool.NodeID
+		score uint64
+	}
+	list := make([]ranked, len(nodes))
+	for i, node := range nodes {
+		list[i] = ranked{node, score(key, node)}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node, b.node))
+	})
+	result := make([]spool.NodeID, len(list))
+	for i, entry := range list {
+		result[i] = entry.node
+	}
+	return result
+}
+
+// Winner returns the best node for key, or false when there is none.
+func Winner(key string, nodes []spool.NodeID) (winner spool.NodeID, ok bool) {
+	best := uint64(0)
+	for _, node := range nodes {
+		if s := score(key, node); !ok || s > best || (s == best && node < winner) {
+			winner, best, ok = node, s, true
+		}
+	}
+	return winner, ok
+}
+
+// Holders chooses up to count nodes that keep copies of a stream's units for
+// owner. They are in failure domains other than the owner's, and in different
+// ones as far as possible; nodes of the owner's region come first.
+func Holders(stream spool.Stream, owner spool.VM, members []spool.VM, count int) []spool.NodeID {
+	byID := map[spool.NodeID]spool.VM{}
+	ids := make([]spool.NodeID, 0, len(members))
+	for _, vm := range members {
+		if vm.ID != owner.ID && vm.FailureDomain != owner.FailureDomain {
+			byID[vm.ID] = vm
+			ids = append(ids, vm.ID)
+		}
+	}
+	ranked := Rank(string(stream), ids)
+	slices.SortStableFunc(ranked, func(a, b spool.NodeID) int {
+		return cmp.Compare(distance(owner, byID[a]), distance(owner, byID[b]))
+	})
+	chosen := make([]spool.NodeID, 0, count)
+	used := map[spool.FailureDomain]bool{}
+	for _, distinct := range []bool{true, false} {
+		for _, node := range ranked {
+			domain := byID[node].FailureDomain
+			if len(chosen) < count && !slices.Contains(chosen, node) && (!distinct || !used[domain]) {
+				chosen = append(chosen, node)
+				used[domain] = true
+			}
+		}
+	}
+	return chosen
+}
+
+func distance(a, b spool.VM) int {
+	if a.Region == b.Region {
+		return 0
+	}
+	return 1
+}
