Add the endpoint agent with its decision kernel

Cause: calls need a last gate in front of each endpoint. Change: pkg/gatekeeper decides admission, order of starts, fencing, at-most-once, history cache and engine memory; internal/endpoint carries the decisions out over wire, with /metrics, /healthz and /readyz. RunRequest and FateRequest carry an attempt and the agent's mark, so that "not seen" can be proved without comparing clocks. wire.Server.Quiet waits for the answers under way; a wire client takes a reply that was read just before its connection ended, which the graceful shutdown test had shown as lost.

--- /dev/null
+++ b/internal/endpoint/execute.go
@@ -0,0 +1,174 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// alarmPriority is the engine priority of alarms; other calls have 0.
+const alarmPriority = 1
+
+// Reasons why a run is given up.
+var (
+	errStopped    = errors.New("run was stopped")
+	errCallerGone = errors.New("caller has gone away")
+	errStalled    = errors.New("endpoint gave no sign of life")
+	errCrossed    = errors.New("endpoint sent another call's answer")
+	errIncomplete = errors.New("endpoint sent an incomplete answer")
+)
+
+// execute carries a call out and reports how it ended.
+func (a *Agent) execute(ctx context.Context, t *task, start gatekeeper.Start) (finished gatekeeper.Finished) {
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	run := &run{agent: a, task: t, correlation: start.Correlation, stop: stop}
+	run.stall = time.AfterFunc(a.config.StallAfter.Duration(), func() { stop(errStalled) })
+	defer run.stall.Stop()
+	finished = gatekeeper.Finished{Ticket: start.Ticket}
+	defer func() {
+		if cause := recover(); cause != nil {
+			a.telemetry.Event("runPanicked")
+			finished.Ending, finished.Reason = gatekeeper.EndFailed, fmt.Sprintf("call failed: %v", cause)
+		}
+	}()
+	var err error
+	if t.call.Service {
+		finished.Outcome.Service, err = run.serve(ctx)
+	} else {
+		finished.Outcome.Engine, err = run.generate(ctx, start.Messages)
+	}
+	finished.Chunks = run.chunks
+	finished.Ending = run.ending(ctx, err)
+	if err != nil {
+		finished.Outcome = gatekeeper.Outcome{}
+		finished.Reason = err.Error()
+	}
+	return finished
+}
+
+// run is the state of one call at the endpoint. Adapters deliver chunks one at a
+// time.
+type run struct {
+	agent       *Agent
+	task        *task
+	correlation string
+	stop        context.CancelCauseFunc
+	stall       *time.Timer
+	chunks      int
+	text        strings.Builder
+	// rejected is the first fault found in the stream.
+	rejected error
+}
+
+func (r *run) generate(ctx context.Context, messages []spool.Message) (*spool.EngineResult, error) {
+	request := r.task.request
+	call := spool.EngineCall{
+		Correlation: r.correlation,
+		Program:     request.Program,
+		Model:       request.Model,
+		Messages:    messages,
+		MaxTokens:   request.MaxTokens,
+	}
+	if request.Alarm {
+		call.Priority = alarmPriority
+	}
+	result, err := r.agent.engine.Generate(ctx, call, r.chunk)
+	switch {
+	case r.rejected != nil:
+		return nil, r.rejected
+	case err != nil:
+		return nil, err
+	case result.Correlation != r.correlation:
+		r.agent.telemetry.Event("crossedAnswer")
+		return nil, errCrossed
+	case result.Text != r.text.String():
+		return nil, errIncomplete
+	}
+	return &result, nil
+}
+
+// chunk checks one piece of the answer and passes it on. A piece of another
+// call's answer, or one out of order, ends the run.
+func (r *run) chunk(chunk spool.Chunk) error {
+	switch {
+	case r.rejected != nil:
+		return r.rejected
+	case chunk.Correlation != r.correlation:
+		r.agent.telemetry.Event("crossedAnswer")
+		return r.reject(errCrossed)
+	case chunk.Index != r.chunks:
+		return r.reject(errIncomplete)
+	}
+	r.stall.Reset(r.agent.config.StallAfter.Duration())
+	r.chunks++
+	r.text.WriteString(chunk.Text)
+	return r.forward(chunk)
+}
+
+// forward sends a piece to the caller. Without a caller an idempotent run ends;
+// the outcome of any other is still wanted for the record.
+func (r *run) forward(chunk spool.Chunk) error {
+	if r.task.closed.Load() {
+		return nil
+	}
+	chunk.Correlation = r.task.request.Correlation
+	err := r.task.send(chunk)
+	if err == nil || !r.task.request.Idempotent {
+		return nil
+	}
+	r.stop(errCallerGone)
+	return errors.Wrap(errCallerGone, err.Error())
+}
+
+func (r *run) reject(fault error) error {
+	r.rejected = fault
+	r.stop(fault)
+	return fault
+}
+
+func (r *run) serve(ctx context.Context) (*spool.ServiceResult, error) {
+	request := r.task.request
+	call := *request.Service
+	call.Correlation = r.correlation
+	// The service's own identifier of the action must be the same for every
+	// dispatch and differ between programs.
+	call.Call = string(request.Account) + "/" + string(request.Program) + "/" + string(request.Call)
+	result, err := r.agent.service.Call(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	if result.Correlation != r.correlation {
+		r.agent.telemetry.Event("crossedAnswer")
+		return nil, errCrossed
+	}
+	return &result, nil
+}
+
+// ending classifies the error of a run. The call has provably not run when it was
+// not sent, or when a model engine says that it rejected it.
+func (r *run) ending(ctx context.Context, err error) gatekeeper.Ending {
+	cause := context.Cause(ctx)
+	rejected := errors.Is(err, spool.ErrRejected) && !r.task.call.Service
+	switch {
+	case err == nil:
+		return gatekeeper.EndDone
+	case errors.Is(err, errCrossed), errors.Is(err, errIncomplete):
+		r.agent.telemetry.Event("answerRejected")
+		return gatekeeper.EndFailed
+	case r.chunks == 0 && (rejected || errors.Is(err, spool.ErrNotSent)):
+		return gatekeeper.EndNotSent
+	case errors.Is(cause, errStalled):
+		r.agent.telemetry.Event("runStalled")
+		return gatekeeper.EndFailed
+	case cause != nil:
+		return gatekeeper.EndStopped
+	}
+	return gatekeeper.EndFailed
+}
--- /dev/null
+++ b/internal/endpoint/fake_test.go
@@ -0,0 +1,140 @@
+package endpoint_test
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// engine is a spool.Engine whose behaviour a test sets.
+type engine struct {
+	mu sync.Mutex
+	// generate replaces the answer of two chunks.
+	generate func(context.Context, spool.EngineCall, func(spool.Chunk) error) (spool.EngineResult, error)
+	prompts  [][]spool.Message
+	sessions map[spool.ProgramID]bool
+	orders   []spool.EngineOrder
+}
+
+func newEngine() *engine { return &engine{sessions: map[spool.ProgramID]bool{}} }
+
+func (e *engine) Generate(ctx context.Context, call spool.EngineCall, onChunk func(spool.Chunk) error) (spool.EngineResult, error) {
+	e.mu.Lock()
+	e.prompts = append(e.prompts, call.Messages)
+	e.sessions[call.Program] = true
+	generate := e.generate
+	e.mu.Unlock()
+	if generate != nil {
+		return generate(ctx, call, onChunk)
+	}
+	for i, text := range []string{"dune ", "fog"} {
+		if err := onChunk(spool.Chunk{Correlation: call.Correlation, Index: i, Text: text}); err != nil {
+			return spool.EngineResult{}, err
+		}
+	}
+	return spool.EngineResult{Correlation: call.Correlation, Text: "dune fog", PromptTokens: 9, GeneratedTokens: 2}, nil
+}
+
+func (e *engine) Load(context.Context) (spool.EngineLoad, error) {
+	return spool.EngineLoad{Generation: 1, Uptime: clock.Hour}, nil
+}
+
+func (e *engine) CacheEvents(context.Context, uint64) ([]spool.CacheEvent, error) { return nil, nil }
+
+func (e *engine) Sessions(context.Context) (programs []spool.ProgramID, _ error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for program := range e.sessions {
+		programs = append(programs, program)
+	}
+	return programs, nil
+}
+
+func (e *engine) Free(_ context.Context, program spool.ProgramID) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.sessions, program)
+	return nil
+}
+
+func (e *engine) Order(_ context.Context, order spool.EngineOrder) error {
+	e.orders = append(e.orders, order)
+	return nil
+}
+
+func (e *engine) held() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.sessions)
+}
+
+// service is a spool.Service that counts its calls.
+type service struct {
+	mu    sync.Mutex
+	calls int
+	err   error
+	// hold, when set, keeps every call until it is closed.
+	hold chan struct{}
+}
+
+func (s *service) Call(ctx context.Context, call spool.ServiceCall) (spool.ServiceResult, error) {
+	s.mu.Lock()
+	s.calls++
+	hold, err := s.hold, s.err
+	s.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+			return spool.ServiceResult{}, errors.Wrap(ctx.Err(), "service call")
+		}
+	}
+	return spool.ServiceResult{Correlation: call.Correlation, Status: 200, Body: []byte("paid")}, err
+}
+
+func (s *service) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// fifo is a minimal queue and fixed a gate that lets four calls run.
+type fifo struct{ calls []spool.CallView }
+
+func (q *fifo) Push(_ clock.Millis, call spool.CallView) { q.calls = append(q.calls, call) }
+
+func (q *fifo) Pop(clock.Millis) (call spool.CallView, ok bool) {
+	if len(q.calls) == 0 {
+		return call, false
+	}
+	call, q.calls = q.calls[0], q.calls[1:]
+	return call, true
+}
+
+func (q *fifo) Remove(correlation string) bool {
+	for i, call := range q.calls {
+		if call.Correlation == correlation {
+			q.calls = append(q.calls[:i:i], q.calls[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (q *fifo) Served(clock.Millis, spool.CallView, int) {}
+func (q *fifo) Len() int                                 { return len(q.calls) }
+
+type fixed struct{}
+
+func (fixed) Window(clock.Millis) int               { return 4 }
+func (fixed) Observe(clock.Millis, spool.GateEvent) {}
+func (fixed) Cold(clock.Millis) bool                { return false }
+
+func init() {
+	spool.Queues.Register("testFifo", func(uint64, spool.Options) spool.Queue { return &fifo{} })
+	spool.Gates.Register("testFixed", func(uint64, spool.Options) spool.Gate { return fixed{} })
+}
--- /dev/null
+++ b/internal/endpoint/handle.go
@@ -0,0 +1,194 @@
+package endpoint
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// mux returns the agent's methods.
+func (a *Agent) mux() wire.Mux {
+	return wire.Mux{
+		wire.MethodRun:            wire.Handle(a.handleRun),
+		wire.MethodRenew:          wire.Handle(a.handleRenew),
+		wire.MethodFate:           wire.Handle(a.handleFate),
+		wire.MethodEndpointStatus: wire.Handle(a.handleStatus),
+	}
+}
+
+// handleRun admits a call and waits for its end. When the caller goes away the
+// kernel answers at once.
+func (a *Agent) handleRun(ctx context.Context, request wire.RunRequest, send wire.Send) (any, error) {
+	if refusal := a.check(request); refusal != nil {
+		a.telemetry.Refused(refusal.Code)
+		return nil, refusal
+	}
+	t := &task{request: request, call: kernelCall(request), send: send, done: make(chan answer, 1)}
+	if !a.post(arrival{t}) {
+		return nil, spool.Refuse(spool.CodeShuttingDown, "agent has stopped")
+	}
+	select {
+	case got := <-t.done:
+		return a.conclude(t, got)
+	case <-ctx.Done():
+		a.post(departure{t})
+	case <-a.ctx.Done():
+	}
+	select {
+	case got := <-t.done:
+		return a.conclude(t, got)
+	case <-a.ctx.Done():
+		return nil, spool.Refuse(spool.CodeShuttingDown, "agent has stopped").WithNotRun(spool.NotRunUnknown)
+	}
+}
+
+// check returns why a request makes no sense, or nil.
+func (a *Agent) check(request wire.RunRequest) *spool.Refusal {
+	switch {
+	case request.Program == "" || request.Call == "" || request.Stream == "" || request.Account == "":
+		return spool.Refuse(spool.CodeBadRequest, "account, program, call and stream must be set")
+	case request.BaseCount < 0 || request.DeadlineIn < 0:
+		return spool.Refuse(spool.CodeBadRequest, "baseCount and deadlineInMs must not be negative")
+	case request.Kind == wire.RunModel && a.engine == nil,
+		request.Kind == wire.RunService && a.service == nil,
+		request.Kind != wire.RunModel && request.Kind != wire.RunService:
+		return spool.Refuse(spool.CodeBadRequest, "endpoint does not serve calls of kind %q", request.Kind)
+	case request.Kind == wire.RunService && request.Service == nil:
+		return spool.Refuse(spool.CodeBadRequest, "service is missing")
+	case request.Kind == wire.RunModel && request.BaseCount == 0 && len(request.Messages) == 0:
+		return spool.Refuse(spool.CodeBadRequest, "messages are missing")
+	}
+	return nil
+}
+
+// kernelCall translates a request. It computes the digests, so that the control
+// loop does not have to.
+func kernelCall(request wire.RunRequest) gatekeeper.Call {
+	call := gatekeeper.Call{
+		Key:        gatekeeper.Key{Account: request.Account, Program: request.Program, Call: request.Call},
+		Stream:     request.Stream,
+		Epoch:      request.Epoch,
+		Attempt:    request.Attempt,
+		Mark:       request.Mark,
+		Idempotent: request.Idempotent,
+		Alarm:      request.Alarm,
+		Weight:     request.Weight,
+		Attained:   request.Attained,
+		DeadlineIn: request.DeadlineIn,
+		Service:    request.Kind == wire.RunService,
+		BaseCount:  request.BaseCount,
+		BaseDigest: request.BaseDigest,
+		Messages:   request.Messages,
+		MaxTokens:  request.MaxTokens,
+	}
+	if !call.Service {
+		base := request.BaseDigest
+		if request.BaseCount == 0 {
+			base = ""
+		}
+		call.Digests = spool.HistoryDigests(base, request.Messages)
+	}
+	return call
+}
+
+// conclude turns the kernel's answer into the reply. The caller has not received
+// the chunks of a recorded answer, so it gets the text as one chunk.
+func (a *Agent) conclude(t *task, got answer) (any, error) {
+	if got.Refusal != nil {
+		return nil, got.Refusal
+	}
+	reply := runReply(t.request.Correlation, got.Outcome)
+	reply.Load = got.status
+	if got.Recorded && reply.Engine != nil && reply.Engine.Text != "" {
+		chunk := spool.Chunk{Correlation: t.request.Correlation, Text: reply.Engine.Text}
+		if err := t.send(chunk); err != nil {
+			return nil, errors.Wrap(err, "send recorded answer")
+		}
+	}
+	return reply, nil
+}
+
+// runReply puts the caller's correlation into an outcome.
+func runReply(correlation string, outcome gatekeeper.Outcome) *wire.RunReply {
+	reply := &wire.RunReply{Correlation: correlation}
+	if outcome.Engine != nil {
+		result := *outcome.Engine
+		result.Correlation = correlation
+		reply.Engine = &result
+	}
+	if outcome.Service != nil {
+		result := *outcome.Service
+		result.Correlation = correlation
+		reply.Service = &result
+	}
+	return reply
+}
+
+func (a *Agent) handleRenew(ctx context.Context, request wire.RenewRequest, _ wire.Send) (any, error) {
+	a.post(gatekeeper.Renew{Programs: request.Programs, Ended: request.Ended, LeaseFor: request.LeaseFor})
+	status, err := a.askStatus(ctx)
+	status.Held = nil
+	return status, err
+}
+
+func (a *Agent) handleStatus(ctx context.Context, _ struct{}, _ wire.Send) (any, error) {
+	return a.askStatus(ctx)
+}
+
+func (a *Agent) askStatus(ctx context.Context) (wire.EndpointStatus, error) {
+	got := make(chan wire.EndpointStatus, 1)
+	a.post(statusQuery{answer: got})
+	select {
+	case status := <-got:
+		return status, nil
+	case <-ctx.Done():
+		return wire.EndpointStatus{}, errors.Wrap(ctx.Err(), "wait for status")
+	case <-a.ctx.Done():
+		return wire.EndpointStatus{}, ErrStopped
+	}
+}
+
+// fates translates the kernel's answers.
+var fates = map[gatekeeper.FateKind]wire.Fate{
+	gatekeeper.FateNotSeen: wire.FateNotSeen,
+	gatekeeper.FateRunning: wire.FateRunning,
+	gatekeeper.FateDone:    wire.FateDone,
+	gatekeeper.FateUnknown: wire.FateUnknown,
+}
+
+func (a *Agent) handleFate(ctx context.Context, request wire.FateRequest, _ wire.Send) (any, error) {
+	got := make(chan gatekeeper.FateReply, 1)
+	a.post(question{answer: got, fate: gatekeeper.Fate{
+		Key:        gatekeeper.Key{Account: request.Account, Program: request.Program, Call: request.Call},
+		Stream:     request.Stream,
+		Epoch:      request.Epoch,
+		Attempt:    request.Attempt,
+		Mark:       request.Mark,
+		Idempotent: request.Idempotent,
+	}})
+	select {
+	case reply := <-got:
+		return a.fateReply(reply)
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "wait for fate")
+	case <-a.ctx.Done():
+		return nil, ErrStopped
+	}
+}
+
+func (a *Agent) fateReply(reply gatekeeper.FateReply) (any, error) {
+	if reply.Refusal != nil {
+		a.telemetry.Refused(reply.Refusal.Code)
+		return nil, reply.Refusal
+	}
+	answer := wire.FateReply{Fate: fates[reply.Kind], AgentSince: a.clock.Now() - a.startedAt}
+	if reply.Kind == gatekeeper.FateDone {
+		answer.Reply = runReply("", reply.Outcome)
+		answer.Reply.Load = a.wireStatus(*a.status.Load())
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/endpoint/poll.go
@@ -0,0 +1,85 @@
+package endpoint
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// poll runs ask at once and then at an interval until the agent stops.
+func (a *Agent) poll(every clock.Millis, ask func()) {
+	a.goroutines.Go(func() {
+		ticker := time.NewTicker(every.Duration())
+		defer ticker.Stop()
+		for {
+			ask()
+			select {
+			case <-a.ctx.Done():
+				return
+			case <-ticker.C:
+			}
+		}
+	})
+}
+
+func (a *Agent) asking() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(a.ctx, a.config.PollTimeout.Duration())
+}
+
+func (a *Agent) pollLoad() {
+	ctx, cancel := a.asking()
+	defer cancel()
+	load, err := a.engine.Load(ctx)
+	a.reachable.Store(err == nil)
+	switch {
+	case err == nil:
+		a.post(gatekeeper.Report{Load: load})
+	case errors.Is(err, spool.ErrNotSent):
+		a.telemetry.Event("engineUnreachable")
+		a.post(gatekeeper.Unreachable{})
+	default:
+		a.telemetry.Event("loadReportFailed")
+	}
+}
+
+func (a *Agent) pollEvents() {
+	ctx, cancel := a.asking()
+	defer cancel()
+	events, err := a.engine.CacheEvents(ctx, a.eventsAfter.Load())
+	if err != nil {
+		a.telemetry.Event("cacheEventsFailed")
+		return
+	}
+	if len(events) > 0 {
+		a.post(gatekeeper.Events{Events: events})
+	}
+}
+
+func (a *Agent) pollSessions() {
+	ctx, cancel := a.asking()
+	defer cancel()
+	askedAt := a.clock.Now()
+	programs, err := a.engine.Sessions(ctx)
+	if err != nil {
+		a.telemetry.Event("sessionsFailed")
+		return
+	}
+	a.post(gatekeeper.Sessions{AskedAt: askedAt, Programs: programs})
+}
+
+// free releases the engine memory of a program.
+func (a *Agent) free(program spool.ProgramID) {
+	ctx, cancel := a.asking()
+	defer cancel()
+	err := a.engine.Free(ctx, program)
+	if err != nil {
+		a.log.Warn("engine memory was not released", zap.String("program", string(program)), zap.Error(err))
+	}
+	a.post(gatekeeper.Freed{Program: program, OK: err == nil})
+}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -300,7 +300,12 @@
 	select {
 	case err = <-answered:
 	case <-l.closed:
-		return l.failure(l.cause)
+		if !errors.Is(l.cause, ErrLost) {
+			return l.failure(l.cause)
+		}
+		// The reply may have been read just before the connection ended. A broken
+		// connection ends every pending call, so this does not block.
+		err = <-answered
 	}
 	if err != nil && ctx.Err() != nil {
 		_ = l.rpc.Notify(context.Background(), methodCancel, envelope{Correlation: frame.Correlation})
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -71,6 +71,10 @@
 	mu sync.Mutex
 	// conns holds every open connection.
 	conns map[*jsonrpc2.Conn]struct{}
+	// busy counts the requests that have not been answered.
+	busy int
+	// quiet is closed when busy falls to 0; nil while nobody waits for that.
+	quiet chan struct{}
 }
 
 // ServerOption changes a default of a Server.
@@ -135,6 +139,43 @@
 	return errors.Wrap(err, "close listener")
 }
 
+// Quiet waits until every request under way has been answered. A graceful
+// shutdown calls it before Close.
+func (s *Server) Quiet(ctx context.Context) error {
+	s.mu.Lock()
+	if s.busy == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	if s.quiet == nil {
+		s.quiet = make(chan struct{})
+	}
+	quiet := s.quiet
+	s.mu.Unlock()
+	select {
+	case <-quiet:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for requests under way")
+	}
+}
+
+func (s *Server) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy++
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy--
+	if s.busy == 0 && s.quiet != nil {
+		close(s.quiet)
+		s.quiet = nil
+	}
+}
+
 func (s *Server) serve(conn net.Conn, mux Mux) {
 	session := &session{server: s, mux: mux, running: map[string]context.CancelFunc{}}
 	session.heard.Store(time.Now().UnixNano())
@@ -217,7 +258,9 @@
 	s.mu.Lock()
 	s.running[frame.Correlation] = cancel
 	s.mu.Unlock()
+	s.server.begin()
 	s.server.pool.Submit(func() {
+		defer s.server.end()
 		defer s.cancel(frame.Correlation)
 		s.run(callCtx, conn, request, handler, frame)
 	})
