Run the endpoint agent as a process

The agent needs control state from the entries and must notice that its own VM is leaving. internal/process joins the agent with the control reader and the list of VMs; a failed engine order is repeated until it succeeds. The command reports every error of its flags at once.

--- /dev/null
+++ b/internal/cli/endpoint.go
@@ -0,0 +1,51 @@
+package cli
+
+import (
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/config"
+	"github.com/baobabspool/baobabspool/internal/process"
+)
+
+func newEndpoint() *cobra.Command {
+	var settings process.EndpointConfig
+	var flags processFlags
+	command := &cobra.Command{
+		Use:   "endpoint",
+		Short: "Run the agent beside one model engine or plain service",
+		Long: `Run the agent beside one model engine or plain service. It is the last gate
+before its endpoint: every call of every entry passes its queue, its concurrency
+window and its at-most-once check. SIGTERM lets the calls in flight finish.`,
+		Example: `  baobabspool endpoint --node m1 --region sn-west --failure-domain ndar-a \
+    --listen 127.0.0.1:7101 --vms-address 127.0.0.1:9001 --engine-address 127.0.0.1:9201`,
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if err := settings.Validate(); err != nil {
+				return err
+			}
+			t, err := flags.telemetry(settings.Node)
+			if err != nil {
+				return err
+			}
+			endpoint, err := process.NewEndpoint(settings, t)
+			if err != nil {
+				return err
+			}
+			log := t.Logger("endpoint")
+			log.Info("ready", zap.String("address", endpoint.Address()))
+			return flags.runUntilSignal(endpoint, log)
+		},
+	}
+	command.Flags().StringVar(&settings.Node, "node", "", "name of this process and its endpoint, as in the list of VMs")
+	command.Flags().StringVar(&settings.Region, "region", "", "region of this VM")
+	command.Flags().StringVar(&settings.FailureDomain, "failure-domain", "", "failure domain of this VM")
+	command.Flags().StringVar(&settings.Listen, "listen", "127.0.0.1:7100", "IP address and port for messages between processes")
+	command.Flags().StringVar(&settings.HTTPListen, "http-listen", "", "IP address and port of /metrics, /healthz and /readyz; empty for none")
+	command.Flags().StringVar(&settings.VMsAddress, "vms-address", "", "IP address and port of the platform's list of VMs")
+	command.Flags().StringVar(&settings.EngineAddress, "engine-address", "", "IP address and port of the model engine")
+	command.Flags().StringVar(&settings.ServiceAddress, "service-address", "", "IP address and port of the plain service")
+	flags.register(command)
+	config.Bind(command)
+	return command
+}
--- /dev/null
+++ b/internal/cli/process.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// processFlags are common to the processes that run until they are stopped.
+type processFlags struct {
+	logFormat  string
+	logLevel   string
+	shutdownMs int64
+}
+
+func (f *processFlags) register(command *cobra.Command) {
+	command.Flags().StringVar(&f.logFormat, "log-format", "json", "format of the log, json or console")
+	command.Flags().StringVar(&f.logLevel, "log-level", "info", "lowest level that is logged: debug, info, warn or error")
+	command.Flags().Int64Var(&f.shutdownMs, "shutdown-ms", 60_000, "longest wait for calls in flight when the process is stopped, in milliseconds")
+}
+
+func (f *processFlags) telemetry(node string) (*telemetry.Telemetry, error) {
+	logger, err := telemetry.NewLogger(f.logFormat, f.logLevel)
+	if err != nil {
+		return nil, err
+	}
+	return telemetry.New(spool.NodeID(node), logger)
+}
+
+// stopper is a process that can be stopped without cutting a request.
+type stopper interface {
+	Shutdown(ctx context.Context) error
+}
+
+// runUntilSignal waits for SIGTERM or SIGINT and shuts process down. A second
+// signal ends the wait for calls in flight.
+func (f *processFlags) runUntilSignal(process stopper, log *zap.Logger) (err error) {
+	defer func() { err = errors.Wrap(err, "shutdown") }()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	log.Info("shutting down, calls in flight finish first")
+	ctx, cancel := context.WithTimeout(context.Background(), clock.Millis(f.shutdownMs).Duration())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return process.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,43 @@
+// Package cli holds the commands of the baobabspool binary, one file per noun.
+package cli
+
+import (
+	"github.com/spf13/cobra"
+)
+
+// Version is the version of the binary, set by the linker for releases.
+var Version = "development"
+
+// NewRoot returns the root command with every subcommand.
+func NewRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "baobabspool",
+		Short: "Schedule agent programs on model endpoints that restart without notice",
+		Long: `baobabspool schedules agent programs on model endpoints that restart without notice.
+
+Callers talk to an entry. Beside each endpoint runs an agent. Operators publish
+settings, keys, accounts and drains on the platform's log. To see all of it on
+one machine:
+
+  baobabspool demo`,
+		Version:       Version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(
+		newEndpoint(),
+		newVersion(),
+	)
+	return root
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run: func(command *cobra.Command, _ []string) {
+			command.Println(Version)
+		},
+	}
+}
--- /dev/null
+++ b/internal/process/endpoint.go
@@ -0,0 +1,217 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/config"
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/endpoint"
+	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	_ "github.com/baobabspool/baobabspool/pkg/policy" // Registers the policies.
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// EndpointConfig holds the settings of an endpoint agent's process.
+type EndpointConfig struct {
+	// Node names the process and its endpoint.
+	Node string
+	// FailureDomain and Region tell where it runs.
+	FailureDomain string
+	Region        string
+	// Listen is the host:port for messages between our processes, HTTPListen that
+	// of /metrics, /healthz and /readyz; HTTPListen may be empty.
+	Listen     string
+	HTTPListen string
+	// VMsAddress is the host:port of the platform's list of VMs.
+	VMsAddress string
+	// EngineAddress or ServiceAddress is the host:port of the endpoint; exactly
+	// one of them is set.
+	EngineAddress  string
+	ServiceAddress string
+}
+
+// Validate returns every error of the settings at once.
+func (c EndpointConfig) Validate() error {
+	var problems config.Problems
+	problems.Require("node", c.Node)
+	problems.Require("failure-domain", c.FailureDomain)
+	problems.Require("region", c.Region)
+	problems.Address("listen", c.Listen)
+	if c.HTTPListen != "" {
+		problems.Address("http-listen", c.HTTPListen)
+	}
+	problems.Address("vms-address", c.VMsAddress)
+	if (c.EngineAddress == "") == (c.ServiceAddress == "") {
+		problems.Add("engine-address", "give either engine-address or service-address")
+		return problems.Err()
+	}
+	if c.EngineAddress != "" {
+		problems.Address("engine-address", c.EngineAddress)
+	} else {
+		problems.Address("service-address", c.ServiceAddress)
+	}
+	return problems.Err()
+}
+
+// settleFor bounds the wait for the first control state at the start. An agent
+// that no entry answers starts with the defaults.
+const settleFor = 2 * time.Second
+
+// Endpoint is the running process of an endpoint agent.
+type Endpoint struct {
+	config  EndpointConfig
+	agent   *endpoint.Agent
+	control *control.Reader
+	vms     *vmWatch
+	clients *wire.Clients
+	log     *zap.Logger
+	// applied is the highest fencing number of an order that was carried out.
+	applied uint64
+
+	wake chan struct{}
+	stop chan struct{}
+	done chan struct{}
+}
+
+// NewEndpoint starts the process.
+func NewEndpoint(settingsOfProcess EndpointConfig, t *telemetry.Telemetry) (p *Endpoint, err error) {
+	defer func() { err = errors.Wrap(err, "start endpoint agent") }()
+	if err := settingsOfProcess.Validate(); err != nil {
+		return nil, err
+	}
+	p = &Endpoint{
+		config:  settingsOfProcess,
+		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node)),
+		log:     t.Logger("endpoint"),
+		wake:    make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+		done:    make(chan struct{}),
+	}
+	p.vms = newVMWatch(platform.NewVMList(p.config.VMsAddress), t, p.nudge)
+	if err := p.startControl(t); err != nil {
+		return nil, err
+	}
+	if err := p.startAgent(t); err != nil {
+		return nil, err
+	}
+	go func() { p.follow() }()
+	return p, nil
+}
+
+func (p *Endpoint) startControl(t *telemetry.Telemetry) (err error) {
+	p.control, err = control.NewReader(control.Config{
+		Node:          spool.NodeID(p.config.Node),
+		Role:          spool.RoleEndpoint,
+		FailureDomain: spool.FailureDomain(p.config.FailureDomain),
+		Region:        spool.Region(p.config.Region),
+	}, control.WithPeers(p.vms.entries), control.WithClients(p.clients), control.WithTelemetry(t))
+	if err != nil {
+		return err
+	}
+	deadline := time.After(settleFor)
+	for !p.control.Ready() {
+		select {
+		case <-p.control.Changed():
+		case <-time.After(20 * time.Millisecond):
+		case <-deadline:
+			p.log.Warn("no entry answers, starting with default settings")
+			return nil
+		}
+	}
+	return nil
+}
+
+func (p *Endpoint) startAgent(t *telemetry.Telemetry) (err error) {
+	values := p.control.Settings(settings.Scope{
+		Region: spool.Region(p.config.Region), FailureDomain: spool.FailureDomain(p.config.FailureDomain),
+	})
+	agentConfig := endpoint.DefaultConfig()
+	agentConfig.Endpoint = spool.EndpointID(p.config.Node)
+	agentConfig.Listen = p.config.Listen
+	agentConfig.HTTPListen = p.config.HTTPListen
+	agentConfig.Queue = values.Text(settings.PolicyQueue)
+	agentConfig.Gate = values.Text(settings.PolicyGate)
+	agentConfig.QueueOptions = values.Options()
+	agentConfig.GateOptions = values.Options()
+	agentConfig.Kernel.MaxWait = values.Duration(settings.QueueMaxWaitMs)
+	options := []endpoint.Option{endpoint.WithTelemetry(t)}
+	if p.config.EngineAddress != "" {
+		options = append(options, endpoint.WithEngine(platform.NewEngine(p.config.EngineAddress)))
+	} else {
+		options = append(options, endpoint.WithService(platform.NewService(p.config.ServiceAddress)))
+	}
+	if p.agent, err = endpoint.New(agentConfig, options...); err != nil {
+		return err
+	}
+	return p.agent.Start()
+}
+
+// nudge makes follow look at the list of VMs and the control state.
+func (p *Endpoint) nudge() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// follow applies drains and orders as they come into force.
+func (p *Endpoint) follow() {
+	defer close(p.done)
+	for {
+		changed := p.control.Changed()
+		p.apply()
+		select {
+		case <-changed:
+		case <-p.wake:
+		case <-p.stop:
+			return
+		}
+	}
+}
+
+func (p *Endpoint) apply() {
+	id := spool.EndpointID(p.config.Node)
+	domain := spool.FailureDomain(p.config.FailureDomain)
+	p.agent.SetControlOffset(p.control.Offset())
+	p.agent.SetDraining(p.control.Draining(domain, id) || p.vms.leaving(spool.NodeID(p.config.Node)))
+	for _, order := range p.control.Orders(id) {
+		if order.Fence <= p.applied {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), vmsTimeout.Duration())
+		err := p.agent.ApplyOrder(ctx, order)
+		cancel()
+		if err != nil {
+			p.log.Warn("order failed and will be repeated", zap.Uint64("fence", order.Fence), zap.Error(err))
+			return
+		}
+		p.applied = order.Fence
+	}
+}
+
+// Address returns the host:port for messages between our processes.
+func (p *Endpoint) Address() string { return p.agent.Address() }
+
+// Agent returns the agent.
+func (p *Endpoint) Agent() *endpoint.Agent { return p.agent }
+
+// Shutdown lets every admitted call finish and stops the process. When ctx ends
+// first the remaining calls are cut and an error is returned.
+func (p *Endpoint) Shutdown(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "stop endpoint agent") }()
+	close(p.stop)
+	<-p.done
+	p.agent.SetDraining(true)
+	err = p.agent.Shutdown(ctx)
+	p.control.Close()
+	p.vms.close()
+	p.clients.Close()
+	return err
+}
