Add account limits over all entries

Cause: rate and burst of an account count over all entries at any moment. Change: limit.Owner grants short leases from an account's pool, limit.Share takes tokens for admissions at each entry, limit.Line holds requests that wait for a token. Conclusion: a clock step smaller than the time since the last input cannot be seen; clock.System does not step.

--- /dev/null
+++ b/pkg/limit/limit_test.go
@@ -0,0 +1,153 @@
+package limit_test
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/limit"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+func TestLimit(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "limit")
+}
+
+var acme = limit.Config{Rate: 10, Burst: 40, StaticShare: 0.1}
+
+// serving returns an owner of epoch 1 and the instant from which it serves.
+func serving(config limit.Config) (*limit.Owner, clock.Millis) {
+	owner := limit.NewOwner(timing, config)
+	owner.TakeReleased(0, 1)
+	return owner, pass(owner, 0, 20*clock.Second)
+}
+
+// pass renews the owner's authority for a while and returns the end.
+func pass(owner *limit.Owner, now, d clock.Millis) clock.Millis {
+	for end := now + d; now < end; now += 100 {
+		owner.Authority(now, now+timing.Authority)
+		owner.Fresh(now, now+timing.View)
+	}
+	return now
+}
+
+var _ = ginkgo.Describe("Owner", func() {
+	ginkgo.It("counts a return once and only in the epoch of its grant", func() {
+		owner, now := serving(acme)
+		drained := 0.0
+		for sequence := uint64(1); sequence < 40; sequence++ {
+			drained += owner.Lease(now, limit.Request{Node: "a", Sequence: sequence, Want: 100}).Granted
+		}
+		gomega.Expect(drained).To(gomega.BeNumerically("~", limit.PoolOf(acme, timing).Cap, 1))
+		back := limit.Request{Node: "a", Sequence: 50, Returned: 8, Epoch: 1}
+		owner.Lease(now, back)
+		owner.Lease(now, back)
+		owner.Lease(now, limit.Request{Node: "a", Sequence: 51, Returned: 8, Epoch: 7})
+		got := owner.Lease(now, limit.Request{Node: "a", Sequence: 52, Want: 100}).Granted
+		gomega.Expect(got).To(gomega.Equal(4.0), "half of 8 returned tokens")
+	})
+
+	ginkgo.It("waits out the authority and leases of its predecessor with an empty pool", func() {
+		owner := limit.NewOwner(timing, acme)
+		owner.Take(0, 2)
+		wait := timing.Authority + timing.Lease
+		now := pass(owner, 0, wait-100)
+		gomega.Expect(owner.Serves(now)).To(gomega.BeFalse())
+		now = pass(owner, now, 200)
+		gomega.Expect(owner.Serves(now)).To(gomega.BeTrue())
+		first := owner.Lease(now, limit.Request{Node: "a", Sequence: 1, Want: 100}).Granted
+		gomega.Expect(first).To(gomega.BeNumerically("<=", 1), "refilled since it began to serve")
+	})
+
+	ginkgo.It("stops granting when its settings or its claim may be outdated or its clock stepped back", func() {
+		for _, stale := range []func(*limit.Owner, clock.Millis) clock.Millis{
+			func(o *limit.Owner, now clock.Millis) clock.Millis {
+				for range 60 {
+					now += 100
+					o.Authority(now, now+timing.Authority)
+				}
+				return now
+			},
+			func(_ *limit.Owner, now clock.Millis) clock.Millis { return now + timing.Authority },
+			func(_ *limit.Owner, now clock.Millis) clock.Millis { return now - clock.Second },
+		} {
+			owner, now := serving(acme)
+			gomega.Expect(owner.Serves(now)).To(gomega.BeTrue())
+			gomega.Expect(owner.Serves(stale(owner, now))).To(gomega.BeFalse())
+		}
+	})
+
+	ginkgo.It("grows only after every entry has had time to shrink", func() {
+		low := acme
+		low.StaticShare = 0.9
+		owner, now := serving(low)
+		owner.Configure(now, acme)
+		now = pass(owner, now, timing.View)
+		small := owner.Lease(now, limit.Request{Node: "a", Sequence: 1, Want: 100}).Granted
+		gomega.Expect(small).To(gomega.BeNumerically("<=", limit.PoolOf(low, timing).Cap))
+		now = pass(owner, now, 10*clock.Second)
+		grown := owner.Lease(now, limit.Request{Node: "a", Sequence: 2, Want: 100}).Granted
+		gomega.Expect(grown).To(gomega.BeNumerically(">", 10))
+	})
+})
+
+var _ = ginkgo.Describe("the parts", func() {
+	ginkgo.It("add up to the limits, also when the static burst is less than a token for each entry", func() {
+		for _, burst := range []float64{1, 3, 12, 80, 700} {
+			for _, static := range []float64{0, 0.1, 0.5, 1} {
+				config := limit.Config{Rate: 50, Burst: burst, StaticShare: static}
+				view := names(9)
+				pool := limit.PoolOf(config, timing)
+				rate, sum := pool.Rate, pool.Cap+pool.Rate*float64(pool.Lease)/1000
+				for _, node := range view {
+					part := limit.PartOf("acme", node, view, config)
+					rate += part.Rate
+					sum += part.Burst
+					gomega.Expect(part.Burst == 0 || part.Burst >= 1).To(gomega.BeTrue())
+				}
+				gomega.Expect(rate).To(gomega.BeNumerically("<=", config.Rate+1e-9))
+				gomega.Expect(sum).To(gomega.BeNumerically("<=", config.Burst+1e-9))
+				gomega.Expect(sum).To(gomega.BeNumerically(">=", min(config.Burst, 12)*0.9-1), "%v", config)
+			}
+		}
+	})
+})
+
+var _ = ginkgo.Describe("Line", func() {
+	ginkgo.It("holds a request until its lease arrives and refuses what the rate cannot admit", func() {
+		owner, now := serving(acme)
+		share := limit.NewShare(now, "acme", "a", timing, acme)
+		line := limit.NewLine(share)
+		decision, held := line.Enter(now, "first")
+		gomega.Expect(held).To(gomega.BeTrue())
+		share.Granted(now+2, owner.Lease(now+1, *decision.Ask))
+		outcomes, _ := line.Advance(now + 2)
+		gomega.Expect(outcomes).To(gomega.Equal([]limit.Outcome{{ID: "first", Admitted: true}}))
+		for range 100 {
+			decision, held = line.Enter(now+2, "more")
+		}
+		gomega.Expect(held).To(gomega.BeFalse())
+		gomega.Expect(decision.RetryAfter).To(gomega.BeNumerically(">", 0))
+	})
+
+	ginkgo.It("admits by the static part while the owner is gone", func() {
+		share := limit.NewShare(0, "acme", "a", timing, limit.Config{Rate: 10, Burst: 40, StaticShare: 0.2})
+		share.View(0, []spool.NodeID{"a", "b"})
+		line, admitted := limit.NewLine(share), 0
+		for now := clock.Millis(0); now < 20*clock.Second; now += 100 {
+			share.Fresh(now, now+timing.View)
+			decision, _ := line.Enter(now, "call")
+			outcomes, _ := line.Advance(now)
+			for _, outcome := range append(outcomes, limit.Outcome{Admitted: decision.Admitted}) {
+				if outcome.Admitted {
+					admitted++
+				}
+			}
+		}
+		// One token a second once the part is in force, after 5.25 s.
+		gomega.Expect(admitted).To(gomega.BeNumerically("~", 14, 2))
+	})
+})
--- /dev/null
+++ b/pkg/limit/owner.go
@@ -0,0 +1,193 @@
+package limit
+
+import (
+	"math"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Request asks an owner for tokens and gives back tokens that are not needed.
+type Request struct {
+	// Account names the pool.
+	Account spool.AccountID
+	// Node is the asking entry.
+	Node spool.NodeID
+	// Sequence increases with each request of a node.
+	Sequence uint64
+	// Want is the number of tokens asked for.
+	Want float64
+	// Returned tokens were granted by the owner of epoch Epoch. The sender does
+	// not use them any more, whatever becomes of the request.
+	Returned float64
+	Epoch    spool.Epoch
+}
+
+// Grant answers a Request.
+type Grant struct {
+	// Sequence is that of the request.
+	Sequence uint64
+	// Epoch is the owner's claim.
+	Epoch spool.Epoch
+	// Granted tokens may be used for LeaseFor after the request was sent.
+	Granted  float64
+	LeaseFor clock.Millis
+	// RetryAfter is the wait until another request may get more.
+	RetryAfter clock.Millis
+}
+
+// minRetry spaces the requests of an entry for a pool that is empty.
+const minRetry clock.Millis = 10
+
+// Owner is the pool of one account at the owner of the account's stream. Every
+// method takes the time of the owner's clock and must be called, with Tick at
+// the latest, every Timing.MaxGap/2.
+type Owner struct {
+	timing Timing
+	time   elapsed
+	// shape is in force; target is reached at growAt on time.least.
+	shape, target Pool
+	growAt        clock.Millis
+	pool          bucket
+	epoch         spool.Epoch
+	owned         bool
+	// servesAt is on time.least; the ends are on time.most.
+	servesAt      clock.Millis
+	authorityEnds clock.Millis
+	freshEnds     clock.Millis
+	// last is the highest sequence seen of each node in this epoch.
+	last map[spool.NodeID]uint64
+}
+
+// NewOwner returns the pool of an account that this entry does not own yet.
+func NewOwner(timing Timing, config Config) *Owner {
+	shape := PoolOf(config, timing)
+	return &Owner{
+		timing: timing, time: elapsed{maxGap: timing.MaxGap},
+		shape: shape, target: shape,
+		pool: bucket{rate: shape.Rate, limit: shape.Cap},
+		last: map[spool.NodeID]uint64{},
+	}
+}
+
+// Configure takes new settings in. The pool shrinks at once and grows when no
+// entry uses a larger static part any more.
+func (o *Owner) Configure(now clock.Millis, config Config) {
+	o.advance(now)
+	o.target = PoolOf(config, o.timing)
+	o.reshape(smallerPool(o.shape, o.target))
+	o.growAt = o.time.least + o.timing.View + o.timing.Lease
+}
+
+// Take starts the ownership of epoch after the claim has become visible. It
+// grants when the previous owner's authority and leases have surely ended.
+func (o *Owner) Take(now clock.Millis, epoch spool.Epoch) {
+	o.TakeReleased(now, epoch)
+	o.servesAt = o.time.least + o.timing.Authority + o.timing.Lease
+}
+
+// TakeReleased is Take after the previous owner has said, by its release record,
+// that it grants no more.
+func (o *Owner) TakeReleased(now clock.Millis, epoch spool.Epoch) {
+	o.advance(now)
+	o.epoch, o.owned = epoch, true
+	o.servesAt, o.authorityEnds = o.time.least, o.time.most
+	o.pool.level = 0
+	clear(o.last)
+}
+
+// Release ends the ownership. The caller publishes the release afterwards.
+func (o *Owner) Release(now clock.Millis) {
+	o.advance(now)
+	o.owned = false
+}
+
+// Authority allows grants until the given instant of the owner's clock. The
+// caller computes it from the instant at which it asked for the proof that no
+// newer claim exists.
+func (o *Owner) Authority(now, until clock.Millis) {
+	o.advance(now)
+	o.authorityEnds = o.time.until(now, until, o.timing.Authority)
+}
+
+// Fresh says that the settings were current at until - Timing.View, by the
+// owner's clock.
+func (o *Owner) Fresh(now, until clock.Millis) {
+	o.advance(now)
+	o.freshEnds = o.time.until(now, until, o.timing.View)
+}
+
+// Tick lets time pass.
+func (o *Owner) Tick(now clock.Millis) { o.advance(now) }
+
+// Serves reports whether the owner may grant now.
+func (o *Owner) Serves(now clock.Millis) bool {
+	o.advance(now)
+	return o.serves()
+}
+
+// Lease grants whole tokens. When the pool is low it grants half of it, so that
+// one entry does not leave nothing to the others.
+func (o *Owner) Lease(now clock.Millis, request Request) Grant {
+	o.advance(now)
+	grant := Grant{Sequence: request.Sequence, Epoch: o.epoch, LeaseFor: o.shape.Lease}
+	if !o.serves() {
+		grant.RetryAfter = max(minRetry, o.servesAt-o.time.least)
+		return grant
+	}
+	if request.Sequence <= o.last[request.Node] {
+		grant.RetryAfter = minRetry
+		return grant
+	}
+	o.last[request.Node] = request.Sequence
+	if request.Epoch == o.epoch {
+		o.pool.level = min(o.pool.limit, o.pool.level+max(0, request.Returned))
+	}
+	grant.Granted = wholeTokens(min(request.Want, max(o.pool.level/2, min(1, o.pool.level))))
+	o.pool.level -= grant.Granted
+	if grant.Granted < request.Want {
+		grant.RetryAfter = o.untilOneToken()
+	}
+	return grant
+}
+
+func (o *Owner) serves() bool {
+	return o.owned && o.time.least >= o.servesAt &&
+		o.time.most < o.authorityEnds && o.time.most < o.freshEnds
+}
+
+func (o *Owner) untilOneToken() clock.Millis {
+	if o.pool.rate <= 0 {
+		return clock.Second
+	}
+	missing := max(0, 1-o.pool.level) / o.pool.rate * float64(clock.Second)
+	return max(minRetry, clock.Millis(math.Ceil(missing)))
+}
+
+func (o *Owner) advance(now clock.Millis) {
+	o.time.advance(now)
+	o.refill()
+	if o.shape != o.target && o.time.least >= o.growAt {
+		o.reshape(o.target)
+	}
+}
+
+// refill adds tokens only while the owner may grant; before, the pool is empty.
+func (o *Owner) refill() {
+	if !o.owned || o.time.least < o.servesAt {
+		o.pool.at = o.time.least
+		return
+	}
+	o.pool.at = max(o.pool.at, o.servesAt)
+	o.pool.refill(o.time.least)
+}
+
+func (o *Owner) reshape(shape Pool) {
+	o.shape = shape
+	o.pool.reshape(shape.Rate, shape.Cap)
+}
+
+// smallerPool is within the limits of both a and b.
+func smallerPool(a, b Pool) Pool {
+	return Pool{Rate: min(a.Rate, b.Rate), Cap: min(a.Cap, b.Cap), Lease: min(a.Lease, b.Lease)}
+}
