Add the bench of policies and limits in virtual time

Change: internal/bench drives the policies and limit.Fleet with fakes of an engine and of callers; baobabspool bench is cli.NewBench. limit.Line lets alarms go first. The adaptive gate waits for twelve completions before it grows and takes noise into account before it calls a latency a jump.

--- /dev/null
+++ b/internal/bench/agent.go
@@ -0,0 +1,157 @@
+package bench
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// call is one call under way and what becomes of it.
+type call struct {
+	program *program
+	turn    *turn
+	view    spool.CallView
+	// known is the length of the prefix that some engine has computed before.
+	known    int
+	issuedAt clock.Millis
+	order    uint64
+	attempt  int
+	startAt  clock.Millis
+	decode   clock.Millis
+	entry    *entry
+	agent    *agent
+	broken   func()
+	withinOK bool
+}
+
+func sorted(calls map[*call]struct{}) []*call {
+	list := make([]*call, 0, len(calls))
+	for c := range calls {
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b *call) int { return cmp.Compare(a.order, b.order) })
+	return list
+}
+
+// agent stands beside one engine and drives the queue and the gate.
+type agent struct {
+	*system
+	id       spool.EndpointID
+	domain   string
+	engine   *engine
+	queue    spool.Queue
+	gate     spool.Gate
+	waiting  map[string]*call
+	running  int
+	perCall  float64
+	draining bool
+	// listed and returnedAt are what the entries know.
+	listed     bool
+	returnedAt clock.Millis
+}
+
+const serviceTimeWeight = 0.1
+
+func (a *agent) window() int {
+	if a.variant.ideal {
+		return 1 << 30
+	}
+	return a.gate.Window(a.now)
+}
+
+// submit takes a call in or refuses it.
+func (a *agent) submit(c *call) {
+	wait := clock.Millis(a.perCall * float64(max(0, a.running+len(a.waiting)+1-a.window())) / float64(a.window()))
+	switch {
+	case a.draining:
+		a.fail(c, spool.FailureRefused, 0)
+		return
+	case wait > queueMaxWait && !c.view.Alarm:
+		a.fail(c, spool.FailureOverloaded, wait-queueMaxWait)
+		return
+	}
+	a.waiting[c.view.Correlation] = c
+	a.queue.Push(a.now, c.view)
+	a.schedule()
+}
+
+func (a *agent) fail(c *call, failure spool.Failure, retryAfter clock.Millis) {
+	a.after(hop, func() { c.entry.failed(c, failure, retryAfter) })
+}
+
+func (a *agent) schedule() {
+	for !a.draining && a.running < a.window() {
+		view, ok := a.queue.Pop(a.now)
+		if !ok {
+			return
+		}
+		c := a.waiting[view.Correlation]
+		delete(a.waiting, view.Correlation)
+		a.start(c)
+	}
+}
+
+func (a *agent) start(c *call) {
+	a.running++
+	a.gate.Observe(a.now, spool.GateEvent{Kind: spool.GateStarted})
+	c.startAt = a.now
+	c.broken = func() {
+		a.running--
+		a.gate.Observe(a.now, spool.GateEvent{Kind: spool.GateFailed})
+		a.queue.Served(a.now, c.view, 0)
+		a.fail(c, spool.FailureEndpoint, 0)
+		a.schedule()
+	}
+	a.engine.run(c, func(cached int) { a.ended(c, cached) })
+}
+
+func (a *agent) ended(c *call, cached int) {
+	a.running--
+	took := float64(a.now - c.startAt)
+	a.perCall += serviceTimeWeight * (took - a.perCall)
+	a.gate.Observe(a.now, spool.GateEvent{Kind: spool.GateCompleted, Latency: took / float64(c.turn.generated)})
+	a.queue.Served(a.now, c.view, c.view.PromptTokens-cached+c.turn.generated)
+	a.count.served(a.now, c, cached)
+	a.after(hop, func() { c.entry.answered(c) })
+	a.schedule()
+}
+
+// drain refuses what waits; what runs ends.
+func (a *agent) drain() {
+	a.draining = true
+	for {
+		view, ok := a.queue.Pop(a.now)
+		if !ok {
+			return
+		}
+		a.fail(a.waiting[view.Correlation], spool.FailureRefused, 0)
+		a.queue.Served(a.now, view, 0)
+		delete(a.waiting, view.Correlation)
+	}
+}
+
+// comeBack starts agent and engine anew.
+func (a *agent) comeBack() {
+	a.engine.restart()
+	a.engine.downUntil = a.now
+	a.gate = a.newGate()
+	a.draining = false
+}
+
+// report sends the engine's report to the gate and the agent's to the entries.
+func (a *agent) report() {
+	load := a.engine.load()
+	a.after(reportLag, func() {
+		a.gate.Observe(a.now, spool.GateEvent{Kind: spool.GateReport, Load: load})
+		a.schedule()
+	})
+	status := status{at: a.now, window: a.window(), running: a.running, queued: len(a.waiting), perCall: a.perCall}
+	a.after(hop, func() {
+		for _, e := range a.entries {
+			e.status[a.id] = status
+		}
+	})
+	a.after(reportEvery, a.report)
+}
--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,235 @@
+package bench
+
+import (
+	"runtime"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// DefaultLoads returns the loads of a full measurement, in multiples of the
+// capacity.
+func DefaultLoads() []float64 { return []float64{0.6, 1, 2} }
+
+// firstSeed is the first of the consecutive seeds of every measurement.
+const firstSeed = 1
+
+// Cell is a deployment at a load, with or without faults.
+type Cell struct {
+	Deployment string  `json:"deployment"`
+	Load       float64 `json:"load"`
+	// Faults tells that a failure domain left and returned and that an endpoint
+	// restarted unannounced.
+	Faults   bool    `json:"faults"`
+	Baseline Figures `json:"baseline"`
+	Policy   Figures `json:"policy"`
+	// FloorP95 is the p95 on engines without limits, queues or recomputing.
+	FloorP95 float64 `json:"floorP95Ms"`
+	// Ratios are those of policy to baseline.
+	Ratios Ratios `json:"ratios"`
+}
+
+// Figures are the columns of one variant in a cell.
+type Figures struct {
+	// P50, P95 and P99 are whole-program latencies of the accounts that keep to
+	// their rate; AllP95 is that of every account.
+	P50    float64 `json:"p50Ms"`
+	P95    float64 `json:"p95Ms"`
+	P99    float64 `json:"p99Ms"`
+	AllP95 float64 `json:"allP95Ms"`
+	// Recomputed is the share of prompt tokens recomputed although they had been
+	// cached.
+	Recomputed float64 `json:"recomputed"`
+	// WorstServed is the smallest share of its due that an account was served.
+	WorstServed float64 `json:"worstServed"`
+	WorstName   string  `json:"worstAccount"`
+	// RefusedWithin is the share of the requests that one central bucket would
+	// have admitted by which the admissions of accounts fell short of it.
+	// RefusedByRequest compares request by request.
+	RefusedWithin    float64 `json:"refusedWithinRate"`
+	RefusedByRequest float64 `json:"refusedByRequest"`
+	// OverAdmission is in requests; Overloads counts cold engines that crashed.
+	OverAdmission float64 `json:"overAdmission"`
+	Overloads     int     `json:"coldOverloads"`
+	// AlarmP95 is the latency of alarms; 0 without alarms.
+	AlarmP95 float64 `json:"alarmP95Ms"`
+	// Service is the share of calls answered without an error while a failure
+	// domain leaves and returns; refusals by rate do not count.
+	Service float64 `json:"service"`
+	// Calls counts the answered calls, Unfinished the programs that did not end,
+	// Refused those that were refused before their first answer.
+	Calls      int `json:"calls"`
+	Unfinished int `json:"unfinishedPrograms"`
+	Refused    int `json:"refusedPrograms"`
+}
+
+// Ratios compare the policies with the baseline; below 1 is better.
+type Ratios struct {
+	P50        float64 `json:"p50"`
+	P95        float64 `json:"p95"`
+	P99        float64 `json:"p99"`
+	Recomputed float64 `json:"recomputed"`
+}
+
+// Result is a whole measurement.
+type Result struct {
+	Seeds   []uint64 `json:"seeds"`
+	Cells   []Cell   `json:"cells"`
+	Targets []Target `json:"targets"`
+}
+
+type job struct {
+	deployment Deployment
+	variant    Variant
+	load       float64
+	faults     bool
+	seed       uint64
+	result     *counters
+}
+
+// Run measures every cell of the given loads with seeds 1 to seeds. policy names the policies to
+// compare with the baseline. It fails with spool.ErrUnknownPolicy.
+func Run(seeds int, policy Variant, loads ...float64) (result Result, err error) {
+	if err := policy.check(); err != nil {
+		return Result{}, errors.Wrap(err, "measure policies")
+	}
+	for i := range seeds {
+		result.Seeds = append(result.Seeds, uint64(firstSeed+i))
+	}
+	var jobs []*job
+	for _, d := range Deployments() {
+		for _, load := range loads {
+			for _, faults := range []bool{false, true} {
+				for _, v := range []Variant{Baseline(), policy, reference()} {
+					for _, seed := range result.Seeds {
+						jobs = append(jobs, &job{deployment: d, variant: v, load: load, faults: faults, seed: seed})
+					}
+				}
+			}
+		}
+	}
+	work(jobs)
+	for len(jobs) > 0 {
+		result.Cells = append(result.Cells, cell(jobs[:3*seeds], seeds))
+		jobs = jobs[3*seeds:]
+	}
+	result.Targets = targets(result.Cells)
+	return result, nil
+}
+
+// check builds each policy once.
+func (v Variant) check() error {
+	_, router := spool.Routers.New(v.Router, 0, nil)
+	_, queue := spool.Queues.New(v.Queue, 0, nil)
+	_, gate := spool.Gates.New(v.Gate, 0, nil)
+	_, retry := spool.Retries.New(v.Retry, 0, nil)
+	for _, err := range []error{router, queue, gate, retry} {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// work runs the jobs on half of the cores; each run is deterministic.
+func work(jobs []*job) {
+	queue := make(chan *job)
+	var workers sync.WaitGroup
+	for range max(1, runtime.NumCPU()/2) {
+		workers.Go(func() {
+			for j := range queue {
+				j.result = simulate(j.deployment, j.variant, j.load, j.faults, j.seed)
+			}
+		})
+	}
+	for _, j := range jobs {
+		queue <- j
+	}
+	close(queue)
+	workers.Wait()
+}
+
+func cell(jobs []*job, seeds int) Cell {
+	sums := make([]*counters, 3)
+	for i, j := range jobs {
+		variant := i / seeds
+		if sums[variant] == nil {
+			sums[variant] = j.result
+			continue
+		}
+		sums[variant].add(j.result)
+	}
+	due := dues(jobs[0], sums[2], seeds)
+	made := Cell{
+		Deployment: jobs[0].deployment.Name, Load: jobs[0].load, Faults: jobs[0].faults,
+		Baseline: figures(sums[0], due), Policy: figures(sums[1], due),
+		FloorP95: quantile(sums[2], 95),
+	}
+	made.Ratios = Ratios{
+		P50:        ratio(made.Policy.P50, made.Baseline.P50),
+		P95:        ratio(made.Policy.P95, made.Baseline.P95),
+		P99:        ratio(made.Policy.P99, made.Baseline.P99),
+		Recomputed: ratio(made.Policy.Recomputed, made.Baseline.Recomputed),
+	}
+	return made
+}
+
+// dues returns the calls due to each account: what engines without limits and
+// one central bucket would have answered, scaled down to what the fleet's
+// capacity allowed while a failure domain was out.
+func dues(j *job, ideal *counters, seeds int) map[string]float64 {
+	d := j.deployment
+	capacity := capacityPerEndpoint() * float64(d.Endpoints) * float64(window) / float64(clock.Second) * float64(seeds)
+	if j.faults {
+		out := 0
+		for i := range d.Endpoints {
+			if i%len(d.Domains) == 0 {
+				out++
+			}
+		}
+		capacity *= 1 - float64(out)/float64(d.Endpoints)*float64(returnAt-leaveAt)/float64(window)
+	}
+	total := 0.0
+	for _, calls := range ideal.calls {
+		total += float64(calls)
+	}
+	due := map[string]float64{}
+	for account, calls := range ideal.calls {
+		due[account] = float64(calls) * min(1, capacity/total)
+	}
+	return due
+}
+
+func figures(n *counters, due map[string]float64) Figures {
+	f := Figures{
+		P50: quantile(n, 50), P95: quantile(n, 95), P99: quantile(n, 99),
+		AllP95:           float64(n.all.ValueAtQuantile(95)),
+		Recomputed:       ratio(float64(n.wasted), float64(n.prompt)),
+		WorstServed:      1,
+		RefusedWithin:    ratio(float64(n.missing), float64(n.within)),
+		RefusedByRequest: ratio(float64(n.refused), float64(n.within)),
+		OverAdmission:    n.over, Overloads: n.overloads,
+		AlarmP95:   float64(n.alarms.ValueAtQuantile(95)),
+		Service:    1 - ratio(float64(n.failed), float64(n.issued)),
+		Unfinished: n.unfinished, Refused: n.refusedPrograms,
+	}
+	for account, wanted := range due {
+		f.Calls += n.calls[account]
+		if share := ratio(float64(n.calls[account]), wanted); share < f.WorstServed {
+			f.WorstServed, f.WorstName = share, account
+		}
+	}
+	return f
+}
+
+func quantile(n *counters, q float64) float64 { return float64(n.latency.ValueAtQuantile(q)) }
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,45 @@
+package bench_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/bench"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// TestRun guards against figures that differ between runs of one seed, against
+// over-admission and against overload of cold endpoints, and checks that the
+// naive baseline does show the latter.
+func TestRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	first, err := bench.Run(1, bench.Policy(), 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	second, err := bench.Run(1, bench.Policy(), 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(second).To(gomega.Equal(first))
+	g.Expect(first.Cells).To(gomega.HaveLen(4))
+	baseline := 0
+	for _, cell := range first.Cells {
+		g.Expect(cell.Policy.OverAdmission).To(gomega.BeZero())
+		g.Expect(cell.Policy.Overloads).To(gomega.BeZero())
+		baseline += cell.Baseline.Overloads
+	}
+	g.Expect(baseline).To(gomega.BeNumerically(">", 0))
+	var text, object bytes.Buffer
+	g.Expect(first.WriteTable(&text)).To(gomega.Succeed())
+	g.Expect(text.String()).To(gomega.ContainSubstring("over-admission"))
+	g.Expect(first.WriteJSON(&object)).To(gomega.Succeed())
+	g.Expect(json.Valid(object.Bytes())).To(gomega.BeTrue())
+}
+
+// TestUnknownPolicy guards against a crash on a misspelt name.
+func TestUnknownPolicy(t *testing.T) {
+	variant := bench.Policy()
+	variant.Router = "affinty"
+	_, err := bench.Run(1, variant, 1)
+	gomega.NewWithT(t).Expect(err).To(gomega.MatchError(spool.ErrUnknownPolicy))
+}
--- /dev/null
+++ b/internal/bench/entry.go
@@ -0,0 +1,104 @@
+package bench
+
+import (
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// status is an agent's report as an entry has it.
+type status struct {
+	at              clock.Millis
+	window          int
+	running, queued int
+	perCall         float64
+}
+
+// entry drives the router and the retry policy.
+type entry struct {
+	*system
+	id     spool.NodeID
+	router spool.Router
+	retry  spool.RetryPolicy
+	status map[spool.EndpointID]status
+	// sent holds the calls at each endpoint and when they were sent.
+	sent map[spool.EndpointID]map[*call]clock.Millis
+}
+
+// dispatch makes the first attempt of an admitted call.
+func (e *entry) dispatch(c *call) {
+	e.retry.Started(e.now)
+	c.entry, c.attempt = e, 0
+	c.view.Tried = nil
+	e.try(c)
+}
+
+func (e *entry) try(c *call) {
+	c.attempt++
+	c.view.Attained = c.program.root().attained
+	id, ok := e.router.Pick(e.now, c.view, e.views(c))
+	if !ok {
+		e.failed(c, spool.FailureNotSent, 0)
+		return
+	}
+	c.agent = e.agents[id]
+	e.sequence++
+	c.order = e.sequence
+	c.view.Correlation = correlation(c.order)
+	e.sent[id][c] = e.now
+	e.after(hop, func() { c.agent.submit(c) })
+}
+
+// views describes the listed endpoints. A returning one gets a growing share.
+func (e *entry) views(c *call) []spool.EndpointView {
+	list := make([]spool.EndpointView, 0, len(e.order))
+	for _, a := range e.order {
+		if !a.listed {
+			continue
+		}
+		s := e.status[a.id]
+		view := spool.EndpointView{
+			ID: a.id, FailureDomain: spool.FailureDomain(a.domain),
+			Window: s.window, Running: s.running, Queued: s.queued, ReportedAt: s.at,
+			CachedTokens: c.program.believed[a.id], MillisPerCall: s.perCall,
+			PrefillTokensPerMilli: prefillSpeed, Share: 1,
+		}
+		if a.returnedAt > 0 {
+			view.Share = min(1, max(0.05, float64(e.now-a.returnedAt)/float64(rampMillis)))
+		}
+		for _, at := range e.sent[a.id] {
+			if at+hop > s.at {
+				view.SentSince++
+			}
+		}
+		list = append(list, view)
+	}
+	return list
+}
+
+func (e *entry) answered(c *call) {
+	delete(e.sent[c.agent.id], c)
+	p := c.program
+	p.believed[c.agent.id] = c.view.PromptTokens + c.turn.generated
+	p.root().attained += c.turn.generated + c.turn.added
+	e.after(hop, func() { p.next(c) })
+}
+
+func (e *entry) failed(c *call, failure spool.Failure, retryAfter clock.Millis) {
+	if c.agent != nil {
+		delete(e.sent[c.agent.id], c)
+		c.view.Tried = append(c.view.Tried, c.agent.id)
+		if failure == spool.FailureEndpoint {
+			delete(c.program.believed, c.agent.id)
+		}
+	}
+	wait, ok := e.retry.Retry(e.now, spool.Attempt{
+		Number: c.attempt, Failure: failure, NotRun: failure != spool.FailureEndpoint, Idempotent: true,
+		Deadline: c.issuedAt + callPatience, RetryAfter: retryAfter,
+	})
+	if ok {
+		e.after(wait, func() { e.try(c) })
+		return
+	}
+	e.count.errored(c)
+	e.after(hop, func() { c.program.refused(c, retryAfter) })
+}
--- /dev/null
+++ b/internal/bench/events.go
@@ -0,0 +1,66 @@
+package bench
+
+import (
+	"container/heap"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+)
+
+// events is the queue of virtual time.
+type events struct {
+	now      clock.Millis
+	pending  eventHeap
+	sequence uint64
+}
+
+type event struct {
+	at       clock.Millis
+	sequence uint64
+	run      func()
+}
+
+// after runs f when d has passed.
+func (e *events) after(d clock.Millis, f func()) { e.at(e.now+max(0, d), f) }
+
+func (e *events) at(at clock.Millis, f func()) {
+	e.sequence++
+	heap.Push(&e.pending, event{at: max(at, e.now), sequence: e.sequence, run: f})
+}
+
+// until runs events up to the given instant.
+func (e *events) until(end clock.Millis) {
+	for len(e.pending) > 0 && e.pending[0].at <= end {
+		next := heap.Pop(&e.pending).(event)
+		e.now = next.at
+		next.run()
+	}
+	e.now = end
+}
+
+type eventHeap []event
+
+// Len counts the pending events.
+func (h eventHeap) Len() int { return len(h) }
+
+// Less orders by time, then by the order of scheduling.
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+// Swap exchanges two events.
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push adds an event at the end.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop removes the event at the end.
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	next := (*h)[last]
+	(*h)[last] = event{}
+	*h = (*h)[:last]
+	return next
+}
--- /dev/null
+++ b/internal/bench/program.go
@@ -0,0 +1,121 @@
+package bench
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+)
+
+// turn is one call of a program, followed by a tool pause or by sub-agents.
+type turn struct {
+	added, generated int
+	pause            clock.Millis
+	children         []*script
+}
+
+// script is what a program will do; policies do not see it.
+type script struct {
+	account string
+	alarm   bool
+	start   clock.Millis
+	prompt  int
+	turns   []turn
+}
+
+func (s *script) calls() (n int) {
+	for _, t := range s.turns {
+		n++
+		for _, child := range t.children {
+			n += child.calls()
+		}
+	}
+	return n
+}
+
+func exponential(random *rand.Rand, mean float64) float64 { return random.ExpFloat64() * mean }
+
+// newScript draws a program: a log-normal number of turns with mean 9, prompts
+// of a few thousand tokens that grow by about 850 tokens a turn, and sub-agents
+// at one turn in twenty.
+func newScript(random *rand.Rand, account string, alarm bool) *script {
+	s := &script{account: account, alarm: alarm}
+	if alarm {
+		s.prompt = 300 + random.IntN(300)
+		s.turns = []turn{{generated: 40 + random.IntN(80)}}
+		return s
+	}
+	s.prompt = 1000 + random.IntN(3000)
+	count := int(math.Exp(2+0.7*random.NormFloat64()) + 0.5)
+	s.turns = turns(random, min(60, max(2, count)))
+	for i := range s.turns {
+		if random.Float64() >= 0.05 {
+			continue
+		}
+		for range 2 {
+			s.turns[i].children = append(s.turns[i].children, &script{
+				account: account, prompt: 500 + random.IntN(1000), turns: turns(random, 1+random.IntN(4)),
+			})
+		}
+	}
+	return s
+}
+
+func turns(random *rand.Rand, count int) []turn {
+	list := make([]turn, count)
+	for i := range list {
+		list[i] = turn{
+			added:     100 + int(exponential(random, 500)),
+			generated: 50 + int(exponential(random, 200)),
+			pause:     clock.Millis(300 + exponential(random, 3000)),
+		}
+	}
+	return list
+}
+
+// meanGenerated is the mean of turn.generated; meanAdded that of turn.added.
+const (
+	meanGenerated = 250.0
+	meanAdded     = 600.0
+)
+
+// capacityPerEndpoint is in calls per second with a full batch and a warm cache.
+func capacityPerEndpoint() float64 {
+	millis := meanGenerated*tokenMillis*(1+batchSlowdown) + meanAdded/prefillSpeed
+	return slots / millis * float64(clock.Second)
+}
+
+// workload draws the programs of a run: Poisson arrivals for each account.
+func workload(d Deployment, load float64, seed uint64, until clock.Millis) (scripts []*script) {
+	greedy := 0.0
+	for _, a := range d.Accounts {
+		if a.Greedy {
+			greedy += a.Part
+		}
+	}
+	capacity := capacityPerEndpoint() * float64(d.Endpoints)
+	for i, a := range d.Accounts {
+		offered := load * a.Part
+		if load >= 1 {
+			offered = (load - greedyFactor*greedy) / (1 - greedy) * a.Part
+			if a.Greedy {
+				offered = greedyFactor * a.Part
+			}
+		}
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		const callsOfProgram = 10.9
+		gap := callsOfProgram / (offered * capacity) * float64(clock.Second)
+		for at := exponential(random, gap); at < float64(until); at += exponential(random, gap) {
+			s := newScript(random, a.Name, false)
+			s.start = clock.Millis(at)
+			scripts = append(scripts, s)
+			// Alarms come on top, one call each.
+			if random.Float64() < a.AlarmPart {
+				alarm := newScript(random, a.Name, true)
+				alarm.start = s.start + clock.Millis(exponential(random, gap))
+				scripts = append(scripts, alarm)
+			}
+		}
+	}
+	return scripts
+}
--- a/pkg/limit/line.go
+++ b/pkg/limit/line.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"slices"
+
 	"github.com/baobabspool/baobabspool/pkg/clock"
 )
 
@@ -23,8 +25,9 @@
 }
 
 type heldRequest struct {
-	id    string
-	since clock.Millis
+	id     string
+	since  clock.Millis
+	urgent bool
 }
 
 // NewLine returns an empty line in front of share. Requests for admission then
@@ -35,18 +38,24 @@
 func (l *Line) Len() int { return len(l.held) }
 
 // Enter admits a request, refuses it or holds it. held is true when a later
-// Advance will return its outcome.
-func (l *Line) Enter(now clock.Millis, id string) (decision Decision, held bool) {
+// Advance will return its outcome. An urgent request, such as an alarm, goes
+// before all others that are held and is held even when the line is full.
+func (l *Line) Enter(now clock.Millis, id string, urgent bool) (decision Decision, held bool) {
 	s := l.share
 	s.advance(now)
 	s.demand += 1 / demandMemory
-	if len(l.held) == 0 && s.take(1) {
+	first := !slices.ContainsFunc(l.held, func(r heldRequest) bool { return r.urgent || !urgent })
+	if first && s.take(1) {
 		return Decision{Admitted: true, Ask: s.ask()}, false
 	}
-	if len(l.held) >= l.longest() {
+	if len(l.held) >= l.longest() && !urgent {
 		return Decision{Ask: s.ask(), RetryAfter: l.drainTime()}, false
 	}
-	l.held = append(l.held, heldRequest{id: id, since: now})
+	place := len(l.held)
+	if urgent {
+		place = l.urgents()
+	}
+	l.held = slices.Insert(l.held, place, heldRequest{id: id, since: now, urgent: urgent})
 	s.short = float64(len(l.held))
 	return Decision{Ask: s.ask()}, true
 }
@@ -61,10 +70,13 @@
 		outcomes = append(outcomes, Outcome{ID: l.held[0].id, Admitted: true})
 		l.held = l.held[1:]
 	}
-	for len(l.held) > 0 && now-l.held[0].since >= s.timing.MaxHold {
-		outcomes = append(outcomes, Outcome{ID: l.held[0].id, RetryAfter: l.drainTime()})
-		l.held = l.held[1:]
-	}
+	l.held = slices.DeleteFunc(l.held, func(r heldRequest) bool {
+		late := now-r.since >= s.timing.MaxHold
+		if late {
+			outcomes = append(outcomes, Outcome{ID: r.id, RetryAfter: l.drainTime()})
+		}
+		return late
+	})
 	s.short = float64(len(l.held))
 	return outcomes, s.ask()
 }
@@ -80,6 +92,16 @@
 	return false
 }
 
+// urgents counts the urgent requests, which are at the front.
+func (l *Line) urgents() int {
+	for i, request := range l.held {
+		if !request.urgent {
+			return i
+		}
+	}
+	return len(l.held)
+}
+
 // longest is what the account's rate admits within the hold. More requests than
 // that would be refused at the end of the hold.
 func (l *Line) longest() int {
--- a/pkg/policy/gate/adaptive.go
+++ b/pkg/policy/gate/adaptive.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"math"
+
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -17,6 +19,13 @@
 	// defaultIdleMs is how long an endpoint may be without calls before its state
 	// counts as unknown: a restart breaks no connection then.
 	defaultIdleMs = 250
+	// defaultProof is the number of healthy completions at the cold concurrency
+	// before the window grows. Engines end their cold start after some work, and
+	// the gate cannot see when.
+	defaultProof = 12
+	// noiseFactor is how many mean deviations above the usual latency a jump must
+	// lie as well: a long prompt with a short answer is slow for each token.
+	noiseFactor = 6.0
 	// defaultGrowth is how much the window grows for each window of completions.
 	defaultGrowth = 1.0
 )
@@ -28,11 +37,15 @@
 	idleMs                    clock.Millis
 	window                    float64
 	// usual is the moving average of latency; 0 before the first completion.
-	usual      float64
-	isCold     bool
-	generation uint64
-	uptime     clock.Millis
-	reported   bool
+	usual float64
+	// deviation is the moving average of the distance from usual.
+	deviation float64
+	// proof counts the completions that are still needed before growth.
+	proof, needed int
+	isCold        bool
+	generation    uint64
+	uptime        clock.Millis
+	reported      bool
 	// running counts calls from GateStarted events; it is used only when the
 	// process sends such events.
 	running   int
@@ -44,11 +57,13 @@
 }
 
 // newAdaptive reads gate.coldConcurrency, gate.maxConcurrency, gate.jumpFactor,
-// gate.growth and gate.idleMs.
+// gate.growth, gate.idleMs and gate.coldCompletions.
 func newAdaptive(_ uint64, options spool.Options) spool.Gate {
 	limit := max(1, options.Get("gate.maxConcurrency", defaultMaxConcurrency))
 	cold := min(limit, max(1, options.Get("gate.coldConcurrency", defaultColdConcurrency)))
+	proof := int(options.Get("gate.coldCompletions", defaultProof))
 	return &adaptive{
+		proof: proof, needed: proof,
 		cold: cold, limit: limit, window: cold, isCold: cold < limit,
 		jump:   options.Get("gate.jumpFactor", defaultJumpFactor),
 		growth: options.Get("gate.growth", defaultGrowth),
@@ -108,7 +123,7 @@
 	if g.usual == 0 {
 		g.usual = latency
 	}
-	if latency > g.jump*g.usual {
+	if latency > max(g.jump*g.usual, g.usual+noiseFactor*g.deviation) {
 		g.learn(g.jump * g.usual)
 		g.close()
 		return
@@ -119,6 +134,10 @@
 	if !healthy {
 		return
 	}
+	if g.proof > 0 {
+		g.proof--
+		return
+	}
 	g.window = min(g.limit, g.window+g.growth/g.window)
 	if g.window >= max(g.cold, g.limit/2) {
 		g.isCold = false
@@ -126,6 +145,7 @@
 }
 
 func (g *adaptive) learn(latency float64) {
+	g.deviation += latencyMemory * (math.Abs(latency-g.usual) - g.deviation)
 	g.usual += latencyMemory * (latency - g.usual)
 }
 
@@ -139,5 +159,6 @@
 
 func (g *adaptive) close() {
 	g.window = g.cold
+	g.proof = g.needed
 	g.isCold = g.cold < g.limit
 }
--- a/pkg/policy/gate/gate.go
+++ b/pkg/policy/gate/gate.go
@@ -20,7 +20,7 @@
 
 const (
 	defaultMaxConcurrency  = 16
-	defaultColdConcurrency = 2
+	defaultColdConcurrency = 1
 )
 
 func init() {
--- a/pkg/policy/retry/retry.go
+++ b/pkg/policy/retry/retry.go
@@ -67,7 +67,7 @@
 
 func newBudgeted(seed uint64, options spool.Options) spool.RetryPolicy {
 	return &budgeted{
-		ratio:    options.Get("retry.ratio", defaultRatio),
+		ratio:    options.Get("retry.budgetShare", defaultRatio),
 		savings:  options.Get("retry.savings", defaultSavings),
 		budget:   options.Get("retry.reserve", defaultReserve),
 		base:     options.Get("retry.backoffMs", defaultBackoffMs),
