Add the callers of the demonstration

The demonstration has to judge the system by what callers and stand-ins see. internal/demo gets a caller that keeps its own transcript, compares every answer with what the engine must have seen, and counts admissions per account by the times of sending and answering. Not wired to a command yet.

--- /dev/null
+++ b/internal/demo/client.go
@@ -0,0 +1,209 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// callTimeout bounds one HTTP request of a caller.
+const callTimeout = 30 * time.Second
+
+// client is a caller's connection to the entries. It takes the place of the
+// platform's balancer: requests go to the entries in turn.
+type client struct {
+	entries func() []string
+	key     string
+	http    *fasthttp.Client
+	next    atomic.Uint64
+}
+
+func newClient(entries func() []string, key string) *client {
+	return &client{
+		entries: entries,
+		key:     key,
+		http: &fasthttp.Client{
+			StreamResponseBody:        true,
+			MaxIdemponentCallAttempts: 1,
+			ReadTimeout:               callTimeout,
+			Dial: func(address string) (net.Conn, error) {
+				return fasthttp.DialTimeout(address, time.Second)
+			},
+		},
+	}
+}
+
+// failure is an error answer of an entry.
+type failure struct {
+	Code       spool.Code   `json:"code"`
+	Message    string       `json:"message"`
+	NotRun     spool.NotRun `json:"notRun"`
+	RetryAfter clock.Millis `json:"retryAfterMs"`
+}
+
+func (f *failure) Error() string { return string(f.Code) + ": " + f.Message }
+
+type failureBody struct {
+	Error failure `json:"error"`
+}
+
+// errTransport means that no answer came, so nothing is known.
+var errTransport = errors.New("no answer from the entry")
+
+// do sends one request and passes its answer to onBody.
+func (c *client) do(ctx context.Context, method, path string, body any, onBody func(*fasthttp.Response) error) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	entries := c.entries()
+	if len(entries) == 0 {
+		return errors.Wrap(errTransport, "no entry is listed")
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + entries[c.next.Add(1)%uint64(len(entries))] + path)
+	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.key)
+	if body != nil {
+		request.Header.SetContentType("application/json")
+		request.SetBody(encoded)
+	}
+	if err := c.http.Do(request, response); err != nil {
+		return errors.Wrap(errTransport, err.Error())
+	}
+	defer func() { _ = response.CloseBodyStream() }()
+	if response.StatusCode() >= fasthttp.StatusBadRequest {
+		return readFailure(response)
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return onBody(response)
+}
+
+func readFailure(response *fasthttp.Response) error {
+	body, err := readBody(response)
+	if err != nil {
+		return err
+	}
+	var answer failureBody
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Error.Code == "" {
+		return errors.Errorf("status %d without an error body", response.StatusCode())
+	}
+	return &answer.Error
+}
+
+func readBody(response *fasthttp.Response) ([]byte, error) {
+	var buffer bytes.Buffer
+	if err := response.BodyWriteTo(&buffer); err != nil {
+		return nil, errors.Wrap(errTransport, err.Error())
+	}
+	return buffer.Bytes(), nil
+}
+
+// send sends one request and decodes the JSON answer.
+func (c *client) send(ctx context.Context, method, path string, body, answer any) error {
+	return c.do(ctx, method, path, body, func(response *fasthttp.Response) error {
+		content, err := readBody(response)
+		if err != nil {
+			return err
+		}
+		return errors.Wrap(json.Unmarshal(content, answer), "decode answer")
+	})
+}
+
+// turnAnswer is the end of a streamed turn.
+type turnAnswer struct {
+	Text         string           `json:"text"`
+	PromptTokens int              `json:"promptTokens"`
+	CachedTokens int              `json:"cachedTokens"`
+	Endpoint     spool.EndpointID `json:"endpoint"`
+	Replayed     bool             `json:"replayed"`
+}
+
+type turnEvent struct {
+	Text    string `json:"text"`
+	Restart bool   `json:"restart"`
+}
+
+// errPieces means that the pieces of a stream do not add up to its answer.
+var errPieces = errors.New("pieces of the stream differ from the answer")
+
+// stream sends one turn and reads its server-sent events. An answer counts only
+// when its pieces add up to the text at its end.
+func (c *client) stream(ctx context.Context, path string, body any) (answer turnAnswer, err error) {
+	err = c.do(ctx, fasthttp.MethodPost, path, body, func(response *fasthttp.Response) error {
+		answer, err = readTurn(response)
+		return err
+	})
+	return answer, err
+}
+
+func readTurn(response *fasthttp.Response) (answer turnAnswer, err error) {
+	source := response.BodyStream()
+	if source == nil {
+		source = bytes.NewReader(response.Body())
+	}
+	scanner := bufio.NewScanner(source)
+	scanner.Buffer(nil, 1<<20)
+	name, text := "", strings.Builder{}
+	for scanner.Scan() {
+		line := scanner.Text()
+		if event, found := strings.CutPrefix(line, "event: "); found {
+			name = event
+			continue
+		}
+		data, found := strings.CutPrefix(line, "data: ")
+		if !found {
+			continue
+		}
+		done, err := readEvent(name, []byte(data), &text, &answer)
+		if done || err != nil {
+			return answer, err
+		}
+	}
+	return answer, errors.Wrap(errTransport, "stream ended early")
+}
+
+func readEvent(name string, data []byte, text *strings.Builder, answer *turnAnswer) (done bool, err error) {
+	switch name {
+	case "text", "restart":
+		var event turnEvent
+		if err := json.Unmarshal(data, &event); err != nil {
+			return false, err
+		}
+		if event.Restart {
+			text.Reset()
+		}
+		text.WriteString(event.Text)
+		return false, nil
+	case "error":
+		var body failureBody
+		if err := json.Unmarshal(data, &body); err != nil {
+			return false, err
+		}
+		return true, &body.Error
+	case "done":
+		if err := json.Unmarshal(data, answer); err != nil {
+			return false, err
+		}
+		if text.String() != answer.Text {
+			return true, errPieces
+		}
+		return true, nil
+	}
+	return false, nil
+}
--- /dev/null
+++ b/internal/demo/program.go
@@ -0,0 +1,276 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/internal/standin"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// giveUpAfter bounds the attempts at one request.
+	giveUpAfter = 20 * time.Second
+	// shortestRetry is the wait after a failure that suggests none.
+	shortestRetry = 100 * clock.Millis(1)
+	// turnTokens is the length of an answer.
+	turnTokens = 24
+	payoutPath = "/payouts"
+)
+
+// program is one agent program as its caller runs it. The caller keeps its own
+// transcript, so that it can tell what the engine must have seen.
+type program struct {
+	client  *client
+	ledger  *ledger
+	account spool.AccountID
+	name    string
+	random  *rand.Rand
+	// service is the plain service for payouts.
+	service spool.ServiceName
+	alarm   bool
+
+	id         spool.ProgramID
+	transcript []spool.Message
+	requests   int
+}
+
+// plan is the shape of a program.
+type plan struct {
+	turns    int
+	pause    time.Duration
+	subAgent bool
+	payout   bool
+}
+
+type startBody struct {
+	Alarm bool `json:"alarm,omitempty"`
+}
+
+type startAnswer struct {
+	Program spool.ProgramID `json:"programId"`
+}
+
+type callBody struct {
+	Call      string          `json:"callId"`
+	Messages  []spool.Message `json:"messages,omitempty"`
+	MaxTokens int             `json:"maxTokens,omitempty"`
+	Stream    bool            `json:"stream,omitempty"`
+}
+
+type spawnBody struct {
+	Call string `json:"callId"`
+}
+
+type payoutBody struct {
+	Call   string `json:"callId"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+}
+
+type payoutAnswer struct {
+	Status int `json:"status"`
+}
+
+// run runs the whole program and records its latency.
+func (p *program) run(ctx context.Context, plan plan) (err error) {
+	defer func() { err = errors.Wrapf(err, "program %s", p.name) }()
+	p.ledger.with(func() { p.ledger.started++ })
+	since := time.Now()
+	if err := p.start(ctx); err != nil {
+		return err
+	}
+	for turn := 1; turn <= plan.turns; turn++ {
+		if err := p.turn(ctx, turn); err != nil {
+			return err
+		}
+		if plan.subAgent && turn == 1 {
+			if err := p.spawn(ctx); err != nil {
+				return err
+			}
+		}
+		if err := pause(ctx, plan.pause); err != nil {
+			return err
+		}
+	}
+	if plan.payout {
+		if err := p.payout(ctx); err != nil {
+			return err
+		}
+	}
+	if err := p.end(ctx); err != nil {
+		return err
+	}
+	p.ledger.programDone(since)
+	return nil
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	select {
+	case <-time.After(wait):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *program) start(ctx context.Context) error {
+	var answer startAnswer
+	err := p.request(ctx, "start", func() error {
+		return p.client.send(ctx, fasthttp.MethodPost, "/v1/programs", startBody{Alarm: p.alarm}, &answer)
+	})
+	p.id = answer.Program
+	return err
+}
+
+func (p *program) path(rest string) string { return "/v1/programs/" + string(p.id) + rest }
+
+// turn sends the next message and checks that the engine saw exactly the
+// transcript.
+func (p *program) turn(ctx context.Context, number int) error {
+	message := spool.Message{Role: "user", Content: p.question(number)}
+	body := callBody{
+		Call: fmt.Sprintf("turn-%d", number), Messages: []spool.Message{message}, MaxTokens: turnTokens, Stream: true,
+	}
+	var answer turnAnswer
+	err := p.request(ctx, "turn", func() (err error) {
+		answer, err = p.client.stream(ctx, p.path("/calls"), body)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	p.transcript = append(p.transcript, message)
+	p.check(answer)
+	p.transcript = append(p.transcript, spool.Message{Role: "assistant", Content: answer.Text})
+	return nil
+}
+
+func (p *program) question(number int) string {
+	filler := strings.Repeat(" knotting and dye notes", 10+p.random.IntN(30))
+	return fmt.Sprintf("%s asks question %d:%s", p.name, number, filler)
+}
+
+func (p *program) check(answer turnAnswer) {
+	want := standin.Answer(p.transcript, turnTokens)
+	if answer.Text == strings.Join(want, "") {
+		return
+	}
+	seen, digest := 0, uint64(0)
+	_, _ = fmt.Sscanf(answer.Text, "seen=%d:%x", &seen, &digest)
+	p.ledger.with(func() {
+		if seen != len(p.transcript) {
+			p.ledger.outOfOrder++
+		} else {
+			p.ledger.mismatches++
+		}
+		p.ledger.problems = append(p.ledger.problems,
+			fmt.Sprintf("%s (%s): answer to %d messages begins %.60q, want %q", p.name, p.id, len(p.transcript), answer.Text, want[0]))
+	})
+}
+
+// spawn runs a sub-agent of two turns.
+func (p *program) spawn(ctx context.Context) error {
+	child := &program{
+		client: p.client, ledger: p.ledger, account: p.account, name: p.name + "/sub-agent", random: p.random,
+	}
+	var answer startAnswer
+	err := p.request(ctx, "spawn", func() error {
+		return p.client.send(ctx, fasthttp.MethodPost, p.path("/agents"), spawnBody{Call: "spawn-1"}, &answer)
+	})
+	if err != nil {
+		return err
+	}
+	child.id = answer.Program
+	for turn := 1; turn <= 2; turn++ {
+		if err := child.turn(ctx, turn); err != nil {
+			return err
+		}
+	}
+	return child.end(ctx)
+}
+
+// payout makes a call that must run at most once. An answer that leaves its
+// fate unknown ends the attempts: the caller must not repeat it elsewhere.
+func (p *program) payout(ctx context.Context) error {
+	body := payoutBody{Call: "payout-1", Method: fasthttp.MethodPost, Path: payoutPath, Body: p.name}
+	var answer payoutAnswer
+	p.ledger.with(func() { p.ledger.payouts[p.name] = false })
+	err := p.request(ctx, "payout", func() error {
+		return p.client.send(ctx, fasthttp.MethodPost, p.path("/services/"+string(p.service)), body, &answer)
+	})
+	failed := &failure{}
+	if errors.As(err, &failed) && failed.NotRun == spool.NotRunUnknown {
+		p.ledger.with(func() { p.ledger.unknown++ })
+		return nil
+	}
+	if err == nil {
+		p.ledger.with(func() { p.ledger.payouts[p.name] = true })
+	}
+	return err
+}
+
+func (p *program) end(ctx context.Context) error {
+	var answer struct{}
+	return p.request(ctx, "end", func() error {
+		return p.client.send(ctx, fasthttp.MethodDelete, p.path(""), nil, &answer)
+	})
+}
+
+// request repeats an attempt with the same identifiers until it is answered,
+// as a careful caller does. Ending a program takes no part of the rate.
+func (p *program) request(ctx context.Context, kind string, attempt func() error) error {
+	deadline := time.Now().Add(giveUpAfter)
+	for {
+		sent := time.Now()
+		err := attempt()
+		if err == nil {
+			if kind != "end" {
+				p.ledger.admitted(p.account, sent)
+			}
+			return nil
+		}
+		wait, again := p.judge(kind, err)
+		if !again || ctx.Err() != nil {
+			return errors.Wrap(err, kind)
+		}
+		if time.Now().After(deadline) {
+			return errors.Wrapf(err, "%s was given up", kind)
+		}
+		if err := pause(ctx, wait.Duration()); err != nil {
+			return err
+		}
+	}
+}
+
+// judge tells whether an attempt is to be repeated and after which wait.
+func (p *program) judge(kind string, err error) (clock.Millis, bool) {
+	failed := &failure{}
+	switch {
+	case errors.As(err, &failed):
+		p.ledger.with(func() { p.ledger.refusals[string(failed.Code)]++ })
+		switch failed.Code {
+		case spool.CodeUnauthorized, spool.CodeKeyWithdrawn, spool.CodeBadRequest, spool.CodeNotFound,
+			spool.CodeBudgetExhausted, spool.CodeProgramEnded, spool.CodeConflict:
+			return 0, false
+		case spool.CodeUnknownFate:
+			return 0, false
+		}
+		p.ledger.with(func() { p.ledger.retries[string(failed.Code)]++ })
+		return max(failed.RetryAfter, shortestRetry), true
+	case errors.Is(err, errTransport):
+		p.ledger.with(func() { p.ledger.retries["noAnswer"]++ })
+		return shortestRetry, true
+	default:
+		p.ledger.problem(fmt.Sprintf("%s %s: %v", p.name, kind, err))
+		return 0, false
+	}
+}
