Add the publisher and the operator commands

Cause: operators need to publish settings, keys, accounts, services, drains and engine orders, and to see what is in force. Change: control.Publisher validates, appends and reads back; a lost answer is resolved by the batch's identifier, and a second copy of a batch loses the compare-and-set, so a retry cannot apply twice. internal/cli has one file per noun with exit codes per kind of failure. control.status tells an operator what a node has in force. Conclusion: the commands are tested against the stand-in of the log, with lost answers and an outage.

--- /dev/null
+++ b/internal/cli/account.go
@@ -0,0 +1,103 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// NewAccount returns the command for client accounts.
+func NewAccount(options ...Option) *cobra.Command {
+	o := newOperator(options)
+	return noun("account", "Add, close and list client accounts",
+		"  baobabspool account add acme --description \"Rug appraisals\"\n  baobabspool account list --json",
+		o.accountAdd(), o.accountClose(), o.accountList())
+}
+
+func (o *operator) accountAdd() *cobra.Command {
+	var description string
+	command := &cobra.Command{
+		Use:     "add ID",
+		Short:   "Add an account, or open a closed one again",
+		Example: "  baobabspool account add acme",
+		Args:    cobra.ExactArgs(1),
+	}
+	command.Flags().StringVar(&description, "description", "", "text for operators")
+	return o.verb(command, func(s *session, args []string) error {
+		state, err := s.state()
+		if err != nil {
+			return err
+		}
+		id := spool.AccountID(args[0])
+		if old, ok := state.Account(id); ok && !old.Closed && old.Description == description {
+			return errors.Wrapf(errUsage, "account %q exists", id)
+		}
+		return s.publish(control.Account{ID: id, Description: description})
+	})
+}
+
+func (o *operator) accountClose() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "close ID",
+		Short:   "Close an account; its keys stop working within seconds",
+		Example: "  baobabspool account close acme",
+		Args:    cobra.ExactArgs(1),
+	}
+	return o.verb(command, func(s *session, args []string) error {
+		state, err := s.state()
+		if err != nil {
+			return err
+		}
+		account, ok := state.Account(spool.AccountID(args[0]))
+		if !ok {
+			return errors.Wrapf(errNotFound, "account %q", args[0])
+		}
+		account.Closed = true
+		return s.publish(account)
+	})
+}
+
+// listedAccount is an account with the number of its keys in force.
+type listedAccount struct {
+	control.Account
+	Keys int `json:"keysInForce"`
+}
+
+func (o *operator) accountList() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "list",
+		Short:   "List the accounts",
+		Example: "  baobabspool account list",
+		Args:    cobra.NoArgs,
+	}
+	return o.verb(command, func(s *session, _ []string) error {
+		state, err := s.state()
+		if err != nil {
+			return err
+		}
+		keys := map[spool.AccountID]int{}
+		for _, stored := range state.Keys().List() {
+			if stored.Live(s.publisher.Now()) {
+				keys[stored.Account]++
+			}
+		}
+		list := []listedAccount{}
+		for _, account := range state.Accounts() {
+			list = append(list, listedAccount{Account: account, Keys: keys[account.ID]})
+		}
+		return s.print(list, func(w io.Writer) {
+			for _, account := range list {
+				condition := "open"
+				if account.Closed {
+					condition = "closed"
+				}
+				_, _ = fmt.Fprintf(w, "%s\t%s\t%d keys\t%s\n", account.ID, condition, account.Keys, account.Description)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,165 @@
+package cli_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/spf13/cobra"
+
+	"github.com/baobabspool/baobabspool/internal/cli"
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/standin"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+func TestCLI(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "cli")
+}
+
+var _ = ginkgo.Describe("Operator commands", func() {
+	var log *standin.Log
+
+	// run runs a command line and returns its output and exit code.
+	run := func(line ...string) (string, int) {
+		open := cli.WithOpenLog(func(string) spool.Log { return log })
+		root := &cobra.Command{Use: "baobabspool", SilenceErrors: true}
+		root.AddCommand(cli.NewSettings(open), cli.NewKey(open), cli.NewAccount(open), cli.NewService(open),
+			cli.NewDrain(open), cli.NewOrder(open), cli.NewStatus(open), cli.NewExplain(open))
+		var out bytes.Buffer
+		root.SetOut(&out)
+		root.SetErr(&out)
+		root.SetArgs(line)
+		err := root.ExecuteContext(ginkgo.GinkgoT().Context())
+		if err != nil {
+			out.WriteString(err.Error())
+		}
+		return out.String(), cli.ExitCode(err)
+	}
+	good := func(line ...string) string {
+		out, code := run(line...)
+		gomega.ExpectWithOffset(1, code).To(gomega.Equal(cli.ExitOK), out)
+		return out
+	}
+
+	ginkgo.BeforeEach(func() {
+		log = standin.NewLog(1)
+		ginkgo.GinkgoT().Setenv("BAOBABSPOOL_LOG_ADDRESS", "127.0.0.1:1")
+		ginkgo.GinkgoT().Setenv("BAOBABSPOOL_TIMEOUT_MS", "300")
+	})
+
+	ginkgo.It("sets, explains, reverts and lists the history of a value", func() {
+		good("settings", "set", "fleet/limit.burst", "10", "account/acme/limit.burst", "20")
+		good("settings", "set", "account/acme/limit.burst", "30")
+		gomega.Expect(good("settings", "get", "limit.burst", "--account", "acme", "--explain")).
+			To(gomega.And(gomega.MatchRegexp(`account acme\s+30\s+offset 2\s+in force`), gomega.MatchRegexp(`fleet\s+10\s+offset 1`)))
+		good("settings", "revert", "account/acme/limit.burst")
+		gomega.Expect(good("settings", "get", "account/acme/limit.burst")).To(gomega.ContainSubstring("20"))
+		var events []control.Event
+		gomega.Expect(json.Unmarshal([]byte(good("settings", "history", "account/acme/limit.burst", "--json")), &events)).To(gomega.Succeed())
+		gomega.Expect(events).To(gomega.HaveLen(3))
+		good("settings", "unset", "account/acme/limit.burst")
+		_, code := run("settings", "get", "account/acme/limit.burst")
+		gomega.Expect(code).To(gomega.Equal(cli.ExitNotFound))
+	})
+
+	ginkgo.It("refuses a change that is based on an old offset, and says who won", func() {
+		good("settings", "set", "fleet/limit.burst", "10")
+		good("settings", "set", "fleet/limit.burst", "11", "--writer", "binta")
+		out, code := run("settings", "set", "fleet/limit.burst", "12", "--base", "1")
+		gomega.Expect(code).To(gomega.Equal(cli.ExitConflict))
+		gomega.Expect(out).To(gomega.ContainSubstring("binta"))
+	})
+
+	ginkgo.It("applies a file whole or not at all", func() {
+		name := filepath.Join(ginkgo.GinkgoT().TempDir(), "fleet.yaml")
+		write := func(text string) { gomega.Expect(os.WriteFile(name, []byte(text), 0o600)).To(gomega.Succeed()) }
+		write("version: 1\nsettings:\n  fleet/limit.burst: 0\n  fleet/policy.router: 3\n  nowhere/limit.burst: 1\n")
+		out, code := run("settings", "apply", name)
+		gomega.Expect(code).To(gomega.Equal(cli.ExitInvalid))
+		gomega.Expect(out).To(gomega.And(gomega.ContainSubstring("outside the range"), gomega.ContainSubstring("must be a text"), gomega.ContainSubstring("line 5")))
+		write("version: 1\nsettings:\n  fleet/limit.burst: 9\n  fleet/retry.budgetShare: 0.2\n")
+		gomega.Expect(good("settings", "apply", name, "--dry-run")).To(gomega.ContainSubstring("2 of 2"))
+		gomega.Expect(log.All(spool.ControlStream)).To(gomega.BeEmpty())
+		good("settings", "apply", name)
+		gomega.Expect(good("settings", "apply", name)).To(gomega.ContainSubstring("0 of 2"))
+		gomega.Expect(log.All(spool.ControlStream)).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("shows a key once and never stores it", func() {
+		_, code := run("key", "issue", "acme")
+		gomega.Expect(code).To(gomega.Equal(cli.ExitInvalid))
+		good("account", "add", "acme")
+		var issued struct{ Key, ID string }
+		gomega.Expect(json.Unmarshal([]byte(good("key", "issue", "acme", "--expires-in", "2h", "--json")), &issued)).To(gomega.Succeed())
+		gomega.Expect(issued.Key).To(gomega.HavePrefix("bsk_" + issued.ID + "_"))
+		secret := strings.TrimPrefix(issued.Key, "bsk_"+issued.ID+"_")
+		rotated := good("key", "rotate", issued.ID, "--overlap", "1h")
+		gomega.Expect(rotated).NotTo(gomega.ContainSubstring(secret))
+		good("key", "withdraw", issued.Key)
+		list := good("key", "list", "--account", "acme")
+		gomega.Expect(list).To(gomega.MatchRegexp(issued.ID + `\s+acme\s+withdrawn`))
+		gomega.Expect(list).To(gomega.ContainSubstring("in force"))
+		out, code := run("key", "rotate", issued.ID)
+		gomega.Expect(code).To(gomega.Equal(cli.ExitInvalid), out)
+		kept, err := json.Marshal(log.All(spool.ControlStream))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(string(kept) + list).NotTo(gomega.ContainSubstring(secret))
+	})
+
+	ginkgo.It("drains, describes services and orders engines", func() {
+		good("drain", "start", "--failure-domain", "ndar-a", "--endpoint", "dkr-b-1")
+		gomega.Expect(good("drain", "list")).To(gomega.Equal("failureDomain/ndar-a/drain.failureDomain\nfleet/drain.endpoint[dkr-b-1]\n"))
+		good("drain", "end", "--failure-domain", "ndar-a", "--endpoint", "dkr-b-1")
+		gomega.Expect(good("drain", "list", "--json")).To(gomega.MatchJSON("[]"))
+		good("service", "set", "mist-models", "--kind", "model", "--model", "fog-7b")
+		_, code := run("service", "set", "x", "--kind", "strange")
+		gomega.Expect(code).To(gomega.Equal(cli.ExitInvalid))
+		good("service", "remove", "mist-models")
+		good("order", "load", "ep-1", "--model", "fog-7b")
+		gomega.Expect(good("order", "list")).To(gomega.ContainSubstring("fence 5"))
+		_, code = run("order", "role", "ep-1", "prefill", "--base", "1")
+		gomega.Expect(code).To(gomega.Equal(cli.ExitConflict))
+	})
+
+	ginkgo.It("tells an outage from an unknown outcome by the exit code", func() {
+		log.SetFaults(standin.LogFaults{Down: true})
+		_, code := run("settings", "set", "fleet/limit.burst", "10")
+		gomega.Expect(code).To(gomega.Equal(cli.ExitLogUnavailable))
+		log.SetFaults(standin.LogFaults{LoseAnswers: 1})
+		good("settings", "set", "fleet/limit.burst", "10")
+	})
+
+	ginkgo.It("reports every error of a command line at once", func() {
+		ginkgo.GinkgoT().Setenv("BAOBABSPOOL_LOG_ADDRESS", "")
+		out, code := run("settings", "get", "--timeout-ms", "-1", "--writer", "a b")
+		gomega.Expect(code).To(gomega.Equal(cli.ExitInvalid))
+		gomega.Expect(out).To(gomega.And(gomega.ContainSubstring("log-address"), gomega.ContainSubstring("timeout-ms"), gomega.ContainSubstring("writer")))
+		_, code = run("settings", "nonsense")
+		gomega.Expect(code).To(gomega.Equal(cli.ExitInvalid))
+	})
+
+	ginkgo.It("shows the offset of each entry and names those that do not answer", func() {
+		good("settings", "set", "fleet/limit.burst", "10")
+		reader, err := control.NewReader(control.Config{Node: "e1", Role: spool.RoleEntry}, control.WithLog(log),
+			control.WithStatus(func() any { return map[string]int{"streams": 3} }))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(reader.Close)
+		gomega.Eventually(reader.Offset).Should(gomega.Equal(spool.Offset(1)))
+		server, err := wire.Listen("127.0.0.1:0", reader.Handlers(), nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(server.Close)
+		gomega.Expect(good("status", "--entries", server.Address())).To(gomega.And(gomega.ContainSubstring("offset 1"), gomega.ContainSubstring(`"streams":3`)))
+		_, code := run("status", "--entries", server.Address()+",127.0.0.1:1")
+		gomega.Expect(code).To(gomega.Equal(cli.ExitUnreachable))
+		_, code = run("explain", "p1", "--entries", server.Address())
+		gomega.Expect(code).To(gomega.Equal(cli.ExitNotFound))
+	})
+})
--- /dev/null
+++ b/internal/cli/nodes.go
@@ -0,0 +1,232 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
+	"github.com/spf13/cobra"
+
+	"github.com/baobabspool/baobabspool/internal/config"
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// maxAsked bounds the nodes that are asked at the same time.
+const maxAsked = 64
+
+// askTimeout bounds the question to one node, so that a dead one does not hold
+// up the answer of the others.
+const askTimeout = 2 * clock.Second
+
+// ask finishes a command that asks nodes over their connections.
+func (o *operator) ask(command *cobra.Command, run func(*inquiry, []string) error) *cobra.Command {
+	o.common(command)
+	command.Flags().StringVar(&o.vmsAddress, "vms-address", "", "host:port of the platform's list of VMs")
+	command.Flags().StringSliceVar(&o.entries, "entries", nil, "host:port of entries to ask instead of the list")
+	command.RunE = func(command *cobra.Command, args []string) error {
+		var problems config.Problems
+		o.check(&problems)
+		if o.vmsAddress == "" && len(o.entries) == 0 {
+			problems.Add("vms-address", "is required unless entries are given")
+		}
+		if err := problems.Err(); err != nil {
+			return errors.Wrap(errUsage, err.Error())
+		}
+		ctx, cancel := context.WithTimeout(contextOf(command), clock.Millis(o.timeoutMs).Duration())
+		defer cancel()
+		clients := wire.NewClients("operator")
+		defer clients.Close()
+		vms, err := o.listVMs(ctx)
+		if err != nil {
+			return err
+		}
+		return run(&inquiry{operator: o, ctx: ctx, clients: clients, vms: vms, out: command.OutOrStdout()}, args)
+	}
+	config.Bind(command)
+	return command
+}
+
+func (o *operator) listVMs(ctx context.Context) ([]spool.VM, error) {
+	if len(o.entries) == 0 {
+		vms, err := o.openVMs(o.vmsAddress).VMs(ctx)
+		if err != nil {
+			return nil, errors.Wrap(errUnreachable, err.Error())
+		}
+		return vms, nil
+	}
+	var vms []spool.VM
+	for _, address := range o.entries {
+		vms = append(vms, spool.VM{ID: spool.NodeID(address), Role: spool.RoleEntry, State: spool.VMLive, Address: address})
+	}
+	return vms, nil
+}
+
+// inquiry is one run of a command that asks nodes.
+type inquiry struct {
+	*operator
+	ctx     context.Context
+	clients *wire.Clients
+	vms     []spool.VM
+	out     io.Writer
+}
+
+func (q *inquiry) call(address, method string, request, reply any) error {
+	ctx, cancel := context.WithTimeout(q.ctx, askTimeout.Duration())
+	defer cancel()
+	return q.clients.Call(ctx, address, method, request, reply, nil)
+}
+
+// NewStatus returns the command that shows what each node has in force.
+func NewStatus(options ...Option) *cobra.Command {
+	o := newOperator(options)
+	var endpoints bool
+	command := &cobra.Command{
+		Use:     "status",
+		Short:   "Show which version every node has in force, and what it owns",
+		Long:    "Ask every entry, and with --endpoints every agent, which offset of the control stream it has in force and how old that is.",
+		Example: "  baobabspool status --vms-address 10.0.0.6:9000 --endpoints",
+		Args:    cobra.NoArgs,
+	}
+	command.Flags().BoolVar(&endpoints, "endpoints", false, "ask the agents too")
+	return o.ask(command, func(q *inquiry, _ []string) error { return q.status(endpoints) })
+}
+
+// nodeStatus is one row of the status.
+type nodeStatus struct {
+	Node     spool.NodeID         `json:"node"`
+	Role     spool.Role           `json:"role"`
+	Domain   spool.FailureDomain  `json:"failureDomain"`
+	State    spool.VMState        `json:"state"`
+	Control  *control.Status      `json:"control,omitempty"`
+	Endpoint *wire.EndpointStatus `json:"endpoint,omitempty"`
+	Error    string               `json:"error,omitempty"`
+}
+
+func (q *inquiry) status(endpoints bool) error {
+	var asked []spool.VM
+	for _, vm := range q.vms {
+		if vm.Role == spool.RoleEntry || endpoints {
+			asked = append(asked, vm)
+		}
+	}
+	rows := make([]nodeStatus, len(asked))
+	workers := pool.New().WithMaxGoroutines(maxAsked)
+	for i, vm := range asked {
+		workers.Go(func() { rows[i] = q.statusOf(vm) })
+	}
+	workers.Wait()
+	silent := 0
+	for _, row := range rows {
+		if row.Error != "" {
+			silent++
+		}
+	}
+	err := q.printTo(q.out, rows, func(w io.Writer) { printStatus(w, rows) })
+	if err == nil && (silent > 0 || len(rows) == 0) {
+		return errors.Wrapf(errUnreachable, "%d of %d nodes did not answer", silent, len(rows))
+	}
+	return err
+}
+
+func (q *inquiry) statusOf(vm spool.VM) nodeStatus {
+	row := nodeStatus{Node: vm.ID, Role: vm.Role, Domain: vm.FailureDomain, State: vm.State}
+	var err error
+	if vm.Role == spool.RoleEntry {
+		row.Control = &control.Status{}
+		err = q.call(vm.Address, wire.MethodControlStatus, struct{}{}, row.Control)
+	} else {
+		row.Endpoint = &wire.EndpointStatus{}
+		err = q.call(vm.Address, wire.MethodEndpointStatus, struct{}{}, row.Endpoint)
+	}
+	if err != nil {
+		row.Control, row.Endpoint, row.Error = nil, nil, err.Error()
+	}
+	return row
+}
+
+func printStatus(w io.Writer, rows []nodeStatus) {
+	for _, row := range rows {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t", row.Node, row.Role, row.Domain, row.State)
+		switch {
+		case row.Control != nil:
+			_, _ = fmt.Fprintf(w, "offset %d\tage %s\tisolated %t\tout %v\t%s\n", row.Control.Offset, row.Control.FreshFor, row.Control.Isolated, row.Control.Drains, row.Control.Process)
+		case row.Endpoint != nil:
+			_, _ = fmt.Fprintf(w, "offset %d\trunning %d of %d\tqueued %d\tcold %t, draining %t\n", row.Endpoint.ControlOffset,
+				row.Endpoint.Running, row.Endpoint.Window, row.Endpoint.Queued, row.Endpoint.Cold, row.Endpoint.Draining)
+		default:
+			_, _ = fmt.Fprintf(w, "%s\n", row.Error)
+		}
+	}
+}
+
+// methodExplain asks the owner of a program to describe it.
+const methodExplain = "entry.explain"
+
+// explainRequest names the program.
+type explainRequest struct {
+	Program spool.ProgramID `json:"program"`
+}
+
+// NewExplain returns the command that shows what the owner of a program knows
+// of it.
+func NewExplain(options ...Option) *cobra.Command {
+	o := newOperator(options)
+	command := &cobra.Command{
+		Use:     "explain PROGRAM",
+		Short:   "Show the state of a program and why its calls went where they did",
+		Example: "  baobabspool explain 01j9... --vms-address 10.0.0.6:9000",
+		Args:    cobra.ExactArgs(1),
+	}
+	return o.ask(command, func(q *inquiry, args []string) error {
+		reply, err := q.explain(spool.ProgramID(args[0]))
+		if err != nil {
+			return err
+		}
+		q.json = true
+		return q.printTo(q.out, reply, nil)
+	})
+}
+
+// explain asks all entries and returns the owner's answer.
+func (q *inquiry) explain(program spool.ProgramID) (answer json.RawMessage, err error) {
+	var mu sync.Mutex
+	reached := 0
+	var last error
+	workers := pool.New().WithMaxGoroutines(maxAsked)
+	for _, vm := range q.vms {
+		if vm.Role != spool.RoleEntry {
+			continue
+		}
+		workers.Go(func() {
+			var reply json.RawMessage
+			err := q.call(vm.Address, methodExplain, explainRequest{Program: program}, &reply)
+			refusal := &spool.Refusal{}
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil || errors.As(err, &refusal) {
+				reached++
+			}
+			if err != nil {
+				last = err
+				return
+			}
+			answer = reply
+		})
+	}
+	workers.Wait()
+	switch {
+	case answer != nil:
+		return answer, nil
+	case reached > 0:
+		return nil, errors.Wrapf(errNotFound, "program %q: %v", program, last)
+	default:
+		return nil, errors.Wrapf(errUnreachable, "no entry answered: %v", last)
+	}
+}
--- /dev/null
+++ b/internal/cli/settings.go
@@ -0,0 +1,346 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"go.uber.org/multierr"
+
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// NewSettings returns the command for settings.
+func NewSettings(options ...Option) *cobra.Command {
+	o := newOperator(options)
+	return noun("settings", "Publish settings and read what is in force",
+		"  baobabspool settings set account/acme/limit.ratePerSecond 80 --log-address 10.0.0.5:9000\n"+
+			"  baobabspool settings get limit.ratePerSecond --account acme --explain",
+		o.settingsSet(), o.settingsUnset(), o.settingsGet(), o.settingsApply(), o.settingsHistory(), o.settingsRevert(), settingsReference())
+}
+
+func (o *operator) settingsSet() *cobra.Command {
+	var base int64
+	command := &cobra.Command{
+		Use:     "set PATH VALUE [PATH VALUE...]",
+		Short:   "Set values; all of them or none",
+		Long:    "Set values; all of them or none. With --base, the change is refused when a value was changed after that offset.",
+		Example: "  baobabspool settings set fleet/limit.burst 200 region/sn-west/drain.rampMs 60000",
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) < 2 || len(args)%2 != 0 {
+				return errors.New("takes pairs of a path and a value")
+			}
+			return nil
+		},
+	}
+	command.Flags().Int64Var(&base, "base", 0, "offset at which the values were read; 0 for now")
+	return o.verb(command, func(s *session, args []string) error {
+		var contents []any
+		var problems error
+		for i := 0; i < len(args); i += 2 {
+			path, err := settings.ParsePath(args[i])
+			problems = multierr.Append(problems, err)
+			contents = append(contents, settings.Change{Path: path, Value: settings.ParseValue(path, args[i+1]), Base: spool.Offset(base)})
+		}
+		if problems != nil {
+			return problems
+		}
+		return s.publish(contents...)
+	})
+}
+
+func (o *operator) settingsUnset() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "unset PATH [PATH...]",
+		Short:   "Unset values, so that the broader level holds",
+		Example: "  baobabspool settings unset account/acme/limit.burst",
+		Args:    cobra.MinimumNArgs(1),
+	}
+	return o.verb(command, func(s *session, args []string) error {
+		var contents []any
+		for _, arg := range args {
+			path, err := settings.ParsePath(arg)
+			if err != nil {
+				return err
+			}
+			contents = append(contents, settings.Change{Path: path})
+		}
+		return s.publish(contents...)
+	})
+}
+
+// shown is one value as it is printed.
+type shown struct {
+	Path   string           `json:"path,omitempty"`
+	Name   string           `json:"name,omitempty"`
+	Value  any              `json:"value"`
+	Offset spool.Offset     `json:"offset,omitempty"`
+	Layers []settings.Layer `json:"layers,omitempty"`
+}
+
+// shownValues is the output of settings get.
+type shownValues struct {
+	// ReadAt is the offset to pass to --base.
+	ReadAt spool.Offset `json:"readAt"`
+	Values []shown      `json:"values"`
+}
+
+func (o *operator) settingsGet() *cobra.Command {
+	var region, domain, account, program string
+	var explain bool
+	command := &cobra.Command{
+		Use:   "get [PATH|NAME...]",
+		Short: "Show what is set, or what holds for a scope",
+		Long: "Without an argument, show every value that is set. With a path, show the value set there. With the name " +
+			"of a setting, show the value that holds for the scope given by the flags; --explain adds which level set it and at which offset.",
+		Example: "  baobabspool settings get\n  baobabspool settings get limit.burst --account acme --explain",
+	}
+	flags := command.Flags()
+	flags.StringVar(&region, "region", "", "region of the scope")
+	flags.StringVar(&domain, "failure-domain", "", "failure domain of the scope")
+	flags.StringVar(&account, "account", "", "client account of the scope")
+	flags.StringVar(&program, "program", "", "program of the scope")
+	flags.BoolVar(&explain, "explain", false, "show which level set the value")
+	return o.verb(command, func(s *session, args []string) error {
+		state, err := s.state()
+		if err != nil {
+			return err
+		}
+		scope := settings.Scope{
+			Region: spool.Region(region), FailureDomain: spool.FailureDomain(domain),
+			Account: spool.AccountID(account), Program: spool.ProgramID(program),
+		}
+		result := shownValues{ReadAt: state.Offset(), Values: []shown{}}
+		if len(args) == 0 {
+			args = state.Settings().Paths("")
+		}
+		for _, arg := range args {
+			value, err := lookup(state, scope, arg, explain)
+			if err != nil {
+				return err
+			}
+			result.Values = append(result.Values, value)
+		}
+		return s.print(result, func(w io.Writer) { printValues(w, result) })
+	})
+}
+
+// lookup finds a path, or the value of a name that holds for a scope.
+func lookup(state *control.State, scope settings.Scope, arg string, explain bool) (shown, error) {
+	if strings.Contains(arg, "/") {
+		path, err := settings.ParsePath(arg)
+		if err != nil {
+			return shown{}, err
+		}
+		raw, offset, ok := state.Settings().Get(path)
+		if !ok {
+			return shown{}, errors.Wrapf(errNotFound, "%s is not set", arg)
+		}
+		return shown{Path: arg, Value: raw, Offset: offset}, nil
+	}
+	layers := state.Settings().At(scope).Explain(arg)
+	if layers == nil {
+		return shown{}, errors.Wrapf(errNotFound, "setting %q does not exist", arg)
+	}
+	value := shown{Name: arg, Value: layers[0].Value, Offset: layers[0].Offset}
+	if explain {
+		value.Layers = layers
+	}
+	return value, nil
+}
+
+func printValues(w io.Writer, result shownValues) {
+	for _, value := range result.Values {
+		_, _ = fmt.Fprintf(w, "%s%s\t%s\t%s\n", value.Path, value.Name, text(value.Value), offsetText(value.Offset))
+		for _, layer := range value.Layers {
+			mark := ""
+			if layer.InForce {
+				mark = "in force"
+			}
+			_, _ = fmt.Fprintf(w, "  %s %s\t%s\t%s\t%s\n", layer.Level, layer.ID, layer.Value, offsetText(layer.Offset), mark)
+		}
+	}
+	_, _ = fmt.Fprintf(w, "read at offset %d\n", result.ReadAt)
+}
+
+func text(value any) string {
+	if raw, ok := value.(interface{ MarshalJSON() ([]byte, error) }); ok {
+		if encoded, err := raw.MarshalJSON(); err == nil {
+			return string(encoded)
+		}
+	}
+	return fmt.Sprint(value)
+}
+
+func offsetText(offset spool.Offset) string {
+	if offset == 0 {
+		return "default"
+	}
+	return fmt.Sprintf("offset %d", offset)
+}
+
+func (o *operator) settingsApply() *cobra.Command {
+	var dryRun bool
+	command := &cobra.Command{
+		Use:     "apply FILE",
+		Short:   "Publish a file of settings; all of it or nothing",
+		Long:    "Publish a file of settings, in YAML or JSON, as one batch: all of it or nothing. Values that are already set as in the file are left alone. - reads standard input.",
+		Example: "  baobabspool settings apply fleet.yaml --dry-run",
+		Args:    cobra.ExactArgs(1),
+	}
+	command.Flags().BoolVar(&dryRun, "dry-run", false, "only show what would change")
+	return o.verb(command, func(s *session, args []string) error {
+		data, err := readFile(args[0])
+		if err != nil {
+			return errors.Wrap(errUsage, err.Error())
+		}
+		changes, err := settings.ParseFile(data)
+		if err != nil {
+			return errors.Wrap(control.ErrInvalid, err.Error())
+		}
+		state, err := s.state()
+		if err != nil {
+			return err
+		}
+		differences, contents := compare(state, changes)
+		if dryRun || len(contents) == 0 {
+			return s.print(differences, func(w io.Writer) {
+				for _, d := range differences {
+					_, _ = fmt.Fprintf(w, "%s\t%s\t-> %s\n", d.Path, d.Old, d.New)
+				}
+				_, _ = fmt.Fprintf(w, "%d of %d values differ\n", len(differences), len(changes))
+			})
+		}
+		return s.publish(contents...)
+	})
+}
+
+func readFile(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(name)
+}
+
+// difference is one value that a file changes.
+type difference struct {
+	Path string `json:"path"`
+	Old  string `json:"old"`
+	New  string `json:"new"`
+}
+
+func compare(state *control.State, changes []settings.Change) (differences []difference, contents []any) {
+	differences = []difference{}
+	for _, change := range changes {
+		old, _, set := state.Settings().Get(change.Path)
+		value, err := change.Check()
+		if err != nil || (change.Unsets() && !set) || (set && !change.Unsets() && text(value) == string(old)) {
+			continue
+		}
+		d := difference{Path: change.Path.String(), Old: "unset", New: "unset"}
+		if set {
+			d.Old = string(old)
+		}
+		if !change.Unsets() {
+			d.New = text(value)
+		}
+		differences, contents = append(differences, d), append(contents, change)
+	}
+	return differences, contents
+}
+
+func (o *operator) settingsHistory() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "history PATH",
+		Short:   "Show the changes of a value that the log still holds",
+		Example: "  baobabspool settings history account/acme/limit.burst",
+		Args:    cobra.ExactArgs(1),
+	}
+	return o.verb(command, func(s *session, args []string) error {
+		events, err := control.History(s.ctx, s.log, args[0])
+		if err != nil {
+			return err
+		}
+		if len(events) == 0 {
+			return errors.Wrapf(errNotFound, "%s has no changes on the log", args[0])
+		}
+		return s.print(events, func(w io.Writer) {
+			for _, event := range events {
+				_, _ = fmt.Fprintf(w, "offset %d\t%s\t%s\t%s\t%s\n", event.Offset, instant(event.At), event.Writer, event.Value, event.Reason)
+			}
+		})
+	})
+}
+
+func (o *operator) settingsRevert() *cobra.Command {
+	var to int64
+	command := &cobra.Command{
+		Use:   "revert PATH",
+		Short: "Publish an earlier value again",
+		Long: "Publish an earlier value again, as a new record: offsets never go back. Without --to, the value before the " +
+			"latest change is restored.",
+		Example: "  baobabspool settings revert account/acme/limit.burst --to 1207",
+		Args:    cobra.ExactArgs(1),
+	}
+	command.Flags().Int64Var(&to, "to", 0, "offset of the change to restore; 0 for the one before the latest")
+	return o.verb(command, func(s *session, args []string) error {
+		path, err := settings.ParsePath(args[0])
+		if err != nil {
+			return err
+		}
+		if _, err := s.state(); err != nil {
+			return err
+		}
+		events, err := control.History(s.ctx, s.log, path.String())
+		if err != nil {
+			return err
+		}
+		value, err := control.ValueAt(events, target(events, spool.Offset(to)))
+		if err != nil {
+			return err
+		}
+		return s.publish(settings.Change{Path: path, Value: value})
+	})
+}
+
+// target returns the offset to restore: the given one, or that of the applied
+// change before the latest.
+func target(events []control.Event, to spool.Offset) spool.Offset {
+	if to != 0 {
+		return to
+	}
+	var latest, previous spool.Offset
+	for _, event := range events {
+		if event.Applied {
+			previous, latest = latest, event.Offset
+		}
+	}
+	return previous
+}
+
+func settingsReference() *cobra.Command {
+	return &cobra.Command{
+		Use:     "reference",
+		Short:   "Print the table of every setting, in Markdown",
+		Example: "  baobabspool settings reference",
+		Args:    usage(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			_, err := io.WriteString(command.OutOrStdout(), settings.Reference())
+			return errors.Wrap(err, "print")
+		},
+	}
+}
+
+// instant formats a time for people.
+func instant(at clock.Millis) string {
+	if at == 0 {
+		return "-"
+	}
+	return timeOf(at).UTC().Format("2006-01-02T15:04:05.000Z")
+}
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -50,10 +50,17 @@
 	}
 }
 
+// observer is told what follow does. Each function may be nil.
+type observer struct {
+	// applied is called after each batch.
+	applied func(batch spool.Batch, rejected []Rejection)
+	// loaded is called when the state was replaced by a snapshot.
+	loaded func(state *State)
+}
+
 // follow brings state to the end of the log. It returns the state to use from
-// then on, which is another one when a snapshot had to be loaded. applied is
-// called after each batch and may be nil.
-func follow(ctx context.Context, log spool.Log, state *State, applied func(spool.Batch, []Rejection)) (_ *State, err error) {
+// then on, which is another one when a snapshot had to be loaded.
+func follow(ctx context.Context, log spool.Log, state *State, observer observer) (_ *State, err error) {
 	defer func() { err = errors.Wrap(err, "read the control stream") }()
 	for {
 		page, err := log.Read(ctx, spool.ControlStream, state.offset, 0)
@@ -66,6 +73,9 @@
 				return state, ErrNoSnapshot
 			}
 			state = loaded
+			if observer.loaded != nil {
+				observer.loaded(state)
+			}
 			continue
 		}
 		if err != nil {
@@ -76,8 +86,8 @@
 			if err != nil {
 				return state, err
 			}
-			if applied != nil {
-				applied(batch, rejected)
+			if observer.applied != nil {
+				observer.applied(batch, rejected)
 			}
 		}
 		if len(page.Batches) == 0 || state.offset >= page.Last {
--- a/internal/control/loops.go
+++ b/internal/control/loops.go
@@ -90,16 +90,20 @@
 func (r *Reader) housekeep() {
 	started := r.clock.Now()
 	var tried clock.Millis
+	var covered spool.Offset
 	for r.pause(housekeepEvery) {
+		now := r.clock.Now()
 		r.mu.Lock()
 		r.closeWatched()
 		due := r.snapshotDue(started)
+		// The node has not read the snapshot that it appended.
+		pending := covered > r.state.snapshot.Covers && now-tried < snapshotRetry
+		at := r.state.offset
 		r.mu.Unlock()
-		now := r.clock.Now()
-		if !due || (tried != 0 && now-tried < snapshotRetry) {
+		if !due || pending {
 			continue
 		}
-		tried = now
+		tried, covered = now, at
 		if err := r.AppendSnapshot(r.ctx); err != nil {
 			r.event("control.snapshotFailed")
 			r.logger.Warn("snapshot was not appended", zap.Error(err))
@@ -108,14 +112,14 @@
 }
 
 // snapshotDue reports whether this node has to append a snapshot: when half of
-// the retention has passed since the last one, or when the records after the
-// last one have begun to be removed.
+// the retention has passed since the last one, or when the log removes records
+// and the last one covers less than half of those it still holds.
 func (r *Reader) snapshotDue(started clock.Millis) bool {
 	if !r.responsible || r.log == nil || !r.fresh.loaded || r.state.offset == 0 {
 		return false
 	}
 	mark := r.state.snapshot
-	if r.first > 1 && mark.Covers+1 < r.first {
+	if r.first > 1 && mark.Covers-r.first < (r.state.offset-r.first)/2 {
 		return true
 	}
 	if mark.Covers == 0 {
--- /dev/null
+++ b/internal/control/publisher.go
@@ -0,0 +1,289 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"go.uber.org/multierr"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/keyring"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Errors of Publish, beside *ConflictError.
+var (
+	// ErrInvalid means that a change breaks a rule; nothing was appended.
+	ErrInvalid = errors.New("change is not valid")
+	// ErrNotPublished means that the log could not be reached and the change has
+	// no effect, now or later.
+	ErrNotPublished = errors.New("change was not published")
+	// ErrUnresolved means that an append may have taken effect and the log could
+	// not be read back in time.
+	ErrUnresolved = errors.New("change may have been published, read its history to know")
+)
+
+// ConflictError means that somebody else changed a value after it was read.
+type ConflictError struct {
+	// Cause names the path and the offsets.
+	Cause *settings.ConflictError
+	// Writer made the change that won; empty when it is not known.
+	Writer spool.NodeID
+}
+
+// Error says who changed what.
+func (e *ConflictError) Error() string {
+	if e.Writer == "" {
+		return "conflict: " + e.Cause.Error()
+	}
+	return fmt.Sprintf("conflict: %s (by %s)", e.Cause, e.Writer)
+}
+
+// Unwrap returns the cause.
+func (e *ConflictError) Unwrap() error { return e.Cause }
+
+// appendTimeout bounds one append and one read back, so that a log that hangs
+// does not use up the time for further attempts.
+const appendTimeout = 3 * clock.Second
+
+// Publisher appends an operator's changes and tells whether they are in force.
+// It is not safe for concurrent use.
+type Publisher struct {
+	log    spool.Log
+	writer spool.NodeID
+	clock  clock.Clock
+	newID  func() string
+	read   bool
+	state  *State
+	// writers holds who wrote each batch that was read.
+	writers map[spool.Offset]spool.NodeID
+	// waitingFor is the batch whose outcome is sought; outcome is set when it
+	// has been read.
+	waitingFor string
+	outcome    *outcome
+}
+
+type outcome struct {
+	offset   spool.Offset
+	rejected []Rejection
+}
+
+// NewPublisher returns a publisher that names writer as the author.
+func NewPublisher(log spool.Log, writer spool.NodeID) *Publisher {
+	return &Publisher{
+		log: log, writer: writer, clock: clock.System(), newID: uuid.NewString,
+		state: NewState(), writers: map[spool.Offset]spool.NodeID{},
+	}
+}
+
+// Refresh reads the control stream to its end. The changes that are published
+// afterwards are based on what was read.
+func (p *Publisher) Refresh(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	state, err := follow(ctx, p.log, p.state, observer{applied: p.observe})
+	p.state = state
+	p.read = p.read || err == nil
+	return err
+}
+
+func (p *Publisher) observe(batch spool.Batch, rejected []Rejection) {
+	p.writers[batch.Offset] = batch.Writer
+	if p.waitingFor == "" || batch.ID != p.waitingFor || (p.outcome != nil && len(p.outcome.rejected) == 0) {
+		return
+	}
+	p.outcome = &outcome{offset: batch.Offset, rejected: rejected}
+}
+
+// State returns the state as of the last Refresh.
+func (p *Publisher) State() *State { return p.state }
+
+// Now returns the publisher's clock.
+func (p *Publisher) Now() clock.Millis { return p.clock.Now() }
+
+// Validate checks contents as Publish does, without publishing them. It returns
+// all errors at once; they wrap ErrInvalid.
+func (p *Publisher) Validate(contents ...any) error {
+	var problems error
+	var changes []settings.Change
+	created := map[spool.AccountID]bool{}
+	for _, content := range contents {
+		if account, ok := content.(Account); ok {
+			created[account.ID] = true
+		}
+	}
+	for _, content := range contents {
+		if change, ok := content.(settings.Change); ok {
+			changes = append(changes, change)
+			continue
+		}
+		if key, ok := content.(keyring.Stored); ok && !created[key.Account] {
+			problems = multierr.Append(problems, p.checkAccount(key.Account))
+		}
+		record, err := NewRecord(content)
+		if err == nil {
+			_, err = DecodeRecord(record)
+		}
+		problems = multierr.Append(problems, err)
+	}
+	problems = multierr.Append(problems, settings.Validate(changes))
+	if problems == nil {
+		return nil
+	}
+	return &invalidError{problems: problems}
+}
+
+// invalidError holds every problem of the changes.
+type invalidError struct{ problems error }
+
+func (e *invalidError) Error() string {
+	text := ErrInvalid.Error() + ":"
+	for _, problem := range multierr.Errors(e.problems) {
+		text += "\n  " + problem.Error()
+	}
+	return text
+}
+
+func (e *invalidError) Unwrap() error { return ErrInvalid }
+
+func (p *Publisher) checkAccount(id spool.AccountID) error {
+	account, ok := p.state.Account(id)
+	switch {
+	case !ok:
+		return errors.Errorf("account %q does not exist", id)
+	case account.Closed:
+		return errors.Errorf("account %q is closed", id)
+	}
+	return nil
+}
+
+// Publish validates contents, appends them as one batch and returns its offset
+// once it has been read back and found valid. Contents without a base are based
+// on the last Refresh. It fails with ErrInvalid, *ConflictError,
+// ErrNotPublished or ErrUnresolved. It retries until ctx ends; a retry cannot
+// apply the change twice, because the second copy loses the compare-and-set.
+func (p *Publisher) Publish(ctx context.Context, contents ...any) (offset spool.Offset, err error) {
+	if !p.read {
+		if err := p.Refresh(ctx); err != nil {
+			return 0, errors.Wrap(ErrNotPublished, err.Error())
+		}
+	}
+	if err := p.Validate(contents...); err != nil {
+		return 0, err
+	}
+	batch := spool.Batch{ID: p.newID(), Writer: p.writer, At: p.clock.Now()}
+	for _, content := range contents {
+		record, err := NewRecord(withBase(content, p.state.offset))
+		if err != nil {
+			return 0, errors.Wrap(ErrInvalid, err.Error())
+		}
+		batch.Records = append(batch.Records, record)
+	}
+	if len(batch.Records) == 0 {
+		return 0, errors.Wrap(ErrInvalid, "there is nothing to change")
+	}
+	p.waitingFor, p.outcome = batch.ID, nil
+	defer func() { p.waitingFor = "" }()
+	return p.appendUntilSeen(ctx, batch)
+}
+
+// withBase sets the base of a content that has none.
+func withBase(content any, base spool.Offset) any {
+	if _, given := Identify(content); given != 0 {
+		return content
+	}
+	switch content := content.(type) {
+	case settings.Change:
+		content.Base = base
+		return content
+	case keyring.Stored:
+		content.Base = base
+		return content
+	case Account:
+		content.Base = base
+		return content
+	case Service:
+		content.Base = base
+		return content
+	case Order:
+		content.Base = base
+		return content
+	default:
+		return content
+	}
+}
+
+// appendUntilSeen appends batch until a copy of it has been read back.
+func (p *Publisher) appendUntilSeen(ctx context.Context, batch spool.Batch) (spool.Offset, error) {
+	var retry backoff
+	var last error
+	appended, uncertain := false, false
+	for {
+		if !appended {
+			_, err := p.append(ctx, batch)
+			switch {
+			case err == nil:
+				appended = true
+			case !errors.Is(err, spool.ErrLogUnavailable):
+				uncertain = true
+				last = err
+			default:
+				last = err
+			}
+		}
+		if appended || uncertain {
+			readCtx, cancel := context.WithTimeout(ctx, appendTimeout.Duration())
+			err := p.Refresh(readCtx)
+			cancel()
+			if p.outcome != nil {
+				return p.conclude()
+			}
+			if err != nil {
+				last = err
+			}
+		}
+		if !pauseFor(ctx, retry.next(0.5)) {
+			break
+		}
+	}
+	if appended || uncertain {
+		return 0, errors.Wrapf(ErrUnresolved, "batch %s: %v", batch.ID, last)
+	}
+	return 0, errors.Wrapf(ErrNotPublished, "%v", last)
+}
+
+func (p *Publisher) append(ctx context.Context, batch spool.Batch) (spool.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout.Duration())
+	defer cancel()
+	return p.log.Append(ctx, spool.ControlStream, batch)
+}
+
+func pauseFor(ctx context.Context, d clock.Millis) bool {
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// conclude turns the outcome of the batch into the result of Publish.
+func (p *Publisher) conclude() (spool.Offset, error) {
+	var problems error
+	for _, rejection := range p.outcome.rejected {
+		if lost := (&settings.ConflictError{}); errors.As(rejection.Err, &lost) {
+			return 0, &ConflictError{Cause: lost, Writer: p.writers[lost.ChangedAt]}
+		}
+		problems = multierr.Append(problems, rejection.Err)
+	}
+	if problems != nil {
+		return 0, &invalidError{problems: problems}
+	}
+	return p.outcome.offset, nil
+}
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -74,6 +74,7 @@
 	clients   *wire.Clients
 	clock     clock.Clock
 	telemetry *telemetry.Telemetry
+	process   func() any
 	logger    *zap.Logger
 	ctx       context.Context
 	cancel    context.CancelFunc
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -85,7 +85,10 @@
 
 // Handlers returns the methods that the node answers.
 func (r *Reader) Handlers() wire.Mux {
-	return wire.Mux{wire.MethodPull: wire.Handle(r.servePull)}
+	return wire.Mux{
+		wire.MethodPull:          wire.Handle(r.servePull),
+		wire.MethodControlStatus: wire.Handle(r.serveStatus),
+	}
 }
 
 func (r *Reader) servePull(ctx context.Context, request wire.PullRequest, _ wire.Send) (any, error) {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -121,23 +121,22 @@
 // check returns why content cannot be applied to the state. paths collects the
 // paths of the batch; the second change of a path in a batch is refused.
 func (s *State) check(content any, paths map[string]bool) error {
-	var name string
-	var base spool.Offset
 	var err error
 	switch content := content.(type) {
 	case settings.Change:
-		name, base, err = content.Path.String(), content.Base, s.tree.CheckBase(content)
+		err = s.tree.CheckBase(content)
 	case keyring.Stored:
-		name, base, err = "key/"+content.ID, content.Base, s.ring.CheckBase(content)
+		err = s.ring.CheckBase(content)
 	case Account:
-		name, base, err = "accounts/"+string(content.ID), content.Base, s.accounts.Check(string(content.ID), content.Base)
+		err = s.accounts.Check(string(content.ID), content.Base)
 	case Service:
-		name, base, err = "services/"+string(content.Name), content.Base, s.services.Check(string(content.Name), content.Base)
+		err = s.services.Check(string(content.Name), content.Base)
 	case Order:
-		name, base, err = "order/"+string(content.Endpoint), content.Base, s.checkOrder(content)
+		err = s.checkOrder(content)
 	default:
 		return nil
 	}
+	name, base := Identify(content)
 	if err != nil {
 		return errors.Wrap(err, name)
 	}
@@ -151,6 +150,25 @@
 	return nil
 }
 
+// Identify returns the path that a record's content changes and the offset that
+// its author had read.
+func Identify(content any) (name string, base spool.Offset) {
+	switch content := content.(type) {
+	case settings.Change:
+		return content.Path.String(), content.Base
+	case keyring.Stored:
+		return "key/" + content.ID, content.Base
+	case Account:
+		return "accounts/" + string(content.ID), content.Base
+	case Service:
+		return "services/" + string(content.Name), content.Base
+	case Order:
+		return "order/" + string(content.Endpoint), content.Base
+	default:
+		return "", 0
+	}
+}
+
 func (s *State) checkOrder(order Order) error {
 	if err := s.orders.Check(string(order.Endpoint), order.Base); err != nil {
 		return err
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Status is what a node tells an operator about itself.
+type Status struct {
+	Node          spool.NodeID        `json:"node"`
+	Role          spool.Role          `json:"role"`
+	FailureDomain spool.FailureDomain `json:"failureDomain"`
+	// Offset is the version of the control state in force.
+	Offset spool.Offset `json:"offset"`
+	// FreshFor is the age of that state; negative before it was loaded.
+	FreshFor clock.Millis `json:"freshForMs"`
+	// Isolated nodes refuse keyed requests.
+	Isolated bool `json:"isolated"`
+	// Settings, Keys, Accounts and Services count what is kept.
+	Settings int `json:"settings"`
+	Keys     int `json:"keys"`
+	Accounts int `json:"accounts"`
+	Services int `json:"services"`
+	// Drains lists what is taken out.
+	Drains []string `json:"drains"`
+	// Process is what the process adds, for example the streams that it owns.
+	Process json.RawMessage `json:"process,omitempty"`
+}
+
+// WithStatus lets the process add its own part to the answer to control.status.
+func WithStatus(process func() any) Option { return func(r *Reader) { r.process = process } }
+
+func (r *Reader) serveStatus(_ context.Context, _ struct{}, _ wire.Send) (any, error) {
+	status := r.Status()
+	if r.process == nil {
+		return status, nil
+	}
+	var err error
+	status.Process, err = json.Marshal(r.process())
+	return status, errors.Wrap(err, "encode status of the process")
+}
+
+// Status describes the node.
+func (r *Reader) Status() Status {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	now := r.clock.Now()
+	return Status{
+		Node: r.config.Node, Role: r.config.Role, FailureDomain: r.config.FailureDomain,
+		Offset: r.state.offset, FreshFor: r.fresh.freshFor(now), Isolated: r.fresh.isolated(now, r.isolation()),
+		Settings: r.state.tree.Len(), Keys: r.state.ring.Len(), Accounts: r.state.accounts.Len(),
+		Services: r.state.services.Len(), Drains: r.state.Drains(),
+	}
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -18,6 +18,7 @@
 	MethodRelease        = "journal.release"
 	MethodLease          = "limit.lease"
 	MethodPull           = "control.pull"
+	MethodControlStatus  = "control.status"
 	MethodRun            = "endpoint.run"
 	MethodRenew          = "endpoint.renew"
 	MethodFate           = "endpoint.fate"
--- /dev/null
+++ b/pkg/settings/file.go
@@ -0,0 +1,105 @@
+package settings
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"go.uber.org/multierr"
+	"go.yaml.in/yaml/v3"
+)
+
+// fileVersion is the version of the settings file.
+const fileVersion = 1
+
+// maxFileBytes bounds a settings file.
+const maxFileBytes = 4 << 20
+
+// ParseFile reads a settings file in YAML or JSON:
+//
+//	version: 1
+//	settings:
+//	  fleet/limit.burst: 100
+//	  account/acme/limit.burst: null   # unsets the value
+//
+// It returns all errors at once, each with its line. The changes it returns
+// have passed Validate.
+func ParseFile(data []byte) (changes []Change, err error) {
+	defer func() { err = errors.Wrap(err, "settings file") }()
+	if len(data) > maxFileBytes {
+		return nil, errors.Errorf("is larger than %d bytes", maxFileBytes)
+	}
+	var document yaml.Node
+	if err := yaml.Unmarshal(data, &document); err != nil {
+		return nil, err
+	}
+	if len(document.Content) != 1 || document.Content[0].Kind != yaml.MappingNode {
+		return nil, errors.New("must be a mapping with version and settings")
+	}
+	root := document.Content[0]
+	version, body, problems := fileParts(root)
+	if version != strconv.Itoa(fileVersion) {
+		problems = multierr.Append(problems, errors.Errorf("version is %q, want %d", version, fileVersion))
+	}
+	if body == nil {
+		return nil, multierr.Append(problems, errors.New("settings are missing"))
+	}
+	for i := 0; i+1 < len(body.Content); i += 2 {
+		change, problem := fileChange(body.Content[i], body.Content[i+1])
+		if problem != nil {
+			problems = multierr.Append(problems, errors.Wrapf(problem, "line %d", body.Content[i].Line))
+			continue
+		}
+		changes = append(changes, change)
+	}
+	problems = multierr.Append(problems, Validate(changes))
+	if problems != nil {
+		return nil, problems
+	}
+	return changes, nil
+}
+
+func fileParts(root *yaml.Node) (version string, body *yaml.Node, problems error) {
+	for i := 0; i+1 < len(root.Content); i += 2 {
+		key, value := root.Content[i], root.Content[i+1]
+		switch {
+		case key.Value == "version" && value.Kind == yaml.ScalarNode:
+			version = value.Value
+		case key.Value == "settings" && value.Kind == yaml.MappingNode && body == nil:
+			body = value
+		default:
+			problems = multierr.Append(problems, errors.Errorf("line %d: %q is not expected here", key.Line, key.Value))
+		}
+	}
+	return version, body, problems
+}
+
+func fileChange(key, value *yaml.Node) (change Change, err error) {
+	if key.Kind != yaml.ScalarNode {
+		return Change{}, errors.New("path must be a text")
+	}
+	if change.Path, err = ParsePath(key.Value); err != nil {
+		return Change{}, err
+	}
+	if value.Kind != yaml.ScalarNode {
+		return Change{}, errors.Errorf("%s: value must be a number, a boolean, a text or null", change.Path)
+	}
+	switch value.Tag {
+	case "!!null":
+	case "!!str":
+		change.Value, err = json.Marshal(value.Value)
+	default:
+		change.Value = json.RawMessage(value.Value)
+	}
+	return change, err
+}
+
+// ParseValue turns a value typed at the command line into JSON: a text needs no
+// quotes. Check tells whether the value is accepted.
+func ParseValue(path Path, text string) json.RawMessage {
+	if spec, ok := Lookup(path.Name); ok && spec.Kind == KindText {
+		quoted, _ := json.Marshal(text)
+		return quoted
+	}
+	return json.RawMessage(text)
+}
