Add program state and a first entry process

Cause: callers need a process that owns programs and routes their calls. Change: pkg/program folds the records of a stream and admits calls; internal/entry has the HTTP front, forwarding and the dispatch to agents.

--- /dev/null
+++ b/internal/entry/background.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/program"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// requestTimeout bounds one background request to an agent.
+	requestTimeout = 2 * clock.Second
+	// defaultLeaseFor is the lease when the settings name none.
+	defaultLeaseFor = 30 * clock.Second
+)
+
+func (e *Entry) startBackground() {
+	e.every(e.config.StatusEvery, e.pollAll)
+	e.every(e.config.RenewEvery, func() {
+		for _, shard := range e.shards.list() {
+			e.expire(shard)
+			e.resolveAll(shard)
+		}
+		e.renew()
+	})
+}
+
+func (e *Entry) every(interval clock.Millis, work func()) {
+	go func() {
+		ticker := time.NewTicker(interval.Duration())
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				work()
+			case <-e.ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+// each runs work for every endpoint on the traffic pool and waits.
+func (e *Entry) each(vms []spool.VM, work func(spool.VM)) {
+	group := e.traffic.NewGroup()
+	for _, vm := range vms {
+		group.Submit(func() { work(vm) })
+	}
+	_ = group.Wait()
+}
+
+// pollAll asks every endpoint for its load.
+func (e *Entry) pollAll() {
+	var vms []spool.VM
+	listed := map[spool.EndpointID]bool{}
+	for _, service := range e.control.Services() {
+		for _, vm := range e.streams.Endpoints(service.Name) {
+			vms = append(vms, vm)
+			listed[spool.EndpointID(vm.ID)] = true
+		}
+	}
+	e.fleet.retain(listed)
+	e.each(vms, func(vm spool.VM) {
+		ctx, cancel := context.WithTimeout(e.ctx, requestTimeout.Duration())
+		defer cancel()
+		if err := e.poll(ctx, vm); err != nil {
+			e.log.Debug("endpoint does not report", zap.String("endpoint", string(vm.ID)), zap.Error(err))
+		}
+	})
+}
+
+func (e *Entry) poll(ctx context.Context, vm spool.VM) error {
+	var status wire.EndpointStatus
+	if err := e.clients.Call(ctx, vm.Address, wire.MethodEndpointStatus, struct{}{}, &status, nil); err != nil {
+		return err
+	}
+	e.fleet.reported(spool.EndpointID(vm.ID), status)
+	return nil
+}
+
+// expire ends the programs that their callers have abandoned and forgets those
+// that ended long ago.
+func (e *Entry) expire(shard *shard) {
+	var records []spool.Record
+	shard.do(func() {
+		now := e.clock.Now()
+		records = shard.state.Expire(now)
+		shard.state.Forget(now - e.config.ForgetAfter)
+	})
+	if len(records) == 0 {
+		return
+	}
+	e.telemetry.Event("programsExpired")
+	if err := e.commit(shard.ctx, shard, records, false); err != nil {
+		e.log.Warn("expiry was not recorded", zap.String("stream", string(shard.stream)), zap.Error(err))
+	}
+}
+
+// renew renews the engine memory of all live programs, with one message per
+// agent, and frees that of programs that have ended.
+func (e *Entry) renew() {
+	requests := map[spool.EndpointID]*wire.RenewRequest{}
+	request := func(id spool.EndpointID) *wire.RenewRequest {
+		if requests[id] == nil {
+			requests[id] = &wire.RenewRequest{Entry: e.config.Node, LeaseFor: e.leaseFor()}
+		}
+		return requests[id]
+	}
+	served := e.shards.list()
+	for _, shard := range served {
+		shard.do(func() {
+			shard.state.Live(func(view program.View) {
+				if view.Endpoint != "" {
+					to := request(view.Endpoint)
+					to.Programs = append(to.Programs, view.ID)
+				}
+			})
+			for id, endpoint := range shard.ended {
+				to := request(endpoint)
+				to.Ended = append(to.Ended, id)
+			}
+		})
+	}
+	var vms []spool.VM
+	for _, service := range e.control.Services() {
+		for _, vm := range e.streams.Endpoints(service.Name) {
+			if requests[spool.EndpointID(vm.ID)] != nil {
+				vms = append(vms, vm)
+			}
+		}
+	}
+	e.each(vms, func(vm spool.VM) {
+		ctx, cancel := context.WithTimeout(e.ctx, requestTimeout.Duration())
+		defer cancel()
+		message := requests[spool.EndpointID(vm.ID)]
+		if err := e.clients.Call(ctx, vm.Address, wire.MethodRenew, message, nil, nil); err != nil {
+			return
+		}
+		for _, shard := range served {
+			shard.do(func() {
+				for _, id := range message.Ended {
+					delete(shard.ended, id)
+				}
+			})
+		}
+	})
+	e.forgetUnlisted(served, vms)
+}
+
+// forgetUnlisted drops ended programs whose endpoint is gone; its memory is
+// gone with it.
+func (e *Entry) forgetUnlisted(served []*shard, vms []spool.VM) {
+	listed := map[spool.EndpointID]bool{}
+	for _, vm := range vms {
+		listed[spool.EndpointID(vm.ID)] = true
+	}
+	for _, shard := range served {
+		shard.do(func() {
+			for id, endpoint := range shard.ended {
+				if !listed[endpoint] {
+					delete(shard.ended, id)
+				}
+			}
+		})
+	}
+}
+
+func (e *Entry) leaseFor() clock.Millis {
+	if lease := e.control.Settings("", "").LeaseFor; lease > 0 {
+		return lease
+	}
+	return defaultLeaseFor
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// maxForwards bounds how often an operation is sent to another owner.
+	maxForwards = 8
+	// firstMoveWait and maxMoveWait bound the wait between two looks for the
+	// owner. A claim and its seal take some hundred milliseconds.
+	firstMoveWait = 25 * clock.Millis(1)
+	maxMoveWait   = 400 * clock.Millis(1)
+)
+
+// execute runs an operation at the owner of its program, wherever that is, and
+// follows the program when its stream moves. Every operation carries a callId
+// or a new program's identifier, so it may be sent again when its fate is
+// unknown.
+func (e *Entry) execute(ctx context.Context, operation Operation, sink Sink) (json.RawMessage, error) {
+	stream := spool.StreamOfProgram(operation.Program, e.config.Streams)
+	until := e.clock.Now() + e.config.ForwardFor
+	relay := &relay{sink: sink}
+	wait, forwards := firstMoveWait, 0
+	proven := spool.NotRunTrue
+	for {
+		relay.begin()
+		body, err := e.once(ctx, stream, operation, relay.add, &forwards)
+		if err == nil {
+			return body, nil
+		}
+		refusal := refusalOf(err)
+		if refusal == nil {
+			refusal = spool.Refuse(spool.CodeInternal, "%v", err).WithNotRun(spool.NotRunUnknown)
+		}
+		proven = worse(proven, refusal.NotRun)
+		refusal = refusal.WithNotRun(proven)
+		if !movable(refusal.Code) || forwards >= maxForwards || e.clock.Now()+wait > until {
+			return nil, refusal
+		}
+		e.telemetry.Retried(spool.FailureNotOwner)
+		if !pause(ctx, wait) {
+			return nil, left(context.Cause(ctx)).WithNotRun(proven)
+		}
+		wait = min(2*wait, maxMoveWait)
+	}
+}
+
+// movable tells whether another owner may serve the operation.
+func movable(code spool.Code) bool {
+	return code == spool.CodeNotOwner || code == spool.CodeNoOwner || code == spool.CodeShuttingDown
+}
+
+// once sends the operation to the present owner.
+func (e *Entry) once(ctx context.Context, stream spool.Stream, operation Operation, sink Sink, forwards *int) (json.RawMessage, error) {
+	if shard := e.shards.get(stream); shard != nil && shard.isServing() {
+		result, err := e.perform(ctx, shard, operation, sink)
+		if err != nil {
+			return nil, err
+		}
+		return json.Marshal(result)
+	}
+	owner, address, ok := e.streams.OwnerOf(stream)
+	if !ok || owner == e.config.Node {
+		return nil, spool.Refuse(spool.CodeNoOwner, "stream %s has no owner at the moment", stream).WithRetryAfter(moveRetryAfter)
+	}
+	*forwards++
+	request := wire.ForwardRequest{
+		Operation: operation.Name, Correlation: e.correlation(), Account: operation.Account,
+		KeyID: operation.KeyID, Program: operation.Program, Body: operation.Body,
+	}
+	if operation.Deadline > 0 {
+		request.DeadlineIn = max(operation.Deadline-e.clock.Now(), 1)
+	}
+	var reply wire.ForwardReply
+	err := e.clients.Call(ctx, address, wire.MethodForward, request, &reply, func(raw json.RawMessage) error {
+		var chunk forwardChunk
+		if json.Unmarshal(raw, &chunk) != nil || chunk.Correlation != request.Correlation {
+			return errCrossed
+		}
+		return sink(chunk.Event)
+	})
+	switch {
+	case err == nil && reply.Correlation != request.Correlation:
+		e.telemetry.Violated("answerBelongsToCall")
+		return nil, spool.Refuse(spool.CodeInternal, "answer of the owner belongs to another call").WithNotRun(spool.NotRunUnknown)
+	case err == nil:
+		return reply.Body, nil
+	case refusalOf(err) != nil:
+		return nil, refusalOf(err)
+	case ctx.Err() != nil:
+		return nil, left(context.Cause(ctx))
+	case errors.Is(err, spool.ErrNotSent):
+		return nil, notOwner(stream).WithNotRun(spool.NotRunTrue)
+	default:
+		return nil, notOwner(stream)
+	}
+}
+
+// forwardChunk carries one event of a forwarded operation.
+type forwardChunk struct {
+	Correlation string `json:"correlation"`
+	Event
+}
+
+// forwarded answers an operation that another entry has sent. It is not sent
+// on: the other entry follows.
+func (e *Entry) forwarded(ctx context.Context, request wire.ForwardRequest, send wire.Send) (any, error) {
+	if err := checkProgram(request.Program); err != nil {
+		return nil, err
+	}
+	stream := spool.StreamOfProgram(request.Program, e.config.Streams)
+	shard := e.shards.get(stream)
+	if shard == nil || !shard.isServing() {
+		refusal := spool.Refuse(spool.CodeNotOwner, "stream %s is not owned by this entry", stream).WithRetryAfter(moveRetryAfter)
+		refusal.Owner, _, _ = e.streams.OwnerOf(stream)
+		return nil, refusal
+	}
+	if !e.enter() {
+		return nil, spool.Refuse(spool.CodeShuttingDown, "entry is shutting down").WithRetryAfter(moveRetryAfter)
+	}
+	defer e.leave()
+	operation := Operation{
+		Name: request.Operation, Account: request.Account, KeyID: request.KeyID, Program: request.Program, Body: request.Body,
+	}
+	if request.DeadlineIn > 0 {
+		operation.Deadline = e.clock.Now() + request.DeadlineIn
+	}
+	ctx, cancel := e.whileKeyIsValid(ctx, request.KeyID)
+	defer cancel()
+	result, err := e.perform(ctx, shard, operation, func(event Event) error {
+		return send(forwardChunk{Correlation: request.Correlation, Event: event})
+	})
+	if err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(result)
+	return wire.ForwardReply{Correlation: request.Correlation, Body: body}, err
+}
+
+// relay passes the events of several attempts on as one answer.
+type relay struct {
+	sink Sink
+	text splice
+}
+
+func (r *relay) begin() { r.text.begin() }
+
+func (r *relay) add(event Event) error {
+	if event.Restart {
+		r.text.begin()
+	}
+	before := len(r.text.published)
+	if r.text.add(event.Text) {
+		return r.sink(Event{Text: string(r.text.published), Restart: true})
+	}
+	if fresh := r.text.published[before:]; len(fresh) > 0 {
+		return r.sink(Event{Text: string(fresh)})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/front.go
@@ -0,0 +1,342 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"io"
+	"log"
+	"runtime/debug"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	headerProgram  = "X-Program-Id"
+	headerCall     = "Idempotency-Key"
+	bearer         = "Bearer "
+	millisPerRetry = 1000
+)
+
+func (e *Entry) newFront() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: e.handle,
+		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
+			e.refuse(ctx, malformed(err))
+		},
+		// The server's own messages quote the request's header, which holds keys.
+		Logger:                log.New(io.Discard, "", 0),
+		Concurrency:           e.config.MaxConnections,
+		MaxConnsPerIP:         e.config.MaxConnectionsPerIP,
+		ReadBufferSize:        e.config.MaxHeaderBytes,
+		MaxRequestBodySize:    e.config.MaxBodyBytes,
+		IdleTimeout:           e.config.IdleTimeout.Duration(),
+		ReadTimeout:           e.config.ReadTimeout.Duration(),
+		NoDefaultServerHeader: true,
+		NoDefaultContentType:  true,
+		CloseOnShutdown:       true,
+	}
+}
+
+// malformed describes a request that could not be read without quoting it.
+func malformed(err error) *spool.Refusal {
+	small := &fasthttp.ErrSmallBuffer{}
+	switch {
+	case errors.As(err, &small):
+		return spool.Refuse(spool.CodeTooLarge, "header of the request is too large")
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return spool.Refuse(spool.CodeTooLarge, "body of the request is too large")
+	default:
+		return spool.Refuse(spool.CodeBadRequest, "request is malformed")
+	}
+}
+
+// handle answers one request of a caller.
+func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			e.telemetry.Violated("noPanic", zap.Any("cause", cause), zap.ByteString("stack", debug.Stack()))
+			e.refuse(ctx, spool.Refuse(spool.CodeInternal, "request failed").WithNotRun(spool.NotRunUnknown))
+		}
+	}()
+	key := stripKey(ctx)
+	if e.open(ctx) {
+		return
+	}
+	if !e.enter() {
+		e.refuse(ctx, spool.Refuse(spool.CodeShuttingDown, "entry is shutting down").WithRetryAfter(clock.Second))
+		return
+	}
+	left := false
+	leave := func() {
+		if !left {
+			left = true
+			e.leave()
+		}
+	}
+	account, keyID, err := e.control.Authenticate(key)
+	if err != nil {
+		leave()
+		e.refuse(ctx, asRefusal(err))
+		return
+	}
+	request := &callerRequest{ctx: ctx, account: account, keyID: keyID, leave: leave}
+	streams, err := e.route(request)
+	if err != nil {
+		e.refuse(ctx, asRefusal(err))
+	}
+	if !streams {
+		leave()
+	}
+}
+
+// stripKey takes the key out of the request before anything else sees it.
+func stripKey(ctx *fasthttp.RequestCtx) string {
+	value := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	ctx.Request.Header.Del(fasthttp.HeaderAuthorization)
+	if len(value) > len(bearer) && strings.EqualFold(value[:len(bearer)], bearer) {
+		return strings.TrimSpace(value[len(bearer):])
+	}
+	return ""
+}
+
+// open answers the routes that need no key.
+func (e *Entry) open(ctx *fasthttp.RequestCtx) bool {
+	if !ctx.IsGet() {
+		return false
+	}
+	switch string(ctx.Path()) {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		if !e.ready.Load() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			ctx.SetBodyString("shutting down\n")
+			return true
+		}
+		ctx.SetBodyString("ready\n")
+	case "/metrics":
+		e.telemetry.Handler()(ctx)
+	case "/v1/models":
+		e.answer(ctx, fasthttp.StatusOK, e.models())
+	default:
+		return false
+	}
+	return true
+}
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID     spool.ModelName `json:"id"`
+	Object string          `json:"object"`
+	Owner  string          `json:"owned_by"`
+}
+
+func (e *Entry) models() modelList {
+	list := modelList{Object: "list", Data: []model{}}
+	for _, service := range e.control.Services() {
+		for _, name := range service.Models {
+			list.Data = append(list.Data, model{ID: name, Object: "model", Owner: string(service.Name)})
+		}
+	}
+	return list
+}
+
+// callerRequest is a request whose key has been checked.
+type callerRequest struct {
+	ctx     *fasthttp.RequestCtx
+	account spool.AccountID
+	keyID   string
+	// leave ends the count of this request; a streamed answer calls it at its
+	// end.
+	leave func()
+}
+
+// route answers a request and reports whether the answer is streamed after it
+// returns.
+func (e *Entry) route(request *callerRequest) (streams bool, err error) {
+	method := string(request.ctx.Method())
+	parts := strings.Split(strings.TrimPrefix(string(request.ctx.Path()), "/"), "/")
+	if method == fasthttp.MethodPost && len(parts) == 3 && parts[1] == "chat" && parts[2] == "completions" && parts[0] == "v1" {
+		return e.chat(request)
+	}
+	if len(parts) < 2 || parts[0] != "v1" || parts[1] != "programs" {
+		return false, spool.Refuse(spool.CodeNotFound, "route does not exist")
+	}
+	if len(parts) == 2 && method == fasthttp.MethodPost {
+		return false, e.startProgram(request)
+	}
+	if len(parts) == 2 {
+		return false, spool.Refuse(spool.CodeNotFound, "route does not exist")
+	}
+	id := spool.ProgramID(parts[2])
+	if err := checkProgram(id); err != nil {
+		return false, err
+	}
+	switch strings.Join(append([]string{method}, parts[3:]...), " ") {
+	case "GET":
+		return false, e.simple(request, OperationShow, id, nil, fasthttp.StatusOK)
+	case "DELETE":
+		return false, e.simple(request, OperationEnd, id, nil, fasthttp.StatusOK)
+	case "POST cancel":
+		return false, e.simple(request, OperationCancel, id, nil, fasthttp.StatusOK)
+	case "POST calls":
+		return e.nextTurn(request, id)
+	case "POST agents":
+		body := SpawnRequest{}
+		if err := first(decode(request.ctx.PostBody(), &body), body.check()); err != nil {
+			return false, err
+		}
+		return false, e.simple(request, OperationSpawn, id, body, fasthttp.StatusCreated)
+	}
+	if method == fasthttp.MethodPost && len(parts) == 5 && parts[3] == "services" {
+		return false, e.callService(request, id, spool.ServiceName(parts[4]))
+	}
+	return false, spool.Refuse(spool.CodeNotFound, "route does not exist")
+}
+
+func (e *Entry) startProgram(request *callerRequest) error {
+	body := StartRequest{}
+	if err := decode(request.ctx.PostBody(), &body); err != nil {
+		return err
+	}
+	if err := body.check(); err != nil {
+		return err
+	}
+	return e.simple(request, OperationStart, e.newProgramID(), body, fasthttp.StatusCreated)
+}
+
+func (e *Entry) callService(request *callerRequest, id spool.ProgramID, service spool.ServiceName) error {
+	body := ServiceRequest{}
+	if err := decode(request.ctx.PostBody(), &body); err != nil {
+		return err
+	}
+	if body.Service != "" && body.Service != service {
+		return spool.Refuse(spool.CodeBadRequest, "service differs from the one in the path")
+	}
+	body.Service = service
+	if err := first(body.check(), checkName("service", string(service), maxNameBytes, true)); err != nil {
+		return err
+	}
+	return e.simple(request, OperationService, id, body, fasthttp.StatusOK, body.DeadlineIn)
+}
+
+func (e *Entry) nextTurn(request *callerRequest, id spool.ProgramID) (streams bool, err error) {
+	body := CallRequest{}
+	if err := decode(request.ctx.PostBody(), &body); err != nil {
+		return false, err
+	}
+	if err := body.check(); err != nil {
+		return false, err
+	}
+	operation := e.operation(request, OperationCall, id, body, body.DeadlineIn)
+	if body.Stream {
+		return e.stream(request, operation, nativeFormat{})
+	}
+	return false, e.plain(request, operation, fasthttp.StatusOK)
+}
+
+func (e *Entry) operation(request *callerRequest, name string, id spool.ProgramID, body any, deadlineIn clock.Millis) Operation {
+	operation := Operation{Name: name, Account: request.account, KeyID: request.keyID, Program: id}
+	if body != nil {
+		operation.Body, _ = json.Marshal(body)
+	}
+	if deadlineIn > 0 {
+		operation.Deadline = e.clock.Now() + deadlineIn
+	}
+	return operation
+}
+
+func (e *Entry) simple(request *callerRequest, name string, id spool.ProgramID, body any, status int, deadlineIn ...clock.Millis) error {
+	limit := clock.Millis(0)
+	if len(deadlineIn) > 0 {
+		limit = deadlineIn[0]
+	}
+	return e.plain(request, e.operation(request, name, id, body, limit), status)
+}
+
+// plain runs an operation and answers with one JSON object.
+func (e *Entry) plain(request *callerRequest, operation Operation, status int) error {
+	ctx, cancel := e.whileKeyIsValid(e.ctx, request.keyID)
+	defer cancel()
+	body, err := e.execute(ctx, operation, func(Event) error { return nil })
+	if err != nil {
+		return err
+	}
+	e.answer(request.ctx, status, body)
+	return nil
+}
+
+func (e *Entry) answer(ctx *fasthttp.RequestCtx, status int, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		e.refuse(ctx, spool.Refuse(spool.CodeInternal, "answer does not encode").WithNotRun(spool.NotRunUnknown))
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(encoded)
+}
+
+// errorBody is the JSON form of a refusal.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code       spool.Code   `json:"code"`
+	Message    string       `json:"message"`
+	NotRun     spool.NotRun `json:"notRun"`
+	RetryAfter clock.Millis `json:"retryAfterMs"`
+}
+
+func bodyOf(refusal *spool.Refusal) errorBody {
+	return errorBody{Error: errorDetail{
+		Code: refusal.Code, Message: refusal.Message, NotRun: refusal.NotRun, RetryAfter: refusal.RetryAfter,
+	}}
+}
+
+func (e *Entry) refuse(ctx *fasthttp.RequestCtx, refusal *spool.Refusal) {
+	e.telemetry.Refused(refusal.Code)
+	if refusal.RetryAfter > 0 {
+		seconds := (refusal.RetryAfter + millisPerRetry - 1) / millisPerRetry
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
+	}
+	encoded, _ := json.Marshal(bodyOf(refusal))
+	ctx.SetStatusCode(refusal.Status())
+	ctx.SetContentType("application/json")
+	ctx.SetBody(encoded)
+}
+
+func asRefusal(err error) *spool.Refusal {
+	if refusal := refusalOf(err); refusal != nil {
+		return refusal
+	}
+	return spool.Refuse(spool.CodeInternal, "%v", err).WithNotRun(spool.NotRunUnknown)
+}
+
+// oneCallProgram names the program of a request without one. A caller's own
+// callId leads to the same program again, so that a repeat is recognised.
+func (e *Entry) oneCallProgram(account spool.AccountID, call string) spool.ProgramID {
+	if call == "" {
+		return e.newProgramID()
+	}
+	sum := sha256.Sum256([]byte(string(account) + "\x00" + call))
+	return spool.ProgramID(programIDEncoding.EncodeToString(sum[:programIDBytes]))
+}
+
+// detached returns a context for work that goes on after the answer.
+func (e *Entry) detached() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(e.ctx, e.config.ForwardFor.Duration())
+}
--- /dev/null
+++ b/internal/entry/policies.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Names of the policies that are used when the settings name none.
+const (
+	defaultRouter = "affinity"
+	defaultRetry  = "budgeted"
+)
+
+// policies builds each policy once per name and options.
+type policies struct {
+	seed uint64
+
+	mu      sync.Mutex
+	routers map[string]spool.Router
+	retries map[string]spool.RetryPolicy
+}
+
+func newPolicies(seed uint64) *policies {
+	return &policies{seed: seed, routers: map[string]spool.Router{}, retries: map[string]spool.RetryPolicy{}}
+}
+
+func (p *policies) router(settings Settings) (spool.Router, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return build(p.routers, spool.Routers, settings.Router, defaultRouter, p.seed, settings.Options,
+		func(router spool.Router) spool.Router { return &lockedRouter{router: router} })
+}
+
+func (p *policies) retry(settings Settings) (spool.RetryPolicy, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return build(p.retries, spool.Retries, settings.Retry, defaultRetry, p.seed, settings.Options,
+		func(retry spool.RetryPolicy) spool.RetryPolicy { return &lockedRetry{policy: retry} })
+}
+
+func build[P any](built map[string]P, registry *spool.Registry[P], name, fallback string, seed uint64, options spool.Options, lock func(P) P) (policy P, err error) {
+	if name == "" {
+		name = fallback
+	}
+	key := name + fmt.Sprint(options)
+	if known, ok := built[key]; ok {
+		return known, nil
+	}
+	policy, err = registry.New(name, seed, options)
+	if err != nil {
+		return policy, err
+	}
+	built[key] = lock(policy)
+	return built[key], nil
+}
+
+// lockedRouter lets several calls share a router.
+type lockedRouter struct {
+	mu     sync.Mutex
+	router spool.Router
+}
+
+// Pick calls the router.
+func (r *lockedRouter) Pick(now clock.Millis, call spool.CallView, endpoints []spool.EndpointView) (spool.EndpointID, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.router.Pick(now, call, endpoints)
+}
+
+// lockedRetry lets several calls share a retry policy.
+type lockedRetry struct {
+	mu     sync.Mutex
+	policy spool.RetryPolicy
+}
+
+// Started calls the policy.
+func (r *lockedRetry) Started(now clock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.policy.Started(now)
+}
+
+// Retry calls the policy.
+func (r *lockedRetry) Retry(now clock.Millis, attempt spool.Attempt) (clock.Millis, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.policy.Retry(now, attempt)
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -50,6 +50,12 @@
 	// Stream and Epoch fence the owner.
 	Stream spool.Stream `json:"stream"`
 	Epoch  spool.Epoch  `json:"epoch"`
+	// Attempt counts the dispatches of this call within the epoch. After a fate
+	// answer, only a dispatch with a higher (Epoch, Attempt) is accepted.
+	Attempt uint64 `json:"attempt,omitempty"`
+	// Mark is the agent's mark that the owner held when it wrote the intent. An
+	// agent with another Boot refuses the dispatch. Empty skips the check.
+	Mark spool.AgentMark `json:"mark,omitzero"`
 	// Idempotent is false for an action that must run at most once.
 	Idempotent bool `json:"idempotent"`
 	// Alarm, Weight and Attained order the call in the agent's queue.
@@ -103,6 +109,9 @@
 	MillisPerCall float64 `json:"millisPerCall"`
 	// ControlOffset is the offset of the control stream that is in force.
 	ControlOffset spool.Offset `json:"controlOffset"`
+	// Mark is the agent's current mark. An owner puts it into the intent of a
+	// non-idempotent call, the dispatch, and a question about its fate.
+	Mark spool.AgentMark `json:"mark"`
 	// Held lists programs whose memory the engine holds, with the tokens of
 	// the prefix; only in the answer to endpoint.status.
 	Held map[spool.ProgramID]int `json:"held,omitempty"`
@@ -120,13 +129,22 @@
 	LeaseFor clock.Millis `json:"leaseForMs"`
 }
 
-// FateRequest asks what became of a call and fences older epochs.
+// FateRequest asks what became of a call. It fences lower epochs of the stream
+// and, for this call, dispatches up to (Epoch, Attempt).
 type FateRequest struct {
 	Account spool.AccountID `json:"account"`
 	Program spool.ProgramID `json:"program"`
 	Call    spool.CallID    `json:"call"`
 	Stream  spool.Stream    `json:"stream"`
 	Epoch   spool.Epoch     `json:"epoch"`
+	// Attempt is the highest attempt that the asker has dispatched in Epoch; 0
+	// for an owner that has taken over and not dispatched the call.
+	Attempt uint64 `json:"attempt,omitempty"`
+	// Mark is the one in the intent of the call. Without it the agent cannot
+	// prove that it has kept watch and never answers FateNotSeen.
+	Mark spool.AgentMark `json:"mark,omitzero"`
+	// Idempotent must equal that of the dispatch.
+	Idempotent bool `json:"idempotent,omitempty"`
 }
 
 // Fate is what an agent knows of a call.
--- /dev/null
+++ b/pkg/program/calls.go
@@ -0,0 +1,301 @@
+package program
+
+import (
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Verdict tells what becomes of a call that asks to be admitted.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictRun means that the call is under way; its budget is reserved.
+	VerdictRun Verdict = iota
+	// VerdictWait means that the call waits for its turn; a later Grant names
+	// its ticket.
+	VerdictWait
+	// VerdictJoin means that the same call is under way or waits already;
+	// Ticket is that one's.
+	VerdictJoin
+	// VerdictReplay means that the call has ended; Answer is set.
+	VerdictReplay
+)
+
+// CallRequest asks for a call to be admitted.
+type CallRequest struct {
+	// Program, Account and Call name the call.
+	Program spool.ProgramID
+	Account spool.AccountID
+	Call    spool.CallID
+	// Body is the digest of the request; a repeat must carry the same.
+	Body string
+	// Kind tells what runs.
+	Kind CallKind
+	// Idempotent is false for a service call that must run at most once.
+	Idempotent bool
+	// Alarm puts the call before all other work.
+	Alarm bool
+	// Messages are the new messages of a model call. With Whole they are the
+	// whole prompt and must continue the history.
+	Messages []spool.Message
+	Whole    bool
+	// MaxTokens bounds the answer.
+	MaxTokens int
+}
+
+// Ticket is a call that is under way or waits.
+type Ticket struct {
+	// ID names the ticket within the state.
+	ID uint64
+	// Program, Root, Account, Call, Body, Kind and Idempotent are those of the
+	// call.
+	Program    spool.ProgramID
+	Root       spool.ProgramID
+	Account    spool.AccountID
+	Call       spool.CallID
+	Body       string
+	Kind       CallKind
+	Idempotent bool
+	Alarm      bool
+	// Model is the program's default.
+	Model spool.ModelName
+	// BaseCount, BaseDigest and BaseTokens describe the history before the
+	// call; set once it is under way.
+	BaseCount  int
+	BaseDigest string
+	BaseTokens int
+	// Messages follow the base.
+	Messages  []spool.Message
+	MaxTokens int
+	// Attained is the service that the tree has had, in tokens.
+	Attained int
+	// Endpoint ran the program's latest turn.
+	Endpoint spool.EndpointID
+	// Deadline is the end of the tree's wall time; 0 for none.
+	Deadline clock.Millis
+
+	whole bool
+	// child is the sub-agent being spawned.
+	child spool.ProgramID
+	// held is the reservation until it is charged.
+	held Usage
+}
+
+// Decision answers a CallRequest.
+type Decision struct {
+	// Verdict tells which of the other fields are set.
+	Verdict Verdict
+	Ticket  Ticket
+	Answer  Answer
+}
+
+// Grant tells a waiting call that it is under way or refused.
+type Grant struct {
+	Ticket  Ticket
+	Refusal *spool.Refusal
+}
+
+// Repeat answers a call that is known already: under way, finished, or in
+// conflict with an earlier one. It reserves nothing. The error is a
+// *spool.Refusal.
+func (s *State) Repeat(request CallRequest) (decision Decision, known bool, err error) {
+	program, err := s.lookup(request.Account, request.Program)
+	if err != nil {
+		return decision, false, err
+	}
+	return program.repeat(request)
+}
+
+// Admit decides about a call. The error is a *spool.Refusal.
+func (s *State) Admit(now clock.Millis, request CallRequest) (decision Decision, err error) {
+	program, err := s.lookup(request.Account, request.Program)
+	if err != nil {
+		return decision, err
+	}
+	if decision, known, err := program.repeat(request); known {
+		return decision, err
+	}
+	if program.ended != "" {
+		return decision, spool.Refuse(spool.CodeProgramEnded, "program has ended: %s", program.ended)
+	}
+	ticket := &Ticket{
+		Program: program.id, Root: program.tree.root, Account: program.account, Call: request.Call, Body: request.Body,
+		Kind: request.Kind, Idempotent: request.Idempotent, Alarm: request.Alarm || program.alarm, Model: program.model,
+		Messages: request.Messages, MaxTokens: request.MaxTokens, whole: request.Whole,
+	}
+	program.see(now)
+	if program.busy() {
+		if len(program.waiting) >= s.limit.Waiting {
+			return decision, spool.Refuse(spool.CodeOverloaded, "%d calls of the program wait already", len(program.waiting)).
+				WithRetryAfter(clock.Second)
+		}
+		s.register(ticket)
+		program.waiting = append(program.waiting, ticket)
+		return Decision{Verdict: VerdictWait, Ticket: *ticket}, nil
+	}
+	if refusal := s.begin(now, program, ticket); refusal != nil {
+		return decision, refusal
+	}
+	s.register(ticket)
+	return Decision{Verdict: VerdictRun, Ticket: *ticket}, nil
+}
+
+func (s *State) register(ticket *Ticket) {
+	s.next++
+	ticket.ID = s.next
+	s.tickets[ticket.ID] = ticket
+}
+
+// see keeps the program and its ancestors from expiring.
+func (p *Program) see(at clock.Millis) {
+	for p != nil {
+		p.seenAt = max(p.seenAt, at)
+		p = p.tree.programs[p.parent]
+	}
+}
+
+// busy reports whether a call is under way or one of unknown outcome is still
+// being resolved.
+func (p *Program) busy() bool {
+	return p.running != nil || len(p.waiting) > 0 || p.open > 0
+}
+
+func (p *Program) repeat(request CallRequest) (decision Decision, known bool, err error) {
+	conflict := spool.Refuse(spool.CodeConflict, "callId %q was used with another request", request.Call)
+	for _, ticket := range append([]*Ticket{p.running}, p.waiting...) {
+		if ticket == nil || ticket.Call != request.Call {
+			continue
+		}
+		if ticket.Body != request.Body || ticket.Kind != request.Kind {
+			return decision, true, conflict
+		}
+		return Decision{Verdict: VerdictJoin, Ticket: *ticket}, true, nil
+	}
+	if _, spawned := p.children[request.Call]; spawned {
+		return decision, true, conflict
+	}
+	finished := p.calls[request.Call]
+	switch {
+	case finished == nil:
+		return decision, false, nil
+	case finished.body != request.Body || finished.kind != request.Kind:
+		return decision, true, conflict
+	case finished.fate == FateDone:
+		return Decision{Verdict: VerdictReplay, Answer: p.answer(finished)}, true, nil
+	case finished.fate == FateNotRun:
+		return decision, false, nil
+	case finished.fate == "":
+		return decision, true, spool.Refuse(spool.CodeUnknownFate, "the fate of call %q is being resolved", request.Call).
+			WithNotRun(spool.NotRunUnknown).WithRetryAfter(clock.Second)
+	default:
+		return decision, true, spool.Refuse(spool.CodeUnknownFate, "call %q may have run and is not repeated", request.Call).
+			WithNotRun(spool.NotRunUnknown)
+	}
+}
+
+// begin puts a call under way: it fixes the base and reserves the budget.
+func (s *State) begin(now clock.Millis, program *Program, ticket *Ticket) *spool.Refusal {
+	owner := program.tree
+	if ticket.whole {
+		rest, ok := continues(program.messages, ticket.Messages)
+		if !ok {
+			return spool.Refuse(spool.CodeConflict, "messages do not continue the program's history of %d messages", len(program.messages))
+		}
+		ticket.Messages, ticket.whole = rest, false
+	}
+	if ticket.Kind == CallModel && len(ticket.Messages) == 0 {
+		return spool.Refuse(spool.CodeBadRequest, "call brings no new message")
+	}
+	if bytes := program.bytes + textBytes(ticket.Messages); ticket.Kind == CallModel && bytes > s.limit.HistoryBytes {
+		return spool.Refuse(spool.CodeTooLarge, "history would grow to %d bytes, %d are allowed", bytes, s.limit.HistoryBytes)
+	}
+	if owner.budget.Wall > 0 {
+		ticket.Deadline = owner.startedAt + owner.budget.Wall
+		if now >= ticket.Deadline {
+			return spool.Refuse(spool.CodeBudgetExhausted, "wall time of the program is used up")
+		}
+	}
+	need := Usage{Calls: 1}
+	if ticket.Kind == CallModel {
+		need.Tokens = maxTokensOf(ticket.Messages) + ticket.MaxTokens
+	}
+	if bound := owner.budget.exceeded(owner.used.plus(owner.reserved).plus(need)); bound != "" {
+		return spool.Refuse(spool.CodeBudgetExhausted, "call needs %d tokens and exceeds the budget for %s", need.Tokens, bound)
+	}
+	ticket.held = need
+	owner.reserved = owner.reserved.plus(need)
+	ticket.BaseCount, ticket.BaseDigest, ticket.BaseTokens = len(program.messages), program.digest, program.tokens
+	ticket.Attained, ticket.Endpoint = owner.used.Tokens, program.endpoint
+	program.running = ticket
+	return nil
+}
+
+func textBytes(messages []spool.Message) int {
+	total := 0
+	for _, message := range messages {
+		total += len(message.Content)
+	}
+	return total
+}
+
+// continues returns what prompt adds to history, or false when history is not
+// a prefix of prompt.
+func continues(history, prompt []spool.Message) ([]spool.Message, bool) {
+	if len(prompt) < len(history) {
+		return nil, false
+	}
+	for i := range history {
+		if history[i] != prompt[i] {
+			return nil, false
+		}
+	}
+	return prompt[len(history):], true
+}
+
+// Release ends a ticket, which frees what it still holds of the budget, and
+// starts the calls behind it. It is called after the call's record is durable
+// and applied, or when the call has ended without one.
+func (s *State) Release(now clock.Millis, id uint64) (grants []Grant) {
+	ticket := s.tickets[id]
+	if ticket == nil {
+		return nil
+	}
+	delete(s.tickets, id)
+	program := s.find(ticket.Program)
+	if program == nil {
+		return nil
+	}
+	program.tree.settle(ticket)
+	delete(program.tree.spawning, ticket.child)
+	if program.running == ticket {
+		program.running = nil
+		return s.advance(now, program)
+	}
+	for i, other := range program.waiting {
+		if other == ticket {
+			program.waiting = append(program.waiting[:i:i], program.waiting[i+1:]...)
+			break
+		}
+	}
+	return nil
+}
+
+// advance starts the next waiting call; those that are refused are passed over.
+func (s *State) advance(now clock.Millis, program *Program) (grants []Grant) {
+	for len(program.waiting) > 0 && program.running == nil {
+		ticket := program.waiting[0]
+		program.waiting = program.waiting[1:]
+		var refusal *spool.Refusal
+		if program.ended != "" {
+			refusal = spool.Refuse(spool.CodeProgramEnded, "program has ended: %s", program.ended)
+		} else {
+			refusal = s.begin(now, program, ticket)
+		}
+		if refusal != nil {
+			delete(s.tickets, ticket.ID)
+		}
+		grants = append(grants, Grant{Ticket: *ticket, Refusal: refusal})
+	}
+	return grants
+}
--- /dev/null
+++ b/pkg/program/snapshot.go
@@ -0,0 +1,177 @@
+package program
+
+import (
+	"sort"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Snapshot is the state of a tree of programs. It replaces the records before
+// it once retention has removed them.
+type Snapshot struct {
+	// Budget, Used and StartedAt are those of the tree.
+	Budget    Budget       `json:"budget"`
+	Used      Usage        `json:"used"`
+	StartedAt clock.Millis `json:"startedAtMs"`
+	// Programs are sorted by identifier, so a parent precedes its sub-agents.
+	Programs []SnapshotEntry `json:"programs"`
+}
+
+// SnapshotEntry is the state of one program.
+type SnapshotEntry struct {
+	ID       spool.ProgramID  `json:"id"`
+	Account  spool.AccountID  `json:"account"`
+	Parent   spool.ProgramID  `json:"parent,omitempty"`
+	Model    spool.ModelName  `json:"model,omitempty"`
+	Alarm    bool             `json:"alarm,omitempty"`
+	IdleFor  clock.Millis     `json:"idleForMs"`
+	Messages []spool.Message  `json:"messages,omitempty"`
+	Count    int              `json:"count,omitempty"`
+	Digest   string           `json:"digest,omitempty"`
+	Tokens   int              `json:"tokens,omitempty"`
+	Last     spool.CallID     `json:"last,omitempty"`
+	Endpoint spool.EndpointID `json:"endpoint,omitempty"`
+	Turns    int              `json:"turns,omitempty"`
+	Spent    int              `json:"spent,omitempty"`
+	LastAt   clock.Millis     `json:"lastAtMs"`
+	Ended    EndReason        `json:"ended,omitempty"`
+	EndedAt  clock.Millis     `json:"endedAtMs,omitempty"`
+	Calls    []SnapshotCall   `json:"calls,omitempty"`
+	Children []SnapshotChild  `json:"children,omitempty"`
+}
+
+// SnapshotCall is a finished call, or one whose outcome is not known yet.
+type SnapshotCall struct {
+	Call      spool.CallID      `json:"call"`
+	Kind      CallKind          `json:"kind"`
+	Body      string            `json:"body"`
+	Index     int               `json:"index"`
+	Text      string            `json:"text,omitempty"`
+	Prompt    int               `json:"prompt,omitempty"`
+	Cached    int               `json:"cached,omitempty"`
+	Generated int               `json:"generated,omitempty"`
+	Fate      Fate              `json:"fate,omitempty"`
+	Status    int               `json:"status,omitempty"`
+	Data      []byte            `json:"data,omitempty"`
+	Endpoint  spool.EndpointID  `json:"endpoint,omitempty"`
+	Mark      spool.AgentMark   `json:"mark,omitzero"`
+	Service   spool.ServiceName `json:"service,omitempty"`
+	Epoch     spool.Epoch       `json:"epoch,omitempty"`
+}
+
+// SnapshotChild is a spawned sub-agent.
+type SnapshotChild struct {
+	Call spool.CallID    `json:"call"`
+	ID   spool.ProgramID `json:"id"`
+	Body string          `json:"body,omitempty"`
+}
+
+// Snapshot returns one record per tree, in a fixed order.
+func (s *State) Snapshot() []spool.Record {
+	roots := make([]spool.ProgramID, 0, len(s.trees))
+	for root := range s.trees {
+		roots = append(roots, root)
+	}
+	sort.Slice(roots, func(i, j int) bool { return roots[i] < roots[j] })
+	records := make([]spool.Record, 0, len(roots))
+	for _, root := range roots {
+		records = append(records, record(KindSnapshot, root, s.trees[root].snapshot()))
+	}
+	return records
+}
+
+func (t *tree) snapshot() Snapshot {
+	snapshot := Snapshot{Budget: t.budget, Used: t.used, StartedAt: t.startedAt}
+	for _, program := range t.programs {
+		snapshot.Programs = append(snapshot.Programs, program.snapshot())
+	}
+	sort.Slice(snapshot.Programs, func(i, j int) bool { return snapshot.Programs[i].ID < snapshot.Programs[j].ID })
+	return snapshot
+}
+
+func (p *Program) snapshot() SnapshotEntry {
+	snapshot := SnapshotEntry{
+		ID: p.id, Account: p.account, Parent: p.parent, Model: p.model, Alarm: p.alarm, IdleFor: p.idleFor,
+		Messages: p.messages, Count: p.count, Digest: p.digest, Tokens: p.tokens, Last: p.last, Endpoint: p.endpoint,
+		Turns: p.turns, Spent: p.spent, LastAt: p.lastAt, Ended: p.ended, EndedAt: p.endedAt,
+	}
+	for name, known := range p.calls {
+		snapshot.Calls = append(snapshot.Calls, SnapshotCall{
+			Call: name, Kind: known.kind, Body: known.body, Index: known.answer, Text: known.text,
+			Prompt: known.prompt, Cached: known.cached, Generated: known.generated, Fate: known.fate,
+			Status: known.status, Data: known.data, Endpoint: known.endpoint, Service: known.service, Epoch: known.epoch, Mark: known.mark,
+		})
+	}
+	sort.Slice(snapshot.Calls, func(i, j int) bool { return snapshot.Calls[i].Call < snapshot.Calls[j].Call })
+	for name, spawned := range p.children {
+		snapshot.Children = append(snapshot.Children, SnapshotChild{Call: name, ID: spawned.id, Body: spawned.body})
+	}
+	sort.Slice(snapshot.Children, func(i, j int) bool { return snapshot.Children[i].Call < snapshot.Children[j].Call })
+	return snapshot
+}
+
+// applySnapshot installs a tree whose start has been removed by retention, and
+// then the records that preceded the snapshot; those that it covers are
+// dropped as repeated.
+func (s *State) applySnapshot(root spool.ProgramID, data Snapshot, effects *Effects) error {
+	if s.trees[root] != nil {
+		return errRepeated
+	}
+	owner := &tree{
+		root: root, programs: map[spool.ProgramID]*Program{},
+		budget: data.Budget, used: data.Used, startedAt: data.StartedAt,
+		spawning: map[spool.ProgramID]*Ticket{},
+	}
+	for _, snapshot := range data.Programs {
+		if snapshot.ID.Root() != root {
+			return invalid("program %s is not of this tree", snapshot.ID)
+		}
+		program, err := restore(owner, snapshot)
+		if err != nil {
+			return err
+		}
+		owner.programs[program.id] = program
+	}
+	if owner.programs[root] == nil {
+		return invalid("snapshot lacks its root")
+	}
+	s.trees[root] = owner
+	early := s.early[root]
+	delete(s.early, root)
+	for _, entry := range early {
+		_ = s.apply(entry, effects)
+	}
+	return nil
+}
+
+func restore(owner *tree, data SnapshotEntry) (*Program, error) {
+	program := &Program{
+		bytes: textBytes(data.Messages),
+		id:    data.ID, account: data.Account, parent: data.Parent, model: data.Model, alarm: data.Alarm,
+		idleFor: data.IdleFor, tree: owner, messages: data.Messages, count: data.Count, digest: data.Digest, tokens: data.Tokens,
+		last: data.Last, endpoint: data.Endpoint, turns: data.Turns, spent: data.Spent, lastAt: data.LastAt,
+		ended: data.Ended, endedAt: data.EndedAt,
+		calls: make(map[spool.CallID]*call, len(data.Calls)), children: make(map[spool.CallID]child, len(data.Children)),
+	}
+	if data.Ended == "" && spool.HistoryDigest("", data.Messages...) != data.Digest {
+		return nil, invalid("digest of the history of %s does not match", data.ID)
+	}
+	for _, known := range data.Calls {
+		if known.Index >= len(data.Messages) {
+			return nil, invalid("call %s lies beyond the history", known.Call)
+		}
+		if known.Kind == CallService && known.Fate == "" {
+			program.open++
+		}
+		program.calls[known.Call] = &call{
+			kind: known.Kind, body: known.Body, answer: known.Index, text: known.Text,
+			prompt: known.Prompt, cached: known.Cached, generated: known.Generated, fate: known.Fate,
+			status: known.Status, data: known.Data, endpoint: known.Endpoint, service: known.Service, epoch: known.Epoch, mark: known.Mark,
+		}
+	}
+	for _, spawned := range data.Children {
+		program.children[spawned.Call] = child{id: spawned.ID, body: spawned.Body}
+	}
+	return program, nil
+}
--- a/pkg/spool/history.go
+++ b/pkg/spool/history.go
@@ -1,28 +1,49 @@
 package spool
 
 import (
+	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// HistoryDigest extends base, the digest of the messages before, by messages.
-// The digest of an empty history is the empty string. The owner of a program
-// and the agent that holds its prefix compute it alike, so that a turn carries
-// only the messages that the agent does not have.
+// historyDigestBytes is the length of a digest. Digests are compared only
+// within one program, so 128 bits leave no practical chance of a collision.
+const historyDigestBytes = 16
+
+// HistoryDigest returns the digest of the history that has the digest base and
+// is followed by messages. The digest of an empty history is "", so a digest
+// can be built in steps: the digest of a whole history equals that of its last
+// messages on top of the digest of the first ones.
 func HistoryDigest(base string, messages ...Message) string {
 	for _, message := range messages {
-		hash := xxhash.New()
-		for _, part := range [...]string{base, message.Role, message.Content} {
-			var length [8]byte
-			binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
-			_, _ = hash.Write(length[:])
-			_, _ = hash.WriteString(part)
-		}
-		var sum [8]byte
-		binary.BigEndian.PutUint64(sum[:], hash.Sum64())
-		base = hex.EncodeToString(sum[:])
+		base = nextDigest(base, message)
 	}
 	return base
 }
+
+// HistoryDigests returns the digest after each of messages, starting from the
+// history that has the digest base.
+func HistoryDigests(base string, messages []Message) []string {
+	digests := make([]string, len(messages))
+	for i, message := range messages {
+		base = nextDigest(base, message)
+		digests[i] = base
+	}
+	return digests
+}
+
+// AnswerMessage returns the message that both the owner of a program and the
+// agent append to the history after a model call.
+func AnswerMessage(text string) Message { return Message{Role: "assistant", Content: text} }
+
+func nextDigest(base string, message Message) string {
+	hash := sha256.New()
+	for _, part := range []string{base, message.Role, message.Content} {
+		// The length in front of each part keeps ("ab","c") and ("a","bc") apart.
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		hash.Write(length[:])
+		hash.Write([]byte(part))
+	}
+	return hex.EncodeToString(hash.Sum(nil)[:historyDigestBytes])
+}
--- a/pkg/spool/spool.go
+++ b/pkg/spool/spool.go
@@ -42,6 +42,17 @@
 // receiver refuses an epoch lower than the highest it has seen.
 type Epoch uint64
 
+// AgentMark is a point in the life of one agent process. A call whose intent
+// was written after its owner had learned the mark can only have been admitted
+// by the process Boot, and only after the first Admitted ones. This orders the
+// call against restarts and forgotten outcomes without comparing clocks.
+type AgentMark struct {
+	// Boot is unique for each start of an agent.
+	Boot string `json:"boot,omitempty"`
+	// Admitted counts the requests that the agent had taken in.
+	Admitted uint64 `json:"admitted,omitempty"`
+}
+
 // Offset is a position in a stream. The first batch has offset 1; 0 stands
 // before every batch.
 type Offset int64
