--- a/internal/demo/client.go
+++ b/internal/demo/client.go
@@ -1,3 +1,5 @@
+// Package demo runs the whole system on one machine: entries, agents and small
+// stand-ins of the platform, with callers that judge it by what they see.
 package demo
 
 import (
