--- a/cmd/baobabspool/main.go
+++ b/cmd/baobabspool/main.go
@@ -12,6 +12,6 @@
 func main() {
 	if err := cli.NewRoot().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "error:", err)
-		os.Exit(1)
+		os.Exit(cli.ExitCode(err))
 	}
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,7 +1,7 @@
-// Package cli holds the commands with which operators publish settings, keys,
-// accounts, services, drains and engine orders, and read back what is in force.
-// Each constructor returns one cobra command; flags are also read from
-// environment variables.
+// Package cli holds the commands of the baobabspool binary, one file per noun:
+// those that run the processes, and those with which operators publish settings,
+// keys, accounts, services, drains and engine orders and read back what is in
+// force. Flags are also read from environment variables.
 package cli
 
 import (
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -1,4 +1,3 @@
-// Package cli holds the commands of the baobabspool binary, one file per noun.
 package cli
 
 import (
@@ -25,7 +24,17 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
+		newEntry(),
 		newEndpoint(),
+		NewSettings(),
+		NewKey(),
+		NewAccount(),
+		NewService(),
+		NewDrain(),
+		NewOrder(),
+		NewStatus(),
+		NewExplain(),
+		newDemo(),
 		newVersion(),
 	)
 	return root
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -298,6 +298,26 @@
 	return r.changed
 }
 
+// FreshFor returns how long ago the state was known to be complete, on this
+// node's clock; negative when it never was.
+func (r *Reader) FreshFor() clock.Millis {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.fresh.freshFor(r.clock.Now())
+}
+
+// Members lists the entries that share the static parts of the accounts' rates,
+// as agreed on the log.
+func (r *Reader) Members() []spool.NodeID {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var members []spool.NodeID
+	for _, key := range r.state.tree.Flagged(settings.EntryMember) {
+		members = append(members, spool.NodeID(key))
+	}
+	return members
+}
+
 // Ready reports whether the state has been loaded.
 func (r *Reader) Ready() bool {
 	r.mu.RLock()
--- /dev/null
+++ b/internal/demo/cluster.go
@@ -0,0 +1,301 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/process"
+	"github.com/baobabspool/baobabspool/internal/standin"
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+	"github.com/baobabspool/baobabspool/pkg/keyring"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	region = "sn-west"
+	// modelService and plainService are the services of the demonstration.
+	modelService = "appraiser-models"
+	plainService = "ledger-app"
+	modelName    = "appraiser"
+	streamCount  = 8
+	loopback     = "127.0.0.1:0"
+	// startTimeout bounds the start of everything.
+	startTimeout = 15 * time.Second
+)
+
+var domains = []spool.FailureDomain{"ndar-a", "dkr-b"}
+
+// account is a client account of the demonstration.
+type account struct {
+	id     spool.AccountID
+	limits limits
+	key    string
+	keyID  string
+}
+
+// cluster is the whole system with its stand-ins in one process.
+type cluster struct {
+	log       *standin.Log
+	vms       *standin.VMList
+	engines   []*standin.Engine
+	service   *standin.Service
+	entries   []*process.Entry
+	endpoints []*process.Endpoint
+	telemetry []*telemetry.Telemetry
+	accounts  []*account
+	publisher *control.Publisher
+	closers   []func()
+	// addresses are the HTTP addresses of the entries.
+	addresses []string
+	logAt     string
+	vmsAt     string
+}
+
+func newCluster(ctx context.Context, seed uint64, accounts []*account) (c *cluster, err error) {
+	defer func() {
+		err = errors.Wrap(err, "start the demonstration")
+		if err != nil && c != nil {
+			c.close()
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	c = &cluster{log: standin.NewLog(seed), vms: standin.NewVMList(200), service: standin.NewService(), accounts: accounts}
+	if err := c.startPlatform(seed); err != nil {
+		return c, err
+	}
+	c.publisher = control.NewPublisher(c.log, "demo")
+	if err := c.publish(ctx); err != nil {
+		return c, err
+	}
+	if err := c.startProcesses(); err != nil {
+		return c, err
+	}
+	return c, c.waitReady(ctx)
+}
+
+// serve keeps a stand-in's server until the end.
+func (c *cluster) serve(server *standin.Server, err error) (string, error) {
+	if err != nil {
+		return "", err
+	}
+	c.closers = append(c.closers, server.Close)
+	return server.Address(), nil
+}
+
+func (c *cluster) startPlatform(seed uint64) (err error) {
+	if c.logAt, err = c.serve(standin.ServeLog(c.log, loopback, "")); err != nil {
+		return err
+	}
+	if c.vmsAt, err = c.serve(standin.ServeVMs(c.vms, loopback, "")); err != nil {
+		return err
+	}
+	for i := range 4 {
+		c.engines = append(c.engines, standin.NewEngine(standin.DefaultEngineSettings(), seed+uint64(i)))
+	}
+	return nil
+}
+
+// publish sets up accounts, keys, services and limits.
+func (c *cluster) publish(ctx context.Context) error {
+	if err := c.publisher.Refresh(ctx); err != nil {
+		return err
+	}
+	contents := []any{
+		control.Service{Name: modelService, Kind: control.ServiceModel, Models: []spool.ModelName{modelName}},
+		control.Service{Name: plainService, Kind: control.ServicePlain},
+		change(settings.LevelFleet, "", string(settings.DrainRampMs), "3000"),
+		change(settings.LevelFleet, "", string(settings.MemoryLeaseMs), "5000"),
+		change(settings.LevelFleet, "", string(settings.GateColdConcurrency), "2"),
+		change(settings.LevelFleet, "", string(settings.GateMaxConcurrency), "8"),
+	}
+	for _, account := range c.accounts {
+		key, stored, err := keyring.Issue(account.id, c.publisher.Now(), 0)
+		if err != nil {
+			return err
+		}
+		account.key, account.keyID = key.Reveal(), key.ID()
+		contents = append(contents,
+			control.Account{ID: account.id}, stored,
+			change(settings.LevelAccount, string(account.id), string(settings.LimitRatePerSecond), fmt.Sprint(account.limits.rate)),
+			change(settings.LevelAccount, string(account.id), string(settings.LimitBurst), fmt.Sprint(account.limits.burst)))
+	}
+	_, err := c.publisher.Publish(ctx, contents...)
+	return err
+}
+
+func change(level settings.Level, id, name, value string) settings.Change {
+	return settings.Change{
+		Path:  settings.Path{Target: settings.Target{Level: level, ID: id}, Name: name},
+		Value: json.RawMessage(value),
+	}
+}
+
+// freePort returns a loopback address that was free a moment ago. The list of
+// VMs must name the address before the process listens on it.
+func freePort() (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+func (c *cluster) startProcesses() error {
+	for i := range 4 {
+		if err := c.startEntry(fmt.Sprintf("e%d", i+1), domains[i%2]); err != nil {
+			return err
+		}
+	}
+	for i, engine := range c.engines {
+		at, err := c.serve(standin.ServeEngine(engine, loopback, ""))
+		if err != nil {
+			return err
+		}
+		err = c.startEndpoint(fmt.Sprintf("m%d", i+1), domains[i%2], modelService, process.EndpointConfig{EngineAddress: at})
+		if err != nil {
+			return err
+		}
+	}
+	at, err := c.serve(standin.ServeService(c.service, loopback, ""))
+	if err != nil {
+		return err
+	}
+	for i := range 2 {
+		err := c.startEndpoint(fmt.Sprintf("l%d", i+1), domains[i%2], plainService, process.EndpointConfig{ServiceAddress: at})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cluster) newTelemetry(node string) (*telemetry.Telemetry, error) {
+	t, err := telemetry.New(spool.NodeID(node), zap.NewNop())
+	if err == nil {
+		c.telemetry = append(c.telemetry, t)
+	}
+	return t, err
+}
+
+func (c *cluster) startEntry(node string, domain spool.FailureDomain) error {
+	address, err := freePort()
+	if err != nil {
+		return err
+	}
+	c.vms.Update(spool.VM{
+		ID: spool.NodeID(node), Role: spool.RoleEntry, State: spool.VMLive,
+		FailureDomain: domain, Region: region, Address: address,
+	})
+	t, err := c.newTelemetry(node)
+	if err != nil {
+		return err
+	}
+	config := process.DefaultEntryConfig()
+	config.Node, config.FailureDomain, config.Region = node, string(domain), region
+	config.Listen, config.HTTPListen = address, loopback
+	config.VMsAddress, config.LogAddress = c.vmsAt, c.logAt
+	config.StreamCount, config.LameDuckMs = streamCount, 0
+	entry, err := process.NewEntry(config, t)
+	if err != nil {
+		return err
+	}
+	c.entries = append(c.entries, entry)
+	c.addresses = append(c.addresses, entry.HTTPAddress())
+	return nil
+}
+
+func (c *cluster) startEndpoint(node string, domain spool.FailureDomain, service spool.ServiceName, config process.EndpointConfig) error {
+	t, err := c.newTelemetry(node)
+	if err != nil {
+		return err
+	}
+	config.Node, config.FailureDomain, config.Region = node, string(domain), region
+	config.Listen, config.VMsAddress = loopback, c.vmsAt
+	endpoint, err := process.NewEndpoint(config, t)
+	if err != nil {
+		return err
+	}
+	c.endpoints = append(c.endpoints, endpoint)
+	c.vms.Update(spool.VM{
+		ID: spool.NodeID(node), Role: spool.RoleEndpoint, State: spool.VMLive,
+		FailureDomain: domain, Region: region, Service: service, Address: endpoint.Address(),
+	})
+	return nil
+}
+
+// waitReady waits until every stream has an owner and every entry has the
+// settings.
+func (c *cluster) waitReady(ctx context.Context) error {
+	for {
+		owned := 0
+		for i := range streamCount {
+			for _, entry := range c.entries {
+				if _, ok := entry.Streams().Epoch(spool.ProgramStream(i)); ok {
+					owned++
+				}
+			}
+		}
+		ready := owned == streamCount
+		for _, entry := range c.entries {
+			ready = ready && len(entry.Control().Members()) == len(c.entries) && len(entry.Streams().Endpoints(modelService)) == len(c.engines)
+		}
+		if ready {
+			return nil
+		}
+		if err := pause(ctx, 50*time.Millisecond); err != nil {
+			return errors.Wrapf(err, "%d of %d streams are owned", owned, streamCount)
+		}
+	}
+}
+
+// drain takes a failure domain out or brings it back.
+func (c *cluster) drain(ctx context.Context, domain spool.FailureDomain, out bool) error {
+	return c.change(ctx, change(settings.LevelFailureDomain, string(domain), string(settings.DrainFailureDomain), fmt.Sprint(out)))
+}
+
+// withdraw withdraws an account's key.
+func (c *cluster) withdraw(ctx context.Context, holder *account) error {
+	if err := c.publisher.Refresh(ctx); err != nil {
+		return err
+	}
+	stored, _, ok := c.publisher.State().Keys().Get(holder.keyID)
+	if !ok {
+		return errors.Errorf("key %s does not exist", holder.keyID)
+	}
+	stored.Withdrawn = true
+	_, err := c.publisher.Publish(ctx, stored)
+	return err
+}
+
+func (c *cluster) change(ctx context.Context, contents ...any) error {
+	if err := c.publisher.Refresh(ctx); err != nil {
+		return err
+	}
+	_, err := c.publisher.Publish(ctx, contents...)
+	return err
+}
+
+// close stops everything at once.
+func (c *cluster) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for _, entry := range c.entries {
+		_ = entry.Shutdown(ctx)
+	}
+	for _, endpoint := range c.endpoints {
+		_ = endpoint.Shutdown(ctx)
+	}
+	for _, stop := range c.closers {
+		stop()
+	}
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,235 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Options are the choices of a demonstration.
+type Options struct {
+	// Programs is the number of programs.
+	Programs int
+	// Seed feeds the programs and the faults.
+	Seed uint64
+	// Out receives the progress.
+	Out io.Writer
+}
+
+// DefaultOptions returns a demonstration of about half a minute.
+func DefaultOptions() Options { return Options{Programs: 36, Seed: 1, Out: io.Discard} }
+
+// longest bounds a demonstration.
+const longest = 42 * time.Second
+
+// Run runs the demonstration and returns what was counted.
+func Run(ctx context.Context, options Options) (report *Report, err error) {
+	defer func() { err = errors.Wrap(err, "demonstration") }()
+	if options.Programs < 4 {
+		return nil, errors.New("programs must be at least 4")
+	}
+	ctx, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	accounts := []*account{
+		{id: "thies-weavers", limits: limits{rate: 60, burst: 60}},
+		{id: "kaolack-dealers", limits: limits{rate: 60, burst: 60}},
+		{id: "river-towns", limits: limits{rate: 12, burst: 24}},
+		{id: "auction-house", limits: limits{rate: 30, burst: 30}},
+	}
+	_, _ = fmt.Fprintln(options.Out, "starting 4 entries in 2 failure domains, 4 engines, 2 agents of a plain service")
+	system, err := newCluster(ctx, options.Seed, accounts)
+	if err != nil {
+		return nil, err
+	}
+	defer system.close()
+	show := &demonstration{options: options, system: system, ledger: newLedger(), since: time.Now()}
+	show.run(ctx)
+	return show.report(), nil
+}
+
+// demonstration is one run.
+type demonstration struct {
+	options Options
+	system  *cluster
+	ledger  *ledger
+	since   time.Time
+	// checks are invariants that the script tests directly.
+	mu     sync.Mutex
+	checks []Check
+}
+
+// Check is one invariant that the script tested directly.
+type Check struct {
+	Name   string `json:"name"`
+	OK     bool   `json:"ok"`
+	Detail string `json:"detail"`
+}
+
+func (d *demonstration) say(format string, args ...any) {
+	started, completed := d.ledger.progress()
+	_, _ = fmt.Fprintf(d.options.Out, "%5.1fs  %2d/%d programs  %s\n",
+		time.Since(d.since).Seconds(), completed, started, fmt.Sprintf(format, args...))
+}
+
+func (d *demonstration) check(name string, ok bool, format string, args ...any) {
+	d.mu.Lock()
+	d.checks = append(d.checks, Check{Name: name, OK: ok, Detail: fmt.Sprintf(format, args...)})
+	d.mu.Unlock()
+	if !ok {
+		d.say("CHECK FAILED: %s: "+format, append([]any{name}, args...)...)
+	}
+}
+
+func (d *demonstration) run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Add(1)
+	go func() {
+		defer running.Done()
+		d.faults(ctx)
+	}()
+	random := rand.New(rand.NewPCG(d.options.Seed, 7))
+	entries := func() []string { return d.system.addresses }
+	for i := range d.options.Programs {
+		// The third account sends several times its rate; the last one's key is
+		// withdrawn and gets no programs.
+		holder := d.system.accounts[[]int{0, 1, 2, 2}[i%4]]
+		one := &program{
+			client: newClient(entries, holder.key), ledger: d.ledger, account: holder.id,
+			name: fmt.Sprintf("program-%d", i+1), random: rand.New(rand.NewPCG(d.options.Seed, uint64(100+i))),
+			service: plainService, alarm: i%9 == 8,
+		}
+		shape := plan{
+			turns: 5 + random.IntN(4), pause: time.Duration(100+random.IntN(900)) * time.Millisecond,
+			subAgent: i%6 == 1, payout: i%3 == 0,
+		}
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			if err := one.run(ctx, shape); err != nil {
+				d.ledger.problem(err.Error())
+				d.say("failed: %v", err)
+			}
+		}()
+		_ = pause(ctx, 250*time.Millisecond)
+	}
+	running.Wait()
+	d.say("all programs have ended")
+	d.checkMemory(ctx)
+}
+
+// faults is the script of what goes wrong.
+func (d *demonstration) faults(ctx context.Context) {
+	steps := []func(context.Context){d.withdrawKey, d.restartEngine, d.drainDomain, d.loseAnswers}
+	for _, step := range steps {
+		if pause(ctx, 1500*time.Millisecond) != nil {
+			return
+		}
+		step(ctx)
+	}
+}
+
+// withdrawKey withdraws a key while its holder sends requests.
+func (d *demonstration) withdrawKey(ctx context.Context) {
+	const bound = 3 * time.Second
+	holder := d.system.accounts[3]
+	caller := newClient(func() []string { return d.system.addresses }, holder.key)
+	owned := &program{client: caller, ledger: d.ledger, account: holder.id, name: "withdrawn"}
+	if err := owned.start(ctx); err != nil {
+		d.check("key works before it is withdrawn", false, "%v", err)
+		return
+	}
+	if err := d.system.withdraw(ctx, holder); err != nil {
+		d.check("key is withdrawn", false, "%v", err)
+		return
+	}
+	since := time.Now()
+	refused := 0
+	for refused < 2*len(d.system.addresses) && time.Since(since) < bound {
+		err := caller.send(ctx, fasthttp.MethodGet, "/v1/programs/"+string(owned.id), nil, &struct{}{})
+		failed := &failure{}
+		if errors.As(err, &failed) && (failed.Code == spool.CodeKeyWithdrawn || failed.Code == spool.CodeUnauthorized) {
+			refused++
+			continue
+		}
+		refused = 0
+		_ = pause(ctx, 10*time.Millisecond)
+	}
+	ok := refused == 2*len(d.system.addresses)
+	d.check("withdrawn key stops working everywhere within 3 s", ok, "after %s", time.Since(since).Round(time.Millisecond))
+	d.say("the key of %s was withdrawn; every entry refused it after %s", holder.id, time.Since(since).Round(time.Millisecond))
+}
+
+// restartEngine makes an engine turn cold without notice.
+func (d *demonstration) restartEngine(context.Context) {
+	d.system.engines[0].Restart()
+	d.say("engine m1 restarted without notice: its cache is empty and it bears 2 calls")
+}
+
+// drainDomain takes a failure domain out and brings it back.
+func (d *demonstration) drainDomain(ctx context.Context) {
+	const settle = 3 * time.Second
+	domain := domains[1]
+	if err := d.system.drain(ctx, domain, true); err != nil {
+		d.check("failure domain is taken out", false, "%v", err)
+		return
+	}
+	d.say("failure domain %s is taken out", domain)
+	_ = pause(ctx, settle)
+	before := d.callsIn(1)
+	_ = pause(ctx, settle)
+	late := d.callsIn(1) - before
+	d.check("failure domain taken out gets no new work after 3 s", late == 0, "%d calls came later", late)
+	if err := d.system.drain(ctx, domain, false); err != nil {
+		d.check("failure domain is brought back", false, "%v", err)
+		return
+	}
+	d.say("failure domain %s comes back", domain)
+}
+
+// loseAnswers makes the log lose answers of appends that took effect.
+func (d *demonstration) loseAnswers(ctx context.Context) {
+	faults := d.system.log.Faults()
+	faults.LoseAnswers = 0.2
+	d.system.log.SetFaults(faults)
+	d.say("the log loses a fifth of its answers for 3 s")
+	_ = pause(ctx, 3*time.Second)
+	faults.LoseAnswers = 0
+	d.system.log.SetFaults(faults)
+}
+
+// callsIn counts the calls that the engines of a failure domain have got.
+func (d *demonstration) callsIn(domain int) int {
+	calls := 0
+	for i, engine := range d.system.engines {
+		if i%len(domains) == domain {
+			calls += engine.Stats().Calls
+		}
+	}
+	return calls
+}
+
+// checkMemory waits until no engine holds memory of a program that has ended.
+func (d *demonstration) checkMemory(ctx context.Context) {
+	// The lease of 5 s and the longest interval between two checks of it.
+	const bound = 8 * time.Second
+	since := time.Now()
+	held := 0
+	for time.Since(since) < bound {
+		held = 0
+		for _, engine := range d.system.engines {
+			held += len(engine.Sessions())
+		}
+		if held == 0 || pause(ctx, 50*time.Millisecond) != nil {
+			break
+		}
+	}
+	d.check("no engine memory is held by ended programs", held == 0, "%d programs hold memory", held)
+}
--- a/internal/demo/program.go
+++ b/internal/demo/program.go
@@ -51,7 +51,8 @@
 }
 
 type startBody struct {
-	Alarm bool `json:"alarm,omitempty"`
+	Model spool.ModelName `json:"model"`
+	Alarm bool            `json:"alarm,omitempty"`
 }
 
 type startAnswer struct {
@@ -125,7 +126,7 @@
 func (p *program) start(ctx context.Context) error {
 	var answer startAnswer
 	err := p.request(ctx, "start", func() error {
-		return p.client.send(ctx, fasthttp.MethodPost, "/v1/programs", startBody{Alarm: p.alarm}, &answer)
+		return p.client.send(ctx, fasthttp.MethodPost, "/v1/programs", startBody{Model: modelName, Alarm: p.alarm}, &answer)
 	})
 	p.id = answer.Program
 	return err
--- /dev/null
+++ b/internal/demo/report.go
@@ -0,0 +1,150 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+)
+
+// Quantiles are in milliseconds.
+type Quantiles struct {
+	P50 int64 `json:"p50"`
+	P95 int64 `json:"p95"`
+	P99 int64 `json:"p99"`
+}
+
+// Report is what the callers and the stand-ins have counted. Violations is the
+// exception: it holds the broken invariants that the system itself has found.
+type Report struct {
+	ProgramsStarted     int              `json:"programsStarted"`
+	ProgramsCompleted   int              `json:"programsCompleted"`
+	TurnsOutOfOrder     int              `json:"turnsOutOfOrder"`
+	HistoryMismatches   int              `json:"historyMismatches"`
+	DuplicateExecutions int              `json:"duplicateExecutions"`
+	MissingExecutions   int              `json:"missingExecutions"`
+	UnknownFates        int              `json:"unknownFates"`
+	RateViolations      int              `json:"rateViolations"`
+	KeysSeenByEndpoints int              `json:"keysSeenByEndpoints"`
+	ColdOverloads       int              `json:"coldOverloads"`
+	LogAppends          int64            `json:"logAppends"`
+	PromptTokens        int              `json:"promptTokens"`
+	CachedTokens        int              `json:"cachedTokens"`
+	Refusals            map[string]int   `json:"refusals"`
+	Retries             map[string]int   `json:"retries"`
+	ProgramLatencyMs    Quantiles        `json:"programLatencyMs"`
+	Checks              []Check          `json:"checks"`
+	Violations          map[string]int64 `json:"violations"`
+	Problems            []string         `json:"problems"`
+}
+
+func (d *demonstration) report() *Report {
+	r := &Report{
+		TurnsOutOfOrder: d.ledger.outOfOrder, HistoryMismatches: d.ledger.mismatches, UnknownFates: d.ledger.unknown,
+		Refusals: d.ledger.refusals, Retries: d.ledger.retries, Problems: d.ledger.problems,
+		Checks: d.checks, Violations: map[string]int64{},
+		ProgramLatencyMs: Quantiles{
+			P50: d.ledger.latency.ValueAtQuantile(50), P95: d.ledger.latency.ValueAtQuantile(95),
+			P99: d.ledger.latency.ValueAtQuantile(99),
+		},
+		LogAppends: d.system.log.Stats().Appends,
+	}
+	r.ProgramsStarted, r.ProgramsCompleted = d.ledger.progress()
+	for _, holder := range d.system.accounts {
+		r.RateViolations += overAdmissions(d.ledger.admissions[holder.id], holder.limits)
+	}
+	d.countEngines(r)
+	d.countPayouts(r)
+	for _, t := range d.system.telemetry {
+		for series, count := range t.Totals() {
+			switch series.Kind {
+			case telemetry.KindViolation:
+				r.Violations[series.Label] += count
+			case telemetry.KindRetry:
+				r.Retries["system."+series.Label] += int(count)
+			}
+		}
+	}
+	return r
+}
+
+func (d *demonstration) countEngines(r *Report) {
+	for _, engine := range d.system.engines {
+		stats := engine.Stats()
+		r.KeysSeenByEndpoints += stats.KeysSeen
+		r.ColdOverloads += stats.Overloads
+		r.PromptTokens += stats.PromptTokens
+		r.CachedTokens += stats.CachedTokens
+	}
+}
+
+// countPayouts compares what the service has run with what callers were told.
+func (d *demonstration) countPayouts(r *Report) {
+	stats := d.system.service.Stats()
+	r.KeysSeenByEndpoints += stats.KeysSeen
+	for _, count := range stats.Executions {
+		r.DuplicateExecutions += count - 1
+	}
+	answered := 0
+	for _, done := range d.ledger.payouts {
+		if done {
+			answered++
+		}
+	}
+	r.MissingExecutions = max(0, answered-len(stats.Executions))
+}
+
+// Broken reports whether an invariant was broken.
+func (r *Report) Broken() bool {
+	broken := r.TurnsOutOfOrder + r.HistoryMismatches + r.DuplicateExecutions + r.MissingExecutions +
+		r.RateViolations + r.KeysSeenByEndpoints + r.ColdOverloads + len(r.Problems)
+	for _, check := range r.Checks {
+		if !check.OK {
+			broken++
+		}
+	}
+	return broken > 0 || len(r.Violations) > 0 || r.ProgramsCompleted < r.ProgramsStarted
+}
+
+// Print writes the report for a person.
+func (r *Report) Print(w io.Writer) {
+	line := func(name string, value any) { _, _ = fmt.Fprintf(w, "  %-36s %v\n", name, value) }
+	_, _ = fmt.Fprintln(w, "\nCounted by the callers and the stand-ins:")
+	line("programs completed", fmt.Sprintf("%d of %d", r.ProgramsCompleted, r.ProgramsStarted))
+	line("turns out of order", r.TurnsOutOfOrder)
+	line("history mismatches", r.HistoryMismatches)
+	line("duplicate executions", r.DuplicateExecutions)
+	line("missing executions", r.MissingExecutions)
+	line("unknown fates", r.UnknownFates)
+	line("rate violations", r.RateViolations)
+	line("keys seen by endpoints", r.KeysSeenByEndpoints)
+	line("overloads of cold engines", r.ColdOverloads)
+	line("program latency p50/p95/p99", fmt.Sprintf("%d/%d/%d ms",
+		r.ProgramLatencyMs.P50, r.ProgramLatencyMs.P95, r.ProgramLatencyMs.P99))
+	line("prompt tokens cached", fmt.Sprintf("%d of %d", r.CachedTokens, r.PromptTokens))
+	line("appends to the log", r.LogAppends)
+	for _, check := range r.Checks {
+		result := "ok"
+		if !check.OK {
+			result = "FAILED"
+		}
+		line(check.Name, result+", "+check.Detail)
+	}
+	table(w, "Refusals seen by callers:", r.Refusals)
+	table(w, "Retries:", r.Retries)
+	for name, count := range r.Violations {
+		line("BROKEN "+name, count)
+	}
+	for _, problem := range r.Problems {
+		line("problem", problem)
+	}
+}
+
+func table(w io.Writer, title string, counts map[string]int) {
+	_, _ = fmt.Fprintln(w, title)
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		_, _ = fmt.Fprintf(w, "  %-36s %d\n", name, counts[name])
+	}
+}
--- /dev/null
+++ b/internal/process/entry.go
@@ -0,0 +1,239 @@
+package process
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/config"
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/entry"
+	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/internal/quota"
+	"github.com/baobabspool/baobabspool/internal/streams"
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/limit"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// EntryConfig holds the settings of an entry's process.
+type EntryConfig struct {
+	// Node names the process.
+	Node string
+	// FailureDomain and Region tell where it runs.
+	FailureDomain string
+	Region        string
+	// Listen is the host:port for messages between our processes; the list of VMs
+	// names it. HTTPListen is that of the callers' API.
+	Listen     string
+	HTTPListen string
+	// VMsAddress and LogAddress are those of the platform's list of VMs and log.
+	VMsAddress string
+	LogAddress string
+	// StreamCount is the number of program streams, the same at every entry.
+	StreamCount int
+	// LogReaders is how many entries of each failure domain read the control
+	// stream from the log; 0 for all.
+	LogReaders int
+	// RetentionMs is how long the log keeps records.
+	RetentionMs int64
+	// LameDuckMs is the time between readyz turning false and the end of
+	// accepting.
+	LameDuckMs int64
+}
+
+// DefaultEntryConfig returns the values that are used when nothing else is set.
+func DefaultEntryConfig() EntryConfig {
+	return EntryConfig{
+		Listen: "127.0.0.1:7000", HTTPListen: "127.0.0.1:8080", StreamCount: 8,
+		RetentionMs: int64(clock.Hour), LameDuckMs: 2000,
+	}
+}
+
+// Validate returns every error of the settings at once.
+func (c EntryConfig) Validate() error {
+	var problems config.Problems
+	problems.Require("node", c.Node)
+	problems.Require("failure-domain", c.FailureDomain)
+	problems.Require("region", c.Region)
+	problems.Address("listen", c.Listen)
+	problems.Address("http-listen", c.HTTPListen)
+	problems.Address("vms-address", c.VMsAddress)
+	problems.Address("log-address", c.LogAddress)
+	if c.StreamCount < 1 {
+		problems.Add("streams", "must be at least 1")
+	}
+	if c.LogReaders < 0 {
+		problems.Add("log-readers", "must not be negative")
+	}
+	if c.RetentionMs < int64(10*clock.Second) {
+		problems.Add("retention-ms", "must be at least 10000")
+	}
+	if c.LameDuckMs < 0 {
+		problems.Add("lame-duck-ms", "must not be negative")
+	}
+	return problems.Err()
+}
+
+// Entry is the running process of an entry.
+type Entry struct {
+	config  EntryConfig
+	entry   *entry.Entry
+	control *control.Reader
+	streams *streams.Manager
+	quota   *quota.Manager
+	vms     *vmWatch
+	log     *zap.Logger
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// NewEntry starts the process.
+func NewEntry(processConfig EntryConfig, t *telemetry.Telemetry) (p *Entry, err error) {
+	defer func() { err = errors.Wrap(err, "start entry") }()
+	if err := processConfig.Validate(); err != nil {
+		return nil, err
+	}
+	p = &Entry{config: processConfig, log: t.Logger("entry")}
+	source := clock.System()
+	clients := wire.NewClients(spool.NodeID(p.config.Node))
+	log := platform.NewLog(p.config.LogAddress)
+	list := platform.NewVMList(p.config.VMsAddress)
+	p.vms = newVMWatch(list, t, func() {})
+	if err := p.startControl(log, clients, source, t); err != nil {
+		return nil, err
+	}
+	lateStreams := &lateStreams{}
+	state := &controlState{reader: p.control, region: spool.Region(p.config.Region), domain: spool.FailureDomain(p.config.FailureDomain)}
+	p.quota = quota.New(quota.Config{
+		Node: spool.NodeID(p.config.Node), StreamCount: p.config.StreamCount, Timing: limit.DefaultTiming(),
+	}, source, state, lateStreams, clients, t)
+	if err := p.buildEntry(state, clients, source, t); err != nil {
+		return nil, err
+	}
+	if err := p.startStreams(log, list, clients, source, t); err != nil {
+		return nil, err
+	}
+	lateStreams.set(p.streams)
+	if err := p.entry.Start(p.streams); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.done.Add(1)
+	go func() {
+		defer p.done.Done()
+		p.maintain(ctx, log)
+	}()
+	return p, nil
+}
+
+func (p *Entry) startControl(log spool.Log, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry) (err error) {
+	p.control, err = control.NewReader(control.Config{
+		Node:          spool.NodeID(p.config.Node),
+		Role:          spool.RoleEntry,
+		FailureDomain: spool.FailureDomain(p.config.FailureDomain),
+		Region:        spool.Region(p.config.Region),
+		LogReaders:    p.config.LogReaders,
+		Retention:     clock.Millis(p.config.RetentionMs),
+	}, control.WithLog(log), control.WithPeers(p.vms.entries), control.WithClients(clients),
+		control.WithClock(source), control.WithTelemetry(t))
+	return err
+}
+
+func (p *Entry) buildEntry(state *controlState, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry) (err error) {
+	entryConfig := entry.DefaultConfig
+	entryConfig.Node = spool.NodeID(p.config.Node)
+	entryConfig.FailureDomain = spool.FailureDomain(p.config.FailureDomain)
+	entryConfig.HTTPAddress = p.config.HTTPListen
+	entryConfig.WireAddress = p.config.Listen
+	entryConfig.Streams = p.config.StreamCount
+	entryConfig.LameDuckFor = clock.Millis(p.config.LameDuckMs)
+	p.entry, err = entry.New(entryConfig, state, p.quota,
+		entry.WithClock(source), entry.WithTelemetry(t), entry.WithClients(clients),
+		entry.WithHandlers(p.control.Handlers()), entry.WithHandlers(p.quota.Handlers()))
+	return err
+}
+
+func (p *Entry) startStreams(log spool.Log, list spool.VMList, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry) (err error) {
+	p.streams, err = streams.New(streams.Config{
+		Node:          spool.NodeID(p.config.Node),
+		Address:       p.config.Listen,
+		FailureDomain: spool.FailureDomain(p.config.FailureDomain),
+		Region:        spool.Region(p.config.Region),
+		StreamCount:   p.config.StreamCount,
+		Retention:     clock.Millis(p.config.RetentionMs),
+	}, streams.WithLog(log), streams.WithVMList(list), streams.WithCaller(clients), streams.WithClock(source),
+		streams.WithTelemetry(t), streams.WithControlOffset(p.control.Offset), streams.WithApplier(p.entry.Applier()))
+	return err
+}
+
+// HTTPAddress returns the host:port of the callers' API.
+func (p *Entry) HTTPAddress() string { return p.entry.HTTPAddress() }
+
+// Address returns the host:port for messages between our processes.
+func (p *Entry) Address() string { return p.entry.WireAddress() }
+
+// Streams returns the streams of this entry, for its counters.
+func (p *Entry) Streams() *streams.Manager { return p.streams }
+
+// Control returns the control state of this entry.
+func (p *Entry) Control() *control.Reader { return p.control }
+
+// Shutdown ends the process without cutting a request. When ctx ends first the
+// rest is cut and an error is returned.
+func (p *Entry) Shutdown(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "stop entry") }()
+	p.cancel()
+	p.done.Wait()
+	err = p.entry.Shutdown(ctx)
+	p.close()
+	return err
+}
+
+// Kill ends the process at once, as a crash would.
+func (p *Entry) Kill() {
+	p.cancel()
+	p.done.Wait()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	p.streams.Close()
+	_ = p.entry.Shutdown(ctx)
+	p.close()
+}
+
+func (p *Entry) close() {
+	p.streams.Close()
+	p.quota.Close()
+	p.control.Close()
+	p.vms.close()
+}
+
+// maintainEvery paces the duties of the entry that owns the first stream.
+const maintainEvery = time.Second
+
+// maintain makes the owner of the first program stream append snapshots of the
+// control stream and keep the list of members up to date.
+func (p *Entry) maintain(ctx context.Context, log spool.Log) {
+	ticker := time.NewTicker(maintainEvery)
+	defer ticker.Stop()
+	keeper := newMemberKeeper(log, spool.NodeID(p.config.Node), p.control, p.log)
+	for {
+		_, responsible := p.streams.Epoch(spool.ProgramStream(0))
+		p.control.SetResponsible(responsible)
+		if responsible {
+			keeper.update(ctx, p.streams.Members())
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/state.go
@@ -0,0 +1,137 @@
+package process
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/entry"
+	"github.com/baobabspool/baobabspool/internal/streams"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/limit"
+	"github.com/baobabspool/baobabspool/pkg/program"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// controlState gives the parts of an entry their view of the control state.
+type controlState struct {
+	reader *control.Reader
+	region spool.Region
+	domain spool.FailureDomain
+}
+
+func (s *controlState) scope(account spool.AccountID, id spool.ProgramID) settings.Scope {
+	return settings.Scope{Region: s.region, FailureDomain: s.domain, Account: account, Program: id}
+}
+
+// Authenticate returns the account of a key and the key's identifier.
+func (s *controlState) Authenticate(key string) (spool.AccountID, string, error) {
+	return s.reader.Authenticate(key)
+}
+
+// Withdrawn is closed when the key is withdrawn or expires.
+func (s *controlState) Withdrawn(keyID string) <-chan struct{} { return s.reader.Withdrawn(keyID) }
+
+// Offset is the offset of the control stream that is in force.
+func (s *controlState) Offset() spool.Offset { return s.reader.Offset() }
+
+// Members returns the entries of the agreed view.
+func (s *controlState) Members() []spool.NodeID { return s.reader.Members() }
+
+// FreshFor returns the age of the control state.
+func (s *controlState) FreshFor() clock.Millis { return s.reader.FreshFor() }
+
+// Draining reports whether a failure domain is being taken out.
+func (s *controlState) Draining(domain spool.FailureDomain) bool {
+	return s.reader.Draining(domain, "")
+}
+
+// Limits returns an account's limits.
+func (s *controlState) Limits(account spool.AccountID) limit.Config {
+	values := s.reader.Settings(s.scope(account, ""))
+	return limit.Config{
+		Rate:        values.Number(settings.LimitRatePerSecond),
+		Burst:       values.Number(settings.LimitBurst),
+		StaticShare: values.Number(settings.LimitStaticShare),
+	}
+}
+
+// Services lists the services in the order of their names.
+func (s *controlState) Services() []entry.Service {
+	var services []entry.Service
+	for _, service := range s.reader.Services() {
+		services = append(services, entry.Service{
+			Name: service.Name, Kind: entry.ServiceKind(service.Kind), Models: service.Models,
+		})
+	}
+	sort.Slice(services, func(i, j int) bool { return services[i].Name < services[j].Name })
+	return services
+}
+
+// Settings returns the values in force for a program.
+func (s *controlState) Settings(account spool.AccountID, id spool.ProgramID) entry.Settings {
+	values := s.reader.Settings(s.scope(account, id))
+	return entry.Settings{
+		Weight: values.Number(settings.AccountWeight),
+		Budget: program.Budget{
+			Tokens: values.Integer(settings.BudgetTokens),
+			Calls:  values.Integer(settings.BudgetCalls),
+			Wall:   values.Duration(settings.BudgetWallMs),
+			Depth:  values.Integer(settings.BudgetDepth),
+			Agents: values.Integer(settings.BudgetChildren),
+		},
+		MaxTokens:   values.Integer(settings.CallMaxTokens),
+		IdleFor:     values.Duration(settings.ProgramIdleMs),
+		CallTimeout: values.Duration(settings.CallTimeoutMs),
+		LeaseFor:    values.Duration(settings.MemoryLeaseMs),
+		RampFor:     values.Duration(settings.DrainRampMs),
+		Router:      values.Text(settings.PolicyRouter),
+		Retry:       values.Text(settings.PolicyRetry),
+		Options:     values.Options(),
+	}
+}
+
+// lateStreams stands for streams that are started later. Until then this entry
+// owns nothing.
+type lateStreams struct {
+	mu      sync.RWMutex
+	manager *streams.Manager
+}
+
+func (l *lateStreams) set(manager *streams.Manager) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.manager = manager
+}
+
+func (l *lateStreams) get() *streams.Manager {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.manager
+}
+
+// Epoch returns this entry's claim on a stream.
+func (l *lateStreams) Epoch(stream spool.Stream) (spool.Epoch, bool) {
+	if manager := l.get(); manager != nil {
+		return manager.Epoch(stream)
+	}
+	return 0, false
+}
+
+// Confirmed returns the instant until which no other entry can have claimed the
+// stream.
+func (l *lateStreams) Confirmed(stream spool.Stream) (clock.Millis, bool) {
+	if manager := l.get(); manager != nil {
+		return manager.Confirmed(stream)
+	}
+	return 0, false
+}
+
+// OwnerOf returns the owner of a stream and its address.
+func (l *lateStreams) OwnerOf(stream spool.Stream) (spool.NodeID, string, bool) {
+	if manager := l.get(); manager != nil {
+		return manager.OwnerOf(stream)
+	}
+	return "", "", false
+}
--- /dev/null
+++ b/internal/quota/account.go
@@ -0,0 +1,189 @@
+package quota
+
+import (
+	"slices"
+
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/limit"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// account is one account's state at this entry.
+type account struct {
+	// offset is that of the control state which config and view are from.
+	offset spool.Offset
+	config limit.Config
+	view   []spool.NodeID
+	share  *limit.Share
+	line   *limit.Line
+	owner  *limit.Owner
+	// epoch is the claim under which this entry owns the pool; 0 when it does not.
+	epoch spool.Epoch
+}
+
+// message is an input of the loop.
+type message interface {
+	apply(m *Manager, now clock.Millis)
+}
+
+// admission asks for one token.
+type admission struct {
+	account spool.AccountID
+	// id is given by the loop.
+	id   string
+	done chan error
+}
+
+// departure withdraws an admission that was held.
+type departure struct{ admission *admission }
+
+// leaseQuestion is another entry's request for tokens.
+type leaseQuestion struct {
+	request wire.LeaseRequest
+	answer  chan limit.Grant
+}
+
+// granted is the answer of a pool's owner.
+type granted struct {
+	account spool.AccountID
+	grant   limit.Grant
+}
+
+// leaseLost says that a request for tokens was not answered.
+type leaseLost struct {
+	account  spool.AccountID
+	sequence uint64
+}
+
+func (a *admission) apply(m *Manager, now clock.Millis) {
+	state := m.account(now, a.account)
+	a.id = m.nextID()
+	decision, held := state.line.Enter(now, a.id)
+	m.send(decision.Ask)
+	switch {
+	case decision.Admitted:
+		a.done <- nil
+	case held:
+		m.waiting[a.id] = a
+	default:
+		a.done <- m.refuse(a.account, decision.RetryAfter)
+	}
+}
+
+func (d departure) apply(m *Manager, now clock.Millis) {
+	if _, held := m.waiting[d.admission.id]; !held {
+		return
+	}
+	delete(m.waiting, d.admission.id)
+	m.account(now, d.admission.account).line.Remove(d.admission.id)
+}
+
+func (q leaseQuestion) apply(m *Manager, now clock.Millis) {
+	state := m.account(now, q.request.Account)
+	q.answer <- state.owner.Lease(now, limit.Request{
+		Account: q.request.Account, Node: q.request.Node, Sequence: q.request.Sequence,
+		Want: q.request.Want, Returned: q.request.Returned, Epoch: q.request.Epoch,
+	})
+}
+
+func (g granted) apply(m *Manager, now clock.Millis) {
+	state := m.account(now, g.account)
+	state.share.Granted(now, g.grant)
+	m.advance(now, state, g.account)
+}
+
+func (l leaseLost) apply(m *Manager, now clock.Millis) {
+	m.account(now, l.account).share.Lost(now, l.sequence)
+}
+
+// account returns the state of an account, brought up to date.
+func (m *Manager) account(now clock.Millis, id spool.AccountID) *account {
+	state := m.accounts[id]
+	if state == nil {
+		config := m.control.Limits(id)
+		share := limit.NewShare(now, id, m.config.Node, m.config.Timing, config)
+		state = &account{
+			offset: -1, config: config, share: share, line: limit.NewLine(share),
+			owner: limit.NewOwner(m.config.Timing, config),
+		}
+		m.accounts[id] = state
+	}
+	m.refresh(now, id, state)
+	return state
+}
+
+// refresh passes settings, view, ownership and freshness on.
+func (m *Manager) refresh(now clock.Millis, id spool.AccountID, state *account) {
+	if offset := m.control.Offset(); offset != state.offset {
+		state.offset = offset
+		m.configure(now, id, state)
+	}
+	if age := m.control.FreshFor(); age >= 0 {
+		state.share.Fresh(now, now-age+m.config.Timing.View)
+		state.owner.Fresh(now, now-age+m.config.Timing.View)
+	}
+	m.own(now, id, state)
+}
+
+func (m *Manager) configure(now clock.Millis, id spool.AccountID, state *account) {
+	if config := m.control.Limits(id); config != state.config {
+		state.config = config
+		state.share.Configure(now, config)
+		state.owner.Configure(now, config)
+	}
+	if view := m.control.Members(); !slices.Equal(view, state.view) {
+		state.view = view
+		state.share.View(now, view)
+	}
+}
+
+// own follows the ownership of the account's pool.
+func (m *Manager) own(now clock.Millis, id spool.AccountID, state *account) {
+	stream := spool.StreamOfAccount(id, m.config.StreamCount)
+	epoch, serves := m.streams.Epoch(stream)
+	switch {
+	case !serves && state.epoch != 0:
+		state.owner.Release(now)
+		state.epoch = 0
+	case serves && epoch != state.epoch:
+		state.owner.Take(now, epoch)
+		state.epoch = epoch
+	}
+	if until, ok := m.streams.Confirmed(stream); serves && ok {
+		state.owner.Authority(now, until+m.config.Timing.Authority)
+	}
+	state.owner.Tick(now)
+}
+
+// tick lets time pass for every account.
+func (m *Manager) tick(now clock.Millis) {
+	for id, state := range m.accounts {
+		m.refresh(now, id, state)
+		m.advance(now, state, id)
+	}
+}
+
+// advance settles the held requests of an account.
+func (m *Manager) advance(now clock.Millis, state *account, id spool.AccountID) {
+	outcomes, ask := state.line.Advance(now)
+	m.send(ask)
+	for _, outcome := range outcomes {
+		held := m.waiting[outcome.ID]
+		if held == nil {
+			continue
+		}
+		delete(m.waiting, outcome.ID)
+		if outcome.Admitted {
+			held.done <- nil
+			continue
+		}
+		held.done <- m.refuse(id, outcome.RetryAfter)
+	}
+}
+
+func (m *Manager) send(request *limit.Request) {
+	if request != nil {
+		m.ask(*request)
+	}
+}
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,215 @@
+// Package quota applies the accounts' rate limits in an entry. One loop owns the
+// pools that this entry grants from and its parts of all accounts; package limit
+// makes the decisions.
+package quota
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/limit"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// tickEvery is how often time passes for the limits. Held requests are looked
+	// at with each tick.
+	tickEvery = 10 * clock.Millis(1)
+	// leaseTimeout bounds one request to a pool's owner.
+	leaseTimeout = 1 * clock.Second
+	// maxAsking bounds the requests to owners that are under way.
+	maxAsking = 256
+	// inboxSize lets handlers run ahead of the loop.
+	inboxSize = 1024
+)
+
+// Control tells what settings say.
+type Control interface {
+	// Offset changes whenever limits or members may have changed.
+	Offset() spool.Offset
+	// Limits returns an account's limits.
+	Limits(account spool.AccountID) limit.Config
+	// Members returns the entries of the agreed view.
+	Members() []spool.NodeID
+	// FreshFor returns the age of the control state, negative when it has never
+	// been complete.
+	FreshFor() clock.Millis
+}
+
+// Streams tells who owns the pools.
+type Streams interface {
+	// Epoch returns this entry's claim on a stream while it serves it.
+	Epoch(stream spool.Stream) (spool.Epoch, bool)
+	// Confirmed returns the instant until which no other entry can have claimed
+	// the stream.
+	Confirmed(stream spool.Stream) (clock.Millis, bool)
+	// OwnerOf returns the owner of a stream and its address.
+	OwnerOf(stream spool.Stream) (spool.NodeID, string, bool)
+}
+
+// Config describes the entry.
+type Config struct {
+	// Node names this entry.
+	Node spool.NodeID
+	// StreamCount is the number of program streams.
+	StreamCount int
+	// Timing holds the durations, which are the same at all entries.
+	Timing limit.Timing
+}
+
+// Manager holds the limits of one entry. It is safe for concurrent use.
+type Manager struct {
+	config    Config
+	clock     clock.Clock
+	control   Control
+	streams   Streams
+	clients   *wire.Clients
+	telemetry *telemetry.Telemetry
+	pool      pond.Pool
+	inbox     chan message
+	ctx       context.Context
+	cancel    context.CancelFunc
+
+	// The fields below belong to the loop.
+
+	accounts map[spool.AccountID]*account
+	// waiting holds the requests for admission that have no outcome yet.
+	waiting map[string]*admission
+	next    uint64
+}
+
+// New starts a manager. source must be the clock of streams.
+func New(config Config, source clock.Clock, control Control, streams Streams, clients *wire.Clients, t *telemetry.Telemetry) *Manager {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Manager{
+		config: config, clock: source, control: control, streams: streams, clients: clients, telemetry: t,
+		pool: pond.NewPool(maxAsking), inbox: make(chan message, inboxSize), ctx: ctx, cancel: cancel,
+		accounts: map[spool.AccountID]*account{}, waiting: map[string]*admission{},
+	}
+	go func() {
+		ticker := time.NewTicker(tickEvery.Duration())
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				m.tick(m.clock.Now())
+			case received := <-m.inbox:
+				received.apply(m, m.clock.Now())
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return m
+}
+
+// Close stops the manager. Requests for admission are refused from then on.
+func (m *Manager) Close() { m.cancel() }
+
+// Handlers returns the methods that this entry answers to others.
+func (m *Manager) Handlers() wire.Mux {
+	return wire.Mux{
+		wire.MethodLease: wire.Handle(func(ctx context.Context, request wire.LeaseRequest, _ wire.Send) (any, error) {
+			return m.lease(ctx, request)
+		}),
+	}
+}
+
+// Take admits one request of an account. It may hold the request for a short
+// time when a token is on its way. It fails with a *spool.Refusal.
+func (m *Manager) Take(ctx context.Context, id spool.AccountID) error {
+	request := &admission{account: id, done: make(chan error, 1)}
+	if !m.post(ctx, request) {
+		return m.refuse(id, tickEvery)
+	}
+	select {
+	case err := <-request.done:
+		return err
+	case <-ctx.Done():
+		m.post(m.ctx, departure{admission: request})
+		return spool.Refuse(spool.CodeCancelled, "caller left before the request was admitted")
+	case <-m.ctx.Done():
+		return spool.Refuse(spool.CodeShuttingDown, "entry is shutting down")
+	}
+}
+
+func (m *Manager) refuse(id spool.AccountID, retryAfter clock.Millis) *spool.Refusal {
+	return spool.Refuse(spool.CodeRateLimited, "account %q is over its rate", id).WithRetryAfter(max(retryAfter, 1))
+}
+
+// lease answers a request for tokens from the pool that this entry owns.
+func (m *Manager) lease(ctx context.Context, request wire.LeaseRequest) (wire.LeaseReply, error) {
+	question := leaseQuestion{request: request, answer: make(chan limit.Grant, 1)}
+	if !m.post(ctx, question) {
+		return wire.LeaseReply{}, spool.Refuse(spool.CodeShuttingDown, "entry is shutting down")
+	}
+	select {
+	case grant := <-question.answer:
+		return wire.LeaseReply{
+			Sequence: grant.Sequence, Epoch: grant.Epoch, Granted: grant.Granted,
+			LeaseFor: grant.LeaseFor, RetryAfter: grant.RetryAfter,
+		}, nil
+	case <-ctx.Done():
+		return wire.LeaseReply{}, ctx.Err()
+	case <-m.ctx.Done():
+		return wire.LeaseReply{}, spool.Refuse(spool.CodeShuttingDown, "entry is shutting down")
+	}
+}
+
+func (m *Manager) post(ctx context.Context, sent message) bool {
+	select {
+	case m.inbox <- sent:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-m.ctx.Done():
+		return false
+	}
+}
+
+// ask sends a request for tokens to the pool's owner.
+func (m *Manager) ask(request limit.Request) {
+	m.telemetry.Event("leaseAsked")
+	m.pool.Submit(func() {
+		ctx, cancel := context.WithTimeout(m.ctx, leaseTimeout.Duration())
+		defer cancel()
+		reply, err := m.fetch(ctx, request)
+		if err != nil {
+			m.telemetry.Event("leaseLost")
+			m.post(m.ctx, leaseLost{account: request.Account, sequence: request.Sequence})
+			return
+		}
+		m.post(m.ctx, granted{account: request.Account, grant: limit.Grant{
+			Sequence: reply.Sequence, Epoch: reply.Epoch, Granted: reply.Granted,
+			LeaseFor: reply.LeaseFor, RetryAfter: reply.RetryAfter,
+		}})
+	})
+}
+
+func (m *Manager) fetch(ctx context.Context, request limit.Request) (reply wire.LeaseReply, err error) {
+	message := wire.LeaseRequest{
+		Account: request.Account, Node: request.Node, Sequence: request.Sequence,
+		Want: request.Want, Returned: request.Returned, Epoch: request.Epoch,
+	}
+	stream := spool.StreamOfAccount(request.Account, m.config.StreamCount)
+	owner, address, ok := m.streams.OwnerOf(stream)
+	switch {
+	case !ok:
+		return reply, spool.Refuse(spool.CodeNoOwner, "stream %s has no owner", stream)
+	case owner == m.config.Node:
+		return m.lease(ctx, message)
+	}
+	err = m.clients.Call(ctx, address, wire.MethodLease, message, &reply, nil)
+	return reply, err
+}
+
+func (m *Manager) nextID() string {
+	m.next++
+	return strconv.FormatUint(m.next, 36)
+}
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -85,13 +85,17 @@
 	ctx.SetContentType("text/event-stream")
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		stream := &answerStream{engine: e, call: call, generation: generation, cut: cut, writer: w}
-		completed := false
-		defer func() { e.leave(ready, generation, completed) }()
+		var result *spool.EngineResult
 		select {
 		case <-ready:
-			completed = stream.run()
+			result = stream.run()
 		case <-cut:
 		}
+		// The slot is free before the caller learns of the end and sends more.
+		e.leave(ready, generation, result != nil)
+		if result != nil {
+			stream.send(platform.GenerateEvent{Result: result})
+		}
 	})
 }
 
@@ -104,36 +108,36 @@
 	writer     *bufio.Writer
 }
 
-// run streams the answer and reports whether it got to its end.
-func (g *answerStream) run() bool {
+// run streams the answer and returns its result, or nil when it was cut.
+func (g *answerStream) run() *spool.EngineResult {
 	settings := g.engine.Settings()
 	cached := g.engine.lookup(g.call.Program, g.call.Messages)
 	prompt := tokensOf(g.call.Messages)
 	if !g.sleep(float64(prompt-cached) / settings.PrefillTokensPerMs) {
-		return false
+		return nil
 	}
 	words := Answer(g.call.Messages, g.call.MaxTokens)
 	for i, word := range words {
 		if !g.sleep(settings.TokenMs) {
-			return false
+			return nil
 		}
 		for g.engine.Settings().Silent {
 			if !g.sleep(10) {
-				return false
+				return nil
 			}
 		}
 		chunk := spool.Chunk{Correlation: g.call.Correlation, Index: i, Text: word}
 		if !g.send(platform.GenerateEvent{Chunk: &chunk}) {
-			return false
+			return nil
 		}
 	}
 	text := strings.Join(words, "")
 	answered := append(append([]spool.Message(nil), g.call.Messages...), spool.Message{Role: "assistant", Content: text})
 	g.engine.store(g.call.Program, g.generation, answered)
-	return g.send(platform.GenerateEvent{Result: &spool.EngineResult{
+	return &spool.EngineResult{
 		Correlation: g.call.Correlation, Text: text, PromptTokens: prompt,
 		CachedTokens: cached, GeneratedTokens: len(words),
-	}})
+	}
 }
 
 func (g *answerStream) sleep(millis float64) bool {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -274,16 +274,25 @@
 	Epoch  spool.Epoch  `json:"epoch"`
 }
 
-// LeaseRequest asks a pool's owner for tokens of an account.
+// LeaseRequest asks a pool's owner for tokens of an account and gives back
+// tokens that are not needed.
 type LeaseRequest struct {
 	Account spool.AccountID `json:"account"`
 	Node    spool.NodeID    `json:"node"`
+	// Sequence increases with each request of a node.
+	Sequence uint64 `json:"sequence"`
 	// Want is the number of requests that the sender would like to admit.
 	Want float64 `json:"want"`
+	// Returned tokens were granted under Epoch and are not used any more.
+	Returned float64     `json:"returned,omitempty"`
+	Epoch    spool.Epoch `json:"epoch,omitempty"`
 }
 
 // LeaseReply grants tokens.
 type LeaseReply struct {
+	// Sequence is that of the request, Epoch the owner's claim.
+	Sequence uint64      `json:"sequence"`
+	Epoch    spool.Epoch `json:"epoch,omitempty"`
 	// Granted may be used until the lease ends, counted from the moment when
 	// the request was sent.
 	Granted  float64      `json:"granted"`
--- a/pkg/settings/known.go
+++ b/pkg/settings/known.go
@@ -53,6 +53,7 @@
 	DrainRampMs           Duration = "drain.rampMs"
 	DrainFailureDomain    Boolean  = "drain.failureDomain"
 	DrainEndpoint         Boolean  = "drain.endpoint"
+	EntryMember           Boolean  = "entry.member"
 	maxMillis                      = 7 * 24 * 3600 * 1000
 	maxConcurrencySetting          = 100000
 )
@@ -86,7 +87,7 @@
 	text(PolicyRouter, "affinity", placeLevels, spool.Routers.Names, "Policy that chooses the endpoint of a call.")
 	text(PolicyQueue, "fair", placeLevels, spool.Queues.Names, "Policy that orders the calls in front of an endpoint.")
 	text(PolicyGate, "adaptive", placeLevels, spool.Gates.Names, "Policy that bounds the concurrency of an endpoint.")
-	text(PolicyRetry, "budget", placeLevels, spool.Retries.Names, "Policy that decides on retries.")
+	text(PolicyRetry, "budgeted", placeLevels, spool.Retries.Names, "Policy that decides on retries.")
 	integer(GateColdConcurrency, "calls", 1, maxConcurrencySetting, 1, placeLevels, "Concurrent calls on an endpoint in cold start.")
 	integer(GateMaxConcurrency, "calls", 1, maxConcurrencySetting, 64, placeLevels, "Highest concurrency of an endpoint.")
 	duration(QueueMaxWaitMs, 0, maxMillis, 30000, callLevels, "Expected wait beyond which an endpoint refuses new calls.")
@@ -99,6 +100,8 @@
 	boolean(DrainFailureDomain, []Level{LevelFailureDomain}, false, "True takes the failure domain out: it gets no new work.")
 	boolean(DrainEndpoint, fleetOnly, false, "True takes one endpoint out: it gets no new work. One value per endpoint.")
 	registry[string(DrainEndpoint)].Keyed = true
+	boolean(EntryMember, fleetOnly, false, "True gives an entry its part of every account's static rate. One value per entry; the entries maintain it themselves.")
+	registry[string(EntryMember)].Keyed = true
 }
 
 // Lookup returns the spec of a setting.
--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/json"
 	"maps"
+	"sort"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -186,6 +187,18 @@
 	return t.keyed[Path{Target: Target{Level: LevelFleet}, Name: string(name), Key: key}].flag
 }
 
+// Flagged lists the keys for which a keyed boolean setting is true, in order.
+func (t *Tree) Flagged(name Boolean) []string {
+	var keys []string
+	for path, value := range t.keyed {
+		if path.Name == string(name) && value.flag {
+			keys = append(keys, path.Key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
 // Get returns the value that is set at exactly path, and the offset of it.
 func (t *Tree) Get(path Path) (json.RawMessage, spool.Offset, bool) {
 	entry, ok := t.table.Get(path.String())
