Add membership, handover and takeover between entries

Claims followed the VM list only, so a dead entry kept its streams until the list noticed, and a live one lost them without notice. The view now sends heartbeats to a fixed number of members, asks two others about a silent one, takes streams of dead owners and asks live owners to release. A new owner reads the stream first and follows its tail until it may claim, so a handover takes one release and one claim. Tests on an in-memory log cover recovery from holders while the log is down, leaving and joining.

--- a/internal/streams/cluster_test.go
+++ b/internal/streams/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/baobabspool/baobabspool/internal/streams"
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/membership"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -153,7 +154,7 @@
 	}}
 	config := streams.Config{
 		Node: n.vm.ID, Address: name, FailureDomain: domain, Region: "sn-west", StreamCount: 4,
-		ListEvery: 50, HeartbeatEvery: 50, DeadAfter: 150, HandoverEvery: 20, AppendsPerSecond: 400,
+		ListEvery: 50, HeartbeatEvery: 50, DeadAfter: 150, HandoverEvery: 20, SettleAfter: 100, LeaveAfter: 500, AppendsPerSecond: 400,
 		PollWait: 100, PeerTimeout: 100, TickEvery: 5,
 	}
 	if change != nil {
@@ -202,6 +203,33 @@
 	return nil
 }
 
+// owned counts the streams that some entry serves.
+func (c *cluster) owned() (count int) {
+	for i := range 4 {
+		if c.owner(spool.ProgramStream(i)) != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// settled waits until the entry that serves a stream is the one that should.
+func (c *cluster) settled(stream spool.Stream) (owner *node) {
+	gomega.Eventually(func() bool {
+		owner = c.owner(stream)
+		if owner == nil {
+			return false
+		}
+		ids := []spool.NodeID{}
+		for _, vm := range owner.manager.Members() {
+			ids = append(ids, vm.ID)
+		}
+		winner, _ := membership.Winner(string(stream), ids)
+		return len(ids) == len(c.nodes) && winner == owner.vm.ID
+	}, "5s", "5ms").Should(gomega.BeTrue())
+	return owner
+}
+
 // recorder keeps the values that were applied to each stream, in order.
 type recorder struct {
 	mu     sync.Mutex
--- a/internal/streams/config.go
+++ b/internal/streams/config.go
@@ -29,6 +29,11 @@
 	defaultHeartbeatEvery = 500 * clock.Millis(1)
 	defaultDeadAfter      = 1500 * clock.Millis(1)
 	defaultHandoverEvery  = 500 * clock.Millis(1)
+	defaultSettleAfter    = 2 * clock.Second
+	defaultLeaveAfter     = 2 * clock.Second
+
+	// publishEvery bounds the age of what Stats, Members and OwnerOf return.
+	publishEvery = 50 * clock.Millis(1)
 )
 
 func (c Config) withDefaults() Config {
@@ -37,7 +42,8 @@
 		&c.LogTimeout: defaultLogTimeout, &c.PeerTimeout: defaultPeerTimeout,
 		&c.TickEvery: defaultTickEvery, &c.ListEvery: defaultListEvery,
 		&c.HeartbeatEvery: defaultHeartbeatEvery, &c.DeadAfter: defaultDeadAfter,
-		&c.HandoverEvery: defaultHandoverEvery,
+		&c.HandoverEvery: defaultHandoverEvery, &c.SettleAfter: defaultSettleAfter,
+		&c.LeaveAfter: defaultLeaveAfter,
 	} {
 		if *value == 0 {
 			*value = fallback
--- a/internal/streams/execute.go
+++ b/internal/streams/execute.go
@@ -37,7 +37,7 @@
 		case journal.Serving:
 			c.serving(s, command.Epoch)
 		case journal.Lost:
-			c.lost(s, command.Released)
+			c.lost(s, command.Cause)
 		case journal.Snapshot:
 			s.lane.add(func() {
 				m.send(snapshotTaken{name, command.Epoch, m.applier.Snapshot(name)})
@@ -72,16 +72,18 @@
 	})
 }
 
-func (c *control) lost(s *streamState, released bool) {
+func (c *control) lost(s *streamState, cause journal.LossCause) {
 	m := c.m
 	m.mu.Lock()
 	m.losses[s.name]++
 	delete(m.served, s.name)
 	m.mu.Unlock()
-	if released {
-		c.event("streams.released")
-	} else {
+	switch cause {
+	case journal.LossTaken:
 		c.event("streams.lost")
+		c.view.Lost(c.m.clock.Now(), s.index)
+	case journal.LossReleased:
+		c.event("streams.released")
 	}
 	s.lane.add(func() { m.applier.Lost(s.name) })
 }
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -59,6 +59,12 @@
 	// HandoverEvery is the least time between two handovers that this entry asks
 	// for or grants.
 	HandoverEvery clock.Millis
+	// SettleAfter is how long this entry must rank first for a stream before it
+	// asks the owner for it.
+	SettleAfter clock.Millis
+	// LeaveAfter is how long Leave waits for the next owner of a stream to ask for
+	// it before it releases the stream anyway.
+	LeaveAfter clock.Millis
 }
 
 // Applier is the user of the streams. The methods for one stream are called on
--- a/internal/streams/streams_test.go
+++ b/internal/streams/streams_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -36,4 +37,47 @@
 		}
 		gomega.Expect(n.manager.Endpoints("appraiser-models")).To(gomega.HaveLen(2))
 	})
+
+	ginkgo.It("recovers what a holder has when the owner dies while the log is down", func() {
+		nodes := []*node{c.start(0, nil), c.start(1, nil), c.start(2, nil), c.start(3, nil)}
+		gomega.Eventually(func() int { return c.owned() }, "3s").Should(gomega.Equal(4))
+		n := c.settled(stream)
+		gomega.Expect(submit(n, "1", true)).To(gomega.Succeed())
+		gomega.Eventually(func() error { c.log.setDown(true); return submit(n, "2", false) }).Should(gomega.Succeed())
+		for i := 3; i < 10; i++ {
+			gomega.Expect(submit(n, fmt.Sprint(i), false)).To(gomega.Succeed())
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		err := n.manager.Submit(ctx, stream, []spool.Record{record("10")}, true)
+		refusal := &spool.Refusal{}
+		gomega.Expect(errors.As(err, &refusal)).To(gomega.BeTrue())
+		gomega.Expect(*refusal).To(gomega.HaveField("Code", spool.CodeLogUnavailable))
+		gomega.Expect(*refusal).To(gomega.HaveField("NotRun", spool.NotRunTrue))
+		c.crash(n, true)
+		c.log.setDown(false)
+		gomega.Eventually(func() *node { return c.owner(stream) }, "5s").ShouldNot(gomega.BeNil())
+		next := c.owner(stream)
+		gomega.Expect(next.user.of(stream)).To(gomega.Equal([]string{"1", "2", "3", "4", "5", "6", "7", "8", "9"}))
+		gomega.Expect(nodes).To(gomega.ContainElement(next))
+	})
+
+	ginkgo.It("hands streams over when an entry leaves and when one joins", func() {
+		for i := range 3 {
+			c.start(i, nil)
+		}
+		gomega.Eventually(func() int { return c.owned() }, "3s").Should(gomega.Equal(4))
+		n := c.settled(stream)
+		gomega.Expect(submit(n, "1", false)).To(gomega.Succeed())
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		gomega.Expect(n.manager.Leave(ctx)).To(gomega.Succeed())
+		gomega.Eventually(func() *node { return c.owner(stream) }, "2s").ShouldNot(gomega.Or(gomega.BeNil(), gomega.Equal(n)))
+		c.crash(n, true)
+		c.start(7, nil)
+		gomega.Eventually(func() int { return c.owned() }, "3s").Should(gomega.Equal(4))
+		next := c.settled(stream)
+		gomega.Expect(submit(next, "2", true)).To(gomega.Succeed())
+		gomega.Expect(next.user.of(stream)).To(gomega.Equal([]string{"1", "2"}))
+	})
 })
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -187,6 +187,17 @@
 	// PromiseFor; the reply repeats those it promises.
 	Promise    []spool.Stream `json:"promise,omitempty"`
 	PromiseFor clock.Millis   `json:"promiseForMs,omitempty"`
+	// Leaving means that the sender is about to stop and takes no streams.
+	Leaving bool `json:"leaving,omitempty"`
+	// Changes are the ownership changes that the sender has learnt of lately.
+	Changes []OwnerChange `json:"changes,omitempty"`
+}
+
+// OwnerChange says that a node has claimed a stream.
+type OwnerChange struct {
+	Stream spool.Stream `json:"stream"`
+	Node   spool.NodeID `json:"node"`
+	Epoch  spool.Epoch  `json:"epoch"`
 }
 
 // HeartbeatReply answers a heartbeat.
@@ -195,6 +206,9 @@
 	ControlOffset spool.Offset                 `json:"controlOffset"`
 	Owned         map[spool.Stream]spool.Epoch `json:"owned,omitempty"`
 	Promised      []spool.Stream               `json:"promised,omitempty"`
+	// Leaving and Changes are those of the answering node.
+	Leaving bool          `json:"leaving,omitempty"`
+	Changes []OwnerChange `json:"changes,omitempty"`
 }
 
 // ProbeRequest asks a member to check whether a third one answers.
--- a/pkg/journal/append.go
+++ b/pkg/journal/append.go
@@ -228,6 +228,9 @@
 // behind handles a reader that retention has overtaken. An owner cannot know
 // what it missed, so it gives up.
 func (j *Journal) behind(page spool.Page) {
+	if j.phase == PhaseReady {
+		j.phase = PhaseReading
+	}
 	if j.phase != PhaseReading {
 		j.lose(spool.NotRunUnknown)
 		return
@@ -251,12 +254,12 @@
 			return
 		}
 	}
-	if j.position() < page.Last {
-		j.readAt = now
+	j.atTail = j.position() >= page.Last
+	if !j.atTail {
 		return
 	}
 	if j.phase == PhaseReading {
-		j.finishReading(now, page.Last)
+		j.finishReading()
 		return
 	}
 	j.confirmed = j.readStart
--- a/pkg/journal/command.go
+++ b/pkg/journal/command.go
@@ -5,6 +5,19 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
+// LossCause is why a node does not serve a stream any more.
+type LossCause int
+
+// The causes of a loss.
+const (
+	// LossTaken means that another node has claimed the stream.
+	LossTaken LossCause = iota
+	// LossReleased means that the node has released it.
+	LossReleased
+	// LossAbandoned means that the node has stopped following it.
+	LossAbandoned
+)
+
 // Command is a side effect that a state machine asks for. It is one of the
 // types in this file.
 type Command interface{ command() }
@@ -87,9 +100,8 @@
 
 	// Lost tells that the node no longer serves, or has given up its claim.
 	Lost struct {
-		// Released is true after a handover, false when another node has taken
-		// the stream or won the claim.
-		Released bool
+		// Cause is why.
+		Cause LossCause
 	}
 
 	// Retain passes units that are acknowledged but not on the stream to the
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -16,6 +16,9 @@
 	PhaseIdle Phase = iota
 	// PhaseReading means that the stream is read before a claim.
 	PhaseReading
+	// PhaseReady means that the stream is followed and not yet claimed, since its
+	// owner has neither released it nor been allowed to be replaced.
+	PhaseReady
 	// PhaseClaiming means that the claim is appended and not yet read back.
 	PhaseClaiming
 	// PhaseSealing means that previous holders are asked for what they hold.
@@ -145,6 +148,10 @@
 	confirmed clock.Millis
 
 	peers map[spool.NodeID]*peer
+	// allowed is the owner that may be replaced; atTail means that the last read
+	// reached the end of the stream.
+	allowed spool.NodeID
+	atTail  bool
 	// order lists the peers in the order of the claim, for stable iteration.
 	order    []spool.NodeID
 	openBy   clock.Millis
@@ -169,6 +176,15 @@
 // Epoch returns the node's claim while it is at least claiming.
 func (j *Journal) Epoch() spool.Epoch { return j.epoch }
 
+// Owner returns the owner that the stream names as far as it has been followed;
+// ok is false when there is none.
+func (j *Journal) Owner() (node spool.NodeID, epoch spool.Epoch, ok bool) {
+	if j.fold == nil || j.fold.state.Released || j.fold.state.Epoch == 0 {
+		return "", 0, false
+	}
+	return j.fold.state.Owner, j.fold.state.Epoch, true
+}
+
 // Serving reports whether submissions are taken.
 func (j *Journal) Serving() bool { return j.phase == PhaseServing }
 
@@ -285,6 +301,7 @@
 		return j.flush()
 	}
 	j.read(now)
+	j.claim(now)
 	j.takeover(now)
 	if j.phase >= PhaseServing {
 		j.expose(now)
--- a/pkg/journal/peer.go
+++ b/pkg/journal/peer.go
@@ -131,6 +131,9 @@
 	return nodes
 }
 
+// Named returns the nodes that were chosen as holders.
+func (j *Journal) Named() []spool.NodeID { return slices.Clone(j.order) }
+
 // SetHolders replaces holders that are gone. A new holder counts once the
 // stream names it, so that the next owner asks it.
 func (j *Journal) SetHolders(now clock.Millis, nodes []spool.NodeID) []Command {
--- a/pkg/journal/takeover.go
+++ b/pkg/journal/takeover.go
@@ -22,9 +22,10 @@
 // ownerTries bounds the attempts to reach a previous owner that is no holder.
 const ownerTries = 2
 
-// Claim starts to take the stream, naming the holders to use. It is ignored
-// unless the journal is idle.
-func (j *Journal) Claim(now clock.Millis, holders []spool.NodeID) []Command {
+// Follow starts to read the stream in order to claim it, naming the holders to
+// use. The claim follows when the stream has no owner, or Allow was called for
+// its owner. It is ignored unless the journal is idle.
+func (j *Journal) Follow(now clock.Millis, holders []spool.NodeID) []Command {
 	if j.phase != PhaseIdle {
 		return j.flush()
 	}
@@ -39,8 +40,43 @@
 	return j.Tick(now)
 }
 
-// finishReading ends the replay and appends the claim.
-func (j *Journal) finishReading(now clock.Millis, last spool.Offset) {
+// Allow permits to replace owner without a release. The caller has evidence that
+// it is gone; a wrong verdict costs a change of owner and nothing else.
+func (j *Journal) Allow(now clock.Millis, owner spool.NodeID) []Command {
+	if j.phase == PhaseReading || j.phase == PhaseReady {
+		j.allowed = owner
+	}
+	return j.Tick(now)
+}
+
+// Abandon stops following when the stream is no longer wanted. It is ignored
+// once the claim may be on the stream.
+func (j *Journal) Abandon() []Command {
+	if j.phase == PhaseReading || j.phase == PhaseReady {
+		j.reset()
+		j.emit(Lost{Cause: LossAbandoned})
+	}
+	return j.flush()
+}
+
+// claim decides at the tail of the stream whether to claim it.
+func (j *Journal) claim(now clock.Millis) {
+	if j.phase != PhaseReady || !j.atTail || j.logDown {
+		return
+	}
+	owner, _, owned := j.Owner()
+	if owned && owner != j.config.Node && owner != j.allowed {
+		return
+	}
+	// An epoch never exceeds the offset of its claim, so an epoch above the last
+	// offset is new even when retention has removed every earlier claim.
+	j.epoch = max(j.fold.Epoch(), spool.Epoch(j.fold.Offset())) + 1
+	j.phase = PhaseClaiming
+	j.appendAt = now
+}
+
+// finishReading ends the replay. From now on the tail is followed.
+func (j *Journal) finishReading() {
 	fold, start, units, found := j.replay.Finish()
 	j.fold, j.replay = fold, nil
 	if !found {
@@ -52,11 +88,7 @@
 	for _, unit := range units {
 		j.emit(Apply{Batch: unit.Batch})
 	}
-	// An epoch never exceeds the offset of its claim, so an epoch above the last
-	// offset is new even when retention has removed every earlier claim.
-	j.epoch = max(fold.Epoch(), spool.Epoch(last)) + 1
-	j.phase = PhaseClaiming
-	j.appendAt = now
+	j.phase = PhaseReady
 }
 
 // follow folds one batch at the tail and reports whether the journal goes on.
@@ -70,7 +102,7 @@
 	}
 	// While claiming, a lower epoch of another node is no loss: the own claim
 	// still takes the stream when it appears.
-	if after := j.fold.Epoch(); after >= j.epoch && !j.won() {
+	if after := j.fold.Epoch(); j.phase >= PhaseClaiming && after >= j.epoch && !j.won() {
 		j.lose(spool.NotRunTrue)
 		return false
 	}
@@ -124,6 +156,12 @@
 	}
 	for _, node := range before.Owners {
 		j.seals[node] = &sealing{}
+		if node == j.allowed {
+			// The owner is believed dead. The seal still stops one that is only
+			// paused, but nobody waits for the answer.
+			j.seals[node].done = true
+			j.emit(Seal{Node: node, Epoch: j.epoch})
+		}
 	}
 	for _, node := range before.Holders {
 		j.seals[node] = &sealing{holder: true}
@@ -266,7 +304,7 @@
 		j.emit(Release{Node: node, Epoch: j.epoch + 1})
 	}
 	j.reset()
-	j.emit(Lost{Released: true})
+	j.emit(Lost{Cause: LossReleased})
 }
 
 // Sealed handles a seal by a new owner that reached this node as the previous
--- /dev/null
+++ b/pkg/membership/ownership.go
@@ -0,0 +1,199 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Stage is what this entry does with a stream.
+type Stage int
+
+// The stages.
+const (
+	// StageNone means that the stream is not followed.
+	StageNone Stage = iota
+	// StageReading means that it is read up to its end.
+	StageReading
+	// StageReady means that it is followed and its owner is known.
+	StageReady
+	// StageTaking means that a claim is under way.
+	StageTaking
+	// StageOwned means that this entry serves the stream or is releasing it.
+	StageOwned
+)
+
+// Ownership says who owns a stream to the best of an entry's knowledge.
+type Ownership struct {
+	// Stream is the stream, Node its owner and Epoch the claim.
+	Stream spool.Stream
+	Node   spool.NodeID
+	Epoch  spool.Epoch
+	// LearntAt is when this entry learnt of it.
+	LearntAt clock.Millis
+}
+
+// gossipFor is how long a change is passed on; with a fan-out of 4 it reaches
+// thousands of entries in that time.
+const (
+	gossipFor   = 4 * clock.Second
+	gossipLimit = 64
+)
+
+// streamView is what the view knows of one stream.
+type streamView struct {
+	name   spool.Stream
+	stage  Stage
+	winner spool.NodeID
+	// owner is the one that the followed stream names; empty when there is none.
+	owner spool.NodeID
+	// wonSince is since when this entry ranks first.
+	wonSince clock.Millis
+	// notBefore is when the stream may be followed again after a loss; holdOff is
+	// the wait after the next loss.
+	notBefore clock.Millis
+	holdOff   clock.Millis
+}
+
+// Stage tells what this entry does with a stream and, while it is followed, whom
+// the stream names as owner.
+func (v *View) Stage(index int, stage Stage, owner spool.NodeID) {
+	s := v.streams[index]
+	if s.owner != owner {
+		v.dirty = true
+	}
+	s.stage, s.owner = stage, owner
+}
+
+// Lost notes that another entry has taken a stream from this one.
+func (v *View) Lost(now clock.Millis, index int) {
+	s := v.streams[index]
+	if now-s.notBefore > maxHoldOff {
+		s.holdOff = 0
+	}
+	s.holdOff = min(max(2*s.holdOff, v.config.HoldOff), maxHoldOff)
+	s.notBefore = now + s.holdOff
+}
+
+// Learn takes what somebody knows of the owner of a stream.
+func (v *View) Learn(now clock.Millis, stream spool.Stream, node spool.NodeID, epoch spool.Epoch) {
+	if known, ok := v.owners[stream]; ok && known.Epoch >= epoch {
+		return
+	}
+	v.owners[stream] = Ownership{Stream: stream, Node: node, Epoch: epoch, LearntAt: now}
+}
+
+// Changes lists what was learnt lately, for passing on.
+func (v *View) Changes(now clock.Millis) (changes []Ownership) {
+	for _, s := range v.streams {
+		if known, ok := v.owners[s.name]; ok && now-known.LearntAt < gossipFor && len(changes) < gossipLimit {
+			changes = append(changes, known)
+		}
+	}
+	return changes
+}
+
+// OwnerOf returns the owner of a stream as far as known, or the entry that
+// should own it.
+func (v *View) OwnerOf(index int) (spool.NodeID, bool) {
+	v.refresh()
+	s := v.streams[index]
+	if known, ok := v.owners[s.name]; ok && v.Verdict(known.Node) != Dead {
+		return known.Node, true
+	}
+	return s.winner, s.winner != ""
+}
+
+// Winner returns the entry that should own a stream, or false when no entry can
+// take one.
+func (v *View) Winner(index int) (spool.NodeID, bool) {
+	v.refresh()
+	return v.streams[index].winner, v.streams[index].winner != ""
+}
+
+// decide asks for what this entry should take, within the limits.
+func (v *View) decide(now clock.Millis) {
+	taking := 0
+	for _, s := range v.streams {
+		if s.stage == StageReading || s.stage == StageTaking {
+			taking++
+		}
+	}
+	for _, s := range v.streams {
+		if s.winner != v.config.Self.ID {
+			s.wonSince = 0
+			if s.stage == StageReading || s.stage == StageReady {
+				v.out = append(v.out, Abandon{Stream: s.name})
+			}
+			continue
+		}
+		if s.wonSince == 0 {
+			s.wonSince = now
+		}
+		switch {
+		case s.stage == StageNone && taking < v.config.TakeAtOnce && now >= s.notBefore:
+			taking++
+			s.stage = StageReading
+			v.out = append(v.out, Follow{Stream: s.name, Holders: v.Holders(s.name, nil)})
+		case s.stage == StageReady && s.owner != "":
+			v.replace(now, s)
+		}
+	}
+}
+
+// replace deals with the owner of a followed stream: one that is gone is
+// replaced, one that lives is asked for a handover.
+func (v *View) replace(now clock.Millis, s *streamView) {
+	if v.Verdict(s.owner) == Dead {
+		v.out = append(v.out, Allow{Stream: s.name, Owner: s.owner})
+		return
+	}
+	settled := now-s.wonSince >= v.config.SettleAfter || v.Verdict(s.owner) == Leaving
+	if !settled || now-v.askedAt < v.config.HandoverEvery {
+		return
+	}
+	v.askedAt = now
+	v.out = append(v.out, AskHandover{Stream: s.name, Owner: s.owner})
+}
+
+// Grant decides whether to release a stream to another entry: that one must rank
+// first in this view as well, and handovers are spaced out unless this entry
+// leaves.
+func (v *View) Grant(now clock.Millis, index int, to spool.NodeID) bool {
+	v.refresh()
+	if v.streams[index].winner != to || to == v.config.Self.ID {
+		return false
+	}
+	if !v.leaving && now-v.grantedAt < v.config.HandoverEvery {
+		return false
+	}
+	v.grantedAt = now
+	return true
+}
+
+// Holders chooses count entries that keep copies of a stream's units for this
+// entry; those of current that are still fit stay.
+func (v *View) Holders(stream spool.Stream, current []spool.NodeID) []spool.NodeID {
+	count := v.config.Holders
+	var fit []spool.VM
+	for _, m := range v.members {
+		if m.verdict != Dead && m.vm.State == spool.VMLive && !m.leaves {
+			fit = append(fit, m.vm)
+		}
+	}
+	byID := map[spool.NodeID]spool.VM{}
+	for _, vm := range fit {
+		byID[vm.ID] = vm
+	}
+	chosen := slices.DeleteFunc(slices.Clone(current), func(node spool.NodeID) bool {
+		_, ok := byID[node]
+		return !ok
+	})
+	for _, node := range Holders(stream, v.config.Self, fit, count+len(chosen)) {
+		if len(chosen) < count && !slices.Contains(chosen, node) {
+			chosen = append(chosen, node)
+		}
+	}
+	return chosen
+}
