--- a/pkg/program/fold.go
+++ b/pkg/program/fold.go
@@ -236,12 +236,12 @@
 }
 
 func (p *Program) applyIntent(data Intent) error {
-	if known := p.calls[data.Call]; known != nil && known.fate != FateNotRun {
+	if known := p.calls[data.Call]; known != nil && (known.fate != FateNotRun || data.Try <= known.tries) {
 		return errRepeated
 	}
 	p.calls[data.Call] = &call{
 		kind: CallService, body: data.Body, answer: -1,
-		service: data.Service, endpoint: data.Endpoint, epoch: data.Epoch, mark: data.Mark,
+		service: data.Service, endpoint: data.Endpoint, epoch: data.Epoch, mark: data.Mark, tries: data.Try,
 	}
 	p.open++
 	p.charge(data.Call, 0, data.At)
@@ -266,14 +266,14 @@
 
 func (p *Program) applyOutcome(data Outcome) error {
 	known := p.calls[data.Call]
-	if known != nil && known.fate != "" && known.fate != FateNotRun {
+	if known != nil && (known.fate != "" || data.Try < known.tries) {
 		return errRepeated
 	}
 	if known == nil {
 		known = &call{kind: CallService, body: data.Body, answer: -1}
 		p.calls[data.Call] = known
 		p.charge(data.Call, 0, data.At)
-	} else if known.fate == "" {
+	} else {
 		p.open--
 	}
 	known.fate, known.status, known.data = data.Fate, data.Status, data.Answer
@@ -309,7 +309,9 @@
 			delete(p.calls, name)
 			continue
 		}
-		known.text, known.answer = p.messages[known.answer].Content, -1
+		if known.answer >= 0 {
+			known.text, known.answer = p.messages[known.answer].Content, -1
+		}
 	}
 	p.messages, p.bytes = nil, 0
 	p.ended, p.endedAt = data.Reason, data.At
--- a/pkg/program/outcomes.go
+++ b/pkg/program/outcomes.go
@@ -47,7 +47,7 @@
 func (s *State) Intent(now clock.Millis, id uint64, service spool.ServiceName, endpoint spool.EndpointID, epoch spool.Epoch, mark spool.AgentMark) spool.Record {
 	ticket := s.tickets[id]
 	return record(KindIntent, ticket.Program, Intent{
-		Call: ticket.Call, Body: ticket.Body, Service: service, Endpoint: endpoint, Epoch: epoch, Mark: mark, At: now,
+		Call: ticket.Call, Body: ticket.Body, Try: s.tries(ticket.Program, ticket.Call) + 1, Service: service, Endpoint: endpoint, Epoch: epoch, Mark: mark, At: now,
 	})
 }
 
@@ -62,12 +62,20 @@
 // Outcome returns the record of a finished service call.
 func (s *State) Outcome(now clock.Millis, id uint64, result OutcomeResult) spool.Record {
 	ticket := s.tickets[id]
-	return outcome(now, ticket.Program, ticket.Call, ticket.Body, result)
+	return outcome(now, ticket.Program, ticket.Call, ticket.Body, s.tries(ticket.Program, ticket.Call), result)
 }
 
-func outcome(now clock.Millis, program spool.ProgramID, name spool.CallID, body string, result OutcomeResult) spool.Record {
+// tries counts the intents of a call.
+func (s *State) tries(id spool.ProgramID, name spool.CallID) int {
+	if program := s.find(id); program != nil && program.calls[name] != nil {
+		return program.calls[name].tries
+	}
+	return 0
+}
+
+func outcome(now clock.Millis, program spool.ProgramID, name spool.CallID, body string, try int, result OutcomeResult) spool.Record {
 	return record(KindOutcome, program, Outcome{
-		Call: name, Body: body, Fate: result.Fate, Status: result.Status,
+		Call: name, Body: body, Try: try, Fate: result.Fate, Status: result.Status,
 		Answer: result.Answer, Endpoint: result.Endpoint, At: now,
 	})
 }
@@ -123,7 +131,7 @@
 	if known == nil || known.fate != "" {
 		return spool.Record{}, false
 	}
-	return outcome(now, id, name, known.body, result), true
+	return outcome(now, id, name, known.body, known.tries, result), true
 }
 
 // Resolved starts the calls that waited behind a call of unknown fate.
--- a/pkg/program/program.go
+++ b/pkg/program/program.go
@@ -35,6 +35,8 @@
 	service  spool.ServiceName
 	epoch    spool.Epoch
 	mark     spool.AgentMark
+	// tries counts the intents of the call.
+	tries int
 }
 
 // tree is a root program with its sub-agents; they share one budget.
--- /dev/null
+++ b/pkg/program/program_test.go
@@ -0,0 +1,299 @@
+package program_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/program"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// A fixed seed makes a failure of the state machine reproducible.
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+func TestProgram(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "program")
+}
+
+func codeOf(err error) spool.Code {
+	refusal := &spool.Refusal{}
+	if errors.As(err, &refusal) {
+		return refusal.Code
+	}
+	return ""
+}
+
+func user(text string) []spool.Message { return []spool.Message{{Role: "user", Content: text}} }
+
+func ask(id spool.ProgramID, call, text string) program.CallRequest {
+	return program.CallRequest{
+		Program: id, Account: "fog", Call: spool.CallID(call), Body: text, Kind: program.CallModel,
+		Idempotent: true, Messages: user(text), MaxTokens: 10,
+	}
+}
+
+func book(id spool.ProgramID, call string) program.CallRequest {
+	return program.CallRequest{Program: id, Account: "fog", Call: spool.CallID(call), Body: call, Kind: program.CallService}
+}
+
+// owner drives a state like an entry does, with everything durable at once.
+type owner struct {
+	*program.State
+	log []spool.Record
+}
+
+func newOwner() *owner { return &owner{State: program.NewState(program.Limits{})} }
+
+func (o *owner) commit(records ...spool.Record) {
+	o.log = append(o.log, records...)
+	gomega.Expect(o.Apply(records).Invalid).To(gomega.BeEmpty())
+}
+
+func (o *owner) start(id spool.ProgramID, budget program.Budget) spool.ProgramID {
+	entry, err := o.Start(id, program.Started{Account: "fog", Budget: budget, IdleFor: 100})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	o.commit(entry)
+	return id
+}
+
+func (o *owner) finish(ticket uint64, text string, tokens int) []program.Grant {
+	entry, _ := o.Turn(1, ticket, program.TurnResult{Text: text, PromptTokens: tokens, GeneratedTokens: 1, Endpoint: "e"})
+	o.commit(entry)
+	return o.Release(1, ticket)
+}
+
+func (o *owner) run(id spool.ProgramID, call, text string) program.Decision {
+	decision, err := o.Admit(0, ask(id, call, text))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return decision
+}
+
+var _ = ginkgo.Describe("State", func() {
+	var o *owner
+
+	ginkgo.BeforeEach(func() { o = newOwner() })
+
+	ginkgo.It("runs the calls of a program one at a time, in order", func() {
+		id := o.start("p", program.Budget{})
+		one, two, three := o.run(id, "1", "a"), o.run(id, "2", "b"), o.run(id, "3", "c")
+		gomega.Expect(one.Verdict).To(gomega.Equal(program.VerdictRun))
+		gomega.Expect(two.Verdict).To(gomega.Equal(program.VerdictWait))
+		gomega.Expect(three.Verdict).To(gomega.Equal(program.VerdictWait))
+		grants := o.finish(one.Ticket.ID, "A", 2)
+		gomega.Expect(grants).To(gomega.HaveLen(1))
+		gomega.Expect(grants[0].Ticket.Call).To(gomega.Equal(spool.CallID("2")))
+		gomega.Expect(grants[0].Ticket.BaseCount).To(gomega.Equal(2))
+	})
+
+	ginkgo.It("joins a call under way, replays a finished one and refuses another body", func() {
+		id := o.start("p", program.Budget{})
+		one := o.run(id, "1", "a")
+		gomega.Expect(o.run(id, "1", "a").Verdict).To(gomega.Equal(program.VerdictJoin))
+		_, err := o.Admit(0, ask(id, "1", "other"))
+		gomega.Expect(codeOf(err)).To(gomega.Equal(spool.CodeConflict))
+		o.finish(one.Ticket.ID, "A", 2)
+		replay := o.run(id, "1", "a")
+		gomega.Expect(replay.Verdict).To(gomega.Equal(program.VerdictReplay))
+		gomega.Expect(replay.Answer.Text).To(gomega.Equal("A"))
+		_, err = o.Admit(0, ask(id, "1", "other"))
+		gomega.Expect(codeOf(err)).To(gomega.Equal(spool.CodeConflict))
+	})
+
+	ginkgo.It("hides a program from other accounts", func() {
+		id := o.start("p", program.Budget{})
+		request := ask(id, "1", "a")
+		request.Account = "other"
+		_, foreign := o.Admit(0, request)
+		request.Program = "q"
+		_, missing := o.Admit(0, request)
+		gomega.Expect(foreign).To(gomega.Equal(missing))
+		gomega.Expect(codeOf(foreign)).To(gomega.Equal(spool.CodeNotFound))
+	})
+
+	ginkgo.It("does not let concurrent sub-agents overspend", func() {
+		// Each call needs 1 + 4 + 16 + 10 tokens at most; the budget holds two.
+		id := o.start("p", program.Budget{Tokens: 70, Agents: 4, Depth: 2})
+		var children []spool.ProgramID
+		for i := range 3 {
+			spawned, err := o.Spawn(0, program.SpawnRequest{Parent: id, Account: "fog", Call: spool.CallID(fmt.Sprint("s", i))})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			o.commit(spawned.Record)
+			o.Release(0, spawned.Ticket)
+			children = append(children, spawned.Child)
+		}
+		admitted := 0
+		for _, child := range children {
+			if _, err := o.Admit(0, ask(child, "1", "a")); err == nil {
+				admitted++
+			} else {
+				gomega.Expect(codeOf(err)).To(gomega.Equal(spool.CodeBudgetExhausted))
+			}
+		}
+		gomega.Expect(admitted).To(gomega.Equal(2))
+		view, err := o.Show("fog", id)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(view.Reserved.Tokens).To(gomega.Equal(62))
+	})
+
+	ginkgo.It("bounds the number and the depth of sub-agents, with spawns under way", func() {
+		id := o.start("p", program.Budget{Agents: 1, Depth: 1})
+		first, err := o.Spawn(0, program.SpawnRequest{Parent: id, Account: "fog", Call: "s1"})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = o.Spawn(0, program.SpawnRequest{Parent: id, Account: "fog", Call: "s2"})
+		gomega.Expect(codeOf(err)).To(gomega.Equal(spool.CodeBudgetExhausted))
+		o.commit(first.Record)
+		o.Release(0, first.Ticket)
+		_, err = o.Spawn(0, program.SpawnRequest{Parent: first.Child, Account: "fog", Call: "s"})
+		gomega.Expect(codeOf(err)).To(gomega.Equal(spool.CodeBudgetExhausted))
+		repeat, err := o.Spawn(0, program.SpawnRequest{Parent: id, Account: "fog", Call: "s1"})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(repeat).To(gomega.Equal(program.Spawned{Child: first.Child}))
+	})
+
+	ginkgo.It("stops an endless loop of calls, failed ones included, by its budget", func() {
+		id := o.start("p", program.Budget{Calls: 5})
+		calls := 0
+		for ; calls < 100; calls++ {
+			decision, err := o.Admit(0, ask(id, fmt.Sprint(calls), "a"))
+			if err != nil {
+				gomega.Expect(codeOf(err)).To(gomega.Equal(spool.CodeBudgetExhausted))
+				break
+			}
+			o.commit(o.Spent(0, decision.Ticket.ID, 0))
+			o.Release(0, decision.Ticket.ID)
+		}
+		gomega.Expect(calls).To(gomega.Equal(5))
+		o.start("q", program.Budget{Wall: 50})
+		_, err := o.Admit(60, ask("q", "1", "a"))
+		gomega.Expect(codeOf(err)).To(gomega.Equal(spool.CodeBudgetExhausted))
+	})
+
+	ginkgo.It("never runs a call of unknown fate again", func() {
+		id := o.start("p", program.Budget{})
+		decision, err := o.Admit(0, book(id, "b"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		o.commit(o.Intent(0, decision.Ticket.ID, "harvest-app", "e", 3, spool.AgentMark{Boot: "x"}))
+		next := newOwner()
+		next.commit(o.log...)
+		_, err = next.Admit(0, book(id, "b"))
+		gomega.Expect(codeOf(err)).To(gomega.Equal(spool.CodeUnknownFate))
+		behind := next.run(id, "1", "a")
+		gomega.Expect(behind.Verdict).To(gomega.Equal(program.VerdictWait), "later calls wait for the fate")
+		calls := next.Unresolved()
+		gomega.Expect(calls).To(gomega.HaveLen(1))
+		gomega.Expect(calls[0].Mark.Boot).To(gomega.Equal("x"))
+		entry, open := next.Resolve(0, id, "b", program.OutcomeResult{Fate: program.FateUnknown})
+		gomega.Expect(open).To(gomega.BeTrue())
+		next.commit(entry)
+		gomega.Expect(next.Resolved(0, id)).To(gomega.HaveLen(1))
+		_, err = next.Admit(0, book(id, "b"))
+		gomega.Expect(codeOf(err)).To(gomega.Equal(spool.CodeUnknownFate))
+	})
+
+	ginkgo.It("lets a call that provably did not run run again", func() {
+		id := o.start("p", program.Budget{})
+		decision, _ := o.Admit(0, book(id, "b"))
+		o.commit(o.Intent(0, decision.Ticket.ID, "harvest-app", "e", 1, spool.AgentMark{}))
+		o.commit(o.Outcome(0, decision.Ticket.ID, program.OutcomeResult{Fate: program.FateNotRun}))
+		o.Release(0, decision.Ticket.ID)
+		decision, err := o.Admit(0, book(id, "b"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(decision.Verdict).To(gomega.Equal(program.VerdictRun))
+	})
+
+	ginkgo.It("takes the history as a prefix of a whole prompt and refuses another one", func() {
+		id := o.start("p", program.Budget{})
+		o.finish(o.run(id, "1", "a").Ticket.ID, "A", 2)
+		whole := ask(id, "2", "b")
+		whole.Messages, whole.Whole = append(append(user("a"), spool.AnswerMessage("A")), user("b")...), true
+		decision, err := o.Admit(0, whole)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(decision.Ticket.Messages).To(gomega.Equal(user("b")))
+		o.finish(decision.Ticket.ID, "B", 4)
+		whole.Call = "3"
+		_, err = o.Admit(0, whole)
+		gomega.Expect(codeOf(err)).To(gomega.Equal(spool.CodeConflict))
+	})
+
+	ginkgo.It("ends abandoned programs and all their sub-agents", func() {
+		id := o.start("p", program.Budget{})
+		spawned, _ := o.Spawn(10, program.SpawnRequest{Parent: id, Account: "fog", Call: "s"})
+		o.commit(spawned.Record)
+		o.Release(10, spawned.Ticket)
+		running, _ := o.Admit(90, ask(spawned.Child, "1", "a"))
+		gomega.Expect(o.Expire(150)).To(gomega.BeEmpty(), "a working sub-agent keeps its parent")
+		o.finish(running.Ticket.ID, "A", 2)
+		records := o.Expire(500)
+		gomega.Expect(records).NotTo(gomega.BeEmpty())
+		ended := o.Apply(records).Ended
+		gomega.Expect(ended).To(gomega.HaveKeyWithValue(spawned.Child, spool.EndpointID("e")))
+		gomega.Expect(ended).To(gomega.HaveKey(id))
+		replay := o.run(spawned.Child, "1", "a")
+		gomega.Expect(replay.Answer.Text).To(gomega.Equal("A"), "the latest answer outlives the end")
+		gomega.Expect(o.Forget(1000)).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("skips records that do not fit and reports them", func() {
+		id := o.start("p", program.Budget{})
+		turn := func(base int, digest string) spool.Record {
+			data, _ := json.Marshal(program.Turn{Call: "x", Base: base, Messages: user("a"), Digest: digest})
+			return spool.Record{Kind: program.KindTurn, Program: id, Data: data}
+		}
+		gap := turn(4, spool.HistoryDigest("", user("a")...))
+		forged := turn(0, "00")
+		broken := spool.Record{Kind: program.KindTurn, Program: id, Data: []byte("{")}
+		orphan := spool.Record{Kind: program.KindSpawned, Program: "p.1", Data: []byte(`{"account":"other","parent":"p"}`)}
+		effects := o.Apply([]spool.Record{gap, forged, broken, orphan})
+		gomega.Expect(effects.Invalid).To(gomega.HaveLen(4))
+		gomega.Expect(errors.Is(effects.Invalid[0], program.ErrInvalidRecord)).To(gomega.BeTrue())
+		gomega.Expect(o.History(id)).To(gomega.BeEmpty())
+	})
+})
+
+// FuzzApply feeds arbitrary records to a fold: it must neither panic nor
+// change the digest of a valid history.
+func FuzzApply(f *testing.F) {
+	f.Add("turn", "p", []byte(`{"call":"2","base":2,"messages":[{"role":"user","content":"x"}]}`))
+	f.Add("programSnapshot", "q", []byte(`{"programs":[{"id":"q","calls":[{"call":"1","index":-7,"kind":"model"}]}]}`))
+	f.Add("programEnded", "p", []byte(`{"reason":"ended"}`))
+	f.Add("childSpawned", "p.1", []byte(`{"account":"fog","parent":"p"}`))
+	f.Add("outcome", "p", []byte(`{"call":"1","fate":"done"}`))
+	f.Fuzz(func(t *testing.T, kind, id string, data []byte) {
+		state := program.NewState(program.Limits{})
+		entry, err := state.Start("p", program.Started{Account: "fog"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		state.Apply([]spool.Record{entry})
+		fuzzed := spool.Record{Kind: spool.RecordKind(kind), Program: spool.ProgramID(id), Data: data}
+		state.Apply([]spool.Record{fuzzed, fuzzed})
+		// Every record that was accepted must survive a snapshot.
+		snapshot := state.Snapshot()
+		again := program.NewState(program.Limits{})
+		if effects := again.Apply(snapshot); len(effects.Invalid) > 0 {
+			t.Fatalf("snapshot does not load: %v", effects.Invalid)
+		}
+		for _, call := range []spool.CallID{"1", "2"} {
+			request := program.CallRequest{Program: "p", Account: "fog", Call: call, Kind: program.CallModel, Messages: user("x")}
+			_, _ = again.Admit(0, request)
+		}
+		end, live, err := again.End(0, "fog", "p", program.EndByCaller)
+		if err == nil && live {
+			again.Apply([]spool.Record{end})
+		}
+	})
+}
--- a/pkg/program/record.go
+++ b/pkg/program/record.go
@@ -99,6 +99,9 @@
 	// Call and Body name the call and the digest of its request.
 	Call spool.CallID `json:"call"`
 	Body string       `json:"body"`
+	// Try counts the intents of the call from 1; a call that provably did not
+	// run may be tried again.
+	Try int `json:"try"`
 	// Service and Endpoint are where the call is sent.
 	Service  spool.ServiceName `json:"service"`
 	Endpoint spool.EndpointID  `json:"endpoint"`
@@ -128,6 +131,8 @@
 	// Call and Body name the call and the digest of its request.
 	Call spool.CallID `json:"call"`
 	Body string       `json:"body"`
+	// Try is that of the intent; 0 for an idempotent call, which has none.
+	Try int `json:"try,omitempty"`
 	// Fate tells whether Status and Answer are set.
 	Fate Fate `json:"fate"`
 	// Status and Answer are the service's answer.
--- a/pkg/program/snapshot.go
+++ b/pkg/program/snapshot.go
@@ -56,6 +56,7 @@
 	Data      []byte            `json:"data,omitempty"`
 	Endpoint  spool.EndpointID  `json:"endpoint,omitempty"`
 	Mark      spool.AgentMark   `json:"mark,omitzero"`
+	Try       int               `json:"try,omitempty"`
 	Service   spool.ServiceName `json:"service,omitempty"`
 	Epoch     spool.Epoch       `json:"epoch,omitempty"`
 }
@@ -100,7 +101,7 @@
 		snapshot.Calls = append(snapshot.Calls, SnapshotCall{
 			Call: name, Kind: known.kind, Body: known.body, Index: known.answer, Text: known.text,
 			Prompt: known.prompt, Cached: known.cached, Generated: known.generated, Fate: known.fate,
-			Status: known.status, Data: known.data, Endpoint: known.endpoint, Service: known.service, Epoch: known.epoch, Mark: known.mark,
+			Status: known.status, Data: known.data, Endpoint: known.endpoint, Service: known.service, Epoch: known.epoch, Mark: known.mark, Try: known.tries,
 		})
 	}
 	sort.Slice(snapshot.Calls, func(i, j int) bool { return snapshot.Calls[i].Call < snapshot.Calls[j].Call })
@@ -167,7 +168,7 @@
 		program.calls[known.Call] = &call{
 			kind: known.Kind, body: known.Body, answer: known.Index, text: known.Text,
 			prompt: known.Prompt, cached: known.Cached, generated: known.Generated, fate: known.Fate,
-			status: known.Status, data: known.Data, endpoint: known.Endpoint, service: known.Service, epoch: known.Epoch, mark: known.Mark,
+			status: known.Status, data: known.Data, endpoint: known.Endpoint, service: known.Service, epoch: known.Epoch, mark: known.Mark, tries: known.Try,
 		}
 	}
 	for _, spawned := range data.Children {
