--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -172,7 +171,40 @@
 	})
 })
 
-var (
-	_ = strings.Contains
-	_ = wire.MethodRun
-)
+// block makes an agent's calls wait until the returned function is called;
+// entered gets each call that has begun, cut each that was cancelled.
+func block(a *agent) (release func(), entered, cut chan wire.RunRequest) {
+	gate := make(chan struct{})
+	entered, cut = make(chan wire.RunRequest, 16), make(chan wire.RunRequest, 16)
+	a.answerWith(func(ctx context.Context, request wire.RunRequest, send wire.Send) (any, error) {
+		entered <- request
+		select {
+		case <-gate:
+			return a.answer(ctx, request, send)
+		case <-ctx.Done():
+			cut <- request
+			return nil, ctx.Err()
+		}
+	})
+	return func() { close(gate) }, entered, cut
+}
+
+type answered struct {
+	status int
+	body   string
+}
+
+// later sends a request in the background.
+func (c caller) later(method, path string, body any) <-chan answered {
+	done := make(chan answered, 1)
+	go func() {
+		defer ginkgo.GinkgoRecover()
+		status, text := c.send(method, path, body)
+		done <- answered{status, text}
+	}()
+	return done
+}
+
+func booking(call string) map[string]any {
+	return map[string]any{"callId": call, "path": "/tankers", "body": "tanker " + call}
+}
