--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -18,6 +18,7 @@
 	MethodRelease        = "journal.release"
 	MethodLease          = "limit.lease"
 	MethodPull           = "control.pull"
+	MethodControlStatus  = "control.status"
 	MethodRun            = "endpoint.run"
 	MethodRenew          = "endpoint.renew"
 	MethodFate           = "endpoint.fate"
@@ -208,6 +209,17 @@
 	// PromiseFor; the reply repeats those it promises.
 	Promise    []spool.Stream `json:"promise,omitempty"`
 	PromiseFor clock.Millis   `json:"promiseForMs,omitempty"`
+	// Leaving means that the sender is about to stop and takes no streams.
+	Leaving bool `json:"leaving,omitempty"`
+	// Changes are the ownership changes that the sender has learnt of lately.
+	Changes []OwnerChange `json:"changes,omitempty"`
+}
+
+// OwnerChange says that a node has claimed a stream.
+type OwnerChange struct {
+	Stream spool.Stream `json:"stream"`
+	Node   spool.NodeID `json:"node"`
+	Epoch  spool.Epoch  `json:"epoch"`
 }
 
 // HeartbeatReply answers a heartbeat.
@@ -216,6 +228,9 @@
 	ControlOffset spool.Offset                 `json:"controlOffset"`
 	Owned         map[spool.Stream]spool.Epoch `json:"owned,omitempty"`
 	Promised      []spool.Stream               `json:"promised,omitempty"`
+	// Leaving and Changes are those of the answering node.
+	Leaving bool          `json:"leaving,omitempty"`
+	Changes []OwnerChange `json:"changes,omitempty"`
 }
 
 // ProbeRequest asks a member to check whether a third one answers.
@@ -273,16 +288,25 @@
 	Epoch  spool.Epoch  `json:"epoch"`
 }
 
-// LeaseRequest asks a pool's owner for tokens of an account.
+// LeaseRequest asks a pool's owner for tokens of an account and gives back
+// tokens that are not needed.
 type LeaseRequest struct {
 	Account spool.AccountID `json:"account"`
 	Node    spool.NodeID    `json:"node"`
+	// Sequence increases with each request of a node.
+	Sequence uint64 `json:"sequence"`
 	// Want is the number of requests that the sender would like to admit.
 	Want float64 `json:"want"`
+	// Returned tokens were granted under Epoch and are not used any more.
+	Returned float64     `json:"returned,omitempty"`
+	Epoch    spool.Epoch `json:"epoch,omitempty"`
 }
 
 // LeaseReply grants tokens.
 type LeaseReply struct {
+	// Sequence is that of the request, Epoch the owner's claim.
+	Sequence uint64      `json:"sequence"`
+	Epoch    spool.Epoch `json:"epoch,omitempty"`
 	// Granted may be used until the lease ends, counted from the moment when
 	// the request was sent.
 	Granted  float64      `json:"granted"`
