Order held requests by class and keep Line.Enter as it was

Cause: Line.Enter had gained a parameter, which other packages do not pass; and while tokens are short, first calls of programs competed with calls of programs that had begun. Change: Line.EnterAs takes a class (start, call, alarm); Line.Enter is a call.

--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -169,7 +169,7 @@
 	}
 	s.sequence++
 	id := strconv.FormatUint(s.sequence, 10)
-	decision, held := s.fleet.Enter(s.now, e.id, c.view.Account, id, c.view.Alarm)
+	decision, held := s.fleet.Enter(s.now, e.id, c.view.Account, id, class(c))
 	if held {
 		s.admitted[id] = c
 	} else {
@@ -184,6 +184,17 @@
 	}
 }
 
+func class(c *call) limit.Class {
+	switch {
+	case c.view.Alarm:
+		return limit.ClassAlarm
+	case c.program.parent == nil && c.program.answered == 0:
+		return limit.ClassStart
+	default:
+		return limit.ClassCall
+	}
+}
+
 func (s *system) decided(c *call, admitted bool, retryAfter clock.Millis) {
 	s.count.decided(c, admitted)
 	if !admitted {
--- a/pkg/limit/fleet.go
+++ b/pkg/limit/fleet.go
@@ -76,10 +76,10 @@
 	return fleet
 }
 
-// Enter asks entry node to admit a request of account; see Line.Enter. When it is held, its
+// Enter asks entry node to admit a request of account; see Line.EnterAs. When it is held, its
 // outcome comes from Advance.
-func (f *Fleet) Enter(now clock.Millis, node spool.NodeID, account spool.AccountID, id string, urgent bool) (decision Decision, held bool) {
-	decision, held = f.nodes[node].lines[account].Enter(now, id, urgent)
+func (f *Fleet) Enter(now clock.Millis, node spool.NodeID, account spool.AccountID, id string, class Class) (decision Decision, held bool) {
+	decision, held = f.nodes[node].lines[account].EnterAs(now, id, class)
 	f.post(now, account, decision.Ask)
 	return decision, held
 }
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -121,13 +121,13 @@
 		owner, now := serving(acme)
 		share := limit.NewShare(now, "acme", "a", timing, acme)
 		line := limit.NewLine(share)
-		decision, held := line.Enter(now, "first", false)
+		decision, held := line.Enter(now, "first")
 		gomega.Expect(held).To(gomega.BeTrue())
 		share.Granted(now+2, owner.Lease(now+1, *decision.Ask))
 		outcomes, _ := line.Advance(now + 2)
 		gomega.Expect(outcomes).To(gomega.Equal([]limit.Outcome{{ID: "first", Admitted: true}}))
 		for range 100 {
-			decision, held = line.Enter(now+2, "more", false)
+			decision, held = line.Enter(now+2, "more")
 		}
 		gomega.Expect(held).To(gomega.BeFalse())
 		gomega.Expect(decision.RetryAfter).To(gomega.BeNumerically(">", 0))
@@ -139,7 +139,7 @@
 		line, admitted := limit.NewLine(share), 0
 		for now := clock.Millis(0); now < 20*clock.Second; now += 100 {
 			share.Fresh(now, now+timing.View)
-			decision, _ := line.Enter(now, "call", false)
+			decision, _ := line.Enter(now, "call")
 			outcomes, _ := line.Advance(now)
 			for _, outcome := range append(outcomes, limit.Outcome{Admitted: decision.Admitted}) {
 				if outcome.Admitted {
--- a/pkg/limit/line.go
+++ b/pkg/limit/line.go
@@ -6,6 +6,20 @@
 	"github.com/baobabspool/baobabspool/pkg/clock"
 )
 
+// Class orders the requests that a Line holds.
+type Class int
+
+// The classes, the least urgent first.
+const (
+	// ClassStart is the first call of a program. While tokens are short it is
+	// better to start fewer programs than to slow all of them down.
+	ClassStart Class = iota
+	// ClassCall is any other call.
+	ClassCall
+	// ClassAlarm goes before all others and is held even when the line is full.
+	ClassAlarm
+)
+
 // Outcome is the end of a request that a Line has held.
 type Outcome struct {
 	// ID is that given to Enter.
@@ -16,18 +30,19 @@
 	RetryAfter clock.Millis
 }
 
-// Line admits the requests of one account in their order and holds those that
-// find no token for at most Timing.MaxHold. A request within the account's rate
-// then waits for a lease or a refill and is not refused.
+// Line admits the requests of one account by class and in their order, and holds
+// those that find no token for at most Timing.MaxHold. A request within the
+// account's rate then waits for a lease or a refill and is not refused.
 type Line struct {
 	share *Share
-	held  []heldRequest
+	// held is ordered by class, then by arrival.
+	held []heldRequest
 }
 
 type heldRequest struct {
-	id     string
-	since  clock.Millis
-	urgent bool
+	id    string
+	since clock.Millis
+	class Class
 }
 
 // NewLine returns an empty line in front of share. Requests for admission then
@@ -37,25 +52,25 @@
 // Len counts the held requests.
 func (l *Line) Len() int { return len(l.held) }
 
-// Enter admits a request, refuses it or holds it. held is true when a later
-// Advance will return its outcome. An urgent request, such as an alarm, goes
-// before all others that are held and is held even when the line is full.
-func (l *Line) Enter(now clock.Millis, id string, urgent bool) (decision Decision, held bool) {
+// Enter is EnterAs for a request of ClassCall.
+func (l *Line) Enter(now clock.Millis, id string) (decision Decision, held bool) {
+	return l.EnterAs(now, id, ClassCall)
+}
+
+// EnterAs admits a request, refuses it or holds it. held is true when a later
+// Advance will return its outcome.
+func (l *Line) EnterAs(now clock.Millis, id string, class Class) (decision Decision, held bool) {
 	s := l.share
 	s.advance(now)
 	s.demand += 1 / demandMemory
-	first := !slices.ContainsFunc(l.held, func(r heldRequest) bool { return r.urgent || !urgent })
-	if first && s.take(1) {
+	place := l.place(class)
+	if place == 0 && s.take(1) {
 		return Decision{Admitted: true, Ask: s.ask()}, false
 	}
-	if len(l.held) >= l.longest() && !urgent {
+	if place >= l.longest() && class < ClassAlarm {
 		return Decision{Ask: s.ask(), RetryAfter: l.drainTime()}, false
 	}
-	place := len(l.held)
-	if urgent {
-		place = l.urgents()
-	}
-	l.held = slices.Insert(l.held, place, heldRequest{id: id, since: now, urgent: urgent})
+	l.held = slices.Insert(l.held, place, heldRequest{id: id, since: now, class: class})
 	s.short = float64(len(l.held))
 	return Decision{Ask: s.ask()}, true
 }
@@ -83,19 +98,15 @@
 
 // Remove takes out a request that was cancelled and reports whether it was held.
 func (l *Line) Remove(id string) bool {
-	for i, request := range l.held {
-		if request.id == id {
-			l.held = append(l.held[:i:i], l.held[i+1:]...)
-			return true
-		}
-	}
-	return false
+	before := len(l.held)
+	l.held = slices.DeleteFunc(l.held, func(r heldRequest) bool { return r.id == id })
+	return len(l.held) < before
 }
 
-// urgents counts the urgent requests, which are at the front.
-func (l *Line) urgents() int {
+// place is the number of held requests that go before a new one of class.
+func (l *Line) place(class Class) int {
 	for i, request := range l.held {
-		if !request.urgent {
+		if request.class < class {
 			return i
 		}
 	}
