Hold requests for a few tokens' time and start no programs over the rate

Cause: a request was held for a second at most, but an account with a low rate gets a token only every few seconds, so requests within the rate were refused. Change: a Line holds for the time of four tokens, between MinHold and MaxHold. First calls of programs are refused at once when requests have been held for longer than that, since the account then sends more than its rate.

--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -76,7 +76,8 @@
 	MaxGap clock.Millis
 	// Slack covers the rounding of two clocks to milliseconds.
 	Slack clock.Millis
-	// MaxHold is the longest time that a Line holds a request.
+	// MinHold and MaxHold bound the time for which a Line holds a request.
+	MinHold clock.Millis
 	MaxHold clock.Millis
 }
 
@@ -84,7 +85,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Lease: 250, MinLease: 20, Authority: 1500, View: 5 * clock.Second,
-		MaxGap: clock.Second, Slack: 2, MaxHold: clock.Second,
+		MaxGap: clock.Second, Slack: 2, MinHold: clock.Second, MaxHold: 10 * clock.Second,
 	}
 }
 
--- a/pkg/limit/line.go
+++ b/pkg/limit/line.go
@@ -31,12 +31,14 @@
 }
 
 // Line admits the requests of one account by class and in their order, and holds
-// those that find no token for at most Timing.MaxHold. A request within the
+// those that find no token for a time between Timing.MinHold and MaxHold. A request within the
 // account's rate then waits for a lease or a refill and is not refused.
 type Line struct {
 	share *Share
 	// held is ordered by class, then by arrival.
 	held []heldRequest
+	// busySince is when held was last seen empty.
+	busySince clock.Millis
 }
 
 type heldRequest struct {
@@ -45,6 +47,9 @@
 	class Class
 }
 
+// holdTokens is the number of tokens for which a request may wait.
+const holdTokens = 4.0
+
 // NewLine returns an empty line in front of share. Requests for admission then
 // go to the line only; the other inputs of share stay with the caller.
 func NewLine(share *Share) *Line { return &Line{share: share} }
@@ -63,11 +68,12 @@
 	s := l.share
 	s.advance(now)
 	s.demand += 1 / demandMemory
+	l.note(now)
 	place := l.place(class)
 	if place == 0 && s.take(1) {
 		return Decision{Admitted: true, Ask: s.ask()}, false
 	}
-	if place >= l.longest() && class < ClassAlarm {
+	if class < ClassAlarm && place >= l.longest() || class == ClassStart && l.overRate(now) {
 		return Decision{Ask: s.ask(), RetryAfter: l.drainTime()}, false
 	}
 	l.held = slices.Insert(l.held, place, heldRequest{id: id, since: now, class: class})
@@ -86,16 +92,28 @@
 		l.held = l.held[1:]
 	}
 	l.held = slices.DeleteFunc(l.held, func(r heldRequest) bool {
-		late := now-r.since >= s.timing.MaxHold
+		late := now-r.since >= l.holdFor()
 		if late {
 			outcomes = append(outcomes, Outcome{ID: r.id, RetryAfter: l.drainTime()})
 		}
 		return late
 	})
+	l.note(now)
 	s.short = float64(len(l.held))
 	return outcomes, s.ask()
 }
 
+func (l *Line) note(now clock.Millis) {
+	if len(l.held) == 0 {
+		l.busySince = now
+	}
+}
+
+// overRate tells that requests have been held for longer than any burst takes.
+// The account then sends more than its rate, and a program that begins slows
+// down those that have begun.
+func (l *Line) overRate(now clock.Millis) bool { return now-l.busySince > l.holdFor() }
+
 // Remove takes out a request that was cancelled and reports whether it was held.
 func (l *Line) Remove(id string) bool {
 	before := len(l.held)
@@ -113,10 +131,21 @@
 	return len(l.held)
 }
 
+// holdFor is long enough for a few tokens to come in, within bounds: an account
+// with a low rate waits seconds for one token.
+func (l *Line) holdFor() clock.Millis {
+	timing := l.share.timing
+	if l.share.config.Rate <= 0 {
+		return timing.MinHold
+	}
+	fewTokens := clock.Millis(holdTokens / l.share.config.Rate * float64(clock.Second))
+	return min(timing.MaxHold, max(timing.MinHold, fewTokens))
+}
+
 // longest is what the account's rate admits within the hold. More requests than
 // that would be refused at the end of the hold.
 func (l *Line) longest() int {
-	return 1 + int(l.share.config.Rate*float64(l.share.timing.MaxHold)/float64(clock.Second))
+	return 1 + int(l.share.config.Rate*float64(l.holdFor())/float64(clock.Second))
 }
 
 func (l *Line) drainTime() clock.Millis {
