Begin no programs while every endpoint has a long queue

Cause: with a failure domain out at twice the capacity, the limits still admit the rates of all accounts. Programs that begin then slow down all others. Change: affinity returns no endpoint for the first call of a program, other than an alarm, when the expected wait is above routing.startWaitMs (10 s) everywhere.

--- a/pkg/policy/routing/affinity.go
+++ b/pkg/policy/routing/affinity.go
@@ -14,6 +14,8 @@
 	defaultSpread = 0.1
 	// staleSpread is added to the spread when reports tell nothing.
 	staleSpread = 1.0
+	// defaultStartWaitMs is a third of the wait at which agents refuse any call.
+	defaultStartWaitMs = 10_000
 )
 
 // affinity keeps a program where its prefix is unless the wait there costs more
@@ -23,29 +25,36 @@
 	estimator
 	recomputeWeight float64
 	spread          float64
+	startWait       float64
 	random          *rand.Rand
 }
 
 // newAffinity reads routing.staleMs, the age at which a report tells nothing;
 // routing.recomputeWeight, the worth of a millisecond of recomputing in
-// milliseconds of waiting; and routing.spread.
+// milliseconds of waiting; routing.spread; and routing.startWaitMs, the expected
+// wait above which no program begins, 0 for none.
 func newAffinity(seed uint64, options spool.Options) spool.Router {
 	return &affinity{
 		estimator:       estimator{staleMs: options.Get("routing.staleMs", defaultStaleMs)},
 		recomputeWeight: options.Get("routing.recomputeWeight", 1),
+		startWait:       options.Get("routing.startWaitMs", defaultStartWaitMs),
 		spread:          options.Get("routing.spread", defaultSpread),
 		random:          source(seed),
 	}
 }
 
 // Pick returns the endpoint where the call is expected to end first. Among
-// equals it prefers the longest cached prefix, then chance.
+// equals it prefers the longest cached prefix, then chance. It returns false for
+// the first call of a program when the wait is too long everywhere.
 func (r *affinity) Pick(now clock.Millis, call spool.CallView, endpoints []spool.EndpointView) (spool.EndpointID, bool) {
 	fit := candidates(call, endpoints)
 	if len(fit) == 0 {
 		return "", false
 	}
 	all := r.fleet(fit)
+	if r.sheds(now, call, fit, all) {
+		return "", false
+	}
 	costs := make([]float64, len(fit))
 	cheapest := 0
 	for i, e := range fit {
@@ -73,6 +82,21 @@
 	return fit[best].ID, true
 }
 
+// sheds tells that a program should not begin now: wherever its first call went,
+// it would wait for longer than startWait. Each further program would slow down
+// those that have begun and push their prefixes out of the caches.
+func (r *affinity) sheds(now clock.Millis, call spool.CallView, fit []spool.EndpointView, all fleet) bool {
+	if r.startWait <= 0 || call.Attained > 0 || call.Alarm {
+		return false
+	}
+	for _, e := range fit {
+		if e.Window <= 0 || r.wait(now, e, all) <= r.startWait {
+			return false
+		}
+	}
+	return true
+}
+
 // weight counts the delay of the endpoint's other calls in with a millisecond of
 // recomputing. It grows with the load, so programs stay where they are when every
 // queue is long.
