--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -133,6 +133,43 @@
 		gomega.Expect(decision.RetryAfter).To(gomega.BeNumerically(">", 0))
 	})
 
+	ginkgo.It("lets alarms go first and programs begin last", func() {
+		share := limit.NewShare(0, "acme", "a", timing, limit.Config{Rate: 2, Burst: 10, StaticShare: 1})
+		share.View(0, []spool.NodeID{"a"})
+		line := limit.NewLine(share)
+		now := clock.Millis(0)
+		for ; now < 5*clock.Second; now += 100 {
+			share.Fresh(now, now+timing.View)
+			line.Advance(now)
+		}
+		for id, class := range map[string]limit.Class{"start": limit.ClassStart, "call": limit.ClassCall, "alarm": limit.ClassAlarm} {
+			_, held := line.EnterAs(now, id, class)
+			gomega.Expect(held).To(gomega.BeTrue(), id)
+		}
+		var order []string
+		for ; now < 8*clock.Second; now += 100 {
+			share.Fresh(now, now+timing.View)
+			outcomes, _ := line.Advance(now)
+			for _, outcome := range outcomes {
+				gomega.Expect(outcome.Admitted).To(gomega.BeTrue())
+				order = append(order, outcome.ID)
+			}
+		}
+		gomega.Expect(order).To(gomega.Equal([]string{"alarm", "call", "start"}))
+	})
+
+	ginkgo.It("refuses to begin programs of an account that keeps sending over its rate", func() {
+		share := limit.NewShare(0, "acme", "a", timing, acme)
+		line := limit.NewLine(share)
+		held := true
+		for now := clock.Millis(0); now < 20*clock.Second; now += 500 {
+			line.EnterAs(now, "call", limit.ClassCall)
+			_, held = line.EnterAs(now, "start", limit.ClassStart)
+			line.Advance(now)
+		}
+		gomega.Expect(held).To(gomega.BeFalse())
+	})
+
 	ginkgo.It("admits by the static part while the owner is gone", func() {
 		share := limit.NewShare(0, "acme", "a", timing, limit.Config{Rate: 10, Burst: 40, StaticShare: 0.2})
 		share.View(0, []spool.NodeID{"a", "b"})
--- /dev/null
+++ b/pkg/policy/routing/routing_test.go
@@ -0,0 +1,117 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	_ "github.com/baobabspool/baobabspool/pkg/policy/routing"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// endpoints returns n idle, equal endpoints that reported at 1000.
+func endpoints(n int) (list []spool.EndpointView) {
+	for i := range n {
+		list = append(list, spool.EndpointView{
+			ID: spool.EndpointID(fmt.Sprintf("e%d", i)), Window: 8, ReportedAt: 1000,
+			MillisPerCall: 2000, PrefillTokensPerMilli: 10, Share: 1,
+		})
+	}
+	return list
+}
+
+func router(t *testing.T, name string) spool.Router {
+	r, err := spool.Routers.New(name, 7, nil)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return r
+}
+
+// pick counts where n calls go.
+func pick(r spool.Router, n int, call spool.CallView, list []spool.EndpointView) map[spool.EndpointID]int {
+	counts := map[spool.EndpointID]int{}
+	for range n {
+		if id, ok := r.Pick(1000, call, list); ok {
+			counts[id]++
+		}
+	}
+	return counts
+}
+
+// TestTried guards against sending a call back to an endpoint that refused it.
+func TestTried(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, name := range spool.Routers.Names() {
+		list := endpoints(3)
+		list[0].CachedTokens = 50_000
+		list[1].Running, list[1].Queued = 8, 40
+		call := spool.CallView{PromptTokens: 50_000, Attained: 1, Tried: []spool.EndpointID{"e0"}}
+		g.Expect(pick(router(t, name), 50, call, list)).NotTo(gomega.HaveKey(spool.EndpointID("e0")), name)
+		call.Tried = []spool.EndpointID{"e0", "e1", "e2"}
+		_, ok := router(t, name).Pick(1000, call, list)
+		g.Expect(ok).To(gomega.BeTrue(), name)
+		_, ok = router(t, name).Pick(1000, call, nil)
+		g.Expect(ok).To(gomega.BeFalse(), name)
+	}
+}
+
+// TestRoundRobin guards against losing the place when the list changes.
+func TestRoundRobin(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, list := router(t, "roundRobin"), endpoints(4)
+	g.Expect(pick(r, 2, spool.CallView{}, list)).To(gomega.HaveLen(2))
+	id, _ := r.Pick(1000, spool.CallView{}, append(list[:1:1], list[2:]...))
+	g.Expect(id).To(gomega.Equal(spool.EndpointID("e2")))
+}
+
+// TestAffinity guards against leaving a prefix without need and against staying
+// when the wait costs more than recomputing.
+func TestAffinity(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, list := router(t, "affinity"), endpoints(4)
+	call := spool.CallView{PromptTokens: 20_000, Attained: 1}
+	list[2].CachedTokens, list[2].Running = 20_000, 7
+	g.Expect(pick(r, 20, call, list)).To(gomega.Equal(map[spool.EndpointID]int{"e2": 20}))
+	list[2].Running, list[2].Queued = 8, 16
+	g.Expect(pick(r, 20, call, list)).NotTo(gomega.HaveKey(spool.EndpointID("e2")))
+	list[2].Queued, list[2].SentSince = 0, 16
+	g.Expect(pick(r, 20, call, list)).NotTo(gomega.HaveKey(spool.EndpointID("e2")), "sent since the report")
+	list[2].SentSince, list[2].Running, list[2].Share = 0, 6, 0.1
+	call.PromptTokens, list[2].CachedTokens = 2000, 2000
+	g.Expect(pick(r, 20, call, list)).NotTo(gomega.HaveKey(spool.EndpointID("e2")), "share of a returning domain")
+}
+
+// TestSpread guards against all entries following one outdated report, and
+// against picking a cold endpoint beyond its window.
+func TestSpread(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, name := range []string{"affinity", "leastLoaded"} {
+		list := endpoints(8)
+		for i := range list {
+			list[i].Running, list[i].ReportedAt = 5, -60_000
+		}
+		list[3].Running = 0
+		counts := pick(router(t, name), 800, spool.CallView{}, list)
+		g.Expect(counts).To(gomega.HaveLen(8), name)
+		g.Expect(counts["e3"]).To(gomega.BeNumerically("<", 200), name)
+		list = endpoints(2)
+		list[0].Window, list[0].Running, list[1].Running = 1, 1, 6
+		g.Expect(pick(router(t, name), 20, spool.CallView{}, list)).To(gomega.Equal(map[spool.EndpointID]int{"e1": 20}), name)
+	}
+}
+
+// TestShed guards against beginning programs while calls wait everywhere, and
+// against refusing calls of programs that have begun, alarms and calls to
+// endpoints that have not reported yet.
+func TestShed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, list := router(t, "affinity"), endpoints(2)
+	for i := range list {
+		list[i].Running, list[i].Queued = 8, 80
+	}
+	g.Expect(pick(r, 5, spool.CallView{}, list)).To(gomega.BeEmpty())
+	g.Expect(pick(r, 5, spool.CallView{Attained: 10}, list)).NotTo(gomega.BeEmpty())
+	g.Expect(pick(r, 5, spool.CallView{Alarm: true}, list)).NotTo(gomega.BeEmpty())
+	list[0].Window = 0
+	g.Expect(pick(r, 5, spool.CallView{}, list)).NotTo(gomega.BeEmpty())
+}
