Test the kernel as a state machine and fix what it found

Cause: the state machine test showed two faults: an outcome past its retention still blocked a call in the same step, and a call was said to be not seen although an earlier dispatch of it had run before a newer one was fenced. Change: records expire before a message is handled, and a record counts the runs of its action, so a cleared dispatch does not hide an earlier run.

--- a/pkg/gatekeeper/call.go
+++ b/pkg/gatekeeper/call.go
@@ -24,6 +24,8 @@
 	// started is set when the call runs and its window slot is taken.
 	started   bool
 	startedAt clock.Millis
+	// record is the agent's memory of the action.
+	record *record
 	// answered is set once the Reply has been given.
 	answered bool
 	// held is what the engine was believed to hold of the program at the start.
@@ -167,6 +169,7 @@
 func (k *Kernel) run(c *call) {
 	c.started = true
 	c.startedAt = k.now
+	c.record.runs++
 	k.running++
 	if !c.Service {
 		k.engage(c)
@@ -239,6 +242,7 @@
 	case EndDone:
 		k.records.done(c, m.Outcome, k.now+k.config.OutcomeFor)
 	case EndNotSent:
+		c.record.runs--
 		k.records.clear(c, k.now+k.config.OutcomeFor)
 		refusal = spool.Refuse(spool.CodeEndpointFailed, "%s", m.Reason)
 	default:
--- a/pkg/gatekeeper/gatekeeper.go
+++ b/pkg/gatekeeper/gatekeeper.go
@@ -75,6 +75,7 @@
 func (k *Kernel) Step(now clock.Millis, message Message) []Command {
 	k.now = max(k.now, now)
 	k.commands = k.commands[:0]
+	k.expireRecords()
 	switch m := message.(type) {
 	case Arrive:
 		k.arrive(m)
--- /dev/null
+++ b/pkg/gatekeeper/kernel_test.go
@@ -0,0 +1,256 @@
+package gatekeeper_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+func TestGatekeeper(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "gatekeeper")
+}
+
+// fifo is a minimal queue.
+type fifo struct{ calls []spool.CallView }
+
+func (q *fifo) Push(_ clock.Millis, call spool.CallView) { q.calls = append(q.calls, call) }
+
+func (q *fifo) Pop(clock.Millis) (call spool.CallView, ok bool) {
+	if len(q.calls) == 0 {
+		return call, false
+	}
+	call, q.calls = q.calls[0], q.calls[1:]
+	return call, true
+}
+
+func (q *fifo) Remove(correlation string) bool {
+	for i, call := range q.calls {
+		if call.Correlation == correlation {
+			q.calls = append(q.calls[:i:i], q.calls[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (q *fifo) Served(clock.Millis, spool.CallView, int) {}
+func (q *fifo) Len() int                                 { return len(q.calls) }
+
+// window is a gate of a set size that records its events.
+type window struct {
+	size   int
+	events []spool.GateEventKind
+}
+
+func (w *window) Window(clock.Millis) int { return w.size }
+func (w *window) Observe(_ clock.Millis, event spool.GateEvent) {
+	w.events = append(w.events, event.Kind)
+}
+func (w *window) Cold(clock.Millis) bool { return false }
+
+// kernel is a kernel whose commands are collected.
+type kernel struct {
+	*gatekeeper.Kernel
+	gate   *window
+	now    clock.Millis
+	ticket gatekeeper.Ticket
+}
+
+func newKernel(size int, change func(*gatekeeper.Config)) *kernel {
+	config := gatekeeper.DefaultConfig()
+	config.ExpectedCall = 1000
+	if change != nil {
+		change(&config)
+	}
+	gate := &window{size: size}
+	return &kernel{Kernel: gatekeeper.New(config, "boot", &fifo{}, gate), gate: gate, now: 1}
+}
+
+// take runs a step and returns its commands by type.
+func take[C gatekeeper.Command](k *kernel, message gatekeeper.Message) (found []C) {
+	for _, command := range k.Step(k.now, message) {
+		if c, ok := command.(C); ok {
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
+func (k *kernel) arrive(call gatekeeper.Call) gatekeeper.Arrive {
+	k.ticket++
+	return gatekeeper.Arrive{Ticket: k.ticket, Call: call}
+}
+
+// code admits a call and returns the code of its refusal, or "".
+func (k *kernel) code(call gatekeeper.Call) spool.Code {
+	for _, reply := range take[gatekeeper.Reply](k, k.arrive(call)) {
+		if reply.Ticket == k.ticket && reply.Refusal != nil {
+			return reply.Refusal.Code
+		}
+	}
+	return ""
+}
+
+func payment(id int) gatekeeper.Call {
+	return gatekeeper.Call{
+		Key:    gatekeeper.Key{Account: "kuiseb", Program: "p", Call: spool.CallID(fmt.Sprint(id))},
+		Stream: "programs-0", Epoch: 1, Attempt: 1, Service: true,
+	}
+}
+
+func turn(program spool.ProgramID, messages ...spool.Message) gatekeeper.Call {
+	return gatekeeper.Call{
+		Key:    gatekeeper.Key{Account: "kuiseb", Program: program, Call: "1"},
+		Stream: "programs-0", Epoch: 1, Idempotent: true, Messages: messages,
+	}
+}
+
+func answer(ticket gatekeeper.Ticket, cached int) gatekeeper.Finished {
+	result := &spool.EngineResult{Text: "fog", PromptTokens: 100, CachedTokens: cached, GeneratedTokens: 10}
+	return gatekeeper.Finished{Ticket: ticket, Outcome: gatekeeper.Outcome{Engine: result}}
+}
+
+var _ = ginkgo.Describe("Kernel", func() {
+	done := func(ticket gatekeeper.Ticket) gatekeeper.Finished {
+		return gatekeeper.Finished{Ticket: ticket, Outcome: gatekeeper.Outcome{Service: &spool.ServiceResult{}}}
+	}
+
+	ginkgo.It("refuses beyond the expected wait with a retry from the drain rate, alarms later", func() {
+		k := newKernel(2, func(c *gatekeeper.Config) { c.MaxWait = 1000 })
+		for i := range 4 {
+			gomega.Expect(k.code(payment(i))).To(gomega.BeEmpty())
+		}
+		reply := take[gatekeeper.Reply](k, k.arrive(payment(4)))[0]
+		gomega.Expect(reply.Refusal).To(gomega.HaveValue(gomega.And(
+			gomega.HaveField("Code", spool.CodeOverloaded), gomega.HaveField("NotRun", spool.NotRunTrue),
+			gomega.HaveField("RetryAfter", clock.Millis(500)))))
+		alarm := payment(5)
+		alarm.Alarm = true
+		gomega.Expect(k.code(alarm)).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("refuses waiting calls some time after a drain so that the endpoint gets no new work", func() {
+		k := newKernel(1, nil)
+		take[gatekeeper.Start](k, k.arrive(payment(1)))
+		take[gatekeeper.Start](k, k.arrive(payment(2)))
+		k.Step(k.now, gatekeeper.Drain{On: true})
+		gomega.Expect(k.code(payment(3))).To(gomega.Equal(spool.CodeDraining))
+		k.now += 1000
+		gomega.Expect(take[gatekeeper.Reply](k, gatekeeper.Tick{})).To(gomega.ConsistOf(gomega.HaveField("Refusal.Code", spool.CodeDraining)))
+		gomega.Expect(take[gatekeeper.Reply](k, done(1))).To(gomega.ConsistOf(gomega.HaveField("Refusal", gomega.BeNil())))
+		gomega.Expect(k.Idle()).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("keeps waiting for a non-idempotent call whose caller has gone, and stops others", func() {
+		k := newKernel(2, nil)
+		call := payment(1)
+		call.DeadlineIn = 100
+		take[gatekeeper.Start](k, k.arrive(call))
+		k.now += 100
+		reply := take[gatekeeper.Reply](k, gatekeeper.Tick{})[0]
+		gomega.Expect(reply.Refusal.NotRun).To(gomega.Equal(spool.NotRunUnknown))
+		gomega.Expect(take[gatekeeper.Reply](k, done(1))).To(gomega.BeEmpty())
+		gomega.Expect(take[gatekeeper.Reply](k, k.arrive(payment(1)))).To(gomega.ConsistOf(gomega.HaveField("Recorded", true)))
+		take[gatekeeper.Start](k, k.arrive(turn("q", spool.Message{Role: "user"})))
+		gomega.Expect(take[gatekeeper.Stop](k, gatekeeper.Cancel{Ticket: k.ticket})).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("refuses non-idempotent calls rather than drop an outcome inside its retention", func() {
+		k := newKernel(2, func(c *gatekeeper.Config) { c.MaxOutcomes = 1 })
+		gomega.Expect(k.code(payment(1))).To(gomega.BeEmpty())
+		k.Step(k.now, done(1))
+		gomega.Expect(k.code(payment(2))).To(gomega.Equal(spool.CodeOverloaded))
+		k.now += gatekeeper.DefaultConfig().OutcomeFor
+		gomega.Expect(k.code(payment(2))).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("asks for the history when the base does not match, and not when it does", func() {
+		k := newKernel(2, nil)
+		question, answered := spool.Message{Role: "user", Content: "fog?"}, spool.AnswerMessage("fog")
+		k.Step(k.now, k.arrive(turn("p", question)))
+		k.Step(k.now, answer(k.ticket, 0))
+		next := turn("p", spool.Message{Role: "user", Content: "where?"})
+		next.BaseCount, next.BaseDigest = 2, spool.HistoryDigest("", question, answered)
+		start := take[gatekeeper.Start](k, k.arrive(next))[0]
+		gomega.Expect(start.Messages).To(gomega.Equal([]spool.Message{question, answered, next.Messages[0]}))
+		other := next
+		other.BaseDigest = spool.HistoryDigest("", answered, question)
+		gomega.Expect(k.code(other)).To(gomega.Equal(spool.CodeNeedHistory))
+		stranger := next
+		stranger.Key.Account = "sahel"
+		gomega.Expect(k.code(stranger)).To(gomega.Equal(spool.CodeNeedHistory))
+	})
+
+	ginkgo.It("frees memory when the lease lapses and gives found sessions a grace lease", func() {
+		k := newKernel(2, nil)
+		k.Step(k.now, gatekeeper.Sessions{AskedAt: k.now, Programs: []spool.ProgramID{"lost", "owned"}})
+		k.Step(k.now, gatekeeper.Renew{Programs: []spool.ProgramID{"owned"}, LeaseFor: clock.Minute})
+		gomega.Expect(take[gatekeeper.Free](k, gatekeeper.Tick{})).To(gomega.BeEmpty())
+		k.now += gatekeeper.DefaultConfig().GraceLease
+		gomega.Expect(take[gatekeeper.Free](k, gatekeeper.Tick{})).To(gomega.Equal([]gatekeeper.Free{{Program: "lost"}}))
+		gomega.Expect(take[gatekeeper.Free](k, gatekeeper.Renew{Ended: []spool.ProgramID{"owned"}})).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("asks for the sessions after a gap in the cache events", func() {
+		k := newKernel(2, nil)
+		events := []spool.CacheEvent{{Sequence: 4, Program: "p", Tokens: 7}, {Sequence: 5, Program: "p", Tokens: 8}}
+		gomega.Expect(take[gatekeeper.Reconcile](k, gatekeeper.Events{Events: events})).To(gomega.BeEmpty())
+		gomega.Expect(k.Held()).To(gomega.Equal(map[spool.ProgramID]int{"p": 8}))
+		events = []spool.CacheEvent{{Sequence: 7, Program: "p"}}
+		gomega.Expect(take[gatekeeper.Reconcile](k, gatekeeper.Events{Events: events})).To(gomega.HaveLen(1))
+		gomega.Expect(k.Held()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("tells the gate of an emptied cache, a reset, and an engine that cannot be reached", func() {
+		k := newKernel(2, nil)
+		message := spool.Message{Role: "user", Content: "fog?"}
+		k.Step(k.now, k.arrive(turn("p", message)))
+		k.Step(k.now, answer(k.ticket, 0))
+		next := turn("p", message)
+		next.BaseCount, next.BaseDigest = 2, spool.HistoryDigest("", message, spool.AnswerMessage("fog"))
+		k.Step(k.now, k.arrive(next))
+		k.Step(k.now, answer(k.ticket, 0))
+		k.Step(k.now, k.arrive(payment(2)))
+		k.Step(k.now, gatekeeper.Finished{Ticket: k.ticket, Ending: gatekeeper.EndFailed})
+		k.Step(k.now, gatekeeper.Unreachable{})
+		gomega.Expect(k.gate.events).To(gomega.Equal([]spool.GateEventKind{
+			spool.GateCompleted, spool.GateCompleted, spool.GateCacheEmptied, spool.GateFailed, spool.GateFailed,
+		}))
+	})
+
+	ginkgo.It("forgets what the engine held when its generation or uptime shows a restart", func() {
+		for _, load := range []spool.EngineLoad{{Generation: 2, Uptime: 90}, {Generation: 1, Uptime: 5}} {
+			k := newKernel(2, nil)
+			k.Step(k.now, gatekeeper.Report{Load: spool.EngineLoad{Generation: 1, Uptime: 50}})
+			k.Step(k.now, gatekeeper.Events{Events: []spool.CacheEvent{{Sequence: 9, Program: "p", Tokens: 7}}})
+			gomega.Expect(take[gatekeeper.Note](k, gatekeeper.Report{Load: load})).To(gomega.ConsistOf(gatekeeper.Note{Event: "engineRestarted"}))
+			gomega.Expect(k.Held()).To(gomega.BeEmpty())
+			gomega.Expect(k.EventsAfter()).To(gomega.BeZero())
+		}
+	})
+})
+
+// BenchmarkCall measures a model call with a cached history from arrival to end.
+func BenchmarkCall(b *testing.B) {
+	k := newKernel(64, nil)
+	question := spool.Message{Role: "user", Content: "fog?"}
+	k.Step(k.now, k.arrive(turn("p", question)))
+	k.Step(k.now, answer(k.ticket, 0))
+	call := turn("p", question)
+	call.BaseCount, call.BaseDigest = 2, spool.HistoryDigest("", question, spool.AnswerMessage("fog"))
+	call.Digests = spool.HistoryDigests(call.BaseDigest, call.Messages)
+	call.DeadlineIn = 100
+	b.ReportAllocs()
+	for b.Loop() {
+		k.now++
+		k.Step(k.now, k.arrive(call))
+		k.Step(k.now, answer(k.ticket, 90))
+	}
+}
--- /dev/null
+++ b/pkg/gatekeeper/machine_test.go
@@ -0,0 +1,362 @@
+package gatekeeper_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// action is one call as its owners know it. Its mark was learned before its
+// first dispatch.
+type action struct {
+	key        gatekeeper.Key
+	idempotent bool
+	service    bool
+	mark       spool.AgentMark
+	attempts   map[spool.Epoch]uint64
+	// runs counts the runs that the endpoint may have seen.
+	runs int
+	// givenUp holds the dispatches that a fate answer has promised away.
+	givenUp []dispatch
+}
+
+type dispatch struct {
+	epoch   spool.Epoch
+	attempt uint64
+}
+
+// request is one dispatch on its way, waiting, running or ended.
+type request struct {
+	*action
+	dispatch
+	call     gatekeeper.Call
+	want     string
+	started  bool
+	notSent  bool
+	replies  int
+	saidTrue bool
+}
+
+// machine drives a kernel with callers that crash, repeat and come late, and an
+// engine that restarts. The network may deliver a dispatch at any later time.
+type machine struct {
+	kernel   *gatekeeper.Kernel
+	gate     *window
+	now      clock.Millis
+	boots    int
+	ticket   gatekeeper.Ticket
+	epoch    spool.Epoch
+	seen     spool.Epoch
+	marks    []spool.AgentMark
+	actions  []*action
+	network  []*request
+	taken    map[gatekeeper.Ticket]*request
+	running  map[gatekeeper.Ticket]*request
+	asked    map[gatekeeper.Ticket]*question
+	sessions map[spool.ProgramID]bool
+	freeing  []spool.ProgramID
+	load     spool.EngineLoad
+}
+
+type question struct {
+	*action
+	dispatch
+}
+
+func machineConfig() gatekeeper.Config {
+	config := gatekeeper.DefaultConfig()
+	config.MaxWait, config.MaxQueued, config.ExpectedCall = 2000, 6, 100
+	config.OutcomeFor, config.MaxOutcomes, config.MaxReplays = 3000, 12, 3
+	config.CallLease, config.GraceLease, config.MaxHistoryBytes = 2000, 2000, 2000
+	return config
+}
+
+func (m *machine) boot() {
+	m.boots++
+	m.kernel = gatekeeper.New(machineConfig(), fmt.Sprintf("boot%d", m.boots), &fifo{}, m.gate)
+	m.ticket, m.seen = 0, 0
+	m.taken, m.running = map[gatekeeper.Ticket]*request{}, map[gatekeeper.Ticket]*request{}
+	m.asked = map[gatekeeper.Ticket]*question{}
+	m.freeing = nil
+}
+
+func (m *machine) step(t *rapid.T, message gatekeeper.Message) {
+	commands := append([]gatekeeper.Command(nil), m.kernel.Step(m.now, message)...)
+	for _, command := range commands {
+		switch c := command.(type) {
+		case gatekeeper.Start:
+			m.started(t, c)
+		case gatekeeper.Reply:
+			m.replied(t, c)
+		case gatekeeper.FateReply:
+			m.fated(t, c)
+		case gatekeeper.Free:
+			m.freeing = append(m.freeing, c.Program)
+		case gatekeeper.Violation:
+			t.Fatalf("invariant %s is broken", c.Invariant)
+		}
+	}
+	m.marks = append(m.marks, m.kernel.Status().Mark)
+}
+
+func (m *machine) started(t *rapid.T, c gatekeeper.Start) {
+	r := m.taken[c.Ticket]
+	if r.started || r.saidTrue || r.epoch < m.seen {
+		t.Fatalf("request %+v must not start, highest epoch is %d", r, m.seen)
+	}
+	if len(m.running) >= m.gate.size {
+		t.Fatalf("%d calls run in a window of %d", len(m.running)+1, m.gate.size)
+	}
+	for _, given := range r.givenUp {
+		if r.epoch < given.epoch || r.epoch == given.epoch && r.attempt <= given.attempt {
+			t.Fatalf("a dispatch that was said to be not seen has started: %+v", r)
+		}
+	}
+	r.started = true
+	r.runs++
+	if !r.idempotent && r.runs > 1 {
+		t.Fatalf("non-idempotent call %v ran twice", r.key)
+	}
+	if !r.service {
+		m.sessions[r.key.Program] = true
+		if got := spool.HistoryDigest("", c.Messages...); got != r.want {
+			t.Fatalf("prompt of %v is not its program's history", r.key)
+		}
+	}
+	m.running[c.Ticket] = r
+}
+
+func (m *machine) replied(t *rapid.T, c gatekeeper.Reply) {
+	r := m.taken[c.Ticket]
+	r.replies++
+	if r.replies > 1 {
+		t.Fatalf("request %v was answered twice", r.key)
+	}
+	if c.Refusal != nil && c.Refusal.NotRun == spool.NotRunTrue {
+		r.saidTrue = true
+		if r.started && !r.notSent {
+			t.Fatalf("%s says not run about a started call", c.Refusal.Code)
+		}
+	}
+}
+
+func (m *machine) fated(t *rapid.T, c gatekeeper.FateReply) {
+	q := m.asked[c.Ticket]
+	if c.Refusal != nil || c.Kind != gatekeeper.FateNotSeen {
+		if c.Kind == gatekeeper.FateDone && q.runs == 0 {
+			t.Fatalf("call %v is said to be done and never ran", q.key)
+		}
+		return
+	}
+	if q.runs > 0 {
+		t.Fatalf("call %v is said to be not seen and ran", q.key)
+	}
+	q.givenUp = append(q.givenUp, q.dispatch)
+}
+
+// history is the whole history of a program: turns grow with the call's number.
+func history(program, turns int) (messages []spool.Message) {
+	for i := range turns {
+		messages = append(messages,
+			spool.Message{Role: "user", Content: fmt.Sprintf("program %d asks %d", program, i)},
+			spool.AnswerMessage(fmt.Sprintf("answer %d", i)))
+	}
+	return append(messages, spool.Message{Role: "user", Content: fmt.Sprintf("program %d asks %d", program, turns)})
+}
+
+func (m *machine) send(t *rapid.T) {
+	if len(m.actions) == 0 || rapid.Bool().Draw(t, "new") {
+		m.actions = append(m.actions, &action{
+			key: gatekeeper.Key{
+				Account: "a", Program: spool.ProgramID(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "program"))),
+				Call: spool.CallID(fmt.Sprint(len(m.actions))),
+			},
+			idempotent: rapid.Bool().Draw(t, "idempotent"), service: rapid.Bool().Draw(t, "service"),
+			mark:     m.marks[rapid.IntRange(max(0, len(m.marks)-8), len(m.marks)-1).Draw(t, "mark")],
+			attempts: map[spool.Epoch]uint64{},
+		})
+	}
+	a := m.actions[rapid.IntRange(max(0, len(m.actions)-6), len(m.actions)-1).Draw(t, "action")]
+	epoch := m.epoch - min(spool.Epoch(rapid.IntRange(0, 1).Draw(t, "older")), m.epoch)
+	a.attempts[epoch]++
+	r := &request{action: a, dispatch: dispatch{epoch, a.attempts[epoch]}}
+	r.call = gatekeeper.Call{
+		Key: a.key, Stream: "programs-0", Epoch: epoch, Attempt: r.attempt, Mark: a.mark, Idempotent: a.idempotent,
+		Service: a.service, Alarm: rapid.Bool().Draw(t, "alarm"), DeadlineIn: clock.Millis(rapid.SampledFrom([]int{0, 300, 2000}).Draw(t, "deadline")),
+	}
+	if !a.service {
+		program := int(a.key.Program[0] - '0')
+		whole := history(program, rapid.IntRange(0, 3).Draw(t, "turns"))
+		base := rapid.IntRange(0, len(whole)-1).Draw(t, "base")
+		r.call.BaseCount, r.call.BaseDigest = base, spool.HistoryDigest("", whole[:base]...)
+		r.call.Messages = whole[base:]
+		r.want = spool.HistoryDigest("", whole...)
+	}
+	m.network = append(m.network, r)
+}
+
+func (m *machine) deliver(t *rapid.T) {
+	if len(m.network) == 0 {
+		t.Skip("nothing is on its way")
+	}
+	i := rapid.IntRange(0, len(m.network)-1).Draw(t, "request")
+	r := m.network[i]
+	m.network = append(m.network[:i], m.network[i+1:]...)
+	m.ticket++
+	m.taken[m.ticket] = r
+	m.seen = max(m.seen, r.epoch)
+	m.step(t, gatekeeper.Arrive{Ticket: m.ticket, Call: r.call})
+}
+
+func (m *machine) fate(t *rapid.T) {
+	if len(m.actions) == 0 {
+		t.Skip("no call is known")
+	}
+	a := m.actions[rapid.IntRange(0, len(m.actions)-1).Draw(t, "action")]
+	m.ticket++
+	m.asked[m.ticket] = &question{action: a, dispatch: dispatch{m.epoch, a.attempts[m.epoch]}}
+	m.seen = max(m.seen, m.epoch)
+	m.step(t, gatekeeper.Fate{
+		Ticket: m.ticket, Key: a.key, Stream: "programs-0", Epoch: m.epoch, Attempt: a.attempts[m.epoch],
+		Mark: a.mark, Idempotent: a.idempotent,
+	})
+}
+
+// pick returns one of the running calls, the lowest tickets first.
+func (m *machine) pick(t *rapid.T) gatekeeper.Ticket {
+	if len(m.running) == 0 {
+		t.Skip("nothing runs")
+	}
+	skip := rapid.IntRange(0, len(m.running)-1).Draw(t, "skip")
+	for ticket := gatekeeper.Ticket(1); ; ticket++ {
+		if m.running[ticket] != nil {
+			if skip == 0 {
+				return ticket
+			}
+			skip--
+		}
+	}
+}
+
+func (m *machine) finish(t *rapid.T, ticket gatekeeper.Ticket) {
+	r := m.running[ticket]
+	delete(m.running, ticket)
+	ending := rapid.SampledFrom([]gatekeeper.Ending{gatekeeper.EndDone, gatekeeper.EndDone, gatekeeper.EndNotSent, gatekeeper.EndStopped, gatekeeper.EndFailed}).Draw(t, "ending")
+	finished := gatekeeper.Finished{Ticket: ticket, Ending: ending}
+	switch {
+	case ending == gatekeeper.EndNotSent:
+		r.notSent = true
+		r.runs--
+	case ending == gatekeeper.EndDone && r.service:
+		finished.Outcome.Service = &spool.ServiceResult{Status: 200}
+	case ending == gatekeeper.EndDone:
+		turns := (r.call.BaseCount + len(r.call.Messages)) / 2
+		finished.Outcome.Engine = &spool.EngineResult{Text: fmt.Sprintf("answer %d", turns), PromptTokens: 5}
+	}
+	m.step(t, finished)
+}
+
+func (m *machine) free(t *rapid.T, ok bool) {
+	if len(m.freeing) == 0 {
+		t.Skip("nothing is to be released")
+	}
+	program := m.freeing[0]
+	m.freeing = m.freeing[1:]
+	if ok {
+		delete(m.sessions, program)
+	}
+	m.step(t, gatekeeper.Freed{Program: program, OK: ok})
+}
+
+func (m *machine) list(t *rapid.T) {
+	list := gatekeeper.Sessions{AskedAt: m.now}
+	for _, program := range []spool.ProgramID{"0", "1", "2"} {
+		if m.sessions[program] {
+			list.Programs = append(list.Programs, program)
+		}
+	}
+	m.step(t, list)
+}
+
+func (m *machine) actionsOf() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"send": m.send, "deliver": m.deliver, "deliver again": m.deliver, "fate": m.fate, "list sessions": m.list,
+		"finish":   func(t *rapid.T) { m.finish(t, m.pick(t)) },
+		"cancel":   func(t *rapid.T) { m.step(t, gatekeeper.Cancel{Ticket: m.pick(t)}) },
+		"crash":    func(t *rapid.T) { m.step(t, gatekeeper.Cancel{Ticket: m.ticket}) },
+		"takeover": func(*rapid.T) { m.epoch++ },
+		"wait": func(t *rapid.T) {
+			m.now += clock.Millis(rapid.SampledFrom([]int{1, 50, 400, 1500}).Draw(t, "ms"))
+			m.step(t, gatekeeper.Tick{})
+		},
+		"window": func(t *rapid.T) { m.gate.size = rapid.IntRange(1, 3).Draw(t, "window") },
+		"free":   func(t *rapid.T) { m.free(t, rapid.Bool().Draw(t, "ok")) },
+		"drain":  func(t *rapid.T) { m.step(t, gatekeeper.Drain{On: rapid.IntRange(0, 3).Draw(t, "on") == 0}) },
+		"renew": func(t *rapid.T) {
+			m.step(t, gatekeeper.Renew{Programs: []spool.ProgramID{"0", "1"}, Ended: []spool.ProgramID{"2"}, LeaseFor: 1000})
+		},
+		"restart engine": func(t *rapid.T) {
+			m.sessions = map[spool.ProgramID]bool{}
+			m.load.Generation++
+			m.step(t, gatekeeper.Report{Load: m.load})
+		},
+		"restart agent": func(t *rapid.T) {
+			if rapid.IntRange(0, 3).Draw(t, "really") > 0 {
+				t.Skip("rarely")
+			}
+			m.boot()
+			m.marks = append(m.marks, m.kernel.Status().Mark)
+		},
+	}
+}
+
+// settle ends everything and checks that nothing is left behind: every request
+// that reached this start of the agent was answered, no memory is held.
+func (m *machine) settle(t *rapid.T) {
+	m.gate.size = 3
+	for round := 0; round < 200 && (len(m.running) > 0 || !m.kernel.Idle()); round++ {
+		for ticket := range m.running {
+			m.finish(t, ticket)
+			break
+		}
+	}
+	for range 20 {
+		m.now += 1000
+		m.step(t, gatekeeper.Tick{})
+		m.list(t)
+		for len(m.freeing) > 0 {
+			m.free(t, true)
+		}
+	}
+	for _, r := range m.taken {
+		if r.replies != 1 {
+			t.Fatalf("request %v has %d answers", r.key, r.replies)
+		}
+	}
+	if len(m.sessions) > 0 || len(m.kernel.Held()) > 0 {
+		t.Fatalf("engine memory is left: %v, believed %v", m.sessions, m.kernel.Held())
+	}
+}
+
+// TestKernel guards against a second run of an action, untrue answers about
+// fates and refusals, mixed histories, a broken window, and leaked memory.
+func TestKernel(t *testing.T) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "3000", "rapid.steps": "80"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{gate: &window{size: 2}, epoch: 1, now: 1000, sessions: map[spool.ProgramID]bool{}}
+		m.boot()
+		m.marks = append(m.marks, m.kernel.Status().Mark)
+		t.Repeat(m.actionsOf())
+		m.settle(t)
+	})
+}
--- a/pkg/gatekeeper/record.go
+++ b/pkg/gatekeeper/record.go
@@ -26,6 +26,9 @@
 	call *call
 	// outcome is set when the state is recordDone.
 	outcome Outcome
+	// runs counts the runs that were started, except those that provably did not
+	// reach the endpoint; at most 1 for a non-idempotent action.
+	runs int
 	// idempotent is false once any dispatch of the action is not.
 	idempotent bool
 	// strict records stay for their whole retention: those of non-idempotent
@@ -100,12 +103,13 @@
 	rec.idempotent = rec.idempotent && c.Idempotent
 	rec.state, rec.call, rec.outcome = recordLive, c, Outcome{}
 	rec.ticket = c.ticket
+	c.record = rec
 }
 
 // mayStart reports whether no other dispatch of the action has run.
 func (r *records) mayStart(c *call) bool {
 	rec := r.byKey[c.Key]
-	return rec != nil && rec.state == recordLive && rec.call == c && !c.started
+	return rec != nil && rec.state == recordLive && rec.call == c && rec.runs == 0
 }
 
 // current returns the record if c is its latest dispatch.
@@ -116,14 +120,18 @@
 	return nil
 }
 
-// clear notes that c has not run. A fence stays in force until the given time.
+// clear notes that c has not run. A fence, and the fact that an earlier dispatch
+// of the action may have run, are kept until the given time.
 func (r *records) clear(c *call, until clock.Millis) {
 	rec := r.current(c)
 	if rec == nil {
 		return
 	}
 	rec.state, rec.call = recordNone, nil
-	if rec.fence == nil {
+	if rec.runs > 0 {
+		rec.state = recordLost
+	}
+	if rec.fence == nil && rec.runs == 0 {
 		r.remove(c.Key, rec)
 		return
 	}
