--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -18,6 +18,7 @@
 	MethodRelease        = "journal.release"
 	MethodLease          = "limit.lease"
 	MethodPull           = "control.pull"
+	MethodControlStatus  = "control.status"
 	MethodRun            = "endpoint.run"
 	MethodRenew          = "endpoint.renew"
 	MethodFate           = "endpoint.fate"
@@ -190,6 +191,9 @@
 	// it holds the state at offset SnapshotAt.
 	Snapshot   json.RawMessage `json:"snapshot,omitempty"`
 	SnapshotAt spool.Offset    `json:"snapshotAt,omitempty"`
+	// Last is the offset that the answering node has applied. The asking node is
+	// as fresh as the answering one only once it has reached Last.
+	Last spool.Offset `json:"last"`
 	// FreshFor is how long ago the answering node last heard, directly or
 	// through others, from the log; negative when it never has.
 	FreshFor clock.Millis `json:"freshForMs"`
@@ -248,6 +252,9 @@
 type HoldReply struct {
 	// Held is the highest sequence held without a gap.
 	Held uint64 `json:"held"`
+	// Incarnation differs for each start of the holder's process. A restarted
+	// holder has forgotten what it held and which epochs it had sealed.
+	Incarnation string `json:"incarnation"`
 }
 
 // SealRequest fences lower epochs of a stream and asks for what is held.
@@ -261,6 +268,12 @@
 	Batches []spool.Batch `json:"batches,omitempty"`
 }
 
+// ReleaseRequest tells a holder that everything of lower epochs is on the log.
+type ReleaseRequest struct {
+	Stream spool.Stream `json:"stream"`
+	Epoch  spool.Epoch  `json:"epoch"`
+}
+
 // LeaseRequest asks a pool's owner for tokens of an account.
 type LeaseRequest struct {
 	Account spool.AccountID `json:"account"`
