Report starts, ends and time between tokens to the gate

Cause: the adaptive gate counts running calls by GateStarted and GateEnded, and a latency that contained the prompt's computation would look like a jump whenever a long prompt follows a cached one. Change: the kernel reports every start and end; latency is the time between tokens, with a floor above the clock's resolution. The state machine test draws two variants of each history.

--- a/internal/endpoint/execute.go
+++ b/internal/endpoint/execute.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -44,7 +45,7 @@
 	} else {
 		finished.Outcome.Engine, err = run.generate(ctx, start.Messages)
 	}
-	finished.Chunks = run.chunks
+	finished.Chunks, finished.Streamed = run.chunks, run.lastAt-run.firstAt
 	finished.Ending = run.ending(ctx, err)
 	if err != nil {
 		finished.Outcome = gatekeeper.Outcome{}
@@ -62,7 +63,9 @@
 	stop        context.CancelCauseFunc
 	stall       *time.Timer
 	chunks      int
-	text        strings.Builder
+	// firstAt and lastAt are when the first and the last piece came.
+	firstAt, lastAt clock.Millis
+	text            strings.Builder
 	// rejected is the first fault found in the stream.
 	rejected error
 }
@@ -107,6 +110,10 @@
 		return r.reject(errIncomplete)
 	}
 	r.stall.Reset(r.agent.config.StallAfter.Duration())
+	r.lastAt = r.agent.clock.Now()
+	if r.chunks == 0 {
+		r.firstAt = r.lastAt
+	}
 	r.chunks++
 	r.text.WriteString(chunk.Text)
 	return r.forward(chunk)
--- a/pkg/gatekeeper/call.go
+++ b/pkg/gatekeeper/call.go
@@ -8,6 +8,14 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
+// Latencies below these, in milliseconds, are reported as equal to them: the
+// clock counts whole milliseconds, and a gate would take 1 ms after 0.2 ms for a
+// latency jump.
+const (
+	minServiceLatency = 10.0
+	minTokenLatency   = 2.0
+)
+
 // bytesPerToken converts the size of a prompt to an estimate of its tokens.
 const bytesPerToken = 4
 
@@ -174,6 +182,7 @@
 	if !c.Service {
 		k.engage(c)
 	}
+	k.observe(spool.GateEvent{Kind: spool.GateStarted})
 	k.emit(Start{Ticket: c.ticket, Correlation: c.view.Correlation, Messages: c.prompt})
 }
 
@@ -260,21 +269,39 @@
 	took := float64(k.now - c.startedAt)
 	switch m.Ending {
 	case EndNotSent, EndFailed:
-		k.gate.Observe(k.now, spool.GateEvent{Kind: spool.GateFailed})
+		k.observe(spool.GateEvent{Kind: spool.GateFailed})
 		return max(m.Chunks, 1)
 	case EndStopped:
+		k.observe(spool.GateEvent{Kind: spool.GateEnded})
 		return max(m.Chunks, 1)
 	}
 	k.perCall += serviceTimeWeight * (took - k.perCall)
-	generated, cost := 1, 1
-	if result := m.Outcome.Engine; result != nil {
-		generated = max(result.GeneratedTokens, 1)
-		cost = max(result.PromptTokens-result.CachedTokens, 0) + generated
+	result := m.Outcome.Engine
+	if result == nil {
+		k.observe(spool.GateEvent{Kind: spool.GateCompleted, Latency: max(took, minServiceLatency)})
+		return 1
 	}
-	k.gate.Observe(k.now, spool.GateEvent{Kind: spool.GateCompleted, Latency: took / float64(generated)})
-	return cost
+	k.observe(spool.GateEvent{Kind: spool.GateCompleted, Latency: k.tokenLatency(m)})
+	return max(result.PromptTokens-result.CachedTokens, 0) + max(result.GeneratedTokens, 1)
 }
 
+// tokenLatency is the time per token after the first one. The time until the
+// first token depends on the length of the prompt and says little about the
+// engine's health. An answer of one piece counts with the average.
+func (k *Kernel) tokenLatency(m Finished) float64 {
+	if m.Chunks < 2 {
+		return max(k.perToken, minTokenLatency)
+	}
+	latency := max(float64(m.Streamed)/float64(m.Chunks-1), minTokenLatency)
+	if k.perToken == 0 {
+		k.perToken = latency
+	}
+	k.perToken += serviceTimeWeight * (latency - k.perToken)
+	return latency
+}
+
+func (k *Kernel) observe(event spool.GateEvent) { k.gate.Observe(k.now, event) }
+
 // waitingTickets lists the waiting calls in the order of their arrival.
 func (k *Kernel) waitingTickets() []Ticket {
 	tickets := make([]Ticket, 0, len(k.waiting))
--- a/pkg/gatekeeper/gatekeeper.go
+++ b/pkg/gatekeeper/gatekeeper.go
@@ -40,6 +40,9 @@
 	alarms int
 	// perCall is the moving average of the service time in milliseconds.
 	perCall float64
+	// perToken is the moving average of the time between tokens; 0 before the
+	// first answer.
+	perToken float64
 
 	records  records
 	programs map[spool.ProgramID]*program
@@ -90,7 +93,7 @@
 	case Report:
 		k.report(m.Load)
 	case Unreachable:
-		k.gate.Observe(k.now, spool.GateEvent{Kind: spool.GateFailed})
+		k.unreachable()
 	case Events:
 		k.events(m.Events)
 	case Sessions:
--- a/pkg/gatekeeper/kernel_test.go
+++ b/pkg/gatekeeper/kernel_test.go
@@ -220,8 +220,11 @@
 		k.Step(k.now, k.arrive(payment(2)))
 		k.Step(k.now, gatekeeper.Finished{Ticket: k.ticket, Ending: gatekeeper.EndFailed})
 		k.Step(k.now, gatekeeper.Unreachable{})
+		k.Step(k.now, k.arrive(turn("q", message)))
+		k.Step(k.now, gatekeeper.Finished{Ticket: k.ticket, Ending: gatekeeper.EndStopped})
 		gomega.Expect(k.gate.events).To(gomega.Equal([]spool.GateEventKind{
-			spool.GateCompleted, spool.GateCompleted, spool.GateCacheEmptied, spool.GateFailed, spool.GateFailed,
+			spool.GateStarted, spool.GateCompleted, spool.GateStarted, spool.GateCompleted, spool.GateCacheEmptied,
+			spool.GateStarted, spool.GateFailed, spool.GateStarted, spool.GateFailed, spool.GateStarted, spool.GateEnded,
 		}))
 	})
 
--- a/pkg/gatekeeper/machine_test.go
+++ b/pkg/gatekeeper/machine_test.go
@@ -160,14 +160,15 @@
 	q.givenUp = append(q.givenUp, q.dispatch)
 }
 
-// history is the whole history of a program: turns grow with the call's number.
-func history(program, turns int) (messages []spool.Message) {
+// history is the whole history of a program with the given number of turns.
+// Another variant has the same length, as after a turn that was repeated.
+func history(program, variant, turns int) (messages []spool.Message) {
 	for i := range turns {
 		messages = append(messages,
-			spool.Message{Role: "user", Content: fmt.Sprintf("program %d asks %d", program, i)},
+			spool.Message{Role: "user", Content: fmt.Sprintf("program %d asks %d, %d", program, i, variant)},
 			spool.AnswerMessage(fmt.Sprintf("answer %d", i)))
 	}
-	return append(messages, spool.Message{Role: "user", Content: fmt.Sprintf("program %d asks %d", program, turns)})
+	return append(messages, spool.Message{Role: "user", Content: fmt.Sprintf("program %d asks %d, %d", program, turns, variant)})
 }
 
 func (m *machine) send(t *rapid.T) {
@@ -192,7 +193,7 @@
 	}
 	if !a.service {
 		program := int(a.key.Program[0] - '0')
-		whole := history(program, rapid.IntRange(0, 3).Draw(t, "turns"))
+		whole := history(program, rapid.IntRange(0, 1).Draw(t, "variant"), rapid.IntRange(0, 3).Draw(t, "turns"))
 		base := rapid.IntRange(0, len(whole)-1).Draw(t, "base")
 		r.call.BaseCount, r.call.BaseDigest = base, spool.HistoryDigest("", whole[:base]...)
 		r.call.Messages = whole[base:]
--- a/pkg/gatekeeper/memory.go
+++ b/pkg/gatekeeper/memory.go
@@ -110,7 +110,7 @@
 		return
 	}
 	k.emit(Note{Event: "cacheEmptied"})
-	k.gate.Observe(k.now, spool.GateEvent{Kind: spool.GateCacheEmptied})
+	k.observe(spool.GateEvent{Kind: spool.GateCacheEmptied})
 	k.emptied()
 }
 
@@ -252,7 +252,14 @@
 		k.engine.sequence = 0
 		k.emptied()
 	}
-	k.gate.Observe(k.now, spool.GateEvent{Kind: spool.GateReport, Load: load})
+	k.observe(spool.GateEvent{Kind: spool.GateReport, Load: load})
+}
+
+// unreachable counts as a call that failed: the gate is told of its start too,
+// so that it does not lose count of the running ones.
+func (k *Kernel) unreachable() {
+	k.observe(spool.GateEvent{Kind: spool.GateStarted})
+	k.observe(spool.GateEvent{Kind: spool.GateFailed})
 }
 
 // Held returns the programs whose memory the engine holds, with the length of
--- a/pkg/gatekeeper/message.go
+++ b/pkg/gatekeeper/message.go
@@ -93,6 +93,8 @@
 	Outcome Outcome
 	// Chunks counts the pieces that were received; the cost of a failed run.
 	Chunks int
+	// Streamed is the time from the first piece to the last one.
+	Streamed clock.Millis
 	// Reason explains a failure to the caller.
 	Reason string
 }
