Fix the race in the agent's shutdown test

The test sent its second call right after starting the shutdown. Under load the call was admitted first and then waited for the held service until the 60 s limit.

--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -119,9 +119,14 @@
 		gomega.Eventually(tankers.count).Should(gomega.Equal(1))
 		stopped := make(chan error, 1)
 		go func() { stopped <- agent.Shutdown(ctx) }()
-		gomega.Eventually(func() spool.Code {
-			return refusalOf(clients.Call(ctx, agent.Address(), wire.MethodRun, booking("2"), nil, nil)).Code
-		}).Should(gomega.Equal(spool.CodeDraining))
+		// A call sent before the agent has begun to leave would be admitted.
+		gomega.Eventually(func() bool {
+			status := wire.EndpointStatus{}
+			_ = clients.Call(ctx, agent.Address(), wire.MethodEndpointStatus, struct{}{}, &status, nil)
+			return status.Draining
+		}).Should(gomega.BeTrue())
+		refusal := refusalOf(clients.Call(ctx, agent.Address(), wire.MethodRun, booking("2"), nil, nil))
+		gomega.Expect(refusal.Code).To(gomega.Equal(spool.CodeDraining))
 		close(tankers.hold)
 		gomega.Eventually(ended, 2*time.Second).Should(gomega.Receive(gomega.BeNil()))
 		gomega.Eventually(stopped, 2*time.Second).Should(gomega.Receive(gomega.BeNil()))
