Take the agent's memory leases from the settings

Engine memory of a program that moved to another engine stayed held for 30 s, the agent's built-in lease, whatever memory.leaseMs said: 15 ended programs held memory 8 s after the end of the demonstration. The agent now starts with the setting; with 5 s none holds memory after 8 s. Also silences jsonrpc2's own log lines about late answers and stops the demonstration's processes side by side.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -289,12 +290,15 @@
 func (c *cluster) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
+	var stopping sync.WaitGroup
 	for _, entry := range c.entries {
-		_ = entry.Shutdown(ctx)
+		stopping.Go(func() { _ = entry.Shutdown(ctx) })
 	}
+	stopping.Wait()
 	for _, endpoint := range c.endpoints {
-		_ = endpoint.Shutdown(ctx)
+		stopping.Go(func() { _ = endpoint.Shutdown(ctx) })
 	}
+	stopping.Wait()
 	for _, stop := range c.closers {
 		stop()
 	}
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -141,6 +141,8 @@
 	agentConfig.QueueOptions = values.Options()
 	agentConfig.GateOptions = values.Options()
 	agentConfig.Kernel.MaxWait = values.Duration(settings.QueueMaxWaitMs)
+	agentConfig.Kernel.CallLease = values.Duration(settings.MemoryLeaseMs)
+	agentConfig.Kernel.GraceLease = values.Duration(settings.MemoryLeaseMs)
 	options := []endpoint.Option{endpoint.WithTelemetry(t)}
 	if p.config.EngineAddress != "" {
 		options = append(options, endpoint.WithEngine(platform.NewEngine(p.config.EngineAddress)))
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -204,7 +204,7 @@
 	l := &link{clients: clients, closed: make(chan struct{}), chunks: map[string]func(json.RawMessage){}}
 	l.heard.Store(time.Now().UnixNano())
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-	l.rpc = jsonrpc2.NewConn(context.Background(), stream, l)
+	l.rpc = jsonrpc2.NewConn(context.Background(), stream, l, quiet)
 	go func() {
 		ticker := time.NewTicker(clients.pingEvery.Duration())
 		defer ticker.Stop()
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -8,6 +8,8 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -38,6 +40,10 @@
 // its connection and cancels its requests. Clients send a heartbeat every 500 ms.
 const defaultIdleAfter = 5 * clock.Second
 
+// quiet stops jsonrpc2 from logging on its own: it reports late answers to
+// cancelled calls, which are expected.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // Send passes one chunk of a streamed answer to the caller of a method.
 type Send func(chunk any) error
 
@@ -180,7 +186,7 @@
 	session := &session{server: s, mux: mux, running: map[string]context.CancelFunc{}}
 	session.heard.Store(time.Now().UnixNano())
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-	rpc := jsonrpc2.NewConn(s.ctx, stream, session)
+	rpc := jsonrpc2.NewConn(s.ctx, stream, session, quiet)
 	s.mu.Lock()
 	s.conns[rpc] = struct{}{}
 	s.mu.Unlock()
