Pull from peers, refuse in isolation, and test both in virtual time

Change: Node holds the deterministic part of the reader; Reader runs it. An entry that cannot read the log alternates between its own and other failure domains, since only an entry elsewhere proves that the node is not cut off with its domain. TestModel drives four nodes with loss, duplicates, reordering, truncated replies, trimming, a log that is down or behind, cuts and restarts.

--- /dev/null
+++ b/internal/control/fleet_test.go
@@ -0,0 +1,103 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// deadAddress refuses connections.
+const deadAddress = "127.0.0.1:1"
+
+// fleet runs readers with real connections on loopback.
+type fleet struct {
+	log *fakeLog
+	mu  sync.Mutex
+	vms []spool.VM
+}
+
+// member is one reader of a fleet.
+type member struct {
+	*control.Reader
+	vm      spool.VM
+	clients *wire.Clients
+	server  *wire.Server
+	// noLog and noPeers cut the node off.
+	noLog   atomic.Bool
+	noPeers atomic.Bool
+}
+
+// gatedLog fails while the member is cut off from the log.
+type gatedLog struct {
+	*fakeLog
+	member *member
+}
+
+func (l gatedLog) Read(ctx context.Context, stream spool.Stream, after spool.Offset, wait clock.Millis) (spool.Page, error) {
+	if l.member.noLog.Load() {
+		return spool.Page{}, spool.ErrLogUnavailable
+	}
+	page, err := l.fakeLog.Read(ctx, stream, after, wait)
+	if l.member.noLog.Load() {
+		return spool.Page{}, spool.ErrLogUnavailable
+	}
+	return page, err
+}
+
+func (f *fleet) list() []spool.VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]spool.VM(nil), f.vms...)
+}
+
+// start adds a node. Agents have no log.
+func (f *fleet) start(config control.Config) *member {
+	m := &member{clients: wire.NewClients(config.Node)}
+	var handler atomic.Pointer[wire.Mux]
+	mux := wire.Mux{wire.MethodPull: func(ctx context.Context, params json.RawMessage, send wire.Send) (any, error) {
+		if m.noPeers.Load() || handler.Load() == nil {
+			return nil, spool.Refuse(spool.CodeShuttingDown, "cut off")
+		}
+		return (*handler.Load())[wire.MethodPull](ctx, params, send)
+	}}
+	server, err := wire.Listen("127.0.0.1:0", mux, nil)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	m.server = server
+	m.vm = spool.VM{ID: config.Node, Role: config.Role, State: spool.VMLive, FailureDomain: config.FailureDomain, Address: server.Address()}
+	f.mu.Lock()
+	f.vms = append(f.vms, m.vm)
+	f.mu.Unlock()
+	options := []control.Option{control.WithClients(m.clients), control.WithPeers(func() []spool.VM {
+		vms := f.list()
+		for i := range vms {
+			if m.noPeers.Load() {
+				vms[i].Address = deadAddress
+			}
+		}
+		return vms
+	})}
+	if config.Role == spool.RoleEntry {
+		options = append(options, control.WithLog(gatedLog{f.log, m}))
+	}
+	m.Reader, err = control.NewReader(config, options...)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	handlers := m.Handlers()
+	handler.Store(&handlers)
+	ginkgo.DeferCleanup(m.stop)
+	return m
+}
+
+func (m *member) stop() {
+	m.Close()
+	m.clients.Close()
+	_ = m.server.Close()
+}
--- a/internal/control/loops.go
+++ b/internal/control/loops.go
@@ -7,7 +7,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -24,26 +26,37 @@
 	var failures backoff
 	for r.ctx.Err() == nil {
 		if !r.readsLog() {
-			if !r.pause(idlePoll) {
-				return
-			}
+			r.pause(idlePoll)
 			continue
 		}
-		if err := r.readOnce(); err != nil {
-			if r.ctx.Err() != nil {
-				return
-			}
-			r.event("control.logReadFailed")
-			if failures.failures == 0 {
-				r.logger.Warn("control stream cannot be read from the log", zap.Error(err))
-			}
-			r.pause(failures.next(r.jitter()))
+		err := r.readOnce()
+		if r.ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			failures.reset()
 			continue
 		}
-		failures.reset()
+		r.event("control.logReadFailed")
+		if failures.failures == 0 {
+			r.logger.Warn("control stream cannot be read from the log", zap.Error(err))
+		}
+		r.pause(failures.next(r.jitter()))
 	}
 }
 
+// readsLog reports whether this node reads the log; one that cannot pull always
+// does.
+func (r *Reader) readsLog() bool {
+	if !r.pulls() {
+		return true
+	}
+	vms := r.peers()
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.node.ReadsLog(r.clock.Now(), vms)
+}
+
 func (r *Reader) readOnce() error {
 	ctx, cancel := context.WithTimeout(r.ctx, (r.config.Wait + replyGrace).Duration())
 	defer cancel()
@@ -56,20 +69,7 @@
 	if err != nil {
 		return err
 	}
-	if page.Last < after {
-		r.event("control.logBehind")
-		return errors.Errorf("log ends at offset %d, before offset %d that is in force", page.Last, after)
-	}
-	if err := r.apply(page.Batches); err != nil {
-		return err
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.first = page.First
-	if r.state.offset >= page.Last {
-		r.fresh.heardLog(sent)
-	}
-	return nil
+	return r.update(func() ([]Rejection, error) { return r.node.TakePage(sent, after, page) })
 }
 
 // reload replaces the state by a snapshot from the log.
@@ -80,25 +80,107 @@
 	if err != nil {
 		return err
 	}
-	if !r.restore(state) {
-		return ErrNoSnapshot
+	r.event("control.snapshotLoaded")
+	return r.update(func() ([]Rejection, error) {
+		if !r.node.TakeSnapshot(state) {
+			return nil, ErrNoSnapshot
+		}
+		return nil, nil
+	})
+}
+
+// update changes the node and wakes those who wait for a change.
+func (r *Reader) update(change func() ([]Rejection, error)) error {
+	r.mu.Lock()
+	before := r.node.state.offset
+	rejected, err := change()
+	if r.node.state.offset > before {
+		close(r.changed)
+		r.changed = make(chan struct{})
+		r.node.CloseWatched(r.clock.Now())
 	}
-	return nil
+	r.mu.Unlock()
+	for _, rejection := range rejected {
+		name := "control.badRecord"
+		if lost := (&settings.ConflictError{}); errors.As(rejection.Err, &lost) {
+			name = "control.conflict"
+		}
+		r.event(name)
+		r.logger.Warn("control record was skipped", zap.Int64("offset", int64(rejection.Offset)),
+			zap.Int("index", rejection.Index), zap.String("writer", string(rejection.Writer)), zap.Error(rejection.Err))
+	}
+	return err
+}
+
+// pull asks peers for as long as the reader is open, except while the log
+// itself answers.
+func (r *Reader) pull() {
+	var idle backoff
+	for attempt := 0; r.ctx.Err() == nil; attempt++ {
+		now, vms := r.clock.Now(), r.peers()
+		r.mu.Lock()
+		needed := r.log == nil || r.node.NeedsPeers(now, vms)
+		var peer spool.VM
+		found := false
+		if needed {
+			peer, found = r.node.Choose(now, vms, attempt)
+		}
+		r.mu.Unlock()
+		if !needed {
+			r.pause(idlePoll)
+			continue
+		}
+		if !found {
+			r.pause(idle.next(r.jitter()))
+			continue
+		}
+		idle.reset()
+		err := r.pullFrom(peer, vms)
+		if err != nil && r.ctx.Err() == nil {
+			r.event("control.pullFailed")
+			r.logger.Debug("pull failed", zap.String("peer", string(peer.ID)), zap.Error(err))
+			r.mu.Lock()
+			r.node.Failed(r.clock.Now(), peer)
+			r.mu.Unlock()
+		}
+	}
+}
+
+// pullFrom asks one peer and takes its answer in.
+func (r *Reader) pullFrom(peer spool.VM, vms []spool.VM) error {
+	wait := r.config.Wait
+	if r.log != nil {
+		wait = min(wait, degradedWait)
+	}
+	if !r.Ready() {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, (wait + replyGrace).Duration())
+	defer cancel()
+	sent := r.clock.Now()
+	var reply wire.PullReply
+	request := wire.PullRequest{After: r.Offset(), Wait: wait, Node: r.config.Node}
+	if err := r.clients.Call(ctx, peer.Address, wire.MethodPull, request, &reply, nil); err != nil {
+		return err
+	}
+	return r.update(func() ([]Rejection, error) {
+		r.node.Answered(r.clock.Now(), peer, reply.FreshFor)
+		return r.node.TakeReply(sent, reply, r.node.ProvesContact(peer, vms))
+	})
 }
 
 // housekeep closes the channels of keys that expire and appends snapshots.
 func (r *Reader) housekeep() {
-	started := r.clock.Now()
 	var tried clock.Millis
 	var covered spool.Offset
 	for r.pause(housekeepEvery) {
 		now := r.clock.Now()
 		r.mu.Lock()
-		r.closeWatched()
-		due := r.snapshotDue(started)
+		r.node.CloseWatched(now)
+		due := r.responsible && r.log != nil && r.node.SnapshotDue(now)
 		// The node has not read the snapshot that it appended.
-		pending := covered > r.state.snapshot.Covers && now-tried < snapshotRetry
-		at := r.state.offset
+		pending := covered > r.node.state.snapshot.Covers && now-tried < snapshotRetry
+		at := r.node.state.offset
 		r.mu.Unlock()
 		if !due || pending {
 			continue
@@ -111,23 +193,6 @@
 	}
 }
 
-// snapshotDue reports whether this node has to append a snapshot: when half of
-// the retention has passed since the last one, or when the log removes records
-// and the last one covers less than half of those it still holds.
-func (r *Reader) snapshotDue(started clock.Millis) bool {
-	if !r.responsible || r.log == nil || !r.fresh.loaded || r.state.offset == 0 {
-		return false
-	}
-	mark := r.state.snapshot
-	if r.first > 1 && mark.Covers-r.first < (r.state.offset-r.first)/2 {
-		return true
-	}
-	if mark.Covers == 0 {
-		return r.clock.Now()-started >= r.config.Retention/8
-	}
-	return r.clock.Now()-mark.At >= r.config.Retention/2
-}
-
 // AppendSnapshot appends a snapshot of the state to the log. A part whose fate
 // is unknown makes the snapshot incomplete at worst, and readers ignore it then.
 func (r *Reader) AppendSnapshot(ctx context.Context) (err error) {
@@ -136,8 +201,8 @@
 		return errors.New("node has no log")
 	}
 	r.mu.RLock()
-	id := string(r.config.Node) + "-" + strconv.FormatInt(int64(r.state.offset), 10) + "-" + strconv.FormatInt(int64(r.clock.Now()), 36)
-	records, err := SnapshotRecords(r.state, id)
+	id := string(r.config.Node) + "-" + strconv.FormatInt(int64(r.node.state.offset), 10) + "-" + strconv.FormatInt(int64(r.clock.Now()), 36)
+	records, err := SnapshotRecords(r.node.state, id)
 	r.mu.RUnlock()
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/control/model_test.go
@@ -0,0 +1,397 @@
+package control_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/keyring"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	modelNodes     = 4
+	modelWait      = 1000
+	modelIsolation = 5000
+	// modelStep is the longest time that passes at once.
+	modelStep = 3000
+)
+
+// model runs nodes in virtual time against one log. Each action delivers,
+// delays, repeats or loses something.
+type model struct {
+	now     clock.Millis
+	batches []spool.Batch
+	first   spool.Offset
+	down    bool
+	// logBehind makes reads show a log that ends earlier.
+	logBehind int
+	nodes     []*modelNode
+	vms       []spool.VM
+	// key was withdrawn at withdrawnAt, 0 while it is in force.
+	key         keyring.Key
+	stored      keyring.Stored
+	withdrawnAt clock.Millis
+	// reference is the fold of every batch that was appended.
+	reference *control.State
+	next      int
+}
+
+// modelNode is one node with what is on its way to it.
+type modelNode struct {
+	*control.Node
+	highest spool.Offset
+	cutLog  bool
+	cutPeer bool
+	pages   []sentPage
+	replies []sentReply
+	// closed is the channel of the key.
+	closed <-chan struct{}
+	// knows is the instant of the log that the state reflects; touched is when
+	// the node last asked the log or a peer elsewhere that answered.
+	knows   clock.Millis
+	touched clock.Millis
+}
+
+type sentPage struct {
+	sent  clock.Millis
+	after spool.Offset
+	page  spool.Page
+}
+
+type sentReply struct {
+	sent   clock.Millis
+	reply  wire.PullReply
+	proves bool
+	knows  clock.Millis
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{now: 1000, first: 1, reference: control.NewState()}
+	m.key, m.stored, _ = keyring.Issue("acme", 1, 0)
+	for i := range modelNodes {
+		domain := spool.FailureDomain([]string{"a", "a", "b", "c"}[i])
+		m.vms = append(m.vms, spool.VM{
+			ID: spool.NodeID(strconv.Itoa(i)), Role: spool.RoleEntry, State: spool.VMLive,
+			FailureDomain: domain, Address: strconv.Itoa(i),
+		})
+		m.nodes = append(m.nodes, nil)
+		m.restart(i)
+	}
+	m.append(t, batchOf("first", 0, control.Account{ID: "acme"}, m.stored))
+	return m
+}
+
+func (m *model) restart(i int) {
+	config := control.Config{Node: m.vms[i].ID, Role: spool.RoleEntry, FailureDomain: m.vms[i].FailureDomain, Wait: modelWait, RelayBytes: 1500}
+	m.nodes[i] = &modelNode{Node: control.NewNode(config, m.now), knows: m.now, touched: m.now}
+}
+
+func (m *model) append(t *rapid.T, batch spool.Batch) []control.Rejection {
+	batch.Offset = m.first + spool.Offset(len(m.batches))
+	m.batches = append(m.batches, batch)
+	rejected, err := m.reference.Apply(batch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rejected
+}
+
+func (m *model) last() spool.Offset { return m.first + spool.Offset(len(m.batches)) - 1 }
+
+// page reads the log as of now.
+func (m *model) page(after spool.Offset) (page spool.Page, trimmed bool) {
+	page = spool.Page{First: m.first, Last: m.last() - spool.Offset(m.logBehind)}
+	if after+1 < m.first {
+		return page, true
+	}
+	for _, batch := range m.batches {
+		if batch.Offset > after && batch.Offset <= page.Last {
+			page.Batches = append(page.Batches, batch)
+		}
+	}
+	return page, false
+}
+
+// read lets a node read the log; the page stays on its way.
+func (m *model) read(n *modelNode) {
+	if m.down || n.cutLog {
+		return
+	}
+	after := n.State().Offset()
+	page, trimmed := m.page(after)
+	if trimmed {
+		// A snapshot on the log stands in for the records removed.
+		data, _ := m.reference.MarshalJSON()
+		if state, err := control.RestoreState(data); err == nil {
+			n.TakeSnapshot(state)
+			n.CloseWatched(m.now)
+		}
+		return
+	}
+	n.pages = append(n.pages, sentPage{m.now, after, page})
+}
+
+// pull lets a node ask a peer; the reply stays on its way.
+func (m *model) pull(t *rapid.T, n *modelNode, from int) {
+	peer := m.nodes[from]
+	if peer == n || n.cutPeer || peer.cutPeer {
+		return
+	}
+	reply, behind := peer.Answer(m.now, n.State().Offset())
+	reply.Batches = reply.Batches[:rapid.IntRange(0, len(reply.Batches)).Draw(t, "size")]
+	if behind {
+		data, _ := peer.State().Compressed()
+		reply.Snapshot, _ = json.Marshal(data)
+		reply.SnapshotAt = peer.State().Offset()
+	}
+	n.replies = append(n.replies, sentReply{m.now, reply, n.ProvesContact(m.vms[from], m.vms), peer.knows})
+}
+
+// deliver hands over one message, in any order, and maybe keeps a copy of it.
+func (n *modelNode) deliver(t *rapid.T, now clock.Millis) {
+	again := rapid.Bool().Draw(t, "duplicate")
+	if len(n.pages) > 0 {
+		i := rapid.IntRange(0, len(n.pages)-1).Draw(t, "page")
+		p := n.pages[i]
+		n.takePage(p)
+		if !again {
+			n.pages = slices.Delete(n.pages, i, i+1)
+		}
+	}
+	if len(n.replies) > 0 {
+		i := rapid.IntRange(0, len(n.replies)-1).Draw(t, "reply")
+		r := n.replies[i]
+		if _, err := n.TakeReply(r.sent, r.reply, r.proves); err == nil && r.reply.FreshFor >= 0 && n.State().Offset() >= r.reply.Last {
+			n.knows = max(n.knows, r.knows)
+			if r.proves {
+				n.touched = max(n.touched, r.sent)
+			}
+		}
+		if !again {
+			n.replies = slices.Delete(n.replies, i, i+1)
+		}
+	}
+	n.CloseWatched(now)
+}
+
+func (n *modelNode) takePage(p sentPage) {
+	if _, err := n.TakePage(p.sent, p.after, p.page); err == nil && n.State().Offset() >= p.page.Last {
+		n.knows, n.touched = max(n.knows, p.sent), max(n.touched, p.sent)
+	}
+}
+
+// check fails when a node has gone back, differs from the fold of the same
+// offset, or lets a withdrawn key in for longer than the bound.
+func (m *model) check(t *rapid.T) {
+	for i, n := range m.nodes {
+		offset := n.State().Offset()
+		if offset < n.highest {
+			t.Fatalf("node %d went back from offset %d to %d", i, n.highest, offset)
+		}
+		n.highest = offset
+		_, _, err := n.Authenticate(m.now, m.key.Reveal())
+		if err == nil && n.closed == nil {
+			n.closed = n.Withdrawn(m.now, m.key.ID())
+		}
+		if since := m.now - max(n.knows, n.touched); err == nil && since > modelIsolation {
+			t.Fatalf("node %d accepts a key %s after it lost touch", i, since)
+		}
+		if err == nil && m.withdrawnAt != 0 && n.State().Offset() == m.last() {
+			t.Fatalf("node %d accepts a key that its state says is withdrawn", i)
+		}
+		if age := n.FreshFor(m.now); age >= 0 && age < m.now-n.knows {
+			t.Fatalf("node %d claims an age of %s, it is %s", i, age, m.now-n.knows)
+		}
+		if n.State().Offset() == m.last() && m.withdrawnAt != 0 && n.closed != nil {
+			select {
+			case <-n.closed:
+			default:
+				t.Fatalf("node %d has not ended what uses the key", i)
+			}
+		}
+	}
+}
+
+// heal reconnects everything and lets each node catch up.
+func (m *model) heal(t *rapid.T) {
+	m.down, m.logBehind = false, 0
+	for i, n := range m.nodes {
+		n.cutLog, n.cutPeer = false, false
+		for range 3 {
+			m.read(n)
+			for _, p := range n.pages {
+				n.takePage(p)
+			}
+			n.pages = nil
+		}
+		n.CloseWatched(m.now)
+		want, _ := m.reference.MarshalJSON()
+		got, _ := n.State().MarshalJSON()
+		if !bytes.Equal(got, want) {
+			t.Fatalf("node %d has not converged:\n%s\nwant\n%s", i, got, want)
+		}
+		for value := range 4 {
+			endpoint := spool.EndpointID("ep" + strconv.Itoa(value))
+			if !slices.Equal(n.State().Orders(endpoint), m.reference.Orders(endpoint)) ||
+				n.State().Draining("a", endpoint) != m.reference.Draining("a", endpoint) {
+				t.Fatalf("node %d differs on endpoint %s", i, endpoint)
+			}
+		}
+	}
+	m.check(t)
+}
+
+// TestModel guards against a node that goes back, diverges from the others, or
+// lets a withdrawn key in, whatever is lost, repeated, late or restarted.
+func TestModel(t *testing.T) {
+	gomega.RegisterTestingT(t)
+	fixSeed(t, "20261204", "600")
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(t *rapid.T) {
+				base := spool.Offset(rapid.IntRange(0, int(m.last())).Draw(t, "base"))
+				m.next++
+				m.append(t, batchOf(fmt.Sprint(m.next), base, m.draw(t)))
+			},
+			"race": func(t *rapid.T) {
+				base, accepted := m.last(), 0
+				for i := range 2 {
+					m.next++
+					if len(m.append(t, batchOf(fmt.Sprint(m.next), base, change("fleet/limit.burst", strconv.Itoa(i+1))))) == 0 {
+						accepted++
+					}
+				}
+				if accepted != 1 {
+					t.Fatalf("%d of two racing operators succeeded", accepted)
+				}
+			},
+			"duplicate": func(t *rapid.T) {
+				if len(m.batches) > 0 {
+					m.append(t, m.batches[rapid.IntRange(0, len(m.batches)-1).Draw(t, "batch")])
+				}
+			},
+			"withdraw": func(t *rapid.T) {
+				if m.withdrawnAt == 0 {
+					stored := m.stored
+					stored.Withdrawn = true
+					m.append(t, batchOf("withdraw", m.last(), stored))
+					m.withdrawnAt = m.now
+				}
+			},
+			"read":    func(t *rapid.T) { m.read(m.node(t)) },
+			"pull":    func(t *rapid.T) { m.pull(t, m.node(t), rapid.IntRange(0, modelNodes-1).Draw(t, "from")) },
+			"deliver": func(t *rapid.T) { m.node(t).deliver(t, m.now) },
+			"lose": func(t *rapid.T) {
+				n := m.node(t)
+				n.pages, n.replies = nil, nil
+			},
+			"pass":      func(t *rapid.T) { m.now += clock.Millis(rapid.IntRange(1, modelStep).Draw(t, "time")) },
+			"log":       func(t *rapid.T) { m.down = rapid.Bool().Draw(t, "down") },
+			"logBehind": func(t *rapid.T) { m.logBehind = rapid.IntRange(0, len(m.batches)).Draw(t, "by") },
+			"cut": func(t *rapid.T) {
+				n := m.node(t)
+				n.cutLog, n.cutPeer = rapid.Bool().Draw(t, "log"), rapid.Bool().Draw(t, "peers")
+				if n.cutLog && n.cutPeer {
+					n.pages, n.replies = nil, nil
+				}
+			},
+			"restart": func(t *rapid.T) { m.restart(rapid.IntRange(0, modelNodes-1).Draw(t, "node")) },
+			"trim": func(t *rapid.T) {
+				keep := rapid.IntRange(0, len(m.batches)).Draw(t, "keep")
+				m.first += spool.Offset(len(m.batches) - keep)
+				m.batches = slices.Clone(m.batches[len(m.batches)-keep:])
+			},
+			"": func(t *rapid.T) { m.check(t) },
+		})
+		m.heal(t)
+	})
+}
+
+func (m *model) node(t *rapid.T) *modelNode {
+	return m.nodes[rapid.IntRange(0, modelNodes-1).Draw(t, "node")]
+}
+
+// draw returns the content of a record, valid or not.
+func (m *model) draw(t *rapid.T) any {
+	value := strconv.Itoa(rapid.IntRange(-1, 3).Draw(t, "value"))
+	endpoint := spool.EndpointID("ep" + value[len(value)-1:])
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0:
+		return change("account/acme/limit.burst", value)
+	case 1:
+		return change("program/p"+value+"/budget.calls", "null")
+	case 2:
+		return change("fleet/drain.endpoint["+string(endpoint)+"]", "true")
+	case 3:
+		return control.Order{Endpoint: endpoint, Clear: value == "0", Order: spool.EngineOrder{Kind: spool.OrderLoad, Model: "m"}}
+	case 4:
+		return control.Service{Name: "s", Kind: control.ServicePlain, Removed: value == "0"}
+	default:
+		return spool.Record{Kind: spool.RecordKind("kind" + value), Data: []byte(`{"x":1}`)}
+	}
+}
+
+// fixSeed makes a run of rapid repeatable.
+func fixSeed(t *testing.T, seed, checks string) {
+	t.Helper()
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.steps": "150", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// FuzzRecord guards against a record on the log that stops a reader, or that
+// two readers of different ways fold differently.
+func FuzzRecord(f *testing.F) {
+	f.Add("setting", []byte(`{"path":"fleet/limit.burst","value":5,"base":0}`))
+	f.Add("key", []byte(`{"id":"abcdefghijklmnop","account":"a","salt":"","hash":""}`))
+	f.Add("order", []byte(`{"endpoint":"e","order":{"kind":"role","role":"x"}}`))
+	f.Add("service", []byte(`{"name":"s","kind":"service","idempotentPaths":["/[a"]}`))
+	f.Add("snapshot", []byte(`{"id":"x","covers":1,"part":0,"parts":1,"data":"AA=="}`))
+	f.Fuzz(func(t *testing.T, kind string, data []byte) {
+		state := control.NewState()
+		batch := spool.Batch{Offset: 1, Records: []spool.Record{{Kind: spool.RecordKind(kind), Data: data}}}
+		rejected, err := state.Apply(batch)
+		if err != nil || state.Offset() != 1 || len(rejected) > 1 {
+			t.Fatalf("record stopped the reader: %v", err)
+		}
+		image, err := state.MarshalJSON()
+		if err != nil {
+			t.Fatalf("state does not encode: %v", err)
+		}
+		restored, err := control.RestoreState(image)
+		if err != nil {
+			t.Fatalf("state does not restore: %v", err)
+		}
+		if again, _ := restored.MarshalJSON(); !bytes.Equal(image, again) {
+			t.Fatalf("state changed by a snapshot:\n%s\n%s", image, again)
+		}
+		_ = state.Settings().At(settings.Scope{})
+	})
+}
+
+// FuzzRestore guards against a damaged snapshot that stops a node.
+func FuzzRestore(f *testing.F) {
+	f.Add([]byte(`{"version":1,"offset":3,"settings":{"entries":{"fleet/limit.burst":{"value":5,"offset":2}}}}`))
+	f.Add([]byte(`{"version":2,"offset":3}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if state, err := control.RestoreState(data); err == nil {
+			_ = state.Drains()
+			_, _, _ = state.Keys().Verify("bsk_x", 1)
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/peers_test.go
@@ -0,0 +1,243 @@
+package control_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"sync"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/keyring"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const testWait clock.Millis = 100
+
+func entryOf(name string, domain spool.FailureDomain) control.Config {
+	return control.Config{Node: spool.NodeID(name), Role: spool.RoleEntry, FailureDomain: domain, Wait: testWait}
+}
+
+func agentOf(name string, domain spool.FailureDomain) control.Config {
+	config := entryOf(name, domain)
+	config.Role = spool.RoleEndpoint
+	return config
+}
+
+var _ = ginkgo.Describe("Readers that pull from each other", func() {
+	var (
+		log   *fakeLog
+		nodes *fleet
+	)
+
+	// isolation is short, so that a node that is cut off is seen to refuse.
+	const isolation = "2000"
+
+	ginkgo.BeforeEach(func() {
+		log = newFakeLog()
+		nodes = &fleet{log: log}
+		log.publish("isolation", change("fleet/control.isolationMs", isolation))
+	})
+
+	burst := func(value int) spool.Offset {
+		return log.publish(fmt.Sprint("burst", value), change("fleet/limit.burst", strconv.Itoa(value)))
+	}
+
+	ginkgo.It("feeds agents, also when the entry of their failure domain dies", func() {
+		home, _ := nodes.start(entryOf("e1", "a")), nodes.start(entryOf("e2", "b"))
+		agent := nodes.start(agentOf("x1", "a"))
+		gomega.Eventually(agent.Offset).Should(gomega.Equal(burst(5)))
+		home.stop()
+		gomega.Eventually(agent.Offset, "3s").Should(gomega.Equal(burst(6)))
+		gomega.Expect(agent.Settings(settings.Scope{}).Number(settings.LimitBurst)).To(gomega.Equal(6.0))
+	})
+
+	ginkgo.It("keeps an entry up to date that cannot reach the log", func() {
+		cut, _ := nodes.start(entryOf("e1", "a")), nodes.start(entryOf("e2", "b"))
+		gomega.Eventually(cut.Ready).Should(gomega.BeTrue())
+		cut.noLog.Store(true)
+		gomega.Eventually(cut.Offset, "3s").Should(gomega.Equal(burst(7)))
+		gomega.Consistently(cut.Isolated, "2200ms", "50ms").Should(gomega.BeFalse())
+	})
+
+	ginkgo.It("makes an entry refuse that is cut off, until it is back", func() {
+		key, stored, err := keyring.Issue("acme", 1, 0)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		offset := log.publish("key", control.Account{ID: "acme"}, stored)
+		// e1 and e3 still reach each other, but share a failure domain.
+		cut, mate, far := nodes.start(entryOf("e1", "a")), nodes.start(entryOf("e3", "a")), nodes.start(entryOf("e2", "b"))
+		gomega.Eventually(cut.Offset).Should(gomega.Equal(offset))
+		gomega.Eventually(mate.Offset).Should(gomega.Equal(offset))
+		far.noPeers.Store(true)
+		cut.noLog.Store(true)
+		mate.noLog.Store(true)
+		stored.Withdrawn = true
+		offset = log.publish("withdraw", stored)
+		refused := func() string {
+			_, _, err := cut.Authenticate(key.Reveal())
+			refusal := &spool.Refusal{}
+			_ = errors.As(err, &refusal)
+			return string(refusal.Code)
+		}
+		gomega.Eventually(refused, "4s").Should(gomega.Equal(string(spool.CodeIsolated)))
+		gomega.Expect(mate.Offset()).To(gomega.BeNumerically("<", offset))
+		cut.noLog.Store(false)
+		gomega.Eventually(refused, "4s").Should(gomega.Equal(string(spool.CodeKeyWithdrawn)))
+		gomega.Eventually(mate.Offset, "4s").Should(gomega.Equal(offset))
+	})
+
+	ginkgo.It("goes on while the log is down for all", func() {
+		one, two := nodes.start(entryOf("e1", "a")), nodes.start(entryOf("e2", "b"))
+		gomega.Eventually(one.Ready).Should(gomega.BeTrue())
+		gomega.Eventually(two.Ready).Should(gomega.BeTrue())
+		log.set(func(l *fakeLog) { l.down = true })
+		gomega.Consistently(func() bool { return one.Isolated() || two.Isolated() }, "2200ms", "50ms").Should(gomega.BeFalse())
+		late := nodes.start(entryOf("e3", "a"))
+		gomega.Eventually(late.Ready, "3s").Should(gomega.BeTrue())
+		gomega.Expect(late.Offset()).To(gomega.Equal(one.Offset()))
+	})
+
+	ginkgo.It("gives a snapshot to a node that is too far behind, with bounded memory", func() {
+		config := entryOf("e1", "a")
+		config.RelayBytes = 2000
+		source := nodes.start(config)
+		for i := range 50 {
+			burst(i + 1)
+		}
+		gomega.Eventually(source.Offset).Should(gomega.Equal(spool.Offset(51)))
+		var reply wire.PullReply
+		gomega.Expect(source.clients.Call(ginkgo.GinkgoT().Context(), source.vm.Address, wire.MethodPull, wire.PullRequest{}, &reply, nil)).To(gomega.Succeed())
+		gomega.Expect(reply.Batches).To(gomega.BeEmpty())
+		gomega.Expect(reply.SnapshotAt).To(gomega.Equal(spool.Offset(51)))
+		agent := nodes.start(agentOf("x1", "a"))
+		gomega.Eventually(agent.Offset).Should(gomega.Equal(burst(60)))
+		a, _ := source.Image()
+		b, _ := agent.Image()
+		gomega.Expect(b).To(gomega.MatchJSON(a))
+	})
+
+	ginkgo.It("lets only the chosen entries read the log", func() {
+		members := []*member{}
+		for i := range 4 {
+			config := entryOf(fmt.Sprint("e", i), "a")
+			config.LogReaders = 1
+			members = append(members, nodes.start(config))
+		}
+		for _, m := range members {
+			gomega.Eventually(m.Ready).Should(gomega.BeTrue())
+		}
+		last := burst(3)
+		for _, m := range members {
+			gomega.Eventually(m.Offset, "2s").Should(gomega.Equal(last))
+		}
+		reads := func() int { log.mu.Lock(); defer log.mu.Unlock(); return log.reads }
+		gomega.Eventually(func() int {
+			before := reads()
+			gomega.Consistently(members[0].Ready, "300ms", "300ms").Should(gomega.BeTrue())
+			return reads() - before
+		}, "3s").Should(gomega.BeNumerically("<=", 10))
+	})
+
+	ginkgo.It("appends a snapshot before the log removes what it covers", func() {
+		source := nodes.start(entryOf("e1", "a"))
+		source.SetResponsible(true)
+		for i := range 30 {
+			burst(i + 1)
+		}
+		// A node that has not read the records before they are removed cannot
+		// have their state.
+		gomega.Eventually(source.Offset).Should(gomega.Equal(spool.Offset(31)))
+		log.trim(10)
+		gomega.Eventually(func() bool {
+			for _, batch := range log.all() {
+				if batch.Records[0].Kind == control.RecordSnapshot {
+					return true
+				}
+			}
+			return false
+		}, "3s").Should(gomega.BeTrue())
+		late := startReader(entryOf("late", "b"), control.WithLog(log))
+		gomega.Eventually(late.Offset).Should(gomega.Equal(spool.Offset(32)))
+	})
+})
+
+var _ = ginkgo.Describe("Publisher", func() {
+	var log *fakeLog
+
+	ginkgo.BeforeEach(func() { log = newFakeLog() })
+
+	ginkgo.DescribeTable("lets exactly one of two operators succeed", func(prepare func(*fakeLog)) {
+		prepare(log)
+		ctx := ginkgo.GinkgoT().Context()
+		var publishers []*control.Publisher
+		for i := range 2 {
+			publishers = append(publishers, control.NewPublisher(log, spool.NodeID(fmt.Sprint("op", i))))
+			gomega.Expect(publishers[i].Refresh(ctx)).To(gomega.Succeed())
+		}
+		results := make([]error, 2)
+		var wait sync.WaitGroup
+		for i, publisher := range publishers {
+			wait.Go(func() {
+				_, results[i] = publisher.Publish(ctx, change("fleet/limit.burst", strconv.Itoa(i+5)),
+					control.Order{Endpoint: "ep", Order: spool.EngineOrder{Kind: spool.OrderRole, Role: fmt.Sprint("r", i)}})
+			})
+		}
+		wait.Wait()
+		winner, loser := 0, 1
+		if results[0] != nil {
+			winner, loser = 1, 0
+		}
+		gomega.Expect(results[winner]).NotTo(gomega.HaveOccurred())
+		conflict := &control.ConflictError{}
+		gomega.Expect(errors.As(results[loser], &conflict)).To(gomega.BeTrue())
+		gomega.Expect(conflict.Writer).To(gomega.Equal(spool.NodeID(fmt.Sprint("op", winner))))
+		gomega.Expect(publishers[loser].Refresh(ctx)).To(gomega.Succeed())
+		state := publishers[loser].State()
+		value, offset, _ := state.Settings().Get(change("fleet/limit.burst", "1").Path)
+		gomega.Expect(string(value)).To(gomega.Equal(strconv.Itoa(winner + 5)))
+		gomega.Expect(state.Orders("ep")).To(gomega.Equal([]spool.EngineOrder{{Fence: uint64(offset), Kind: spool.OrderRole, Role: fmt.Sprint("r", winner)}}))
+	},
+		ginkgo.Entry("with a healthy log", func(*fakeLog) {}),
+		ginkgo.Entry("with lost answers", func(l *fakeLog) { l.loseAnswers = 3 }),
+		ginkgo.Entry("with lost appends", func(l *fakeLog) { l.loseAppends = 3 }),
+	)
+
+	ginkgo.It("does not apply a change twice when the first copy arrives late", func() {
+		ctx := ginkgo.GinkgoT().Context()
+		publisher := control.NewPublisher(log, "op")
+		offset, err := publisher.Publish(ctx, change("fleet/limit.burst", "5"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		copied := log.all()[0]
+		_, err = publisher.Publish(ctx, change("fleet/limit.burst", "6"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = log.Append(ctx, spool.ControlStream, copied)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(publisher.Refresh(ctx)).To(gomega.Succeed())
+		events, err := control.History(ctx, log, "fleet/limit.burst")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(events).To(gomega.HaveLen(3))
+		gomega.Expect(events[2].Applied).To(gomega.BeFalse())
+		value, err := control.ValueAt(events, offset)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(value).To(gomega.Equal(json.RawMessage("5")))
+	})
+
+	ginkgo.It("says that a change has no effect when the log is down", func() {
+		log.set(func(l *fakeLog) { l.down = true })
+		_, err := control.NewPublisher(log, "op").Publish(ginkgo.GinkgoT().Context(), change("fleet/limit.burst", "5"))
+		gomega.Expect(err).To(gomega.MatchError(control.ErrNotPublished))
+	})
+
+	ginkgo.It("rejects what the range forbids before it is appended", func() {
+		_, err := control.NewPublisher(log, "op").Publish(ginkgo.GinkgoT().Context(), change("fleet/limit.burst", "0"), control.Account{ID: "a b"})
+		gomega.Expect(err).To(gomega.MatchError(control.ErrInvalid))
+		gomega.Expect(err).To(gomega.MatchError(gomega.And(gomega.ContainSubstring("limit.burst"), gomega.ContainSubstring("a b"))))
+		gomega.Expect(log.all()).To(gomega.BeEmpty())
+	})
+})
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -13,7 +13,6 @@
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
-	"github.com/baobabspool/baobabspool/pkg/keyring"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -80,20 +79,12 @@
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
 
-	mu sync.RWMutex
-	// state never goes back: it is replaced only by one with a higher offset.
-	state *State
-	relay *relayBuffer
+	mu   sync.RWMutex
+	node *Node
 	// changed is closed, and replaced, with each change of state.
 	changed chan struct{}
-	// watched holds the channel of each key that somebody watches; a channel is
-	// closed when it is taken out.
-	watched map[string]chan struct{}
-	fresh   freshness
 	// responsible is set while this node appends snapshots.
 	responsible bool
-	// first is the lowest offset on the log when it was last read.
-	first spool.Offset
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -111,21 +102,19 @@
 	if config.Node == "" {
 		return nil, errors.New("node is empty")
 	}
-	config.Wait = orDefault(config.Wait, defaultWait)
-	config.Retention = orDefault(config.Retention, defaultRetention)
 	seed := xxhash.Sum64String(string(config.Node))
 	r := &Reader{
-		config: config, state: NewState(), changed: make(chan struct{}), watched: map[string]chan struct{}{},
-		clock: clock.System(), logger: zap.NewNop(), random: rand.New(rand.NewPCG(seed, seed)),
-		relay: newRelayBuffer(orDefault(config.RelayBytes, defaultRelayBytes)),
+		changed: make(chan struct{}), clock: clock.System(), logger: zap.NewNop(),
+		random: rand.New(rand.NewPCG(seed, seed)),
 	}
 	for _, option := range options {
 		option(r)
 	}
-	pulls := r.peers != nil && r.clients != nil
-	if r.log == nil && !pulls {
+	if r.log == nil && !r.pulls() {
 		return nil, errors.New("neither a log nor peers are given")
 	}
+	r.node = NewNode(config, r.clock.Now())
+	r.config = r.node.config
 	if r.telemetry != nil {
 		r.logger = r.telemetry.Logger("control")
 		if err := r.registerGauges(); err != nil {
@@ -133,12 +122,11 @@
 		}
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
-	r.fresh = newFreshness(r.clock.Now())
 	if r.log != nil {
 		r.running.Add(1)
 		go func() { defer r.running.Done(); r.readLog() }()
 	}
-	if pulls {
+	if r.pulls() {
 		r.running.Add(1)
 		go func() { defer r.running.Done(); r.pull() }()
 	}
@@ -147,12 +135,8 @@
 	return r, nil
 }
 
-func orDefault[T int | clock.Millis](value, fallback T) T {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
+// pulls reports whether the node can pull from peers.
+func (r *Reader) pulls() bool { return r.peers != nil && r.clients != nil }
 
 func (r *Reader) registerGauges() error {
 	if err := r.telemetry.Gauge("baobabspool_control_offset", func() int64 { return int64(r.Offset()) }); err != nil {
@@ -161,7 +145,7 @@
 	return r.telemetry.Gauge("baobabspool_control_fresh_ms", func() int64 {
 		r.mu.RLock()
 		defer r.mu.RUnlock()
-		return int64(r.fresh.freshFor(r.clock.Now()))
+		return int64(r.node.FreshFor(r.clock.Now()))
 	})
 }
 
@@ -177,30 +161,7 @@
 func (r *Reader) Authenticate(key string) (account spool.AccountID, id string, err error) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	now := r.clock.Now()
-	if r.fresh.isolated(now, r.isolation()) {
-		return "", "", spool.Refuse(spool.CodeIsolated, "this entry has lost touch with the control stream").WithRetryAfter(clock.Second)
-	}
-	account, id, err = r.state.ring.Verify(key, now)
-	switch {
-	case errors.Is(err, keyring.ErrWithdrawn):
-		return "", id, spool.Refuse(spool.CodeKeyWithdrawn, "key %s was withdrawn or has expired", id)
-	case err != nil:
-		return "", "", spool.Refuse(spool.CodeUnauthorized, "key is not valid")
-	}
-	if holder, ok := r.state.Account(account); !ok || holder.Closed {
-		return "", id, spool.Refuse(spool.CodeUnauthorized, "account of key %s is closed", id)
-	}
-	return account, id, nil
-}
-
-// isolation returns how long the node may be out of touch.
-func (r *Reader) isolation() clock.Millis {
-	return r.state.tree.At(r.place()).Duration(settings.ControlIsolationMs)
-}
-
-func (r *Reader) place() settings.Scope {
-	return settings.Scope{Region: r.config.Region, FailureDomain: r.config.FailureDomain}
+	return r.node.Authenticate(r.clock.Now(), key)
 }
 
 // Isolated reports whether the node refuses keyed requests because it has lost
@@ -208,7 +169,7 @@
 func (r *Reader) Isolated() bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.fresh.isolated(r.clock.Now(), r.isolation())
+	return r.node.Isolated(r.clock.Now())
 }
 
 // Withdrawn returns a channel that is closed when the key is withdrawn or
@@ -216,36 +177,7 @@
 func (r *Reader) Withdrawn(keyID string) <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if watched, ok := r.watched[keyID]; ok {
-		return watched
-	}
-	watched := make(chan struct{})
-	if r.live(keyID) {
-		r.watched[keyID] = watched
-	} else {
-		close(watched)
-	}
-	return watched
-}
-
-// live reports whether a key is in force.
-func (r *Reader) live(keyID string) bool {
-	key, _, ok := r.state.ring.Get(keyID)
-	if !ok || !key.Live(r.clock.Now()) {
-		return false
-	}
-	account, ok := r.state.Account(key.Account)
-	return ok && !account.Closed
-}
-
-// closeWatched closes the channels of the keys that are no longer in force.
-func (r *Reader) closeWatched() {
-	for id, watched := range r.watched {
-		if !r.live(id) {
-			close(watched)
-			delete(r.watched, id)
-		}
-	}
+	return r.node.Withdrawn(r.clock.Now(), keyID)
 }
 
 // Settings returns the values for a scope. They do not change; call again after
@@ -253,42 +185,42 @@
 func (r *Reader) Settings(at settings.Scope) settings.Values {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.state.tree.At(at)
+	return r.node.state.tree.At(at)
 }
 
 // Draining reports whether the failure domain or the endpoint is taken out.
 func (r *Reader) Draining(domain spool.FailureDomain, endpoint spool.EndpointID) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.state.Draining(domain, endpoint)
+	return r.node.state.Draining(domain, endpoint)
 }
 
 // Services returns the services by name.
 func (r *Reader) Services() map[spool.ServiceName]Service {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.state.Services()
+	return r.node.state.Services()
 }
 
 // Accounts lists the accounts, closed ones included.
 func (r *Reader) Accounts() []Account {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.state.Accounts()
+	return r.node.state.Accounts()
 }
 
 // Orders returns the orders in force for an endpoint by ascending fence.
 func (r *Reader) Orders(endpoint spool.EndpointID) []spool.EngineOrder {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return append([]spool.EngineOrder(nil), r.state.Orders(endpoint)...)
+	return append([]spool.EngineOrder(nil), r.node.state.Orders(endpoint)...)
 }
 
 // Offset returns the highest offset that is in force.
 func (r *Reader) Offset() spool.Offset {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.state.offset
+	return r.node.state.offset
 }
 
 // Changed returns a channel that is closed with the next change.
@@ -302,14 +234,14 @@
 func (r *Reader) Ready() bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.fresh.loaded
+	return r.node.fresh.loaded
 }
 
 // Image returns the JSON form of the state with its offset.
 func (r *Reader) Image() ([]byte, error) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.state.MarshalJSON()
+	return r.node.state.MarshalJSON()
 }
 
 // SetResponsible tells the node whether it appends the snapshots. At any time
@@ -320,64 +252,6 @@
 	r.responsible = responsible
 }
 
-// apply applies batches that were read from the log or a peer. It fails with
-// ErrGap when a batch is missing.
-func (r *Reader) apply(batches []spool.Batch) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	before := r.state.offset
-	defer func() {
-		if r.state.offset > before {
-			r.announce()
-		}
-	}()
-	for _, batch := range batches {
-		if batch.Offset <= r.state.offset {
-			continue
-		}
-		rejected, err := r.state.Apply(batch)
-		if err != nil {
-			return err
-		}
-		r.relay.add(batch)
-		r.report(batch, rejected)
-	}
-	return nil
-}
-
-// announce wakes those who wait for a change.
-func (r *Reader) announce() {
-	close(r.changed)
-	r.changed = make(chan struct{})
-	r.closeWatched()
-}
-
-func (r *Reader) report(batch spool.Batch, rejected []Rejection) {
-	for _, rejection := range rejected {
-		name := "control.badRecord"
-		if lost := (&settings.ConflictError{}); errors.As(rejection.Err, &lost) {
-			name = "control.conflict"
-		}
-		r.event(name)
-		r.logger.Warn("control record was skipped", zap.Int64("offset", int64(batch.Offset)),
-			zap.Int("index", rejection.Index), zap.String("writer", string(batch.Writer)), zap.Error(rejection.Err))
-	}
-}
-
-// restore replaces the state by a later one.
-func (r *Reader) restore(state *State) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if state.offset <= r.state.offset {
-		return false
-	}
-	r.state = state
-	r.relay.clear()
-	r.announce()
-	r.event("control.snapshotLoaded")
-	return true
-}
-
 func (r *Reader) event(name string) {
 	if r.telemetry != nil {
 		r.telemetry.Event(name)
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -121,13 +121,9 @@
 // answer returns what follows the offset; an empty reply when nothing does.
 func (r *Reader) answer(after spool.Offset) (wire.PullReply, error) {
 	r.mu.RLock()
-	reply := wire.PullReply{Last: r.state.offset, FreshFor: r.fresh.freshFor(r.clock.Now())}
-	covered := r.relay.covers(after)
-	if after < r.state.offset && covered {
-		reply.Batches = r.relay.after(after)
-	}
+	reply, behind := r.node.Answer(r.clock.Now(), after)
 	r.mu.RUnlock()
-	if after >= reply.Last || covered {
+	if !behind {
 		return reply, nil
 	}
 	var err error
@@ -142,11 +138,11 @@
 	r.snapshotMu.Lock()
 	defer r.snapshotMu.Unlock()
 	r.mu.RLock()
-	usable := r.snapshot != nil && (r.snapshotAt == r.state.offset || r.relay.covers(r.snapshotAt))
+	usable := r.snapshot != nil && (r.snapshotAt == r.node.state.offset || r.node.relay.covers(r.snapshotAt))
 	var data []byte
 	if !usable {
-		data, err = r.state.Compressed()
-		at = r.state.offset
+		data, err = r.node.state.Compressed()
+		at = r.node.state.offset
 	}
 	r.mu.RUnlock()
 	if usable {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -29,6 +29,8 @@
 	// Offset and Index locate the record.
 	Offset spool.Offset `json:"offset"`
 	Index  int          `json:"index"`
+	// Writer appended the batch.
+	Writer spool.NodeID `json:"writer"`
 	// Err is why; it is a *settings.ConflictError for a lost compare-and-set.
 	Err error `json:"-"`
 }
@@ -99,7 +101,7 @@
 			contents[i] = content
 			continue
 		}
-		rejected = append(rejected, Rejection{Offset: batch.Offset, Index: i, Err: err})
+		rejected = append(rejected, Rejection{Offset: batch.Offset, Index: i, Writer: batch.Writer, Err: err})
 		if lost := (&settings.ConflictError{}); errors.As(err, &lost) {
 			conflict = err
 		}
@@ -109,7 +111,7 @@
 		switch {
 		case content == nil:
 		case conflict != nil:
-			rejected = append(rejected, Rejection{Offset: batch.Offset, Index: i, Err: conflict})
+			rejected = append(rejected, Rejection{Offset: batch.Offset, Index: i, Writer: batch.Writer, Err: conflict})
 		default:
 			s.apply(content, batch)
 		}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -53,8 +53,8 @@
 	now := r.clock.Now()
 	return Status{
 		Node: r.config.Node, Role: r.config.Role, FailureDomain: r.config.FailureDomain,
-		Offset: r.state.offset, FreshFor: r.fresh.freshFor(now), Isolated: r.fresh.isolated(now, r.isolation()),
-		Settings: r.state.tree.Len(), Keys: r.state.ring.Len(), Accounts: r.state.accounts.Len(),
-		Services: r.state.services.Len(), Drains: r.state.Drains(),
+		Offset: r.node.state.offset, FreshFor: r.node.FreshFor(now), Isolated: r.node.Isolated(now),
+		Settings: r.node.state.tree.Len(), Keys: r.node.state.ring.Len(), Accounts: r.node.state.accounts.Len(),
+		Services: r.node.state.services.Len(), Drains: r.node.state.Drains(),
 	}
 }
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -118,3 +118,21 @@
 		}
 	})
 }
+
+// FuzzParseFile guards against a file that panics the parser or yields changes
+// that do not pass validation.
+func FuzzParseFile(f *testing.F) {
+	f.Add([]byte("version: 1\nsettings:\n  fleet/limit.burst: 5\n  account/a/limit.burst: null\n"))
+	f.Add([]byte(`{"version":1,"settings":{"fleet/policy.router":"affinity"}}`))
+	f.Add([]byte("version: 1\nsettings: &a\n  fleet/x: *a\n"))
+	f.Add([]byte("settings:\n  ? [a]\n  : 0x10\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		changes, err := settings.ParseFile(data)
+		if err != nil {
+			return
+		}
+		if err := settings.Validate(changes); err != nil {
+			t.Fatalf("accepted a file that is not valid: %v", err)
+		}
+	})
+}
