--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -51,6 +51,12 @@
 	// Stream and Epoch fence the owner.
 	Stream spool.Stream `json:"stream"`
 	Epoch  spool.Epoch  `json:"epoch"`
+	// Attempt counts the dispatches of this call within the epoch. After a fate
+	// answer, only a dispatch with a higher (Epoch, Attempt) is accepted.
+	Attempt uint64 `json:"attempt,omitempty"`
+	// Mark is the agent's mark that the owner held when it wrote the intent. An
+	// agent with another Boot refuses the dispatch. Empty skips the check.
+	Mark spool.AgentMark `json:"mark,omitzero"`
 	// Idempotent is false for an action that must run at most once.
 	Idempotent bool `json:"idempotent"`
 	// Alarm, Weight and Attained order the call in the agent's queue.
@@ -104,6 +110,9 @@
 	MillisPerCall float64 `json:"millisPerCall"`
 	// ControlOffset is the offset of the control stream that is in force.
 	ControlOffset spool.Offset `json:"controlOffset"`
+	// Mark is the agent's current mark. An owner puts it into the intent of a
+	// non-idempotent call, the dispatch, and a question about its fate.
+	Mark spool.AgentMark `json:"mark"`
 	// Held lists programs whose memory the engine holds, with the tokens of
 	// the prefix; only in the answer to endpoint.status.
 	Held map[spool.ProgramID]int `json:"held,omitempty"`
@@ -121,13 +130,22 @@
 	LeaseFor clock.Millis `json:"leaseForMs"`
 }
 
-// FateRequest asks what became of a call and fences older epochs.
+// FateRequest asks what became of a call. It fences lower epochs of the stream
+// and, for this call, dispatches up to (Epoch, Attempt).
 type FateRequest struct {
 	Account spool.AccountID `json:"account"`
 	Program spool.ProgramID `json:"program"`
 	Call    spool.CallID    `json:"call"`
 	Stream  spool.Stream    `json:"stream"`
 	Epoch   spool.Epoch     `json:"epoch"`
+	// Attempt is the highest attempt that the asker has dispatched in Epoch; 0
+	// for an owner that has taken over and not dispatched the call.
+	Attempt uint64 `json:"attempt,omitempty"`
+	// Mark is the one in the intent of the call. Without it the agent cannot
+	// prove that it has kept watch and never answers FateNotSeen.
+	Mark spool.AgentMark `json:"mark,omitzero"`
+	// Idempotent must equal that of the dispatch.
+	Idempotent bool `json:"idempotent,omitempty"`
 }
 
 // Fate is what an agent knows of a call.
@@ -191,6 +209,17 @@
 	// PromiseFor; the reply repeats those it promises.
 	Promise    []spool.Stream `json:"promise,omitempty"`
 	PromiseFor clock.Millis   `json:"promiseForMs,omitempty"`
+	// Leaving means that the sender is about to stop and takes no streams.
+	Leaving bool `json:"leaving,omitempty"`
+	// Changes are the ownership changes that the sender has learnt of lately.
+	Changes []OwnerChange `json:"changes,omitempty"`
+}
+
+// OwnerChange says that a node has claimed a stream.
+type OwnerChange struct {
+	Stream spool.Stream `json:"stream"`
+	Node   spool.NodeID `json:"node"`
+	Epoch  spool.Epoch  `json:"epoch"`
 }
 
 // HeartbeatReply answers a heartbeat.
@@ -199,6 +228,9 @@
 	ControlOffset spool.Offset                 `json:"controlOffset"`
 	Owned         map[spool.Stream]spool.Epoch `json:"owned,omitempty"`
 	Promised      []spool.Stream               `json:"promised,omitempty"`
+	// Leaving and Changes are those of the answering node.
+	Leaving bool          `json:"leaving,omitempty"`
+	Changes []OwnerChange `json:"changes,omitempty"`
 }
 
 // ProbeRequest asks a member to check whether a third one answers.
@@ -234,6 +266,9 @@
 type HoldReply struct {
 	// Held is the highest sequence held without a gap.
 	Held uint64 `json:"held"`
+	// Incarnation differs for each start of the holder's process. A restarted
+	// holder has forgotten what it held and which epochs it had sealed.
+	Incarnation string `json:"incarnation"`
 }
 
 // SealRequest fences lower epochs of a stream and asks for what is held.
@@ -247,16 +282,31 @@
 	Batches []spool.Batch `json:"batches,omitempty"`
 }
 
-// LeaseRequest asks a pool's owner for tokens of an account.
+// ReleaseRequest tells a holder that everything of lower epochs is on the log.
+type ReleaseRequest struct {
+	Stream spool.Stream `json:"stream"`
+	Epoch  spool.Epoch  `json:"epoch"`
+}
+
+// LeaseRequest asks a pool's owner for tokens of an account and gives back
+// tokens that are not needed.
 type LeaseRequest struct {
 	Account spool.AccountID `json:"account"`
 	Node    spool.NodeID    `json:"node"`
+	// Sequence increases with each request of a node.
+	Sequence uint64 `json:"sequence"`
 	// Want is the number of requests that the sender would like to admit.
 	Want float64 `json:"want"`
+	// Returned tokens were granted under Epoch and are not used any more.
+	Returned float64     `json:"returned,omitempty"`
+	Epoch    spool.Epoch `json:"epoch,omitempty"`
 }
 
 // LeaseReply grants tokens.
 type LeaseReply struct {
+	// Sequence is that of the request, Epoch the owner's claim.
+	Sequence uint64      `json:"sequence"`
+	Epoch    spool.Epoch `json:"epoch,omitempty"`
 	// Granted may be used until the lease ends, counted from the moment when
 	// the request was sent.
 	Granted  float64      `json:"granted"`
