Test a deployment of separate processes under kill -9

Nothing had run the system as separate processes yet. internal/deployment builds the binaries, starts three entries, three engines with agents, a plain service with two agents, log and list of VMs, kills an entry, two agents and an engine, and judges by the callers' transcripts and the service's counts. The callers move to internal/caller so that the demonstration and this test share them.

--- a/internal/demo/client.go
+++ b/internal/caller/client.go
@@ -1,6 +1,6 @@
-// Package demo runs the whole system on one machine: entries, agents and small
-// stand-ins of the platform, with callers that judge it by what they see.
-package demo
+// Package caller holds careful callers of the system for the demonstration and
+// for tests: each keeps its own transcript and judges every answer by it.
+package caller
 
 import (
 	"bufio"
@@ -22,17 +22,19 @@
 // callTimeout bounds one HTTP request of a caller.
 const callTimeout = 30 * time.Second
 
-// client is a caller's connection to the entries. It takes the place of the
+// Client is a caller's connection to the entries. It takes the place of the
 // platform's balancer: requests go to the entries in turn.
-type client struct {
+type Client struct {
 	entries func() []string
 	key     string
 	http    *fasthttp.Client
 	next    atomic.Uint64
 }
 
-func newClient(entries func() []string, key string) *client {
-	return &client{
+// NewClient returns a client that presents key. entries returns the addresses
+// that the balancer knows.
+func NewClient(entries func() []string, key string) *Client {
+	return &Client{
 		entries: entries,
 		key:     key,
 		http: &fasthttp.Client{
@@ -46,25 +48,27 @@
 	}
 }
 
-// failure is an error answer of an entry.
-type failure struct {
+// Failure is an error answer of an entry.
+type Failure struct {
+	// Code, Message, NotRun and RetryAfter are those of spool.Refusal.
 	Code       spool.Code   `json:"code"`
 	Message    string       `json:"message"`
 	NotRun     spool.NotRun `json:"notRun"`
 	RetryAfter clock.Millis `json:"retryAfterMs"`
 }
 
-func (f *failure) Error() string { return string(f.Code) + ": " + f.Message }
+// Error describes the failure with its code.
+func (f *Failure) Error() string { return string(f.Code) + ": " + f.Message }
 
 type failureBody struct {
-	Error failure `json:"error"`
+	Error Failure `json:"error"`
 }
 
 // errTransport means that no answer came, so nothing is known.
 var errTransport = errors.New("no answer from the entry")
 
 // do sends one request and passes its answer to onBody.
-func (c *client) do(ctx context.Context, method, path string, body any, onBody func(*fasthttp.Response) error) error {
+func (c *Client) do(ctx context.Context, method, path string, body any, onBody func(*fasthttp.Response) error) error {
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return err
@@ -116,8 +120,8 @@
 	return buffer.Bytes(), nil
 }
 
-// send sends one request and decodes the JSON answer.
-func (c *client) send(ctx context.Context, method, path string, body, answer any) error {
+// Send sends one request and decodes the JSON answer.
+func (c *Client) Send(ctx context.Context, method, path string, body, answer any) error {
 	return c.do(ctx, method, path, body, func(response *fasthttp.Response) error {
 		content, err := readBody(response)
 		if err != nil {
@@ -146,7 +150,7 @@
 
 // stream sends one turn and reads its server-sent events. An answer counts only
 // when its pieces add up to the text at its end.
-func (c *client) stream(ctx context.Context, path string, body any) (answer turnAnswer, err error) {
+func (c *Client) stream(ctx context.Context, path string, body any) (answer turnAnswer, err error) {
 	err = c.do(ctx, fasthttp.MethodPost, path, body, func(response *fasthttp.Response) error {
 		answer, err = readTurn(response)
 		return err
--- /dev/null
+++ b/internal/caller/ledger.go
@@ -0,0 +1,156 @@
+package caller
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Ledger collects what the callers saw. It is safe for concurrent use.
+type Ledger struct {
+	mu         sync.Mutex
+	started    int
+	completed  int
+	outOfOrder int
+	mismatches int
+	unknown    int
+	problems   []string
+	refusals   map[string]int
+	retries    map[string]int
+	latency    *hdrhistogram.Histogram
+	// admissions holds, per account, when each admitted request was sent and
+	// answered.
+	admissions map[spool.AccountID][]admission
+	// payouts holds the program and call of each non-idempotent call, and
+	// whether it was answered.
+	payouts map[string]bool
+}
+
+// admission is one request that an account was granted.
+type admission struct {
+	sent, answered time.Time
+}
+
+// longestLatency bounds the histogram.
+const longestLatency = 10 * clock.Minute
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{
+		refusals:   map[string]int{},
+		retries:    map[string]int{},
+		latency:    hdrhistogram.New(1, int64(longestLatency), 3),
+		admissions: map[spool.AccountID][]admission{},
+		payouts:    map[string]bool{},
+	}
+}
+
+func (l *Ledger) with(change func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change()
+}
+
+func (l *Ledger) admitted(account spool.AccountID, sent time.Time) {
+	l.with(func() {
+		l.admissions[account] = append(l.admissions[account], admission{sent: sent, answered: time.Now()})
+	})
+}
+
+// Problem records something that must not happen.
+func (l *Ledger) Problem(text string) { l.with(func() { l.problems = append(l.problems, text) }) }
+
+func (l *Ledger) programDone(since time.Time) {
+	l.with(func() {
+		l.completed++
+		_ = l.latency.RecordValue(int64(clock.FromDuration(time.Since(since))))
+	})
+}
+
+// Progress returns the programs started and completed.
+func (l *Ledger) Progress() (started, completed int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.started, l.completed
+}
+
+// Totals are the counts of a ledger.
+type Totals struct {
+	// Started and Completed count programs.
+	Started, Completed int
+	// OutOfOrder and Mismatches count answers that show that an engine saw
+	// another number of messages, or other messages, than the caller sent.
+	OutOfOrder, Mismatches int
+	// Unknown counts non-idempotent calls whose fate stayed unknown, Paid those
+	// that were answered.
+	Unknown, Paid int
+	// Problems describes what must not happen.
+	Problems []string
+	// Refusals and Retries are by reason.
+	Refusals, Retries map[string]int
+	// P50, P95 and P99 are quantiles of program latency.
+	P50, P95, P99 clock.Millis
+}
+
+// Totals returns the counts so far.
+func (l *Ledger) Totals() Totals {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	totals := Totals{
+		Started: l.started, Completed: l.completed, OutOfOrder: l.outOfOrder, Mismatches: l.mismatches,
+		Unknown: l.unknown, Problems: slices.Clone(l.problems),
+		Refusals: maps.Clone(l.refusals), Retries: maps.Clone(l.retries),
+		P50: clock.Millis(l.latency.ValueAtQuantile(50)), P95: clock.Millis(l.latency.ValueAtQuantile(95)),
+		P99: clock.Millis(l.latency.ValueAtQuantile(99)),
+	}
+	for _, paid := range l.payouts {
+		if paid {
+			totals.Paid++
+		}
+	}
+	return totals
+}
+
+// RateViolations counts the intervals in which an account got more than its
+// limits allow.
+func (l *Ledger) RateViolations(account spool.AccountID, limit Limits) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return overAdmissions(l.admissions[account], limit)
+}
+
+// Limits are an account's rate per second and burst.
+type Limits struct {
+	// Rate is in requests per second, Burst in requests.
+	Rate, Burst float64
+}
+
+// overAdmissions counts the intervals in which an account got more than its
+// burst and rate. A request counts for an interval that holds both its sending
+// and its answer, so that a request admitted outside never counts.
+func overAdmissions(requests []admission, limit Limits) int {
+	sort.Slice(requests, func(i, j int) bool { return requests[i].sent.Before(requests[j].sent) })
+	violations := 0
+	for i := range requests {
+		var ends []time.Time
+		for _, request := range requests[i:] {
+			ends = append(ends, request.answered)
+		}
+		sort.Slice(ends, func(a, b int) bool { return ends[a].Before(ends[b]) })
+		for count, end := range ends {
+			allowed := limit.Burst + limit.Rate*end.Sub(requests[i].sent).Seconds()
+			if float64(count+1) > allowed+1e-6 {
+				violations++
+				break
+			}
+		}
+	}
+	return violations
+}
--- a/internal/demo/program.go
+++ b/internal/caller/program.go
@@ -1,4 +1,4 @@
-package demo
+package caller
 
 import (
 	"context"
@@ -25,31 +25,52 @@
 	payoutPath = "/payouts"
 )
 
-// program is one agent program as its caller runs it. The caller keeps its own
+// Spec describes a program.
+type Spec struct {
+	// Account pays; it is the account of the client's key.
+	Account spool.AccountID
+	// Name appears in questions and problems.
+	Name string
+	// Seed feeds the length of the questions.
+	Seed uint64
+	// Model answers the turns, Service runs the payout.
+	Model   spool.ModelName
+	Service spool.ServiceName
+	// Alarm marks a program whose calls go first.
+	Alarm bool
+}
+
+// Program is one agent program as its caller runs it. The caller keeps its own
 // transcript, so that it can tell what the engine must have seen.
-type program struct {
-	client  *client
-	ledger  *ledger
-	account spool.AccountID
-	name    string
-	random  *rand.Rand
-	// service is the plain service for payouts.
-	service spool.ServiceName
-	alarm   bool
+type Program struct {
+	client *Client
+	ledger *Ledger
+	spec   Spec
+	random *rand.Rand
 
 	id         spool.ProgramID
 	transcript []spool.Message
-	requests   int
 }
 
-// plan is the shape of a program.
-type plan struct {
-	turns    int
-	pause    time.Duration
-	subAgent bool
-	payout   bool
+// Plan is the shape of a program.
+type Plan struct {
+	// Turns is the number of model calls, Pause the tool pause after each.
+	Turns int
+	Pause time.Duration
+	// SubAgent spawns a sub-agent of two turns after the first turn.
+	SubAgent bool
+	// Payout ends the program with a call that must run at most once.
+	Payout bool
+}
+
+// NewProgram returns a program that has not been started.
+func NewProgram(client *Client, ledger *Ledger, spec Spec) *Program {
+	return &Program{client: client, ledger: ledger, spec: spec, random: rand.New(rand.NewPCG(spec.Seed, 11))}
 }
 
+// ID returns the identifier that the system gave the program.
+func (p *Program) ID() spool.ProgramID { return p.id }
+
 type startBody struct {
 	Model spool.ModelName `json:"model"`
 	Alarm bool            `json:"alarm,omitempty"`
@@ -81,28 +102,28 @@
 	Status int `json:"status"`
 }
 
-// run runs the whole program and records its latency.
-func (p *program) run(ctx context.Context, plan plan) (err error) {
-	defer func() { err = errors.Wrapf(err, "program %s", p.name) }()
+// Run runs the whole program and records its latency.
+func (p *Program) Run(ctx context.Context, plan Plan) (err error) {
+	defer func() { err = errors.Wrapf(err, "program %s", p.spec.Name) }()
 	p.ledger.with(func() { p.ledger.started++ })
 	since := time.Now()
-	if err := p.start(ctx); err != nil {
+	if err := p.Start(ctx); err != nil {
 		return err
 	}
-	for turn := 1; turn <= plan.turns; turn++ {
+	for turn := 1; turn <= plan.Turns; turn++ {
 		if err := p.turn(ctx, turn); err != nil {
 			return err
 		}
-		if plan.subAgent && turn == 1 {
+		if plan.SubAgent && turn == 1 {
 			if err := p.spawn(ctx); err != nil {
 				return err
 			}
 		}
-		if err := pause(ctx, plan.pause); err != nil {
+		if err := pause(ctx, plan.Pause); err != nil {
 			return err
 		}
 	}
-	if plan.payout {
+	if plan.Payout {
 		if err := p.payout(ctx); err != nil {
 			return err
 		}
@@ -123,20 +144,21 @@
 	}
 }
 
-func (p *program) start(ctx context.Context) error {
+// Start starts the program at the system.
+func (p *Program) Start(ctx context.Context) error {
 	var answer startAnswer
 	err := p.request(ctx, "start", func() error {
-		return p.client.send(ctx, fasthttp.MethodPost, "/v1/programs", startBody{Model: modelName, Alarm: p.alarm}, &answer)
+		return p.client.Send(ctx, fasthttp.MethodPost, "/v1/programs", startBody{Model: p.spec.Model, Alarm: p.spec.Alarm}, &answer)
 	})
 	p.id = answer.Program
 	return err
 }
 
-func (p *program) path(rest string) string { return "/v1/programs/" + string(p.id) + rest }
+func (p *Program) path(rest string) string { return "/v1/programs/" + string(p.id) + rest }
 
 // turn sends the next message and checks that the engine saw exactly the
 // transcript.
-func (p *program) turn(ctx context.Context, number int) error {
+func (p *Program) turn(ctx context.Context, number int) error {
 	message := spool.Message{Role: "user", Content: p.question(number)}
 	body := callBody{
 		Call: fmt.Sprintf("turn-%d", number), Messages: []spool.Message{message}, MaxTokens: turnTokens, Stream: true,
@@ -155,12 +177,12 @@
 	return nil
 }
 
-func (p *program) question(number int) string {
+func (p *Program) question(number int) string {
 	filler := strings.Repeat(" knotting and dye notes", 10+p.random.IntN(30))
-	return fmt.Sprintf("%s asks question %d:%s", p.name, number, filler)
+	return fmt.Sprintf("%s asks question %d:%s", p.spec.Name, number, filler)
 }
 
-func (p *program) check(answer turnAnswer) {
+func (p *Program) check(answer turnAnswer) {
 	want := standin.Answer(p.transcript, turnTokens)
 	if answer.Text == strings.Join(want, "") {
 		return
@@ -174,18 +196,18 @@
 			p.ledger.mismatches++
 		}
 		p.ledger.problems = append(p.ledger.problems,
-			fmt.Sprintf("%s (%s): answer to %d messages begins %.60q, want %q", p.name, p.id, len(p.transcript), answer.Text, want[0]))
+			fmt.Sprintf("%s (%s): answer to %d messages begins %.60q, want %q", p.spec.Name, p.id, len(p.transcript), answer.Text, want[0]))
 	})
 }
 
 // spawn runs a sub-agent of two turns.
-func (p *program) spawn(ctx context.Context) error {
-	child := &program{
-		client: p.client, ledger: p.ledger, account: p.account, name: p.name + "/sub-agent", random: p.random,
-	}
+func (p *Program) spawn(ctx context.Context) error {
+	spec := p.spec
+	spec.Name += "/sub-agent"
+	child := NewProgram(p.client, p.ledger, spec)
 	var answer startAnswer
 	err := p.request(ctx, "spawn", func() error {
-		return p.client.send(ctx, fasthttp.MethodPost, p.path("/agents"), spawnBody{Call: "spawn-1"}, &answer)
+		return p.client.Send(ctx, fasthttp.MethodPost, p.path("/agents"), spawnBody{Call: "spawn-1"}, &answer)
 	})
 	if err != nil {
 		return err
@@ -201,41 +223,41 @@
 
 // payout makes a call that must run at most once. An answer that leaves its
 // fate unknown ends the attempts: the caller must not repeat it elsewhere.
-func (p *program) payout(ctx context.Context) error {
-	body := payoutBody{Call: "payout-1", Method: fasthttp.MethodPost, Path: payoutPath, Body: p.name}
+func (p *Program) payout(ctx context.Context) error {
+	body := payoutBody{Call: "payout-1", Method: fasthttp.MethodPost, Path: payoutPath, Body: p.spec.Name}
 	var answer payoutAnswer
-	p.ledger.with(func() { p.ledger.payouts[p.name] = false })
+	p.ledger.with(func() { p.ledger.payouts[p.spec.Name] = false })
 	err := p.request(ctx, "payout", func() error {
-		return p.client.send(ctx, fasthttp.MethodPost, p.path("/services/"+string(p.service)), body, &answer)
+		return p.client.Send(ctx, fasthttp.MethodPost, p.path("/services/"+string(p.spec.Service)), body, &answer)
 	})
-	failed := &failure{}
+	failed := &Failure{}
 	if errors.As(err, &failed) && failed.NotRun == spool.NotRunUnknown {
 		p.ledger.with(func() { p.ledger.unknown++ })
 		return nil
 	}
 	if err == nil {
-		p.ledger.with(func() { p.ledger.payouts[p.name] = true })
+		p.ledger.with(func() { p.ledger.payouts[p.spec.Name] = true })
 	}
 	return err
 }
 
-func (p *program) end(ctx context.Context) error {
+func (p *Program) end(ctx context.Context) error {
 	var answer struct{}
 	return p.request(ctx, "end", func() error {
-		return p.client.send(ctx, fasthttp.MethodDelete, p.path(""), nil, &answer)
+		return p.client.Send(ctx, fasthttp.MethodDelete, p.path(""), nil, &answer)
 	})
 }
 
 // request repeats an attempt with the same identifiers until it is answered,
 // as a careful caller does. Ending a program takes no part of the rate.
-func (p *program) request(ctx context.Context, kind string, attempt func() error) error {
+func (p *Program) request(ctx context.Context, kind string, attempt func() error) error {
 	deadline := time.Now().Add(giveUpAfter)
 	for {
 		sent := time.Now()
 		err := attempt()
 		if err == nil {
 			if kind != "end" {
-				p.ledger.admitted(p.account, sent)
+				p.ledger.admitted(p.spec.Account, sent)
 			}
 			return nil
 		}
@@ -253,8 +275,8 @@
 }
 
 // judge tells whether an attempt is to be repeated and after which wait.
-func (p *program) judge(kind string, err error) (clock.Millis, bool) {
-	failed := &failure{}
+func (p *Program) judge(kind string, err error) (clock.Millis, bool) {
+	failed := &Failure{}
 	switch {
 	case errors.As(err, &failed):
 		p.ledger.with(func() { p.ledger.refusals[string(failed.Code)]++ })
@@ -271,7 +293,7 @@
 		p.ledger.with(func() { p.ledger.retries["noAnswer"]++ })
 		return shortestRetry, true
 	default:
-		p.ledger.problem(fmt.Sprintf("%s %s: %v", p.name, kind, err))
+		p.ledger.Problem(fmt.Sprintf("%s %s: %v", p.spec.Name, kind, err))
 		return 0, false
 	}
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -35,6 +35,7 @@
 		NewStatus(),
 		NewExplain(),
 		newDemo(),
+		NewBench(),
 		newVersion(),
 	)
 	return root
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -1,3 +1,5 @@
+// Package demo runs the whole system on one machine: entries, agents and small
+// stand-ins of the platform, with callers that judge it by what they see.
 package demo
 
 import (
@@ -11,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/baobabspool/baobabspool/internal/caller"
 	"github.com/baobabspool/baobabspool/internal/control"
 	"github.com/baobabspool/baobabspool/internal/process"
 	"github.com/baobabspool/baobabspool/internal/standin"
@@ -37,7 +40,7 @@
 // account is a client account of the demonstration.
 type account struct {
 	id     spool.AccountID
-	limits limits
+	limits caller.Limits
 	key    string
 	keyID  string
 }
@@ -126,8 +129,8 @@
 		account.key, account.keyID = key.Reveal(), key.ID()
 		contents = append(contents,
 			control.Account{ID: account.id}, stored,
-			change(settings.LevelAccount, string(account.id), string(settings.LimitRatePerSecond), fmt.Sprint(account.limits.rate)),
-			change(settings.LevelAccount, string(account.id), string(settings.LimitBurst), fmt.Sprint(account.limits.burst)))
+			change(settings.LevelAccount, string(account.id), string(settings.LimitRatePerSecond), fmt.Sprint(account.limits.Rate)),
+			change(settings.LevelAccount, string(account.id), string(settings.LimitBurst), fmt.Sprint(account.limits.Burst)))
 	}
 	_, err := c.publisher.Publish(ctx, contents...)
 	return err
@@ -234,6 +237,15 @@
 	return nil
 }
 
+func pause(ctx context.Context, wait time.Duration) error {
+	select {
+	case <-time.After(wait):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // waitReady waits until every stream has an owner and every entry has the
 // settings.
 func (c *cluster) waitReady(ctx context.Context) error {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/baobabspool/baobabspool/internal/caller"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -39,10 +40,10 @@
 	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
 	accounts := []*account{
-		{id: "thies-weavers", limits: limits{rate: 60, burst: 60}},
-		{id: "kaolack-dealers", limits: limits{rate: 60, burst: 60}},
-		{id: "river-towns", limits: limits{rate: 12, burst: 24}},
-		{id: "auction-house", limits: limits{rate: 30, burst: 30}},
+		{id: "thies-weavers", limits: caller.Limits{Rate: 60, Burst: 60}},
+		{id: "kaolack-dealers", limits: caller.Limits{Rate: 60, Burst: 60}},
+		{id: "river-towns", limits: caller.Limits{Rate: 12, Burst: 24}},
+		{id: "auction-house", limits: caller.Limits{Rate: 30, Burst: 30}},
 	}
 	_, _ = fmt.Fprintln(options.Out, "starting 4 entries in 2 failure domains, 4 engines, 2 agents of a plain service")
 	system, err := newCluster(ctx, options.Seed, accounts)
@@ -50,7 +51,7 @@
 		return nil, err
 	}
 	defer system.close()
-	show := &demonstration{options: options, system: system, ledger: newLedger(), since: time.Now()}
+	show := &demonstration{options: options, system: system, ledger: caller.NewLedger(), since: time.Now()}
 	show.run(ctx)
 	return show.report(), nil
 }
@@ -59,7 +60,7 @@
 type demonstration struct {
 	options Options
 	system  *cluster
-	ledger  *ledger
+	ledger  *caller.Ledger
 	since   time.Time
 	// checks are invariants that the script tests directly.
 	mu     sync.Mutex
@@ -74,7 +75,7 @@
 }
 
 func (d *demonstration) say(format string, args ...any) {
-	started, completed := d.ledger.progress()
+	started, completed := d.ledger.Progress()
 	_, _ = fmt.Fprintf(d.options.Out, "%5.1fs  %2d/%d programs  %s\n",
 		time.Since(d.since).Seconds(), completed, started, fmt.Sprintf(format, args...))
 }
@@ -101,20 +102,19 @@
 		// The third account sends several times its rate; the last one's key is
 		// withdrawn and gets no programs.
 		holder := d.system.accounts[[]int{0, 1, 2, 2}[i%4]]
-		one := &program{
-			client: newClient(entries, holder.key), ledger: d.ledger, account: holder.id,
-			name: fmt.Sprintf("program-%d", i+1), random: rand.New(rand.NewPCG(d.options.Seed, uint64(100+i))),
-			service: plainService, alarm: i%9 == 8,
-		}
-		shape := plan{
-			turns: 5 + random.IntN(4), pause: time.Duration(100+random.IntN(900)) * time.Millisecond,
-			subAgent: i%6 == 1, payout: i%3 == 0,
+		one := caller.NewProgram(caller.NewClient(entries, holder.key), d.ledger, caller.Spec{
+			Account: holder.id, Name: fmt.Sprintf("program-%d", i+1), Seed: d.options.Seed + uint64(i),
+			Model: modelName, Service: plainService, Alarm: i%9 == 8,
+		})
+		shape := caller.Plan{
+			Turns: 5 + random.IntN(4), Pause: time.Duration(100+random.IntN(900)) * time.Millisecond,
+			SubAgent: i%6 == 1, Payout: i%3 == 0,
 		}
 		running.Add(1)
 		go func() {
 			defer running.Done()
-			if err := one.run(ctx, shape); err != nil {
-				d.ledger.problem(err.Error())
+			if err := one.Run(ctx, shape); err != nil {
+				d.ledger.Problem(err.Error())
 				d.say("failed: %v", err)
 			}
 		}()
@@ -140,9 +140,9 @@
 func (d *demonstration) withdrawKey(ctx context.Context) {
 	const bound = 3 * time.Second
 	holder := d.system.accounts[3]
-	caller := newClient(func() []string { return d.system.addresses }, holder.key)
-	owned := &program{client: caller, ledger: d.ledger, account: holder.id, name: "withdrawn"}
-	if err := owned.start(ctx); err != nil {
+	client := caller.NewClient(func() []string { return d.system.addresses }, holder.key)
+	owned := caller.NewProgram(client, d.ledger, caller.Spec{Account: holder.id, Name: "withdrawn", Model: modelName})
+	if err := owned.Start(ctx); err != nil {
 		d.check("key works before it is withdrawn", false, "%v", err)
 		return
 	}
@@ -153,8 +153,8 @@
 	since := time.Now()
 	refused := 0
 	for refused < 2*len(d.system.addresses) && time.Since(since) < bound {
-		err := caller.send(ctx, fasthttp.MethodGet, "/v1/programs/"+string(owned.id), nil, &struct{}{})
-		failed := &failure{}
+		err := client.Send(ctx, fasthttp.MethodGet, "/v1/programs/"+string(owned.ID()), nil, &struct{}{})
+		failed := &caller.Failure{}
 		if errors.As(err, &failed) && (failed.Code == spool.CodeKeyWithdrawn || failed.Code == spool.CodeUnauthorized) {
 			refused++
 			continue
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -41,19 +41,17 @@
 }
 
 func (d *demonstration) report() *Report {
+	totals := d.ledger.Totals()
 	r := &Report{
-		TurnsOutOfOrder: d.ledger.outOfOrder, HistoryMismatches: d.ledger.mismatches, UnknownFates: d.ledger.unknown,
-		Refusals: d.ledger.refusals, Retries: d.ledger.retries, Problems: d.ledger.problems,
+		ProgramsStarted: totals.Started, ProgramsCompleted: totals.Completed,
+		TurnsOutOfOrder: totals.OutOfOrder, HistoryMismatches: totals.Mismatches, UnknownFates: totals.Unknown,
+		Refusals: totals.Refusals, Retries: totals.Retries, Problems: totals.Problems,
 		Checks: d.checks, Violations: map[string]int64{},
-		ProgramLatencyMs: Quantiles{
-			P50: d.ledger.latency.ValueAtQuantile(50), P95: d.ledger.latency.ValueAtQuantile(95),
-			P99: d.ledger.latency.ValueAtQuantile(99),
-		},
-		LogAppends: d.system.log.Stats().Appends,
+		ProgramLatencyMs: Quantiles{P50: int64(totals.P50), P95: int64(totals.P95), P99: int64(totals.P99)},
+		LogAppends:       d.system.log.Stats().Appends,
 	}
-	r.ProgramsStarted, r.ProgramsCompleted = d.ledger.progress()
 	for _, holder := range d.system.accounts {
-		r.RateViolations += overAdmissions(d.ledger.admissions[holder.id], holder.limits)
+		r.RateViolations += d.ledger.RateViolations(holder.id, holder.limits)
 	}
 	d.countEngines(r)
 	d.countPayouts(r)
@@ -87,13 +85,7 @@
 	for _, count := range stats.Executions {
 		r.DuplicateExecutions += count - 1
 	}
-	answered := 0
-	for _, done := range d.ledger.payouts {
-		if done {
-			answered++
-		}
-	}
-	r.MissingExecutions = max(0, answered-len(stats.Executions))
+	r.MissingExecutions = max(0, d.ledger.Totals().Paid-len(stats.Executions))
 }
 
 // Broken reports whether an invariant was broken.
--- /dev/null
+++ b/internal/deployment/deployment_test.go
@@ -0,0 +1,152 @@
+package deployment_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/caller"
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/internal/standin"
+	"github.com/baobabspool/baobabspool/pkg/keyring"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+func TestDeployment(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "deployment")
+}
+
+const (
+	account = "weavers"
+	models  = "appraiser-models"
+	ledger  = "ledger-app"
+	model   = "appraiser"
+)
+
+var accountLimits = caller.Limits{Rate: 200, Burst: 200}
+
+// publish sets up the account with a key, the services and the limits.
+func publish(ctx context.Context, log spool.Log) string {
+	publisher := control.NewPublisher(log, "test")
+	gomega.Expect(publisher.Refresh(ctx)).To(gomega.Succeed())
+	key, stored, err := keyring.Issue(account, publisher.Now(), 0)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	limit := func(name settings.Number, value float64) settings.Change {
+		raw, _ := json.Marshal(value)
+		return settings.Change{
+			Path:  settings.Path{Target: settings.Target{Level: settings.LevelAccount, ID: account}, Name: string(name)},
+			Value: raw,
+		}
+	}
+	_, err = publisher.Publish(ctx,
+		control.Service{Name: models, Kind: control.ServiceModel, Models: []spool.ModelName{model}},
+		control.Service{Name: ledger, Kind: control.ServicePlain},
+		control.Account{ID: account}, stored,
+		limit(settings.LimitRatePerSecond, accountLimits.Rate), limit(settings.LimitBurst, accountLimits.Burst))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return key.Reveal()
+}
+
+// start starts three entries in three failure domains, three engines and one
+// plain service with two agents.
+func start(ctx context.Context) (s *system, key string) {
+	s = newSystem()
+	s.standin("log", "log")
+	s.standin("vms", "vms")
+	s.standin("service", "ledger")
+	key = publish(ctx, platform.NewLog(s.addresses["log"]))
+	domains := []spool.FailureDomain{"a", "b", "c"}
+	for i, domain := range domains {
+		s.entry(fmt.Sprintf("e%d", i+1), domain)
+	}
+	for i, domain := range domains {
+		engine := fmt.Sprintf("engine%d", i+1)
+		s.standin("engine", engine)
+		s.agent(fmt.Sprintf("m%d", i+1), domain, models, "--engine-address", engine)
+	}
+	s.agent("l1", "a", ledger, "--service-address", "ledger")
+	s.agent("l2", "b", ledger, "--service-address", "ledger")
+	return s, key
+}
+
+// runPrograms runs programs of several turns that end with a payout each while
+// faults runs, and returns when all have ended.
+func runPrograms(ctx context.Context, s *system, key string, count int, faults func()) *caller.Ledger {
+	book := caller.NewLedger()
+	var running sync.WaitGroup
+	for i := range count {
+		one := caller.NewProgram(caller.NewClient(s.balanced, key), book, caller.Spec{
+			Account: account, Name: fmt.Sprintf("p%d", i), Seed: uint64(i), Model: model, Service: ledger,
+		})
+		running.Go(func() {
+			err := one.Run(ctx, caller.Plan{Turns: 10, Pause: 400 * time.Millisecond, SubAgent: i%4 == 0, Payout: true})
+			if err != nil {
+				book.Problem(err.Error())
+			}
+		})
+	}
+	faults()
+	running.Wait()
+	return book
+}
+
+func expectIntact(s *system, book *caller.Ledger, count int) {
+	totals := book.Totals()
+	gomega.Expect(totals.Problems).To(gomega.BeEmpty())
+	gomega.Expect(totals.Completed).To(gomega.Equal(count))
+	gomega.Expect(totals.OutOfOrder + totals.Mismatches).To(gomega.BeZero())
+	gomega.Expect(book.RateViolations(account, accountLimits)).To(gomega.BeZero())
+	stats := standin.ServiceStats{}
+	s.stats("ledger", &stats)
+	for call, runs := range stats.Executions {
+		gomega.Expect(runs).To(gomega.Equal(1), call)
+	}
+	gomega.Expect(stats.KeysSeen).To(gomega.BeZero())
+	gomega.Expect(len(stats.Executions)).To(gomega.BeNumerically(">=", totals.Paid))
+	gomega.Expect(totals.Paid + totals.Unknown).To(gomega.Equal(count))
+}
+
+var _ = ginkgo.Describe("A deployment of separate processes", func() {
+	const programs = 12
+
+	// Guards against turns that were acknowledged by a process that died, and
+	// against calls that a new owner runs again.
+	ginkgo.It("loses and doubles nothing when an entry is killed and replaced", func() {
+		ctx := within(90 * time.Second)
+		s, key := start(ctx)
+		book := runPrograms(ctx, s, key, programs, func() {
+			time.Sleep(3 * time.Second)
+			s.kill("e1")
+			s.unlist("e1")
+			time.Sleep(2 * time.Second)
+			s.entry("e4", "a")
+		})
+		expectIntact(s, book, programs)
+	})
+
+	// Guards against calls that hang on, or are lost with, an agent or engine.
+	ginkgo.It("loses and doubles nothing when agents and an engine are killed", func() {
+		ctx := within(90 * time.Second)
+		s, key := start(ctx)
+		book := runPrograms(ctx, s, key, programs, func() {
+			time.Sleep(2 * time.Second)
+			s.kill("m1")
+			time.Sleep(time.Second)
+			s.kill("l1")
+			time.Sleep(time.Second)
+			s.restart("m1")
+			s.restart("l1")
+			s.kill("engine2")
+		})
+		expectIntact(s, book, programs)
+	})
+})
--- /dev/null
+++ b/internal/deployment/processes_test.go
@@ -0,0 +1,201 @@
+package deployment_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/standin"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// binaries are built once for all tests of the package.
+var binaries = sync.OnceValue(func() string {
+	folder, err := os.MkdirTemp("", "baobabspool")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	build := exec.Command("go", "build", "-o", folder, "../../cmd/baobabspool", "../../cmd/standin")
+	output, err := build.CombinedOutput()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred(), string(output))
+	return folder
+})
+
+// process is one running process.
+type process struct {
+	node    string
+	command *exec.Cmd
+	args    []string
+	binary  string
+	log     *os.File
+}
+
+// system is a deployment of separate processes.
+type system struct {
+	folder    string
+	processes map[string]*process
+	// addresses holds the service address of each process, controls that of a
+	// stand-in's control port, fronts the callers' address of each entry.
+	addresses map[string]string
+	controls  map[string]string
+	mu        sync.Mutex
+	fronts    map[string]string
+	vms       []spool.VM
+}
+
+func newSystem() *system {
+	s := &system{
+		folder: ginkgo.GinkgoT().TempDir(), processes: map[string]*process{},
+		addresses: map[string]string{}, controls: map[string]string{}, fronts: map[string]string{},
+	}
+	ginkgo.DeferCleanup(func() {
+		for node := range s.processes {
+			s.kill(node)
+		}
+	})
+	return s
+}
+
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// run starts a process that has not run before.
+func (s *system) run(binary, node string, args ...string) {
+	log, err := os.Create(filepath.Join(s.folder, node+".log"))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	s.processes[node] = &process{node: node, args: args, binary: filepath.Join(binaries(), binary), log: log}
+	s.restart(node)
+}
+
+// restart starts a process again with the same arguments.
+func (s *system) restart(node string) {
+	p := s.processes[node]
+	p.command = exec.Command(p.binary, p.args...)
+	p.command.Stdout, p.command.Stderr = p.log, p.log
+	gomega.Expect(p.command.Start()).To(gomega.Succeed())
+}
+
+// kill ends a process with SIGKILL.
+func (s *system) kill(node string) {
+	p := s.processes[node]
+	if p.command == nil {
+		return
+	}
+	_ = p.command.Process.Kill()
+	_ = p.command.Wait()
+	p.command = nil
+}
+
+// standin starts a stand-in and waits until it listens.
+func (s *system) standin(kind, node string) {
+	s.addresses[node], s.controls[node] = freeAddress(), freeAddress()
+	s.run("standin", node, kind, "--address", s.addresses[node], "--control", s.controls[node])
+	waitForListener(s.addresses[node])
+	waitForListener(s.controls[node])
+}
+
+func waitForListener(address string) {
+	gomega.Eventually(func() error {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	}, "10s", "20ms").Should(gomega.Succeed())
+}
+
+// entry starts an entry.
+func (s *system) entry(node string, domain spool.FailureDomain) {
+	s.addresses[node] = freeAddress()
+	front := freeAddress()
+	s.list(spool.VM{ID: spool.NodeID(node), Role: spool.RoleEntry, FailureDomain: domain, Address: s.addresses[node]})
+	s.run("baobabspool", node, "entry", "--node", node, "--region", "r", "--failure-domain", string(domain),
+		"--listen", s.addresses[node], "--http-listen", front, "--lame-duck-ms", "0", "--log-level", "debug",
+		"--vms-address", s.addresses["vms"], "--log-address", s.addresses["log"])
+	waitForListener(front)
+	s.setFront(node, front)
+}
+
+// agent starts the agent of an endpoint.
+func (s *system) agent(node string, domain spool.FailureDomain, service spool.ServiceName, flag, endpoint string) {
+	s.addresses[node] = freeAddress()
+	s.list(spool.VM{ID: spool.NodeID(node), Role: spool.RoleEndpoint, FailureDomain: domain, Service: service, Address: s.addresses[node]})
+	s.run("baobabspool", node, "endpoint", "--node", node, "--region", "r", "--failure-domain", string(domain),
+		"--listen", s.addresses[node], "--vms-address", s.addresses["vms"], flag, s.addresses[endpoint])
+	waitForListener(s.addresses[node])
+}
+
+// list puts a VM on the platform's list.
+func (s *system) list(vm spool.VM) {
+	vm.State, vm.Region = spool.VMLive, "r"
+	s.vms = append(s.vms, vm)
+	s.post("vms", "/", standin.VMSettings{LagMs: 300, VMs: s.vms})
+}
+
+// unlist takes a VM off the list and out of the balancer.
+func (s *system) unlist(node string) {
+	var kept []spool.VM
+	for _, vm := range s.vms {
+		if vm.ID != spool.NodeID(node) {
+			kept = append(kept, vm)
+		}
+	}
+	s.vms = kept
+	s.post("vms", "/", standin.VMSettings{LagMs: 300, VMs: s.vms})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.fronts, node)
+}
+
+func (s *system) setFront(node, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fronts[node] = address
+}
+
+// balanced returns the callers' addresses of the entries that the balancer
+// knows.
+func (s *system) balanced() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var addresses []string
+	for _, address := range s.fronts {
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+func (s *system) post(node, path string, body any) {
+	encoded, err := json.Marshal(body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	response, err := http.Post("http://"+s.controls[node]+path, "application/json", bytes.NewReader(encoded))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(response.Body.Close()).To(gomega.Succeed())
+	gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK), fmt.Sprint(path))
+}
+
+func (s *system) stats(node string, into any) {
+	response, err := http.Get("http://" + s.controls[node] + "/stats")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	gomega.Expect(json.NewDecoder(response.Body).Decode(into)).To(gomega.Succeed())
+}
+
+func within(limit time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	ginkgo.DeferCleanup(cancel)
+	return ctx
+}
