Hold requests for the time of eight tokens

Cause: requests within the rate were refused while a pool had no owner. Change: a Line holds for the time of eight tokens instead of four.

--- a/pkg/limit/line.go
+++ b/pkg/limit/line.go
@@ -47,8 +47,9 @@
 	class Class
 }
 
-// holdTokens is the number of tokens for which a request may wait.
-const holdTokens = 4.0
+// holdTokens is the number of tokens for which a request may wait. With 4 the
+// bench refused twice as many requests within the rate while an entry was gone.
+const holdTokens = 8.0
 
 // NewLine returns an empty line in front of share. Requests for admission then
 // go to the line only; the other inputs of share stay with the caller.
