Measure propagation, rest cost and the cost of a record

Change: benchmarks over real connections on loopback for 8 to 200 nodes with and without chosen log readers, and for the fold by kind of record. status also asks entry.status and prints the streams that an entry owns.

--- a/internal/cli/nodes.go
+++ b/internal/cli/nodes.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"sort"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -141,6 +142,11 @@
 	if vm.Role == spool.RoleEntry {
 		row.Control = &control.Status{}
 		err = q.call(vm.Address, wire.MethodControlStatus, struct{}{}, row.Control)
+		if err == nil && row.Control.Process == nil {
+			// An entry describes its streams and callers itself; a node without
+			// that method has nothing to add.
+			_ = q.call(vm.Address, methodEntryStatus, struct{}{}, &row.Control.Process)
+		}
 	} else {
 		row.Endpoint = &wire.EndpointStatus{}
 		err = q.call(vm.Address, wire.MethodEndpointStatus, struct{}{}, row.Endpoint)
@@ -156,7 +162,7 @@
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t", row.Node, row.Role, row.Domain, row.State)
 		switch {
 		case row.Control != nil:
-			_, _ = fmt.Fprintf(w, "offset %d\tage %s\tisolated %t\tout %v\t%s\n", row.Control.Offset, row.Control.FreshFor, row.Control.Isolated, row.Control.Drains, row.Control.Process)
+			_, _ = fmt.Fprintf(w, "offset %d\tage %s\tisolated %t\tout %v\t%s\n", row.Control.Offset, row.Control.FreshFor, row.Control.Isolated, row.Control.Drains, owned(row.Control.Process))
 		case row.Endpoint != nil:
 			_, _ = fmt.Fprintf(w, "offset %d\trunning %d of %d\tqueued %d\tcold %t, draining %t\n", row.Endpoint.ControlOffset,
 				row.Endpoint.Running, row.Endpoint.Window, row.Endpoint.Queued, row.Endpoint.Cold, row.Endpoint.Draining)
@@ -166,8 +172,28 @@
 	}
 }
 
-// methodExplain asks the owner of a program to describe it.
-const methodExplain = "entry.explain"
+// owned shortens what an entry tells of itself to the streams that it owns.
+func owned(process json.RawMessage) string {
+	var entry struct {
+		Calls   int64                      `json:"calls"`
+		Streams map[string]json.RawMessage `json:"streams"`
+	}
+	if json.Unmarshal(process, &entry) != nil {
+		return string(process)
+	}
+	streams := make([]string, 0, len(entry.Streams))
+	for stream := range entry.Streams {
+		streams = append(streams, stream)
+	}
+	sort.Strings(streams)
+	return fmt.Sprintf("calls %d\towns %v", entry.Calls, streams)
+}
+
+// Methods of package entry for operators.
+const (
+	methodExplain     = "entry.explain"
+	methodEntryStatus = "entry.status"
+)
 
 // explainRequest names the program.
 type explainRequest struct {
--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,199 @@
+package control_test
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/pkg/keyring"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	benchChanges = 40
+	benchRest    = 5 * time.Second
+)
+
+// BenchmarkPropagation measures the time until a change is in force at every
+// node, by the depth of the node in the tree, and the cost of a node at rest.
+// Nodes run in one process with real connections on loopback; the log is in
+// memory, so its connections are not counted.
+func BenchmarkPropagation(b *testing.B) {
+	for _, count := range []int{8, 32, 96, 200} {
+		for _, readers := range []int{0, 1} {
+			b.Run(fmt.Sprintf("nodes=%d/logReaders=%d", count, readers), func(b *testing.B) {
+				for range b.N {
+					propagate(b, count, readers)
+				}
+			})
+		}
+	}
+}
+
+func propagate(b *testing.B, count, readers int) {
+	gomega.RegisterTestingT(b)
+	var stops []func()
+	nodes := &fleet{log: newFakeLog(), cleanup: func(stop func()) { stops = append(stops, stop) }}
+	defer func() {
+		for _, stop := range slices.Backward(stops) {
+			stop()
+		}
+	}()
+	entries := max(4, count/8)
+	members := make([]*member, count)
+	for i := range members {
+		config := control.Config{
+			Node: spool.NodeID(fmt.Sprint("n", i)), Role: spool.RoleEndpoint, LogReaders: readers,
+			FailureDomain: spool.FailureDomain(fmt.Sprint("d", i%4)),
+		}
+		if i < entries {
+			config.Role = spool.RoleEntry
+		}
+		members[i] = nodes.start(config)
+	}
+	nodes.log.publish("start", change("fleet/limit.burst", "5"))
+	for _, m := range members {
+		gomega.Eventually(m.Offset, "10s").Should(gomega.Equal(spool.Offset(1)))
+	}
+	// Parents are chosen anew once every entry has its state.
+	time.Sleep(3 * time.Second)
+	all, byRole := []time.Duration{}, map[spool.Role][]time.Duration{}
+	for i := range benchChanges {
+		for index, took := range timeChange(nodes, members, i) {
+			byRole[members[index].vm.Role] = append(byRole[members[index].vm.Role], took)
+			all = append(all, took)
+		}
+	}
+	report(b, "entry", byRole[spool.RoleEntry])
+	report(b, "agent", byRole[spool.RoleEndpoint])
+	report(b, "all", all)
+	cpu, written := usage()
+	time.Sleep(benchRest)
+	cpuAfter, writtenAfter := usage()
+	perNode := benchRest.Seconds() * float64(count)
+	b.ReportMetric(float64(cpuAfter-cpu)/1e3/perNode, "restCPU-us/s/node")
+	b.ReportMetric(float64(writtenAfter-written)/perNode, "restBytes/s/node")
+	b.ReportMetric(0, "ns/op")
+}
+
+// timeChange publishes a change and returns how long each node took.
+func timeChange(nodes *fleet, members []*member, value int) []time.Duration {
+	took := make([]time.Duration, len(members))
+	target := members[0].Offset() + 1
+	var ready, done sync.WaitGroup
+	started := time.Time{}
+	start := make(chan struct{})
+	for i, m := range members {
+		ready.Add(1)
+		done.Go(func() {
+			ready.Done()
+			<-start
+			for m.Offset() < target {
+				changed := m.Changed()
+				if m.Offset() >= target {
+					break
+				}
+				<-changed
+			}
+			took[i] = time.Since(started)
+		})
+	}
+	ready.Wait()
+	started = time.Now()
+	nodes.log.publish(fmt.Sprint("change", value), change("fleet/limit.burst", strconv.Itoa(value%50+1)))
+	close(start)
+	done.Wait()
+	return took
+}
+
+func report(b *testing.B, name string, took []time.Duration) {
+	slices.Sort(took)
+	at := func(share float64) float64 {
+		return float64(took[min(len(took)-1, int(share*float64(len(took))))].Microseconds()) / 1000
+	}
+	b.ReportMetric(at(0.5), name+"-p50-ms")
+	b.ReportMetric(at(0.99), name+"-p99-ms")
+	b.ReportMetric(at(1), name+"-max-ms")
+}
+
+// usage returns the process's CPU time in nanoseconds and the bytes that it has
+// written, to sockets included.
+func usage() (cpu, written int64) {
+	var used syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &used)
+	text, _ := os.ReadFile("/proc/self/io")
+	for _, line := range strings.Split(string(text), "\n") {
+		if value, ok := strings.CutPrefix(line, "wchar: "); ok {
+			written, _ = strconv.ParseInt(value, 10, 64)
+		}
+	}
+	return used.Utime.Nano() + used.Stime.Nano(), written
+}
+
+// BenchmarkRecord measures the time to fold a record and what it adds to the
+// memory of a node, by kind of record.
+func BenchmarkRecord(b *testing.B) {
+	gomega.RegisterTestingT(b)
+	kinds := map[string]func(i int) any{
+		"setting": func(i int) any { return change(fmt.Sprintf("account/a%d/limit.burst", i), "5") },
+		"program": func(i int) any { return change(fmt.Sprintf("program/p%d/budget.calls", i), "5") },
+		"key": func(i int) any {
+			_, stored, _ := keyring.Issue(spool.AccountID(fmt.Sprint("a", i)), 1, 0)
+			return stored
+		},
+		"order": func(i int) any {
+			return control.Order{Endpoint: spool.EndpointID(fmt.Sprint("e", i)), Order: spool.EngineOrder{Kind: spool.OrderLoad, Model: "m"}}
+		},
+	}
+	for name, build := range kinds {
+		b.Run(name, func(b *testing.B) {
+			batches := make([]spool.Batch, 20000)
+			for i := range batches {
+				batches[i] = batchOf(fmt.Sprint(i), spool.Offset(i), build(i))
+				batches[i].Offset = spool.Offset(i + 1)
+			}
+			for b.Loop() {
+				before := heap()
+				state := control.NewState()
+				started := time.Now()
+				for _, batch := range batches {
+					_, _ = state.Apply(batch)
+				}
+				took := time.Since(started)
+				b.ReportMetric(float64(heap()-before)/float64(len(batches)), "heapBytes/record")
+				b.ReportMetric(float64(took.Nanoseconds())/float64(len(batches)), "ns/record")
+				compressed, _ := state.Compressed()
+				b.ReportMetric(float64(len(compressed))/float64(len(batches)), "snapshotBytes/record")
+				runtime.KeepAlive(state)
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// BenchmarkLookup measures the lookup of one value for a request.
+func BenchmarkLookup(b *testing.B) {
+	tree := settings.NewTree()
+	scope := settings.Scope{Region: "r", FailureDomain: "d", Account: "a", Program: "p"}
+	for b.Loop() {
+		_ = tree.At(scope).Number(settings.LimitBurst)
+	}
+}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -6,7 +6,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/baobabspool/baobabspool/internal/control"
@@ -21,8 +20,10 @@
 // fleet runs readers with real connections on loopback.
 type fleet struct {
 	log *fakeLog
-	mu  sync.Mutex
-	vms []spool.VM
+	// cleanup is called with what ends a node.
+	cleanup func(func())
+	mu      sync.Mutex
+	vms     []spool.VM
 }
 
 // member is one reader of a fleet.
@@ -92,7 +93,7 @@
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	handlers := m.Handlers()
 	handler.Store(&handlers)
-	ginkgo.DeferCleanup(m.stop)
+	f.cleanup(m.stop)
 	return m
 }
 
--- a/internal/control/peers_test.go
+++ b/internal/control/peers_test.go
@@ -41,7 +41,7 @@
 
 	ginkgo.BeforeEach(func() {
 		log = newFakeLog()
-		nodes = &fleet{log: log}
+		nodes = &fleet{log: log, cleanup: func(stop func()) { ginkgo.DeferCleanup(stop) }}
 		log.publish("isolation", change("fleet/control.isolationMs", isolation))
 	})
 
