--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -16,6 +16,7 @@
 	"github.com/baobabspool/baobabspool/internal/control"
 	"github.com/baobabspool/baobabspool/internal/standin"
 	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -137,6 +138,25 @@
 		good("settings", "set", "fleet/limit.burst", "10")
 	})
 
+	ginkgo.It("has its reference of settings up to date in docs/operations.md", func() {
+		page, err := os.ReadFile("../../docs/operations.md")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		copied := filepath.Join(ginkgo.GinkgoT().TempDir(), "operations.md")
+		gomega.Expect(os.WriteFile(copied, page, 0o600)).To(gomega.Succeed())
+		good("settings", "reference", "--write", copied)
+		written, err := os.ReadFile(copied)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(string(written)).To(gomega.Equal(string(page)), "run: go run ./cmd/baobabspool settings reference --write docs/operations.md")
+	})
+
+	ginkgo.It("has a registered policy as the default of each policy setting", func() {
+		for _, spec := range settings.Specs() {
+			if spec.Choices != nil {
+				gomega.Expect(spec.Choices()).To(gomega.ContainElement(spec.Default.String()), spec.Name)
+			}
+		}
+	})
+
 	ginkgo.It("reports every error of a command line at once", func() {
 		ginkgo.GinkgoT().Setenv("BAOBABSPOOL_LOG_ADDRESS", "")
 		out, code := run("settings", "get", "--timeout-ms", "-1", "--writer", "a b")
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -324,17 +324,45 @@
 	return previous
 }
 
+// Lines around the reference in a page.
+const (
+	referenceBegin = "<!-- begin of the table that \"baobabspool settings reference --write\" maintains -->\n"
+	referenceEnd   = "<!-- end of the table -->\n"
+)
+
 func settingsReference() *cobra.Command {
-	return &cobra.Command{
+	var page string
+	command := &cobra.Command{
 		Use:     "reference",
 		Short:   "Print the table of every setting, in Markdown",
-		Example: "  baobabspool settings reference",
+		Long:    "Print the table of every setting, in Markdown. With --write, replace the table in a page, between its two marking lines.",
+		Example: "  baobabspool settings reference --write docs/operations.md",
 		Args:    usage(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
+			if page != "" {
+				return writeReference(page)
+			}
 			_, err := io.WriteString(command.OutOrStdout(), settings.Reference())
 			return errors.Wrap(err, "print")
 		},
 	}
+	command.Flags().StringVar(&page, "write", "", "page to update")
+	return command
+}
+
+func writeReference(page string) (err error) {
+	defer func() { err = errors.Wrapf(err, "update %s", page) }()
+	data, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	before, rest, begins := strings.Cut(string(data), referenceBegin)
+	_, after, ends := strings.Cut(rest, referenceEnd)
+	if !begins || !ends {
+		return errors.Errorf("marking lines are missing: %q and %q", referenceBegin, referenceEnd)
+	}
+	updated := before + referenceBegin + settings.Reference() + referenceEnd + after
+	return os.WriteFile(page, []byte(updated), 0o644)
 }
 
 // instant formats a time for people.
