--- a/internal/cli/key.go
+++ b/internal/cli/key.go
@@ -116,7 +116,7 @@
 		}
 		offset, err := s.publisher.Publish(s.ctx, stored, old)
 		if err != nil {
-			return err
+			return errors.Wrapf(err, "new key %s", stored.ID)
 		}
 		return s.printIssued(issued{
 			Key: key.Reveal(), ID: key.ID(), Account: stored.Account, ExpiresAt: expiresAt,
--- a/pkg/settings/known.go
+++ b/pkg/settings/known.go
@@ -26,10 +26,7 @@
 	LimitRatePerSecond    Number   = "limit.ratePerSecond"
 	LimitBurst            Number   = "limit.burst"
 	LimitStaticShare      Number   = "limit.staticShare"
-	LimitLeaseMs          Duration = "limit.leaseMs"
-	LimitAuthorityMs      Duration = "limit.authorityMs"
 	AccountWeight         Number   = "account.weight"
-	AccountAlarm          Boolean  = "account.alarm"
 	BudgetTokens          Integer  = "budget.tokens"
 	BudgetCalls           Integer  = "budget.calls"
 	BudgetWallMs          Duration = "budget.wallMs"
@@ -48,7 +45,6 @@
 	RetryBudgetShare      Number   = "retry.budgetShare"
 	RetryMaxAttempts      Integer  = "retry.maxAttempts"
 	MemoryLeaseMs         Duration = "memory.leaseMs"
-	MembershipDeadMs      Duration = "membership.deadMs"
 	ControlIsolationMs    Duration = "control.isolationMs"
 	DrainRampMs           Duration = "drain.rampMs"
 	DrainFailureDomain    Boolean  = "drain.failureDomain"
@@ -72,10 +68,7 @@
 	number(LimitRatePerSecond, "requests/s", 0, 1e6, 50, payerLevels, "Requests that one client account may start per second, counted over all VMs together.")
 	number(LimitBurst, "requests", 1, 1e6, 100, payerLevels, "Requests that an account may start at once after a pause, counted over all VMs together.")
 	number(LimitStaticShare, "share", 0, 1, 0.2, payerLevels, "Part of an account's rate that is split evenly over the entries and needs no lease.")
-	duration(LimitLeaseMs, 50, 60000, 1000, fleetOnly, "How long an entry may use rate tokens that it was granted.")
-	duration(LimitAuthorityMs, 100, 600000, 3000, fleetOnly, "How long the owner of a rate pool may grant after its last proof of ownership.")
 	number(AccountWeight, "share", 0.01, 1000, 1, payerLevels, "Share of the account in weighted fair queueing.")
-	boolean(AccountAlarm, []Level{LevelAccount, LevelProgram}, false, "Calls are alarms and go before all other work.")
 	integer(BudgetTokens, "tokens", 1, 1e12, 2e6, spendLevels, "Tokens that a program and its sub-agents may spend.")
 	integer(BudgetCalls, "calls", 1, 1e9, 1000, spendLevels, "Calls that a program and its sub-agents may make.")
 	duration(BudgetWallMs, 1, maxMillis, 4*3600*1000, spendLevels, "Time that a program may take from its creation.")
@@ -89,12 +82,11 @@
 	text(PolicyGate, "adaptive", placeLevels, spool.Gates.Names, "Policy that bounds the concurrency of an endpoint.")
 	text(PolicyRetry, "budgeted", placeLevels, spool.Retries.Names, "Policy that decides on retries.")
 	integer(GateColdConcurrency, "calls", 1, maxConcurrencySetting, 1, placeLevels, "Concurrent calls on an endpoint in cold start.")
-	integer(GateMaxConcurrency, "calls", 1, maxConcurrencySetting, 64, placeLevels, "Highest concurrency of an endpoint.")
+	integer(GateMaxConcurrency, "calls", 1, maxConcurrencySetting, 16, placeLevels, "Highest concurrency of an endpoint.")
 	duration(QueueMaxWaitMs, 0, maxMillis, 30000, callLevels, "Expected wait beyond which an endpoint refuses new calls.")
 	number(RetryBudgetShare, "share", 0, 1, 0.1, placeLevels, "Retries as a share of first attempts.")
-	integer(RetryMaxAttempts, "attempts", 1, 20, 4, placeLevels, "Attempts of one call, the first included.")
+	integer(RetryMaxAttempts, "attempts", 1, 20, 10, placeLevels, "Attempts of one call, the first included.")
 	duration(MemoryLeaseMs, 100, maxMillis, 30000, callLevels, "How long an endpoint keeps a program's engine memory without renewal.")
-	duration(MembershipDeadMs, 100, 600000, 1500, fleetOnly, "Silence after which an entry is checked by others and may be replaced.")
 	duration(ControlIsolationMs, 500, 600000, 5000, placeLevels, "Time without the log and without peers after which an entry refuses keyed requests.")
 	duration(DrainRampMs, 0, maxMillis, 30000, placeLevels, "Time over which a returning failure domain is brought back to its full share.")
 	boolean(DrainFailureDomain, []Level{LevelFailureDomain}, false, "True takes the failure domain out: it gets no new work.")
--- a/pkg/settings/reference.go
+++ b/pkg/settings/reference.go
@@ -16,13 +16,13 @@
 		case KindBoolean:
 			span = "true, false"
 		case KindText:
-			span = "a registered policy"
+			span = strings.Join(spec.Choices(), ", ")
 		default:
 			span = format(spec.Min) + " to " + format(spec.Max)
 		}
 		name := spec.Name
 		if spec.Keyed {
-			name += "[ENDPOINT]"
+			name += "[ID]"
 		}
 		unit := spec.Unit
 		if unit == "" {
