Count a peer's answer from when it was given

Cause: a long poll's answer counted from when the request was sent, so the age of the state grew by two long polls per level; at the third level parents were taken for stale and nodes moved between them, which opened connections. Change: a reply says how long the request was held; the limits for a stale parent and for asking other failure domains follow from the long poll.

--- a/internal/control/choice.go
+++ b/internal/control/choice.go
@@ -53,7 +53,19 @@
 }
 
 // staleAfter is the age of the state beyond which something is wrong upstream.
-func (n *Node) staleAfter() clock.Millis { return 2*n.config.Wait + degradedWait }
+// The state of an entry that reads the log is up to two long polls old just
+// before the next answer, and each further level adds one.
+func (n *Node) staleAfter() clock.Millis { return 3*n.config.Wait + degradedWait }
+
+// abroadAfter is the age of the state beyond which the node also asks other
+// failure domains. For an entry it leaves time for two or three attempts within
+// the default isolation limit; agents are never isolated.
+func (n *Node) abroadAfter() clock.Millis {
+	if n.config.Role == spool.RoleEntry {
+		return 2*n.config.Wait + degradedWait
+	}
+	return n.staleAfter()
+}
 
 // entries lists the other entries.
 func (n *Node) entries(vms []spool.VM) []spool.VM {
@@ -77,7 +89,7 @@
 // entry elsewhere proves that the node is not cut off together with its failure
 // domain.
 func (n *Node) Choose(now clock.Millis, vms []spool.VM, attempt int) (spool.VM, bool) {
-	abroad := n.fresh.freshFor(now) > n.staleAfter() && attempt%2 == 1
+	abroad := attempt%2 == 1 && n.fresh.freshFor(now) > n.abroadAfter()
 	entries := n.entries(vms)
 	choice := entries[:0]
 	for _, peer := range entries {
--- a/internal/control/fresh.go
+++ b/internal/control/fresh.go
@@ -3,8 +3,8 @@
 import "github.com/baobabspool/baobabspool/pkg/clock"
 
 // freshness tells how far the state may lag behind the log. All instants are of
-// this node's clock and are lower bounds: a reply counts from the moment when
-// its request was sent.
+// this node's clock and are lower bounds: an answer of the log counts from the
+// moment when its request was sent, one of a peer from when it was given.
 type freshness struct {
 	// loaded is set once the state has been complete.
 	loaded bool
@@ -29,19 +29,20 @@
 }
 
 // heardPeer takes in a peer's answer after which the state equalled the peer's.
-// proves tells that the peer could not have been reached by a node that is cut
-// off together with its failure domain.
-func (f *freshness) heardPeer(sent, freshFor clock.Millis, proves bool) {
+// answered is a lower bound of when the peer answered. proves tells that the
+// peer could not have been reached by a node that is cut off together with its
+// failure domain.
+func (f *freshness) heardPeer(answered, freshFor clock.Millis, proves bool) {
 	if freshFor < 0 {
 		return
 	}
 	if !f.loaded {
-		f.loaded, f.log = true, sent-freshFor
+		f.loaded, f.log = true, answered-freshFor
 	}
-	f.log = max(f.log, sent-freshFor)
+	f.log = max(f.log, answered-freshFor)
 	f.contact = max(f.contact, f.log)
 	if proves {
-		f.contact = max(f.contact, sent)
+		f.contact = max(f.contact, answered)
 	}
 }
 
--- a/internal/control/loops.go
+++ b/internal/control/loops.go
@@ -165,7 +165,7 @@
 	}
 	return r.update(func() ([]Rejection, error) {
 		r.node.Answered(r.clock.Now(), peer, reply.FreshFor)
-		return r.node.TakeReply(sent, reply, r.node.ProvesContact(peer, vms))
+		return r.node.TakeReply(r.clock.Now(), sent, reply, r.node.ProvesContact(peer, vms))
 	})
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -74,7 +74,7 @@
 // TakeReply takes in a peer's answer to a request that was sent at sent. proves
 // tells that reaching the peer shows that the node is not cut off. It fails with
 // ErrGap or when the peer's snapshot is damaged.
-func (n *Node) TakeReply(sent clock.Millis, reply wire.PullReply, proves bool) (rejected []Rejection, err error) {
+func (n *Node) TakeReply(now, sent clock.Millis, reply wire.PullReply, proves bool) (rejected []Rejection, err error) {
 	if reply.Snapshot != nil && reply.SnapshotAt > n.state.offset {
 		var data []byte
 		if err := json.Unmarshal(reply.Snapshot, &data); err != nil {
@@ -90,7 +90,8 @@
 		return rejected, err
 	}
 	if n.state.offset >= reply.Last {
-		n.fresh.heardPeer(sent, reply.FreshFor, proves)
+		answered := min(now, sent+max(0, reply.Held))
+		n.fresh.heardPeer(answered, reply.FreshFor, proves)
 	}
 	return rejected, nil
 }
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -95,6 +95,7 @@
 	if request.After < 0 || request.Wait < 0 {
 		return nil, spool.Refuse(spool.CodeBadRequest, "offset and wait must not be negative")
 	}
+	arrived := r.clock.Now()
 	timer := time.NewTimer(min(request.Wait, maxPullWait).Duration())
 	defer timer.Stop()
 	for expired := false; ; {
@@ -103,6 +104,7 @@
 		if err != nil {
 			return nil, err
 		}
+		reply.Held = r.clock.Now() - arrived
 		if expired || len(reply.Batches) > 0 || reply.Snapshot != nil {
 			return reply, nil
 		}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -197,6 +197,9 @@
 	// FreshFor is how long ago the answering node last heard, directly or
 	// through others, from the log; negative when it never has.
 	FreshFor clock.Millis `json:"freshForMs"`
+	// Held is how long the answering node kept the request before it answered,
+	// so that the asking node need not take a long poll for old news.
+	Held clock.Millis `json:"heldMs,omitempty"`
 }
 
 // HeartbeatRequest tells a peer that the sender lives.
