Test paused owners, log outages and rolling restarts with real processes

Three more cases run against separate processes: an owner stopped for 6 s and continued, an entry killed while the log is down followed by lost and slow answers, and every entry and agent stopped by SIGTERM and replaced in turn.

--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -149,4 +150,57 @@
 		})
 		expectIntact(s, book, programs)
 	})
+
+	// Guards against a paused owner that completes a turn after it was replaced.
+	ginkgo.It("loses and doubles nothing when an owner is paused and wakes up", func() {
+		ctx := within(90 * time.Second)
+		s, key := start(ctx)
+		book := runPrograms(ctx, s, key, programs, func() {
+			time.Sleep(2 * time.Second)
+			s.signal("e2", syscall.SIGSTOP)
+			front := s.dropFront("e2")
+			time.Sleep(6 * time.Second)
+			s.signal("e2", syscall.SIGCONT)
+			s.setFront("e2", front)
+		})
+		expectIntact(s, book, programs)
+	})
+
+	// Guards against turns that only the dead owner held while the log was down.
+	ginkgo.It("loses and doubles nothing when an entry dies while the log is down", func() {
+		ctx := within(90 * time.Second)
+		s, key := start(ctx)
+		book := runPrograms(ctx, s, key, programs, func() {
+			time.Sleep(2 * time.Second)
+			s.post("log", "/", standin.LogFaults{Down: true})
+			time.Sleep(2 * time.Second)
+			s.kill("e3")
+			s.unlist("e3")
+			time.Sleep(2 * time.Second)
+			s.post("log", "/", standin.LogFaults{LoseAnswers: 0.3, SlowMs: 50})
+		})
+		expectIntact(s, book, programs)
+	})
+
+	// Guards against requests that a graceful shutdown cuts: callers see no
+	// missing answer and no stream that ends early.
+	ginkgo.It("cuts no request when every process is stopped and replaced in turn", func() {
+		ctx := within(120 * time.Second)
+		s, key := start(ctx)
+		book := runPrograms(ctx, s, key, programs, func() {
+			time.Sleep(time.Second)
+			for i, domain := range []spool.FailureDomain{"a", "b", "c"} {
+				entry, agent := fmt.Sprintf("e%d", i+1), fmt.Sprintf("m%d", i+1)
+				s.entry(fmt.Sprintf("f%d", i+1), domain)
+				s.dropFront(entry)
+				time.Sleep(100 * time.Millisecond)
+				s.stop(entry)
+				s.unlist(entry)
+				s.stop(agent)
+				s.restart(agent)
+			}
+		})
+		expectIntact(s, book, programs)
+		gomega.Expect(book.Totals().Retries).NotTo(gomega.HaveKey("noAnswer"))
+	})
 })
--- a/internal/deployment/processes_test.go
+++ b/internal/deployment/processes_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -99,6 +100,19 @@
 	p.command = nil
 }
 
+// signal sends a signal to a process.
+func (s *system) signal(node string, signal syscall.Signal) {
+	gomega.Expect(s.processes[node].command.Process.Signal(signal)).To(gomega.Succeed())
+}
+
+// stop ends a process with SIGTERM and expects exit status 0.
+func (s *system) stop(node string) {
+	s.signal(node, syscall.SIGTERM)
+	p := s.processes[node]
+	gomega.Expect(p.command.Wait()).To(gomega.Succeed(), node)
+	p.command = nil
+}
+
 // standin starts a stand-in and waits until it listens.
 func (s *system) standin(kind, node string) {
 	s.addresses[node], s.controls[node] = freeAddress(), freeAddress()
@@ -160,6 +174,15 @@
 	delete(s.fronts, node)
 }
 
+// dropFront makes the balancer forget an entry and returns its address.
+func (s *system) dropFront(node string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	address := s.fronts[node]
+	delete(s.fronts, node)
+	return address
+}
+
 func (s *system) setFront(node, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
