--- /dev/null
+++ b/internal/control/loops.go
@@ -0,0 +1,223 @@
+package control
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	housekeepEvery  clock.Millis = 250
+	snapshotTimeout              = 10 * clock.Second
+	// snapshotRetry is the wait after a snapshot was appended before another
+	// one is tried: the node first has to read the one that it appended.
+	snapshotRetry = 15 * clock.Second
+)
+
+// readLog follows the log for as long as the reader is open.
+func (r *Reader) readLog() {
+	var failures backoff
+	for r.ctx.Err() == nil {
+		if !r.readsLog() {
+			r.pause(idlePoll)
+			continue
+		}
+		err := r.readOnce()
+		if r.ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			failures.reset()
+			continue
+		}
+		r.event("control.logReadFailed")
+		if failures.failures == 0 {
+			r.logger.Warn("control stream cannot be read from the log", zap.Error(err))
+		}
+		r.pause(failures.next(r.jitter()))
+	}
+}
+
+// readsLog reports whether this node reads the log; one that cannot pull always
+// does.
+func (r *Reader) readsLog() bool {
+	if !r.pulls() {
+		return true
+	}
+	vms := r.peers()
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.node.ReadsLog(r.clock.Now(), vms)
+}
+
+func (r *Reader) readOnce() error {
+	ctx, cancel := context.WithTimeout(r.ctx, (r.config.Wait + replyGrace).Duration())
+	defer cancel()
+	after, sent := r.Offset(), r.clock.Now()
+	page, err := r.log.Read(ctx, spool.ControlStream, after, r.config.Wait)
+	if errors.Is(err, spool.ErrTrimmed) || (err == nil && gapAfter(after, page.Batches)) {
+		r.event("control.gap")
+		return r.reload(page.First)
+	}
+	if err != nil {
+		return err
+	}
+	return r.update(func() ([]Rejection, error) { return r.node.TakePage(sent, after, page) })
+}
+
+// reload replaces the state by a snapshot from the log.
+func (r *Reader) reload(first spool.Offset) error {
+	ctx, cancel := context.WithTimeout(r.ctx, snapshotTimeout.Duration())
+	defer cancel()
+	state, err := loadSnapshot(ctx, r.log, first)
+	if err != nil {
+		return err
+	}
+	r.event("control.snapshotLoaded")
+	return r.update(func() ([]Rejection, error) {
+		if !r.node.TakeSnapshot(state) {
+			return nil, ErrNoSnapshot
+		}
+		return nil, nil
+	})
+}
+
+// update changes the node and wakes those who wait for a change.
+func (r *Reader) update(change func() ([]Rejection, error)) error {
+	r.mu.Lock()
+	before := r.node.state.offset
+	rejected, err := change()
+	if r.node.state.offset > before {
+		close(r.changed)
+		r.changed = make(chan struct{})
+		r.node.CloseWatched(r.clock.Now())
+	}
+	r.mu.Unlock()
+	for _, rejection := range rejected {
+		name := "control.badRecord"
+		if lost := (&settings.ConflictError{}); errors.As(rejection.Err, &lost) {
+			name = "control.conflict"
+		}
+		r.event(name)
+		r.logger.Warn("control record was skipped", zap.Int64("offset", int64(rejection.Offset)),
+			zap.Int("index", rejection.Index), zap.String("writer", string(rejection.Writer)), zap.Error(rejection.Err))
+	}
+	return err
+}
+
+// pull asks peers for as long as the reader is open, except while the log
+// itself answers.
+func (r *Reader) pull() {
+	var idle backoff
+	for attempt := 0; r.ctx.Err() == nil; attempt++ {
+		now, vms := r.clock.Now(), r.peers()
+		r.mu.Lock()
+		needed := r.log == nil || r.node.NeedsPeers(now, vms)
+		var peer spool.VM
+		found := false
+		if needed {
+			peer, found = r.node.Choose(now, vms, attempt)
+		}
+		r.mu.Unlock()
+		if !needed {
+			r.pause(idlePoll)
+			continue
+		}
+		if !found {
+			r.pause(idle.next(r.jitter()))
+			continue
+		}
+		idle.reset()
+		err := r.pullFrom(peer, vms)
+		if err != nil && r.ctx.Err() == nil {
+			r.event("control.pullFailed")
+			r.logger.Debug("pull failed", zap.String("peer", string(peer.ID)), zap.Error(err))
+			r.mu.Lock()
+			r.node.Failed(r.clock.Now(), peer)
+			r.mu.Unlock()
+		}
+	}
+}
+
+// pullFrom asks one peer and takes its answer in.
+func (r *Reader) pullFrom(peer spool.VM, vms []spool.VM) error {
+	wait := r.config.Wait
+	if r.log != nil {
+		wait = min(wait, degradedWait)
+	}
+	if !r.Ready() {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, (wait + replyGrace).Duration())
+	defer cancel()
+	sent := r.clock.Now()
+	var reply wire.PullReply
+	request := wire.PullRequest{After: r.Offset(), Wait: wait, Node: r.config.Node}
+	if err := r.clients.Call(ctx, peer.Address, wire.MethodPull, request, &reply, nil); err != nil {
+		return err
+	}
+	return r.update(func() ([]Rejection, error) {
+		r.node.Answered(r.clock.Now(), peer, reply.FreshFor)
+		return r.node.TakeReply(sent, reply, r.node.ProvesContact(peer, vms))
+	})
+}
+
+// housekeep closes the channels of keys that expire and appends snapshots.
+func (r *Reader) housekeep() {
+	var tried clock.Millis
+	var covered spool.Offset
+	for r.pause(housekeepEvery) {
+		now := r.clock.Now()
+		r.mu.Lock()
+		r.node.CloseWatched(now)
+		due := r.responsible && r.log != nil && r.node.SnapshotDue(now)
+		// The node has not read the snapshot that it appended.
+		pending := covered > r.node.state.snapshot.Covers && now-tried < snapshotRetry
+		at := r.node.state.offset
+		r.mu.Unlock()
+		if !due || pending {
+			continue
+		}
+		tried, covered = now, at
+		if err := r.AppendSnapshot(r.ctx); err != nil {
+			r.event("control.snapshotFailed")
+			r.logger.Warn("snapshot was not appended", zap.Error(err))
+		}
+	}
+}
+
+// AppendSnapshot appends a snapshot of the state to the log. A part whose fate
+// is unknown makes the snapshot incomplete at worst, and readers ignore it then.
+func (r *Reader) AppendSnapshot(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "append snapshot") }()
+	if r.log == nil {
+		return errors.New("node has no log")
+	}
+	r.mu.RLock()
+	id := string(r.config.Node) + "-" + strconv.FormatInt(int64(r.node.state.offset), 10) + "-" + strconv.FormatInt(int64(r.clock.Now()), 36)
+	records, err := SnapshotRecords(r.node.state, id)
+	r.mu.RUnlock()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout.Duration())
+	defer cancel()
+	for part, record := range records {
+		batch := spool.Batch{
+			ID: id + "-" + strconv.Itoa(part), Writer: r.config.Node, At: r.clock.Now(),
+			Records: []spool.Record{record},
+		}
+		if _, err := r.log.Append(ctx, spool.ControlStream, batch); err != nil {
+			return err
+		}
+	}
+	r.event("control.snapshotAppended")
+	return nil
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -18,6 +18,7 @@
 	MethodRelease        = "journal.release"
 	MethodLease          = "limit.lease"
 	MethodPull           = "control.pull"
+	MethodControlStatus  = "control.status"
 	MethodRun            = "endpoint.run"
 	MethodRenew          = "endpoint.renew"
 	MethodFate           = "endpoint.fate"
@@ -50,6 +51,12 @@
 	// Stream and Epoch fence the owner.
 	Stream spool.Stream `json:"stream"`
 	Epoch  spool.Epoch  `json:"epoch"`
+	// Attempt counts the dispatches of this call within the epoch. After a fate
+	// answer, only a dispatch with a higher (Epoch, Attempt) is accepted.
+	Attempt uint64 `json:"attempt,omitempty"`
+	// Mark is the agent's mark that the owner held when it wrote the intent. An
+	// agent with another Boot refuses the dispatch. Empty skips the check.
+	Mark spool.AgentMark `json:"mark,omitzero"`
 	// Idempotent is false for an action that must run at most once.
 	Idempotent bool `json:"idempotent"`
 	// Alarm, Weight and Attained order the call in the agent's queue.
@@ -103,6 +110,9 @@
 	MillisPerCall float64 `json:"millisPerCall"`
 	// ControlOffset is the offset of the control stream that is in force.
 	ControlOffset spool.Offset `json:"controlOffset"`
+	// Mark is the agent's current mark. An owner puts it into the intent of a
+	// non-idempotent call, the dispatch, and a question about its fate.
+	Mark spool.AgentMark `json:"mark"`
 	// Held lists programs whose memory the engine holds, with the tokens of
 	// the prefix; only in the answer to endpoint.status.
 	Held map[spool.ProgramID]int `json:"held,omitempty"`
@@ -120,13 +130,22 @@
 	LeaseFor clock.Millis `json:"leaseForMs"`
 }
 
-// FateRequest asks what became of a call and fences older epochs.
+// FateRequest asks what became of a call. It fences lower epochs of the stream
+// and, for this call, dispatches up to (Epoch, Attempt).
 type FateRequest struct {
 	Account spool.AccountID `json:"account"`
 	Program spool.ProgramID `json:"program"`
 	Call    spool.CallID    `json:"call"`
 	Stream  spool.Stream    `json:"stream"`
 	Epoch   spool.Epoch     `json:"epoch"`
+	// Attempt is the highest attempt that the asker has dispatched in Epoch; 0
+	// for an owner that has taken over and not dispatched the call.
+	Attempt uint64 `json:"attempt,omitempty"`
+	// Mark is the one in the intent of the call. Without it the agent cannot
+	// prove that it has kept watch and never answers FateNotSeen.
+	Mark spool.AgentMark `json:"mark,omitzero"`
+	// Idempotent must equal that of the dispatch.
+	Idempotent bool `json:"idempotent,omitempty"`
 }
 
 // Fate is what an agent knows of a call.
@@ -172,6 +191,9 @@
 	// it holds the state at offset SnapshotAt.
 	Snapshot   json.RawMessage `json:"snapshot,omitempty"`
 	SnapshotAt spool.Offset    `json:"snapshotAt,omitempty"`
+	// Last is the offset that the answering node has applied. The asking node is
+	// as fresh as the answering one only once it has reached Last.
+	Last spool.Offset `json:"last"`
 	// FreshFor is how long ago the answering node last heard, directly or
 	// through others, from the log; negative when it never has.
 	FreshFor clock.Millis `json:"freshForMs"`
@@ -268,16 +290,25 @@
 	Epoch  spool.Epoch  `json:"epoch"`
 }
 
-// LeaseRequest asks a pool's owner for tokens of an account.
+// LeaseRequest asks a pool's owner for tokens of an account and gives back
+// tokens that are not needed.
 type LeaseRequest struct {
 	Account spool.AccountID `json:"account"`
 	Node    spool.NodeID    `json:"node"`
+	// Sequence increases with each request of a node.
+	Sequence uint64 `json:"sequence"`
 	// Want is the number of requests that the sender would like to admit.
 	Want float64 `json:"want"`
+	// Returned tokens were granted under Epoch and are not used any more.
+	Returned float64     `json:"returned,omitempty"`
+	Epoch    spool.Epoch `json:"epoch,omitempty"`
 }
 
 // LeaseReply grants tokens.
 type LeaseReply struct {
+	// Sequence is that of the request, Epoch the owner's claim.
+	Sequence uint64      `json:"sequence"`
+	Epoch    spool.Epoch `json:"epoch,omitempty"`
 	// Granted may be used until the lease ends, counted from the moment when
 	// the request was sent.
 	Granted  float64      `json:"granted"`
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -8,6 +8,8 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -38,6 +40,10 @@
 // its connection and cancels its requests. Clients send a heartbeat every 500 ms.
 const defaultIdleAfter = 5 * clock.Second
 
+// quiet stops jsonrpc2 from logging on its own: it reports late answers to
+// cancelled calls, which are expected.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // Send passes one chunk of a streamed answer to the caller of a method.
 type Send func(chunk any) error
 
@@ -71,6 +77,10 @@
 	mu sync.Mutex
 	// conns holds every open connection.
 	conns map[*jsonrpc2.Conn]struct{}
+	// busy counts the requests that have not been answered.
+	busy int
+	// quiet is closed when busy falls to 0; nil while nobody waits for that.
+	quiet chan struct{}
 }
 
 // ServerOption changes a default of a Server.
@@ -135,11 +145,48 @@
 	return errors.Wrap(err, "close listener")
 }
 
+// Quiet waits until every request under way has been answered. A graceful
+// shutdown calls it before Close.
+func (s *Server) Quiet(ctx context.Context) error {
+	s.mu.Lock()
+	if s.busy == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	if s.quiet == nil {
+		s.quiet = make(chan struct{})
+	}
+	quiet := s.quiet
+	s.mu.Unlock()
+	select {
+	case <-quiet:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for requests under way")
+	}
+}
+
+func (s *Server) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy++
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy--
+	if s.busy == 0 && s.quiet != nil {
+		close(s.quiet)
+		s.quiet = nil
+	}
+}
+
 func (s *Server) serve(conn net.Conn, mux Mux) {
 	session := &session{server: s, mux: mux, running: map[string]context.CancelFunc{}}
 	session.heard.Store(time.Now().UnixNano())
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-	rpc := jsonrpc2.NewConn(s.ctx, stream, session)
+	rpc := jsonrpc2.NewConn(s.ctx, stream, session, quiet)
 	s.mu.Lock()
 	s.conns[rpc] = struct{}{}
 	s.mu.Unlock()
@@ -217,7 +264,9 @@
 	s.mu.Lock()
 	s.running[frame.Correlation] = cancel
 	s.mu.Unlock()
+	s.server.begin()
 	s.server.pool.Submit(func() {
+		defer s.server.end()
 		defer s.cancel(frame.Correlation)
 		s.run(callCtx, conn, request, handler, frame)
 	})
