--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -227,6 +227,10 @@
 
 // land ends a flight and starts the calls behind it.
 func (e *Entry) land(shard *shard, flight *flight, answer program.Answer, err error) {
+	if refusal := refusalOf(err); refusal != nil && shard.ctx.Err() != nil {
+		// The call was cut because the stream has moved; its caller follows.
+		err = notOwner(shard.stream).WithNotRun(refusal.NotRun)
+	}
 	flight.finish(answer, err)
 	flight.cancel()
 	e.calls.Add(-1)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -129,7 +129,7 @@
 	if e.listener, err = net.Listen("tcp", e.config.HTTPAddress); err != nil {
 		return errors.Wrap(multierrClose(err, e.server), "listen")
 	}
-	listener := e.listener
+	var listener net.Listener = lingerListener{e.listener}
 	if e.frontTLS != nil {
 		listener = tls.NewListener(listener, e.frontTLS)
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -24,6 +24,8 @@
 	ginkgo.RunSpecs(t, "entry")
 }
 
+var nopLogger = zap.NewNop()
+
 const testStreams = 2
 
 var allStreams = []spool.Stream{spool.ProgramStream(0), spool.ProgramStream(1)}
@@ -41,7 +43,7 @@
 	b.join("mist-models", b.model)
 	b.join("harvest-app", b.plain)
 	var err error
-	b.telemetry, err = telemetry.New("test", zap.NewNop())
+	b.telemetry, err = telemetry.New("test", nopLogger)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(func() {
 		for series, count := range b.telemetry.Totals() {
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -30,6 +30,7 @@
 		Handler: e.handle,
 		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
 			e.refuse(ctx, malformed(err))
+			linger(ctx)
 		},
 		// The server's own messages quote the request's header, which holds keys.
 		Logger:                log.New(io.Discard, "", 0),
--- /dev/null
+++ b/internal/entry/input_test.go
@@ -0,0 +1,187 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/entry"
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+var _ = ginkgo.Describe("Input", func() {
+	var (
+		b     *bench
+		owner *member
+		fog   caller
+		id    spool.ProgramID
+	)
+
+	ginkgo.BeforeEach(func() {
+		b = newBench()
+		owner = b.entry("entry-1", func(c *entry.Config) {
+			c.MaxBodyBytes, c.MaxHeaderBytes, c.IdleTimeout, c.ReadTimeout = 1<<16, 4096, 200, 200
+		})
+		b.give(owner, allStreams...)
+		fog = caller{at: owner, account: "fog"}
+		id = fog.start(mist)
+	})
+
+	ginkgo.It("refuses hostile requests with a clear code and stays up", func() {
+		calls := path(id, "/calls")
+		chat := "/v1/chat/completions"
+		forged := spool.ProgramID(strings.Repeat("a", 26))
+		for name, test := range map[string]struct {
+			path, body string
+			status     int
+		}{
+			"no JSON":             {calls, "{", 400},
+			"another type":        {calls, `[]`, 400},
+			"unknown field":       {calls, `{"callId":"1","messages":[{"role":"user","content":"x"}],"x":1}`, 400},
+			"inner field":         {calls, `{"callId":"1","messages":[],"whole":true}`, 400},
+			"paid field":          {calls, `{"callId":"1","messages":[{"role":"user","content":"x"}],"paid":true}`, 400},
+			"trailing data":       {calls, `{"callId":"1","messages":[{"role":"user","content":"x"}]}{}`, 400},
+			"invalid UTF-8":       {calls, "{\"callId\":\"\xff\"}", 400},
+			"no callId":           {calls, `{"messages":[{"role":"user","content":"x"}]}`, 400},
+			"control characters":  {calls, `{"callId":"a\u0000","messages":[{"role":"user","content":"x"}]}`, 400},
+			"unknown role":        {calls, `{"callId":"1","messages":[{"role":"root","content":"x"}]}`, 400},
+			"negative tokens":     {calls, `{"callId":"1","maxTokens":-1,"messages":[{"role":"user","content":"x"}]}`, 400},
+			"overflowing number":  {calls, `{"callId":"1","maxTokens":1e400,"messages":[]}`, 400},
+			"deep nesting":        {calls, strings.Repeat("[", 20_000), 400},
+			"too large":           {calls, `{"callId":"` + strings.Repeat("x", 1<<17), 413},
+			"unknown model":       {calls, `{"callId":"1","model":"x","messages":[{"role":"user","content":"x"}]}`, 404},
+			"unknown service":     {path(id, "/services/x"), `{"callId":"1","path":"/"}`, 404},
+			"path injection":      {path(id, "/services/harvest-app"), `{"callId":"1","path":"http://x/"}`, 400},
+			"header injection":    {path(id, "/services/harvest-app"), `{"callId":"1","path":"/ HTTP/1.1\r\nX: y"}`, 400},
+			"forged program":      {path(forged, "/calls"), `{"callId":"1","messages":[{"role":"user","content":"x"}]}`, 404},
+			"malformed program":   {"/v1/programs/..%2f..%2fetc/calls", `{}`, 404},
+			"foreign child":       {path(id+".1", "/calls"), `{"callId":"1","messages":[{"role":"user","content":"x"}]}`, 404},
+			"unknown route":       {"/v1/other", `{}`, 404},
+			"chat without model":  {chat, `{"messages":[{"role":"user","content":"x"}]}`, 400},
+			"chat with two":       {chat, `{"model":"mist","n":2,"messages":[{"role":"user","content":"x"}]}`, 400},
+			"chat with an image":  {chat, `{"model":"mist","messages":[{"role":"user","content":[{"type":"image"}]}]}`, 400},
+			"chat with two sizes": {chat, `{"model":"mist","max_tokens":-5,"messages":[{"role":"user","content":"x"}]}`, 400},
+		} {
+			status, body := fog.send("POST", test.path, test.body)
+			gomega.Expect(status).To(gomega.Equal(test.status), "%s: %s", name, body)
+			gomega.Expect(body).To(gomega.ContainSubstring(`"notRun":"true"`), name)
+		}
+		gomega.Expect(b.model.ran()).To(gomega.BeEmpty())
+		status, _ := fog.send("POST", calls, turn("1", "fog?"))
+		gomega.Expect(status).To(gomega.Equal(200))
+	})
+
+	ginkgo.It("answers the same for a foreign program as for a missing one", func() {
+		other := caller{at: owner, account: "other"}
+		for _, operation := range []struct{ method, rest string }{{"GET", ""}, {"DELETE", ""}, {"POST", "/cancel"}, {"POST", "/calls"}} {
+			foreign, foreignBody := other.send(operation.method, path(id, operation.rest), turn("1", "x"))
+			missing, missingBody := other.send(operation.method, path("abcdefghijklmnopqrstuvwxyz", operation.rest), turn("1", "x"))
+			gomega.Expect(foreign).To(gomega.Equal(404))
+			gomega.Expect([]any{foreign, foreignBody}).To(gomega.Equal([]any{missing, missingBody}))
+		}
+	})
+
+	ginkgo.It("asks for a key on every route but the open ones", func() {
+		nobody := caller{at: owner}
+		for route, want := range map[string]int{
+			"/healthz": 200, "/readyz": 200, "/metrics": 200, "/v1/models": 200, path(id, ""): 401, "/v1/programs": 401, "/": 401,
+		} {
+			status, body := nobody.send("GET", route, nil)
+			gomega.Expect(status).To(gomega.Equal(want), "%s: %s", route, body)
+			gomega.Expect(body).NotTo(gomega.ContainSubstring("bsk_"))
+		}
+	})
+
+	ginkgo.It("bounds headers and idle connections and quotes no key in an error", func() {
+		conn, err := net.Dial("tcp", owner.entry.HTTPAddress())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(conn.Close)
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nAuthorization: Bearer bsk_fog_secret"+strings.Repeat("x", 8192)+"\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		body, _ := io.ReadAll(response.Body)
+		gomega.Expect(response.StatusCode).To(gomega.Equal(413))
+		gomega.Expect(string(body)).NotTo(gomega.ContainSubstring("bsk_"))
+		slow, err := net.Dial("tcp", owner.entry.HTTPAddress())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(slow.Close)
+		_, _ = io.WriteString(slow, "POST /v1/programs HTTP/1.1\r\nContent-Le")
+		gomega.Expect(slow.SetReadDeadline(time.Now().Add(3 * time.Second))).To(gomega.Succeed())
+		_, err = io.ReadAll(slow)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred(), "a request that does not arrive is closed")
+	})
+
+	ginkgo.It("speaks the chat-completions shape with and without a program", func() {
+		request := func(stream bool, contents ...string) map[string]any {
+			var messages []spool.Message
+			for i, content := range contents {
+				messages = append(messages, spool.Message{Role: []string{"user", "assistant"}[i%2], Content: content})
+			}
+			return map[string]any{"model": "mist", "messages": messages, "stream": stream}
+		}
+		named := fog
+		named.header = map[string]string{"X-Program-Id": string(id)}
+		status, body := named.send("POST", "/v1/chat/completions", request(false, "fog?"))
+		gomega.Expect(status).To(gomega.Equal(200), body)
+		gomega.Expect(body).To(gomega.ContainSubstring(`"message":{"role":"assistant","content":"re: fog?"},"finish_reason":"stop"`))
+		_, body = named.send("POST", "/v1/chat/completions", request(true, "fog?", "re: fog?", "now?"))
+		gomega.Expect(body).To(gomega.HaveSuffix("data: [DONE]\n\n"))
+		ran := b.model.ran()
+		gomega.Expect(ran[1].BaseCount).To(gomega.Equal(2))
+		gomega.Expect(ran[1].Messages).To(gomega.HaveLen(1), "the history is recognised as a prefix")
+		status, _ = named.send("POST", "/v1/chat/completions", request(false, "something else"))
+		gomega.Expect(status).To(gomega.Equal(409))
+		once := fog
+		once.header = map[string]string{"Idempotency-Key": "k1"}
+		before := b.taken["fog"]
+		_, one := once.send("POST", "/v1/chat/completions", request(false, "alone"))
+		gomega.Expect(b.taken["fog"]-before).To(gomega.Equal(1), "a one-call program costs one request")
+		_, two := once.send("POST", "/v1/chat/completions", request(false, "alone"))
+		gomega.Expect(two).To(gomega.ContainSubstring("re: alone"), one)
+		gomega.Expect(b.model.ran()).To(gomega.HaveLen(3))
+	})
+})
+
+var _ = ginkgo.Describe("An answer of another call", func() {
+	ginkgo.It("is dropped, counted and never shown to the caller", func() {
+		b := newBench()
+		owner := b.entry("entry-1")
+		b.give(owner, allStreams...)
+		fog := caller{at: owner, account: "fog"}
+		id := fog.start(mist)
+		seen := b.telemetry
+		b.telemetry, _ = telemetry.New("unused", nopLogger)
+		b.model.answerWith(func(_ context.Context, _ wire.RunRequest, _ wire.Send) (any, error) {
+			return wire.RunReply{Correlation: "another", Engine: &spool.EngineResult{Text: "not yours"}}, nil
+		})
+		body := turn("1", "fog?")
+		body["deadlineMs"] = 300
+		_, answer := fog.send("POST", path(id, "/calls"), body)
+		gomega.Expect(answer).NotTo(gomega.ContainSubstring("not yours"))
+		violations := seen.Totals()[telemetry.Series{Kind: telemetry.KindViolation, Label: "answerBelongsToCall"}]
+		gomega.Expect(violations).To(gomega.BeNumerically(">", 0))
+	})
+})
+
+var _ = ginkgo.Describe("Config", func() {
+	ginkgo.It("reports all errors at once", func() {
+		config := entry.DefaultConfig
+		config.Streams, config.ReadTimeout = 0, -clock.Second
+		_, err := entry.New(config, newOperators(), newOperators())
+		gomega.Expect(errors.Is(err, entry.ErrConfig)).To(gomega.BeTrue())
+		for _, part := range []string{"node", "failureDomain", "streams", "readTimeout"} {
+			gomega.Expect(err.Error()).To(gomega.ContainSubstring(part))
+		}
+	})
+})
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -19,9 +19,12 @@
 	epoch  spool.Epoch
 	// serving is closed once this process is the owner.
 	serving chan struct{}
-	// ctx ends when the stream is lost.
+	// ctx ends when the stream is lost; the goroutine ends after that, so that
+	// the calls under way can be told.
 	ctx    context.Context
 	cancel context.CancelFunc
+	alive  context.Context
+	stop   context.CancelFunc
 
 	mailbox chan func()
 	state   *program.State
@@ -34,9 +37,10 @@
 }
 
 func newShard(parent context.Context, stream spool.Stream, epoch spool.Epoch, limits program.Limits) *shard {
-	ctx, cancel := context.WithCancel(parent)
+	alive, stop := context.WithCancel(parent)
+	ctx, cancel := context.WithCancel(alive)
 	s := &shard{
-		stream: stream, epoch: epoch, serving: make(chan struct{}), ctx: ctx, cancel: cancel,
+		stream: stream, epoch: epoch, serving: make(chan struct{}), ctx: ctx, cancel: cancel, alive: alive, stop: stop,
 		mailbox: make(chan func()), state: program.NewState(limits),
 		flights: map[uint64]*flight{}, ended: map[spool.ProgramID]spool.EndpointID{}, rings: map[spool.ProgramID]*ring{},
 	}
@@ -45,7 +49,7 @@
 			select {
 			case message := <-s.mailbox:
 				message()
-			case <-s.ctx.Done():
+			case <-s.alive.Done():
 				return
 			}
 		}
@@ -61,7 +65,7 @@
 	case s.mailbox <- func() { defer close(done); message() }:
 		<-done
 		return true
-	case <-s.ctx.Done():
+	case <-s.alive.Done():
 		return false
 	}
 }
@@ -140,14 +144,17 @@
 	if shard == nil {
 		return
 	}
+	// Work of this owner ends before its calls do, so that it asks no agent
+	// about a call that now belongs to the next owner.
+	shard.cancel()
 	shard.do(func() {
 		for _, flight := range shard.flights {
 			flight.finish(program.Answer{}, notOwner(stream))
 			flight.cancel()
 		}
-		shard.flights = nil
+		shard.flights = map[uint64]*flight{}
 	})
-	shard.cancel()
+	shard.stop()
 }
 
 // Snapshot returns records that replace all batches applied so far.
