Test the agent's failures and stop its HTTP server reliably

Change: the agent closes the listener itself and waits a bounded time for open connections. Outcomes are kept for 5 minutes and up to 65536, since 16384 over 10 minutes would have refused more than 27 non-idempotent calls a second. The tick is 50 ms instead of 20 ms.

--- a/internal/endpoint/agent.go
+++ b/internal/endpoint/agent.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"sync"
 	"sync/atomic"
 
@@ -56,9 +57,9 @@
 	pool   pond.Pool
 	server *wire.Server
 	http   *fasthttp.Server
-	// httpAddress is set by Start when HTTPListen is.
-	httpAddress string
-	startedAt   clock.Millis
+	// httpListener is set by Start when HTTPListen is.
+	httpListener net.Listener
+	startedAt    clock.Millis
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -145,7 +146,12 @@
 func (a *Agent) Address() string { return a.server.Address() }
 
 // HTTPAddress returns the host:port of /metrics, or "" when it is off.
-func (a *Agent) HTTPAddress() string { return a.httpAddress }
+func (a *Agent) HTTPAddress() string {
+	if a.httpListener == nil {
+		return ""
+	}
+	return a.httpListener.Addr().String()
+}
 
 // SetDraining starts or ends the refusal of new calls.
 func (a *Agent) SetDraining(on bool) { a.post(gatekeeper.Drain{On: on}) }
@@ -195,9 +201,7 @@
 	if a.server != nil {
 		_ = a.server.Close()
 	}
-	if a.http != nil {
-		_ = a.http.Shutdown()
-	}
+	a.stopHTTP()
 	a.goroutines.Wait()
 	a.pool.StopAndWait()
 }
--- a/internal/endpoint/config.go
+++ b/internal/endpoint/config.go
@@ -47,7 +47,7 @@
 		Queue:          "fair",
 		Gate:           "adaptive",
 		Kernel:         gatekeeper.DefaultConfig(),
-		TickEvery:      20,
+		TickEvery:      50,
 		LoadEvery:      500,
 		EventsEvery:    1 * clock.Second,
 		ReconcileEvery: 10 * clock.Second,
--- /dev/null
+++ b/internal/endpoint/failure_test.go
@@ -0,0 +1,186 @@
+package endpoint_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/internal/endpoint"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+var _ = ginkgo.Describe("Agent in failures", func() {
+	ctx := context.Background()
+
+	ask := func(agent *endpoint.Agent, clients *wire.Clients, request wire.FateRequest) (reply wire.FateReply) {
+		request.Account, request.Program, request.Stream = "kuiseb", "p", "programs-0"
+		gomega.Expect(clients.Call(ctx, agent.Address(), wire.MethodFate, request, &reply, nil)).To(gomega.Succeed())
+		return reply
+	}
+	status := func(agent *endpoint.Agent, clients *wire.Clients) (reply wire.EndpointStatus) {
+		gomega.Expect(clients.Call(ctx, agent.Address(), wire.MethodEndpointStatus, struct{}{}, &reply, nil)).To(gomega.Succeed())
+		return reply
+	}
+
+	ginkgo.DescribeTable("drops an answer that is not the call's own and fails truthfully",
+		func(spoil func(*spool.Chunk, *spool.EngineResult)) {
+			mist := newEngine()
+			mist.generate = func(_ context.Context, call spool.EngineCall, onChunk func(spool.Chunk) error) (spool.EngineResult, error) {
+				chunk := spool.Chunk{Correlation: call.Correlation, Text: "fog"}
+				result := spool.EngineResult{Correlation: call.Correlation, Text: "fog"}
+				spoil(&chunk, &result)
+				return result, onChunk(chunk)
+			}
+			agent, clients := start(endpoint.WithEngine(mist))
+			var texts []string
+			err := clients.Call(ctx, agent.Address(), wire.MethodRun, modelCall("1", user("fog?")), nil, func(raw json.RawMessage) error {
+				texts = append(texts, string(raw))
+				return nil
+			})
+			gomega.Expect(refusalOf(err)).To(gomega.HaveValue(gomega.And(
+				gomega.HaveField("Code", spool.CodeEndpointFailed), gomega.HaveField("NotRun", spool.NotRunUnknown))))
+			gomega.Expect(texts).NotTo(gomega.ContainElement(gomega.ContainSubstring("stranger")))
+		},
+		ginkgo.Entry("chunk of another call", func(c *spool.Chunk, _ *spool.EngineResult) { c.Correlation, c.Text = "x", "stranger" }),
+		ginkgo.Entry("gap in the chunks", func(c *spool.Chunk, _ *spool.EngineResult) { c.Index, c.Text = 1, "stranger" }),
+		ginkgo.Entry("result of another call", func(_ *spool.Chunk, r *spool.EngineResult) { r.Correlation = "x" }),
+		ginkgo.Entry("missing end", func(_ *spool.Chunk, r *spool.EngineResult) { r.Text = "fog and more" }),
+	)
+
+	ginkgo.It("cancels the engine's call when the caller goes away or the engine stalls", func() {
+		mist, ended := newEngine(), make(chan error, 2)
+		mist.generate = func(ctx context.Context, _ spool.EngineCall, _ func(spool.Chunk) error) (spool.EngineResult, error) {
+			<-ctx.Done()
+			ended <- context.Cause(ctx)
+			return spool.EngineResult{}, ctx.Err()
+		}
+		agent, clients := start(endpoint.WithEngine(mist), func(c *endpoint.Config) { c.StallAfter = 300 })
+		calling, leave := context.WithCancel(ctx)
+		go func() {
+			_ = clients.Call(calling, agent.Address(), wire.MethodRun, modelCall("1", user("fog?")), nil, nil)
+		}()
+		gomega.Eventually(mist.held).Should(gomega.Equal(1))
+		leave()
+		gomega.Eventually(ended).Should(gomega.Receive(gomega.MatchError("run was stopped")))
+		refusal := refusalOf(clients.Call(ctx, agent.Address(), wire.MethodRun, modelCall("2", user("fog?")), nil, nil))
+		gomega.Expect(refusal.NotRun).To(gomega.Equal(spool.NotRunUnknown))
+		gomega.Expect(ended).To(gomega.Receive(gomega.MatchError(gomega.ContainSubstring("no sign of life"))))
+	})
+
+	ginkgo.It("tells the fate of a call whose caller has gone, once it has ended", func() {
+		tankers := &service{hold: make(chan struct{})}
+		agent, clients := start(endpoint.WithService(tankers))
+		mark := status(agent, clients).Mark
+		calling, leave := context.WithCancel(ctx)
+		go func() { _ = clients.Call(calling, agent.Address(), wire.MethodRun, booking("1"), nil, nil) }()
+		gomega.Eventually(tankers.count).Should(gomega.Equal(1))
+		leave()
+		request := wire.FateRequest{Call: "1", Epoch: 2, Mark: mark}
+		gomega.Expect(ask(agent, clients, request).Fate).To(gomega.Equal(wire.FateRunning))
+		close(tankers.hold)
+		gomega.Eventually(func() wire.Fate { return ask(agent, clients, request).Fate }).Should(gomega.Equal(wire.FateDone))
+		gomega.Expect(string(ask(agent, clients, request).Reply.Service.Body)).To(gomega.Equal("paid"))
+	})
+
+	ginkgo.It("says not seen only to the mark of its own life, and refuses the late dispatch", func() {
+		agent, clients := start(endpoint.WithService(&service{}))
+		mark := status(agent, clients).Mark
+		gomega.Expect(ask(agent, clients, wire.FateRequest{Call: "1", Epoch: 1}).Fate).To(gomega.Equal(wire.FateUnknown))
+		old := spool.AgentMark{Boot: "earlier"}
+		gomega.Expect(ask(agent, clients, wire.FateRequest{Call: "1", Epoch: 1, Mark: old}).Fate).To(gomega.Equal(wire.FateUnknown))
+		request := wire.FateRequest{Call: "2", Epoch: 1, Attempt: 1, Mark: mark}
+		gomega.Expect(ask(agent, clients, request).Fate).To(gomega.Equal(wire.FateNotSeen))
+		late := booking("2")
+		refusal := refusalOf(clients.Call(ctx, agent.Address(), wire.MethodRun, late, nil, nil))
+		gomega.Expect(refusal).To(gomega.HaveValue(gomega.And(
+			gomega.HaveField("Code", spool.CodeFenced), gomega.HaveField("NotRun", spool.NotRunTrue))))
+		late.Attempt = 2
+		gomega.Expect(clients.Call(ctx, agent.Address(), wire.MethodRun, late, nil, nil)).To(gomega.Succeed())
+	})
+
+	ginkgo.It("keeps the history between turns", func() {
+		mist := newEngine()
+		agent, clients := start(endpoint.WithEngine(mist))
+		gomega.Expect(clients.Call(ctx, agent.Address(), wire.MethodRun, modelCall("1", user("fog?")), nil, nil)).To(gomega.Succeed())
+		whole := []spool.Message{user("fog?"), spool.AnswerMessage("dune fog")}
+		next := modelCall("2", user("where?"))
+		next.BaseCount, next.BaseDigest = 2, spool.HistoryDigest("", whole...)
+		gomega.Expect(clients.Call(ctx, agent.Address(), wire.MethodRun, next, nil, nil)).To(gomega.Succeed())
+		gomega.Expect(mist.prompts[1]).To(gomega.Equal(append(whole, user("where?"))))
+	})
+
+	ginkgo.It("frees what an earlier start of the agent left behind and what has ended", func() {
+		mist := newEngine()
+		mist.sessions["left"] = true
+		agent, clients := start(endpoint.WithEngine(mist), func(c *endpoint.Config) { c.Kernel.GraceLease = 50 })
+		gomega.Eventually(mist.held).Should(gomega.BeZero())
+		gomega.Expect(clients.Call(ctx, agent.Address(), wire.MethodRun, modelCall("1", user("fog?")), nil, nil)).To(gomega.Succeed())
+		gomega.Expect(status(agent, clients).Held).To(gomega.HaveKeyWithValue(spool.ProgramID("p"), 11))
+		renew := wire.RenewRequest{Ended: []spool.ProgramID{"p"}, LeaseFor: clock.Second}
+		gomega.Expect(clients.Call(ctx, agent.Address(), wire.MethodRenew, renew, nil, nil)).To(gomega.Succeed())
+		gomega.Eventually(mist.held).Should(gomega.BeZero())
+	})
+
+	ginkgo.It("refuses an old order to an engine that would ignore its number", func() {
+		mist := newEngine()
+		agent, _ := start(endpoint.WithEngine(mist))
+		gomega.Expect(agent.ApplyOrder(ctx, spool.EngineOrder{Fence: 7})).To(gomega.Succeed())
+		gomega.Expect(refusalOf(agent.ApplyOrder(ctx, spool.EngineOrder{Fence: 6})).Code).To(gomega.Equal(spool.CodeFenced))
+		gomega.Expect(mist.orders).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("is ready until it drains", func() {
+		agent, _ := start(endpoint.WithEngine(newEngine()))
+		code := func(path string) int {
+			status, _, err := fasthttp.Get(nil, "http://"+agent.HTTPAddress()+path)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			return status
+		}
+		gomega.Eventually(func() int { return code("/readyz") }).Should(gomega.Equal(200))
+		agent.SetDraining(true)
+		gomega.Eventually(func() int { return code("/readyz") }).Should(gomega.Equal(503))
+		gomega.Expect([]int{code("/healthz"), code("/metrics"), code("/other")}).To(gomega.Equal([]int{200, 200, 404}))
+	})
+
+	ginkgo.It("answers a request that makes no sense with badRequest", func() {
+		agent, clients := start(endpoint.WithEngine(newEngine()))
+		empty := modelCall("1")
+		negative := modelCall("1", user("fog?"))
+		negative.BaseCount = -1
+		for _, request := range []wire.RunRequest{booking("1"), empty, negative, {Kind: "other"}} {
+			refusal := refusalOf(clients.Call(ctx, agent.Address(), wire.MethodRun, request, nil, nil))
+			gomega.Expect(refusal.Code).To(gomega.Equal(spool.CodeBadRequest))
+		}
+	})
+})
+
+// BenchmarkAgent measures a whole model call over loopback with an engine that
+// answers at once.
+func BenchmarkAgent(b *testing.B) {
+	config := endpoint.DefaultConfig()
+	config.Endpoint, config.Listen, config.Queue, config.Gate = "swakop-1", "127.0.0.1:0", "testFifo", "testFixed"
+	agent, err := endpoint.New(config, endpoint.WithEngine(newEngine()))
+	if err != nil || agent.Start() != nil {
+		b.Fatal("agent did not start", err)
+	}
+	clients := wire.NewClients("entry")
+	defer clients.Close()
+	call := 0
+	for b.Loop() {
+		call++
+		request := modelCall(spool.CallID(fmt.Sprint(call)), user("fog?"))
+		if err := clients.Call(context.Background(), agent.Address(), wire.MethodRun, request, nil, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if err := agent.Shutdown(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+}
--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -1,14 +1,23 @@
 package endpoint
 
 import (
+	"context"
 	"net"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
 )
 
+// Times of the HTTP server.
+const (
+	httpTimeout = 5 * clock.Second
+	httpIdle    = 30 * clock.Second
+	httpStop    = 200 * clock.Millis(1)
+)
+
 // registerGauges exposes the agent's state as metrics.
 func (a *Agent) registerGauges() error {
 	for name, read := range map[string]func(gatekeeper.Status) int{
@@ -36,16 +45,35 @@
 	if a.config.HTTPListen == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp", a.config.HTTPListen)
+	a.httpListener, err = net.Listen("tcp", a.config.HTTPListen)
 	if err != nil {
 		return err
 	}
-	a.httpAddress = listener.Addr().String()
-	a.http = &fasthttp.Server{Handler: a.handleHTTP, NoDefaultServerHeader: true}
-	a.goroutines.Go(func() { _ = a.http.Serve(listener) })
+	a.http = &fasthttp.Server{
+		Handler:               a.handleHTTP,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		ReadTimeout:           httpTimeout.Duration(),
+		WriteTimeout:          httpTimeout.Duration(),
+		IdleTimeout:           httpIdle.Duration(),
+	}
+	a.goroutines.Go(func() { _ = a.http.Serve(a.httpListener) })
 	return nil
 }
 
+// stopHTTP closes the listener itself, because a Shutdown that comes before
+// Serve has begun does nothing. It waits only shortly for open connections:
+// those that are kept alive do not end by themselves.
+func (a *Agent) stopHTTP() {
+	if a.http == nil {
+		return
+	}
+	_ = a.httpListener.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), httpStop.Duration())
+	defer cancel()
+	_ = a.http.ShutdownWithContext(ctx)
+}
+
 func (a *Agent) handleHTTP(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/metrics":
--- a/pkg/gatekeeper/config.go
+++ b/pkg/gatekeeper/config.go
@@ -42,6 +42,10 @@
 	EmptiedWithin clock.Millis
 }
 
+// defaultMaxOutcomes allows 218 non-idempotent calls a second over the default
+// retention of 5 minutes.
+const defaultMaxOutcomes = 65536
+
 // DefaultConfig returns the values that are used when nothing else is set.
 func DefaultConfig() Config {
 	return Config{
@@ -49,8 +53,8 @@
 		MaxQueued:       2048,
 		ExpectedCall:    1 * clock.Second,
 		DrainQueueFor:   1 * clock.Second,
-		OutcomeFor:      10 * clock.Minute,
-		MaxOutcomes:     16384,
+		OutcomeFor:      5 * clock.Minute,
+		MaxOutcomes:     defaultMaxOutcomes,
 		MaxReplays:      1024,
 		CallLease:       30 * clock.Second,
 		GraceLease:      20 * clock.Second,
