Close connections that no call uses

Cause: a client kept a connection, with two heartbeats a second, to every process that it had ever called, so the cost at rest grew with the fleet. Change: a connection without calls for 30 s is closed. A call takes the connection under the same lock, so none is closed under a call, and a caller that finds its connection gone dials again before anything is sent.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/keyring"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -44,7 +45,7 @@
 func propagate(b *testing.B, count, readers int) {
 	gomega.RegisterTestingT(b)
 	var stops []func()
-	nodes := &fleet{log: newFakeLog(), cleanup: func(stop func()) { stops = append(stops, stop) }}
+	nodes := &fleet{log: newFakeLog(), clientOptions: []wire.ClientOption{wire.WithUnusedAfter(3000)}, cleanup: func(stop func()) { stops = append(stops, stop) }}
 	defer func() {
 		for _, stop := range slices.Backward(stops) {
 			stop()
@@ -67,7 +68,7 @@
 		gomega.Eventually(m.Offset, "10s").Should(gomega.Equal(spool.Offset(1)))
 	}
 	// Parents are chosen anew once every entry has its state.
-	time.Sleep(3 * time.Second)
+	time.Sleep(5 * time.Second)
 	all, byRole := []time.Duration{}, map[spool.Role][]time.Duration{}
 	for i := range benchChanges {
 		for index, took := range timeChange(nodes, members, i) {
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -19,7 +19,8 @@
 
 // fleet runs readers with real connections on loopback.
 type fleet struct {
-	log *fakeLog
+	log           *fakeLog
+	clientOptions []wire.ClientOption
 	// cleanup is called with what ends a node.
 	cleanup func(func())
 	mu      sync.Mutex
@@ -62,7 +63,7 @@
 
 // start adds a node. Agents have no log.
 func (f *fleet) start(config control.Config) *member {
-	m := &member{clients: wire.NewClients(config.Node)}
+	m := &member{clients: wire.NewClients(config.Node, f.clientOptions...)}
 	var handler atomic.Pointer[wire.Mux]
 	mux := wire.Mux{wire.MethodPull: func(ctx context.Context, params json.RawMessage, send wire.Send) (any, error) {
 		if m.noPeers.Load() || handler.Load() == nil {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -32,6 +32,7 @@
 	defaultDialTimeout = 1 * clock.Second
 	defaultPingEvery   = 500 * clock.Millis(1)
 	defaultSilentAfter = 2 * clock.Second
+	defaultUnusedAfter = 30 * clock.Second
 )
 
 // Clients holds one connection per address and replaces those that break.
@@ -40,6 +41,7 @@
 	dialTimeout clock.Millis
 	pingEvery   clock.Millis
 	silentAfter clock.Millis
+	unusedAfter clock.Millis
 	prefix      string
 	next        atomic.Uint64
 	crossed     atomic.Uint64
@@ -66,6 +68,11 @@
 	return func(c *Clients) { c.silentAfter, c.pingEvery = silentAfter, pingEvery }
 }
 
+// WithUnusedAfter sets how long a connection is kept without calls.
+func WithUnusedAfter(unusedAfter clock.Millis) ClientOption {
+	return func(c *Clients) { c.unusedAfter = unusedAfter }
+}
+
 // NewClients returns an empty set of connections. node makes correlation ids
 // unique among processes.
 func NewClients(node spool.NodeID, options ...ClientOption) *Clients {
@@ -73,6 +80,7 @@
 		dialTimeout: defaultDialTimeout,
 		pingEvery:   defaultPingEvery,
 		silentAfter: defaultSilentAfter,
+		unusedAfter: defaultUnusedAfter,
 		prefix:      string(node) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-",
 		links:       map[string]*link{},
 		dialing:     map[string]*dial{},
@@ -99,10 +107,11 @@
 	if err := ctx.Err(); err != nil {
 		return errors.Wrap(spool.ErrNotSent, err.Error())
 	}
-	link, err := c.link(ctx, address)
+	link, err := c.acquire(ctx, address)
 	if err != nil {
 		return errors.Wrap(spool.ErrNotSent, err.Error())
 	}
+	defer c.release(link)
 	correlation := c.prefix + strconv.FormatUint(c.next.Add(1), 36)
 	return link.call(ctx, method, envelope{Correlation: correlation, Body: body}, result, onChunk)
 }
@@ -126,6 +135,48 @@
 	err  error
 }
 
+// acquire returns the connection to address and keeps it from being closed as
+// idle until release.
+func (c *Clients) acquire(ctx context.Context, address string) (*link, error) {
+	for {
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		link, err := c.link(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		c.mu.Lock()
+		kept := c.links[address] == link
+		if kept {
+			link.users++
+		}
+		c.mu.Unlock()
+		if kept {
+			return link, nil
+		}
+	}
+}
+
+func (c *Clients) release(link *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	link.users--
+	link.usedAt = time.Now()
+}
+
+// dropUnused takes a connection out that no call has used for unusedAfter, so that
+// heartbeats are not paid for every process that was ever called.
+func (c *Clients) dropUnused(address string, idle *link) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if idle.users > 0 || time.Since(idle.usedAt) < c.unusedAfter.Duration() || c.links[address] != idle {
+		return false
+	}
+	delete(c.links, address)
+	return true
+}
+
 func (c *Clients) link(ctx context.Context, address string) (*link, error) {
 	c.mu.Lock()
 	if c.closed {
@@ -194,6 +245,10 @@
 	cause  error
 	once   sync.Once
 	closed chan struct{}
+	// users counts the calls under way and usedAt is when the last one ended;
+	// both are guarded by clients.mu.
+	users  int
+	usedAt time.Time
 
 	mu sync.Mutex
 	// chunks maps the correlation of each call under way to its receiver.
@@ -201,7 +256,9 @@
 }
 
 func newLink(clients *Clients, address string, conn net.Conn) *link {
-	l := &link{clients: clients, closed: make(chan struct{}), chunks: map[string]func(json.RawMessage){}}
+	l := &link{
+		clients: clients, closed: make(chan struct{}), chunks: map[string]func(json.RawMessage){}, usedAt: time.Now(),
+	}
 	l.heard.Store(time.Now().UnixNano())
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
 	l.rpc = jsonrpc2.NewConn(context.Background(), stream, l, quiet)
@@ -217,6 +274,10 @@
 			case <-l.closed:
 				return
 			case <-ticker.C:
+				if clients.dropUnused(address, l) {
+					l.close(ErrLost)
+					return
+				}
 				l.ping()
 				if l.silent() {
 					clients.drop(address, l)
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -130,6 +130,13 @@
 // Address returns the host:port that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Connections counts the open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Close stops accepting, closes every connection and cancels the requests
 // under way. Callers that must not be cut are served before Close is called.
 func (s *Server) Close() error {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -96,6 +96,21 @@
 		gomega.Expect(errors.Is(err, spool.ErrNotSent)).To(gomega.BeTrue())
 	})
 
+	ginkgo.It("closes a connection that is not used, but not one with a call under way", func() {
+		idle := wire.NewClients("idle", wire.WithSilentAfter(2000, 10), wire.WithUnusedAfter(100))
+		ginkgo.DeferCleanup(idle.Close)
+		open := server.Connections
+		ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+		defer cancel()
+		ended := make(chan error, 1)
+		go func() { ended <- idle.Call(ctx, server.Address(), "test.hang", text{}, nil, nil) }()
+		gomega.Eventually(open).Should(gomega.Equal(1))
+		gomega.Consistently(open, "250ms").Should(gomega.Equal(1))
+		gomega.Eventually(ended).Should(gomega.Receive(gomega.MatchError(context.DeadlineExceeded)))
+		gomega.Eventually(open).Should(gomega.Equal(0))
+		gomega.Expect(idle.Call(context.Background(), server.Address(), "test.stream", text{"a"}, nil, nil)).To(gomega.Succeed())
+	})
+
 	ginkgo.It("reports a call as lost when the server dies", func() {
 		time.AfterFunc(50*time.Millisecond, func() { _ = server.Close() })
 		err := clients.Call(context.Background(), server.Address(), "test.hang", text{}, nil, nil)
