--- /dev/null
+++ b/pkg/membership/membership_test.go
@@ -0,0 +1,278 @@
+package membership_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/membership"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// TestMain fixes the seed unless a flag sets it, so that a run can be repeated.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = f.Value.Set(value)
+		}
+	}
+	m.Run()
+}
+
+func TestMembership(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "membership")
+}
+
+// fleet runs one view per entry. Messages take no time.
+type fleet struct {
+	now    clock.Millis
+	vms    []spool.VM
+	views  map[spool.NodeID]*membership.View
+	dead   map[spool.NodeID]bool
+	cut    map[[2]spool.NodeID]bool
+	beats  int
+	probes int
+	// took and allowed list what views asked for.
+	took    map[spool.Stream][]spool.NodeID
+	allowed []membership.Allow
+}
+
+func newFleet(count, streams int) *fleet {
+	f := &fleet{
+		now: 1_000_000, views: map[spool.NodeID]*membership.View{}, dead: map[spool.NodeID]bool{},
+		cut: map[[2]spool.NodeID]bool{}, took: map[spool.Stream][]spool.NodeID{},
+	}
+	for i := range count {
+		f.vms = append(f.vms, spool.VM{
+			ID: spool.NodeID(fmt.Sprintf("entry-%03d", i)), Role: spool.RoleEntry, State: spool.VMLive,
+			FailureDomain: spool.FailureDomain(fmt.Sprintf("domain-%d", i%4)), Region: "sn-west",
+		})
+	}
+	for _, vm := range f.vms {
+		f.views[vm.ID] = membership.New(membership.Config{Self: vm, StreamCount: streams})
+	}
+	for _, vm := range f.vms {
+		f.execute(vm.ID, f.views[vm.ID].Listed(f.now, f.vms))
+	}
+	return f
+}
+
+func (f *fleet) reaches(a, b spool.NodeID) bool {
+	return !f.dead[b] && !f.dead[a] && !f.cut[[2]spool.NodeID{a, b}]
+}
+
+func (f *fleet) execute(self spool.NodeID, commands []membership.Command) {
+	view := f.views[self]
+	for _, command := range commands {
+		switch command := command.(type) {
+		case membership.Heartbeat:
+			f.beats++
+			ok := f.reaches(self, command.To)
+			if ok {
+				f.views[command.To].Heard(self, view.Leaves())
+			}
+			f.execute(self, view.Answered(f.now, command.To, ok, ok && f.views[command.To].Leaves()))
+		case membership.Probe:
+			f.probes++
+			answered := f.reaches(self, command.Via)
+			f.execute(self, view.Probed(f.now, command.Via, command.Target, answered, answered && f.reaches(command.Via, command.Target)))
+		case membership.Follow:
+			f.took[command.Stream] = append(f.took[command.Stream], self)
+			for i := range 64 {
+				if spool.ProgramStream(i) == command.Stream {
+					view.Stage(i, membership.StageOwned, "")
+				}
+			}
+		case membership.Allow:
+			f.allowed = append(f.allowed, command)
+		}
+	}
+}
+
+func (f *fleet) run(d clock.Millis) {
+	for until := f.now + d; f.now < until; f.now += 100 {
+		for _, vm := range f.vms {
+			if !f.dead[vm.ID] {
+				f.execute(vm.ID, f.views[vm.ID].Tick(f.now))
+			}
+		}
+	}
+}
+
+// verifyByAll is the baseline: every member checks a suspicion with every other
+// one, a request and an answer each.
+func verifyByAll(members int) (messages int) {
+	for range members - 1 {
+		for range members - 1 {
+			messages += 2
+		}
+	}
+	return messages
+}
+
+var _ = ginkgo.Describe("View", func() {
+	ginkgo.It("keeps the cost of a suspicion constant while the baseline grows with the square", func() {
+		var probes []int
+		for _, count := range []int{10, 33, 100, 330} {
+			f := newFleet(count, 8)
+			f.run(2 * clock.Second)
+			gomega.Expect(f.probes).To(gomega.BeZero())
+			beats := f.beats
+			f.run(5 * clock.Second)
+			rate := float64(f.beats-beats) / 5 / float64(count)
+			f.dead[f.vms[3].ID] = true
+			f.run(5 * clock.Second)
+			probes = append(probes, f.probes)
+			ginkgo.GinkgoWriter.Printf("%d members: %d probes for one death, verify by all %d, %.1f heartbeats a second and entry\n",
+				count, f.probes, verifyByAll(count), rate)
+		}
+		gomega.Expect(slices.Max(probes)).To(gomega.BeNumerically("<=", 40))
+		gomega.Expect(verifyByAll(100)).To(gomega.Equal(19_602))
+	})
+
+	ginkgo.It("gives the streams of a dead entry to one other entry each, before the list notices", func() {
+		f := newFleet(8, 32)
+		f.run(clock.Second)
+		first := map[spool.Stream]spool.NodeID{}
+		for stream, nodes := range f.took {
+			gomega.Expect(nodes).To(gomega.HaveLen(1))
+			first[stream] = nodes[0]
+		}
+		gomega.Expect(len(first)).To(gomega.BeNumerically(">=", 20), "each entry takes at most a few at a time")
+		victim := f.vms[2].ID
+		f.dead[victim] = true
+		f.took = map[spool.Stream][]spool.NodeID{}
+		f.run(4 * clock.Second)
+		moved := 0
+		for stream, nodes := range f.took {
+			if first[stream] == victim {
+				moved++
+				gomega.Expect(nodes).To(gomega.HaveLen(1))
+			}
+		}
+		gomega.Expect(moved).To(gomega.BeNumerically(">", 0))
+	})
+
+	ginkgo.It("does not believe that a member is dead which two others reach", func() {
+		f := newFleet(6, 8)
+		f.run(clock.Second)
+		a := f.vms[0].ID
+		b := f.views[a].Targets()[0]
+		f.cut[[2]spool.NodeID{a, b}], f.cut[[2]spool.NodeID{b, a}] = true, true
+		f.run(10 * clock.Second)
+		gomega.Expect(f.views[a].Verdict(b)).NotTo(gomega.Equal(membership.Dead))
+	})
+
+	ginkgo.It("does not believe that everybody is dead when it is cut off itself", func() {
+		f := newFleet(12, 8)
+		f.run(clock.Second)
+		a := f.vms[0].ID
+		for _, vm := range f.vms {
+			f.cut[[2]spool.NodeID{a, vm.ID}], f.cut[[2]spool.NodeID{vm.ID, a}] = true, true
+		}
+		f.run(10 * clock.Second)
+		gomega.Expect(f.allowed).To(gomega.BeEmpty())
+		gomega.Expect(f.views[a].Members()).To(gomega.HaveLen(12))
+	})
+
+	ginkgo.It("waits longer after each loss, so that two entries do not fight for a stream", func() {
+		f := newFleet(1, 1)
+		self := f.vms[0].ID
+		view := f.views[self]
+		var waits []clock.Millis
+		for range 4 {
+			view.Stage(0, membership.StageNone, "")
+			view.Lost(f.now, 0)
+			f.took = map[spool.Stream][]spool.NodeID{}
+			start := f.now
+			for len(f.took) == 0 {
+				f.run(100)
+			}
+			waits = append(waits, f.now-start-100)
+		}
+		gomega.Expect(waits).To(gomega.Equal([]clock.Millis{2000, 4000, 8000, 16000}))
+	})
+
+	ginkgo.It("grants handovers to the entry that ranks first only, spaced out", func() {
+		f := newFleet(3, 16)
+		owner := f.views[f.vms[0].ID]
+		granted := 0
+		for i := range 16 {
+			winner, _ := owner.Winner(i)
+			gomega.Expect(owner.Grant(f.now, i, f.vms[0].ID)).To(gomega.BeFalse())
+			if owner.Grant(f.now, i, winner) {
+				granted++
+			}
+		}
+		gomega.Expect(granted).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("chooses holders in other failure domains than the owner's", func() {
+		f := newFleet(9, 1)
+		for i := range 40 {
+			holders := membership.Holders(spool.ProgramStream(i), f.vms[0], f.vms, 2)
+			gomega.Expect(holders).To(gomega.HaveLen(2))
+			domains := map[spool.FailureDomain]bool{f.vms[0].FailureDomain: true}
+			for _, vm := range f.vms {
+				if slices.Contains(holders, vm.ID) {
+					domains[vm.FailureDomain] = true
+				}
+			}
+			gomega.Expect(domains).To(gomega.HaveLen(3))
+		}
+	})
+})
+
+// TestRendezvousIsStable guards against moving streams whose owner stays.
+func TestRendezvousIsStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 40).Draw(t, "nodes")
+		var nodes []spool.NodeID
+		for i := range count {
+			nodes = append(nodes, spool.NodeID(fmt.Sprintf("entry-%d", i)))
+		}
+		gone := rapid.IntRange(0, count-1).Draw(t, "gone")
+		rest := slices.Delete(slices.Clone(nodes), gone, gone+1)
+		for i := range 20 {
+			key := string(spool.ProgramStream(i))
+			before, _ := membership.Winner(key, nodes)
+			after, _ := membership.Winner(key, rest)
+			if before != nodes[gone] && after != before {
+				t.Fatalf("%s moved from %s to %s when %s left", key, before, after, nodes[gone])
+			}
+			if before != membership.Rank(key, nodes)[0] {
+				t.Fatalf("%s: winner %s does not rank first", key, before)
+			}
+		}
+	})
+}
+
+// BenchmarkRefresh measures what a change of the VM list costs one entry.
+func BenchmarkRefresh(b *testing.B) {
+	for _, count := range []int{20, 83, 330} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			f := newFleet(1, 1)
+			var vms []spool.VM
+			for i := range count {
+				vm := f.vms[0]
+				vm.ID = spool.NodeID(fmt.Sprintf("entry-%03d", i))
+				vms = append(vms, vm)
+			}
+			view := membership.New(membership.Config{Self: vms[0], StreamCount: count})
+			view.Listed(0, vms)
+			b.ReportAllocs()
+			for i := range b.N {
+				vms[1].State = []spool.VMState{spool.VMLive, spool.VMLeaving}[i%2]
+				view.Listed(clock.Millis(i), vms)
+			}
+		})
+	}
+}
