Number dispatches per epoch and re-learn the mark of a restarted agent

Cause: an agent accepts only rising attempts of a call within an epoch, and a repeat by the caller began at 1 again; a restarted agent fences the old mark for ever; a stream served before Start had no streams to ask. Change: the attempt numbers count per owned stream; a fenced booking asks for the new mark; a fenced model call reports that its stream has moved; the resolution of fates waits for Start.

--- a/internal/entry/calls_test.go
+++ b/internal/entry/calls_test.go
@@ -116,6 +116,24 @@
 		ginkgo.Entry("unknown", wire.FateReply{Fate: wire.FateUnknown}, 502, `"notRun":"unknown"`, 1),
 	)
 
+	ginkgo.It("learns the mark of an agent that has restarted and numbers its dispatches upwards", func() {
+		b.plain.answerWith(func(ctx context.Context, request wire.RunRequest, send wire.Send) (any, error) {
+			if request.Attempt < 2 {
+				return nil, spool.Refuse(spool.CodeFenced, "call was meant for an earlier start of the agent")
+			}
+			return b.plain.answer(ctx, request, send)
+		})
+		for _, call := range []string{"1", "2"} {
+			status, body := fog.send("POST", path(id, "/services/harvest-app"), booking(call))
+			gomega.Expect(status).To(gomega.Equal(200), body)
+		}
+		var attempts []uint64
+		for _, request := range b.plain.ran() {
+			attempts = append(attempts, request.Attempt)
+		}
+		gomega.Expect(attempts).To(gomega.Equal([]uint64{1, 2, 3}))
+	})
+
 	ginkgo.It("resends the history once when the agent lacks it", func() {
 		fog.send("POST", path(id, "/calls"), turn("1", "fog?"))
 		b.model.answerWith(func(ctx context.Context, request wire.RunRequest, send wire.Send) (any, error) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -50,6 +50,10 @@
 		if ctx.Err() != nil {
 			return reply, sent, refusal
 		}
+		if failure == spool.FailureFenced {
+			// The agent has seen a later owner of the stream.
+			return reply, sent, notOwner(shard.stream).WithNotRun(refusal.NotRun)
+		}
 		wait, again := retries.Retry(e.clock.Now(), spool.Attempt{
 			Number: number, Failure: failure, NotRun: refusal.NotRun == spool.NotRunTrue,
 			Idempotent: request.Idempotent, Deadline: flight.work.deadline, RetryAfter: refusal.RetryAfter,
@@ -160,7 +164,8 @@
 	if flight.work.deadline > 0 {
 		request.DeadlineIn = max(flight.work.deadline-e.clock.Now(), 1)
 	}
-	request.Attempt = flight.begin()
+	request.Attempt = shard.attempts.Add(1)
+	flight.begin(request.Attempt)
 	next := 0
 	err = e.clients.Call(ctx, target.Address, wire.MethodRun, request, &reply, func(raw json.RawMessage) error {
 		var chunk spool.Chunk
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,7 +57,9 @@
 	prefix    string
 	calls     atomic.Int64
 	resolving resolving
-	ready     atomic.Bool
+	// started is closed once streams is set.
+	started chan struct{}
+	ready   atomic.Bool
 
 	mu sync.Mutex
 	// inside counts the operations under way; closing refuses further ones
@@ -78,8 +80,8 @@
 	e = &Entry{
 		config: config, clock: clock.System(), control: control, limits: limits, extra: wire.Mux{},
 		ctx: ctx, cancel: cancel, policies: newPolicies(config.Seed),
-		prefix:    string(config.Node) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-",
-		quiet:     make(chan struct{}),
+		prefix: string(config.Node) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-",
+		quiet:  make(chan struct{}), started: make(chan struct{}),
 		resolving: resolving{calls: map[resolvingKey]bool{}},
 	}
 	for _, option := range options {
@@ -113,6 +115,7 @@
 func (e *Entry) Start(streams Streams) (err error) {
 	defer func() { err = errors.Wrap(err, "start entry") }()
 	e.streams = streams
+	close(e.started)
 	mux := wire.Mux{
 		wire.MethodForward: wire.Handle(e.forwarded),
 		MethodExplain:      wire.Handle(e.explain),
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -69,7 +69,8 @@
 	// keep is set for calls that go on without callers once they have started.
 	keep    bool
 	started bool
-	// attempts counts the dispatches of the call in this epoch.
+	// attempts is the number of the latest dispatch, which is unique within the
+	// epoch; an agent accepts only rising numbers of a call.
 	attempts uint64
 }
 
@@ -93,13 +94,12 @@
 	f.started = true
 }
 
-// begin starts another attempt at the answer and returns its number.
-func (f *flight) begin() uint64 {
+// begin starts another attempt at the answer.
+func (f *flight) begin(attempt uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.text.begin()
-	f.attempts++
-	return f.attempts
+	f.attempts = attempt
 }
 
 // attempt returns the number of the latest attempt.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -97,6 +97,10 @@
 		if !again || !pause(ctx, wait) {
 			return answer, refused
 		}
+		if failure == spool.FailureFenced && e.poll(ctx, target) == nil {
+			// The agent has restarted since its mark was learned.
+			continue
+		}
 		view.Tried = append(view.Tried, spool.EndpointID(target.ID))
 	}
 }
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -26,6 +27,9 @@
 	alive  context.Context
 	stop   context.CancelFunc
 
+	// attempts numbers the dispatches of this epoch.
+	attempts atomic.Uint64
+
 	mailbox chan func()
 	state   *program.State
 	// flights maps a ticket to its call.
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -44,6 +44,12 @@
 // without an outcome. Calls of models need nothing: their callers repeat them.
 func (e *Entry) resolveAll(shard *shard) {
 	e.traffic.Submit(func() {
+		// A stream may be served before the entry has been started.
+		select {
+		case <-e.started:
+		case <-shard.ctx.Done():
+			return
+		}
 		var calls []program.Unresolved
 		shard.do(func() { calls = shard.state.Unresolved() })
 		for _, call := range calls {
@@ -65,7 +71,7 @@
 		if spool.EndpointID(vm.ID) == call.Endpoint {
 			result = e.askFate(shard, vm, wire.FateRequest{
 				Account: call.Account, Program: call.Program, Call: call.Call,
-				Stream: shard.stream, Epoch: shard.epoch, Mark: call.Mark,
+				Stream: shard.stream, Epoch: shard.epoch, Attempt: shard.attempts.Load(), Mark: call.Mark,
 			})
 		}
 	}
