Bound load reports and lease renewals; cut callers that do not read

Cause: one poll per endpoint and second and one renewal per program and two seconds grow with the fleet, and a caller that reads nothing of a stream held its connection and its call for ever. Change: at most statusPolls reports are asked per interval, the oldest first; leases are renewed three times per lease; each piece of a stream moves the write deadline on.

--- a/internal/entry/background.go
+++ b/internal/entry/background.go
@@ -45,16 +45,16 @@
 	}()
 }
 
-// each runs work for every endpoint on the traffic pool and waits.
+// each runs work for every endpoint and waits.
 func (e *Entry) each(vms []spool.VM, work func(spool.VM)) {
-	group := e.traffic.NewGroup()
+	group := e.background.NewGroup()
 	for _, vm := range vms {
 		group.Submit(func() { work(vm) })
 	}
 	_ = group.Wait()
 }
 
-// pollAll asks every endpoint for its load.
+// pollAll asks the endpoints with the oldest reports for their load.
 func (e *Entry) pollAll() {
 	var vms []spool.VM
 	listed := map[spool.EndpointID]bool{}
@@ -65,7 +65,7 @@
 		}
 	}
 	e.fleet.retain(listed)
-	e.each(vms, func(vm spool.VM) {
+	e.each(e.fleet.oldest(vms, e.config.StatusPolls), func(vm spool.VM) {
 		ctx, cancel := context.WithTimeout(e.ctx, requestTimeout.Duration())
 		defer cancel()
 		if err := e.poll(ctx, vm); err != nil {
@@ -101,9 +101,16 @@
 	}
 }
 
+// renewalsPerLease is how often a lease is renewed before it would end.
+const renewalsPerLease = 3
+
 // renew renews the engine memory of all live programs, with one message per
 // agent, and frees that of programs that have ended.
 func (e *Entry) renew() {
+	due := e.clock.Now()-e.renewedAt >= e.leaseFor()/renewalsPerLease
+	if due {
+		e.renewedAt = e.clock.Now()
+	}
 	requests := map[spool.EndpointID]*wire.RenewRequest{}
 	request := func(id spool.EndpointID) *wire.RenewRequest {
 		if requests[id] == nil {
@@ -114,12 +121,14 @@
 	served := e.shards.list()
 	for _, shard := range served {
 		shard.do(func() {
-			shard.state.Live(func(view program.View) {
-				if view.Endpoint != "" {
-					to := request(view.Endpoint)
-					to.Programs = append(to.Programs, view.ID)
-				}
-			})
+			if due {
+				shard.state.Live(func(view program.View) {
+					if view.Endpoint != "" {
+						to := request(view.Endpoint)
+						to.Programs = append(to.Programs, view.ID)
+					}
+				})
+			}
 			for id, endpoint := range shard.ended {
 				to := request(endpoint)
 				to.Ended = append(to.Ended, id)
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -36,8 +36,8 @@
 	MaxBodyBytes   int
 	// MaxCalls bounds the calls that run at a time.
 	MaxCalls int
-	// IdleTimeout closes a connection without requests, ReadTimeout one whose
-	// request does not arrive.
+	// IdleTimeout closes a connection without requests, or whose caller reads
+	// nothing of its answer; ReadTimeout one whose request does not arrive.
 	IdleTimeout clock.Millis
 	ReadTimeout clock.Millis
 	// HeartbeatEvery is the interval of the comments on a stream, which notice
@@ -47,6 +47,9 @@
 	// programs, StatusEvery that of load reports.
 	RenewEvery  clock.Millis
 	StatusEvery clock.Millis
+	// StatusPolls bounds the load reports asked for in one interval; the oldest
+	// are asked first. Calls bring reports of the endpoints in use anyway.
+	StatusPolls int
 	// ForwardFor bounds the time during which an operation looks for the owner
 	// of its program.
 	ForwardFor clock.Millis
@@ -64,7 +67,7 @@
 	HTTPAddress: "127.0.0.1:0", WireAddress: "127.0.0.1:0", Streams: 8,
 	MaxConnections: 16384, MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, MaxCalls: 4096,
 	IdleTimeout: 60 * clock.Second, ReadTimeout: 10 * clock.Second, HeartbeatEvery: 500,
-	RenewEvery: 2 * clock.Second, StatusEvery: clock.Second, ForwardFor: 15 * clock.Second,
+	RenewEvery: 2 * clock.Second, StatusEvery: clock.Second, StatusPolls: 32, ForwardFor: 15 * clock.Second,
 	ForgetAfter: 10 * clock.Minute, Seed: 1,
 }
 
@@ -81,7 +84,7 @@
 	check(c.WireAddress != "", "wireAddress is empty")
 	for name, number := range map[string]int{
 		"streams": c.Streams, "maxConnections": c.MaxConnections, "maxHeaderBytes": c.MaxHeaderBytes,
-		"maxBodyBytes": c.MaxBodyBytes, "maxCalls": c.MaxCalls,
+		"maxBodyBytes": c.MaxBodyBytes, "maxCalls": c.MaxCalls, "statusPolls": c.StatusPolls,
 	} {
 		check(number > 0, name+" must be above 0")
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,19 +43,22 @@
 	extra         wire.Mux
 	programLimits program.Limits
 
-	ctx       context.Context
-	cancel    context.CancelFunc
-	shards    *shards
-	fleet     *fleet
-	policies  *policies
-	traffic   pond.Pool
-	callers   pond.Pool
-	front     *fasthttp.Server
-	listener  net.Listener
-	server    *wire.Server
-	next      atomic.Uint64
-	prefix    string
-	calls     atomic.Int64
+	ctx        context.Context
+	cancel     context.CancelFunc
+	shards     *shards
+	fleet      *fleet
+	policies   *policies
+	traffic    pond.Pool
+	callers    pond.Pool
+	background pond.Pool
+	front      *fasthttp.Server
+	listener   net.Listener
+	server     *wire.Server
+	next       atomic.Uint64
+	prefix     string
+	calls      atomic.Int64
+	// renewedAt is when all leases were renewed; the background loop owns it.
+	renewedAt clock.Millis
 	resolving resolving
 	// started is closed once streams is set.
 	started chan struct{}
@@ -99,13 +102,14 @@
 	e.fleet = newFleet(e.clock)
 	e.shards = &shards{entry: e, open: map[spool.Stream]*shard{}}
 	// Calls that wait for their turn hold no worker, so the pool never has more
-	// tasks than MaxCalls; the background work comes on top.
-	e.traffic = pond.NewPool(config.MaxCalls + backgroundTasks)
+	// tasks than MaxCalls.
+	e.traffic = pond.NewPool(config.MaxCalls)
 	e.callers = pond.NewPool(config.MaxConnections)
+	e.background = pond.NewPool(backgroundTasks)
 	return e, nil
 }
 
-// backgroundTasks is the room in the pool for leases, reports and fates.
+// backgroundTasks bounds the leases and load reports under way.
 const backgroundTasks = 64
 
 // Applier returns the receiver of the streams' batches.
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -29,6 +29,8 @@
 type endpoint struct {
 	status     wire.EndpointStatus
 	reportedAt clock.Millis
+	// askedAt is when a report was asked for.
+	askedAt clock.Millis
 	// report counts the reports; sent counts the calls sent since the latest
 	// one that have not ended.
 	report int
@@ -152,6 +154,25 @@
 	return views
 }
 
+// oldest returns the endpoints with the oldest reports, at most count. One that
+// does not answer goes to the end of the line.
+func (f *fleet) oldest(vms []spool.VM, count int) []spool.VM {
+	if len(vms) <= count {
+		return vms
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := func(i int) clock.Millis {
+		known := f.get(spool.EndpointID(vms[i].ID))
+		return max(known.reportedAt, known.askedAt)
+	}
+	sort.SliceStable(vms, func(i, j int) bool { return age(i) < age(j) })
+	for _, vm := range vms[:count] {
+		f.get(spool.EndpointID(vm.ID)).askedAt = f.clock.Now()
+	}
+	return vms[:count]
+}
+
 // retain forgets endpoints that are no longer listed.
 func (f *fleet) retain(listed map[spool.EndpointID]bool) {
 	f.mu.Lock()
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -33,13 +33,15 @@
 			linger(ctx)
 		},
 		// The server's own messages quote the request's header, which holds keys.
-		Logger:                log.New(io.Discard, "", 0),
-		Concurrency:           e.config.MaxConnections,
-		MaxConnsPerIP:         e.config.MaxConnectionsPerIP,
-		ReadBufferSize:        e.config.MaxHeaderBytes,
-		MaxRequestBodySize:    e.config.MaxBodyBytes,
-		IdleTimeout:           e.config.IdleTimeout.Duration(),
-		ReadTimeout:           e.config.ReadTimeout.Duration(),
+		Logger:             log.New(io.Discard, "", 0),
+		Concurrency:        e.config.MaxConnections,
+		MaxConnsPerIP:      e.config.MaxConnectionsPerIP,
+		ReadBufferSize:     e.config.MaxHeaderBytes,
+		MaxRequestBodySize: e.config.MaxBodyBytes,
+		IdleTimeout:        e.config.IdleTimeout.Duration(),
+		ReadTimeout:        e.config.ReadTimeout.Duration(),
+		// A stream moves this deadline on with each piece.
+		WriteTimeout:          e.config.IdleTimeout.Duration(),
 		NoDefaultServerHeader: true,
 		NoDefaultContentType:  true,
 		CloseOnShutdown:       true,
--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -122,6 +123,27 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred(), "a request that does not arrive is closed")
 	})
 
+	ginkgo.It("cuts a caller that reads nothing of a stream", func() {
+		cut := make(chan struct{})
+		b.model.answerWith(func(ctx context.Context, request wire.RunRequest, send wire.Send) (any, error) {
+			defer close(cut)
+			piece := strings.Repeat("fog ", 1<<14)
+			for i := 0; ctx.Err() == nil; i++ {
+				if err := send(spool.Chunk{Correlation: request.Correlation, Index: i, Text: piece}); err != nil {
+					return nil, err
+				}
+				time.Sleep(time.Millisecond)
+			}
+			return nil, ctx.Err()
+		})
+		conn, err := net.Dial("tcp", owner.entry.HTTPAddress())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(conn.Close)
+		body, _ := json.Marshal(streamed("1", "fog?"))
+		_, _ = conn.Write(request("POST", path(id, "/calls"), body))
+		gomega.Eventually(cut, "5s").Should(gomega.BeClosed())
+	})
+
 	ginkgo.It("speaks the chat-completions shape with and without a program", func() {
 		request := func(stream bool, contents ...string) map[string]any {
 			var messages []spool.Message
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -77,9 +78,10 @@
 	}
 	request.ctx.SetContentType("text/event-stream")
 	request.ctx.Response.Header.Set("Cache-Control", "no-store")
+	conn := request.ctx.Conn()
 	request.ctx.SetBodyStreamWriter(func(writer *bufio.Writer) {
 		defer cancel()
-		e.write(writer, head, events, ended, form)
+		e.write(conn, writer, head, events, ended, form)
 	})
 	return true, nil
 }
@@ -94,11 +96,13 @@
 
 // write sends the events until the answer ends or the caller has left, which
 // shows only when a write fails.
-func (e *Entry) write(writer *bufio.Writer, head *Event, events <-chan Event, ended <-chan ending, form format) {
+func (e *Entry) write(conn net.Conn, writer *bufio.Writer, head *Event, events <-chan Event, ended <-chan ending, form format) {
 	send := func(piece []byte, err error) error {
 		if err != nil {
 			return err
 		}
+		// A caller that reads nothing lets its connection's buffer fill.
+		_ = conn.SetWriteDeadline(time.Now().Add(e.config.IdleTimeout.Duration()))
 		if _, err := writer.Write(piece); err != nil {
 			return errors.Wrap(errCallerLeft, err.Error())
 		}
