Keep the promise of a fate answer after its record has been dropped

Cause: with the queue "fair" and 40000 histories the state machine test found an idempotent dispatch that started after "not seen" had been answered for it: the fence had been dropped at the end of its retention. Change: the agent remembers the last ticket of a dropped fence and refuses dispatches with a mark below it. The test draws the queue, fifo or fair, and a failed release of memory has its own test. Conclusion: the promise holds for every dispatch that carries a mark; one without a mark is refused during the retention only, as FateNotSeen now says.

--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -154,7 +154,9 @@
 // The fates.
 const (
 	// FateNotSeen means that the agent has kept watch since before the call
-	// could have been sent, has not seen it, and will refuse it from now on.
+	// could have been sent, has not run it, and refuses its dispatches up to the
+	// request's (Epoch, Attempt) from now on. A dispatch without a mark is
+	// refused only while the agent keeps outcomes.
 	FateNotSeen Fate = "notSeen"
 	// FateRunning means that the call is under way.
 	FateRunning Fate = "running"
--- a/pkg/gatekeeper/kernel_test.go
+++ b/pkg/gatekeeper/kernel_test.go
@@ -198,6 +198,21 @@
 		gomega.Expect(take[gatekeeper.Free](k, gatekeeper.Renew{Ended: []spool.ProgramID{"owned"}})).To(gomega.HaveLen(1))
 	})
 
+	ginkgo.It("repeats a release that failed, and not while a call is active", func() {
+		k := newKernel(2, nil)
+		k.Step(k.now, gatekeeper.Sessions{AskedAt: k.now, Programs: []spool.ProgramID{"p"}})
+		gomega.Expect(take[gatekeeper.Free](k, gatekeeper.Renew{Ended: []spool.ProgramID{"p"}})).To(gomega.HaveLen(1))
+		k.Step(k.now, gatekeeper.Freed{Program: "p"})
+		gomega.Expect(k.Held()).To(gomega.HaveKey(spool.ProgramID("p")))
+		k.now += gatekeeper.DefaultConfig().FreeRetry
+		gomega.Expect(take[gatekeeper.Free](k, gatekeeper.Tick{})).To(gomega.HaveLen(1))
+		k.Step(k.now, gatekeeper.Freed{Program: "p", OK: true})
+		gomega.Expect(k.Held()).To(gomega.BeEmpty())
+		k.Step(k.now, k.arrive(turn("p", spool.Message{Role: "user"})))
+		gomega.Expect(take[gatekeeper.Free](k, gatekeeper.Renew{Ended: []spool.ProgramID{"p"}})).To(gomega.BeEmpty())
+		gomega.Expect(take[gatekeeper.Free](k, answer(k.ticket, 0))).To(gomega.HaveLen(1))
+	})
+
 	ginkgo.It("asks for the sessions after a gap in the cache events", func() {
 		k := newKernel(2, nil)
 		events := []spool.CacheEvent{{Sequence: 4, Program: "p", Tokens: 7}, {Sequence: 5, Program: "p", Tokens: 8}}
--- a/pkg/gatekeeper/machine_test.go
+++ b/pkg/gatekeeper/machine_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
+	_ "github.com/baobabspool/baobabspool/pkg/policy/order" // registers the queue "fair"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -47,6 +48,7 @@
 // engine that restarts. The network may deliver a dispatch at any later time.
 type machine struct {
 	kernel   *gatekeeper.Kernel
+	fair     bool
 	gate     *window
 	now      clock.Millis
 	boots    int
@@ -79,7 +81,11 @@
 
 func (m *machine) boot() {
 	m.boots++
-	m.kernel = gatekeeper.New(machineConfig(), fmt.Sprintf("boot%d", m.boots), &fifo{}, m.gate)
+	var queue spool.Queue = &fifo{}
+	if m.fair {
+		queue, _ = spool.Queues.New("fair", 1, nil)
+	}
+	m.kernel = gatekeeper.New(machineConfig(), fmt.Sprintf("boot%d", m.boots), queue, m.gate)
 	m.ticket, m.seen = 0, 0
 	m.taken, m.running = map[gatekeeper.Ticket]*request{}, map[gatekeeper.Ticket]*request{}
 	m.asked = map[gatekeeper.Ticket]*question{}
@@ -355,6 +361,7 @@
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{gate: &window{size: 2}, epoch: 1, now: 1000, sessions: map[spool.ProgramID]bool{}}
+		m.fair = rapid.Bool().Draw(t, "fair")
 		m.boot()
 		m.marks = append(m.marks, m.kernel.Status().Mark)
 		t.Repeat(m.actionsOf())
--- a/pkg/gatekeeper/record.go
+++ b/pkg/gatekeeper/record.go
@@ -69,6 +69,9 @@
 	// forgottenLoose the same for the others. A call that was sent after its
 	// owner had seen a mark at or above it cannot have been forgotten.
 	forgotten, forgottenLoose Ticket
+	// forgottenFence is the highest ticket of a record with a fence that has been
+	// dropped.
+	forgottenFence Ticket
 }
 
 func newRecords() records { return records{byKey: map[Key]*record{}} }
@@ -174,6 +177,9 @@
 	if rec == nil || rec.ticket != entry.ticket || rec.state == recordLive {
 		return
 	}
+	if rec.fence != nil {
+		r.forgottenFence = max(r.forgottenFence, rec.ticket)
+	}
 	if rec.strict {
 		r.forgotten = max(r.forgotten, rec.ticket)
 	} else {
@@ -208,7 +214,7 @@
 		return true
 	}
 	if c.Idempotent && rec.idempotent {
-		return k.superseded(c, rec)
+		return k.superseded(c, rec) || k.tooOld(c)
 	}
 	switch rec.state {
 	case recordLive:
@@ -238,12 +244,20 @@
 	return false
 }
 
-// tooOld refuses a non-idempotent dispatch that may repeat a forgotten one.
+// tooOld refuses a dispatch that may have been given up by a fate answer that is
+// forgotten, and a non-idempotent one that may repeat a forgotten run.
 func (k *Kernel) tooOld(c *call) bool {
-	if c.Idempotent || c.Mark.Boot == "" || uint64(k.records.forgotten) <= c.Mark.Admitted {
+	if c.Mark.Boot == "" {
+		return false
+	}
+	switch {
+	case !c.Idempotent && uint64(k.records.forgotten) > c.Mark.Admitted:
+		k.refuse(c.ticket, unknownFate("outcomes as old as the call have been dropped"))
+	case uint64(k.records.forgottenFence) > c.Mark.Admitted:
+		k.refuse(c.ticket, fenced("call is too old to tell whether its owner has given it up"))
+	default:
 		return false
 	}
-	k.refuse(c.ticket, unknownFate("outcomes as old as the call have been dropped"))
 	return true
 }
 
