--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -6,7 +6,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/baobabspool/baobabspool/internal/control"
@@ -20,9 +19,12 @@
 
 // fleet runs readers with real connections on loopback.
 type fleet struct {
-	log *fakeLog
-	mu  sync.Mutex
-	vms []spool.VM
+	log           *fakeLog
+	clientOptions []wire.ClientOption
+	// cleanup is called with what ends a node.
+	cleanup func(func())
+	mu      sync.Mutex
+	vms     []spool.VM
 }
 
 // member is one reader of a fleet.
@@ -61,7 +63,7 @@
 
 // start adds a node. Agents have no log.
 func (f *fleet) start(config control.Config) *member {
-	m := &member{clients: wire.NewClients(config.Node)}
+	m := &member{clients: wire.NewClients(config.Node, f.clientOptions...)}
 	var handler atomic.Pointer[wire.Mux]
 	mux := wire.Mux{wire.MethodPull: func(ctx context.Context, params json.RawMessage, send wire.Send) (any, error) {
 		if m.noPeers.Load() || handler.Load() == nil {
@@ -92,7 +94,7 @@
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	handlers := m.Handlers()
 	handler.Store(&handlers)
-	ginkgo.DeferCleanup(m.stop)
+	f.cleanup(m.stop)
 	return m
 }
 
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -154,7 +154,9 @@
 // The fates.
 const (
 	// FateNotSeen means that the agent has kept watch since before the call
-	// could have been sent, has not seen it, and will refuse it from now on.
+	// could have been sent, has not run it, and refuses its dispatches up to the
+	// request's (Epoch, Attempt) from now on. A dispatch without a mark is
+	// refused only while the agent keeps outcomes.
 	FateNotSeen Fate = "notSeen"
 	// FateRunning means that the call is under way.
 	FateRunning Fate = "running"
@@ -197,6 +199,9 @@
 	// FreshFor is how long ago the answering node last heard, directly or
 	// through others, from the log; negative when it never has.
 	FreshFor clock.Millis `json:"freshForMs"`
+	// Held is how long the answering node kept the request before it answered,
+	// so that the asking node need not take a long poll for old news.
+	Held clock.Millis `json:"heldMs,omitempty"`
 }
 
 // HeartbeatRequest tells a peer that the sender lives.
@@ -280,6 +285,8 @@
 // SealReply holds the batches of lower epochs in order.
 type SealReply struct {
 	Batches []spool.Batch `json:"batches,omitempty"`
+	// Incarnation is that of the holder's process, as in HoldReply.
+	Incarnation string `json:"incarnation"`
 }
 
 // ReleaseRequest tells a holder that everything of lower epochs is on the log.
