Keep a token of each pool for alarms

Cause: at load 2 alarms waited for tokens behind the account's other calls, at the other entries, although they went first at each entry. Change: a lease request says that it is for alarms; once an account has sent one, its pool keeps a token for them. wire.LeaseRequest gains Urgent.

--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -307,6 +307,8 @@
 	// Returned tokens were granted under Epoch and are not used any more.
 	Returned float64     `json:"returned,omitempty"`
 	Epoch    spool.Epoch `json:"epoch,omitempty"`
+	// Urgent says that Want counts alarms only; the pool keeps a token for them.
+	Urgent bool `json:"urgent,omitempty"`
 }
 
 // LeaseReply grants tokens.
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -80,6 +80,16 @@
 		}
 	})
 
+	ginkgo.It("keeps a token for alarms of an account that takes all it gets", func() {
+		owner, now := serving(acme)
+		owner.Lease(now, limit.Request{Node: "a", Sequence: 1, Want: 1, Urgent: true})
+		for sequence := uint64(2); sequence < 80; sequence++ {
+			owner.Lease(now, limit.Request{Node: "a", Sequence: sequence, Want: 100})
+		}
+		gomega.Expect(owner.Lease(now, limit.Request{Node: "a", Sequence: 90, Want: 1}).Granted).To(gomega.BeZero())
+		gomega.Expect(owner.Lease(now, limit.Request{Node: "b", Sequence: 1, Want: 1, Urgent: true}).Granted).To(gomega.Equal(1.0))
+	})
+
 	ginkgo.It("grows only after every entry has had time to shrink", func() {
 		low := acme
 		low.StaticShare = 0.9
--- a/pkg/limit/line.go
+++ b/pkg/limit/line.go
@@ -78,7 +78,7 @@
 		return Decision{Ask: s.ask(), RetryAfter: l.drainTime()}, false
 	}
 	l.held = slices.Insert(l.held, place, heldRequest{id: id, since: now, class: class})
-	s.short = float64(len(l.held))
+	l.count()
 	return Decision{Ask: s.ask()}, true
 }
 
@@ -100,10 +100,21 @@
 		return late
 	})
 	l.note(now)
-	s.short = float64(len(l.held))
+	l.count()
 	return outcomes, s.ask()
 }
 
+// count tells the share what is missing: tokens for the alarms alone, while any
+// is held.
+func (l *Line) count() {
+	alarms := l.place(ClassAlarm)
+	l.share.urgent = alarms > 0
+	l.share.short = float64(alarms)
+	if alarms == 0 {
+		l.share.short = float64(len(l.held))
+	}
+}
+
 func (l *Line) note(now clock.Millis) {
 	if len(l.held) == 0 {
 		l.busySince = now
--- a/pkg/limit/owner.go
+++ b/pkg/limit/owner.go
@@ -21,6 +21,8 @@
 	// not use them any more, whatever becomes of the request.
 	Returned float64
 	Epoch    spool.Epoch
+	// Urgent says that Want counts alarms only.
+	Urgent bool
 }
 
 // Grant answers a Request.
@@ -39,6 +41,14 @@
 // minRetry spaces the requests of an entry for a pool that is empty.
 const minRetry clock.Millis = 10
 
+const (
+	// alarmReserve is the number of tokens that a pool keeps for alarms, once its
+	// account has sent one.
+	alarmReserve = 1.0
+	// alarmMemory is how long a pool keeps them after an alarm.
+	alarmMemory = clock.Hour
+)
+
 // Owner is the pool of one account at the owner of the account's stream. Every
 // method takes the time of the owner's clock and must be called, with Tick at
 // the latest, every Timing.MaxGap/2.
@@ -57,6 +67,8 @@
 	freshEnds     clock.Millis
 	// last is the highest sequence seen of each node in this epoch.
 	last map[spool.NodeID]uint64
+	// alarmsUntil, on time.least, is the end of the alarm reserve.
+	alarmsUntil clock.Millis
 }
 
 // NewOwner returns the pool of an account that this entry does not own yet.
@@ -143,24 +155,38 @@
 	if request.Epoch == o.epoch {
 		o.pool.level = min(o.pool.limit, o.pool.level+max(0, request.Returned))
 	}
-	grant.Granted = wholeTokens(min(request.Want, max(o.pool.level/2, min(1, o.pool.level))))
+	usable := o.usable(request.Urgent)
+	grant.Granted = wholeTokens(min(request.Want, max(usable/2, min(1, usable))))
 	o.pool.level -= grant.Granted
 	if grant.Granted < request.Want {
-		grant.RetryAfter = o.untilOneToken()
+		grant.RetryAfter = o.untilOneToken(usable - grant.Granted)
 	}
 	return grant
 }
 
+// usable is the part of the pool's tokens that a request may have. Without a
+// reserve an account that sends at its rate or above it delays its own alarms.
+func (o *Owner) usable(urgent bool) float64 {
+	if urgent {
+		o.alarmsUntil = o.time.least + alarmMemory
+		return o.pool.level
+	}
+	if o.time.least < o.alarmsUntil && o.pool.limit >= 4*alarmReserve {
+		return max(0, o.pool.level-alarmReserve)
+	}
+	return o.pool.level
+}
+
 func (o *Owner) serves() bool {
 	return o.owned && o.time.least >= o.servesAt &&
 		o.time.most < o.authorityEnds && o.time.most < o.freshEnds
 }
 
-func (o *Owner) untilOneToken() clock.Millis {
+func (o *Owner) untilOneToken(usable float64) clock.Millis {
 	if o.pool.rate <= 0 {
 		return clock.Second
 	}
-	missing := max(0, 1-o.pool.level) / o.pool.rate * float64(clock.Second)
+	missing := max(0, 1-usable) / o.pool.rate * float64(clock.Second)
 	return max(minRetry, clock.Millis(math.Ceil(missing)))
 }
 
--- a/pkg/limit/share.go
+++ b/pkg/limit/share.go
@@ -58,8 +58,12 @@
 	// asked is the request under way, sent at askedAt on time.most.
 	asked   *Request
 	askedAt clock.Millis
-	// askAfter is the earliest next request, on time.most.
-	askAfter clock.Millis
+	// askAfter is the earliest next request, on time.most; urgentAfter that of the
+	// next request for alarms.
+	askAfter    clock.Millis
+	urgentAfter clock.Millis
+	// urgent says that short counts alarms only.
+	urgent bool
 }
 
 // NewShare returns the part of a node that knows no view yet and holds nothing.
@@ -123,8 +127,12 @@
 	if s.asked == nil || s.asked.Sequence != grant.Sequence {
 		return
 	}
+	if s.asked.Urgent {
+		s.urgentAfter = s.time.most + grant.RetryAfter
+	} else {
+		s.askAfter = s.time.most + grant.RetryAfter
+	}
 	s.asked = nil
-	s.askAfter = s.time.most + grant.RetryAfter
 	if grant.LeaseFor > 0 {
 		s.leaseFor = grant.LeaseFor
 	}
@@ -230,13 +238,20 @@
 // ask builds a request when tokens are missing, when less than half of what the
 // next lease needs is left, or when tokens are about to lapse unused.
 func (s *Share) ask() *Request {
-	if s.asked != nil || s.time.most < s.askAfter {
+	after := s.askAfter
+	if s.urgent {
+		after = s.urgentAfter
+	}
+	if s.asked != nil || s.time.most < after {
 		return nil
 	}
 	ahead := aheadOf * s.demand * float64(s.leaseFor)
 	returned, epoch := s.lapsing()
 	held := s.leased() - returned
 	want := math.Floor(ahead) + s.short - held
+	if s.urgent {
+		want = s.short
+	}
 	if s.short == 0 && held >= ahead/2 {
 		want = 0
 	}
@@ -249,6 +264,7 @@
 	s.asked = &Request{
 		Account: s.account, Node: s.node, Sequence: s.sequence,
 		Want: max(0, math.Ceil(want)), Returned: returned, Epoch: epoch,
+		Urgent: s.urgent,
 	}
 	s.askedAt = s.time.most
 	request := *s.asked
