Measure slopes and work out the capacity at the target

The capacity page needs measured slopes. cmd/capacity measures control state, program state, history, recovery, limits, membership messages, routing and the first token at four sizes each, fits lines, draws plots and rewrites the tables of docs/CAPACITY.md in about a minute.

--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,46 @@
+// Command capacity measures how the parts of the system grow and rewrites the
+// tables and plots of docs/CAPACITY.md.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/baobabspool/baobabspool/internal/capacity"
+)
+
+func main() {
+	if err := newRoot().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func newRoot() *cobra.Command {
+	page := ""
+	command := &cobra.Command{
+		Use:          "capacity",
+		Short:        "Measure slopes and work out what the target size needs",
+		Example:      "  go run ./cmd/capacity --write docs/CAPACITY.md",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE: func(command *cobra.Command, _ []string) error {
+			all, err := capacity.Measure(context.Background(), func(name string) {
+				fmt.Fprintln(command.ErrOrStderr(), "measured", name)
+			})
+			if err != nil {
+				return err
+			}
+			target := capacity.Target(all)
+			fmt.Fprintln(command.OutOrStdout(), capacity.Table(all)+"\n"+target)
+			if page == "" {
+				return nil
+			}
+			return capacity.Write(page, all, target)
+		},
+	}
+	command.Flags().StringVar(&page, "write", "", "page whose tables are replaced")
+	return command
+}
--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -150,15 +150,16 @@
 
 // stream sends one turn and reads its server-sent events. An answer counts only
 // when its pieces add up to the text at its end.
-func (c *Client) stream(ctx context.Context, path string, body any) (answer turnAnswer, err error) {
+// onText is called with every piece.
+func (c *Client) stream(ctx context.Context, path string, body any, onText func()) (answer turnAnswer, err error) {
 	err = c.do(ctx, fasthttp.MethodPost, path, body, func(response *fasthttp.Response) error {
-		answer, err = readTurn(response)
+		answer, err = readTurn(response, onText)
 		return err
 	})
 	return answer, err
 }
 
-func readTurn(response *fasthttp.Response) (answer turnAnswer, err error) {
+func readTurn(response *fasthttp.Response, onText func()) (answer turnAnswer, err error) {
 	source := response.BodyStream()
 	if source == nil {
 		source = bytes.NewReader(response.Body())
@@ -176,6 +177,9 @@
 		if !found {
 			continue
 		}
+		if name == "text" {
+			onText()
+		}
 		done, err := readEvent(name, []byte(data), &text, &answer)
 		if done || err != nil {
 			return answer, err
--- a/internal/caller/program.go
+++ b/internal/caller/program.go
@@ -165,7 +165,7 @@
 	}
 	var answer turnAnswer
 	err := p.request(ctx, "turn", func() (err error) {
-		answer, err = p.client.stream(ctx, p.path("/calls"), body)
+		answer, err = p.client.stream(ctx, p.path("/calls"), body, func() {})
 		return err
 	})
 	if err != nil {
@@ -200,6 +200,19 @@
 	})
 }
 
+// FirstToken sends one turn and returns the time to the first piece of its
+// answer. It neither checks the answer nor repeats the request.
+func (p *Program) FirstToken(ctx context.Context, call string, messages []spool.Message, tokens int) (first time.Duration, err error) {
+	body := callBody{Call: call, Messages: messages, MaxTokens: tokens, Stream: true}
+	since := time.Now()
+	_, err = p.client.stream(ctx, p.path("/calls"), body, func() {
+		if first == 0 {
+			first = time.Since(since)
+		}
+	})
+	return first, err
+}
+
 // spawn runs a sub-agent of two turns.
 func (p *Program) spawn(ctx context.Context) error {
 	spec := p.spec
--- /dev/null
+++ b/internal/capacity/fit.go
@@ -0,0 +1,57 @@
+// Package capacity measures how state, processor time and messages of each part
+// grow, fits a straight line to each series, and works out what the target size
+// needs from the slopes. It writes the tables of docs/CAPACITY.md.
+package capacity
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Point is one measurement.
+type Point struct {
+	X, Y float64
+}
+
+// Series is one quantity measured at several sizes.
+type Series struct {
+	// Name is short and unique; the plot's file is named after it.
+	Name string
+	// What says what was measured and how.
+	What string
+	// XUnit and YUnit are the units of the axes.
+	XUnit, YUnit string
+	// Points are in the order of their X.
+	Points []Point
+}
+
+// Fit is a straight line through a series.
+type Fit struct {
+	// Intercept and Slope are in YUnit and YUnit per XUnit.
+	Intercept, Slope float64
+	// Residual is the largest distance of a point from the line, as a share of
+	// the largest measured value.
+	Residual float64
+}
+
+// Fit returns the least-squares line.
+func (s Series) Fit() Fit {
+	xs, ys := make([]float64, len(s.Points)), make([]float64, len(s.Points))
+	largest := 0.0
+	for i, point := range s.Points {
+		xs[i], ys[i] = point.X, point.Y
+		largest = max(largest, math.Abs(point.Y))
+	}
+	fit := Fit{}
+	fit.Intercept, fit.Slope = stat.LinearRegression(xs, ys, nil, false)
+	for _, point := range s.Points {
+		if largest > 0 {
+			fit.Residual = max(fit.Residual, math.Abs(point.Y-fit.At(point.X))/largest)
+		}
+	}
+	return fit
+}
+
+// At returns the value of the line at x.
+func (f Fit) At(x float64) float64 { return f.Intercept + f.Slope*x }
--- /dev/null
+++ b/internal/capacity/report.go
@@ -0,0 +1,111 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// The lines between which Write replaces the tables of the page.
+const (
+	beginMark = "<!-- begin of the tables that \"go run ./cmd/capacity\" maintains -->"
+	endMark   = "<!-- end of the tables -->"
+)
+
+// Measure runs every measurement. progress is called with the name of each.
+func Measure(ctx context.Context, progress func(name string)) (all []Series, err error) {
+	defer func() { err = errors.Wrap(err, "measure capacity") }()
+	plain := []func() Series{
+		controlMemory, programMemory, historyMemory, recovery, limitCost, heartbeats, suspicion,
+	}
+	for _, measure := range plain {
+		measured := measure()
+		progress(measured.Name)
+		all = append(all, measured)
+	}
+	choices, err := routing()
+	if err != nil {
+		return nil, err
+	}
+	progress(choices.Name)
+	direct, through, perToken, err := firstToken(ctx)
+	if err != nil {
+		return nil, err
+	}
+	progress(through.Name)
+	return append(all, choices, direct, through, perToken), nil
+}
+
+// Table formats the measurements and their fits as Markdown.
+func Table(all []Series) string {
+	var out strings.Builder
+	out.WriteString("| measurement | sizes | values | slope | intercept | largest residual |\n|---|---|---|---|---|---|\n")
+	for _, one := range all {
+		var xs, ys []string
+		for _, point := range one.Points {
+			xs = append(xs, number(point.X))
+			ys = append(ys, number(point.Y))
+		}
+		fit := one.Fit()
+		fmt.Fprintf(&out, "| [%s](capacity/%s.svg): %s | %s %s | %s %s | %s per unit | %s | %.0f %% |\n",
+			one.Name, one.Name, one.What, strings.Join(xs, ", "), one.XUnit, strings.Join(ys, ", "), one.YUnit,
+			number(fit.Slope), number(fit.Intercept), 100*fit.Residual)
+	}
+	return out.String()
+}
+
+func number(value float64) string { return fmt.Sprintf("%.4g", value) }
+
+// Write replaces the tables of the page at path and draws a plot for each
+// series beside it.
+func Write(path string, all []Series, target string) (err error) {
+	defer func() { err = errors.Wrapf(err, "write %s", path) }()
+	page, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	begin, end := bytes.Index(page, []byte(beginMark)), bytes.Index(page, []byte(endMark))
+	if begin < 0 || end < begin {
+		return errors.New("page has no marks for the tables")
+	}
+	text := string(page[:begin]) + beginMark + "\n\n" + Table(all) + "\n" + target + "\n" + string(page[end:])
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		return err
+	}
+	folder := filepath.Join(filepath.Dir(path), "capacity")
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	for _, one := range all {
+		if err := draw(filepath.Join(folder, one.Name+".svg"), one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// draw plots the points of a series and its line.
+func draw(path string, one Series) error {
+	picture := plot.New()
+	picture.Title.Text = one.Name
+	picture.X.Label.Text, picture.Y.Label.Text = one.XUnit, one.YUnit
+	points := make(plotter.XYs, len(one.Points))
+	for i, point := range one.Points {
+		points[i].X, points[i].Y = point.X, point.Y
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return err
+	}
+	picture.Add(scatter, plotter.NewFunction(one.Fit().At), plotter.NewGrid())
+	const width, height = 12 * vg.Centimeter, 8 * vg.Centimeter
+	return picture.Save(width, height, path)
+}
--- /dev/null
+++ b/internal/capacity/state.go
@@ -0,0 +1,217 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/keyring"
+	"github.com/baobabspool/baobabspool/pkg/limit"
+	"github.com/baobabspool/baobabspool/pkg/membership"
+	"github.com/baobabspool/baobabspool/pkg/program"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// heapOf returns the bytes of heap that what build returns keeps alive.
+func heapOf(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func series(name, what, xUnit, yUnit string, sizes []int, measure func(size int) float64) Series {
+	result := Series{Name: name, What: what, XUnit: xUnit, YUnit: yUnit}
+	for _, size := range sizes {
+		result.Points = append(result.Points, Point{X: float64(size), Y: measure(size)})
+	}
+	return result
+}
+
+// controlMemory measures the control state per account with its key and two
+// settings.
+func controlMemory() Series {
+	return series("control-memory", "control state of accounts with one key and two settings each", "accounts", "bytes",
+		[]int{100, 400, 1000, 2000}, func(accounts int) float64 {
+			return heapOf(func() any { return controlState(accounts) })
+		})
+}
+
+func controlState(accounts int) *control.State {
+	state := control.NewState()
+	for i := range accounts {
+		id := fmt.Sprintf("account-%d", i)
+		_, stored, _ := keyring.Issue(spool.AccountID(id), 1, 0)
+		contents := []any{control.Account{ID: spool.AccountID(id)}, stored}
+		for _, name := range []settings.Number{settings.LimitRatePerSecond, settings.LimitBurst} {
+			contents = append(contents, settings.Change{
+				Path:  settings.Path{Target: settings.Target{Level: settings.LevelAccount, ID: id}, Name: string(name)},
+				Value: json.RawMessage("100"),
+			})
+		}
+		batch := spool.Batch{Offset: spool.Offset(i + 1), ID: id}
+		for _, content := range contents {
+			record, _ := control.NewRecord(content)
+			batch.Records = append(batch.Records, record)
+		}
+		_, _ = state.Apply(batch)
+	}
+	return state
+}
+
+// programMemory measures the owner's state per program without history.
+func programMemory() Series {
+	return series("program-memory", "state of programs with one short turn, at the owner", "programs", "bytes",
+		[]int{500, 1000, 2000, 4000}, func(programs int) float64 {
+			return heapOf(func() any { return programState(programs, 1, 40) })
+		})
+}
+
+// historyMemory measures the owner's state per token of history.
+func historyMemory() Series {
+	const programs, turnBytes = 20, 1600
+	return series("history-memory", "state of 20 programs of growing history, at the owner", "tokens of history", "bytes",
+		[]int{20, 60, 120, 340}, func(turns int) float64 {
+			return heapOf(func() any { return programState(programs, turns, turnBytes) })
+		}).scaled(programs * turnBytes / 4)
+}
+
+// scaled multiplies every X.
+func (s Series) scaled(factor float64) Series {
+	for i := range s.Points {
+		s.Points[i].X *= factor
+	}
+	return s
+}
+
+func programState(programs, turns, turnBytes int) *program.State {
+	state := program.NewState(program.DefaultLimits)
+	for i := range programs {
+		id := spool.ProgramID(fmt.Sprintf("%026d", i))
+		record, err := state.Start(id, program.Started{
+			Account: "account", Model: "model", At: 1, IdleFor: clock.Hour,
+			Budget: program.Budget{Tokens: 1 << 40, Calls: 1 << 20, Wall: clock.Hour, Depth: 4, Agents: 16},
+		})
+		if err != nil {
+			panic(err)
+		}
+		state.Apply([]spool.Record{record})
+		applyTurns(state, id, turns, turnBytes)
+	}
+	return state
+}
+
+// applyTurns folds finished turns, as a new owner does.
+func applyTurns(state *program.State, id spool.ProgramID, turns, turnBytes int) {
+	digest := ""
+	for turn := range turns {
+		question := spool.Message{Role: "user", Content: strings.Repeat("q", turnBytes/2)}
+		answer := spool.AnswerMessage(strings.Repeat("a", turnBytes/2))
+		digest = spool.HistoryDigest(digest, question, answer)
+		body, _ := json.Marshal(program.Turn{
+			Call: spool.CallID(fmt.Sprintf("turn-%d", turn)), Body: "digest", Base: 2 * turn,
+			Messages: []spool.Message{question, answer}, Digest: digest, GeneratedTokens: turnBytes / 8,
+			Charged: turnBytes / 4, Endpoint: "m1", At: 2,
+		})
+		effects := state.Apply([]spool.Record{{Kind: program.KindTurn, Program: id, Data: body}})
+		if len(effects.Invalid) > 0 {
+			panic(effects.Invalid[0])
+		}
+	}
+}
+
+// recovery measures the time to fold a stream again, as a new owner does.
+func recovery() Series {
+	const turnBytes = 1600
+	return series("recovery", "time to fold the turns of a stream again after a change of owner", "turns", "ms",
+		[]int{1000, 2000, 4000, 8000}, func(turns int) float64 {
+			since := time.Now()
+			runtime.KeepAlive(programState(turns/20, 20, turnBytes))
+			return float64(time.Since(since)) / float64(time.Millisecond)
+		})
+}
+
+// limitCost measures the processor time of the account limits at an entry.
+func limitCost() Series {
+	timing := limit.DefaultTiming()
+	config := limit.Config{Rate: 50, Burst: 100, StaticShare: 0.2}
+	return series("limit-cpu", "one entry's limits of idle accounts, 100 ticks a second", "accounts", "share of a core",
+		[]int{50, 100, 200, 430}, func(accounts int) float64 {
+			shares := make([]*limit.Share, accounts)
+			owners := make([]*limit.Owner, accounts)
+			for i := range shares {
+				shares[i] = limit.NewShare(0, spool.AccountID(fmt.Sprint(i)), "e1", timing, config)
+				owners[i] = limit.NewOwner(timing, config)
+			}
+			const ticks = 400
+			start := cpuTime()
+			for tick := range clock.Millis(ticks) {
+				for i := range shares {
+					shares[i].Tick(10 * tick)
+					owners[i].Tick(10 * tick)
+				}
+			}
+			return (cpuTime() - start).Seconds() / (ticks * 0.010)
+		})
+}
+
+// suspicion measures the messages sent because one member has gone silent.
+func suspicion() Series {
+	return series("suspicion-messages", "probes of all members together, with their answers, in the 10 s after one member has died", "members", "messages",
+		[]int{10, 30, 100, 330}, func(members int) float64 {
+			return float64(membershipMessages(members, true).probes)
+		})
+}
+
+// heartbeats measures the messages of one member at rest.
+func heartbeats() Series {
+	return series("heartbeat-messages", "heartbeats that one member sends, and answers that it gets, per second at rest", "members", "messages/s",
+		[]int{10, 30, 100, 330}, func(members int) float64 {
+			return float64(membershipMessages(members, false).heartbeats) / float64(members) / 10
+		})
+}
+
+// membershipMessages runs the members' views in virtual time for 10 s. With
+// dies, the first member is silent.
+func membershipMessages(count int, dies bool) *membershipNetwork {
+	const horizon, step = 10 * clock.Second, 100
+	vms := make([]spool.VM, count)
+	views := map[spool.NodeID]*membership.View{}
+	for i := range vms {
+		vms[i] = spool.VM{
+			ID: spool.NodeID(fmt.Sprintf("e%03d", i)), Role: spool.RoleEntry, State: spool.VMLive,
+			FailureDomain: spool.FailureDomain(fmt.Sprintf("fd%d", i%14)), Address: fmt.Sprintf("10.0.0.%d", i),
+		}
+		views[vms[i].ID] = membership.New(membershipConfig(vms[i]))
+	}
+	network := &membershipNetwork{views: views}
+	if dies {
+		network.dead = vms[0].ID
+	}
+	for now := clock.Millis(0); now < horizon; now += step {
+		for _, vm := range vms {
+			network.run(now, vm.ID, views[vm.ID].Listed(now, vms))
+			network.run(now, vm.ID, views[vm.ID].Tick(now))
+		}
+	}
+	return network
+}
--- /dev/null
+++ b/internal/capacity/target.go
@@ -0,0 +1,61 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+)
+
+// The target, from section 1.7 of docs/design.md.
+const (
+	targetEntries  = 330.0
+	targetServers  = 11000.0
+	targetAccounts = 430.0
+	targetPrograms = 360000.0
+	targetTokens   = 3.5e6
+	targetDomains  = 14.0
+	targetChanges  = 35000.0
+	// longestHistory is in tokens and holds for one program.
+	longestHistory = 150000.0
+	megabyte       = 1 << 20
+)
+
+// Target works out what the target size needs from the slopes.
+func Target(all []Series) string {
+	fits := map[string]Fit{}
+	for _, one := range all {
+		fits[one.Name] = one.Fit()
+	}
+	programs := targetPrograms / targetEntries
+	var out strings.Builder
+	out.WriteString("| at the target, per entry unless stated | worked out from | result |\n|---|---|---|\n")
+	row := func(what, from, format string, values ...any) {
+		fmt.Fprintf(&out, "| %s | %s | %s |\n", what, from, fmt.Sprintf(format, values...))
+	}
+	row("control state of 430 accounts", "control-memory", "%.2f MB", fits["control-memory"].Slope*targetAccounts/megabyte)
+	row(fmt.Sprintf("state of %.0f programs without history", programs), "program-memory", "%.1f MB", fits["program-memory"].Slope*programs/megabyte)
+	row(fmt.Sprintf("history of %.0f programs at the longest, 150,000 tokens", programs), "history-memory", "%.0f MB", fits["history-memory"].Slope*longestHistory*programs/megabyte)
+	row("account limits of 430 accounts", "limit-cpu", "%.2f %% of a core", 100*fits["limit-cpu"].Slope*targetAccounts)
+	row("heartbeats among 330 entries", "heartbeat-messages", "%.1f messages/s", fits["heartbeat-messages"].At(targetEntries))
+	row("one entry's death, messages of all entries", "suspicion-messages", "%.0f messages in 10 s", fits["suspicion-messages"].At(targetEntries))
+	row("one choice among 11,000 endpoints", "routing-cpu", "%.0f µs", fits["routing-cpu"].At(targetServers))
+	row("one choice among the 917 endpoints of one of 12 models", "routing-cpu", "%.0f µs", fits["routing-cpu"].At(targetServers/12))
+	row("fold of the streams of one failure domain, by one entry of the rest, 340 turns each", "recovery", "%.1f s",
+		fits["recovery"].Slope*(targetPrograms/targetDomains)/(targetEntries*(1-1/targetDomains))*340/1000)
+	perToken := fits["token-cpu"].At(0)
+	tokens := targetTokens / targetEntries
+	if points := seriesOf(all, "token-cpu").Points; len(points) > 0 {
+		perToken = points[len(points)-1].Y
+	}
+	row(fmt.Sprintf("%.0f tokens/s of traffic, with stand-in engines and callers in the same process", tokens), "token-cpu, highest rate", "%.2f cores", perToken*tokens/1e6)
+	row("changes of configuration", "35,000 a day", "%.2f records/s", targetChanges/86400)
+	return out.String()
+}
+
+func seriesOf(all []Series, name string) Series {
+	for _, one := range all {
+		if one.Name == name {
+			return one
+		}
+	}
+	return Series{}
+}
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -61,6 +61,8 @@
 	addresses []string
 	logAt     string
 	vmsAt     string
+	// engineAt are the addresses of the engines.
+	engineAt []string
 }
 
 func newCluster(ctx context.Context, seed uint64, accounts []*account) (c *cluster, err error) {
@@ -165,6 +167,7 @@
 		if err != nil {
 			return err
 		}
+		c.engineAt = append(c.engineAt, at)
 		err = c.startEndpoint(fmt.Sprintf("m%d", i+1), domains[i%2], modelService, process.EndpointConfig{EngineAddress: at})
 		if err != nil {
 			return err
