Ignore cache events asked for before an engine restart

Cause: events of the old engine that arrive after its restart was noticed set the sequence number to the old, higher range, and the events of the new engine would be skipped until they reach it. Change: the answer names the number that was asked for, and one that no longer fits is dropped and counted; the next poll asks again.

--- a/internal/endpoint/poll.go
+++ b/internal/endpoint/poll.go
@@ -51,13 +51,14 @@
 func (a *Agent) pollEvents() {
 	ctx, cancel := a.asking()
 	defer cancel()
-	events, err := a.engine.CacheEvents(ctx, a.eventsAfter.Load())
+	after := a.eventsAfter.Load()
+	events, err := a.engine.CacheEvents(ctx, after)
 	if err != nil {
 		a.telemetry.Event("cacheEventsFailed")
 		return
 	}
 	if len(events) > 0 {
-		a.post(gatekeeper.Events{Events: events})
+		a.post(gatekeeper.Events{After: after, Events: events})
 	}
 }
 
--- a/pkg/gatekeeper/gatekeeper.go
+++ b/pkg/gatekeeper/gatekeeper.go
@@ -95,7 +95,7 @@
 	case Unreachable:
 		k.unreachable()
 	case Events:
-		k.events(m.Events)
+		k.events(m)
 	case Sessions:
 		k.sessions(m)
 	case Freed:
--- a/pkg/gatekeeper/kernel_test.go
+++ b/pkg/gatekeeper/kernel_test.go
@@ -219,7 +219,9 @@
 		gomega.Expect(take[gatekeeper.Reconcile](k, gatekeeper.Events{Events: events})).To(gomega.BeEmpty())
 		gomega.Expect(k.Held()).To(gomega.Equal(map[spool.ProgramID]int{"p": 8}))
 		events = []spool.CacheEvent{{Sequence: 7, Program: "p"}}
-		gomega.Expect(take[gatekeeper.Reconcile](k, gatekeeper.Events{Events: events})).To(gomega.HaveLen(1))
+		gomega.Expect(take[gatekeeper.Reconcile](k, gatekeeper.Events{After: 5, Events: events})).To(gomega.HaveLen(1))
+		gomega.Expect(k.Held()).To(gomega.BeEmpty())
+		k.Step(k.now, gatekeeper.Events{After: 5, Events: []spool.CacheEvent{{Sequence: 8, Program: "stale", Tokens: 7}}})
 		gomega.Expect(k.Held()).To(gomega.BeEmpty())
 	})
 
--- a/pkg/gatekeeper/memory.go
+++ b/pkg/gatekeeper/memory.go
@@ -214,8 +214,12 @@
 }
 
 // events takes cache events in. After a gap the engine's own list is asked for.
-func (k *Kernel) events(events []spool.CacheEvent) {
-	for _, event := range events {
+func (k *Kernel) events(m Events) {
+	if m.After != k.engine.sequence {
+		k.emit(Note{Event: "staleCacheEvents"})
+		return
+	}
+	for _, event := range m.Events {
 		if event.Sequence <= k.engine.sequence {
 			continue
 		}
--- a/pkg/gatekeeper/message.go
+++ b/pkg/gatekeeper/message.go
@@ -124,7 +124,12 @@
 type Unreachable struct{}
 
 // Events are cache events in the order of their sequence numbers.
-type Events struct{ Events []spool.CacheEvent }
+type Events struct {
+	// After is the sequence number that was asked for. An answer to a question
+	// from before a restart of the engine does not fit the new numbers.
+	After  uint64
+	Events []spool.CacheEvent
+}
 
 // Sessions is the engine's list of sessions.
 type Sessions struct {
