Revert a first change, and publish from the state of a reader

Cause: trying the commands against the stand-in showed that the only change of a value could not be reverted, that a publishing command gave up at once while the log was down, and that a malformed log address was reported as an outage. Change: revert unsets a value whose only change is the latest one, if the log holds all changes; Publish waits for the log until its context ends; the address is checked; control.WithState and Reader.Copy let a process publish from the state that it has. Conclusion: tests of both packages pass.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -137,8 +137,9 @@
 	command.RunE = func(command *cobra.Command, args []string) error {
 		var problems config.Problems
 		o.check(&problems)
-		if o.logAddress == "" {
-			problems.Require("log-address", o.logAddress)
+		problems.Require("log-address", o.logAddress)
+		if o.logAddress != "" {
+			problems.Address("log-address", o.logAddress)
 		}
 		if err := settings.CheckIdentifier(o.writer); err != nil {
 			problems.Add("writer", "%v", err)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -66,8 +66,11 @@
 		var events []control.Event
 		gomega.Expect(json.Unmarshal([]byte(good("settings", "history", "account/acme/limit.burst", "--json")), &events)).To(gomega.Succeed())
 		gomega.Expect(events).To(gomega.HaveLen(3))
+		good("settings", "revert", "fleet/limit.burst")
+		_, code := run("settings", "get", "fleet/limit.burst")
+		gomega.Expect(code).To(gomega.Equal(cli.ExitNotFound))
 		good("settings", "unset", "account/acme/limit.burst")
-		_, code := run("settings", "get", "account/acme/limit.burst")
+		_, code = run("settings", "get", "account/acme/limit.burst")
 		gomega.Expect(code).To(gomega.Equal(cli.ExitNotFound))
 	})
 
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -263,7 +264,7 @@
 		Args:    cobra.ExactArgs(1),
 	}
 	return o.verb(command, func(s *session, args []string) error {
-		events, err := control.History(s.ctx, s.log, args[0])
+		events, _, err := control.History(s.ctx, s.log, args[0])
 		if err != nil {
 			return err
 		}
@@ -297,11 +298,11 @@
 		if _, err := s.state(); err != nil {
 			return err
 		}
-		events, err := control.History(s.ctx, s.log, path.String())
+		events, complete, err := control.History(s.ctx, s.log, path.String())
 		if err != nil {
 			return err
 		}
-		value, err := control.ValueAt(events, target(events, spool.Offset(to)))
+		value, err := earlier(events, spool.Offset(to), complete)
 		if err != nil {
 			return err
 		}
@@ -309,19 +310,26 @@
 	})
 }
 
-// target returns the offset to restore: the given one, or that of the applied
-// change before the latest.
-func target(events []control.Event, to spool.Offset) spool.Offset {
-	if to != 0 {
-		return to
-	}
-	var latest, previous spool.Offset
+// earlier returns the value to restore: that of the change at an offset, or of
+// the applied change before the latest. Before the first change, the value was
+// not set.
+func earlier(events []control.Event, to spool.Offset, complete bool) (json.RawMessage, error) {
+	var applied []spool.Offset
 	for _, event := range events {
 		if event.Applied {
-			previous, latest = latest, event.Offset
+			applied = append(applied, event.Offset)
 		}
 	}
-	return previous
+	switch {
+	case to != 0:
+		return control.ValueAt(events, to)
+	case len(applied) > 1:
+		return control.ValueAt(events, applied[len(applied)-2])
+	case len(applied) == 1 && complete:
+		return nil, nil
+	default:
+		return nil, errors.Wrap(control.ErrNotKept, "the value before the latest change is not known")
+	}
 }
 
 // Lines around the reference in a page.
--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -33,16 +33,19 @@
 var ErrNotKept = errors.New("history holds no applied change at that offset")
 
 // History lists the changes of path that the log still holds, oldest first. The
-// first may come from a snapshot.
-func History(ctx context.Context, log spool.Log, path string) (events []Event, err error) {
+// first may come from a snapshot. complete tells that nothing was removed.
+func History(ctx context.Context, log spool.Log, path string) (events []Event, complete bool, err error) {
 	defer func() { err = errors.Wrapf(err, "history of %s", path) }()
+	complete = true
 	_, err = follow(ctx, log, NewState(), observer{
-		loaded: func(state *State) { events = append(events[:0], fromSnapshot(state, path)...) },
+		loaded: func(state *State) {
+			events, complete = append(events[:0], fromSnapshot(state, path)...), false
+		},
 		applied: func(batch spool.Batch, rejected []Rejection) {
 			events = append(events, eventsOf(batch, rejected, path)...)
 		},
 	})
-	return events, err
+	return events, complete, err
 }
 
 func fromSnapshot(state *State, path string) []Event {
--- a/internal/control/peers_test.go
+++ b/internal/control/peers_test.go
@@ -1,10 +1,12 @@
 package control_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -219,8 +221,9 @@
 		_, err = log.Append(ctx, spool.ControlStream, copied)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(publisher.Refresh(ctx)).To(gomega.Succeed())
-		events, err := control.History(ctx, log, "fleet/limit.burst")
+		events, complete, err := control.History(ctx, log, "fleet/limit.burst")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(complete).To(gomega.BeTrue())
 		gomega.Expect(events).To(gomega.HaveLen(3))
 		gomega.Expect(events[2].Applied).To(gomega.BeFalse())
 		value, err := control.ValueAt(events, offset)
@@ -230,8 +233,32 @@
 
 	ginkgo.It("says that a change has no effect when the log is down", func() {
 		log.set(func(l *fakeLog) { l.down = true })
-		_, err := control.NewPublisher(log, "op").Publish(ginkgo.GinkgoT().Context(), change("fleet/limit.burst", "5"))
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		_, err := control.NewPublisher(log, "op").Publish(ctx, change("fleet/limit.burst", "5"))
 		gomega.Expect(err).To(gomega.MatchError(control.ErrNotPublished))
+		gomega.Expect(log.all()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("waits for a log that comes back in time", func() {
+		log.set(func(l *fakeLog) { l.down = true })
+		time.AfterFunc(100*time.Millisecond, func() { log.set(func(l *fakeLog) { l.down = false }) })
+		_, err := control.NewPublisher(log, "op").Publish(ginkgo.GinkgoT().Context(), change("fleet/limit.burst", "5"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	})
+
+	ginkgo.It("goes on from the state of a reader without reading the stream again", func() {
+		reader := startReader(control.Config{Node: "e1"}, control.WithLog(log))
+		last := log.publish("1", change("fleet/limit.burst", "5"))
+		gomega.Eventually(reader.Offset).Should(gomega.Equal(last))
+		state, err := reader.Copy()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		publisher := control.NewPublisher(log, "op", control.WithState(state))
+		log.publish("2", change("fleet/limit.burst", "6"))
+		_, err = publisher.Publish(ginkgo.GinkgoT().Context(), change("fleet/limit.burst", "7"))
+		conflict := &control.ConflictError{}
+		gomega.Expect(errors.As(err, &conflict)).To(gomega.BeTrue())
+		gomega.Expect(reader.Settings(settings.Scope{}).Number(settings.LimitBurst)).NotTo(gomega.Equal(7.0))
 	})
 
 	ginkgo.It("rejects what the range forbids before it is appended", func() {
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -72,12 +72,26 @@
 	rejected []Rejection
 }
 
+// PublisherOption changes how a Publisher starts.
+type PublisherOption func(*Publisher)
+
+// WithState makes the publisher go on from a state, for example Reader.Copy,
+// instead of reading the stream from its start. Changes are based on it until
+// the next Refresh.
+func WithState(state *State) PublisherOption {
+	return func(p *Publisher) { p.state, p.read = state, true }
+}
+
 // NewPublisher returns a publisher that names writer as the author.
-func NewPublisher(log spool.Log, writer spool.NodeID) *Publisher {
-	return &Publisher{
+func NewPublisher(log spool.Log, writer spool.NodeID, options ...PublisherOption) *Publisher {
+	publisher := &Publisher{
 		log: log, writer: writer, clock: clock.System(), newID: uuid.NewString,
 		state: NewState(), writers: map[spool.Offset]spool.NodeID{},
 	}
+	for _, option := range options {
+		option(publisher)
+	}
+	return publisher
 }
 
 // Refresh reads the control stream to its end. The changes that are published
@@ -167,8 +181,9 @@
 // ErrNotPublished or ErrUnresolved. It retries until ctx ends; a retry cannot
 // apply the change twice, because the second copy loses the compare-and-set.
 func (p *Publisher) Publish(ctx context.Context, contents ...any) (offset spool.Offset, err error) {
-	if !p.read {
-		if err := p.Refresh(ctx); err != nil {
+	var retry backoff
+	for !p.read {
+		if err := p.Refresh(ctx); err != nil && !pauseFor(ctx, retry.next(0.5)) {
 			return 0, errors.Wrap(ErrNotPublished, err.Error())
 		}
 	}
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -264,6 +264,18 @@
 	return r.node.state.MarshalJSON()
 }
 
+// Copy returns a copy of the state, for a Publisher.
+func (r *Reader) Copy() (*State, error) {
+	if r.Offset() == 0 {
+		return NewState(), nil
+	}
+	image, err := r.Image()
+	if err != nil {
+		return nil, err
+	}
+	return RestoreState(image)
+}
+
 // SetResponsible tells the node whether it appends the snapshots. At any time
 // one node of the system should be told so; several do no harm.
 func (r *Reader) SetResponsible(responsible bool) {
