Keep the authority over a stream while the log is down

Without a read of the tail an owner could not prove that nobody has claimed its stream, so account limits lost their authority in every outage of the log. The owner now asks every listed member, dead or not, to promise not to claim; a member that has been sealed by a newer claim or is claiming itself does not promise. The names of holders are refreshed until the claim is appended, and a page without progress no longer makes a reader spin.

--- a/internal/streams/cluster_test.go
+++ b/internal/streams/cluster_test.go
@@ -41,6 +41,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.down = down
+	close(l.changed)
+	l.changed = make(chan struct{})
 }
 
 func (l *memoryLog) appended() int {
@@ -65,6 +67,7 @@
 
 func (l *memoryLog) Read(ctx context.Context, stream spool.Stream, after spool.Offset, wait clock.Millis) (spool.Page, error) {
 	timeout := time.After(wait.Duration())
+	expired := false
 	for {
 		l.mu.Lock()
 		batches, changed, down := l.streams[stream], l.changed, l.down
@@ -75,10 +78,13 @@
 		if last := spool.Offset(len(batches)); last > after {
 			return spool.Page{Batches: batches[after:min(last, after+100)], First: 1, Last: last}, nil
 		}
+		if expired || wait == 0 {
+			return spool.Page{First: 1, Last: spool.Offset(len(batches))}, nil
+		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return spool.Page{First: 1, Last: spool.Offset(len(batches))}, nil
+			expired = true
 		case <-ctx.Done():
 			return spool.Page{}, ctx.Err()
 		}
@@ -154,7 +160,7 @@
 	}}
 	config := streams.Config{
 		Node: n.vm.ID, Address: name, FailureDomain: domain, Region: "sn-west", StreamCount: 4,
-		ListEvery: 50, HeartbeatEvery: 50, DeadAfter: 150, HandoverEvery: 20, SettleAfter: 100, LeaveAfter: 500, AppendsPerSecond: 400,
+		ListEvery: 50, HeartbeatEvery: 50, DeadAfter: 150, HandoverEvery: 20, SettleAfter: 100, LeaveAfter: 500, AppendsPerSecond: 400, PromiseFor: 500,
 		PollWait: 100, PeerTimeout: 100, TickEvery: 5,
 	}
 	if change != nil {
--- a/internal/streams/config.go
+++ b/internal/streams/config.go
@@ -31,6 +31,7 @@
 	defaultHandoverEvery  = 500 * clock.Millis(1)
 	defaultSettleAfter    = 2 * clock.Second
 	defaultLeaveAfter     = 2 * clock.Second
+	defaultPromiseFor     = 3 * clock.Second
 
 	// publishEvery bounds the age of what Stats, Members and OwnerOf return.
 	publishEvery = 50 * clock.Millis(1)
@@ -43,7 +44,7 @@
 		&c.TickEvery: defaultTickEvery, &c.ListEvery: defaultListEvery,
 		&c.HeartbeatEvery: defaultHeartbeatEvery, &c.DeadAfter: defaultDeadAfter,
 		&c.HandoverEvery: defaultHandoverEvery, &c.SettleAfter: defaultSettleAfter,
-		&c.LeaveAfter: defaultLeaveAfter,
+		&c.LeaveAfter: defaultLeaveAfter, &c.PromiseFor: defaultPromiseFor,
 	} {
 		if *value == 0 {
 			*value = fallback
--- a/internal/streams/control.go
+++ b/internal/streams/control.go
@@ -23,6 +23,10 @@
 	listing   bool
 	listAt    clock.Millis
 	publishAt clock.Millis
+	// round is the latest request for promises; confirmed is what such rounds
+	// have proved.
+	round     *round
+	confirmed map[spool.Stream]clock.Millis
 	// absent counts the lists in a row that lacked a node.
 	absent map[spool.NodeID]int
 	// leaving are those who wait for the end of a Leave; leaveBy is when streams
@@ -48,6 +52,7 @@
 		holder:    journal.NewHolder(incarnation, m.config.HolderBytes),
 		addresses: map[spool.NodeID]string{m.config.Node: m.config.Address},
 		absent:    map[spool.NodeID]int{},
+		confirmed: map[spool.Stream]clock.Millis{},
 		view: membership.New(membership.Config{
 			Self: spool.VM{
 				ID: m.config.Node, Role: spool.RoleEntry, State: spool.VMLive, Address: m.config.Address,
@@ -87,6 +92,7 @@
 	c.stages(now)
 	c.members(c.view.Tick(now), now)
 	c.leave(now)
+	c.askPromises(now)
 	if now >= c.publishAt {
 		c.publishAt = now + publishEvery
 		c.publish()
--- a/internal/streams/execute.go
+++ b/internal/streams/execute.go
@@ -78,6 +78,7 @@
 	m.losses[s.name]++
 	delete(m.served, s.name)
 	m.mu.Unlock()
+	delete(c.confirmed, s.name)
 	switch cause {
 	case journal.LossTaken:
 		c.event("streams.lost")
--- a/internal/streams/handlers.go
+++ b/internal/streams/handlers.go
@@ -72,7 +72,7 @@
 	own := c.heartbeat(now)
 	return wire.HeartbeatReply{
 		Node: own.Node, ControlOffset: own.ControlOffset, Owned: own.Owned,
-		Leaving: own.Leaving, Changes: own.Changes,
+		Leaving: own.Leaving, Changes: own.Changes, Promised: c.promise(now, request),
 	}, nil
 }
 
--- a/internal/streams/members.go
+++ b/internal/streams/members.go
@@ -95,7 +95,7 @@
 			c.execute(s, s.journal.Gone(now, node))
 		}
 	}
-	if s.journal.Serving() {
+	if s.journal.Phase() != journal.PhaseIdle {
 		c.execute(s, s.journal.SetHolders(now, c.view.Holders(s.name, s.journal.Named())))
 	}
 }
@@ -252,7 +252,7 @@
 			stats.Owned++
 		}
 		if until, ok := s.journal.Confirmed(); ok {
-			confirmed[name] = until
+			confirmed[name] = max(until, c.confirmed[name])
 		}
 	}
 	owners := make(map[spool.Stream]spool.NodeID, config.StreamCount)
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -65,6 +65,9 @@
 	// LeaveAfter is how long Leave waits for the next owner of a stream to ask for
 	// it before it releases the stream anyway.
 	LeaveAfter clock.Millis
+	// PromiseFor is the time for which members promise not to claim the streams of
+	// an owner while the log is down.
+	PromiseFor clock.Millis
 }
 
 // Applier is the user of the streams. The methods for one stream are called on
--- a/internal/streams/streams_test.go
+++ b/internal/streams/streams_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"github.com/baobabspool/baobabspool/internal/streams"
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -62,6 +66,46 @@
 		gomega.Expect(nodes).To(gomega.ContainElement(next))
 	})
 
+	ginkgo.It("keeps its authority while the log is down only as long as every member promises not to claim", func() {
+		nodes := []*node{c.start(0, nil), c.start(1, nil), c.start(2, nil)}
+		gomega.Eventually(func() int { return c.owned() }, "3s").Should(gomega.Equal(4))
+		n := c.settled(stream)
+		c.log.setDown(true)
+		until := func() clock.Millis { until, _ := n.manager.Confirmed(stream); return until }
+		ahead := func() bool { return until() > clock.System().Now() }
+		gomega.Eventually(ahead, "2s").Should(gomega.BeTrue())
+		for _, other := range nodes {
+			if other != n {
+				c.crash(other, false)
+				break
+			}
+		}
+		gomega.Eventually(ahead, "6s").Should(gomega.BeFalse())
+		gomega.Consistently(ahead, "300ms").Should(gomega.BeFalse())
+	})
+
+	ginkgo.It("stays under the rate of appends whatever the load", func() {
+		n := c.start(0, func(config *streams.Config) { config.AppendsPerSecond, config.StreamCount = 90, 8 })
+		gomega.Eventually(func() int { return n.manager.Stats().Owned }, "4s").Should(gomega.Equal(8))
+		before, start := c.log.appended(), time.Now()
+		var submitted atomic.Int64
+		var running sync.WaitGroup
+		for i := range 200 {
+			running.Go(func() {
+				for time.Since(start) < time.Second {
+					if n.manager.Submit(context.Background(), spool.ProgramStream(i%8), []spool.Record{record("1")}, true) == nil {
+						submitted.Add(1)
+					}
+				}
+			})
+		}
+		running.Wait()
+		rate := float64(c.log.appended()-before) / time.Since(start).Seconds()
+		ginkgo.GinkgoWriter.Printf("%.0f appends and %d submissions a second\n", rate, submitted.Load())
+		gomega.Expect(rate).To(gomega.BeNumerically("<", 100))
+		gomega.Expect(submitted.Load()).To(gomega.BeNumerically(">", 500))
+	})
+
 	ginkgo.It("hands streams over when an entry leaves and when one joins", func() {
 		for i := range 3 {
 			c.start(i, nil)
--- a/pkg/journal/append.go
+++ b/pkg/journal/append.go
@@ -246,6 +246,7 @@
 }
 
 func (j *Journal) page(now clock.Millis, page spool.Page) {
+	before := j.position()
 	for _, batch := range page.Batches {
 		if batch.Offset <= j.position() {
 			continue
@@ -262,6 +263,10 @@
 	}
 	j.atTail = j.position() >= page.Last
 	if !j.atTail {
+		if j.position() == before {
+			// A page that leaves out what it says exists must not cause a busy loop.
+			j.readAt = now + j.config.RetryAfter
+		}
 		return
 	}
 	if j.phase == PhaseReading {
--- a/pkg/journal/holder.go
+++ b/pkg/journal/holder.go
@@ -74,6 +74,9 @@
 // append. It ignores the fence and the limit, since they are acknowledged.
 func (h *Holder) Retain(stream spool.Stream, units []Unit) { h.keep(h.stream(stream), units) }
 
+// Fence returns the highest epoch of a stream that the holder has seen.
+func (h *Holder) Fence(stream spool.Stream) spool.Epoch { return h.stream(stream).fence }
+
 // Units returns the copies of one stream in order.
 func (h *Holder) Units(stream spool.Stream) []Unit { return slices.Clone(h.stream(stream).units) }
 
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -154,6 +154,8 @@
 	confirmed clock.Millis
 
 	peers map[spool.NodeID]*peer
+	// promised is the instant before which this node appends no claim.
+	promised clock.Millis
 	// allowed is the owner that may be replaced; atTail means that the last read
 	// reached the end of the stream.
 	allowed spool.NodeID
--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -203,6 +203,19 @@
 		gomega.Expect(w.order()).To(gomega.Equal([]string{"1"}))
 	})
 
+	ginkgo.It("claims nothing before a promise has ended, and promises nothing during a claim", func() {
+		w := newWorld(1, journal.Config{AppendInterval: 30, PollWait: 100})
+		n := w.nodes[0]
+		gomega.Expect(n.journal.Promise(w.now + 800)).To(gomega.BeTrue())
+		w.follow(n, "")
+		w.advance(750)
+		gomega.Expect(w.all).To(gomega.BeEmpty())
+		gomega.Expect(n.journal.Phase()).To(gomega.Equal(journal.PhaseReady))
+		w.advance(400)
+		gomega.Expect(n.journal.Serving()).To(gomega.BeTrue())
+		gomega.Expect(n.journal.Promise(w.now + 800)).To(gomega.BeFalse())
+	})
+
 	ginkgo.It("bounds the memory of a holder and keeps nothing of what it refuses", func() {
 		holder := journal.NewHolder("h", 500)
 		list := []journal.Unit{unit("a", 1, 1), unit("a", 1, 2)}
--- a/pkg/journal/peer.go
+++ b/pkg/journal/peer.go
@@ -142,9 +142,21 @@
 // Named returns the nodes that were chosen as holders.
 func (j *Journal) Named() []spool.NodeID { return slices.Clone(j.order) }
 
+// choose sets the holders that the claim is going to name.
+func (j *Journal) choose(nodes []spool.NodeID) {
+	j.order, j.peers = slices.Clone(nodes), map[spool.NodeID]*peer{}
+	for _, node := range nodes {
+		j.peers[node] = &peer{}
+	}
+}
+
 // SetHolders replaces holders that are gone. A new holder counts once the
 // stream names it, so that the next owner asks it.
 func (j *Journal) SetHolders(now clock.Millis, nodes []spool.NodeID) []Command {
+	if j.phase == PhaseReading || j.phase == PhaseReady {
+		j.choose(nodes)
+		return j.flush()
+	}
 	if j.phase != PhaseServing {
 		return j.flush()
 	}
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -435,6 +435,9 @@
 	return members
 }
 
+// Others returns every other entry that the VM list shows, whatever the verdict.
+func (v *View) Others() []spool.NodeID { return slices.Sorted(maps.Keys(v.members)) }
+
 // Targets returns the members that get heartbeats.
 func (v *View) Targets() []spool.NodeID {
 	v.refresh()
