Measure the cost of the entry and bound the size of an answer

Cause: the cost that the entry adds to a call was not known, and an endpoint that never stops could fill its memory. Change: a benchmark of a call through the entry against the agent alone; an answer of more than 4 MiB ends its attempt.

--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,82 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// BenchmarkCall measures a call of a model through the entry against the same
+// call sent straight to the agent, so the difference is the entry's own cost.
+// The program has had a number of turns before.
+func BenchmarkCall(b *testing.B) {
+	for _, turns := range []int{0, 100} {
+		b.Run(fmt.Sprint("entry/", turns), func(b *testing.B) {
+			t := newTarget(b)
+			model := &agent{id: "model-1"}
+			listen(b, t, model)
+			for i := range turns {
+				t.turn(b, fmt.Sprint("before-", i))
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				t.turn(b, fmt.Sprint(i))
+			}
+		})
+	}
+	b.Run("agent", func(b *testing.B) {
+		t := newTarget(b)
+		model := &agent{id: "model-1"}
+		listen(b, t, model)
+		clients := wire.NewClients("bench")
+		b.Cleanup(clients.Close)
+		request := wire.RunRequest{Kind: wire.RunModel, Correlation: "c", Messages: []spool.Message{{Role: "user", Content: fog}}}
+		for b.Loop() {
+			var reply wire.RunReply
+			if err := clients.Call(context.Background(), model.server.Address(), wire.MethodRun, request, &reply, nil); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// fog is a message of 400 bytes that the agent echoes in two pieces.
+var fog = strings.Repeat("fog.", 100)
+
+func listen(b *testing.B, t *target, model *agent) {
+	var err error
+	model.server, err = wire.Listen("127.0.0.1:0", wire.Mux{
+		wire.MethodRun: wire.Handle(model.answer),
+		wire.MethodEndpointStatus: wire.Handle(func(context.Context, struct{}, wire.Send) (any, error) {
+			return model.status(), nil
+		}),
+	}, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = model.server.Close() })
+	t.join("mist-models", model)
+}
+
+func (t *target) turn(b *testing.B, call string) {
+	body, _ := json.Marshal(turn(call, fog))
+	made, _ := http.NewRequest("POST", "http://"+t.entry.HTTPAddress()+path(t.program, "/calls"), bytes.NewReader(body))
+	made.Header.Set("Authorization", "Bearer bsk_fog_secret")
+	answer, err := http.DefaultClient.Do(made)
+	if err != nil {
+		b.Fatal(err)
+	}
+	raw, _ := io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	if answer.StatusCode != 200 {
+		b.Fatalf("%d: %s", answer.StatusCode, raw)
+	}
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -18,6 +18,13 @@
 // its pieces do not add up.
 var errCrossed = errors.New("answer does not belong to the call")
 
+// errAnswerTooLong means that an endpoint does not stop.
+var errAnswerTooLong = errors.New("answer is too long")
+
+// maxAnswerBytes bounds an answer, so that an endpoint that ignores maxTokens
+// cannot fill the memory. It is the default bound of a whole history.
+const maxAnswerBytes = 4 << 20
+
 // dispatch sends a call to an endpoint and repeats it as the retry policy
 // allows. sent reports whether an endpoint may have run it.
 func (e *Entry) dispatch(ctx context.Context, shard *shard, flight *flight, request wire.RunRequest) (reply wire.RunReply, sent bool, err error) {
@@ -166,13 +173,16 @@
 	}
 	request.Attempt = shard.attempts.Add(1)
 	flight.begin(request.Attempt)
-	next := 0
+	next, size := 0, 0
 	err = e.clients.Call(ctx, target.Address, wire.MethodRun, request, &reply, func(raw json.RawMessage) error {
 		var chunk spool.Chunk
 		if json.Unmarshal(raw, &chunk) != nil || chunk.Correlation != request.Correlation || chunk.Index != next {
 			return errCrossed
 		}
 		next++
+		if size += len(chunk.Text); size > maxAnswerBytes {
+			return errAnswerTooLong
+		}
 		flight.add(request.Attempt, chunk.Text)
 		return nil
 	})
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -13,6 +13,7 @@
 	"github.com/baobabspool/baobabspool/internal/entry"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -32,6 +33,7 @@
 	config.Node, config.FailureDomain, config.Streams = "fuzz", "swakop-a", testStreams
 	config.ReadTimeout, config.ForwardFor = 200, 100
 	operators := newOperators()
+	operators.settings.Budget = program.Budget{}
 	created, err := entry.New(config, operators, operators, entry.WithTelemetry(counters))
 	if err != nil {
 		tb.Fatal(err)
