Start nothing behind a call whose fate is not known yet

Cause: an intent that became durable after its owner had given it up was asked about while a waiting repeat of the same call could start; the answer 'not run' then hid the outcome of the repeat, which could run a third time. Change: calls wait while an intent of the program is open, and an answer about a call that is under way is not recorded; two tests, which failed before, and late intents and answers in the state machine.

--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -80,7 +80,7 @@
 	}
 	var entry spool.Record
 	open := false
-	shard.do(func() { entry, open = shard.state.Resolve(e.clock.Now(), call.Program, call.Call, result) })
+	shard.do(func() { entry, open = shard.state.Resolve(e.clock.Now(), call, result) })
 	if !open {
 		return
 	}
--- a/pkg/program/calls.go
+++ b/pkg/program/calls.go
@@ -283,7 +283,8 @@
 
 // advance starts the next waiting call; those that are refused are passed over.
 func (s *State) advance(now clock.Millis, program *Program) (grants []Grant) {
-	for len(program.waiting) > 0 && program.running == nil {
+	// A call whose fate is not known yet holds up those behind it.
+	for len(program.waiting) > 0 && program.running == nil && program.open == 0 {
 		ticket := program.waiting[0]
 		program.waiting = program.waiting[1:]
 		var refusal *spool.Refusal
--- a/pkg/program/machine_test.go
+++ b/pkg/program/machine_test.go
@@ -14,6 +14,12 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
+// asked is an answer of an agent that has not been recorded yet.
+type asked struct {
+	call   program.Unresolved
+	result program.OutcomeResult
+}
+
 // naive recomputes from the log, without any cleverness, what the fold keeps
 // up to date.
 type naive struct {
@@ -87,8 +93,15 @@
 	running    map[uint64]program.Ticket
 	intended   map[uint64]bool
 	executions map[string]int
-	roots      int
-	calls      int
+	// doubtful holds calls whose intent became durable although its owner had
+	// given up waiting and did not dispatch.
+	doubtful map[string]bool
+	// late holds intents that are in doubt: they may yet become durable.
+	late []spool.Record
+	// asked holds open calls with the answer of the agent.
+	asked []asked
+	roots int
+	calls int
 }
 
 func (m *machine) commit(t *rapid.T, records ...spool.Record) {
@@ -175,7 +188,12 @@
 	if ticket.Kind != program.CallService || ticket.Idempotent || m.intended[ticket.ID] {
 		t.Skip("needs no intent")
 	}
-	m.commit(t, m.state.Intent(m.now, ticket.ID, "harvest-app", "e", 1, spool.AgentMark{}))
+	entry := m.state.Intent(m.now, ticket.ID, "harvest-app", "e", 1, spool.AgentMark{})
+	// The intent of an earlier owner of the call may have arrived before.
+	if effects := m.state.Apply([]spool.Record{entry}); effects.Repeated == 0 {
+		m.log = append(m.log, entry)
+	}
+	delete(m.doubtful, fmt.Sprint(ticket.Program, "/", ticket.Call))
 	m.intended[ticket.ID] = true
 	m.executions[fmt.Sprint(ticket.Program, "/", ticket.Call)]++
 }
@@ -211,6 +229,10 @@
 	if !uncertain {
 		return done
 	}
+	if m.doubtful[fmt.Sprint(id, "/", call)] {
+		delete(m.doubtful, fmt.Sprint(id, "/", call))
+		return program.OutcomeResult{Fate: program.FateNotRun}
+	}
 	switch rapid.IntRange(0, 2).Draw(t, "fate") {
 	case 0:
 		m.executions[fmt.Sprint(id, "/", call)]--
@@ -257,8 +279,64 @@
 	m.state = program.NewState(program.Limits{})
 	m.running, m.intended = map[uint64]program.Ticket{}, map[uint64]bool{}
 	m.state.Apply(m.log)
+	m.resolve(t)
+}
+
+// doubt makes an intent durable after its owner has given the call up.
+func (m *machine) doubt(t *rapid.T) {
+	ticket := m.ticket(t)
+	if ticket.Kind != program.CallService || ticket.Idempotent || m.intended[ticket.ID] {
+		t.Skip("needs no intent")
+	}
+	late := m.state.Intent(m.now, ticket.ID, "harvest-app", "e", 1, spool.AgentMark{})
+	m.late = append(m.late, late)
+	m.release(ticket)
+}
+
+// arrive applies an intent that was in doubt.
+func (m *machine) arrive(t *rapid.T) {
+	if len(m.late) == 0 {
+		t.Skip("nothing is in doubt")
+	}
+	late := m.late[0]
+	m.late = m.late[1:]
+	var intent program.Intent
+	_ = json.Unmarshal(late.Data, &intent)
+	if effects := m.state.Apply([]spool.Record{late}); effects.Repeated == 0 {
+		m.log = append(m.log, late)
+		m.doubtful[fmt.Sprint(late.Program, "/", intent.Call)] = true
+	}
+}
+
+// ask asks an agent about one open call; conclude records the answer later.
+func (m *machine) ask(t *rapid.T) {
+	for _, call := range m.state.Unresolved() {
+		key := fmt.Sprint(call.Program, "/", call.Call)
+		if m.doubtful[key] {
+			m.asked = append(m.asked, asked{call: call, result: program.OutcomeResult{Fate: program.FateNotRun}})
+			return
+		}
+	}
+	t.Skip("nothing is open")
+}
+
+func (m *machine) conclude(t *rapid.T) {
+	if len(m.asked) == 0 {
+		t.Skip("no answer has come")
+	}
+	answer := m.asked[0]
+	m.asked = m.asked[1:]
+	if entry, open := m.state.Resolve(m.now, answer.call, answer.result); open {
+		delete(m.doubtful, fmt.Sprint(answer.call.Program, "/", answer.call.Call))
+		m.commit(t, entry)
+		m.grant(m.state.Resolved(m.now, answer.call.Program))
+	}
+}
+
+// resolve asks for the fates of all calls that are open and not under way.
+func (m *machine) resolve(t *rapid.T) {
 	for _, call := range m.state.Unresolved() {
-		entry, open := m.state.Resolve(m.now, call.Program, call.Call, m.fate(t, call.Program, call.Call, true))
+		entry, open := m.state.Resolve(m.now, call, m.fate(t, call.Program, call.Call, true))
 		if !open {
 			t.Fatalf("call %s is not open", call.Call)
 		}
@@ -324,10 +402,11 @@
 		m := &machine{
 			state: program.NewState(program.Limits{}), running: map[uint64]program.Ticket{},
 			intended: map[uint64]bool{}, executions: map[string]int{},
+			doubtful: map[string]bool{},
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"start": m.start, "admit": m.admit, "admitMore": m.admit, "intend": m.intend, "finish": m.finish,
-			"finishMore": m.finish, "spawn": m.spawn, "end": m.end, "expire": m.expire, "crash": m.crash, "": m.check,
+			"finishMore": m.finish, "spawn": m.spawn, "end": m.end, "expire": m.expire, "crash": m.crash, "doubt": m.doubt, "resolve": m.resolve, "arrive": m.arrive, "ask": m.ask, "conclude": m.conclude, "": m.check,
 		})
 		m.checkFolds(t)
 	})
--- a/pkg/program/outcomes.go
+++ b/pkg/program/outcomes.go
@@ -121,17 +121,18 @@
 }
 
 // Resolve returns the record that ends an unresolved call, or false when it
-// has an outcome already.
-func (s *State) Resolve(now clock.Millis, id spool.ProgramID, name spool.CallID, result OutcomeResult) (spool.Record, bool) {
-	program := s.find(id)
+// has an outcome already or is under way.
+func (s *State) Resolve(now clock.Millis, call Unresolved, result OutcomeResult) (spool.Record, bool) {
+	program := s.find(call.Program)
 	if program == nil {
 		return spool.Record{}, false
 	}
-	known := program.calls[name]
-	if known == nil || known.fate != "" {
+	known := program.calls[call.Call]
+	running := program.running != nil && program.running.Call == call.Call
+	if known == nil || known.fate != "" || running {
 		return spool.Record{}, false
 	}
-	return outcome(now, id, name, known.body, known.tries, result), true
+	return outcome(now, call.Program, call.Call, known.body, known.tries, result), true
 }
 
 // Resolved starts the calls that waited behind a call of unknown fate.
--- a/pkg/program/program_test.go
+++ b/pkg/program/program_test.go
@@ -196,7 +196,7 @@
 		calls := next.Unresolved()
 		gomega.Expect(calls).To(gomega.HaveLen(1))
 		gomega.Expect(calls[0].Mark.Boot).To(gomega.Equal("x"))
-		entry, open := next.Resolve(0, id, "b", program.OutcomeResult{Fate: program.FateUnknown})
+		entry, open := next.Resolve(0, calls[0], program.OutcomeResult{Fate: program.FateUnknown})
 		gomega.Expect(open).To(gomega.BeTrue())
 		next.commit(entry)
 		gomega.Expect(next.Resolved(0, id)).To(gomega.HaveLen(1))
@@ -204,6 +204,39 @@
 		gomega.Expect(codeOf(err)).To(gomega.Equal(spool.CodeUnknownFate))
 	})
 
+	ginkgo.It("starts nothing behind an intent that arrives after its owner gave it up", func() {
+		// Otherwise the call would run while an agent is asked about its first
+		// try, and the answer "not run" would hide the outcome of the second.
+		id := o.start("p", program.Budget{})
+		first, _ := o.Admit(0, book(id, "b"))
+		late := o.Intent(0, first.Ticket.ID, "harvest-app", "e", 1, spool.AgentMark{})
+		o.Release(0, first.Ticket.ID)
+		running := o.run(id, "1", "a")
+		again, err := o.Admit(0, book(id, "b"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(again.Verdict).To(gomega.Equal(program.VerdictWait))
+		o.commit(late)
+		calls := o.Unresolved()
+		gomega.Expect(calls).To(gomega.HaveLen(1))
+		gomega.Expect(o.finish(running.Ticket.ID, "A", 2)).To(gomega.BeEmpty())
+		entry, open := o.Resolve(0, calls[0], program.OutcomeResult{Fate: program.FateNotRun})
+		gomega.Expect(open).To(gomega.BeTrue())
+		o.commit(entry)
+		gomega.Expect(o.Resolved(0, id)).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("records no answer about a call that runs again", func() {
+		id := o.start("p", program.Budget{})
+		first, _ := o.Admit(0, book(id, "b"))
+		late := o.Intent(0, first.Ticket.ID, "harvest-app", "e", 1, spool.AgentMark{})
+		o.Release(0, first.Ticket.ID)
+		_, err := o.Admit(0, book(id, "b"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		o.commit(late)
+		_, open := o.Resolve(0, program.Unresolved{Program: id, Call: "b"}, program.OutcomeResult{Fate: program.FateNotRun})
+		gomega.Expect(open).To(gomega.BeFalse())
+	})
+
 	ginkgo.It("lets a call that provably did not run run again", func() {
 		id := o.start("p", program.Budget{})
 		decision, _ := o.Admit(0, book(id, "b"))
