--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -161,10 +161,21 @@
 	shard.stop()
 }
 
-// Snapshot returns records that replace all batches applied so far.
+// Snapshot returns records that replace all batches applied so far. No batch is
+// applied meanwhile, so the trees may be taken one by one; calls go on between.
 func (s *shards) Snapshot(stream spool.Stream) (records []spool.Record) {
-	if shard := s.get(stream); shard != nil {
-		shard.do(func() { records = shard.state.Snapshot() })
+	shard := s.get(stream)
+	if shard == nil {
+		return nil
+	}
+	var roots []spool.ProgramID
+	shard.do(func() { roots = shard.state.Roots() })
+	for _, root := range roots {
+		shard.do(func() {
+			if record, ok := shard.state.SnapshotOf(root); ok {
+				records = append(records, record)
+			}
+		})
 	}
 	return records
 }
--- a/pkg/program/snapshot.go
+++ b/pkg/program/snapshot.go
@@ -70,16 +70,33 @@
 
 // Snapshot returns one record per tree, in a fixed order.
 func (s *State) Snapshot() []spool.Record {
+	roots := s.Roots()
+	records := make([]spool.Record, 0, len(roots))
+	for _, root := range roots {
+		records = append(records, record(KindSnapshot, root, s.trees[root].snapshot()))
+	}
+	return records
+}
+
+// Roots lists the root programs in a fixed order.
+func (s *State) Roots() []spool.ProgramID {
 	roots := make([]spool.ProgramID, 0, len(s.trees))
 	for root := range s.trees {
 		roots = append(roots, root)
 	}
 	sort.Slice(roots, func(i, j int) bool { return roots[i] < roots[j] })
-	records := make([]spool.Record, 0, len(roots))
-	for _, root := range roots {
-		records = append(records, record(KindSnapshot, root, s.trees[root].snapshot()))
+	return roots
+}
+
+// SnapshotOf returns the record of one tree, or false when it is forgotten. An
+// owner with many programs takes one tree at a time, so that calls go on in
+// between.
+func (s *State) SnapshotOf(root spool.ProgramID) (spool.Record, bool) {
+	owner := s.trees[root]
+	if owner == nil {
+		return spool.Record{}, false
 	}
-	return records
+	return record(KindSnapshot, root, owner.snapshot()), true
 }
 
 func (t *tree) snapshot() Snapshot {
