Compare first tokens of calls with the same prompt

The measured calls through the system belonged to one growing program, while direct calls had one message, so the difference held the cost of a longer prompt. Each measured call now starts its own program.

--- a/internal/demo/overhead.go
+++ b/internal/demo/overhead.go
@@ -78,11 +78,10 @@
 	for i := range callers {
 		running.Go(func() {
 			client := caller.NewClient(func() []string { return m.system.addresses }, m.key)
-			one := caller.NewProgram(client, caller.NewLedger(), caller.Spec{Account: "measured", Name: fmt.Sprint(i), Model: modelName})
-			err := one.Start(ctx)
+			var err error
 			for call := 0; call < calls && err == nil; call++ {
 				if err = m.callDirect(ctx, i, call); err == nil {
-					err = m.callThrough(ctx, one, call)
+					err = m.callThrough(ctx, client)
 				}
 			}
 			m.mu.Lock()
@@ -113,8 +112,14 @@
 	return err
 }
 
-func (m *measurement) callThrough(ctx context.Context, one *caller.Program, call int) error {
-	first, err := one.FirstToken(ctx, fmt.Sprint("call-", call), question, m.tokens)
+// callThrough starts a program for each call, so that the engine gets the same
+// prompt as in a direct call. The start is not timed.
+func (m *measurement) callThrough(ctx context.Context, client *caller.Client) error {
+	one := caller.NewProgram(client, caller.NewLedger(), caller.Spec{Account: "measured", Name: "measured", Model: modelName})
+	if err := one.Start(ctx); err != nil {
+		return err
+	}
+	first, err := one.FirstToken(ctx, "call-1", question, m.tokens)
 	m.note(&m.through, first, err)
 	return err
 }
