--- a/internal/control/reader_test.go
+++ b/internal/control/reader_test.go
@@ -7,8 +7,10 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/pkg/keyring"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -56,14 +58,47 @@
 		gomega.Expect(reader.Orders("ep-1")).To(gomega.ConsistOf(gomega.HaveField("Fence", uint64(fence))))
 	})
 
-	ginkgo.It("skips bad records and goes on", func() {
-		reader := startReader(control.Config{Node: "e1"}, control.WithLog(log))
+	ginkgo.It("loads a snapshot that was appended in several parts, some of them twice", func() {
+		early := startReader(control.Config{Node: "e1"}, control.WithLog(log))
+		for i := range 50 {
+			keys := []any{}
+			for range 100 {
+				_, stored, err := keyring.Issue("acme", 1, 0)
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				keys = append(keys, stored)
+			}
+			log.publish(fmt.Sprint(i), keys...)
+		}
+		gomega.Eventually(early.Offset).Should(gomega.Equal(spool.Offset(50)))
+		gomega.Expect(early.AppendSnapshot(ginkgo.GinkgoT().Context())).To(gomega.Succeed())
+		parts := log.all()[50:]
+		gomega.Expect(len(parts)).To(gomega.BeNumerically(">", 1))
+		log.set(func(l *fakeLog) { l.batches = l.batches[:50] })
+		for _, part := range parts {
+			for range 2 {
+				_, err := log.Append(ginkgo.GinkgoT().Context(), spool.ControlStream, part)
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+		}
+		log.trim(50)
+		late := startReader(control.Config{Node: "e2"}, control.WithLog(log))
+		gomega.Eventually(late.Offset).Should(gomega.Equal(spool.Offset(50 + 2*len(parts))))
+		gomega.Expect(late.Status().Keys).To(gomega.Equal(5000))
+	})
+
+	ginkgo.It("skips and counts bad records and goes on", func() {
+		counters, err := telemetry.New("e1", zap.NewNop())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		reader := startReader(control.Config{Node: "e1"}, control.WithLog(log), control.WithTelemetry(counters))
 		log.publish("1", spool.Record{Kind: "setting", Data: []byte(`{"path":"fleet/limit.burst","value":-5}`)},
 			spool.Record{Kind: "nonsense", Data: []byte(`{}`)}, change("fleet/limit.burst", "8"))
 		last := log.publish("2", change("fleet/retry.budgetShare", "0.5"))
 		gomega.Eventually(reader.Offset).Should(gomega.Equal(last))
 		gomega.Expect(reader.Settings(settings.Scope{}).Number(settings.LimitBurst)).To(gomega.Equal(8.0))
 		gomega.Expect(reader.Settings(settings.Scope{}).Number(settings.RetryBudgetShare)).To(gomega.Equal(0.5))
+		gomega.Eventually(func() int64 {
+			return counters.Totals()[telemetry.Series{Kind: telemetry.KindEvent, Label: "control.badRecord"}]
+		}).Should(gomega.BeEquivalentTo(2))
 	})
 
 	ginkgo.It("stops a key when it is withdrawn and ends what uses it", func() {
