Pass every version of limits to the account pools in the order of the log

Two changes of the member list that arrived together were seen as one, and the first may have held the smallest part of a rate: an entry removed and added again within one page kept its part while another already used it.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -33,8 +33,15 @@
 	// first is the lowest offset on the log when it was last read.
 	first   spool.Offset
 	started clock.Millis
+	// observe, unless nil, is called with each batch and the state after it.
+	observe Observer
 }
 
+// Observer sees every state of the control stream in the order of the log.
+// batch is nil when a snapshot has taken the place of batches that were not
+// seen. It must not keep the state and must not call the Reader.
+type Observer func(batch *spool.Batch, state *State)
+
 // NewNode returns a node that has read nothing yet.
 func NewNode(config Config, now clock.Millis) *Node {
 	config.Wait = orDefault(config.Wait, defaultWait)
@@ -103,6 +110,9 @@
 	}
 	n.state = state
 	n.relay.clear()
+	if n.observe != nil {
+		n.observe(nil, n.state)
+	}
 	return true
 }
 
@@ -116,6 +126,9 @@
 			return rejected, err
 		}
 		n.relay.add(batch)
+		if n.observe != nil {
+			n.observe(&batch, n.state)
+		}
 		rejected = append(rejected, more...)
 	}
 	return rejected, nil
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -64,6 +64,10 @@
 // WithTelemetry makes the node count and log what happens.
 func WithTelemetry(t *telemetry.Telemetry) Option { return func(r *Reader) { r.telemetry = t } }
 
+// WithObserver makes the node show every state to observe before it counts as
+// fresh.
+func WithObserver(observe Observer) Option { return func(r *Reader) { r.observe = observe } }
+
 // Reader keeps the control state of one process up to date and answers from
 // it. It is safe for concurrent use.
 type Reader struct {
@@ -74,6 +78,7 @@
 	clock     clock.Clock
 	telemetry *telemetry.Telemetry
 	process   func() any
+	observe   Observer
 	logger    *zap.Logger
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -114,6 +119,7 @@
 		return nil, errors.New("neither a log nor peers are given")
 	}
 	r.node = NewNode(config, r.clock.Now())
+	r.node.observe = r.observe
 	r.config = r.node.config
 	if r.telemetry != nil {
 		r.logger = r.telemetry.Logger("control")
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/limit"
 	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -102,7 +103,11 @@
 	var decision program.Decision
 	var reader *flight
 	known := false
+	class := limit.ClassCall
 	if !shard.do(func() {
+		if view, missing := shard.state.Inspect(operation.Program); missing == nil && view.Alarm || ask.Alarm {
+			class = limit.ClassAlarm
+		}
 		decision, known, err = shard.state.Repeat(ask)
 		reader = shard.joined(decision, known, err)
 	}) {
@@ -110,7 +115,7 @@
 	}
 	if !known && err == nil {
 		if !job.paid {
-			if err := e.limits.Take(ctx, operation.Account); err != nil {
+			if err := e.limits.Take(ctx, operation.Account, class); err != nil {
 				return answer, false, err
 			}
 		}
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -8,6 +8,7 @@
 
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/limit"
 	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -108,6 +109,7 @@
 
 // Limits holds the rate limits of the accounts.
 type Limits interface {
-	// Take admits one request or refuses it with CodeRateLimited.
-	Take(ctx context.Context, account spool.AccountID) error
+	// Take admits one request or refuses it with CodeRateLimited. Requests of a
+	// higher class go first while tokens are short.
+	Take(ctx context.Context, account spool.AccountID, class limit.Class) error
 }
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabspool/baobabspool/internal/entry"
 	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/limit"
 	_ "github.com/baobabspool/baobabspool/pkg/policy"
 	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -184,7 +185,7 @@
 
 func (o *operators) Offset() spool.Offset { return 7 }
 
-func (o *operators) Take(_ context.Context, account spool.AccountID) error {
+func (o *operators) Take(_ context.Context, account spool.AccountID, _ limit.Class) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.taken[account] >= o.rate {
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/limit"
 	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -166,7 +167,11 @@
 }
 
 func (e *Entry) start(ctx context.Context, shard *shard, operation Operation, request StartRequest) (any, error) {
-	if err := e.limits.Take(ctx, operation.Account); err != nil {
+	class := limit.ClassStart
+	if request.Alarm {
+		class = limit.ClassAlarm
+	}
+	if err := e.limits.Take(ctx, operation.Account, class); err != nil {
 		return nil, err
 	}
 	settings := e.control.Settings(operation.Account, "")
@@ -255,7 +260,7 @@
 }
 
 func (e *Entry) spawn(ctx context.Context, shard *shard, operation Operation, request SpawnRequest) (any, error) {
-	if err := e.limits.Take(ctx, operation.Account); err != nil {
+	if err := e.limits.Take(ctx, operation.Account, limit.ClassCall); err != nil {
 		return nil, err
 	}
 	var spawned program.Spawned
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,6 +19,7 @@
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/limit"
+	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -89,6 +91,8 @@
 	quota   *quota.Manager
 	vms     *vmWatch
 	log     *zap.Logger
+	// ready is control once it has been started.
+	ready atomic.Pointer[control.Reader]
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -106,14 +110,14 @@
 	log := platform.NewLog(p.config.LogAddress)
 	list := platform.NewVMList(p.config.VMsAddress)
 	p.vms = newVMWatch(list, t, func() {})
+	lateStreams := &lateStreams{}
+	p.quota = quota.New(quota.Config{
+		Node: spool.NodeID(p.config.Node), StreamCount: p.config.StreamCount, Timing: limit.DefaultTiming(),
+	}, source, p.freshFor, lateStreams, clients, t)
 	if err := p.startControl(log, clients, source, t); err != nil {
 		return nil, err
 	}
-	lateStreams := &lateStreams{}
 	state := &controlState{reader: p.control, region: spool.Region(p.config.Region), domain: spool.FailureDomain(p.config.FailureDomain)}
-	p.quota = quota.New(quota.Config{
-		Node: spool.NodeID(p.config.Node), StreamCount: p.config.StreamCount, Timing: limit.DefaultTiming(),
-	}, source, state, lateStreams, clients, t)
 	if err := p.buildEntry(state, clients, source, t); err != nil {
 		return nil, err
 	}
@@ -135,7 +139,8 @@
 }
 
 func (p *Entry) startControl(log spool.Log, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry) (err error) {
-	p.control, err = control.NewReader(control.Config{
+	place := settings.Scope{Region: spool.Region(p.config.Region), FailureDomain: spool.FailureDomain(p.config.FailureDomain)}
+	reader, err := control.NewReader(control.Config{
 		Node:          spool.NodeID(p.config.Node),
 		Role:          spool.RoleEntry,
 		FailureDomain: spool.FailureDomain(p.config.FailureDomain),
@@ -143,10 +148,20 @@
 		LogReaders:    p.config.LogReaders,
 		Retention:     clock.Millis(p.config.RetentionMs),
 	}, control.WithLog(log), control.WithPeers(p.vms.entries), control.WithClients(clients),
-		control.WithClock(source), control.WithTelemetry(t))
+		control.WithClock(source), control.WithTelemetry(t), control.WithObserver(versionsOf(place, p.quota.Observe)))
+	p.control = reader
+	p.ready.Store(reader)
 	return err
 }
 
+// freshFor returns the age of the control state, negative before there is one.
+func (p *Entry) freshFor() clock.Millis {
+	if reader := p.ready.Load(); reader != nil {
+		return reader.FreshFor()
+	}
+	return -1
+}
+
 func (p *Entry) buildEntry(state *controlState, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry) (err error) {
 	entryConfig := entry.DefaultConfig
 	entryConfig.Node = spool.NodeID(p.config.Node)
--- a/internal/process/members.go
+++ b/internal/process/members.go
@@ -62,7 +62,7 @@
 func (k *memberKeeper) publish(ctx context.Context, members, listed []spool.NodeID) error {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	publisher := control.NewPublisher(k.log, k.node)
+	publisher := control.NewPublisher(k.log, k.node, control.WithState(k.control.Copy()))
 	if err := publisher.Refresh(ctx); err != nil {
 		return err
 	}
@@ -74,7 +74,7 @@
 	}
 	for _, member := range listed {
 		if !slices.Contains(members, member) {
-			changes = append(changes, memberChange(member, "false"))
+			changes = append(changes, memberChange(member, "null"))
 		}
 	}
 	_, err := publisher.Publish(ctx, changes...)
--- a/internal/process/state.go
+++ b/internal/process/state.go
@@ -8,7 +8,6 @@
 	"github.com/baobabspool/baobabspool/internal/entry"
 	"github.com/baobabspool/baobabspool/internal/streams"
 	"github.com/baobabspool/baobabspool/pkg/clock"
-	"github.com/baobabspool/baobabspool/pkg/limit"
 	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -36,27 +35,11 @@
 // Offset is the offset of the control stream that is in force.
 func (s *controlState) Offset() spool.Offset { return s.reader.Offset() }
 
-// Members returns the entries of the agreed view.
-func (s *controlState) Members() []spool.NodeID { return s.reader.Members() }
-
-// FreshFor returns the age of the control state.
-func (s *controlState) FreshFor() clock.Millis { return s.reader.FreshFor() }
-
 // Draining reports whether a failure domain is being taken out.
 func (s *controlState) Draining(domain spool.FailureDomain) bool {
 	return s.reader.Draining(domain, "")
 }
 
-// Limits returns an account's limits.
-func (s *controlState) Limits(account spool.AccountID) limit.Config {
-	values := s.reader.Settings(s.scope(account, ""))
-	return limit.Config{
-		Rate:        values.Number(settings.LimitRatePerSecond),
-		Burst:       values.Number(settings.LimitBurst),
-		StaticShare: values.Number(settings.LimitStaticShare),
-	}
-}
-
 // Services lists the services in the order of their names.
 func (s *controlState) Services() []entry.Service {
 	var services []entry.Service
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -1,7 +1,7 @@
 package quota
 
 import (
-	"slices"
+	"maps"
 
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -11,13 +11,9 @@
 
 // account is one account's state at this entry.
 type account struct {
-	// offset is that of the control state which config and view are from.
-	offset spool.Offset
-	config limit.Config
-	view   []spool.NodeID
-	share  *limit.Share
-	line   *limit.Line
-	owner  *limit.Owner
+	share *limit.Share
+	line  *limit.Line
+	owner *limit.Owner
 	// epoch is the claim under which this entry owns the pool; 0 when it does not.
 	epoch spool.Epoch
 }
@@ -30,6 +26,7 @@
 // admission asks for one token.
 type admission struct {
 	account spool.AccountID
+	class   limit.Class
 	// id is given by the loop.
 	id   string
 	done chan error
@@ -59,7 +56,7 @@
 func (a *admission) apply(m *Manager, now clock.Millis) {
 	state := m.account(now, a.account)
 	a.id = m.nextID()
-	decision, held := state.line.Enter(now, a.id)
+	decision, held := state.line.EnterAs(now, a.id, a.class)
 	m.send(decision.Ask)
 	switch {
 	case decision.Admitted:
@@ -83,7 +80,7 @@
 	state := m.account(now, q.request.Account)
 	q.answer <- state.owner.Lease(now, limit.Request{
 		Account: q.request.Account, Node: q.request.Node, Sequence: q.request.Sequence,
-		Want: q.request.Want, Returned: q.request.Returned, Epoch: q.request.Epoch,
+		Want: q.request.Want, Returned: q.request.Returned, Epoch: q.request.Epoch, Urgent: q.request.Urgent,
 	})
 }
 
@@ -99,42 +96,79 @@
 
 // account returns the state of an account, brought up to date.
 func (m *Manager) account(now clock.Millis, id spool.AccountID) *account {
+	age := m.freshFor()
+	m.learn(now)
+	state := m.open(now, id)
+	m.refresh(now, age, id, state)
+	return state
+}
+
+// open returns the state of an account, new or not.
+func (m *Manager) open(now clock.Millis, id spool.AccountID) *account {
 	state := m.accounts[id]
 	if state == nil {
-		config := m.control.Limits(id)
+		config := m.limitsOf(id)
 		share := limit.NewShare(now, id, m.config.Node, m.config.Timing, config)
+		share.View(now, m.members)
 		state = &account{
-			offset: -1, config: config, share: share, line: limit.NewLine(share),
-			owner: limit.NewOwner(m.config.Timing, config),
+			share: share, line: limit.NewLine(share), owner: limit.NewOwner(m.config.Timing, config),
 		}
 		m.accounts[id] = state
 	}
-	m.refresh(now, id, state)
 	return state
 }
 
-// refresh passes settings, view, ownership and freshness on.
-func (m *Manager) refresh(now clock.Millis, id spool.AccountID, state *account) {
-	if offset := m.control.Offset(); offset != state.offset {
-		state.offset = offset
-		m.configure(now, id, state)
+func (m *Manager) limitsOf(id spool.AccountID) limit.Config {
+	if config, ok := m.limits[id]; ok {
+		return config
 	}
-	if age := m.control.FreshFor(); age >= 0 {
+	return m.others
+}
+
+// refresh passes freshness and ownership on. age must have been read before the
+// versions were taken in.
+func (m *Manager) refresh(now, age clock.Millis, id spool.AccountID, state *account) {
+	if age >= 0 {
 		state.share.Fresh(now, now-age+m.config.Timing.View)
 		state.owner.Fresh(now, now-age+m.config.Timing.View)
 	}
 	m.own(now, id, state)
 }
 
-func (m *Manager) configure(now clock.Millis, id spool.AccountID, state *account) {
-	if config := m.control.Limits(id); config != state.config {
-		state.config = config
+// learn takes in the versions that have arrived, in their order.
+func (m *Manager) learn(now clock.Millis) {
+	m.versionsMu.Lock()
+	versions := m.versions
+	m.versions = nil
+	m.versionsMu.Unlock()
+	for _, version := range versions {
+		m.take(now, version)
+	}
+}
+
+func (m *Manager) take(now clock.Millis, version Version) {
+	m.others = version.Others
+	maps.Copy(m.limits, version.Limits)
+	if version.Members != nil {
+		m.members = version.Members
+	}
+	// An account is opened before its first request, since its pool's owner must
+	// wait before it grants.
+	for id := range version.Limits {
+		m.open(now, id)
+	}
+	for id, state := range m.accounts {
+		if version.Skipped {
+			state.share.View(now, nil)
+			state.share.Configure(now, limit.Config{})
+			state.owner.Configure(now, limit.Config{})
+		}
+		config := m.limitsOf(id)
 		state.share.Configure(now, config)
 		state.owner.Configure(now, config)
-	}
-	if view := m.control.Members(); !slices.Equal(view, state.view) {
-		state.view = view
-		state.share.View(now, view)
+		if version.Members != nil || version.Skipped {
+			state.share.View(now, m.members)
+		}
 	}
 }
 
@@ -158,8 +192,10 @@
 
 // tick lets time pass for every account.
 func (m *Manager) tick(now clock.Millis) {
+	age := m.freshFor()
+	m.learn(now)
 	for id, state := range m.accounts {
-		m.refresh(now, id, state)
+		m.refresh(now, age, id, state)
 		m.advance(now, state, id)
 	}
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -29,17 +30,19 @@
 	inboxSize = 1024
 )
 
-// Control tells what settings say.
-type Control interface {
-	// Offset changes whenever limits or members may have changed.
-	Offset() spool.Offset
-	// Limits returns an account's limits.
-	Limits(account spool.AccountID) limit.Config
-	// Members returns the entries of the agreed view.
-	Members() []spool.NodeID
-	// FreshFor returns the age of the control state, negative when it has never
-	// been complete.
-	FreshFor() clock.Millis
+// Version is what one change of the control state says about limits. Versions
+// must reach the manager one by one in the order of the log: one that is skipped
+// may have held the smallest part of a rate.
+type Version struct {
+	// Skipped means that earlier versions were not seen. Every part is then
+	// emptied first, and grows as after a change.
+	Skipped bool
+	// Members are the entries of the agreed view; nil when they did not change.
+	Members []spool.NodeID
+	// Limits holds the accounts whose limits may have changed.
+	Limits map[spool.AccountID]limit.Config
+	// Others are the limits of accounts that no version has named.
+	Others limit.Config
 }
 
 // Streams tells who owns the pools.
@@ -67,7 +70,7 @@
 type Manager struct {
 	config    Config
 	clock     clock.Clock
-	control   Control
+	freshFor  func() clock.Millis
 	streams   Streams
 	clients   *wire.Clients
 	telemetry *telemetry.Telemetry
@@ -79,16 +82,26 @@
 	// The fields below belong to the loop.
 
 	accounts map[spool.AccountID]*account
+	// members, limits and others are those of the latest version.
+	members []spool.NodeID
+	limits  map[spool.AccountID]limit.Config
+	others  limit.Config
 	// waiting holds the requests for admission that have no outcome yet.
 	waiting map[string]*admission
 	next    uint64
+
+	versionsMu sync.Mutex
+	// versions are those that the loop has not taken in yet.
+	versions []Version
 }
 
-// New starts a manager. source must be the clock of streams.
-func New(config Config, source clock.Clock, control Control, streams Streams, clients *wire.Clients, t *telemetry.Telemetry) *Manager {
+// New starts a manager. source must be the clock of streams. freshFor returns the
+// age of the control state, negative when it has never been complete; a state
+// that it counts as fresh must have been passed to Observe before.
+func New(config Config, source clock.Clock, freshFor func() clock.Millis, streams Streams, clients *wire.Clients, t *telemetry.Telemetry) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Manager{
-		config: config, clock: source, control: control, streams: streams, clients: clients, telemetry: t,
+		config: config, clock: source, freshFor: freshFor, streams: streams, limits: map[spool.AccountID]limit.Config{}, clients: clients, telemetry: t,
 		pool: pond.NewPool(maxAsking), inbox: make(chan message, inboxSize), ctx: ctx, cancel: cancel,
 		accounts: map[spool.AccountID]*account{}, waiting: map[string]*admission{},
 	}
@@ -109,6 +122,13 @@
 	return m
 }
 
+// Observe takes the next version in. It never blocks on the loop.
+func (m *Manager) Observe(version Version) {
+	m.versionsMu.Lock()
+	defer m.versionsMu.Unlock()
+	m.versions = append(m.versions, version)
+}
+
 // Close stops the manager. Requests for admission are refused from then on.
 func (m *Manager) Close() { m.cancel() }
 
@@ -123,8 +143,8 @@
 
 // Take admits one request of an account. It may hold the request for a short
 // time when a token is on its way. It fails with a *spool.Refusal.
-func (m *Manager) Take(ctx context.Context, id spool.AccountID) error {
-	request := &admission{account: id, done: make(chan error, 1)}
+func (m *Manager) Take(ctx context.Context, id spool.AccountID, class limit.Class) error {
+	request := &admission{account: id, class: class, done: make(chan error, 1)}
 	if !m.post(ctx, request) {
 		return m.refuse(id, tickEvery)
 	}
@@ -195,7 +215,7 @@
 func (m *Manager) fetch(ctx context.Context, request limit.Request) (reply wire.LeaseReply, err error) {
 	message := wire.LeaseRequest{
 		Account: request.Account, Node: request.Node, Sequence: request.Sequence,
-		Want: request.Want, Returned: request.Returned, Epoch: request.Epoch,
+		Want: request.Want, Returned: request.Returned, Epoch: request.Epoch, Urgent: request.Urgent,
 	}
 	stream := spool.StreamOfAccount(request.Account, m.config.StreamCount)
 	owner, address, ok := m.streams.OwnerOf(stream)
