Route among a bounded part of the endpoints and end streams in isolation

An entry now routes to max(64, 4 N/E) endpoints of a service, chosen by rendezvous hashing, plus the one that ran the program's latest turn; at the target 64 of 917 and no endpoint is left out (tested). At today's sizes that is all of them.

An isolated entry refused new requests but let connected streams go on, though it cannot hear of withdrawn keys. It now ends them with code isolated. Entries also honour the drain of a single endpoint, not only of a domain.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -164,7 +164,7 @@
 func (n *Node) FreshFor(now clock.Millis) clock.Millis { return n.fresh.freshFor(now) }
 
 // Withdrawn returns a channel that CloseWatched closes when the key is no
-// longer in force.
+// longer in force, or when the node is isolated.
 func (n *Node) Withdrawn(now clock.Millis, keyID string) <-chan struct{} {
 	if watched, ok := n.watched[keyID]; ok {
 		return watched
@@ -188,7 +188,12 @@
 	}
 }
 
+// live reports whether requests of a key may go on. A node that has lost touch
+// cannot learn of withdrawals, so there no key is.
 func (n *Node) live(now clock.Millis, keyID string) bool {
+	if n.Isolated(now) {
+		return false
+	}
 	key, _, ok := n.state.ring.Get(keyID)
 	if !ok || !key.Live(now) {
 		return false
--- a/internal/entry/background.go
+++ b/internal/entry/background.go
@@ -59,9 +59,10 @@
 	var vms []spool.VM
 	listed := map[spool.EndpointID]bool{}
 	for _, service := range e.control.Services() {
-		for _, vm := range e.streams.Endpoints(service.Name) {
-			vms = append(vms, vm)
-			listed[spool.EndpointID(vm.ID)] = true
+		found := e.candidatesOf(service.Name)
+		vms = append(vms, found.chosen...)
+		for id := range found.all {
+			listed[id] = true
 		}
 	}
 	e.fleet.retain(listed)
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -95,12 +95,16 @@
 	// Authenticate returns the account of a key and the key's identifier. The
 	// error is a *spool.Refusal.
 	Authenticate(key string) (spool.AccountID, string, error)
-	// Withdrawn is closed when the key is withdrawn or expires.
+	// Withdrawn is closed when the key is withdrawn or expires, or when this
+	// process is isolated.
 	Withdrawn(keyID string) <-chan struct{}
+	// Isolated reports whether this process cannot learn of withdrawals.
+	Isolated() bool
 	// Settings returns the values in force; program may be empty.
 	Settings(account spool.AccountID, program spool.ProgramID) Settings
-	// Draining reports whether a failure domain is being taken out.
-	Draining(domain spool.FailureDomain) bool
+	// Draining reports whether an endpoint or its failure domain is being taken
+	// out.
+	Draining(domain spool.FailureDomain, endpoint spool.EndpointID) bool
 	// Services lists the services in the order of their names.
 	Services() []Service
 	// Offset is the offset of the control stream that is in force.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,8 @@
 	// renewedAt is when all leases were renewed; the background loop owns it.
 	renewedAt clock.Millis
 	resolving resolving
+	// candidates are the endpoints that calls are routed to.
+	candidates candidateCache
 	// started is closed once streams is set.
 	started chan struct{}
 	ready   atomic.Bool
@@ -232,7 +234,7 @@
 	go func() {
 		select {
 		case <-withdrawn:
-			cancel(spool.Refuse(spool.CodeKeyWithdrawn, "key has been withdrawn").WithNotRun(spool.NotRunUnknown))
+			cancel(e.keyLost())
 		case <-stop:
 		case <-ctx.Done():
 		}
@@ -243,6 +245,15 @@
 	}
 }
 
+// keyLost says why a request under way is ended.
+func (e *Entry) keyLost() *spool.Refusal {
+	refusal := spool.Refuse(spool.CodeKeyWithdrawn, "key has been withdrawn")
+	if e.control.Isolated() {
+		refusal = spool.Refuse(spool.CodeIsolated, "entry has lost touch and cannot tell whether the key is still valid")
+	}
+	return refusal.WithNotRun(spool.NotRunUnknown)
+}
+
 // programIDEncoding yields lower-case identifiers without a dot.
 var programIDEncoding = base32.NewEncoding("abcdefghijklmnopqrstuvwxyz234567").WithPadding(base32.NoPadding)
 
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -170,7 +170,9 @@
 	return o.settings
 }
 
-func (o *operators) Draining(domain spool.FailureDomain) bool {
+func (o *operators) Isolated() bool { return false }
+
+func (o *operators) Draining(domain spool.FailureDomain, _ spool.EndpointID) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.draining[domain]
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -132,15 +132,15 @@
 const minShare = 0.05
 
 // views lists the endpoints that may get new work, sorted by identifier.
-func (f *fleet) views(vms []spool.VM, draining func(spool.FailureDomain) bool, rampFor clock.Millis, program spool.ProgramID) []spool.EndpointView {
+func (f *fleet) views(vms []spool.VM, draining func(spool.FailureDomain, spool.EndpointID) bool, rampFor clock.Millis, program spool.ProgramID) []spool.EndpointView {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	views := make([]spool.EndpointView, 0, len(vms))
 	for _, vm := range vms {
 		id := spool.EndpointID(vm.ID)
 		known := f.get(id)
-		share := f.share(vm.FailureDomain, draining(vm.FailureDomain), rampFor)
-		if share == 0 || vm.State == spool.VMLeaving || known.status.Draining {
+		share := f.share(vm.FailureDomain, draining(vm.FailureDomain, ""), rampFor)
+		if share == 0 || draining(vm.FailureDomain, id) || vm.State == spool.VMLeaving || known.status.Draining {
 			continue
 		}
 		views = append(views, spool.EndpointView{
@@ -186,7 +186,7 @@
 
 // pick chooses the endpoint of a call.
 func (e *Entry) pick(flight *flight, view spool.CallView) (target spool.VM, refusal *spool.Refusal) {
-	vms := e.streams.Endpoints(flight.work.service)
+	vms := e.candidatesOf(flight.work.service).with(flight.ticket.Endpoint)
 	views := e.fleet.views(vms, e.control.Draining, flight.work.settings.RampFor, view.Program)
 	if len(views) == 0 {
 		return target, spool.Refuse(spool.CodeNoEndpoint, "service %q has no endpoint that takes work", flight.work.service).
--- a/internal/process/members.go
+++ b/internal/process/members.go
@@ -62,7 +62,11 @@
 func (k *memberKeeper) publish(ctx context.Context, members, listed []spool.NodeID) error {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	publisher := control.NewPublisher(k.log, k.node, control.WithState(k.control.Copy()))
+	state, err := k.control.Copy()
+	if err != nil {
+		return err
+	}
+	publisher := control.NewPublisher(k.log, k.node, control.WithState(state))
 	if err := publisher.Refresh(ctx); err != nil {
 		return err
 	}
@@ -77,7 +81,7 @@
 			changes = append(changes, memberChange(member, "null"))
 		}
 	}
-	_, err := publisher.Publish(ctx, changes...)
+	_, err = publisher.Publish(ctx, changes...)
 	return err
 }
 
--- a/internal/process/state.go
+++ b/internal/process/state.go
@@ -35,9 +35,12 @@
 // Offset is the offset of the control stream that is in force.
 func (s *controlState) Offset() spool.Offset { return s.reader.Offset() }
 
-// Draining reports whether a failure domain is being taken out.
-func (s *controlState) Draining(domain spool.FailureDomain) bool {
-	return s.reader.Draining(domain, "")
+// Isolated reports whether this process cannot learn of withdrawals.
+func (s *controlState) Isolated() bool { return s.reader.Isolated() }
+
+// Draining reports whether an endpoint or its failure domain is being taken out.
+func (s *controlState) Draining(domain spool.FailureDomain, endpoint spool.EndpointID) bool {
+	return s.reader.Draining(domain, endpoint)
 }
 
 // Services lists the services in the order of their names.
--- /dev/null
+++ b/pkg/membership/subset_test.go
@@ -0,0 +1,40 @@
+package membership_test
+
+import (
+	"fmt"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/pkg/membership"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+var _ = ginkgo.Describe("Subset", func() {
+	names := func(prefix string, count int) []spool.NodeID {
+		nodes := make([]spool.NodeID, count)
+		for i := range nodes {
+			nodes[i] = spool.NodeID(fmt.Sprintf("%s%04d", prefix, i))
+		}
+		return nodes
+	}
+
+	// Guards against work per entry that grows with the fleet, and against
+	// endpoints that no entry sends work to.
+	ginkgo.It("stays small at the target and leaves no endpoint out", func() {
+		endpoints := names("m", 917)
+		watched := map[spool.NodeID]int{}
+		for _, entry := range names("e", 330) {
+			subset := membership.Subset(entry, 330, endpoints, 64)
+			gomega.Expect(subset).To(gomega.HaveLen(64))
+			for _, endpoint := range subset {
+				watched[endpoint]++
+			}
+		}
+		gomega.Expect(watched).To(gomega.HaveLen(917))
+	})
+
+	ginkgo.It("is everything at today's sizes", func() {
+		gomega.Expect(membership.Subset("e1", 4, names("m", 12), 64)).To(gomega.HaveLen(12))
+	})
+})
