--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -1,6 +1,7 @@
 package journal_test
 
 import (
+	"encoding/json"
 	"slices"
 	"testing"
 
@@ -8,6 +9,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/journal"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -203,6 +205,55 @@
 		gomega.Expect(w.order()).To(gomega.Equal([]string{"1"}))
 	})
 
+	ginkgo.It("incarnation: does not count the copies of a holder that has restarted", func() {
+		w := serving()
+		w.down = true
+		w.cut[[2]int{0, 2}] = true
+		w.start(w.nodes[1])
+		w.advance(300)
+		w.submit(w.nodes[0], false)
+		w.advance(500)
+		gomega.Expect(w.acked).To(gomega.BeEmpty())
+		w.down = false
+		w.advance(500)
+		// The caller may have given up meanwhile, with an unknown result.
+		gomega.Expect(w.order()).To(gomega.Equal([]string{"1"}))
+	})
+
+	ginkgo.It("snapshot: waits until everything that it reflects is on the stream", func() {
+		w := newWorld(1, journal.Config{
+			AppendInterval: 30, BatchBytes: 1200, BacklogBytes: 90000, PollWait: 100,
+			RetryAfter: 60, OpenWait: 60, ExposeAfter: 40, Retention: 4 * clock.Second,
+		})
+		w.follow(w.nodes[0], "")
+		w.advance(400)
+		w.down = true
+		w.advance(300)
+		for range 60 {
+			w.submit(w.nodes[0], false)
+		}
+		w.advance(3000)
+		gomega.Expect(len(w.acked)).To(gomega.Equal(60))
+		w.down = false
+		w.advance(2000)
+		highest, snapshots := uint64(0), 0
+		for _, b := range w.all {
+			if b.Records[0].Kind == journal.KindSnapshot {
+				var header struct {
+					State journal.State `json:"state"`
+				}
+				gomega.Expect(json.Unmarshal(b.Records[0].Data, &header)).To(gomega.Succeed())
+				gomega.Expect(highest).To(gomega.BeNumerically(">=", header.State.Applied[b.Epoch]))
+				snapshots++
+			}
+			list, _ := journal.DecodeUnits(b.Records)
+			for _, u := range list {
+				highest = max(highest, u.Sequence)
+			}
+		}
+		gomega.Expect(snapshots).To(gomega.BeNumerically(">", 1))
+	})
+
 	ginkgo.It("release: tells a previous holder again when it could not be reached", func() {
 		w := serving()
 		old, holder, next := w.nodes[0], w.nodes[2], w.nodes[3]
