Share the heap, processor time, pause and process start-up code

The queue had two copies of an indexed heap, three places read the process's processor time, two commands repeated the start of a process, and callers and demonstration each had a pause. Each now stands once.

--- a/internal/caller/program.go
+++ b/internal/caller/program.go
@@ -119,7 +119,7 @@
 				return err
 			}
 		}
-		if err := pause(ctx, plan.Pause); err != nil {
+		if err := Pause(ctx, plan.Pause); err != nil {
 			return err
 		}
 	}
@@ -135,7 +135,8 @@
 	return nil
 }
 
-func pause(ctx context.Context, wait time.Duration) error {
+// Pause waits for a time or until ctx ends, whose error it returns then.
+func Pause(ctx context.Context, wait time.Duration) error {
 	select {
 	case <-time.After(wait):
 		return nil
@@ -281,7 +282,7 @@
 		if time.Now().After(deadline) {
 			return errors.Wrapf(err, "%s was given up", kind)
 		}
-		if err := pause(ctx, wait.Duration()); err != nil {
+		if err := Pause(ctx, wait.Duration()); err != nil {
 			return err
 		}
 	}
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"runtime"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/cputime"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/keyring"
 	"github.com/baobabspool/baobabspool/pkg/limit"
@@ -30,15 +30,6 @@
 	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
 }
 
-// cpuTime returns the processor time that this process has used.
-func cpuTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 func series(name, what, xUnit, yUnit string, sizes []int, measure func(size int) float64) Series {
 	result := Series{Name: name, What: what, XUnit: xUnit, YUnit: yUnit}
 	for _, size := range sizes {
@@ -163,14 +154,14 @@
 				owners[i] = limit.NewOwner(timing, config)
 			}
 			const ticks = 400
-			start := cpuTime()
+			start := cputime.Used()
 			for tick := range clock.Millis(ticks) {
 				for i := range shares {
 					shares[i].Tick(10 * tick)
 					owners[i].Tick(10 * tick)
 				}
 			}
-			return (cpuTime() - start).Seconds() / (ticks * 0.010)
+			return (cputime.Used() - start).Seconds() / (ticks * 0.010)
 		})
 }
 
--- a/internal/capacity/traffic.go
+++ b/internal/capacity/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/baobabspool/baobabspool/internal/cputime"
 	"github.com/baobabspool/baobabspool/internal/demo"
 	_ "github.com/baobabspool/baobabspool/pkg/policy" // Registers the policies.
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -44,11 +45,11 @@
 			}
 		}
 		const choices = 2000
-		start := cpuTime()
+		start := cputime.Used()
 		for i := range choices {
 			call := spool.CallView{Correlation: fmt.Sprint(i), Program: spool.ProgramID(fmt.Sprint(i)), PromptTokens: 4000, MaxTokens: 200}
 			router.Pick(1100, call, endpoints)
 		}
-		return float64((cpuTime() - start).Microseconds()) / choices
+		return float64((cputime.Used() - start).Microseconds()) / choices
 	}), nil
 }
--- a/internal/cli/endpoint.go
+++ b/internal/cli/endpoint.go
@@ -6,6 +6,7 @@
 
 	"github.com/baobabspool/baobabspool/internal/config"
 	"github.com/baobabspool/baobabspool/internal/process"
+	"github.com/baobabspool/baobabspool/internal/telemetry"
 )
 
 func newEndpoint() *cobra.Command {
@@ -21,20 +22,13 @@
     --listen 127.0.0.1:7101 --vms-address 127.0.0.1:9001 --engine-address 127.0.0.1:9201`,
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			if err := settings.Validate(); err != nil {
-				return err
-			}
-			t, err := flags.telemetry(settings.Node)
-			if err != nil {
-				return err
-			}
-			endpoint, err := process.NewEndpoint(settings, t)
-			if err != nil {
-				return err
-			}
-			log := t.Logger("endpoint")
-			log.Info("ready", zap.String("address", endpoint.Address()))
-			return flags.runUntilSignal(endpoint, log)
+			return flags.serve(settings.Node, "endpoint", settings.Validate, func(t *telemetry.Telemetry) (stopper, []zap.Field, error) {
+				endpoint, err := process.NewEndpoint(settings, t)
+				if err != nil {
+					return nil, nil, err
+				}
+				return endpoint, []zap.Field{zap.String("address", endpoint.Address())}, nil
+			})
 		},
 	}
 	command.Flags().StringVar(&settings.Node, "node", "", "name of this process and its endpoint, as in the list of VMs")
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/baobabspool/baobabspool/internal/config"
 	"github.com/baobabspool/baobabspool/internal/process"
+	"github.com/baobabspool/baobabspool/internal/telemetry"
 )
 
 func newEntry() *cobra.Command {
@@ -23,20 +24,13 @@
     --vms-address 127.0.0.1:9001 --log-address 127.0.0.1:9000`,
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			if err := settings.Validate(); err != nil {
-				return err
-			}
-			t, err := flags.telemetry(settings.Node)
-			if err != nil {
-				return err
-			}
-			entry, err := process.NewEntry(settings, t)
-			if err != nil {
-				return err
-			}
-			log := t.Logger("entry")
-			log.Info("ready", zap.String("address", entry.Address()), zap.String("http", entry.HTTPAddress()))
-			return flags.runUntilSignal(entry, log)
+			return flags.serve(settings.Node, "entry", settings.Validate, func(t *telemetry.Telemetry) (stopper, []zap.Field, error) {
+				entry, err := process.NewEntry(settings, t)
+				if err != nil {
+					return nil, nil, err
+				}
+				return entry, []zap.Field{zap.String("address", entry.Address()), zap.String("http", entry.HTTPAddress())}, nil
+			})
 		},
 	}
 	command.Flags().StringVar(&settings.Node, "node", settings.Node, "name of this process, as in the list of VMs")
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -41,6 +41,25 @@
 	Shutdown(ctx context.Context) error
 }
 
+// serve starts a process, logs that it is ready and waits for a signal. start
+// returns the process and where it listens.
+func (f *processFlags) serve(node, part string, validate func() error, start func(*telemetry.Telemetry) (stopper, []zap.Field, error)) error {
+	if err := validate(); err != nil {
+		return err
+	}
+	t, err := f.telemetry(node)
+	if err != nil {
+		return err
+	}
+	process, addresses, err := start(t)
+	if err != nil {
+		return err
+	}
+	log := t.Logger(part)
+	log.Info("ready", addresses...)
+	return f.runUntilSignal(process, log)
+}
+
 // runUntilSignal waits for SIGTERM or SIGINT and shuts process down. A second
 // signal ends the wait for calls in flight.
 func (f *processFlags) runUntilSignal(process stopper, log *zap.Logger) (err error) {
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -8,13 +8,13 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/cputime"
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/keyring"
 	"github.com/baobabspool/baobabspool/pkg/settings"
@@ -131,15 +131,13 @@
 // usage returns the process's CPU time in nanoseconds and the bytes that it has
 // written, to sockets included.
 func usage() (cpu, written int64) {
-	var used syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &used)
 	text, _ := os.ReadFile("/proc/self/io")
 	for _, line := range strings.Split(string(text), "\n") {
 		if value, ok := strings.CutPrefix(line, "wchar: "); ok {
 			written, _ = strconv.ParseInt(value, 10, 64)
 		}
 	}
-	return used.Utime.Nano() + used.Stime.Nano(), written
+	return int64(cputime.Used()), written
 }
 
 // BenchmarkRecord measures the time to fold a record and what it adds to the
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -247,15 +247,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, wait time.Duration) error {
-	select {
-	case <-time.After(wait):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // waitReady waits until every stream has an owner and every entry has the
 // settings.
 func (c *cluster) waitReady(ctx context.Context) error {
@@ -275,7 +266,7 @@
 		if ready {
 			return nil
 		}
-		if err := pause(ctx, 50*time.Millisecond); err != nil {
+		if err := caller.Pause(ctx, 50*time.Millisecond); err != nil {
 			return errors.Wrapf(err, "%d of %d streams are owned", owned, streamCount)
 		}
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -118,7 +118,7 @@
 				d.say("failed: %v", err)
 			}
 		}()
-		_ = pause(ctx, 250*time.Millisecond)
+		_ = caller.Pause(ctx, 250*time.Millisecond)
 	}
 	running.Wait()
 	d.say("all programs have ended")
@@ -129,7 +129,7 @@
 func (d *demonstration) faults(ctx context.Context) {
 	steps := []func(context.Context){d.withdrawKey, d.restartEngine, d.drainDomain, d.loseAnswers}
 	for _, step := range steps {
-		if pause(ctx, 1500*time.Millisecond) != nil {
+		if caller.Pause(ctx, 1500*time.Millisecond) != nil {
 			return
 		}
 		step(ctx)
@@ -160,7 +160,7 @@
 			continue
 		}
 		refused = 0
-		_ = pause(ctx, 10*time.Millisecond)
+		_ = caller.Pause(ctx, 10*time.Millisecond)
 	}
 	ok := refused == 2*len(d.system.addresses)
 	d.check("withdrawn key stops working everywhere within 3 s", ok, "after %s", time.Since(since).Round(time.Millisecond))
@@ -182,9 +182,9 @@
 		return
 	}
 	d.say("failure domain %s is taken out", domain)
-	_ = pause(ctx, settle)
+	_ = caller.Pause(ctx, settle)
 	before := d.callsIn(1)
-	_ = pause(ctx, settle)
+	_ = caller.Pause(ctx, settle)
 	late := d.callsIn(1) - before
 	d.check("failure domain taken out gets no new work after 3 s", late == 0, "%d calls came later", late)
 	if err := d.system.drain(ctx, domain, false); err != nil {
@@ -200,7 +200,7 @@
 	faults.LoseAnswers = 0.2
 	d.system.log.SetFaults(faults)
 	d.say("the log loses a fifth of its answers for 3 s")
-	_ = pause(ctx, 3*time.Second)
+	_ = caller.Pause(ctx, 3*time.Second)
 	faults.LoseAnswers = 0
 	d.system.log.SetFaults(faults)
 }
@@ -227,7 +227,7 @@
 		for _, engine := range d.system.engines {
 			held += len(engine.Sessions())
 		}
-		if held == 0 || pause(ctx, 50*time.Millisecond) != nil {
+		if held == 0 || caller.Pause(ctx, 50*time.Millisecond) != nil {
 			break
 		}
 	}
--- a/internal/demo/overhead.go
+++ b/internal/demo/overhead.go
@@ -6,12 +6,12 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/baobabspool/baobabspool/internal/caller"
+	"github.com/baobabspool/baobabspool/internal/cputime"
 	"github.com/baobabspool/baobabspool/internal/platform"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -52,9 +52,9 @@
 	m.run(ctx, 4, 8)
 	m.direct, m.through = nil, nil
 	m.generated.Store(0)
-	start, cpu := time.Now(), processTime()
+	start, cpu := time.Now(), cputime.Used()
 	m.run(ctx, callers, calls)
-	spent, elapsed := processTime()-cpu, time.Since(start)
+	spent, elapsed := cputime.Used()-cpu, time.Since(start)
 	if len(m.through) == 0 || len(m.direct) == 0 {
 		return result, errors.Errorf("no call succeeded: %v", m.failed)
 	}
@@ -142,11 +142,3 @@
 	slices.Sort(times)
 	return float64(times[len(times)/2]) / float64(time.Millisecond)
 }
-
-func processTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
--- a/pkg/policy/order/fair.go
+++ b/pkg/policy/order/fair.go
@@ -24,8 +24,8 @@
 	ageing   float64
 	virtual  float64
 	sequence uint64
-	alarms   callHeap
-	backlog  accountHeap
+	alarms   itemHeap[*waitingCall]
+	backlog  itemHeap[*account]
 	// accounts also holds accounts without a backlog whose tag lies ahead of
 	// virtual: they have been served in advance.
 	accounts map[spool.AccountID]*account
@@ -35,7 +35,7 @@
 type account struct {
 	id    spool.AccountID
 	tag   float64
-	calls callHeap
+	calls itemHeap[*waitingCall]
 	// place is the index in the backlog heap, -1 without a backlog.
 	place int
 }
--- a/pkg/policy/order/heaps.go
+++ b/pkg/policy/order/heaps.go
@@ -1,74 +1,64 @@
 package order
 
-// callHeap orders waiting calls by key, then by arrival in the queue.
-type callHeap []*waitingCall
+// heapItem is an element that knows its place, so that it can be removed from
+// the middle of a heap.
+type heapItem[T any] interface {
+	// before orders the heap.
+	before(other T) bool
+	// move notes the place in the heap; -1 when the element has left it.
+	move(place int)
+}
 
-// Len counts the calls.
-func (h callHeap) Len() int { return len(h) }
+// itemHeap implements container/heap for elements that know their place.
+type itemHeap[T heapItem[T]] []T
 
-// Less compares two calls.
-func (h callHeap) Less(i, j int) bool {
-	if h[i].key != h[j].key {
-		return h[i].key < h[j].key
-	}
-	return h[i].sequence < h[j].sequence
-}
+// Len counts the elements.
+func (h itemHeap[T]) Len() int { return len(h) }
+
+// Less compares two elements.
+func (h itemHeap[T]) Less(i, j int) bool { return h[i].before(h[j]) }
 
-// Swap exchanges two calls.
-func (h callHeap) Swap(i, j int) {
+// Swap exchanges two elements.
+func (h itemHeap[T]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
+	h[i].move(i)
+	h[j].move(j)
 }
 
-// Push adds a call at the end.
-func (h *callHeap) Push(x any) {
-	item := x.(*waitingCall)
-	item.place = len(*h)
+// Push adds an element at the end.
+func (h *itemHeap[T]) Push(x any) {
+	item := x.(T)
+	item.move(len(*h))
 	*h = append(*h, item)
 }
 
-// Pop removes the call at the end.
-func (h *callHeap) Pop() any {
+// Pop removes the element at the end.
+func (h *itemHeap[T]) Pop() any {
 	last := len(*h) - 1
 	item := (*h)[last]
-	(*h)[last] = nil
+	var none T
+	(*h)[last] = none
 	*h = (*h)[:last]
+	item.move(-1)
 	return item
 }
 
-// accountHeap orders the accounts with a backlog by tag, then by name.
-type accountHeap []*account
-
-// Len counts the accounts.
-func (h accountHeap) Len() int { return len(h) }
-
-// Less compares two accounts.
-func (h accountHeap) Less(i, j int) bool {
-	if h[i].tag != h[j].tag {
-		return h[i].tag < h[j].tag
+// before orders waiting calls by key, then by arrival in the queue.
+func (c *waitingCall) before(other *waitingCall) bool {
+	if c.key != other.key {
+		return c.key < other.key
 	}
-	return h[i].id < h[j].id
+	return c.sequence < other.sequence
 }
 
-// Swap exchanges two accounts.
-func (h accountHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
-}
+func (c *waitingCall) move(place int) { c.place = place }
 
-// Push adds an account at the end.
-func (h *accountHeap) Push(x any) {
-	item := x.(*account)
-	item.place = len(*h)
-	*h = append(*h, item)
+// before orders the accounts with a backlog by tag, then by name.
+func (a *account) before(other *account) bool {
+	if a.tag != other.tag {
+		return a.tag < other.tag
+	}
+	return a.id < other.id
 }
 
-// Pop removes the account at the end.
-func (h *accountHeap) Pop() any {
-	last := len(*h) - 1
-	item := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	item.place = -1
-	return item
-}
+func (a *account) move(place int) { a.place = place }
