Do not close an engine's gate because a call is not valid

An engine's answer of 400, 404, 413 or 422 counted as a failure of the engine and closed its gate to the cold concurrency, so one caller with a bad request slowed everybody on that engine; the entry then retried the call elsewhere and closed the next gate. The adapter now tells such answers apart (spool.ErrInvalidCall), the agent refuses with badRequest and notRun true and leaves the gate alone, and the entry does not retry. The new test fails without the change.

--- a/internal/endpoint/execute.go
+++ b/internal/endpoint/execute.go
@@ -171,6 +171,8 @@
 		return gatekeeper.EndFailed
 	case r.chunks == 0 && (rejected || errors.Is(err, spool.ErrNotSent)):
 		return gatekeeper.EndNotSent
+	case r.chunks == 0 && !r.task.call.Service && errors.Is(err, spool.ErrInvalidCall):
+		return gatekeeper.EndInvalid
 	case errors.Is(cause, errStalled):
 		r.agent.telemetry.Event("runStalled")
 		return gatekeeper.EndFailed
--- a/internal/endpoint/failure_test.go
+++ b/internal/endpoint/failure_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabspool/baobabspool/internal/endpoint"
@@ -54,6 +55,26 @@
 		ginkgo.Entry("missing end", func(_ *spool.Chunk, r *spool.EngineResult) { r.Text = "fog and more" }),
 	)
 
+	// Guards against a caller that closes the gate for everybody by sending calls
+	// that every engine refuses.
+	ginkgo.It("does not count a call that is not valid as a failure of the engine", func() {
+		mist := newEngine()
+		answer := spool.ErrInvalidCall
+		mist.generate = func(context.Context, spool.EngineCall, func(spool.Chunk) error) (spool.EngineResult, error) {
+			return spool.EngineResult{}, answer
+		}
+		agent, clients := start(endpoint.WithEngine(mist), func(c *endpoint.Config) { c.Gate = "testCounting" })
+		before := gateFailures.Load()
+		refusal := refusalOf(clients.Call(ctx, agent.Address(), wire.MethodRun, modelCall("1", user("fog?")), nil, nil))
+		gomega.Expect(refusal.Code).To(gomega.Equal(spool.CodeBadRequest))
+		gomega.Expect(refusal.NotRun).To(gomega.Equal(spool.NotRunTrue))
+		gomega.Expect(gateFailures.Load()).To(gomega.Equal(before))
+		answer = errors.New("reset")
+		refusal = refusalOf(clients.Call(ctx, agent.Address(), wire.MethodRun, modelCall("2", user("fog?")), nil, nil))
+		gomega.Expect(refusal.NotRun).To(gomega.Equal(spool.NotRunUnknown))
+		gomega.Expect(gateFailures.Load()).To(gomega.Equal(before + 1))
+	})
+
 	ginkgo.It("cancels the engine's call when the caller goes away or the engine stalls", func() {
 		mist, ended := newEngine(), make(chan error, 2)
 		mist.generate = func(ctx context.Context, _ spool.EngineCall, _ func(spool.Chunk) error) (spool.EngineResult, error) {
--- a/internal/endpoint/fake_test.go
+++ b/internal/endpoint/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -134,7 +135,19 @@
 func (fixed) Observe(clock.Millis, spool.GateEvent) {}
 func (fixed) Cold(clock.Millis) bool                { return false }
 
+// counting is a fixed gate that counts failures.
+type counting struct{ fixed }
+
+var gateFailures atomic.Int64
+
+func (counting) Observe(_ clock.Millis, event spool.GateEvent) {
+	if event.Kind == spool.GateFailed {
+		gateFailures.Add(1)
+	}
+}
+
 func init() {
+	spool.Gates.Register("testCounting", func(uint64, spool.Options) spool.Gate { return counting{} })
 	spool.Queues.Register("testFifo", func(uint64, spool.Options) spool.Queue { return &fifo{} })
 	spool.Gates.Register("testFixed", func(uint64, spool.Options) spool.Gate { return fixed{} })
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -57,6 +57,10 @@
 		if ctx.Err() != nil {
 			return reply, sent, refusal
 		}
+		if refusal.Code == spool.CodeBadRequest {
+			// Every engine would answer the same.
+			return reply, sent, refusal
+		}
 		if failure == spool.FailureFenced {
 			// The agent has seen a later owner of the stream.
 			return reply, sent, notOwner(shard.stream).WithNotRun(refusal.NotRun)
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -47,6 +47,8 @@
 		return target == spool.ErrRejected
 	case fasthttp.StatusPreconditionFailed:
 		return target == spool.ErrStaleFence
+	case fasthttp.StatusBadRequest, fasthttp.StatusNotFound, fasthttp.StatusRequestEntityTooLarge, fasthttp.StatusUnprocessableEntity:
+		return target == spool.ErrInvalidCall
 	}
 	return false
 }
--- a/pkg/gatekeeper/call.go
+++ b/pkg/gatekeeper/call.go
@@ -250,10 +250,10 @@
 	switch m.Ending {
 	case EndDone:
 		k.records.done(c, m.Outcome, k.now+k.config.OutcomeFor)
-	case EndNotSent:
+	case EndNotSent, EndInvalid:
 		c.record.runs--
 		k.records.clear(c, k.now+k.config.OutcomeFor)
-		refusal = spool.Refuse(spool.CodeEndpointFailed, "%s", m.Reason)
+		refusal = spool.Refuse(codeOf(m.Ending), "%s", m.Reason)
 	default:
 		k.records.lost(c, k.now+k.config.OutcomeFor)
 		refusal = spool.Refuse(spool.CodeEndpointFailed, "%s", m.Reason).WithNotRun(spool.NotRunUnknown)
@@ -263,6 +263,14 @@
 	}
 }
 
+// codeOf returns the refusal code of a run that provably did not happen.
+func codeOf(ending Ending) spool.Code {
+	if ending == EndInvalid {
+		return spool.CodeBadRequest
+	}
+	return spool.CodeEndpointFailed
+}
+
 // measure feeds the ending to the gate and to the average service time and
 // returns the cost of the call in tokens. A service call costs one token.
 func (k *Kernel) measure(c *call, m Finished) int {
@@ -271,7 +279,8 @@
 	case EndNotSent, EndFailed:
 		k.observe(spool.GateEvent{Kind: spool.GateFailed})
 		return max(m.Chunks, 1)
-	case EndStopped:
+	case EndStopped, EndInvalid:
+		// A caller's fault says nothing about the engine.
 		k.observe(spool.GateEvent{Kind: spool.GateEnded})
 		return max(m.Chunks, 1)
 	}
--- a/pkg/gatekeeper/message.go
+++ b/pkg/gatekeeper/message.go
@@ -81,6 +81,8 @@
 	EndNotSent
 	// EndStopped is a run that was stopped by the command Stop.
 	EndStopped
+	// EndInvalid is an engine's answer that the call is not valid; it has not run.
+	EndInvalid
 	// EndFailed is any other failure; the call may have run.
 	EndFailed
 )
--- a/pkg/spool/platform.go
+++ b/pkg/spool/platform.go
@@ -263,6 +263,9 @@
 	// ErrRejected means that the endpoint answered that it did not run the
 	// request.
 	ErrRejected = errors.New("endpoint rejected the request")
+	// ErrInvalidCall means that the engine ran nothing because the call itself is
+	// not valid; another engine would answer the same.
+	ErrInvalidCall = errors.New("engine says that the call is not valid")
 	// ErrStaleFence means that an engine refused an order with an old fencing
 	// number.
 	ErrStaleFence = errors.New("fencing number is old")
