Test several faults at once with real processes

Recovery had been tried with one fault at a time. The new case kills an entry, a model agent and a service agent, pauses a second entry for 2 s and makes the log slow and lose 0.3 of its answers, all at the same moment.

--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -203,4 +203,25 @@
 		expectIntact(s, book, programs)
 		gomega.Expect(book.Totals().Retries).NotTo(gomega.HaveKey("noAnswer"))
 	})
+
+	// Guards against recovery that works only for one fault at a time.
+	ginkgo.It("loses and doubles nothing when an entry, two agents and answers of the log are lost together", func() {
+		ctx := within(90 * time.Second)
+		s, key := start(ctx)
+		book := runPrograms(ctx, s, key, programs, func() {
+			time.Sleep(2 * time.Second)
+			s.post("log", "/", standin.LogFaults{LoseAnswers: 0.3, SlowMs: 100})
+			for _, node := range []string{"e1", "m2", "l1"} {
+				s.kill(node)
+			}
+			s.unlist("e1")
+			s.signal("e2", syscall.SIGSTOP)
+			time.Sleep(2 * time.Second)
+			s.signal("e2", syscall.SIGCONT)
+			s.restart("m2")
+			s.restart("l1")
+			s.entry("e4", "a")
+		})
+		expectIntact(s, book, programs)
+	})
 })
