Start the faults of the deployment tests only once programs are under way

A hand-made fault, holders that return nothing when they are sealed, passed the case that is meant to catch it: the log went down 2 s after the start, before rate pools granted and any turn had run. The faults now wait until every program has had two turns on average, and the log case also requires that turns go on while the log is down.

--- a/internal/caller/ledger.go
+++ b/internal/caller/ledger.go
@@ -18,6 +18,7 @@
 	mu         sync.Mutex
 	started    int
 	completed  int
+	turns      int
 	outOfOrder int
 	mismatches int
 	unknown    int
@@ -85,6 +86,8 @@
 type Totals struct {
 	// Started and Completed count programs.
 	Started, Completed int
+	// Turns counts answered turns.
+	Turns int
 	// OutOfOrder and Mismatches count answers that show that an engine saw
 	// another number of messages, or other messages, than the caller sent.
 	OutOfOrder, Mismatches int
@@ -104,7 +107,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	totals := Totals{
-		Started: l.started, Completed: l.completed, OutOfOrder: l.outOfOrder, Mismatches: l.mismatches,
+		Started: l.started, Completed: l.completed, Turns: l.turns, OutOfOrder: l.outOfOrder, Mismatches: l.mismatches,
 		Unknown: l.unknown, Problems: slices.Clone(l.problems),
 		Refusals: maps.Clone(l.refusals), Retries: maps.Clone(l.retries),
 		P50: clock.Millis(l.latency.ValueAtQuantile(50)), P95: clock.Millis(l.latency.ValueAtQuantile(95)),
--- a/internal/caller/program.go
+++ b/internal/caller/program.go
@@ -184,6 +184,7 @@
 }
 
 func (p *Program) check(answer turnAnswer) {
+	p.ledger.with(func() { p.ledger.turns++ })
 	want := standin.Answer(p.transcript, turnTokens)
 	if answer.Text == strings.Join(want, "") {
 		return
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -79,9 +79,10 @@
 	return s, key
 }
 
-// runPrograms runs programs of several turns that end with a payout each while
-// faults runs, and returns when all have ended.
-func runPrograms(ctx context.Context, s *system, key string, count int, faults func()) *caller.Ledger {
+// runPrograms runs programs of several turns that end with a payout each, calls
+// faults once every program has had two turns on average, and returns when all
+// have ended.
+func runPrograms(ctx context.Context, s *system, key string, count int, faults func(*caller.Ledger)) *caller.Ledger {
 	book := caller.NewLedger()
 	var running sync.WaitGroup
 	for i := range count {
@@ -95,7 +96,8 @@
 			}
 		})
 	}
-	faults()
+	gomega.Eventually(func() int { return book.Totals().Turns }, "30s", "10ms").Should(gomega.BeNumerically(">=", 2*count))
+	faults(book)
 	running.Wait()
 	return book
 }
@@ -124,8 +126,7 @@
 	ginkgo.It("loses and doubles nothing when an entry is killed and replaced", func() {
 		ctx := within(90 * time.Second)
 		s, key := start(ctx)
-		book := runPrograms(ctx, s, key, programs, func() {
-			time.Sleep(3 * time.Second)
+		book := runPrograms(ctx, s, key, programs, func(*caller.Ledger) {
 			s.kill("e1")
 			s.unlist("e1")
 			time.Sleep(2 * time.Second)
@@ -138,8 +139,7 @@
 	ginkgo.It("loses and doubles nothing when agents and an engine are killed", func() {
 		ctx := within(90 * time.Second)
 		s, key := start(ctx)
-		book := runPrograms(ctx, s, key, programs, func() {
-			time.Sleep(2 * time.Second)
+		book := runPrograms(ctx, s, key, programs, func(*caller.Ledger) {
 			s.kill("m1")
 			time.Sleep(time.Second)
 			s.kill("l1")
@@ -155,8 +155,7 @@
 	ginkgo.It("loses and doubles nothing when an owner is paused and wakes up", func() {
 		ctx := within(90 * time.Second)
 		s, key := start(ctx)
-		book := runPrograms(ctx, s, key, programs, func() {
-			time.Sleep(2 * time.Second)
+		book := runPrograms(ctx, s, key, programs, func(*caller.Ledger) {
 			s.signal("e2", syscall.SIGSTOP)
 			front := s.dropFront("e2")
 			time.Sleep(6 * time.Second)
@@ -170,10 +169,13 @@
 	ginkgo.It("loses and doubles nothing when an entry dies while the log is down", func() {
 		ctx := within(90 * time.Second)
 		s, key := start(ctx)
-		book := runPrograms(ctx, s, key, programs, func() {
-			time.Sleep(2 * time.Second)
+		book := runPrograms(ctx, s, key, programs, func(book *caller.Ledger) {
 			s.post("log", "/", standin.LogFaults{Down: true})
-			time.Sleep(2 * time.Second)
+			time.Sleep(500 * time.Millisecond)
+			before := book.Totals().Turns
+			time.Sleep(1500 * time.Millisecond)
+			// Turns go on, held by peers; otherwise the kill could lose nothing.
+			gomega.Expect(book.Totals().Turns).To(gomega.BeNumerically(">", before))
 			s.kill("e3")
 			s.unlist("e3")
 			time.Sleep(2 * time.Second)
@@ -187,8 +189,7 @@
 	ginkgo.It("cuts no request when every process is stopped and replaced in turn", func() {
 		ctx := within(120 * time.Second)
 		s, key := start(ctx)
-		book := runPrograms(ctx, s, key, programs, func() {
-			time.Sleep(time.Second)
+		book := runPrograms(ctx, s, key, programs, func(*caller.Ledger) {
 			for i, domain := range []spool.FailureDomain{"a", "b", "c"} {
 				entry, agent := fmt.Sprintf("e%d", i+1), fmt.Sprintf("m%d", i+1)
 				s.entry(fmt.Sprintf("f%d", i+1), domain)
@@ -208,8 +209,7 @@
 	ginkgo.It("loses and doubles nothing when an entry, two agents and answers of the log are lost together", func() {
 		ctx := within(90 * time.Second)
 		s, key := start(ctx)
-		book := runPrograms(ctx, s, key, programs, func() {
-			time.Sleep(2 * time.Second)
+		book := runPrograms(ctx, s, key, programs, func(*caller.Ledger) {
 			s.post("log", "/", standin.LogFaults{LoseAnswers: 0.3, SlowMs: 100})
 			for _, node := range []string{"e1", "m2", "l1"} {
 				s.kill(node)
