Offer TLS between processes and on the callers' API

Listeners took a TLS configuration, but no flag set one, so it could not be used. A whole deployment over TLS was not run.

--- a/internal/cli/endpoint.go
+++ b/internal/cli/endpoint.go
@@ -39,6 +39,7 @@
 	command.Flags().StringVar(&settings.VMsAddress, "vms-address", "", "IP address and port of the platform's list of VMs")
 	command.Flags().StringVar(&settings.EngineAddress, "engine-address", "", "IP address and port of the model engine")
 	command.Flags().StringVar(&settings.ServiceAddress, "service-address", "", "IP address and port of the plain service")
+	registerTLS(command, &settings.TLS)
 	flags.register(command)
 	config.Bind(command)
 	return command
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -44,6 +44,9 @@
 	command.Flags().IntVar(&settings.LogReaders, "log-readers", settings.LogReaders, "entries of each failure domain that read the control stream from the log, the others pull from them; 0 for all")
 	command.Flags().Int64Var(&settings.RetentionMs, "retention-ms", settings.RetentionMs, "how long the log keeps records, in milliseconds")
 	command.Flags().Int64Var(&settings.LameDuckMs, "lame-duck-ms", settings.LameDuckMs, "time between /readyz turning false and the end of accepting, in milliseconds")
+	command.Flags().StringVar(&settings.HTTPTLS.Cert, "http-tls-cert", "", "PEM file with the certificate of the callers' API; empty for plain HTTP")
+	command.Flags().StringVar(&settings.HTTPTLS.Key, "http-tls-key", "", "PEM file with its key")
+	registerTLS(command, &settings.TLS)
 	flags.register(command)
 	config.Bind(command)
 	return command
--- a/internal/cli/nodes.go
+++ b/internal/cli/nodes.go
@@ -14,6 +14,7 @@
 
 	"github.com/baobabspool/baobabspool/internal/config"
 	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/process"
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -31,9 +32,12 @@
 	o.common(command)
 	command.Flags().StringVar(&o.vmsAddress, "vms-address", "", "host:port of the platform's list of VMs")
 	command.Flags().StringSliceVar(&o.entries, "entries", nil, "host:port of entries to ask instead of the list")
+	var files process.TLSFiles
+	registerTLS(command, &files)
 	command.RunE = func(command *cobra.Command, args []string) error {
 		var problems config.Problems
 		o.check(&problems)
+		files.Check(&problems)
 		if o.vmsAddress == "" && len(o.entries) == 0 {
 			problems.Add("vms-address", "is required unless entries are given")
 		}
@@ -42,7 +46,11 @@
 		}
 		ctx, cancel := context.WithTimeout(contextOf(command), clock.Millis(o.timeoutMs).Duration())
 		defer cancel()
-		clients := wire.NewClients("operator")
+		_, secure, err := files.Load()
+		if err != nil {
+			return err
+		}
+		clients := wire.NewClients("operator", wire.WithTLS(secure))
 		defer clients.Close()
 		vms, err := o.listVMs(ctx)
 		if err != nil {
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
+	"github.com/baobabspool/baobabspool/internal/process"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -41,6 +42,12 @@
 	Shutdown(ctx context.Context) error
 }
 
+func registerTLS(command *cobra.Command, files *process.TLSFiles) {
+	command.Flags().StringVar(&files.Cert, "tls-cert", "", "PEM file with the certificate for messages between processes; empty for plain TCP")
+	command.Flags().StringVar(&files.Key, "tls-key", "", "PEM file with its key")
+	command.Flags().StringVar(&files.CA, "tls-ca", "", "PEM file with the authority that signs the certificates of all processes")
+}
+
 // serve starts a process, logs that it is ready and waits for a signal. start
 // returns the process and where it listens.
 func (f *processFlags) serve(node, part string, validate func() error, start func(*telemetry.Telemetry) (stopper, []zap.Field, error)) error {
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,6 +36,8 @@
 	// one of them is set.
 	EngineAddress  string
 	ServiceAddress string
+	// TLS protects the messages between our processes.
+	TLS TLSFiles
 }
 
 // Validate returns every error of the settings at once.
@@ -48,6 +51,7 @@
 		problems.Address("http-listen", c.HTTPListen)
 	}
 	problems.Address("vms-address", c.VMsAddress)
+	c.TLS.Check(&problems)
 	if (c.EngineAddress == "") == (c.ServiceAddress == "") {
 		problems.Add("engine-address", "give either engine-address or service-address")
 		return problems.Err()
@@ -86,9 +90,13 @@
 	if err := settingsOfProcess.Validate(); err != nil {
 		return nil, err
 	}
+	server, client, err := settingsOfProcess.TLS.Load()
+	if err != nil {
+		return nil, err
+	}
 	p = &Endpoint{
 		config:  settingsOfProcess,
-		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node)),
+		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node), wire.WithTLS(client)),
 		log:     t.Logger("endpoint"),
 		wake:    make(chan struct{}, 1),
 		stop:    make(chan struct{}),
@@ -98,7 +106,7 @@
 	if err := p.startControl(t); err != nil {
 		return nil, err
 	}
-	if err := p.startAgent(t); err != nil {
+	if err := p.startAgent(t, server); err != nil {
 		return nil, err
 	}
 	go func() { p.follow() }()
@@ -128,7 +136,7 @@
 	return nil
 }
 
-func (p *Endpoint) startAgent(t *telemetry.Telemetry) (err error) {
+func (p *Endpoint) startAgent(t *telemetry.Telemetry, server *tls.Config) (err error) {
 	values := p.control.Settings(settings.Scope{
 		Region: spool.Region(p.config.Region), FailureDomain: spool.FailureDomain(p.config.FailureDomain),
 	})
@@ -143,7 +151,7 @@
 	agentConfig.Kernel.MaxWait = values.Duration(settings.QueueMaxWaitMs)
 	agentConfig.Kernel.CallLease = values.Duration(settings.MemoryLeaseMs)
 	agentConfig.Kernel.GraceLease = values.Duration(settings.MemoryLeaseMs)
-	options := []endpoint.Option{endpoint.WithTelemetry(t)}
+	options := []endpoint.Option{endpoint.WithTelemetry(t), endpoint.WithTLS(server)}
 	if p.config.EngineAddress != "" {
 		options = append(options, endpoint.WithEngine(platform.NewEngine(p.config.EngineAddress)))
 	} else {
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -47,6 +47,9 @@
 	// LameDuckMs is the time between readyz turning false and the end of
 	// accepting.
 	LameDuckMs int64
+	// TLS protects the messages between our processes, HTTPTLS the callers' API.
+	TLS     TLSFiles
+	HTTPTLS FrontTLS
 }
 
 // DefaultEntryConfig returns the values that are used when nothing else is set.
@@ -67,6 +70,8 @@
 	problems.Address("http-listen", c.HTTPListen)
 	problems.Address("vms-address", c.VMsAddress)
 	problems.Address("log-address", c.LogAddress)
+	c.TLS.Check(&problems)
+	c.HTTPTLS.check(&problems)
 	if c.StreamCount < 1 {
 		problems.Add("streams", "must be at least 1")
 	}
@@ -106,7 +111,15 @@
 	}
 	p = &Entry{config: processConfig, log: t.Logger("entry")}
 	source := clock.System()
-	clients := wire.NewClients(spool.NodeID(p.config.Node))
+	server, client, err := p.config.TLS.Load()
+	if err != nil {
+		return nil, err
+	}
+	front, err := p.config.HTTPTLS.Load()
+	if err != nil {
+		return nil, err
+	}
+	clients := wire.NewClients(spool.NodeID(p.config.Node), wire.WithTLS(client))
 	log := platform.NewLog(p.config.LogAddress)
 	list := platform.NewVMList(p.config.VMsAddress)
 	p.vms = newVMWatch(list, t, func() {})
@@ -118,7 +131,7 @@
 		return nil, err
 	}
 	state := &controlState{reader: p.control, region: spool.Region(p.config.Region), domain: spool.FailureDomain(p.config.FailureDomain)}
-	if err := p.buildEntry(state, clients, source, t); err != nil {
+	if err := p.buildEntry(state, clients, source, t, entry.WithTLS(front, server)); err != nil {
 		return nil, err
 	}
 	if err := p.startStreams(log, list, clients, source, t); err != nil {
@@ -162,7 +175,7 @@
 	return -1
 }
 
-func (p *Entry) buildEntry(state *controlState, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry) (err error) {
+func (p *Entry) buildEntry(state *controlState, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry, secure entry.Option) (err error) {
 	entryConfig := entry.DefaultConfig
 	entryConfig.Node = spool.NodeID(p.config.Node)
 	entryConfig.FailureDomain = spool.FailureDomain(p.config.FailureDomain)
@@ -172,7 +185,7 @@
 	entryConfig.LameDuckFor = clock.Millis(p.config.LameDuckMs)
 	p.entry, err = entry.New(entryConfig, state, p.quota,
 		entry.WithClock(source), entry.WithTelemetry(t), entry.WithClients(clients),
-		entry.WithHandlers(p.control.Handlers()), entry.WithHandlers(p.quota.Handlers()))
+		secure, entry.WithHandlers(p.control.Handlers()), entry.WithHandlers(p.quota.Handlers()))
 	return err
 }
 
