Tell pools only of limits that have changed

Every version of limits reconfigured every account, and each reconfiguration starts the 5.3 s after which a part may grow again. One account whose limits kept changing therefore held back the static parts of all others; nothing was over-admitted. Accounts are now told only when their own limits differ, and of members only when the list differs. The new test sends a change every 100 ms for 6 s: it fails before and passes after.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -11,6 +12,9 @@
 
 // account is one account's state at this entry.
 type account struct {
+	// config is what share and owner have been told last. Telling them again
+	// would put off the growth of their parts.
+	config limit.Config
 	share *limit.Share
 	line  *limit.Line
 	owner *limit.Owner
@@ -111,7 +115,7 @@
 		share := limit.NewShare(now, id, m.config.Node, m.config.Timing, config)
 		share.View(now, m.members)
 		state = &account{
-			share: share, line: limit.NewLine(share), owner: limit.NewOwner(m.config.Timing, config),
+			config: config, share: share, line: limit.NewLine(share), owner: limit.NewOwner(m.config.Timing, config),
 		}
 		m.accounts[id] = state
 	}
@@ -149,6 +153,7 @@
 func (m *Manager) take(now clock.Millis, version Version) {
 	m.others = version.Others
 	maps.Copy(m.limits, version.Limits)
+	moved := version.Skipped || version.Members != nil && !slices.Equal(version.Members, m.members)
 	if version.Members != nil {
 		m.members = version.Members
 	}
@@ -160,18 +165,23 @@
 	for id, state := range m.accounts {
 		if version.Skipped {
 			state.share.View(now, nil)
-			state.share.Configure(now, limit.Config{})
-			state.owner.Configure(now, limit.Config{})
+			state.configure(now, limit.Config{})
 		}
-		config := m.limitsOf(id)
-		state.share.Configure(now, config)
-		state.owner.Configure(now, config)
-		if version.Members != nil || version.Skipped {
+		if config := m.limitsOf(id); config != state.config {
+			state.configure(now, config)
+		}
+		if moved {
 			state.share.View(now, m.members)
 		}
 	}
 }
 
+func (a *account) configure(now clock.Millis, config limit.Config) {
+	a.config = config
+	a.share.Configure(now, config)
+	a.owner.Configure(now, config)
+}
+
 // own follows the ownership of the account's pool.
 func (m *Manager) own(now clock.Millis, id spool.AccountID, state *account) {
 	stream := spool.StreamOfAccount(id, m.config.StreamCount)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -184,4 +184,19 @@
 		f.send(500*time.Millisecond, time.Millisecond)
 		gomega.Expect(f.admitted).To(gomega.BeEmpty())
 	})
+
+	// Guards against a change of one account that puts off the growth of all
+	// others: static parts grow 5.3 s after the members were learnt.
+	ginkgo.It("lets static parts grow while limits of other accounts keep changing", func() {
+		f := newFleet(config, always)
+		f.owner.move("")
+		for i := range 60 {
+			for _, manager := range f.managers {
+				manager.Observe(quota.Version{Limits: map[spool.AccountID]limit.Config{"other": {Rate: float64(i), Burst: 10}}})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.send(time.Second, time.Millisecond)
+		gomega.Expect(f.admitted).NotTo(gomega.BeEmpty())
+	})
 })
