Note at once where a program's prefix is, and drop dead code

Nothing called fleet.holds, so the router learnt of a prefix only from the next load report, up to a second or more later, and a quick next turn could go elsewhere. A finished turn now notes it. Also removes three functions that nothing calls.

--- a/internal/bench/program.go
+++ b/internal/bench/program.go
@@ -23,16 +23,6 @@
 	turns   []turn
 }
 
-func (s *script) calls() (n int) {
-	for _, t := range s.turns {
-		n++
-		for _, child := range t.children {
-			n += child.calls()
-		}
-	}
-	return n
-}
-
 func exponential(random *rand.Rand, mean float64) float64 { return random.ExpFloat64() * mean }
 
 // newScript draws a program: a log-normal number of turns with mean 9, prompts
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -292,6 +292,7 @@
 		return answer, err
 	}
 	result := reply.Engine
+	e.fleet.holds(reply.Load.Endpoint, ticket.Program, result.PromptTokens+result.GeneratedTokens)
 	var entry spool.Record
 	overspent := false
 	if !shard.do(func() {
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -91,16 +91,12 @@
 	known.report++
 }
 
-// holds notes that an endpoint has a program's prefix.
+// holds notes that an endpoint has a program's prefix since its latest turn,
+// which the next load report confirms.
 func (f *fleet) holds(id spool.EndpointID, program spool.ProgramID, tokens int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.get(id)
-	if tokens == 0 {
-		delete(known.cached, program)
-		return
-	}
-	known.cached[program] = tokens
+	f.get(id).cached[program] = tokens
 }
 
 // mark returns the agent's mark of the latest report.
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -73,19 +73,6 @@
 	l.Set(settings)
 }
 
-// Remove takes a VM off the list.
-func (l *VMList) Remove(id spool.NodeID) {
-	settings := l.Settings()
-	kept := settings.VMs[:0]
-	for _, vm := range settings.VMs {
-		if vm.ID != id {
-			kept = append(kept, vm)
-		}
-	}
-	settings.VMs = kept
-	l.Set(settings)
-}
-
 // VMs returns the list as it is shown now.
 func (l *VMList) VMs(context.Context) ([]spool.VM, error) {
 	l.mu.Lock()
--- a/pkg/limit/fleet.go
+++ b/pkg/limit/fleet.go
@@ -114,9 +114,6 @@
 	return f.nextTick
 }
 
-// Live lists the entries that take requests.
-func (f *Fleet) Live() []spool.NodeID { return f.live }
-
 // Leave ends an entry without notice. Requests that it held are refused.
 func (f *Fleet) Leave(now clock.Millis, node spool.NodeID) {
 	for _, account := range f.accounts {
