--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -15,9 +15,9 @@
 	// config is what share and owner have been told last. Telling them again
 	// would put off the growth of their parts.
 	config limit.Config
-	share *limit.Share
-	line  *limit.Line
-	owner *limit.Owner
+	share  *limit.Share
+	line   *limit.Line
+	owner  *limit.Owner
 	// epoch is the claim under which this entry owns the pool; 0 when it does not.
 	epoch spool.Epoch
 }
