Let programs that have begun go before programs that begin

No call of a program that had begun was refused.

Change: at an agent, first calls of programs go after all others (queue order `fair`), at most for order.startPatienceMs. Their expected wait follows from the measured rate of starts (gatekeeper.Backlog, used by the kernel and the bench), and bounds their own queue (queue.startMaxWaitMs); calls of programs that have begun no longer count them. The report carries the wait, entries use it for the choice, the bound and retryAfterMs. The bound rises from 30 s to 110 s with a fifth of the capacity lost and returns slowly. The bench no longer retries a call for which the router finds no endpoint; the processes never did, and these retries used up the budget of others.

Changed tests: the queues of tests have the new method Ahead (the kernel's own count of alarms moved into the queue); TestFairOrder's short programs have begun, as first calls now go last; TestShed has longer queues, as the default bound is 30 s.

--- a/internal/bench/agent.go
+++ b/internal/bench/agent.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -26,6 +27,9 @@
 	withinOK bool
 }
 
+// start tells whether the call is the first one of a root program.
+func (c *call) start() bool { return c.program.parent == nil && c.program.answered == 0 }
+
 func sorted(calls map[*call]struct{}) []*call {
 	list := make([]*call, 0, len(calls))
 	for c := range calls {
@@ -45,15 +49,13 @@
 	gate     spool.Gate
 	waiting  map[string]*call
 	running  int
-	perCall  float64
+	backlog  gatekeeper.Backlog
 	draining bool
 	// listed and returnedAt are what the entries know.
 	listed     bool
 	returnedAt clock.Millis
 }
 
-const serviceTimeWeight = 0.1
-
 func (a *agent) window() int {
 	if a.variant.ideal {
 		return 1 << 30
@@ -61,19 +63,31 @@
 	return a.gate.Window(a.now)
 }
 
+// wait estimates the wait of a call that arrives now.
+func (a *agent) wait(call spool.CallView) clock.Millis {
+	if a.variant.StartMaxWait == 0 {
+		return a.backlog.DrainTime(a.running+a.queue.Len()+1-a.window(), a.window())
+	}
+	return a.backlog.Wait(a.now, call, a.queue.Ahead(call), a.running, a.window())
+}
+
 // submit takes a call in or refuses it.
 func (a *agent) submit(c *call) {
-	wait := clock.Millis(a.perCall * float64(max(0, a.running+len(a.waiting)+1-a.window())) / float64(a.window()))
+	wait, bound := a.wait(c.view), queueMaxWait
+	if c.view.Start() && a.variant.StartMaxWait > 0 {
+		bound = a.variant.StartMaxWait
+	}
 	switch {
 	case a.draining:
 		a.fail(c, spool.FailureRefused, 0)
 		return
-	case wait > queueMaxWait && !c.view.Alarm:
-		a.fail(c, spool.FailureOverloaded, wait-queueMaxWait)
+	case wait > bound && !c.view.Alarm:
+		a.fail(c, spool.FailureOverloaded, wait-bound)
 		return
 	}
 	a.waiting[c.view.Correlation] = c
 	a.queue.Push(a.now, c.view)
+	a.backlog.Pushed(a.now, c.view)
 	a.schedule()
 }
 
@@ -89,6 +103,7 @@
 		}
 		c := a.waiting[view.Correlation]
 		delete(a.waiting, view.Correlation)
+		a.backlog.Popped(a.now, view, true)
 		a.start(c)
 	}
 }
@@ -110,7 +125,7 @@
 func (a *agent) ended(c *call, cached int) {
 	a.running--
 	took := float64(a.now - c.startAt)
-	a.perCall += serviceTimeWeight * (took - a.perCall)
+	a.backlog.Ended(took)
 	a.gate.Observe(a.now, spool.GateEvent{Kind: spool.GateCompleted, Latency: took / float64(c.turn.generated)})
 	a.queue.Served(a.now, c.view, c.view.PromptTokens-cached+c.turn.generated)
 	a.count.served(a.now, c, cached)
@@ -129,6 +144,7 @@
 		a.fail(a.waiting[view.Correlation], spool.FailureRefused, 0)
 		a.queue.Served(a.now, view, 0)
 		delete(a.waiting, view.Correlation)
+		a.backlog.Popped(a.now, view, false)
 	}
 }
 
@@ -147,7 +163,10 @@
 		a.gate.Observe(a.now, spool.GateEvent{Kind: spool.GateReport, Load: load})
 		a.schedule()
 	})
-	status := status{at: a.now, window: a.window(), running: a.running, queued: len(a.waiting), perCall: a.perCall}
+	status := status{
+		at: a.now, window: a.window(), running: a.running, queued: len(a.waiting), perCall: a.backlog.MillisPerCall(),
+		starts: a.backlog.Starts(), startWait: a.wait(spool.CallView{}),
+	}
 	a.after(hop, func() {
 		for _, e := range a.entries {
 			e.status[a.id] = status
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -59,6 +59,11 @@
 	// Service is the share of calls answered without an error while a failure
 	// domain leaves and returns; refusals by rate do not count.
 	Service float64 `json:"service"`
+	// ServiceWithin also counts the refusals by rate of calls that one central
+	// bucket would have admitted.
+	ServiceWithin float64 `json:"serviceWithin"`
+	// Refusals lists what Service lacks, by reason and account.
+	Refusals []Refusal `json:"refusals,omitempty"`
 	// Calls counts the answered calls, Unfinished the programs that did not end,
 	// Refused those that were refused before their first answer.
 	Calls      int `json:"calls"`
@@ -212,9 +217,11 @@
 		RefusedWithin:    ratio(float64(n.missing), float64(n.within)),
 		RefusedByRequest: ratio(float64(n.refused), float64(n.within)),
 		OverAdmission:    n.over, Overloads: n.overloads,
-		AlarmP95:   float64(n.alarms.ValueAtQuantile(95)),
-		Service:    1 - ratio(float64(n.failed), float64(n.issued)),
-		Unfinished: n.unfinished, Refused: n.refusedPrograms,
+		AlarmP95:      float64(n.alarms.ValueAtQuantile(95)),
+		Service:       1 - ratio(float64(n.failed), float64(n.issued)),
+		ServiceWithin: 1 - ratio(float64(n.failed+n.refusedWithin), float64(n.issued+n.refusedWithin)),
+		Refusals:      refusalsOf(n.refusals),
+		Unfinished:    n.unfinished, Refused: n.refusedPrograms,
 	}
 	for account, wanted := range due {
 		f.Calls += n.calls[account]
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -98,7 +98,7 @@
 // is dropped by its caller. A call that has waited too long ends the program.
 func (p *program) refused(c *call, retryAfter clock.Millis) {
 	switch {
-	case p.parent == nil && p.answered == 0 && !p.script.alarm:
+	case c.start() && !p.script.alarm:
 		delete(p.programs, p.id)
 		p.count.dropped(p)
 	case p.now-c.issuedAt >= callPatience:
--- a/internal/bench/counters.go
+++ b/internal/bench/counters.go
@@ -4,6 +4,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
 // counters collects what one run, or several seeds of one cell, have shown.
@@ -25,12 +26,17 @@
 	allowed, admitted map[string]int
 	missing           int
 	issued, failed    int
-	overloads         int
-	over              float64
+	// refusals counts what failed is made of; refusedWithin counts the calls that
+	// the limits refused in the same phase although one central bucket would have
+	// admitted them.
+	refusals      map[Refusal]int
+	refusedWithin int
+	overloads     int
+	over          float64
 }
 
 func newCounters(s *system) *counters {
-	return &counters{system: s, latency: histogram(), all: histogram(), alarms: histogram(), calls: map[string]int{}, allowed: map[string]int{}, admitted: map[string]int{}}
+	return &counters{system: s, latency: histogram(), all: histogram(), alarms: histogram(), calls: map[string]int{}, allowed: map[string]int{}, admitted: map[string]int{}, refusals: map[Refusal]int{}}
 }
 
 func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, int64(clock.Hour), 3) }
@@ -56,6 +62,9 @@
 	if !c.withinOK {
 		return
 	}
+	if !admitted && inService(c.issuedAt) {
+		n.refusedWithin++
+	}
 	n.within++
 	n.allowed[c.program.script.account]++
 	if !admitted {
@@ -66,18 +75,27 @@
 // answered and errored count the ends of calls issued while a failure domain
 // leaves and returns.
 func (n *counters) answered(c *call) {
-	if c.issuedAt >= leaveAt && c.issuedAt < serviceTo {
+	if inService(c.issuedAt) {
 		n.issued++
 	}
 }
 
-func (n *counters) errored(c *call) {
-	if c.issuedAt >= leaveAt && c.issuedAt < serviceTo {
-		n.issued++
-		n.failed++
+func (n *counters) errored(c *call, failure spool.Failure) {
+	if !inService(c.issuedAt) {
+		return
 	}
+	n.issued++
+	n.failed++
+	n.refusals[Refusal{
+		Failure: failure, Account: c.program.script.account, Start: c.start(),
+		Back: n.system.now >= returnAt,
+	}]++
 }
 
+// inService tells whether an instant lies in the phase in which a failure domain
+// leaves and returns.
+func inService(at clock.Millis) bool { return at >= leaveAt && at < serviceTo }
+
 func (n *counters) ended(p *program, done bool) {
 	if !inWindow(p.began) {
 		return
@@ -146,6 +164,10 @@
 	n.refused += other.refused
 	n.issued += other.issued
 	n.failed += other.failed
+	for refusal, count := range other.refusals {
+		n.refusals[refusal] += count
+	}
+	n.refusedWithin += other.refusedWithin
 	n.overloads += other.overloads
 	n.over += other.over
 }
--- a/internal/bench/doc.go
+++ b/internal/bench/doc.go
@@ -12,7 +12,10 @@
 // accounts offer four times their rate and the others the rest.
 package bench
 
-import "github.com/baobabspool/baobabspool/pkg/clock"
+import (
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
 
 // The engine and the callers. They were set before the first measurement and
 // are not changed to meet a target.
@@ -32,6 +35,7 @@
 	listLag        = 1500 * clock.Millis(1)
 	rampMillis     = 30 * clock.Second
 	queueMaxWait   = 30 * clock.Second
+	startMaxWait   = 110 * clock.Second
 	callPatience   = 120 * clock.Second
 	callerRetryMin = 500 * clock.Millis(1)
 
@@ -108,6 +112,11 @@
 	Router, Queue, Gate, Retry string
 	// Leases selects pkg/limit's leases; otherwise the static split.
 	Leases bool
+	// StartMaxWait bounds the wait of the first call of a program, which then goes
+	// after calls of programs that have begun; 0 treats all calls alike.
+	StartMaxWait clock.Millis
+	// Options go to the policies.
+	Options spool.Options
 	// ideal replaces the fleet by engines without limits and the limits by one
 	// central bucket; it defines what is due to each account.
 	ideal bool
@@ -120,7 +129,7 @@
 
 // Policy returns the policies under test.
 func Policy() Variant {
-	return Variant{Router: "affinity", Queue: "fair", Gate: "adaptive", Retry: "budgeted", Leases: true}
+	return Variant{Router: "affinity", Queue: "fair", Gate: "adaptive", Retry: "budgeted", Leases: true, StartMaxWait: startMaxWait}
 }
 
 func reference() Variant {
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -11,6 +11,8 @@
 	window          int
 	running, queued int
 	perCall         float64
+	starts          int
+	startWait       clock.Millis
 }
 
 // entry drives the router and the retry policy.
@@ -37,7 +39,7 @@
 	c.view.Attained = c.program.root().attained
 	id, ok := e.router.Pick(e.now, c.view, e.views(c))
 	if !ok {
-		e.failed(c, spool.FailureNotSent, 0)
+		e.refuse(c, spool.FailureNotSent, 0)
 		return
 	}
 	c.agent = e.agents[id]
@@ -58,7 +60,7 @@
 		s := e.status[a.id]
 		view := spool.EndpointView{
 			ID: a.id, FailureDomain: spool.FailureDomain(a.domain),
-			Window: s.window, Running: s.running, Queued: s.queued, ReportedAt: s.at,
+			Window: s.window, Running: s.running, Queued: s.queued, QueuedStarts: s.starts, StartWait: s.startWait, ReportedAt: s.at,
 			CachedTokens: c.program.believed[a.id], MillisPerCall: s.perCall,
 			PrefillTokensPerMilli: prefillSpeed, Share: 1,
 		}
@@ -99,6 +101,12 @@
 		e.after(wait, func() { e.try(c) })
 		return
 	}
-	e.count.errored(c)
+	e.refuse(c, failure, retryAfter)
+}
+
+// refuse ends a call. As in the processes, a call for which the router finds no
+// endpoint is refused at once.
+func (e *entry) refuse(c *call, failure spool.Failure, retryAfter clock.Millis) {
+	e.count.errored(c, failure)
 	e.after(hop, func() { c.program.refused(c, retryAfter) })
 }
--- /dev/null
+++ b/internal/bench/refusal.go
@@ -0,0 +1,84 @@
+package bench
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Refusal describes the calls that ended with an error while a failure domain
+// left and returned.
+type Refusal struct {
+	// Failure is that of the last attempt.
+	Failure spool.Failure `json:"failure"`
+	// Account is the client account.
+	Account string `json:"account"`
+	// Start is true for the first calls of programs.
+	Start bool `json:"start"`
+	// Back is true once the failure domain has returned.
+	Back bool `json:"back"`
+	// Calls counts them.
+	Calls int `json:"calls"`
+}
+
+// refusalsOf lists the refusals with the most frequent one first.
+func refusalsOf(counts map[Refusal]int) []Refusal {
+	list := make([]Refusal, 0, len(counts))
+	for refusal, calls := range counts {
+		refusal.Calls = calls
+		list = append(list, refusal)
+	}
+	slices.SortFunc(list, func(a, b Refusal) int {
+		return cmp.Or(cmp.Compare(b.Calls, a.Calls), cmp.Compare(a.Account, b.Account), cmp.Compare(a.name(), b.name()))
+	})
+	return list
+}
+
+// name tells which calls failed when, without the account.
+func (r Refusal) name() string {
+	kind, phase := "call", "out"
+	if r.Start {
+		kind = "start"
+	}
+	if r.Back {
+		phase = "back"
+	}
+	return fmt.Sprintf("%s %s %s", r.Failure, kind, phase)
+}
+
+// WriteRefusals prints what the calls that failed were, for each cell with
+// faults.
+func (r Result) WriteRefusals(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "\ncell\t\trefusal\tcalls\tof which by account")
+	for _, c := range r.Cells {
+		for i, f := range []Figures{c.Baseline, c.Policy} {
+			if c.Faults {
+				refusalRows(table, c.name()+"\t"+[]string{"b", "p"}[i], f.Refusals)
+			}
+		}
+	}
+	return errors.Wrap(table.Flush(), "write refusals")
+}
+
+func refusalRows(w io.Writer, cell string, list []Refusal) {
+	total, accounts := map[string]int{}, map[string]string{}
+	var names []string
+	for _, refusal := range list {
+		name := refusal.name()
+		if total[name] == 0 {
+			names = append(names, name)
+		}
+		total[name] += refusal.Calls
+		accounts[name] += fmt.Sprintf("%s %d ", refusal.Account, refusal.Calls)
+	}
+	for _, name := range names {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", cell, name, total[name], accounts[name])
+	}
+}
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -65,11 +65,11 @@
 	fmt.Fprintf(w, "seeds %v; latencies in seconds, of the programs of accounts that keep to their rate\n", r.Seeds)
 	fmt.Fprintf(w, "b: baseline, p: policies, floor: engines without limits, queues or recomputing\n\n")
 	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "cell\t\tp50\tp95\tp99\tall p95\trecomputed\tworst served\trefused within\tover\tcold overload\talarm p95\tservice\tcalls\tunfinished\trefused\t")
+	fmt.Fprintln(table, "cell\t\tp50\tp95\tp99\tall p95\trecomputed\tworst served\trefused within\tover\tcold overload\talarm p95\tservice\twith rate\tcalls\tunfinished\trefused\t")
 	for _, c := range r.Cells {
 		row(table, c.name(), "b", c.Baseline)
 		row(table, "", "p", c.Policy)
-		fmt.Fprintf(table, "floor p95 %.0f\tp/b\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t\t\t\t\t\t\t\t\t\t\n",
+		fmt.Fprintf(table, "floor p95 %.0f\tp/b\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t\t\t\t\t\t\t\t\t\t\t\n",
 			c.FloorP95/1000, c.Ratios.P50, c.Ratios.P95, c.Ratios.P99, ratio(c.Policy.AllP95, c.Baseline.AllP95), c.Ratios.Recomputed)
 	}
 	if err := table.Flush(); err != nil {
@@ -87,7 +87,7 @@
 }
 
 func row(w io.Writer, name, side string, f Figures) {
-	fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.3f\t%.3f %s\t%.4f\t%.0f\t%d\t%.1f\t%.4f\t%d\t%d\t%d\t\n",
+	fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.3f\t%.3f %s\t%.4f\t%.0f\t%d\t%.1f\t%.4f\t%.4f\t%d\t%d\t%d\t\n",
 		name, side, f.P50/1000, f.P95/1000, f.P99/1000, f.AllP95/1000, f.Recomputed, f.WorstServed, f.WorstName,
-		f.RefusedWithin, f.OverAdmission, f.Overloads, f.AlarmP95/1000, f.Service, f.Calls, f.Unfinished, f.Refused)
+		f.RefusedWithin, f.OverAdmission, f.Overloads, f.AlarmP95/1000, f.Service, f.ServiceWithin, f.Calls, f.Unfinished, f.Refused)
 }
--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
 	"github.com/baobabspool/baobabspool/pkg/limit"
 	_ "github.com/baobabspool/baobabspool/pkg/policy" // registers the policies
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -62,7 +63,11 @@
 }
 
 func (s *system) options() spool.Options {
-	return spool.Options{"gate.coldConcurrency": coldCapacity, "gate.maxConcurrency": slots}
+	options := spool.Options{"gate.coldConcurrency": coldCapacity, "gate.maxConcurrency": slots}
+	for name, value := range s.variant.Options {
+		options[name] = value
+	}
+	return options
 }
 
 // must returns a policy; the names are constants of this package.
@@ -85,7 +90,7 @@
 		queue:   must(spool.Queues.New(s.variant.Queue, s.seed+uint64(i), s.options())),
 		gate:    s.newGate(),
 		waiting: map[string]*call{}, listed: true,
-		perCall: meanGenerated * tokenMillis,
+		backlog: gatekeeper.NewBacklog(meanGenerated * tokenMillis),
 	}
 	a.engine.onEvict = func(id spool.ProgramID) {
 		if p, ok := s.programs[id]; ok {
@@ -188,7 +193,7 @@
 	switch {
 	case c.view.Alarm:
 		return limit.ClassAlarm
-	case c.program.parent == nil && c.program.answered == 0:
+	case c.start():
 		return limit.ClassStart
 	default:
 		return limit.ClassCall
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -1,9 +1,13 @@
 package cli
 
 import (
+	"strconv"
+
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/baobabspool/baobabspool/internal/bench"
+	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
 // defaultSeeds keeps a run far below a minute.
@@ -12,26 +16,42 @@
 // NewBench returns the command that measures the policies in virtual time.
 func NewBench() *cobra.Command {
 	var seeds int
-	var asJSON bool
+	var asJSON, refusals bool
+	var loads []float64
+	var options map[string]string
 	policy := bench.Policy()
+	policy.Options = spool.Options{}
 	command := &cobra.Command{
 		Use:   "bench",
 		Short: "Measure the scheduling policies beside naive baselines in virtual time",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			result, err := bench.Run(max(1, seeds), policy, bench.DefaultLoads()...)
+			for name, text := range options {
+				value, err := strconv.ParseFloat(text, 64)
+				if err != nil {
+					return errors.Wrapf(err, "option %s", name)
+				}
+				policy.Options[name] = value
+			}
+			result, err := bench.Run(max(1, seeds), policy, loads...)
 			if err != nil {
 				return err
 			}
 			if asJSON {
 				return result.WriteJSON(command.OutOrStdout())
 			}
-			return result.WriteTable(command.OutOrStdout())
+			if err := result.WriteTable(command.OutOrStdout()); err != nil || !refusals {
+				return err
+			}
+			return result.WriteRefusals(command.OutOrStdout())
 		},
 	}
 	flags := command.Flags()
 	flags.IntVar(&seeds, "seeds", defaultSeeds, "number of seeds, from 1 upwards")
 	flags.BoolVar(&asJSON, "json", false, "print one JSON object")
+	flags.BoolVar(&refusals, "refusals", false, "print which calls were refused while a failure domain left and returned")
+	flags.Float64SliceVar(&loads, "loads", bench.DefaultLoads(), "offered loads, in multiples of the capacity")
+	flags.StringToStringVar(&options, "option", nil, "numbers for the policies, such as routing.startWaitMs=10000")
 	flags.StringVar(&policy.Router, "router", policy.Router, "router to compare with the baseline")
 	flags.StringVar(&policy.Queue, "queue", policy.Queue, "queue order to compare with the baseline")
 	flags.StringVar(&policy.Gate, "gate", policy.Gate, "gate to compare with the baseline")
--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -202,6 +202,8 @@
 		Window:        status.Window,
 		Running:       status.Running,
 		Queued:        status.Queued,
+		QueuedStarts:  status.QueuedStarts,
+		StartWait:     status.StartWait,
 		Cold:          status.Cold,
 		Draining:      status.Draining,
 		MillisPerCall: status.MillisPerCall,
--- a/internal/endpoint/fake_test.go
+++ b/internal/endpoint/fake_test.go
@@ -126,6 +126,8 @@
 	return false
 }
 
+func (q *fifo) Ahead(spool.CallView) int { return len(q.calls) }
+
 func (q *fifo) Served(clock.Millis, spool.CallView, int) {}
 func (q *fifo) Len() int                                 { return len(q.calls) }
 
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -142,6 +142,7 @@
 		views = append(views, spool.EndpointView{
 			ID: id, FailureDomain: vm.FailureDomain, Window: known.status.Window,
 			Running: known.status.Running, Queued: known.status.Queued, ReportedAt: known.reportedAt,
+			QueuedStarts: known.status.QueuedStarts, StartWait: known.status.StartWait,
 			SentSince: known.sent, CachedTokens: known.cached[program],
 			MillisPerCall: known.status.MillisPerCall, Share: share,
 		})
@@ -200,21 +201,25 @@
 		}
 	}
 	return target, spool.Refuse(spool.CodeOverloaded, "no endpoint of service %q has capacity", flight.work.service).
-		WithRetryAfter(drainTime(views))
+		WithRetryAfter(drainTime(views, view.Start()))
 }
 
 func (f *flight) correlation() string {
 	return fmt.Sprintf("%s/%s/%d", f.ticket.Program, f.ticket.Call, f.attempt())
 }
 
-// drainTime estimates when the first endpoint has room again.
-func drainTime(views []spool.EndpointView) clock.Millis {
+// drainTime estimates when the first endpoint has room again. For the first call
+// of a program it is when the first calls that wait now will have been served.
+func drainTime(views []spool.EndpointView, start bool) clock.Millis {
 	best := clock.Millis(0)
 	for _, view := range views {
 		if view.MillisPerCall <= 0 || view.Window == 0 {
 			continue
 		}
 		wait := clock.Millis(view.MillisPerCall*float64(view.Queued+view.SentSince+1)/float64(view.Window)) + 1
+		if start {
+			wait = max(wait, view.StartWait)
+		}
 		if best == 0 || wait < best {
 			best = wait
 		}
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -149,6 +149,7 @@
 	agentConfig.QueueOptions = values.Options()
 	agentConfig.GateOptions = values.Options()
 	agentConfig.Kernel.MaxWait = values.Duration(settings.QueueMaxWaitMs)
+	agentConfig.Kernel.StartMaxWait = values.Duration(settings.QueueStartMaxWaitMs)
 	agentConfig.Kernel.CallLease = values.Duration(settings.MemoryLeaseMs)
 	agentConfig.Kernel.GraceLease = values.Duration(settings.MemoryLeaseMs)
 	options := []endpoint.Option{endpoint.WithTelemetry(t), endpoint.WithTLS(server)}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -103,6 +103,10 @@
 	Window  int `json:"window"`
 	Running int `json:"running"`
 	Queued  int `json:"queued"`
+	// QueuedStarts counts those of the queued calls that begin a program, and
+	// StartWait is how long one more would wait.
+	QueuedStarts int          `json:"queuedStarts,omitempty"`
+	StartWait    clock.Millis `json:"startWaitMs,omitempty"`
 	// Cold and Draining tell why the window is small.
 	Cold     bool `json:"cold,omitempty"`
 	Draining bool `json:"draining,omitempty"`
--- a/pkg/gatekeeper/call.go
+++ b/pkg/gatekeeper/call.go
@@ -79,35 +79,38 @@
 	if len(k.waiting) >= k.config.MaxQueued {
 		return spool.Refuse(spool.CodeOverloaded, "queue is full").WithRetryAfter(k.drainTime(1))
 	}
+	view := spool.CallView{Alarm: c.Alarm, Attained: c.attained()}
 	bound := k.config.MaxWait
+	if view.Start() {
+		bound = k.config.StartMaxWait
+	}
 	if c.DeadlineIn > 0 {
 		bound = min(bound, c.DeadlineIn)
 	}
-	if wait := k.expectedWait(c.Alarm); wait > bound {
+	if wait := k.expectedWait(view); wait > bound {
 		return spool.Refuse(spool.CodeOverloaded, "expected wait of %s is above %s", wait, bound).
 			WithRetryAfter(max(wait-bound, k.drainTime(1)))
 	}
 	return nil
 }
 
-// expectedWait estimates the wait of a call that arrives now. An alarm waits
-// only behind other alarms and for a slot.
-func (k *Kernel) expectedWait(alarm bool) clock.Millis {
-	ahead := len(k.waiting)
-	if alarm {
-		ahead = k.alarms
-	}
-	over := k.running + ahead + 1 - k.gate.Window(k.now)
-	return k.drainTime(max(over, 0))
+// attained is the service that the queue order counts. A call to a plain service
+// begins no program.
+func (c *call) attained() int {
+	if c.Service {
+		return max(c.Attained, 1)
+	}
+	return c.Attained
+}
+
+// expectedWait estimates the wait of a call that arrives now.
+func (k *Kernel) expectedWait(call spool.CallView) clock.Millis {
+	return k.backlog.Wait(k.now, call, k.queue.Ahead(call), k.running, k.gate.Window(k.now))
 }
 
 // drainTime is the time in which the endpoint ends that many calls.
 func (k *Kernel) drainTime(calls int) clock.Millis {
-	if calls == 0 {
-		return 0
-	}
-	window := max(k.gate.Window(k.now), 1)
-	return max(clock.Millis(k.perCall*float64(calls)/float64(window)), 1)
+	return k.backlog.DrainTime(calls, k.gate.Window(k.now))
 }
 
 func (k *Kernel) admit(c *call) {
@@ -118,7 +121,7 @@
 		Account:     c.Key.Account,
 		Weight:      c.Weight,
 		Alarm:       c.Alarm,
-		Attained:    c.Attained,
+		Attained:    c.attained(),
 		MaxTokens:   c.MaxTokens,
 		ArrivedAt:   k.now,
 	}
@@ -135,9 +138,7 @@
 	}
 	k.calls[c.ticket] = c
 	k.waiting[c.view.Correlation] = c
-	if c.Alarm {
-		k.alarms++
-	}
+	k.backlog.Pushed(k.now, c.view)
 	k.records.live(c)
 	if !c.Service {
 		k.occupy(c)
@@ -159,7 +160,7 @@
 }
 
 func (k *Kernel) start(c *call) {
-	k.unlist(c)
+	k.unlist(c, true)
 	switch {
 	case k.running+1 > k.gate.Window(k.now):
 		k.emit(Violation{Invariant: "windowExceeded"})
@@ -211,16 +212,14 @@
 // dequeue refuses a waiting call.
 func (k *Kernel) dequeue(c *call, refusal *spool.Refusal) {
 	k.queue.Remove(c.view.Correlation)
-	k.unlist(c)
+	k.unlist(c, false)
 	k.drop(c, refusal)
 }
 
 // unlist takes a call out of the list of waiting ones.
-func (k *Kernel) unlist(c *call) {
+func (k *Kernel) unlist(c *call, served bool) {
 	delete(k.waiting, c.view.Correlation)
-	if c.Alarm {
-		k.alarms--
-	}
+	k.backlog.Popped(k.now, c.view, served)
 }
 
 // drop forgets a call that has not started.
@@ -284,7 +283,7 @@
 		k.observe(spool.GateEvent{Kind: spool.GateEnded})
 		return max(m.Chunks, 1)
 	}
-	k.perCall += serviceTimeWeight * (took - k.perCall)
+	k.backlog.Ended(took)
 	result := m.Outcome.Engine
 	if result == nil {
 		k.observe(spool.GateEvent{Kind: spool.GateCompleted, Latency: max(took, minServiceLatency)})
@@ -305,7 +304,7 @@
 	if k.perToken == 0 {
 		k.perToken = latency
 	}
-	k.perToken += serviceTimeWeight * (latency - k.perToken)
+	k.perToken += tokenTimeWeight * (latency - k.perToken)
 	return latency
 }
 
--- a/pkg/gatekeeper/config.go
+++ b/pkg/gatekeeper/config.go
@@ -11,6 +11,9 @@
 type Config struct {
 	// MaxWait bounds the expected wait of a call in the queue.
 	MaxWait clock.Millis
+	// StartMaxWait bounds that of a call that begins a program, which goes after
+	// those of programs that have begun.
+	StartMaxWait clock.Millis
 	// MaxQueued bounds the number of waiting calls.
 	MaxQueued int
 	// ExpectedCall is the service time that is assumed before the first call has
@@ -50,6 +53,7 @@
 func DefaultConfig() Config {
 	return Config{
 		MaxWait:         20 * clock.Second,
+		StartMaxWait:    110 * clock.Second,
 		MaxQueued:       2048,
 		ExpectedCall:    1 * clock.Second,
 		DrainQueueFor:   1 * clock.Second,
@@ -72,6 +76,7 @@
 		value int64
 	}{
 		{"maxWaitMs", int64(c.MaxWait)},
+		{"startMaxWaitMs", int64(c.StartMaxWait)},
 		{"maxQueued", int64(c.MaxQueued)},
 		{"expectedCallMs", int64(c.ExpectedCall)},
 		{"outcomeForMs", int64(c.OutcomeFor)},
--- a/pkg/gatekeeper/gatekeeper.go
+++ b/pkg/gatekeeper/gatekeeper.go
@@ -12,9 +12,9 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// serviceTimeWeight is the weight of the newest call in the moving average of
-// the service time.
-const serviceTimeWeight = 0.1
+// tokenTimeWeight is the weight of the newest call in the moving average of the
+// time between tokens.
+const tokenTimeWeight = 0.1
 
 // Kernel is the state of one agent. It is not safe for concurrent use.
 type Kernel struct {
@@ -36,10 +36,8 @@
 	// deadlines holds calls with a deadline; ended ones are skipped when due.
 	deadlines deadlines
 	running   int
-	// alarms counts the waiting alarms.
-	alarms int
-	// perCall is the moving average of the service time in milliseconds.
-	perCall float64
+	// backlog estimates how long calls wait.
+	backlog Backlog
 	// perToken is the moving average of the time between tokens; 0 before the
 	// first answer.
 	perToken float64
@@ -67,7 +65,7 @@
 		epochs:   map[spool.Stream]spool.Epoch{},
 		calls:    map[Ticket]*call{},
 		waiting:  map[string]*call{},
-		perCall:  float64(config.ExpectedCall),
+		backlog:  NewBacklog(float64(config.ExpectedCall)),
 		records:  newRecords(),
 		programs: map[spool.ProgramID]*program{},
 	}
@@ -118,9 +116,13 @@
 // Status is the kernel's view of its endpoint.
 type Status struct {
 	Window, Running, Queued int
-	Cold, Draining          bool
-	MillisPerCall           float64
-	Mark                    spool.AgentMark
+	// QueuedStarts counts those of the queued calls that begin a program;
+	// StartWait is how long one more would wait.
+	QueuedStarts   int
+	StartWait      clock.Millis
+	Cold, Draining bool
+	MillisPerCall  float64
+	Mark           spool.AgentMark
 }
 
 // Status returns the state without the programs held.
@@ -129,9 +131,11 @@
 		Window:        k.gate.Window(k.now),
 		Running:       k.running,
 		Queued:        len(k.waiting),
+		QueuedStarts:  k.backlog.Starts(),
+		StartWait:     k.expectedWait(spool.CallView{}),
 		Cold:          k.gate.Cold(k.now),
 		Draining:      k.draining || k.leaving,
-		MillisPerCall: k.perCall,
+		MillisPerCall: k.backlog.MillisPerCall(),
 		Mark:          spool.AgentMark{Boot: k.boot, Admitted: uint64(k.last)},
 	}
 }
--- a/pkg/gatekeeper/kernel_test.go
+++ b/pkg/gatekeeper/kernel_test.go
@@ -40,6 +40,16 @@
 	return false
 }
 
+// Ahead takes alarms to go first and starts to go last.
+func (q *fifo) Ahead(call spool.CallView) (ahead int) {
+	for _, other := range q.calls {
+		if other.Alarm || !call.Alarm && (call.Start() || !other.Start()) {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 func (q *fifo) Served(clock.Millis, spool.CallView, int) {}
 func (q *fifo) Len() int                                 { return len(q.calls) }
 
--- a/pkg/policy/order/heaps.go
+++ b/pkg/policy/order/heaps.go
@@ -53,12 +53,12 @@
 
 func (c *waitingCall) move(place int) { c.place = place }
 
-// before orders the accounts with a backlog by tag, then by name.
-func (a *account) before(other *account) bool {
-	if a.tag != other.tag {
-		return a.tag < other.tag
+// before orders the lanes with a backlog by the tag of their account, then by name.
+func (l *lane) before(other *lane) bool {
+	if l.owner.tag != other.owner.tag {
+		return l.owner.tag < other.owner.tag
 	}
-	return a.id < other.id
+	return l.owner.id < other.owner.id
 }
 
-func (a *account) move(place int) { a.place = place }
+func (l *lane) move(place int) { l.place = place }
--- a/pkg/policy/order/order.go
+++ b/pkg/policy/order/order.go
@@ -63,5 +63,8 @@
 // Served does nothing.
 func (q *fcfs) Served(clock.Millis, spool.CallView, int) {}
 
+// Ahead counts all waiting calls.
+func (q *fcfs) Ahead(spool.CallView) int { return len(q.waiting) }
+
 // Len counts the waiting calls.
 func (q *fcfs) Len() int { return len(q.waiting) }
--- a/pkg/policy/order/order_test.go
+++ b/pkg/policy/order/order_test.go
@@ -84,7 +84,7 @@
 	}
 	for i := range 100 {
 		now := clock.Millis(1000 * (i + 1))
-		q.Push(now, spool.CallView{Correlation: strconv.Itoa(i), Account: "a"})
+		q.Push(now, spool.CallView{Correlation: strconv.Itoa(i), Account: "a", Attained: 1})
 		if call, _ := q.Pop(now); call.Correlation == "long" {
 			g.Expect(now).To(gomega.BeNumerically("~", 20_000, 2000))
 			return
@@ -93,6 +93,39 @@
 	t.Fatal("the long program starved")
 }
 
+// TestStarts guards against programs that begin before those that have begun,
+// whatever the account, against starvation of programs that begin, and against a
+// wrong count of the calls that go first.
+func TestStarts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := queue(t, "fair")
+	push := func(now clock.Millis, id string, account spool.AccountID, attained int) {
+		q.Push(now, spool.CallView{Correlation: id, Account: account, Attained: attained, MaxTokens: 100})
+	}
+	push(0, "start", "a", 0)
+	push(1, "other", "b", 0)
+	for i := range 3 {
+		push(2, strconv.Itoa(i), "b", 50_000)
+	}
+	g.Expect(q.Ahead(spool.CallView{})).To(gomega.Equal(5))
+	g.Expect(q.Ahead(spool.CallView{Attained: 1})).To(gomega.Equal(3))
+	g.Expect(q.Ahead(spool.CallView{Alarm: true})).To(gomega.Equal(0))
+	for _, want := range []string{"0", "1", "2", "start"} {
+		call, _ := q.Pop(10)
+		g.Expect(call.Correlation).To(gomega.Equal(want))
+	}
+	for i := range 200 {
+		now := clock.Millis(1000 * (i + 1))
+		push(now, "b"+strconv.Itoa(i), "b", 1)
+		if call, _ := q.Pop(now); call.Correlation == "other" {
+			g.Expect(now).To(gomega.BeNumerically("~", 106_000, 2000))
+			g.Expect(q.Ahead(spool.CallView{Attained: 1})).To(gomega.Equal(q.Len()))
+			return
+		}
+	}
+	t.Fatal("the first call starved")
+}
+
 // TestQueues guards against lost, repeated and invented calls in any order of
 // operations.
 func TestQueues(t *testing.T) {
@@ -126,7 +159,12 @@
 					}
 					delete(waiting, id)
 				},
+				"wait": func(*rapid.T) { n += 110_000 },
 				"": func(rt *rapid.T) {
+					begun, start := q.Ahead(spool.CallView{Attained: 1}), q.Ahead(spool.CallView{})
+					if begun < 0 || begun > start || start != len(waiting) {
+						rt.Fatalf("%d and %d calls go first of %d", begun, start, len(waiting))
+					}
 					if q.Len() != len(waiting) {
 						rt.Fatalf("length %d, want %d", q.Len(), len(waiting))
 					}
--- a/pkg/policy/routing/affinity.go
+++ b/pkg/policy/routing/affinity.go
@@ -14,8 +14,14 @@
 	defaultSpread = 0.1
 	// staleSpread is added to the spread when reports tell nothing.
 	staleSpread = 1.0
-	// defaultStartWaitMs is a third of the wait at which agents refuse any call.
-	defaultStartWaitMs = 10_000
+	// defaultStartWaitMs and defaultLossStartWaitMs bound the wait of first calls
+	// of programs. The bench at load 2 answers as many calls with 10 s as with
+	// 110 s; a longer bound refuses fewer programs for a while and then only makes
+	// all of them wait. A short bound in usual times leaves room for the programs
+	// that arrive while capacity is lost; the long one is below the time that a
+	// call may take (call.timeoutMs).
+	defaultStartWaitMs     = 30_000
+	defaultLossStartWaitMs = 110_000
 )
 
 // affinity keeps a program where its prefix is unless the wait there costs more
@@ -25,19 +31,24 @@
 	estimator
 	recomputeWeight float64
 	spread          float64
-	startWait       float64
-	random          *rand.Rand
+	// bound and lossBound are the waits above which no program begins, in usual
+	// times and with capacity lost.
+	bound, lossBound float64
+	loss             loss
+	random           *rand.Rand
 }
 
 // newAffinity reads routing.staleMs, the age at which a report tells nothing;
 // routing.recomputeWeight, the worth of a millisecond of recomputing in
-// milliseconds of waiting; routing.spread; and routing.startWaitMs, the expected
-// wait above which no program begins, 0 for none.
+// milliseconds of waiting; routing.spread; routing.startWaitMs, the expected wait
+// above which no program begins, 0 for none; and routing.lossStartWaitMs, the same
+// with capacity lost.
 func newAffinity(seed uint64, options spool.Options) spool.Router {
 	return &affinity{
 		estimator:       estimator{staleMs: options.Get("routing.staleMs", defaultStaleMs)},
 		recomputeWeight: options.Get("routing.recomputeWeight", 1),
-		startWait:       options.Get("routing.startWaitMs", defaultStartWaitMs),
+		lossBound:       options.Get("routing.lossStartWaitMs", defaultLossStartWaitMs),
+		bound:           options.Get("routing.startWaitMs", defaultStartWaitMs),
 		spread:          options.Get("routing.spread", defaultSpread),
 		random:          source(seed),
 	}
@@ -52,13 +63,18 @@
 		return "", false
 	}
 	all := r.fleet(fit)
-	if r.sheds(now, call, fit, all) {
+	lost := r.loss.observe(now, endpoints)
+	if r.sheds(now, call, fit, all, lost) {
 		return "", false
 	}
 	costs := make([]float64, len(fit))
 	cheapest := 0
 	for i, e := range fit {
-		costs[i] = r.wait(now, e, all) + r.weight(now, e, all)*recompute(call, e)
+		wait := r.wait(now, e, all)
+		if call.Start() {
+			wait = r.startWait(now, e, all)
+		}
+		costs[i] = wait + r.weight(now, e, all)*recompute(call, e)
 		if costs[i] < costs[cheapest] {
 			cheapest = i
 		}
@@ -83,14 +99,15 @@
 }
 
 // sheds tells that a program should not begin now: wherever its first call went,
-// it would wait for longer than startWait. Each further program would slow down
+// it would wait for longer than the bound. Each further program would slow down
 // those that have begun and push their prefixes out of the caches.
-func (r *affinity) sheds(now clock.Millis, call spool.CallView, fit []spool.EndpointView, all fleet) bool {
-	if r.startWait <= 0 || call.Attained > 0 || call.Alarm {
+func (r *affinity) sheds(now clock.Millis, call spool.CallView, fit []spool.EndpointView, all fleet, lost float64) bool {
+	if r.bound <= 0 || !call.Start() {
 		return false
 	}
+	bound := r.bound + lost*(r.lossBound-r.bound)
 	for _, e := range fit {
-		if e.Window <= 0 || r.wait(now, e, all) <= r.startWait {
+		if e.Window <= 0 || r.startWait(now, e, all) <= bound {
 			return false
 		}
 	}
--- a/pkg/policy/routing/cost.go
+++ b/pkg/policy/routing/cost.go
@@ -44,7 +44,7 @@
 func (m estimator) fleet(endpoints []spool.EndpointView) fleet {
 	var load, window, millis, known float64
 	for _, e := range endpoints {
-		load += float64(e.Running + e.Queued)
+		load += float64(e.Running + e.Queued - e.QueuedStarts)
 		window += effectiveWindow(e)
 		if e.MillisPerCall > 0 {
 			millis += e.MillisPerCall
@@ -68,7 +68,7 @@
 // gives way to the mean of the fleet.
 func (m estimator) load(now clock.Millis, e spool.EndpointView, all fleet) float64 {
 	stale := m.staleness(now, e)
-	reported := (1-stale)*float64(e.Running+e.Queued) + stale*all.occupancy*effectiveWindow(e)
+	reported := (1-stale)*float64(e.Running+e.Queued-e.QueuedStarts) + stale*all.occupancy*effectiveWindow(e)
 	return reported + float64(e.SentSince)
 }
 
@@ -84,6 +84,12 @@
 	return millis * (queued/window + crowding*min(1, load/window))
 }
 
+// startWait estimates the milliseconds that the first call of a program waits.
+func (m estimator) startWait(now clock.Millis, e spool.EndpointView, all fleet) float64 {
+	perCall := e.MillisPerCall / effectiveWindow(e)
+	return max(m.wait(now, e, all), (1-m.staleness(now, e))*float64(e.StartWait)+perCall*float64(e.SentSince))
+}
+
 func effectiveWindow(e spool.EndpointView) float64 {
 	window := float64(e.Window)
 	if window <= 0 {
--- a/pkg/policy/routing/routing_test.go
+++ b/pkg/policy/routing/routing_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	_ "github.com/baobabspool/baobabspool/pkg/policy/routing"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -107,7 +108,7 @@
 	g := gomega.NewWithT(t)
 	r, list := router(t, "affinity"), endpoints(2)
 	for i := range list {
-		list[i].Running, list[i].Queued = 8, 80
+		list[i].Running, list[i].Queued = 8, 160
 	}
 	g.Expect(pick(r, 5, spool.CallView{}, list)).To(gomega.BeEmpty())
 	g.Expect(pick(r, 5, spool.CallView{Attained: 10}, list)).NotTo(gomega.BeEmpty())
@@ -115,3 +116,42 @@
 	list[0].Window = 0
 	g.Expect(pick(r, 5, spool.CallView{}, list)).NotTo(gomega.BeEmpty())
 }
+
+// TestStartWait guards against a start that is sent where the programs that begin
+// do not get on, though the calls of others do, and against calls of programs that
+// have begun which avoid an endpoint because of starts that go after them.
+func TestStartWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, list := router(t, "affinity"), endpoints(2)
+	list[0].Queued, list[0].QueuedStarts, list[0].StartWait = 12, 12, 25_000
+	list[1].Running = 7
+	g.Expect(pick(r, 20, spool.CallView{}, list)).To(gomega.Equal(map[spool.EndpointID]int{"e1": 20}))
+	g.Expect(pick(r, 20, spool.CallView{Attained: 1}, list)).To(gomega.Equal(map[spool.EndpointID]int{"e0": 20}))
+	list[0].StartWait, list[1].StartWait = 31_000, 31_000
+	g.Expect(pick(r, 5, spool.CallView{}, list)).To(gomega.BeEmpty())
+	g.Expect(pick(r, 5, spool.CallView{Attained: 1}, list)).NotTo(gomega.BeEmpty())
+}
+
+// TestLoss guards against refusing the programs that begin while capacity is lost
+// as early as in usual times, against refusing those that still wait as soon as it
+// is back, and against a bound that stays up after a lasting change.
+func TestLoss(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, list := router(t, "affinity"), endpoints(4)
+	for i := range list {
+		list[i].StartWait = 60_000
+	}
+	begins := func(now clock.Millis, endpoints []spool.EndpointView) bool {
+		for i := range endpoints {
+			endpoints[i].ReportedAt = now
+		}
+		_, ok := r.Pick(now, spool.CallView{}, endpoints)
+		return ok
+	}
+	g.Expect(begins(1000, list)).To(gomega.BeFalse())
+	g.Expect(begins(2000, list[1:])).To(gomega.BeTrue())
+	g.Expect(begins(3000, list)).To(gomega.BeTrue())
+	g.Expect(begins(15*clock.Minute, list)).To(gomega.BeFalse())
+	g.Expect(begins(16*clock.Minute, list[1:])).To(gomega.BeTrue())
+	g.Expect(begins(4*clock.Hour, list[1:])).To(gomega.BeFalse())
+}
--- a/pkg/settings/known.go
+++ b/pkg/settings/known.go
@@ -42,6 +42,10 @@
 	GateColdConcurrency   Integer  = "gate.coldConcurrency"
 	GateMaxConcurrency    Integer  = "gate.maxConcurrency"
 	QueueMaxWaitMs        Duration = "queue.maxWaitMs"
+	QueueStartMaxWaitMs   Duration = "queue.startMaxWaitMs"
+	OrderStartPatienceMs  Duration = "order.startPatienceMs"
+	RoutingStartWaitMs    Duration = "routing.startWaitMs"
+	RoutingLossWaitMs     Duration = "routing.lossStartWaitMs"
 	RetryBudgetShare      Number   = "retry.budgetShare"
 	RetryMaxAttempts      Integer  = "retry.maxAttempts"
 	MemoryLeaseMs         Duration = "memory.leaseMs"
@@ -84,6 +88,10 @@
 	integer(GateColdConcurrency, "calls", 1, maxConcurrencySetting, 1, placeLevels, "Concurrent calls on an endpoint in cold start.")
 	integer(GateMaxConcurrency, "calls", 1, maxConcurrencySetting, 16, placeLevels, "Highest concurrency of an endpoint.")
 	duration(QueueMaxWaitMs, 0, maxMillis, 30000, callLevels, "Expected wait beyond which an endpoint refuses new calls.")
+	duration(QueueStartMaxWaitMs, 1, maxMillis, 110000, placeLevels, "Expected wait beyond which an endpoint refuses first calls of programs.")
+	duration(OrderStartPatienceMs, 0, maxMillis, 105000, placeLevels, "Wait at an endpoint after which the first call of a program is queued like a call of a program that has begun.")
+	duration(RoutingStartWaitMs, 0, maxMillis, 30000, callLevels, "Expected wait beyond which an entry refuses first calls of programs while no capacity is lost; 0 for no bound.")
+	duration(RoutingLossWaitMs, 0, maxMillis, 110000, callLevels, "The same bound once a fifth of the capacity is lost; in between it changes evenly.")
 	number(RetryBudgetShare, "share", 0, 1, 0.1, placeLevels, "Retries as a share of first attempts.")
 	integer(RetryMaxAttempts, "attempts", 1, 20, 10, placeLevels, "Attempts of one call, the first included.")
 	duration(MemoryLeaseMs, 100, maxMillis, 30000, callLevels, "How long an endpoint keeps a program's engine memory without renewal.")
--- a/pkg/spool/policy.go
+++ b/pkg/spool/policy.go
@@ -34,6 +34,10 @@
 	Tried []EndpointID
 }
 
+// Start reports whether the call is the first one of its root program: refusing
+// it wastes no work. Alarms do not count.
+func (c CallView) Start() bool { return c.Attained == 0 && !c.Alarm }
+
 // EndpointView is what a router may know of an endpoint. Reports lag.
 type EndpointView struct {
 	// ID names the endpoint.
@@ -46,6 +50,11 @@
 	// Running and Queued are from its last report.
 	Running int
 	Queued  int
+	// QueuedStarts counts those of the queued calls that begin a program, which
+	// go last.
+	QueuedStarts int
+	// StartWait is how long such a call would have waited at the last report.
+	StartWait clock.Millis
 	// ReportedAt is when that report was received.
 	ReportedAt clock.Millis
 	// SentSince counts calls that this process sent after that report and that
@@ -79,6 +88,9 @@
 	Remove(correlation string) bool
 	// Served tells the queue the cost, in tokens, of a call that has ended.
 	Served(now clock.Millis, call CallView, tokens int)
+	// Ahead counts the waiting calls that may be served before call, were it
+	// pushed now.
+	Ahead(call CallView) int
 	// Len counts the waiting calls.
 	Len() int
 }
