Export the prefixes of programs whose tools run for long

Cause: while a program's tool runs, its prefix takes engine memory. The engine evicts the least recently used prefix, so with short memory and long pauses most prompts are recomputed.

Change: spool.Engine gets Export, Import, Exports and FreeExport, with the adapter and the stand-in (exports survive a restart of the engine; their answers can be lost). The new kind of policy spool.PausePolicy, in pkg/policy/pause, has the baseline `keep` and `export`: above pause.highShare of the cache it exports the prefixes with the longest expected remaining pause (moving average per program, or per account for a new one) until pause.lowShare, if an import costs less than recomputing. The kernel names exports, imports one at the start of the program's next call, and releases it under the lease of the program. An export without an answer, one that came too late, was used or whose program is gone is released until the engine confirms it; exports that the engine lists and the kernel does not know get a grace lease.

Where transfers are not faster than computing, the policy exports nothing (TestCost). Not built: import at another engine (exports are kept by the engine that made them), and the policy never drops.

Tests: TestKernel draws exports that fail, take effect unanswered, and releases that fail, and still requires that nothing is left; lost answers dropped, unknown exports not adopted, releases not repeated, used or lapsed exports not released, programs forgotten before their exports and stale lists believed each failed a test when removed on a working copy; so did the import. Changed tests: gatekeeper.New takes a pause policy; TestRun of the bench has two more cells.

--- a/internal/bench/agent.go
+++ b/internal/bench/agent.go
@@ -42,11 +42,14 @@
 // agent stands beside one engine and drives the queue and the gate.
 type agent struct {
 	*system
-	id       spool.EndpointID
-	domain   string
-	engine   *engine
-	queue    spool.Queue
-	gate     spool.Gate
+	id     spool.EndpointID
+	domain string
+	engine *engine
+	queue  spool.Queue
+	gate   spool.Gate
+	pause  spool.PausePolicy
+	// paused holds the programs whose tools run and whose latest call ran here.
+	paused   map[spool.ProgramID]spool.PausedView
 	waiting  map[string]*call
 	running  int
 	backlog  gatekeeper.Backlog
@@ -85,6 +88,7 @@
 		a.fail(c, spool.FailureOverloaded, wait-bound)
 		return
 	}
+	a.resumed(c)
 	a.waiting[c.view.Correlation] = c
 	a.queue.Push(a.now, c.view)
 	a.backlog.Pushed(a.now, c.view)
@@ -129,6 +133,7 @@
 	a.gate.Observe(a.now, spool.GateEvent{Kind: spool.GateCompleted, Latency: took / float64(c.turn.generated)})
 	a.queue.Served(a.now, c.view, c.view.PromptTokens-cached+c.turn.generated)
 	a.count.served(a.now, c, cached)
+	a.rest(c)
 	a.after(hop, func() { c.entry.answered(c) })
 	a.schedule()
 }
@@ -161,6 +166,7 @@
 	load := a.engine.load()
 	a.after(reportLag, func() {
 		a.gate.Observe(a.now, spool.GateEvent{Kind: spool.GateReport, Load: load})
+		a.move(load)
 		a.schedule()
 	})
 	status := status{
@@ -174,3 +180,42 @@
 	})
 	a.after(reportEvery, a.report)
 }
+
+// rest notes that the program's tool runs from now on.
+func (a *agent) rest(c *call) {
+	a.paused[c.view.Program] = spool.PausedView{
+		Program: c.view.Program, Account: c.view.Account,
+		Tokens: c.view.PromptTokens + c.turn.generated, Since: a.now,
+	}
+}
+
+func (a *agent) resumed(c *call) {
+	if view, ok := a.paused[c.view.Program]; ok {
+		a.pause.Resumed(view.Program, view.Account, a.now-view.Since)
+		delete(a.paused, c.view.Program)
+	}
+}
+
+// move carries the pause policy's decisions out.
+func (a *agent) move(load spool.EngineLoad) {
+	var paused []spool.PausedView
+	for id, view := range a.paused {
+		if _, ok := a.engine.prefixes[id]; ok {
+			paused = append(paused, view)
+		}
+	}
+	slices.SortFunc(paused, func(x, y spool.PausedView) int { return cmp.Compare(x.Program, y.Program) })
+	memory := spool.MemoryView{Tokens: load.CacheTokens, Limit: load.CacheLimit, Queued: len(a.waiting)}
+	for _, decision := range a.pause.Choose(a.now, memory, paused) {
+		if decision.Action == spool.PauseExport {
+			a.engine.export(decision.Program)
+		}
+	}
+}
+
+// gone frees the export of a program that has ended.
+func (a *agent) gone(id spool.ProgramID) {
+	a.engine.freeExport(id)
+	a.pause.Gone(id)
+	delete(a.paused, id)
+}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -23,7 +23,9 @@
 	Load       float64 `json:"load"`
 	// Faults tells that a failure domain left and returned and that an endpoint
 	// restarted unannounced.
-	Faults   bool    `json:"faults"`
+	Faults bool `json:"faults"`
+	// Short tells that the engines' memory is short and that tools run for long.
+	Short    bool    `json:"short,omitempty"`
 	Baseline Figures `json:"baseline"`
 	Policy   Figures `json:"policy"`
 	// FloorP95 is the p95 on engines without limits, queues or recomputing.
@@ -91,6 +93,7 @@
 	variant    Variant
 	load       float64
 	faults     bool
+	short      bool
 	seed       uint64
 	result     *counters
 }
@@ -107,12 +110,10 @@
 	var jobs []*job
 	for _, d := range Deployments() {
 		for _, load := range loads {
-			for _, faults := range []bool{false, true} {
-				for _, v := range []Variant{Baseline(), policy, reference()} {
-					for _, seed := range result.Seeds {
-						jobs = append(jobs, &job{deployment: d, variant: v, load: load, faults: faults, seed: seed})
-					}
-				}
+			jobs = append(jobs, sides(job{deployment: d, load: load}, policy, result.Seeds)...)
+			jobs = append(jobs, sides(job{deployment: d, load: load, faults: true}, policy, result.Seeds)...)
+			if load == 1 {
+				jobs = append(jobs, sides(job{deployment: d, load: load, short: true}, policy, result.Seeds)...)
 			}
 		}
 	}
@@ -125,13 +126,26 @@
 	return result, nil
 }
 
+// sides returns the runs of one cell: the baseline, the policies and the reference.
+func sides(of job, policy Variant, seeds []uint64) (jobs []*job) {
+	for _, v := range []Variant{Baseline(), policy, reference()} {
+		for _, seed := range seeds {
+			j := of
+			j.variant, j.seed = v, seed
+			jobs = append(jobs, &j)
+		}
+	}
+	return jobs
+}
+
 // check builds each policy once.
 func (v Variant) check() error {
 	_, router := spool.Routers.New(v.Router, 0, nil)
 	_, queue := spool.Queues.New(v.Queue, 0, nil)
 	_, gate := spool.Gates.New(v.Gate, 0, nil)
 	_, retry := spool.Retries.New(v.Retry, 0, nil)
-	for _, err := range []error{router, queue, gate, retry} {
+	_, pause := spool.Pauses.New(v.Pause, 0, nil)
+	for _, err := range []error{router, queue, gate, retry, pause} {
 		if err != nil {
 			return err
 		}
@@ -146,7 +160,7 @@
 	for range max(1, runtime.NumCPU()/2) {
 		workers.Go(func() {
 			for j := range queue {
-				j.result = simulate(j.deployment, j.variant, j.load, j.faults, j.seed)
+				j.result = simulate(j)
 			}
 		})
 	}
@@ -169,7 +183,7 @@
 	}
 	due := dues(jobs[0], sums[2], seeds)
 	made := Cell{
-		Deployment: jobs[0].deployment.Name, Load: jobs[0].load, Faults: jobs[0].faults,
+		Deployment: jobs[0].deployment.Name, Load: jobs[0].load, Faults: jobs[0].faults, Short: jobs[0].short,
 		Baseline: figures(sums[0], due), Policy: figures(sums[1], due),
 		FloorP95: quantile(sums[2], 95),
 	}
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestRun guards against figures that differ between runs of one seed, against
-// over-admission and against overload of cold endpoints, and checks that the
+// over-admission, against prefixes lost in long pauses and against overload of cold endpoints, and checks that the
 // naive baseline does show the latter.
 func TestRun(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -21,12 +21,15 @@
 	second, err := bench.Run(1, bench.Policy(), 1)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(second).To(gomega.Equal(first))
-	g.Expect(first.Cells).To(gomega.HaveLen(4))
+	g.Expect(first.Cells).To(gomega.HaveLen(6))
 	baseline := 0
 	for _, cell := range first.Cells {
 		g.Expect(cell.Policy.OverAdmission).To(gomega.BeZero())
 		g.Expect(cell.Policy.Overloads).To(gomega.BeZero())
 		baseline += cell.Baseline.Overloads
+		if cell.Short {
+			g.Expect(cell.Policy.Recomputed).To(gomega.BeNumerically("<", 0.15), "without exports it is above 0.6")
+		}
 	}
 	g.Expect(baseline).To(gomega.BeNumerically(">", 0))
 	var text, object bytes.Buffer
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -86,6 +86,9 @@
 
 func (p *program) end(done bool) {
 	delete(p.programs, p.id)
+	for _, a := range p.order {
+		a.gone(p.id)
+	}
 	if p.parent == nil {
 		p.count.ended(p, done)
 	}
--- a/internal/bench/doc.go
+++ b/internal/bench/doc.go
@@ -6,6 +6,10 @@
 // a second on 11,000 servers are about 1.1 requests a second and 290 generated
 // tokens a request for each server.
 //
+// In the cell with short memory the prefix cache is 60,000 tokens and tools run
+// eight times as long. An engine copies 80 tokens a millisecond out of or into its
+// cache, one prefix at a time, and keeps exports of up to 800,000 tokens.
+//
 // Capacity is what the engines answer when every batch is full and every prefix
 // is found in the cache; the rates of the accounts add up to it. Load is the
 // calls offered as a multiple of capacity. At load 1 and above two small
@@ -27,6 +31,11 @@
 	batchSlowdown  = 0.5
 	prefillSpeed   = 8.0
 	cacheTokens    = 200_000
+	shortCache     = 60_000
+	longPauses     = 8
+	transferSpeed  = 80.0
+	transferSetup  = 10.0
+	exportTokens   = 800_000
 	reportLag      = 500 * clock.Millis(1)
 	reportEvery    = 250 * clock.Millis(1)
 	eventLoss      = 0.1
@@ -108,8 +117,8 @@
 
 // Variant names the policies of one side of the comparison.
 type Variant struct {
-	// Router, Queue, Gate and Retry are names of plug-ins.
-	Router, Queue, Gate, Retry string
+	// Router, Queue, Gate, Retry and Pause are names of plug-ins.
+	Router, Queue, Gate, Retry, Pause string
 	// Leases selects pkg/limit's leases; otherwise the static split.
 	Leases bool
 	// StartMaxWait bounds the wait of the first call of a program, which then goes
@@ -124,12 +133,12 @@
 
 // Baseline returns the naive policies.
 func Baseline() Variant {
-	return Variant{Router: "roundRobin", Queue: "fcfs", Gate: "fixed", Retry: "always"}
+	return Variant{Router: "roundRobin", Queue: "fcfs", Gate: "fixed", Retry: "always", Pause: "keep"}
 }
 
 // Policy returns the policies under test.
 func Policy() Variant {
-	return Variant{Router: "affinity", Queue: "fair", Gate: "adaptive", Retry: "budgeted", Leases: true, StartMaxWait: startMaxWait}
+	return Variant{Router: "affinity", Queue: "fair", Gate: "adaptive", Retry: "budgeted", Pause: "export", Leases: true, StartMaxWait: startMaxWait}
 }
 
 func reference() Variant {
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -24,8 +24,13 @@
 	prefixes    map[spool.ProgramID]*list.Element
 	recent      *list.List
 	held        int
-	overloads   int
-	onEvict     func(spool.ProgramID)
+	limit       int
+	// exports holds the prefixes outside the cache; they survive a restart.
+	exports      map[spool.ProgramID]int
+	exported     int
+	transferFree clock.Millis
+	overloads    int
+	onEvict      func(spool.ProgramID)
 }
 
 type prefix struct {
@@ -34,7 +39,7 @@
 }
 
 func newEngine(e *events, random *rand.Rand, ideal bool) *engine {
-	made := &engine{events: e, random: random, ideal: ideal, completed: 1 << 20}
+	made := &engine{events: e, random: random, ideal: ideal, completed: 1 << 20, limit: cacheTokens, exports: map[spool.ProgramID]int{}}
 	made.forget()
 	return made
 }
@@ -79,12 +84,13 @@
 		g.restart()
 		return
 	}
+	imported := g.importPrefix(c.view.Program)
 	cached := min(g.use(c.view.Program), c.view.PromptTokens)
 	if g.ideal {
 		cached = c.known
 	}
 	prefill := clock.Millis(float64(c.view.PromptTokens-cached) / prefillSpeed)
-	begin := max(g.now, g.prefillFree)
+	begin := max(imported, g.prefillFree)
 	if g.ideal {
 		begin = g.now
 	}
@@ -124,15 +130,54 @@
 	g.held += max(tokens, p.tokens) - p.tokens
 	p.tokens = max(tokens, p.tokens)
 	g.recent.MoveToFront(element)
-	for g.held > cacheTokens && g.recent.Len() > 1 {
+	for g.held > g.limit && g.recent.Len() > 1 {
 		g.evict(g.recent.Back().Value.(*prefix))
 	}
 }
 
-func (g *engine) evict(p *prefix) {
+// transfer takes a place in the line for copies and returns when it has ended.
+func (g *engine) transfer(tokens int) clock.Millis {
+	g.transferFree = max(g.now, g.transferFree) + clock.Millis(transferSetup+float64(tokens)/transferSpeed)
+	return g.transferFree
+}
+
+// export moves a prefix out of the cache unless there is no room for it.
+func (g *engine) export(program spool.ProgramID) {
+	element, ok := g.prefixes[program]
+	if !ok || g.exported+element.Value.(*prefix).tokens > exportTokens {
+		return
+	}
+	p := element.Value.(*prefix)
+	g.remove(p)
+	g.exports[program] = p.tokens
+	g.exported += p.tokens
+	g.transfer(p.tokens)
+}
+
+// importPrefix brings an exported prefix back and returns when it is there.
+func (g *engine) importPrefix(program spool.ProgramID) clock.Millis {
+	tokens, ok := g.exports[program]
+	if !ok {
+		return g.now
+	}
+	g.freeExport(program)
+	g.keep(program, tokens)
+	return g.transfer(tokens)
+}
+
+func (g *engine) freeExport(program spool.ProgramID) {
+	g.exported -= g.exports[program]
+	delete(g.exports, program)
+}
+
+func (g *engine) remove(p *prefix) {
 	g.recent.Remove(g.prefixes[p.program])
 	delete(g.prefixes, p.program)
 	g.held -= p.tokens
+}
+
+func (g *engine) evict(p *prefix) {
+	g.remove(p)
 	if g.random.Float64() >= eventLoss {
 		g.after(reportLag, func() { g.onEvict(p.program) })
 	}
@@ -141,6 +186,6 @@
 func (g *engine) load() spool.EngineLoad {
 	return spool.EngineLoad{
 		Generation: g.generation, Uptime: g.now - g.startedAt, Running: len(g.running),
-		CacheTokens: g.held, CacheLimit: cacheTokens,
+		CacheTokens: g.held, CacheLimit: g.limit,
 	}
 }
--- a/internal/bench/program.go
+++ b/internal/bench/program.go
@@ -63,6 +63,16 @@
 	return list
 }
 
+// prolong makes the pauses of a program and its sub-agents longer.
+func (s *script) prolong() {
+	for i := range s.turns {
+		s.turns[i].pause *= longPauses
+		for _, child := range s.turns[i].children {
+			child.prolong()
+		}
+	}
+}
+
 // meanGenerated is the mean of turn.generated; meanAdded that of turn.added.
 const (
 	meanGenerated = 250.0
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -23,6 +23,9 @@
 	if c.Faults {
 		state = "faults"
 	}
+	if c.Short {
+		state = "short memory"
+	}
 	return fmt.Sprintf("%s load %.1f %s", c.Deployment, c.Load, state)
 }
 
--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -89,6 +89,8 @@
 		engine:  newEngine(s.events, s.random, s.variant.ideal),
 		queue:   must(spool.Queues.New(s.variant.Queue, s.seed+uint64(i), s.options())),
 		gate:    s.newGate(),
+		pause:   must(spool.Pauses.New(s.variant.Pause, s.seed, s.options())),
+		paused:  map[spool.ProgramID]spool.PausedView{},
 		waiting: map[string]*call{}, listed: true,
 		backlog: gatekeeper.NewBacklog(meanGenerated * tokenMillis),
 	}
@@ -245,13 +247,21 @@
 func correlation(n uint64) string { return strconv.FormatUint(n, 10) }
 
 // simulate runs one workload and returns its counters.
-func simulate(d Deployment, v Variant, load float64, faults bool, seed uint64) *counters {
-	s := newSystem(d, v, seed)
-	for i, script := range workload(d, load, seed, warmUp+window+drainOff) {
+func simulate(j *job) *counters {
+	s := newSystem(j.deployment, j.variant, j.seed)
+	if j.short {
+		for _, a := range s.order {
+			a.engine.limit = shortCache
+		}
+	}
+	for i, script := range workload(j.deployment, j.load, j.seed, warmUp+window+drainOff) {
+		if j.short {
+			script.prolong()
+		}
 		id := spool.ProgramID("p" + strconv.Itoa(i))
 		s.at(script.start, func() { s.start(id, nil, script, nil) })
 	}
-	if faults && !v.ideal {
+	if j.faults && !j.variant.ideal {
 		s.at(leaveAt, s.leave)
 		s.at(returnAt, s.comeBack)
 		s.at(restartAt, func() { s.order[len(s.order)-1].engine.restart() })
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -56,5 +56,6 @@
 	flags.StringVar(&policy.Queue, "queue", policy.Queue, "queue order to compare with the baseline")
 	flags.StringVar(&policy.Gate, "gate", policy.Gate, "gate to compare with the baseline")
 	flags.StringVar(&policy.Retry, "retry", policy.Retry, "retry policy to compare with the baseline")
+	flags.StringVar(&policy.Pause, "pause", policy.Pause, "tool pause policy to compare with the baseline")
 	return command
 }
--- a/internal/endpoint/agent.go
+++ b/internal/endpoint/agent.go
@@ -95,9 +95,11 @@
 		err = multierr.Append(err, errors.New("exactly one of engine and service must be set"))
 	}
 	queue, queueErr := spool.Queues.New(config.Queue, config.Seed, config.QueueOptions)
+	pause, pauseErr := spool.Pauses.New(config.Pause, config.Seed, config.PauseOptions)
 	gate, gateErr := spool.Gates.New(config.Gate, config.Seed, config.GateOptions)
 	err = multierr.Append(err, errors.WithMessage(queueErr, "queue"))
 	err = multierr.Append(err, errors.WithMessage(gateErr, "gate"))
+	err = multierr.Append(err, errors.WithMessage(pauseErr, "pause"))
 	if err != nil {
 		return nil, err
 	}
@@ -107,7 +109,7 @@
 		}
 	}
 	agent.log = agent.telemetry.Logger("endpoint")
-	agent.kernel = gatekeeper.New(config.Kernel, uuid.NewString()[:bootLength], queue, gate)
+	agent.kernel = gatekeeper.New(config.Kernel, uuid.NewString()[:bootLength], queue, gate, pause)
 	return agent, nil
 }
 
--- a/internal/endpoint/config.go
+++ b/internal/endpoint/config.go
@@ -21,9 +21,9 @@
 	// HTTPListen is the host:port of /metrics, /healthz and /readyz; empty for
 	// none.
 	HTTPListen string
-	// Queue and Gate name the plug-ins; the options are passed to them.
-	Queue, Gate               string
-	QueueOptions, GateOptions spool.Options
+	// Queue, Gate and Pause name the plug-ins; the options are passed to them.
+	Queue, Gate, Pause                      string
+	QueueOptions, GateOptions, PauseOptions spool.Options
 	// Seed feeds the random sources of the plug-ins.
 	Seed uint64
 	// Kernel holds the bounds of the decisions.
@@ -46,6 +46,7 @@
 	return Config{
 		Queue:          "fair",
 		Gate:           "adaptive",
+		Pause:          "export",
 		Kernel:         gatekeeper.DefaultConfig(),
 		TickEvery:      50,
 		LoadEvery:      500,
--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -152,6 +152,10 @@
 		delete(l.questions, c.Ticket)
 	case gatekeeper.Free:
 		l.pool.Submit(func() { l.free(c.Program) })
+	case gatekeeper.ExportPrefix:
+		l.pool.Submit(func() { l.exportPrefix(c) })
+	case gatekeeper.FreeExport:
+		l.pool.Submit(func() { l.freeExport(c.ID) })
 	case gatekeeper.Reconcile:
 		l.pool.Submit(l.pollSessions)
 	case gatekeeper.Note:
--- a/internal/endpoint/execute.go
+++ b/internal/endpoint/execute.go
@@ -43,6 +43,9 @@
 	if t.call.Service {
 		finished.Outcome.Service, err = run.serve(ctx)
 	} else {
+		if start.Import != "" {
+			a.importPrefix(t.request.Program, start.Import)
+		}
 		finished.Outcome.Engine, err = run.generate(ctx, start.Messages)
 	}
 	finished.Chunks, finished.Streamed = run.chunks, run.lastAt-run.firstAt
--- /dev/null
+++ b/internal/endpoint/export_test.go
@@ -0,0 +1,52 @@
+package endpoint_test
+
+import (
+	"context"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/endpoint"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	_ "github.com/baobabspool/baobabspool/pkg/policy/pause" // registers the policy "export"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+var _ = ginkgo.Describe("Agent in tool pauses", func() {
+	ctx := context.Background()
+
+	// Guards against exports that stay at the engine when their answer was lost,
+	// when they have been used and when their program is gone.
+	ginkgo.It("exports the prefix of a paused program and releases every export", func() {
+		mist := newEngine()
+		mist.cacheTokens = 100
+		agent, clients := start(endpoint.WithEngine(mist), func(c *endpoint.Config) {
+			c.PauseOptions = spool.Options{"pause.setupMs": 0, "pause.transferTokensPerMs": 10_000}
+			c.Kernel.FreeRetry = 50
+			c.LoadEvery = 20
+		})
+		run := func(call spool.CallID) {
+			gomega.Expect(clients.Call(ctx, agent.Address(), wire.MethodRun, modelCall(call, user("fog?")), nil, nil)).To(gomega.Succeed())
+		}
+		exports := func() int { count, _ := mist.transfers(); return count }
+		imports := func() int { _, count := mist.transfers(); return count }
+		run("1")
+		gomega.Eventually(exports, "5s").Should(gomega.Equal(1))
+		gomega.Eventually(mist.held, "5s").Should(gomega.BeZero())
+		run("2")
+		gomega.Expect(imports()).To(gomega.Equal(1))
+		gomega.Eventually(mist.held, "5s").Should(gomega.BeZero(), "the next pause")
+		gomega.Expect(exports()).To(gomega.Equal(1))
+		ended := wire.RenewRequest{Ended: []spool.ProgramID{"p"}}
+		gomega.Expect(clients.Call(ctx, agent.Address(), wire.MethodRenew, ended, nil, nil)).To(gomega.Succeed())
+		gomega.Eventually(exports, "5s").Should(gomega.BeZero())
+		mist.mu.Lock()
+		mist.exportErr = errors.New("no answer")
+		mist.mu.Unlock()
+		run("3")
+		gomega.Eventually(mist.held, "5s").Should(gomega.BeZero())
+		gomega.Eventually(exports, "5s").Should(gomega.BeZero())
+		gomega.Expect(imports()).To(gomega.Equal(1))
+	})
+})
--- a/internal/endpoint/fake_test.go
+++ b/internal/endpoint/fake_test.go
@@ -19,9 +19,17 @@
 	prompts  [][]spool.Message
 	sessions map[spool.ProgramID]bool
 	orders   []spool.EngineOrder
+	exports  map[string]spool.Export
+	imports  []string
+	// cacheTokens is the size and the use of the cache.
+	cacheTokens int
+	// exportErr is returned by exports, which take effect nevertheless.
+	exportErr error
 }
 
-func newEngine() *engine { return &engine{sessions: map[spool.ProgramID]bool{}} }
+func newEngine() *engine {
+	return &engine{sessions: map[spool.ProgramID]bool{}, exports: map[string]spool.Export{}}
+}
 
 func (e *engine) Generate(ctx context.Context, call spool.EngineCall, onChunk func(spool.Chunk) error) (spool.EngineResult, error) {
 	e.mu.Lock()
@@ -41,7 +49,7 @@
 }
 
 func (e *engine) Load(context.Context) (spool.EngineLoad, error) {
-	return spool.EngineLoad{Generation: 1, Uptime: clock.Hour}, nil
+	return spool.EngineLoad{Generation: 1, Uptime: clock.Hour, CacheTokens: e.cacheTokens, CacheLimit: e.cacheTokens}, nil
 }
 
 func (e *engine) CacheEvents(context.Context, uint64) ([]spool.CacheEvent, error) { return nil, nil }
@@ -62,11 +70,49 @@
 	return nil
 }
 
+func (e *engine) Export(_ context.Context, program spool.ProgramID, id string) (spool.Export, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.sessions, program)
+	e.exports[id] = spool.Export{ID: id, Program: program, Tokens: 9}
+	return e.exports[id], e.exportErr
+}
+
+func (e *engine) Import(_ context.Context, _ spool.ProgramID, id string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.imports = append(e.imports, id)
+	return nil
+}
+
+func (e *engine) Exports(context.Context) (list []spool.Export, _ error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, export := range e.exports {
+		list = append(list, export)
+	}
+	return list, nil
+}
+
+func (e *engine) FreeExport(_ context.Context, id string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.exports, id)
+	return nil
+}
+
 func (e *engine) Order(_ context.Context, order spool.EngineOrder) error {
 	e.orders = append(e.orders, order)
 	return nil
 }
 
+// transfers returns the number of exports kept and of imports done.
+func (e *engine) transfers() (exports, imports int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.exports), len(e.imports)
+}
+
 func (e *engine) held() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/endpoint/poll.go
+++ b/internal/endpoint/poll.go
@@ -71,7 +71,12 @@
 		a.telemetry.Event("sessionsFailed")
 		return
 	}
-	a.post(gatekeeper.Sessions{AskedAt: askedAt, Programs: programs})
+	sessions := gatekeeper.Sessions{AskedAt: askedAt, Programs: programs}
+	if sessions.Exports, err = a.engine.Exports(ctx); err != nil {
+		a.telemetry.Event("exportsFailed")
+	}
+	sessions.ExportsKnown = err == nil
+	a.post(sessions)
 }
 
 // free releases the engine memory of a program.
@@ -84,3 +89,36 @@
 	}
 	a.post(gatekeeper.Freed{Program: program, OK: err == nil})
 }
+
+// exportPrefix moves the prefix of a program out of the engine's cache.
+func (a *Agent) exportPrefix(c gatekeeper.ExportPrefix) {
+	ctx, cancel := a.asking()
+	defer cancel()
+	export, err := a.engine.Export(ctx, c.Program, c.ID)
+	if err != nil {
+		a.telemetry.Event("exportFailed")
+	}
+	a.post(gatekeeper.Exported{
+		ID: c.ID, OK: err == nil, Tokens: export.Tokens,
+		NotRun: errors.Is(err, spool.ErrNotSent) || errors.Is(err, spool.ErrRejected),
+	})
+}
+
+// importPrefix brings an export back. Without it the engine recomputes.
+func (a *Agent) importPrefix(program spool.ProgramID, id string) {
+	ctx, cancel := a.asking()
+	defer cancel()
+	if err := a.engine.Import(ctx, program, id); err != nil {
+		a.telemetry.Event("importFailed")
+	}
+}
+
+func (a *Agent) freeExport(id string) {
+	ctx, cancel := a.asking()
+	defer cancel()
+	err := a.engine.FreeExport(ctx, id)
+	if err != nil {
+		a.log.Warn("export was not released", zap.String("export", id), zap.Error(err))
+	}
+	a.post(gatekeeper.ExportFreed{ID: id, OK: err == nil})
+}
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -82,6 +82,32 @@
 	return e.transport.send(ctx, fasthttp.MethodDelete, "/v1/sessions/"+url.PathEscape(string(program)), nil, nil)
 }
 
+// Export moves the prefix of a program out of the cache.
+func (e *Engine) Export(ctx context.Context, program spool.ProgramID, id string) (export spool.Export, err error) {
+	defer func() { err = errors.Wrap(err, "export prefix") }()
+	err = e.transport.send(ctx, fasthttp.MethodPost, "/v1/exports", spool.Export{ID: id, Program: program}, &export)
+	return export, err
+}
+
+// Import puts a copy of an exported prefix back into the cache.
+func (e *Engine) Import(ctx context.Context, program spool.ProgramID, id string) (err error) {
+	defer func() { err = errors.Wrap(err, "import prefix") }()
+	return e.transport.send(ctx, fasthttp.MethodPost, "/v1/imports", spool.Export{ID: id, Program: program}, nil)
+}
+
+// Exports lists the exports that the engine keeps.
+func (e *Engine) Exports(ctx context.Context) (exports []spool.Export, err error) {
+	defer func() { err = errors.Wrap(err, "list exports") }()
+	err = e.transport.get(ctx, "/v1/exports", 0, &exports)
+	return exports, err
+}
+
+// FreeExport releases an export.
+func (e *Engine) FreeExport(ctx context.Context, id string) (err error) {
+	defer func() { err = errors.Wrap(err, "free export") }()
+	return e.transport.send(ctx, fasthttp.MethodDelete, "/v1/exports/"+url.PathEscape(id), nil, nil)
+}
+
 // Order carries out an operator's order.
 func (e *Engine) Order(ctx context.Context, order spool.EngineOrder) (err error) {
 	defer func() { err = errors.Wrap(err, "order") }()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -93,6 +93,37 @@
 		client = platform.NewEngine(started(standin.ServeEngine(engine, "127.0.0.1:0", "")))
 	})
 
+	ginkgo.It("exports a prefix, imports it after a restart and says when nothing was exported", func() {
+		ctx := context.Background()
+		keep := func(spool.Chunk) error { return nil }
+		first, err := client.Generate(ctx, call, keep)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		export, err := client.Export(ctx, "p", "x1")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(export.Tokens).To(gomega.BeNumerically(">=", first.PromptTokens))
+		gomega.Expect(client.Sessions(ctx)).To(gomega.BeEmpty())
+		_, err = client.Export(ctx, "p", "x2")
+		gomega.Expect(err).To(gomega.MatchError(spool.ErrRejected))
+		engine.Restart()
+		gomega.Expect(client.Exports(ctx)).To(gomega.ConsistOf(export))
+		gomega.Expect(client.Import(ctx, "q", "x1")).NotTo(gomega.Succeed())
+		gomega.Expect(client.Import(ctx, "p", "x1")).To(gomega.Succeed())
+		again, err := client.Generate(ctx, call, keep)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(again.CachedTokens).To(gomega.Equal(first.PromptTokens))
+		settings := engine.Settings()
+		settings.LoseExportAnswers = true
+		engine.SetSettings(settings)
+		_, err = client.Export(ctx, "p", "x3")
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		gomega.Expect(err).NotTo(gomega.MatchError(spool.ErrRejected))
+		gomega.Expect(client.Exports(ctx)).To(gomega.HaveLen(2))
+		for _, id := range []string{"x1", "x3", "x3"} {
+			gomega.Expect(client.FreeExport(ctx, id)).To(gomega.Succeed())
+		}
+		gomega.Expect(client.Exports(ctx)).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("streams the answer in order and holds the program's memory until freed", func() {
 		text := ""
 		result, err := client.Generate(context.Background(), call, func(chunk spool.Chunk) error {
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -146,6 +146,8 @@
 	agentConfig.HTTPListen = p.config.HTTPListen
 	agentConfig.Queue = values.Text(settings.PolicyQueue)
 	agentConfig.Gate = values.Text(settings.PolicyGate)
+	agentConfig.Pause = values.Text(settings.PolicyPause)
+	agentConfig.PauseOptions = values.Options()
 	agentConfig.QueueOptions = values.Options()
 	agentConfig.GateOptions = values.Options()
 	agentConfig.Kernel.MaxWait = values.Duration(settings.QueueMaxWaitMs)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -31,6 +31,12 @@
 	EventLagMs clock.Millis `json:"eventLagMs"`
 	// EventLoss is the share of cache events, 0 to 1, that are never shown.
 	EventLoss float64 `json:"eventLoss"`
+	// ExportTokens is the room for exports; TransferTokensPerMs is how fast
+	// prefixes are exported and imported.
+	ExportTokens        int     `json:"exportTokens"`
+	TransferTokensPerMs float64 `json:"transferTokensPerMs"`
+	// LoseExportAnswers makes exports take effect without an answer.
+	LoseExportAnswers bool `json:"loseExportAnswers"`
 	// HonoursFence makes the engine refuse orders with an old fencing number.
 	HonoursFence bool `json:"honoursFence"`
 	// Silent makes streams stop without being closed.
@@ -42,6 +48,7 @@
 	return EngineSettings{
 		Slots: 8, ColdSlots: 2, WarmAfter: 6, TokenMs: 1, PrefillTokensPerMs: 200,
 		CacheTokens: 200_000, LoadLagMs: 100, EventLagMs: 200, EventLoss: 0.1, HonoursFence: true,
+		ExportTokens: 800_000, TransferTokensPerMs: 2000,
 	}
 }
 
@@ -60,6 +67,9 @@
 	// PromptTokens and CachedTokens sum over the calls.
 	PromptTokens int `json:"promptTokens"`
 	CachedTokens int `json:"cachedTokens"`
+	// Exports and Imports count prefixes moved out and back.
+	Exports int `json:"exports"`
+	Imports int `json:"imports"`
 	// LastCall is the time since the last call arrived; negative when none did.
 	LastCallMs clock.Millis `json:"lastCallMs"`
 	// Orders lists the orders carried out.
@@ -82,6 +92,8 @@
 	running   int
 	waiting   []*ticket
 	cache     map[spool.ProgramID]*prefix
+	// exports survives restarts.
+	exports   map[string]*exported
 	clockTick uint64
 	events    []shownEvent
 	sequence  uint64
@@ -121,6 +133,7 @@
 		generation: 1,
 		cut:        make(chan struct{}),
 		cache:      map[spool.ProgramID]*prefix{},
+		exports:    map[string]*exported{},
 	}
 }
 
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -52,6 +52,14 @@
 		reply(ctx, e.Sessions())
 	case strings.HasPrefix(path, "/v1/sessions/") && ctx.IsDelete():
 		e.free(spool.ProgramID(strings.TrimPrefix(path, "/v1/sessions/")))
+	case path == "/v1/exports" && ctx.IsGet():
+		reply(ctx, e.Exports())
+	case path == "/v1/exports":
+		e.handleTransfer(ctx, e.export)
+	case path == "/v1/imports":
+		e.handleTransfer(ctx, e.importPrefix)
+	case strings.HasPrefix(path, "/v1/exports/") && ctx.IsDelete():
+		e.freeExport(strings.TrimPrefix(path, "/v1/exports/"))
 	case path == "/v1/orders":
 		e.handleOrder(ctx)
 	default:
--- a/pkg/gatekeeper/call.go
+++ b/pkg/gatekeeper/call.go
@@ -38,6 +38,8 @@
 	answered bool
 	// held is what the engine was believed to hold of the program at the start.
 	held int
+	// imports is the export that the run brings back; nil for none.
+	imports *export
 	// restUntilStart is how long the program had been idle at the start.
 	restUntilStart clock.Millis
 }
@@ -184,7 +186,11 @@
 		k.engage(c)
 	}
 	k.observe(spool.GateEvent{Kind: spool.GateStarted})
-	k.emit(Start{Ticket: c.ticket, Correlation: c.view.Correlation, Messages: c.prompt})
+	start := Start{Ticket: c.ticket, Correlation: c.view.Correlation, Messages: c.prompt}
+	if c.imports != nil {
+		start.Import = c.imports.id
+	}
+	k.emit(start)
 }
 
 // cancel answers a call whose caller no longer waits for it. A waiting call is
--- a/pkg/gatekeeper/gatekeeper.go
+++ b/pkg/gatekeeper/gatekeeper.go
@@ -21,6 +21,7 @@
 	config Config
 	queue  spool.Queue
 	gate   spool.Gate
+	pause  spool.PausePolicy
 	boot   string
 
 	now      clock.Millis
@@ -47,6 +48,9 @@
 	// historyBytes is the size of all cached histories.
 	historyBytes int
 	engine       engineView
+	exports      map[string]*export
+	// nextExport numbers the exports of this start of the agent.
+	nextExport uint64
 	// sweepAt is when lapsed leases are looked for next.
 	sweepAt clock.Millis
 
@@ -56,11 +60,13 @@
 }
 
 // New returns a kernel. boot must be unique for each start of an agent.
-func New(config Config, boot string, queue spool.Queue, gate spool.Gate) *Kernel {
+func New(config Config, boot string, queue spool.Queue, gate spool.Gate, pause spool.PausePolicy) *Kernel {
 	return &Kernel{
 		config:   config,
 		queue:    queue,
 		gate:     gate,
+		pause:    pause,
+		exports:  map[string]*export{},
 		boot:     boot,
 		epochs:   map[spool.Stream]spool.Epoch{},
 		calls:    map[Ticket]*call{},
@@ -98,6 +104,10 @@
 		k.sessions(m)
 	case Freed:
 		k.freed(m)
+	case Exported:
+		k.exported(m)
+	case ExportFreed:
+		k.exportFreed(m)
 	case Drain:
 		k.drain(m.On)
 	case Leave:
--- a/pkg/gatekeeper/kernel_test.go
+++ b/pkg/gatekeeper/kernel_test.go
@@ -65,6 +65,24 @@
 }
 func (w *window) Cold(clock.Millis) bool { return false }
 
+// eager is a pause policy that exports every prefix, except those of the programs
+// named 1, which it drops.
+type eager struct{}
+
+func (eager) Resumed(spool.ProgramID, spool.AccountID, clock.Millis) {}
+func (eager) Gone(spool.ProgramID)                                   {}
+
+func (eager) Choose(_ clock.Millis, _ spool.MemoryView, paused []spool.PausedView) (decisions []spool.PauseDecision) {
+	for _, view := range paused {
+		action := spool.PauseExport
+		if view.Program == "1" {
+			action = spool.PauseDrop
+		}
+		decisions = append(decisions, spool.PauseDecision{Program: view.Program, Action: action})
+	}
+	return decisions
+}
+
 // kernel is a kernel whose commands are collected.
 type kernel struct {
 	*gatekeeper.Kernel
@@ -80,7 +98,7 @@
 		change(&config)
 	}
 	gate := &window{size: size}
-	return &kernel{Kernel: gatekeeper.New(config, "boot", &fifo{}, gate), gate: gate, now: 1}
+	return &kernel{Kernel: gatekeeper.New(config, "boot", &fifo{}, gate, eager{}), gate: gate, now: 1}
 }
 
 // take runs a step and returns its commands by type.
--- a/pkg/gatekeeper/machine_test.go
+++ b/pkg/gatekeeper/machine_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -63,7 +65,11 @@
 	asked    map[gatekeeper.Ticket]*question
 	sessions map[spool.ProgramID]bool
 	freeing  []spool.ProgramID
-	load     spool.EngineLoad
+	// exports holds what the engine keeps outside its cache; transfers are the
+	// exports and releases under way.
+	exports   map[string]spool.ProgramID
+	transfers []gatekeeper.Command
+	load      spool.EngineLoad
 }
 
 type question struct {
@@ -85,11 +91,11 @@
 	if m.fair {
 		queue, _ = spool.Queues.New("fair", 1, nil)
 	}
-	m.kernel = gatekeeper.New(machineConfig(), fmt.Sprintf("boot%d", m.boots), queue, m.gate)
+	m.kernel = gatekeeper.New(machineConfig(), fmt.Sprintf("boot%d", m.boots), queue, m.gate, eager{})
 	m.ticket, m.seen = 0, 0
 	m.taken, m.running = map[gatekeeper.Ticket]*request{}, map[gatekeeper.Ticket]*request{}
 	m.asked = map[gatekeeper.Ticket]*question{}
-	m.freeing = nil
+	m.freeing, m.transfers = nil, nil
 }
 
 func (m *machine) step(t *rapid.T, message gatekeeper.Message) {
@@ -104,6 +110,8 @@
 			m.fated(t, c)
 		case gatekeeper.Free:
 			m.freeing = append(m.freeing, c.Program)
+		case gatekeeper.ExportPrefix, gatekeeper.FreeExport:
+			m.transfers = append(m.transfers, c)
 		case gatekeeper.Violation:
 			t.Fatalf("invariant %s is broken", c.Invariant)
 		}
@@ -129,6 +137,9 @@
 	if !r.idempotent && r.runs > 1 {
 		t.Fatalf("non-idempotent call %v ran twice", r.key)
 	}
+	if c.Import != "" && m.exports[c.Import] != "" && m.exports[c.Import] != r.key.Program {
+		t.Fatalf("call %v imports the prefix of program %s", r.key, m.exports[c.Import])
+	}
 	if !r.service {
 		m.sessions[r.key.Program] = true
 		if got := spool.HistoryDigest("", c.Messages...); got != r.want {
@@ -288,9 +299,36 @@
 			list.Programs = append(list.Programs, program)
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(m.exports)) {
+		list.Exports = append(list.Exports, spool.Export{ID: id, Program: m.exports[id], Tokens: 5})
+	}
+	list.ExportsKnown = true
 	m.step(t, list)
 }
 
+// transfer carries an export or a release out, or not, and answers, or not.
+func (m *machine) transfer(t *rapid.T, works, answered bool) {
+	if len(m.transfers) == 0 {
+		t.Skip("nothing is transferred")
+	}
+	command := m.transfers[0]
+	m.transfers = m.transfers[1:]
+	switch c := command.(type) {
+	case gatekeeper.ExportPrefix:
+		works = works && m.sessions[c.Program]
+		if works {
+			m.exports[c.ID] = c.Program
+			delete(m.sessions, c.Program)
+		}
+		m.step(t, gatekeeper.Exported{ID: c.ID, OK: works && answered, NotRun: !works && answered, Tokens: 5})
+	case gatekeeper.FreeExport:
+		if works {
+			delete(m.exports, c.ID)
+		}
+		m.step(t, gatekeeper.ExportFreed{ID: c.ID, OK: works && answered})
+	}
+}
+
 func (m *machine) actionsOf() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
 		"send": m.send, "deliver": m.deliver, "deliver again": m.deliver, "fate": m.fate, "list sessions": m.list,
@@ -304,7 +342,11 @@
 		},
 		"window": func(t *rapid.T) { m.gate.size = rapid.IntRange(1, 3).Draw(t, "window") },
 		"free":   func(t *rapid.T) { m.free(t, rapid.Bool().Draw(t, "ok")) },
-		"drain":  func(t *rapid.T) { m.step(t, gatekeeper.Drain{On: rapid.IntRange(0, 3).Draw(t, "on") == 0}) },
+		"transfer": func(t *rapid.T) {
+			m.transfer(t, rapid.Bool().Draw(t, "works"), rapid.Bool().Draw(t, "answered"))
+		},
+		"transfer in full": func(t *rapid.T) { m.transfer(t, true, true) },
+		"drain":            func(t *rapid.T) { m.step(t, gatekeeper.Drain{On: rapid.IntRange(0, 3).Draw(t, "on") == 0}) },
 		"renew": func(t *rapid.T) {
 			m.step(t, gatekeeper.Renew{Programs: []spool.ProgramID{"0", "1"}, Ended: []spool.ProgramID{"2"}, LeaseFor: 1000})
 		},
@@ -340,14 +382,17 @@
 		for len(m.freeing) > 0 {
 			m.free(t, true)
 		}
+		for len(m.transfers) > 0 {
+			m.transfer(t, true, true)
+		}
 	}
 	for _, r := range m.taken {
 		if r.replies != 1 {
 			t.Fatalf("request %v has %d answers", r.key, r.replies)
 		}
 	}
-	if len(m.sessions) > 0 || len(m.kernel.Held()) > 0 {
-		t.Fatalf("engine memory is left: %v, believed %v", m.sessions, m.kernel.Held())
+	if len(m.sessions) > 0 || len(m.exports) > 0 || len(m.kernel.Held()) > 0 {
+		t.Fatalf("engine memory is left: %v and %v, believed %v", m.sessions, m.exports, m.kernel.Held())
 	}
 }
 
@@ -360,7 +405,7 @@
 		}
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		m := &machine{gate: &window{size: 2}, epoch: 1, now: 1000, sessions: map[spool.ProgramID]bool{}}
+		m := &machine{gate: &window{size: 2}, epoch: 1, now: 1000, sessions: map[spool.ProgramID]bool{}, exports: map[string]spool.ProgramID{}}
 		m.fair = rapid.Bool().Draw(t, "fair")
 		m.boot()
 		m.marks = append(m.marks, m.kernel.Status().Mark)
--- a/pkg/gatekeeper/memory.go
+++ b/pkg/gatekeeper/memory.go
@@ -19,6 +19,8 @@
 type program struct {
 	id      spool.ProgramID
 	history history
+	// account is that of the latest call.
+	account spool.AccountID
 	// leaseUntil is when the memory may be released, unless a call is active.
 	leaseUntil clock.Millis
 	// ended programs need no lease; their memory goes with their last call.
@@ -35,6 +37,12 @@
 	freeing bool
 	// retryAt delays the next Free after a failed one.
 	retryAt clock.Millis
+	// pausedAt is when the latest call ended; 0 while a call waits or runs.
+	pausedAt clock.Millis
+	// export is the export of the prefix as it is now, pending or ready; nil for
+	// none. exports counts all that the engine may keep for the program.
+	export  *export
+	exports int
 }
 
 // engineView is what the agent knows of its engine.
@@ -58,6 +66,11 @@
 // a repetition of the call needs no resend.
 func (k *Kernel) occupy(c *call) {
 	p := k.program(c.Key.Program)
+	if p.pausedAt > 0 {
+		k.pause.Resumed(p.id, c.Key.Account, k.now-p.pausedAt)
+		p.pausedAt = 0
+	}
+	p.account = c.Key.Account
 	p.active++
 	p.ended = false
 	c.restUntilStart = k.now - p.used
@@ -71,6 +84,9 @@
 	p := k.program(c.Key.Program)
 	p.active--
 	p.used = k.now
+	if p.active == 0 {
+		p.pausedAt = k.now
+	}
 	p.leaseUntil = max(p.leaseUntil, k.now+k.config.CallLease)
 	c.prompt, c.digests, c.Messages, c.Digests = nil, nil, nil, nil
 	k.release(p)
@@ -79,7 +95,10 @@
 // engage notes that the engine may hold memory of the program from now on.
 func (k *Kernel) engage(c *call) {
 	p := k.program(c.Key.Program)
-	c.held = p.tokens
+	if p.export == nil {
+		c.held = p.tokens
+	}
+	c.imports = k.use(p)
 	c.restUntilStart += k.now - c.view.ArrivedAt
 	p.held = true
 }
@@ -87,6 +106,9 @@
 // settle takes the result of a model call into the program's state.
 func (k *Kernel) settle(c *call, m Finished) {
 	p := k.program(c.Key.Program)
+	if c.imports != nil {
+		k.discard(c.imports)
+	}
 	if result := m.Outcome.Engine; m.Ending == EndDone && result != nil {
 		k.checkEmptied(c, result)
 		p.tokens = result.PromptTokens + result.GeneratedTokens
@@ -144,10 +166,19 @@
 		return
 	}
 	k.forgetHistory(p)
+	if e := p.export; e != nil {
+		p.export = nil
+		if e.state == exportReady {
+			k.discard(e)
+		}
+	}
 	switch {
 	case p.freeing:
 	case !p.held:
-		delete(k.programs, p.id)
+		if p.exports == 0 {
+			delete(k.programs, p.id)
+			k.pause.Gone(p.id)
+		}
 	case p.retryAt <= k.now:
 		p.freeing = true
 		k.emit(Free{Program: p.id})
@@ -160,6 +191,8 @@
 		return
 	}
 	k.sweepAt = k.now + sweepEvery
+	k.retryExports()
+	k.paused()
 	for _, id := range k.sortedPrograms() {
 		k.release(k.programs[id])
 	}
@@ -199,6 +232,9 @@
 		p.held, p.tokens = false, 0
 		k.release(p)
 	}
+	if m.ExportsKnown {
+		k.listedExports(m)
+	}
 }
 
 // found notes that the engine holds memory of a program.
@@ -266,12 +302,15 @@
 	k.observe(spool.GateEvent{Kind: spool.GateFailed})
 }
 
-// Held returns the programs whose memory the engine holds, with the length of
-// the prefix in tokens.
+// Held returns the programs whose memory or export the engine holds, with the
+// length of the prefix in tokens.
 func (k *Kernel) Held() map[spool.ProgramID]int {
 	held := map[spool.ProgramID]int{}
 	for id, p := range k.programs {
-		if p.held {
+		switch {
+		case p.export != nil && p.export.state == exportReady:
+			held[id] = p.export.tokens
+		case p.held || p.exports > 0:
 			held[id] = p.tokens
 		}
 	}
--- a/pkg/gatekeeper/message.go
+++ b/pkg/gatekeeper/message.go
@@ -138,6 +138,24 @@
 	// AskedAt is when the list was asked for; it says nothing about later uses.
 	AskedAt  clock.Millis
 	Programs []spool.ProgramID
+	// Exports lists what the engine keeps outside its cache, if ExportsKnown.
+	Exports      []spool.Export
+	ExportsKnown bool
+}
+
+// Exported is the result of the command ExportPrefix.
+type Exported struct {
+	ID string
+	// OK tells that the engine keeps the export, of Tokens. NotRun is a failure
+	// that proves that it does not; without either, it may or may not.
+	OK, NotRun bool
+	Tokens     int
+}
+
+// ExportFreed is the result of the command FreeExport.
+type ExportFreed struct {
+	ID string
+	OK bool
 }
 
 // Freed is the result of the command Free.
@@ -167,6 +185,8 @@
 func (Events) message()      {}
 func (Sessions) message()    {}
 func (Freed) message()       {}
+func (Exported) message()    {}
+func (ExportFreed) message() {}
 func (Drain) message()       {}
 func (Leave) message()       {}
 func (Tick) message()        {}
@@ -178,6 +198,9 @@
 	Correlation string
 	// Messages is the whole prompt of a model call.
 	Messages []spool.Message
+	// Import names an export of the program's prefix to bring back first; empty for
+	// none. The call runs without it too.
+	Import string
 }
 
 // Stop cancels a run; its Finished message still follows.
@@ -205,6 +228,15 @@
 // Free releases the engine memory of a program.
 type Free struct{ Program spool.ProgramID }
 
+// ExportPrefix moves the prefix of a program out of the engine's cache.
+type ExportPrefix struct {
+	Program spool.ProgramID
+	ID      string
+}
+
+// FreeExport releases an export.
+type FreeExport struct{ ID string }
+
 // Reconcile asks for the engine's list of sessions.
 type Reconcile struct{}
 
@@ -214,11 +246,13 @@
 // Violation says that an invariant was found broken.
 type Violation struct{ Invariant string }
 
-func (Start) command()     {}
-func (Stop) command()      {}
-func (Reply) command()     {}
-func (FateReply) command() {}
-func (Free) command()      {}
-func (Reconcile) command() {}
-func (Note) command()      {}
-func (Violation) command() {}
+func (Start) command()        {}
+func (Stop) command()         {}
+func (Reply) command()        {}
+func (FateReply) command()    {}
+func (Free) command()         {}
+func (ExportPrefix) command() {}
+func (FreeExport) command()   {}
+func (Reconcile) command()    {}
+func (Note) command()         {}
+func (Violation) command()    {}
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -7,6 +7,7 @@
 	// Each import registers the policies of one kind.
 	_ "github.com/baobabspool/baobabspool/pkg/policy/gate"
 	_ "github.com/baobabspool/baobabspool/pkg/policy/order"
+	_ "github.com/baobabspool/baobabspool/pkg/policy/pause"
 	_ "github.com/baobabspool/baobabspool/pkg/policy/retry"
 	_ "github.com/baobabspool/baobabspool/pkg/policy/routing"
 )
--- a/pkg/settings/known.go
+++ b/pkg/settings/known.go
@@ -39,6 +39,11 @@
 	PolicyQueue           Text     = "policy.queue"
 	PolicyGate            Text     = "policy.gate"
 	PolicyRetry           Text     = "policy.retry"
+	PolicyPause           Text     = "policy.pause"
+	PauseHighShare        Number   = "pause.highShare"
+	PauseLowShare         Number   = "pause.lowShare"
+	PausePrefillSpeed     Number   = "pause.prefillTokensPerMs"
+	PauseTransferSpeed    Number   = "pause.transferTokensPerMs"
 	GateColdConcurrency   Integer  = "gate.coldConcurrency"
 	GateMaxConcurrency    Integer  = "gate.maxConcurrency"
 	QueueMaxWaitMs        Duration = "queue.maxWaitMs"
@@ -85,6 +90,11 @@
 	text(PolicyQueue, "fair", placeLevels, spool.Queues.Names, "Policy that orders the calls in front of an endpoint.")
 	text(PolicyGate, "adaptive", placeLevels, spool.Gates.Names, "Policy that bounds the concurrency of an endpoint.")
 	text(PolicyRetry, "budgeted", placeLevels, spool.Retries.Names, "Policy that decides on retries.")
+	text(PolicyPause, "export", placeLevels, spool.Pauses.Names, "Policy that decides on a program's engine memory while its tool runs.")
+	number(PauseHighShare, "share", 0.01, 1, 0.85, placeLevels, "Fill of an engine's prefix cache above which prefixes of paused programs are exported.")
+	number(PauseLowShare, "share", 0, 1, 0.75, placeLevels, "Fill of the cache that these exports aim at.")
+	number(PausePrefillSpeed, "tokens/ms", 0.001, 1e6, 10, placeLevels, "Speed at which an engine computes a prompt.")
+	number(PauseTransferSpeed, "tokens/ms", 0.001, 1e6, 80, placeLevels, "Speed at which an engine exports and imports a prefix. Nothing is exported where this is not faster than computing.")
 	integer(GateColdConcurrency, "calls", 1, maxConcurrencySetting, 1, placeLevels, "Concurrent calls on an endpoint in cold start.")
 	integer(GateMaxConcurrency, "calls", 1, maxConcurrencySetting, 16, placeLevels, "Highest concurrency of an endpoint.")
 	duration(QueueMaxWaitMs, 0, maxMillis, 30000, callLevels, "Expected wait beyond which an endpoint refuses new calls.")
--- a/pkg/spool/platform.go
+++ b/pkg/spool/platform.go
@@ -228,6 +228,17 @@
 	Sessions(ctx context.Context) ([]ProgramID, error)
 	// Free releases the memory of a program.
 	Free(ctx context.Context, program ProgramID) error
+	// Export moves the prefix of a program out of the cache and keeps it under id
+	// until FreeExport. It survives a restart of the engine. An error that wraps
+	// ErrNotSent or ErrRejected proves that there is no such export; after any
+	// other error there may be one.
+	Export(ctx context.Context, program ProgramID, id string) (Export, error)
+	// Import puts a copy of an exported prefix back into the cache.
+	Import(ctx context.Context, program ProgramID, id string) error
+	// Exports lists the exports that the engine keeps.
+	Exports(ctx context.Context) ([]Export, error)
+	// FreeExport releases an export. One that does not exist is no error.
+	FreeExport(ctx context.Context, id string) error
 	// Order carries out an operator's order. It fails when the engine honours
 	// fencing numbers and order.Fence is old.
 	Order(ctx context.Context, order EngineOrder) error
--- a/pkg/spool/policy.go
+++ b/pkg/spool/policy.go
@@ -204,6 +204,7 @@
 	Queues  = &Registry[Queue]{}
 	Gates   = &Registry[Gate]{}
 	Retries = &Registry[RetryPolicy]{}
+	Pauses  = &Registry[PausePolicy]{}
 )
 
 // Register adds a constructor. A second registration of a name is a
