Return from a call only after its last chunk has been received

Cause: a call over a connection that was closed as silent or lost returned while the connection's reader was still inside onChunk. The entry then repeated the operation at the next owner, and the late piece could be sent after, or be counted together with, the first piece of the repeat: the pieces of a stream no longer add up to its answer. An entry that wakes after a pause has a backlog of chunks and closes its connections at the same moment, which makes this likely.

Change: each call's receiver holds a lock while onChunk runs and drops chunks after the call has returned.

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -96,7 +96,7 @@
 
 // Call sends one request to address and decodes the reply into result, which
 // may be nil. onChunk, which may be nil, receives the chunks in order before
-// Call returns. Cancelling ctx cancels the request at the other process. The
+// Call returns and is never called afterwards. Cancelling ctx cancels the request at the other process. The
 // error is a *spool.Refusal when the other process refused.
 func (c *Clients) Call(ctx context.Context, address, method string, request, result any, onChunk func(json.RawMessage) error) (err error) {
 	defer func() { err = errors.Wrapf(err, "call %s at %s", method, address) }()
@@ -252,12 +252,43 @@
 
 	mu sync.Mutex
 	// chunks maps the correlation of each call under way to its receiver.
-	chunks map[string]func(json.RawMessage)
+	chunks map[string]*receiver
+}
+
+// receiver passes the chunks of one call on until the call returns.
+type receiver struct {
+	onChunk func(json.RawMessage) error
+	// cancel ends the call with the error of onChunk.
+	cancel context.CancelCauseFunc
+
+	// mu is held while onChunk runs.
+	mu sync.Mutex
+	// ended is set when the call returns; later chunks are dropped.
+	ended bool
+}
+
+func (r *receiver) receive(chunk json.RawMessage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended || r.onChunk == nil {
+		return
+	}
+	if err := r.onChunk(chunk); err != nil {
+		r.cancel(err)
+	}
+}
+
+// end waits for a chunk that is being received. Without it, a chunk of a call
+// that has failed could reach the caller after the first chunk of the repeat.
+func (r *receiver) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
 }
 
 func newLink(clients *Clients, address string, conn net.Conn) *link {
 	l := &link{
-		clients: clients, closed: make(chan struct{}), chunks: map[string]func(json.RawMessage){}, usedAt: time.Now(),
+		clients: clients, closed: make(chan struct{}), chunks: map[string]*receiver{}, usedAt: time.Now(),
 	}
 	l.heard.Store(time.Now().UnixNano())
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
@@ -323,32 +354,27 @@
 		return
 	}
 	l.mu.Lock()
-	receive := l.chunks[frame.Correlation]
+	to := l.chunks[frame.Correlation]
 	l.mu.Unlock()
-	if receive == nil {
+	if to == nil {
 		l.clients.crossed.Add(1)
 		return
 	}
-	receive(frame.Body)
+	to.receive(frame.Body)
 }
 
 func (l *link) call(ctx context.Context, method string, frame envelope, result any, onChunk func(json.RawMessage) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	chunks := &receiver{onChunk: onChunk, cancel: cancel}
 	l.mu.Lock()
-	l.chunks[frame.Correlation] = func(chunk json.RawMessage) {
-		if onChunk == nil {
-			return
-		}
-		if err := onChunk(chunk); err != nil {
-			cancel(err)
-		}
-	}
+	l.chunks[frame.Correlation] = chunks
 	l.mu.Unlock()
 	defer func() {
 		l.mu.Lock()
 		delete(l.chunks, frame.Correlation)
 		l.mu.Unlock()
+		chunks.end()
 	}()
 	pending, err := l.rpc.DispatchCall(ctx, method, frame)
 	if err != nil {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -74,6 +74,23 @@
 		gomega.Expect(reply.Value).To(gomega.Equal("abcdefghij"))
 	})
 
+	// Guards against a chunk of a lost call that mixes with those of its repeat.
+	ginkgo.It("does not return from a lost call while a chunk of it is being received", func() {
+		entered, release, returned := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+		go func() {
+			returned <- clients.Call(context.Background(), server.Address(), "test.stream", text{"a"}, nil, func(json.RawMessage) error {
+				close(entered)
+				<-release
+				return nil
+			})
+		}()
+		gomega.Eventually(entered).Should(gomega.BeClosed())
+		gomega.Expect(server.Close()).To(gomega.Succeed())
+		gomega.Consistently(returned, "500ms").ShouldNot(gomega.Receive())
+		close(release)
+		gomega.Eventually(returned).Should(gomega.Receive())
+	})
+
 	ginkgo.It("passes a refusal on with all its fields", func() {
 		err := clients.Call(context.Background(), server.Address(), "test.refuse", text{}, nil, nil)
 		refusal := &spool.Refusal{}
