Wait for the fate of a call that a new owner is finding out

A new owner asks the agent about each intent without an outcome. A caller's repeat that came within that time, some milliseconds, was refused with unknownFate, which ends the attempts of a careful caller, although the answer was about to be recorded. The statement notRun was 'false' by then, since the paused owner had seen the answer, so the caller's ledger counted a problem.

Change: the refusal is fatePending, which callers may repeat; entries repeat it themselves for up to forwardFor, and it does not count as a forward. The code unknownFate now always is final.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -277,6 +277,13 @@
 	a.run = run
 }
 
+// decide sets the answer to endpoint.fate.
+func (a *agent) decide(fate wire.FateReply) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fate = fate
+}
+
 func (a *agent) ran() []wire.RunRequest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -42,10 +42,16 @@
 		}
 		proven = worse(proven, refusal.NotRun)
 		refusal = refusal.WithNotRun(proven)
-		if !movable(refusal.Code) || forwards >= maxForwards || e.clock.Now()+wait > until {
+		reason, again := repeatable(refusal.Code)
+		if reason == spool.FailurePending {
+			// The owner is known and asks an agent, which may take longer than
+			// the moves of a stream.
+			forwards = 0
+		}
+		if !again || forwards >= maxForwards || e.clock.Now()+wait > until {
 			return nil, refusal
 		}
-		e.telemetry.Retried(spool.FailureNotOwner)
+		e.telemetry.Retried(reason)
 		if !pause(ctx, wait) {
 			return nil, left(context.Cause(ctx)).WithNotRun(proven)
 		}
@@ -53,9 +59,17 @@
 	}
 }
 
-// movable tells whether another owner may serve the operation.
-func movable(code spool.Code) bool {
-	return code == spool.CodeNotOwner || code == spool.CodeNoOwner || code == spool.CodeShuttingDown
+// repeatable tells whether the operation may be answered when it is sent again:
+// by another owner, or once the fate of the call is known.
+func repeatable(code spool.Code) (reason spool.Failure, again bool) {
+	switch code {
+	case spool.CodeNotOwner, spool.CodeNoOwner, spool.CodeShuttingDown:
+		return spool.FailureNotOwner, true
+	case spool.CodeFatePending:
+		return spool.FailurePending, true
+	default:
+		return "", false
+	}
 }
 
 // once sends the operation to the present owner.
--- a/pkg/program/calls.go
+++ b/pkg/program/calls.go
@@ -186,7 +186,7 @@
 	case finished.fate == FateNotRun:
 		return decision, false, nil
 	case finished.fate == "":
-		return decision, true, spool.Refuse(spool.CodeUnknownFate, "the fate of call %q is being resolved", request.Call).
+		return decision, true, spool.Refuse(spool.CodeFatePending, "the fate of call %q is being resolved", request.Call).
 			WithNotRun(spool.NotRunUnknown).WithRetryAfter(clock.Second)
 	default:
 		return decision, true, spool.Refuse(spool.CodeUnknownFate, "call %q may have run and is not repeated", request.Call).
--- a/pkg/spool/policy.go
+++ b/pkg/spool/policy.go
@@ -140,6 +140,7 @@
 	FailureTimeout    Failure = "timeout"
 	FailureFenced     Failure = "fenced"
 	FailureOverloaded Failure = "overloaded"
+	FailurePending    Failure = "fatePending"
 )
 
 // Attempt describes a failed attempt to a retry policy.
