Give each run of the deployment tests loopback addresses of its own

Cause: 1 of 6 parallel runs failed with 'connection refused' at the start: a port that was found free on 127.0.0.1 was taken by an outgoing connection before the process listened on it. Change: addresses come from an IP address of 127.0.0.0/8 that belongs to the test process, with ports below the ephemeral range. Before: 1 of 6 runs failed.

--- a/internal/deployment/processes_test.go
+++ b/internal/deployment/processes_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -66,11 +67,34 @@
 	return s
 }
 
+// firstPort and lastPort bound the ports of the processes.
+const (
+	firstPort = 20_000
+	lastPort  = 29_999
+)
+
+var nextPort atomic.Int64
+
+// freeAddress returns an address that nothing else uses. Each test process has
+// an IP address of its own, since a port that was found free on 127.0.0.1 can
+// be taken by another connection before the process listens on it.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	host := loopbackOf(os.Getpid())
+	for port := firstPort + nextPort.Add(1); port <= lastPort; port = firstPort + nextPort.Add(1) {
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
+		if err != nil {
+			continue
+		}
+		gomega.Expect(listener.Close()).To(gomega.Succeed())
+		return listener.Addr().String()
+	}
+	ginkgo.Fail("no port is free at " + host)
+	return ""
+}
+
+// loopbackOf returns the address of the loopback network for a process.
+func loopbackOf(pid int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
 }
 
 // run starts a process that has not run before.
