Keep one append of each stream in reserve for what only the log can settle

Cause: appends of a stream are spaced by an equal share of the log's budget. At the target's 330 streams that is 3.7 s, and turns that holders have acknowledged used up every slot: the intent of a payout waited half an interval at the median, and a new owner waited a whole one between its claim and the append of what the holders returned. A submission that met no usable holder also waited for the next append when a holder answered again a moment later.

Change: pacing lets one append run ahead of the rate. Turns wait until the reserve is whole; claims, restored records, releases and submissions that need the log may spend it. Submissions without a holder are given to holders as soon as one is usable. With few streams the reserve is taken off their rate, so that 100 appends a second still hold within any second.

--- a/internal/streams/config.go
+++ b/internal/streams/config.go
@@ -62,9 +62,14 @@
 	return c
 }
 
-// appendInterval spreads the appends of the whole system over its streams.
+// appendInterval spreads the appends of the whole system over its streams. Each
+// stream may run one append ahead; with few streams that counts within a second,
+// so it is taken off their rate.
 func (c Config) appendInterval() clock.Millis {
 	total := clock.Millis(c.StreamCount) * clock.Second
 	rate := clock.Millis(c.AppendsPerSecond)
+	if c.AppendsPerSecond >= 2*c.StreamCount {
+		rate -= clock.Millis(c.StreamCount)
+	}
 	return (total + rate - 1) / rate
 }
--- a/pkg/journal/append.go
+++ b/pkg/journal/append.go
@@ -28,9 +28,43 @@
 	adopted []spool.NodeID
 }
 
+// pacing spaces the appends of a stream. It keeps one append in reserve for what
+// waits for the log itself: at the target size the interval is seconds long, and
+// turns that holders have acknowledged would otherwise use up every slot.
+type pacing struct {
+	interval clock.Millis
+	// fullAt is the instant from which both the due append and the reserve are
+	// available; the reserve alone is available an interval earlier.
+	fullAt clock.Millis
+	// retryAt is the earliest instant after a failure.
+	retryAt clock.Millis
+}
+
+func (p *pacing) allows(now clock.Millis, urgent bool) bool {
+	from := p.fullAt
+	if urgent {
+		from -= p.interval
+	}
+	return now >= from && now >= p.retryAt
+}
+
+// expedite makes the reserve available now, for a claim.
+func (p *pacing) expedite(now clock.Millis) {
+	p.fullAt = min(p.fullAt, now+p.interval)
+	p.retryAt = now
+}
+
+func (p *pacing) spend(now clock.Millis) { p.fullAt = max(p.fullAt, now) + p.interval }
+
+// urgent reports whether something waits that only the log can settle: a change
+// of owner, or a submission that no holder can make durable.
+func (j *Journal) urgent() bool {
+	return j.phase != PhaseServing || len(j.staged) > 0
+}
+
 // appendDue starts an append when one is due.
 func (j *Journal) appendDue(now clock.Millis) {
-	if j.attempt != nil || now < j.appendAt || j.logDown || j.phase < PhaseClaiming || j.phase == PhaseSealing {
+	if j.attempt != nil || !j.pace.allows(now, j.urgent()) || j.logDown || j.phase < PhaseClaiming || j.phase == PhaseSealing {
 		return
 	}
 	next := &attempt{at: now}
@@ -48,7 +82,7 @@
 	}
 	next.batch = j.batch(now, records)
 	j.attempt = next
-	j.appendAt = now + j.config.AppendInterval
+	j.pace.spend(now)
 	j.stats.Appends++
 	j.stats.Bytes += Size(records)
 	j.emit(Append{Batch: next.batch})
@@ -115,11 +149,11 @@
 		j.withdraw()
 		j.attempt = nil
 		j.logDown = true
-		j.appendAt = now + j.config.RetryAfter
+		j.pace.retryAt = now + j.config.RetryAfter
 	default:
 		j.mark(j.attempt)
 		j.exposeAll()
-		j.appendAt = max(j.appendAt, now+j.config.RetryAfter)
+		j.pace.retryAt = now + j.config.RetryAfter
 	}
 	return j.Tick(now)
 }
@@ -148,13 +182,17 @@
 	j.staged = append(fresh, j.staged...)
 }
 
-// expose lets holders have the units of an append that takes long.
+// expose lets holders have the units of an append that takes long, and what
+// waits only because no holder answered.
 func (j *Journal) expose(now clock.Millis) {
 	late := j.attempt != nil && now-j.attempt.at >= j.config.ExposeAfter
-	if (late || j.logDown) && j.usable() {
+	if !j.usable() {
+		return
+	}
+	if late || j.logDown {
 		j.exposeAll()
-		j.promote()
 	}
+	j.promote()
 }
 
 // promote moves submissions that wait only because no holder answered.
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -38,7 +38,8 @@
 	// Stream is the stream and Node is this process.
 	Stream spool.Stream
 	Node   spool.NodeID
-	// AppendInterval is the least time between two appends.
+	// AppendInterval is the time between two appends over a long time. One append
+	// may run ahead of it, for what only the log can settle.
 	AppendInterval clock.Millis
 	// BatchBytes bounds one append and one message to a holder.
 	BatchBytes int
@@ -142,8 +143,7 @@
 
 	attempt  *attempt
 	attempts uint64
-	// appendAt is the earliest instant of the next append.
-	appendAt clock.Millis
+	pace     pacing
 	// logDown is set by a failed append or read and cleared by a good read.
 	logDown bool
 
@@ -176,7 +176,8 @@
 
 // New returns an idle journal.
 func New(config Config) *Journal {
-	return &Journal{config: config.withDefaults()}
+	config = config.withDefaults()
+	return &Journal{config: config, pace: pacing{interval: config.AppendInterval}}
 }
 
 // Phase returns what the journal is doing.
--- /dev/null
+++ b/pkg/journal/pacing_test.go
@@ -0,0 +1,65 @@
+package journal_test
+
+import (
+	"fmt"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/journal"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+var _ = ginkgo.Describe("Pacing of appends", func() {
+	// The interval of 330 streams that share 90 appends a second.
+	const interval = 3700 * clock.Millis(1)
+	const settled = 400 * clock.Millis(1)
+
+	var (
+		w     *world
+		owner *site
+	)
+
+	ginkgo.BeforeEach(func() {
+		w = newWorld(3, journal.Config{AppendInterval: interval, PollWait: 100, RetryAfter: 60, OpenWait: 60, ExposeAfter: 40})
+		owner = w.nodes[0]
+		w.follow(owner, "")
+		w.advance(settled)
+	})
+
+	// Guards against recovery that waits for an interval between the claim and
+	// what the holders returned.
+	ginkgo.It("serves soon after a claim", func() {
+		gomega.Expect(owner.journal.Serving()).To(gomega.BeTrue())
+	})
+
+	submit := func(ticket int, needsLog bool) string {
+		value := fmt.Sprint(ticket)
+		owner.tickets[journal.Ticket(ticket)] = value
+		w.execute(owner, owner.journal.Submit(w.now, journal.Ticket(ticket), []spool.Record{value2record(value)}, needsLog))
+		return value
+	}
+
+	// Guards against intents of non-idempotent calls that wait for an interval
+	// behind turns that holders have acknowledged already.
+	ginkgo.It("commits an intent at once while turns keep coming, and keeps the rate", func() {
+		w.advance(3 * interval)
+		start, before := w.now, owner.journal.Stats().Appends
+		ticket := 0
+		for range 6 {
+			for range 40 {
+				ticket++
+				submit(ticket, false)
+				w.advance(interval / 20)
+			}
+			ticket++
+			intent := submit(ticket, true)
+			w.advance(settled)
+			gomega.Expect(w.acked).To(gomega.HaveKey(intent))
+		}
+		bound := 2 + int((w.now-start)/interval)
+		gomega.Expect(owner.journal.Stats().Appends - before).To(gomega.BeNumerically("<=", bound))
+		gomega.Expect(owner.journal.Stats().Backlog).To(gomega.BeNumerically("<", 1<<20))
+	})
+})
--- a/pkg/journal/takeover.go
+++ b/pkg/journal/takeover.go
@@ -36,7 +36,7 @@
 		return j.flush()
 	}
 	stats := j.Stats()
-	*j = Journal{config: j.config, phase: PhaseReading, replay: NewReplay(0), stats: stats, attempts: j.attempts, serial: j.serial, promised: j.promised}
+	*j = Journal{config: j.config, pace: j.pace, phase: PhaseReading, replay: NewReplay(0), stats: stats, attempts: j.attempts, serial: j.serial, promised: j.promised}
 	j.choose(holders)
 	j.emit(Reset{})
 	return j.Tick(now)
@@ -84,7 +84,7 @@
 	// offset is new even when retention has removed every earlier claim.
 	j.epoch = max(j.fold.Epoch(), spool.Epoch(j.fold.Offset())) + 1
 	j.phase = PhaseClaiming
-	j.appendAt = now
+	j.pace.expedite(now)
 }
 
 // finishReading ends the replay. From now on the tail is followed.
@@ -419,5 +419,5 @@
 	if fold == nil {
 		fold = NewFold(State{}, 0)
 	}
-	*j = Journal{config: j.config, fold: fold, stats: j.stats, attempts: j.attempts, serial: j.serial, promised: j.promised, out: j.out}
+	*j = Journal{config: j.config, pace: j.pace, fold: fold, stats: j.stats, attempts: j.attempts, serial: j.serial, promised: j.promised, out: j.out}
 }
