--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/tls"
-	"encoding/base32"
 	"net"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,10 +21,6 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// ownProgramTries bounds the search for an identifier whose stream this
-// process owns. With K streams and one owned, K tries are expected.
-const ownProgramTries = 2048
-
 // Entry is the process that callers talk to.
 type Entry struct {
 	config        Config
@@ -254,55 +247,6 @@
 	return refusal.WithNotRun(spool.NotRunUnknown)
 }
 
-// programIDEncoding yields lower-case identifiers without a dot.
-var programIDEncoding = base32.NewEncoding("abcdefghijklmnopqrstuvwxyz234567").WithPadding(base32.NoPadding)
-
-const (
-	programIDBytes  = 16
-	programIDLength = 26
-	// maxProgramIDLength bounds an identifier with its sub-agents' parts.
-	maxProgramIDLength = 256
-)
-
-// newProgramID returns a random identifier, if possible of a stream that this
-// process owns, so that the program's calls need not be forwarded.
-func (e *Entry) newProgramID() spool.ProgramID {
-	var id spool.ProgramID
-	tries := 1
-	if len(e.shards.list()) > 0 {
-		tries = ownProgramTries
-	}
-	for range tries {
-		var random [programIDBytes]byte
-		_, _ = rand.Read(random[:])
-		id = spool.ProgramID(programIDEncoding.EncodeToString(random[:]))
-		if shard := e.shards.get(spool.StreamOfProgram(id, e.config.Streams)); shard != nil && shard.isServing() {
-			return id
-		}
-	}
-	return id
-}
-
-// checkProgram refuses what cannot be a program's identifier in the same way as
-// a program that does not exist.
-func checkProgram(id spool.ProgramID) error {
-	missing := spool.Refuse(spool.CodeNotFound, "program does not exist")
-	if len(id) < programIDLength || len(id) > maxProgramIDLength {
-		return missing
-	}
-	for i, part := range strings.Split(string(id), ".") {
-		if part == "" || (i == 0 && len(part) != programIDLength) {
-			return missing
-		}
-		for _, letter := range part {
-			if (letter < 'a' || letter > 'z') && (letter < '0' || letter > '9') {
-				return missing
-			}
-		}
-	}
-	return nil
-}
-
 func (e *Entry) hasService(name spool.ServiceName, kind ServiceKind) bool {
 	for _, service := range e.control.Services() {
 		if service.Name == name && service.Kind == kind {
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -186,6 +186,15 @@
 	return s.open[stream]
 }
 
+// served names the streams that are being served.
+func (s *shards) served() map[spool.Stream]bool {
+	served := map[spool.Stream]bool{}
+	for _, shard := range s.list() {
+		served[shard.stream] = true
+	}
+	return served
+}
+
 // list returns the streams that are being served.
 func (s *shards) list() (served []*shard) {
 	s.mu.Lock()
