Share the choice of readers and the avoidance of peers

The control stream and the coming relay of the VM list both choose a few entries of a failure domain by rendezvous hashing and leave out peers that failed. internal/control had its own hash and its own penalties beside pkg/membership.

membership.Score, RankIn and Avoidance hold the logic once; Node.Choose and Node.ReadsLog use them. Parents are ranked with the same finalizer as the streams, so the choice differs from before, and its spread does not.

--- a/internal/control/choice.go
+++ b/internal/control/choice.go
@@ -3,27 +3,14 @@
 import (
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/membership"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-const (
-	// degradedWait bounds the long poll at a peer while the log cannot be read,
-	// so that several peers are asked within the isolation limit.
-	degradedWait clock.Millis = 500
-	// failedPenalty and stalePenalty keep a peer from being asked again at once.
-	failedPenalty clock.Millis = 500
-	stalePenalty  clock.Millis = 1000
-	maxPenalty                 = 8 * clock.Second
-)
-
-// penalty keeps a peer out of the choice for a while.
-type penalty struct {
-	until    clock.Millis
-	failures int
-}
+// degradedWait bounds the long poll at a peer while the log cannot be read, so
+// that several peers are asked within the isolation limit.
+const degradedWait clock.Millis = 500
 
 // ReadsLog reports whether the node reads the log itself. With LogReaders set,
 // only the chosen entries of a failure domain do, and any entry whose state has
@@ -35,15 +22,7 @@
 	if age := n.fresh.freshFor(now); age < 0 || age > n.staleAfter() {
 		return true
 	}
-	rank := 0
-	domain := string(n.config.FailureDomain)
-	own := score(domain, n.config.Node)
-	for _, peer := range n.entries(vms) {
-		if peer.FailureDomain == n.config.FailureDomain && peer.State == spool.VMLive && score(domain, peer.ID) > own {
-			rank++
-		}
-	}
-	return rank < n.config.LogReaders
+	return membership.RankIn(n.config.FailureDomain, n.config.Node, vms) < n.config.LogReaders
 }
 
 // NeedsPeers reports whether a node that can read the log has to ask peers: when
@@ -78,11 +57,6 @@
 	return entries
 }
 
-// score spreads the children of many nodes evenly over the parents.
-func score(child string, parent spool.NodeID) uint64 {
-	return xxhash.Sum64String(child + "\x00" + string(parent))
-}
-
 // Choose picks the entry to ask: of the own failure domain first, and within it
 // always the same one while it answers. A node whose state is old alternates
 // between its own and other failure domains with each attempt, since only an
@@ -93,7 +67,7 @@
 	entries := n.entries(vms)
 	choice := entries[:0]
 	for _, peer := range entries {
-		if n.penalties[peer.Address].until <= now {
+		if !n.avoided.Avoids(now, peer.Address) {
 			choice = append(choice, peer)
 		}
 	}
@@ -118,38 +92,22 @@
 // have the highest score for the failure domain; agents spread over all.
 func (n *Node) preference(parent spool.VM) uint64 {
 	if n.config.LogReaders > 0 && n.config.Role == spool.RoleEntry {
-		return score(string(parent.FailureDomain), parent.ID)
+		return membership.Score(parent.FailureDomain, parent.ID)
 	}
-	return score(string(n.config.Node), parent.ID)
+	return membership.Score(n.config.Node, parent.ID)
 }
 
 // Failed records that a peer did not answer.
-func (n *Node) Failed(now clock.Millis, peer spool.VM) {
-	n.forgetPenalties(now)
-	failures := n.penalties[peer.Address].failures
-	wait := min(maxPenalty, failedPenalty<<min(failures, 6))
-	n.penalties[peer.Address] = penalty{until: now + wait, failures: failures + 1}
-}
+func (n *Node) Failed(now clock.Millis, peer spool.VM) { n.avoided.Failed(now, peer.Address) }
 
 // Answered records that a peer answered with a state of the given age, and
 // avoids it for a while when the state is old or was never complete.
 func (n *Node) Answered(now clock.Millis, peer spool.VM, freshFor clock.Millis) {
 	if freshFor < 0 || freshFor > n.staleAfter() {
-		n.forgetPenalties(now)
-		n.penalties[peer.Address] = penalty{until: now + stalePenalty}
+		n.avoided.Stale(now, peer.Address)
 		return
 	}
-	delete(n.penalties, peer.Address)
-}
-
-// forgetPenalties drops the entries of peers that have not been asked for long,
-// so that the map does not grow with the VMs that have come and gone.
-func (n *Node) forgetPenalties(now clock.Millis) {
-	for address, penalty := range n.penalties {
-		if now-penalty.until > 2*maxPenalty {
-			delete(n.penalties, address)
-		}
-	}
+	n.avoided.Answered(peer.Address)
 }
 
 // ProvesContact reports whether an answer of peer shows that the node is not cut
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -8,6 +8,7 @@
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/keyring"
+	"github.com/baobabspool/baobabspool/pkg/membership"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -28,8 +29,7 @@
 	// watched holds the channel of each key that somebody watches; a channel is
 	// closed when it is taken out.
 	watched map[string]chan struct{}
-	// penalties keeps peers out of the choice, by address.
-	penalties map[string]penalty
+	avoided membership.Avoidance
 	// first is the lowest offset on the log when it was last read.
 	first   spool.Offset
 	started clock.Millis
@@ -48,7 +48,7 @@
 	config.Retention = orDefault(config.Retention, defaultRetention)
 	return &Node{
 		config: config, state: NewState(), relay: newRelayBuffer(orDefault(config.RelayBytes, defaultRelayBytes)),
-		fresh: newFreshness(now), watched: map[string]chan struct{}{}, penalties: map[string]penalty{}, started: now,
+		fresh: newFreshness(now), watched: map[string]chan struct{}{}, started: now,
 	}
 }
 
--- a/pkg/membership/rendezvous.go
+++ b/pkg/membership/rendezvous.go
@@ -24,6 +24,26 @@
 
 func hash[S ~string](s S) uint64 { return xxhash.Sum64String(string(s)) }
 
+// Score is the rendezvous weight of a node for a key; the node with the highest
+// one is chosen first.
+func Score[K, N ~string](key K, node N) uint64 { return score(hash(key), hash(node)) }
+
+// RankIn returns how many other live entries of a failure domain come before
+// node when some of them are chosen for a duty, such as reading the log. vms may
+// lack the node itself.
+func RankIn(domain spool.FailureDomain, node spool.NodeID, vms []spool.VM) (rank int) {
+	own := Score(domain, node)
+	for _, vm := range vms {
+		if vm.Role != spool.RoleEntry || vm.State != spool.VMLive || vm.FailureDomain != domain || vm.ID == node {
+			continue
+		}
+		if other := Score(domain, vm.ID); other > own || (other == own && vm.ID < node) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Rank orders nodes by rendezvous hashing for key, best first. A node that comes
 // or goes does not change the order of the others.
 func Rank(key string, nodes []spool.NodeID) []spool.NodeID {
