Measure how long streams are without an owner

Cause: the capacity page lacked the time of a cold start of everything and the time to recover ownership when an entry or a failure domain dies. Change: capacity runs the streams of 14 to 112 entries in one process on the stand-in of the log, without sockets, and measures both, with the appends of a cold start.

--- /dev/null
+++ b/internal/capacity/ownership.go
@@ -0,0 +1,228 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/standin"
+	"github.com/baobabspool/baobabspool/internal/streams"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// ownershipDomains is the number of failure domains at the target.
+	ownershipDomains = 14
+	// ownershipTimeout bounds the wait for every stream to be served.
+	ownershipTimeout = 60 * clock.Second
+	// ownershipStep is how often the streams are looked at.
+	ownershipStep = 5 * clock.Millis(1)
+)
+
+// ownershipSizes are numbers of entries; there is one stream for each.
+var ownershipSizes = []int{14, 28, 56, 112}
+
+// entryFleet runs the streams of several entries in one process. Requests
+// between entries are passed on without sockets, but encoded.
+type entryFleet struct {
+	log     *standin.Log
+	streams int
+
+	mu      sync.Mutex
+	entries map[string]*fleetEntry
+}
+
+type fleetEntry struct {
+	vm       spool.VM
+	manager  *streams.Manager
+	handlers wire.Mux
+}
+
+// VMs returns the rows of the entries that were started, dead ones included:
+// the platform's list lags.
+func (f *entryFleet) VMs(context.Context) (vms []spool.VM, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, entry := range f.entries {
+		vms = append(vms, entry.vm)
+	}
+	return vms, nil
+}
+
+// Call passes a request to the entry at address.
+func (f *entryFleet) Call(ctx context.Context, address, method string, request, result any, _ func(json.RawMessage) error) error {
+	f.mu.Lock()
+	to := f.entries[address]
+	f.mu.Unlock()
+	if to == nil || to.manager == nil {
+		return spool.ErrNotSent
+	}
+	params, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	reply, err := to.handlers[method](ctx, params, nil)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(reply)
+	if err != nil || result == nil {
+		return err
+	}
+	return json.Unmarshal(body, result)
+}
+
+func newEntryFleet(size int) *entryFleet {
+	f := &entryFleet{log: standin.NewLog(1), streams: size, entries: map[string]*fleetEntry{}}
+	for i := range size {
+		name := fmt.Sprintf("entry-%d", i)
+		f.entries[name] = &fleetEntry{vm: spool.VM{
+			ID: spool.NodeID(name), Role: spool.RoleEntry, State: spool.VMLive, Address: name,
+			FailureDomain: spool.FailureDomain(fmt.Sprintf("domain-%d", i%ownershipDomains)), Region: "region",
+		}}
+	}
+	return f
+}
+
+// start starts every entry.
+func (f *entryFleet) start() error {
+	for name, entry := range f.entries {
+		manager, err := streams.New(streams.Config{
+			Node: entry.vm.ID, Address: name, FailureDomain: entry.vm.FailureDomain, Region: entry.vm.Region, StreamCount: f.streams,
+		}, streams.WithLog(f.log), streams.WithVMList(f), streams.WithCaller(f))
+		if err != nil {
+			return err
+		}
+		f.mu.Lock()
+		entry.manager, entry.handlers = manager, manager.Handlers()
+		f.mu.Unlock()
+	}
+	return nil
+}
+
+// crash ends entries without notice.
+func (f *entryFleet) crash(dies func(vm spool.VM) bool) {
+	var managers []*streams.Manager
+	f.mu.Lock()
+	for _, entry := range f.entries {
+		if entry.manager != nil && dies(entry.vm) {
+			managers = append(managers, entry.manager)
+			entry.manager = nil
+		}
+	}
+	f.mu.Unlock()
+	for _, manager := range managers {
+		manager.Close()
+	}
+}
+
+// served counts the streams that some entry serves.
+func (f *entryFleet) served() (count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, entry := range f.entries {
+		if entry.manager != nil {
+			count += entry.manager.Stats().Owned
+		}
+	}
+	return count
+}
+
+// recovered returns the time since start after which every stream is served.
+func (f *entryFleet) recovered(ctx context.Context, start time.Time) (seconds float64, err error) {
+	for time.Since(start) < ownershipTimeout.Duration() {
+		if f.served() == f.streams {
+			return time.Since(start).Seconds(), nil
+		}
+		select {
+		case <-time.After(ownershipStep.Duration()):
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+	return 0, errors.Errorf("%d of %d streams are served after %v", f.served(), f.streams, ownershipTimeout.Duration())
+}
+
+// ownershipRun measures one fleet: the cold start of all entries, the death of
+// one entry, and that of a failure domain.
+func ownershipRun(ctx context.Context, size int) (times [3]float64, appends int64, err error) {
+	f := newEntryFleet(size)
+	defer f.crash(func(spool.VM) bool { return true })
+	start := time.Now()
+	if err := f.start(); err != nil {
+		return times, 0, err
+	}
+	if times[0], err = f.recovered(ctx, start); err != nil {
+		return times, 0, errors.Wrapf(err, "cold start of %d entries", size)
+	}
+	appends = f.log.Stats().Appends
+	if err := f.settle(ctx); err != nil {
+		return times, appends, err
+	}
+	for i, dies := range []func(vm, busiest spool.VM) bool{
+		func(vm, busiest spool.VM) bool { return vm.ID == busiest.ID },
+		func(vm, busiest spool.VM) bool { return vm.FailureDomain == busiest.FailureDomain },
+	} {
+		busiest := f.busiest()
+		start = time.Now()
+		f.crash(func(vm spool.VM) bool { return dies(vm, busiest) })
+		if times[i+1], err = f.recovered(ctx, start); err != nil {
+			return times, appends, errors.Wrapf(err, "recovery of %d entries", size)
+		}
+	}
+	return times, appends, nil
+}
+
+// busiest returns the entry that serves the most streams.
+func (f *entryFleet) busiest() (vm spool.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for _, entry := range f.entries {
+		if entry.manager == nil {
+			continue
+		}
+		if owned := entry.manager.Stats().Owned; owned > most {
+			most, vm = owned, entry.vm
+		}
+	}
+	return vm
+}
+
+// settle waits until the streams have moved to the entries that rank first, so
+// that the next measurement starts from rest.
+func (f *entryFleet) settle(ctx context.Context) error {
+	const quiet = 4 * clock.Second
+	select {
+	case <-time.After(quiet.Duration()):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ownership measures how long streams are without an owner.
+func ownership(ctx context.Context) (all []Series, err error) {
+	all = []Series{
+		{Name: "cold-start", What: "time until every stream is served when all entries start at once on an empty log", XUnit: "entries", YUnit: "s"},
+		{Name: "entry-recovery", What: "time until every stream is served after the entry with the most streams has died, still on the list of VMs", XUnit: "entries", YUnit: "s"},
+		{Name: "domain-recovery", What: "the same after its failure domain, one of 14, has died", XUnit: "entries", YUnit: "s"},
+		{Name: "cold-start-appends", What: "appends of that cold start", XUnit: "entries", YUnit: "appends"},
+	}
+	for _, size := range ownershipSizes {
+		times, appends, err := ownershipRun(ctx, size)
+		if err != nil {
+			return nil, err
+		}
+		for i, value := range append(times[:], float64(appends)) {
+			all[i].Points = append(all[i].Points, Point{X: float64(size), Y: value})
+		}
+	}
+	return all, nil
+}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -41,7 +41,13 @@
 		return nil, err
 	}
 	progress(through.Name)
-	return append(all, choices, direct, through, perToken), nil
+	all = append(all, choices, direct, through, perToken)
+	owned, err := ownership(ctx)
+	if err != nil {
+		return nil, err
+	}
+	progress("ownership")
+	return append(all, owned...), nil
 }
 
 // Table formats the measurements and their fits as Markdown.
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -47,6 +47,10 @@
 		perToken = points[len(points)-1].Y
 	}
 	row(fmt.Sprintf("%.0f tokens/s of traffic, with stand-in engines and callers in the same process", tokens), "token-cpu, highest rate", "%.2f cores", perToken*tokens/1e6)
+	row("every stream served after a cold start of 330 entries", "cold-start", "%.1f s", fits["cold-start"].At(targetEntries))
+	row("appends of that start", "cold-start-appends", "%.0f", fits["cold-start-appends"].At(targetEntries))
+	row("every stream served after an entry has died", "entry-recovery", "%.1f s", fits["entry-recovery"].At(targetEntries))
+	row("every stream served after a failure domain has died", "domain-recovery", "%.1f s", fits["domain-recovery"].At(targetEntries))
 	row("changes of configuration", "35,000 a day", "%.2f records/s", targetChanges/86400)
 	return out.String()
 }
