Report what every client account was given

Ways weighed: time series per account in /metrics (430 accounts times 330 entries, and the share of what was due needs rates), records on the log (costs appends), counts that only grow and are compared by the command (chosen: no history in the process, any window).

Tests: windows add up to the whole (rapid), replaced and missing processes, requests over the rate, recomputed tokens; the command against an entry that does not answer. No figure of its cost was taken.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -11,6 +11,7 @@
 	"io"
 	"os"
 	"text/tabwriter"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -87,7 +88,9 @@
 	entries    []string
 	writer     string
 	timeoutMs  int64
-	json       bool
+	// watch is the time between two samples; it does not count for the timeout.
+	watch time.Duration
+	json  bool
 }
 
 const defaultTimeout = 15 * clock.Second
@@ -106,7 +109,7 @@
 // noun builds a command that only holds others.
 func noun(use, short, example string, commands ...*cobra.Command) *cobra.Command {
 	command := &cobra.Command{
-		Use: use, Short: short, Example: example, Args: usage(cobra.NoArgs), SilenceUsage: true,
+		Use: use, Short: short, Example: example, Args: checkArgs(cobra.NoArgs), SilenceUsage: true,
 		RunE: func(command *cobra.Command, _ []string) error {
 			_ = command.Help()
 			return errors.Wrapf(errUsage, "%s needs one of its commands", use)
@@ -119,8 +122,8 @@
 
 func flagError(_ *cobra.Command, err error) error { return errors.Wrap(errUsage, err.Error()) }
 
-// usage marks the errors of an argument check as usage errors.
-func usage(check cobra.PositionalArgs) cobra.PositionalArgs {
+// checkArgs marks the errors of an argument check as usage errors.
+func checkArgs(check cobra.PositionalArgs) cobra.PositionalArgs {
 	return func(command *cobra.Command, args []string) error {
 		if err := check(command, args); err != nil {
 			return errors.Wrapf(errUsage, "%v, see %s --help", err, command.CommandPath())
@@ -165,7 +168,7 @@
 	command.SilenceUsage = true
 	command.SetFlagErrorFunc(flagError)
 	if command.Args != nil {
-		command.Args = usage(command.Args)
+		command.Args = checkArgs(command.Args)
 	}
 	command.Flags().BoolVar(&o.json, "json", false, "print JSON")
 	command.Flags().Int64Var(&o.timeoutMs, "timeout-ms", int64(defaultTimeout), "give up after this time")
@@ -175,6 +178,9 @@
 	if o.timeoutMs <= 0 {
 		problems.Add("timeout-ms", "must be positive")
 	}
+	if o.watch < 0 || o.watch > maxWatch {
+		problems.Add("for", "must be between 0 and %v", maxWatch)
+	}
 }
 
 // contextOf returns the context of a command, which cobra leaves nil when the
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -16,8 +17,10 @@
 	"github.com/baobabspool/baobabspool/internal/control"
 	"github.com/baobabspool/baobabspool/internal/standin"
 	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
+	"github.com/baobabspool/baobabspool/pkg/usage"
 )
 
 func TestCLI(t *testing.T) {
@@ -33,7 +36,7 @@
 		open := cli.WithOpenLog(func(string) spool.Log { return log })
 		root := &cobra.Command{Use: "baobabspool", SilenceErrors: true}
 		root.AddCommand(cli.NewSettings(open), cli.NewKey(open), cli.NewAccount(open), cli.NewService(open),
-			cli.NewDrain(open), cli.NewOrder(open), cli.NewStatus(open), cli.NewExplain(open))
+			cli.NewDrain(open), cli.NewOrder(open), cli.NewStatus(open), cli.NewExplain(open), cli.NewReport(open))
 		var out bytes.Buffer
 		root.SetOut(&out)
 		root.SetErr(&out)
@@ -185,4 +188,33 @@
 		_, code = run("explain", "p1", "--entries", server.Address())
 		gomega.Expect(code).To(gomega.Equal(cli.ExitNotFound))
 	})
+
+	// Guards against a report that passes over an entry without an answer.
+	ginkgo.It("reports what accounts were given in a window, and which entries are missing", func() {
+		recorder := usage.NewRecorder("e1", 0)
+		asked := clock.Millis(0)
+		server, err := wire.Listen("127.0.0.1:0", wire.Mux{
+			"entry.usage": wire.Handle(func(context.Context, struct{}, wire.Send) (any, error) {
+				asked += clock.Second
+				defer func() { recorder.Answered("fog"); recorder.Refused("fog", spool.CodeRateLimited) }()
+				sample := recorder.Sample(asked)
+				sample.Limits = map[spool.AccountID]usage.Limit{"fog": {RatePerSecond: 1, Burst: 3}}
+				return sample, nil
+			}),
+		}, nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(server.Close)
+		out := good("report", "--for", "10ms", "--json", "--entries", server.Address())
+		report := usage.Report{}
+		gomega.Expect(json.Unmarshal([]byte(out), &report)).To(gomega.Succeed())
+		gomega.Expect(report.Window).To(gomega.Equal(clock.Second))
+		gomega.Expect(report.Accounts).To(gomega.HaveLen(1))
+		gomega.Expect(report.Accounts[0].Served).To(gomega.Equal(0.5))
+		gomega.Expect(report.Worst).To(gomega.Equal(spool.AccountID("fog")))
+		out, code := run("report", "--entries", server.Address()+",127.0.0.1:1")
+		gomega.Expect(code).To(gomega.Equal(cli.ExitUnreachable))
+		gomega.Expect(out).To(gomega.And(gomega.ContainSubstring("served worst: fog"), gomega.ContainSubstring("1 of 2 entries did not answer")))
+		_, code = run("report", "--for", "2h", "--entries", server.Address())
+		gomega.Expect(code).To(gomega.Equal(cli.ExitInvalid))
+	})
 })
--- a/internal/cli/nodes.go
+++ b/internal/cli/nodes.go
@@ -44,7 +44,7 @@
 		if err := problems.Err(); err != nil {
 			return errors.Wrap(errUsage, err.Error())
 		}
-		ctx, cancel := context.WithTimeout(contextOf(command), clock.Millis(o.timeoutMs).Duration())
+		ctx, cancel := context.WithTimeout(contextOf(command), clock.Millis(o.timeoutMs).Duration()+o.watch)
 		defer cancel()
 		_, secure, err := files.Load()
 		if err != nil {
--- /dev/null
+++ b/internal/cli/report.go
@@ -0,0 +1,115 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
+	"github.com/spf13/cobra"
+
+	"github.com/baobabspool/baobabspool/pkg/spool"
+	"github.com/baobabspool/baobabspool/pkg/usage"
+)
+
+// methodUsage is that of package entry.
+const methodUsage = "entry.usage"
+
+// maxWatch bounds the time between two samples.
+const maxWatch = time.Hour
+
+// NewReport returns the command that shows what the accounts were given.
+func NewReport(options ...Option) *cobra.Command {
+	o := newOperator(options)
+	command := &cobra.Command{
+		Use:   "report",
+		Short: "Show what every client account was given, and who was served worst",
+		Long: `Ask every entry for its counts, twice with --for and the time between, and show for
+each client account the calls answered and refused, the served share of what its
+rate allows, the refusals that its rate did not call for, the share of prompt
+tokens that engines computed again, and how long programs and alarm calls took.
+
+Without --for the counts are those since each entry was started.`,
+		Example: "  baobabspool report --for 30s --vms-address 10.0.0.6:9000",
+		Args:    cobra.NoArgs,
+	}
+	command.Flags().DurationVar(&o.watch, "for", 0, "time to watch; 0 for the time since each entry was started")
+	return o.ask(command, func(q *inquiry, _ []string) error { return q.report() })
+}
+
+func (q *inquiry) report() error {
+	var before []usage.Sample
+	if q.watch > 0 {
+		before, _ = q.samples()
+		select {
+		case <-time.After(q.watch):
+		case <-q.ctx.Done():
+			return errors.Wrap(context.Cause(q.ctx), "report")
+		}
+	}
+	after, asked := q.samples()
+	report := usage.Compare(before, after)
+	if err := q.printTo(q.out, report, func(w io.Writer) { printReport(w, report) }); err != nil {
+		return err
+	}
+	if len(after) < asked || asked == 0 {
+		return errors.Wrapf(errUnreachable, "%d of %d entries did not answer", asked-len(after), asked)
+	}
+	return nil
+}
+
+// samples asks every entry and returns the answers, and how many were asked.
+func (q *inquiry) samples() (samples []usage.Sample, asked int) {
+	var mu sync.Mutex
+	workers := pool.New().WithMaxGoroutines(maxAsked)
+	for _, vm := range q.vms {
+		if vm.Role != spool.RoleEntry {
+			continue
+		}
+		asked++
+		workers.Go(func() {
+			sample := usage.Sample{}
+			if q.call(vm.Address, methodUsage, struct{}{}, &sample) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			samples = append(samples, sample)
+		})
+	}
+	workers.Wait()
+	return samples, asked
+}
+
+func printReport(w io.Writer, report usage.Report) {
+	line := func(format string, values ...any) { _, _ = fmt.Fprintf(w, format+"\n", values...) }
+	line("window %s\tentries %d\treplaced %d\tmissing %v", report.Window, report.Nodes, report.Replaced, report.Missing)
+	line("account\tanswered\tserved\trefused within rate\trecomputed\tprograms p50\tp95\talarms p95\trefused")
+	for _, row := range append(slices.Clone(report.Accounts), report.Total) {
+		name := string(row.Account)
+		if name == "" {
+			name = "(all)"
+		}
+		line("%s\t%d\t%.3f\t%.0f\t%.3f\t%s\t%s\t%s\t%s", name, row.Answered, row.Served, row.RefusedWithinRate, row.Recomputed,
+			row.Programs.Quantile(50), row.Programs.Quantile(95), row.Alarms.Quantile(95), refusedText(row.Refused))
+	}
+	if report.Worst != "" {
+		line("served worst: %s", report.Worst)
+	}
+}
+
+func refusedText(refused map[spool.Code]int64) string {
+	var parts []string
+	for code, count := range refused {
+		if count != 0 {
+			parts = append(parts, fmt.Sprintf("%s %d", code, count))
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -34,6 +34,7 @@
 		NewOrder(),
 		NewStatus(),
 		NewExplain(),
+		NewReport(),
 		newDemo(),
 		NewBench(),
 		newVersion(),
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -345,7 +345,7 @@
 		Short:   "Print the table of every setting, in Markdown",
 		Long:    "Print the table of every setting, in Markdown. With --write, replace the table in a page, between its two marking lines.",
 		Example: "  baobabspool settings reference --write docs/operations.md",
-		Args:    usage(cobra.NoArgs),
+		Args:    checkArgs(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			if page != "" {
 				return writeReference(page)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -14,6 +14,7 @@
 	"github.com/baobabspool/baobabspool/pkg/limit"
 	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/spool"
+	"github.com/baobabspool/baobabspool/pkg/usage"
 )
 
 // bodyDigestBytes is the length of the digest that tells a repeated call from
@@ -238,6 +239,9 @@
 	}
 	flight.finish(answer, err)
 	flight.cancel()
+	if err == nil && flight.ticket.Alarm {
+		e.usage.AlarmAnswered(flight.ticket.Account, e.clock.Now()-flight.work.arrivedAt)
+	}
 	e.calls.Add(-1)
 	shard.do(func() {
 		delete(shard.flights, flight.ticket.ID)
@@ -293,6 +297,9 @@
 	}
 	result := reply.Engine
 	e.fleet.holds(reply.Load.Endpoint, ticket.Program, result.PromptTokens+result.GeneratedTokens)
+	e.usage.Turn(ticket.Account, usage.Turn{
+		History: ticket.BaseTokens, Prompt: result.PromptTokens, Cached: result.CachedTokens, Generated: result.GeneratedTokens,
+	})
 	var entry spool.Record
 	overspent := false
 	if !shard.do(func() {
--- a/internal/entry/calls_test.go
+++ b/internal/entry/calls_test.go
@@ -12,6 +12,7 @@
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/spool"
+	"github.com/baobabspool/baobabspool/pkg/usage"
 )
 
 var _ = ginkgo.Describe("Calls", func() {
@@ -248,6 +249,26 @@
 		gomega.Expect(owner.left.Load()).To(gomega.BeTrue())
 	})
 
+	ginkgo.It("counts for operators what an account was given", func() {
+		fog.send("POST", path(id, "/calls"), turn("1", "fog?"))
+		fog.send("POST", path(id, "/calls"), turn("2", "now?"))
+		b.operators.mu.Lock()
+		b.rate = b.taken["fog"]
+		b.operators.mu.Unlock()
+		fog.send("POST", path(id, "/calls"), turn("3", "later?"))
+		fog.send("DELETE", path(id, ""), nil)
+		clients := wire.NewClients("operator")
+		ginkgo.DeferCleanup(clients.Close)
+		var sample usage.Sample
+		gomega.Expect(clients.Call(context.Background(), owner.entry.WireAddress(), entry.MethodUsage, struct{}{}, &sample, nil)).To(gomega.Succeed())
+		got := sample.Accounts["fog"]
+		gomega.Expect(got.Answered).To(gomega.Equal(int64(3)), "the start and two turns")
+		gomega.Expect(got.Refused).To(gomega.Equal(map[spool.Code]int64{spool.CodeRateLimited: 1}))
+		gomega.Expect(got.PromptTokens).To(gomega.Equal(int64(20)))
+		gomega.Expect(got.RecomputedTokens).To(gomega.Equal(int64(10)), "the second turn found nothing in the cache")
+		gomega.Expect(got.Programs.Count()).To(gomega.Equal(int64(1)))
+	})
+
 	ginkgo.It("explains a program to operators without a key", func() {
 		fog.send("POST", path(id, "/calls"), turn("1", "fog?"))
 		clients := wire.NewClients("operator")
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -11,6 +11,7 @@
 	"github.com/baobabspool/baobabspool/pkg/limit"
 	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/spool"
+	"github.com/baobabspool/baobabspool/pkg/usage"
 )
 
 // Streams owns the log streams of this process.
@@ -69,6 +70,8 @@
 
 // Settings are the values in force for one program.
 type Settings struct {
+	// Limit is the account's rate.
+	Limit usage.Limit
 	// Weight is the account's share in fair queueing.
 	Weight float64
 	// Budget bounds the budget that a caller may ask for.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/spool"
+	"github.com/baobabspool/baobabspool/pkg/usage"
 )
 
 // Entry is the process that callers talk to.
@@ -35,6 +36,7 @@
 	wireTLS       *tls.Config
 	extra         wire.Mux
 	programLimits program.Limits
+	usage         *usage.Recorder
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -94,6 +96,7 @@
 		e.clients = wire.NewClients(config.Node)
 	}
 	e.log = e.telemetry.Logger("entry")
+	e.usage = usage.NewRecorder(config.Node, e.clock.Now())
 	e.fleet = newFleet(e.clock)
 	e.shards = &shards{entry: e, open: map[spool.Stream]*shard{}}
 	// Calls that wait for their turn hold no worker, so the pool never has more
@@ -119,6 +122,7 @@
 		wire.MethodForward: wire.Handle(e.forwarded),
 		MethodExplain:      wire.Handle(e.explain),
 		MethodStatus:       wire.Handle(e.status),
+		MethodUsage:        wire.Handle(e.sampleUsage),
 	}
 	for _, handlers := range []wire.Mux{streams.Handlers(), e.extra} {
 		for method, handler := range handlers {
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -15,6 +15,7 @@
 const (
 	MethodExplain = "entry.explain"
 	MethodStatus  = "entry.status"
+	MethodUsage   = "entry.usage"
 )
 
 // ringSize is the number of decisions kept per program.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -20,11 +20,18 @@
 	maxMoveWait   = 400 * clock.Millis(1)
 )
 
-// execute runs an operation at the owner of its program, wherever that is, and
+// execute runs a caller's operation and counts what became of it.
+func (e *Entry) execute(ctx context.Context, operation Operation, sink Sink) (json.RawMessage, error) {
+	body, err := e.followed(ctx, operation, sink)
+	e.countUsage(operation, err)
+	return body, err
+}
+
+// followed runs an operation at the owner of its program, wherever that is, and
 // follows the program when its stream moves. Every operation carries a callId
 // or a new program's identifier, so it may be sent again when its fate is
 // unknown.
-func (e *Entry) execute(ctx context.Context, operation Operation, sink Sink) (json.RawMessage, error) {
+func (e *Entry) followed(ctx context.Context, operation Operation, sink Sink) (json.RawMessage, error) {
 	stream := spool.StreamOfProgram(operation.Program, e.config.Streams)
 	until := e.clock.Now() + e.config.ForwardFor
 	relay := &relay{sink: sink}
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -245,6 +245,7 @@
 			return nil, err
 		}
 		shard.do(func() { e.cut(shard, operation.Program) })
+		e.countEnd(shard, operation.Program, reason)
 	}
 	return e.show(shard, operation)
 }
--- a/internal/process/state.go
+++ b/internal/process/state.go
@@ -11,6 +11,7 @@
 	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
+	"github.com/baobabspool/baobabspool/pkg/usage"
 )
 
 // controlState gives the parts of an entry their view of the control state.
@@ -59,6 +60,9 @@
 func (s *controlState) Settings(account spool.AccountID, id spool.ProgramID) entry.Settings {
 	values := s.reader.Settings(s.scope(account, id))
 	return entry.Settings{
+		Limit: usage.Limit{
+			RatePerSecond: values.Number(settings.LimitRatePerSecond), Burst: values.Number(settings.LimitBurst),
+		},
 		Weight: values.Number(settings.AccountWeight),
 		Budget: program.Budget{
 			Tokens: values.Integer(settings.BudgetTokens),
--- /dev/null
+++ b/pkg/usage/usage_test.go
@@ -0,0 +1,118 @@
+package usage_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/baobabspool/baobabspool/internal/fixedseed"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+	"github.com/baobabspool/baobabspool/pkg/usage"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m, nil) }
+
+func TestUsage(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "usage")
+}
+
+var _ = ginkgo.Describe("Compare", func() {
+	limit := map[spool.AccountID]usage.Limit{"fog": {RatePerSecond: 2, Burst: 5}, "rugs": {RatePerSecond: 100, Burst: 100}}
+	sample := func(r *usage.Recorder, at clock.Millis) usage.Sample {
+		taken := r.Sample(at)
+		taken.Limits = limit
+		// Samples cross process boundaries.
+		encoded, err := json.Marshal(taken)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		read := usage.Sample{}
+		gomega.Expect(json.Unmarshal(encoded, &read)).To(gomega.Succeed())
+		return read
+	}
+	times := func(n int, do func()) {
+		for range n {
+			do()
+		}
+	}
+
+	// Guards against counts from before the window, and against requests over
+	// the rate that count as due.
+	ginkgo.It("tells what was due within the window and who was served worst", func() {
+		one, two := usage.NewRecorder("e1", 0), usage.NewRecorder("e2", 0)
+		times(50, func() { one.Refused("fog", spool.CodeOverloaded) })
+		before := []usage.Sample{sample(one, 1000), sample(two, 1000)}
+		times(20, func() { one.Answered("fog") })
+		times(30, func() { two.Refused("fog", spool.CodeRateLimited) })
+		times(8, func() { one.Answered("rugs") })
+		times(2, func() { two.Refused("rugs", spool.CodeOverloaded) })
+		times(9, func() { two.Refused("rugs", spool.CodeBadRequest) })
+		report := usage.Compare(before, []usage.Sample{sample(one, 11000), sample(two, 11000)})
+		gomega.Expect(report.Window).To(gomega.Equal(10 * clock.Second))
+		gomega.Expect(report.Accounts).To(gomega.HaveLen(2))
+		fog, rugs := report.Accounts[0], report.Accounts[1]
+		gomega.Expect(fog.Due).To(gomega.Equal(25.0))
+		gomega.Expect(fog.Served).To(gomega.Equal(0.8))
+		gomega.Expect(fog.RefusedWithinRate).To(gomega.Equal(5.0))
+		gomega.Expect(rugs.Offered).To(gomega.Equal(int64(10)), "bad requests are not offered")
+		gomega.Expect(rugs.RefusedWithinRate).To(gomega.BeZero())
+		gomega.Expect(report.Worst).To(gomega.Equal(spool.AccountID("fog")))
+		gomega.Expect(report.Total.Served).To(gomega.BeNumerically("~", 28.0/35, 1e-9))
+	})
+
+	// Guards against negative counts when a process was replaced, and against a
+	// report that hides a process that is gone.
+	ginkgo.It("counts a replaced process from its start and names one that is gone", func() {
+		old, gone := usage.NewRecorder("e1", 0), usage.NewRecorder("e2", 0)
+		times(100, func() { old.Answered("fog") })
+		before := []usage.Sample{sample(old, 1000), sample(gone, 1000)}
+		fresh := usage.NewRecorder("e1", 4000)
+		times(3, func() { fresh.Answered("fog") })
+		report := usage.Compare(before, []usage.Sample{sample(fresh, 6000)})
+		gomega.Expect(report.Accounts[0].Answered).To(gomega.Equal(int64(3)))
+		gomega.Expect(report.Replaced).To(gomega.Equal(1))
+		gomega.Expect(report.Missing).To(gomega.Equal([]spool.NodeID{"e2"}))
+	})
+
+	ginkgo.It("counts as recomputed only what an earlier turn had computed", func() {
+		r := usage.NewRecorder("e1", 0)
+		r.Turn("fog", usage.Turn{History: 0, Prompt: 100, Cached: 0})
+		r.Turn("fog", usage.Turn{History: 100, Prompt: 150, Cached: 40})
+		r.Turn("fog", usage.Turn{History: 150, Prompt: 250, Cached: 200})
+		report := usage.Compare(nil, []usage.Sample{sample(r, 1000)})
+		gomega.Expect(report.Total.RecomputedTokens).To(gomega.Equal(int64(60)))
+		gomega.Expect(report.Total.Recomputed).To(gomega.BeNumerically("~", 0.12, 1e-9))
+	})
+})
+
+// TestWindows checks that the reports of consecutive windows add up to that of
+// the whole time, for latencies too.
+func TestWindows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := usage.NewRecorder("e1", 0)
+		samples := []usage.Sample{r.Sample(0)}
+		for at := range rapid.IntRange(1, 5).Draw(t, "windows") {
+			for range rapid.IntRange(0, 20).Draw(t, "events") {
+				r.Answered("fog")
+				r.ProgramEnded("fog", clock.Millis(rapid.Int64Range(-5, 1<<40).Draw(t, "took")))
+			}
+			samples = append(samples, r.Sample(clock.Millis(at+1)*clock.Second))
+		}
+		var answered, programs int64
+		for i := 1; i < len(samples); i++ {
+			total := usage.Compare(samples[i-1:i], samples[i:i+1]).Total
+			answered += total.Answered
+			programs += total.Programs.Count()
+			if total.Programs.Count() > 0 && total.Programs.Quantile(50) <= 0 {
+				t.Fatalf("median of %d programs is %v", total.Programs.Count(), total.Programs.Quantile(50))
+			}
+		}
+		whole := usage.Compare(samples[:1], samples[len(samples)-1:]).Total
+		if whole.Answered != answered || whole.Programs.Count() != programs {
+			t.Fatalf("windows hold %d answers and %d programs, the whole %d and %d", answered, programs, whole.Answered, whole.Programs.Count())
+		}
+	})
+}
