Add the state machine of the VM list relay

Every process reads the platform's whole list twice a second: about 2 MB at 11,330 rows, against a limit of 15 KB/s per node.

pkg/roster decides which processes read the list and whom the others ask. Rows are in 64 buckets with xxhash digests. A request at rest carries one hash of all of them; the digests follow only when the lists differ, and the reply holds the buckets that differ, compressed, with the digests of the result. Agents get the rows of the entries and their own row.

The age of a list is an interval on the receiver's clock: the platform was asked between low and high. A list with other rows replaces the one in force only if its low is not before that one's high, so that neither the clocks of two processes nor the time of a message on its way can bring an older one back.

Entries pull from readers, agents from any entry of their failure domain: two readers would have about 390 agents each at the target. Nodes with a stale list try other entries with a growing pause. Reads of processes that are no readers double their pause up to a minute while the platform does not answer.

--- /dev/null
+++ b/pkg/roster/fleet_test.go
@@ -0,0 +1,303 @@
+package roster_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/roster"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	platformDelay clock.Millis = 20
+	hopDelay      clock.Millis = 1
+	// grace is what a process waits for a reply beyond the long poll.
+	grace clock.Millis = 500
+)
+
+type event struct {
+	at  clock.Millis
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].seq < e[j].seq)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// fleet runs nodes against a platform in virtual time. Each version of the
+// platform's list is marked in the row of the entry e0.
+type fleet struct {
+	now     clock.Millis
+	queue   events
+	seq     int
+	random  *rand.Rand
+	vms     []spool.VM
+	version int
+	// down makes reads fail; reads are the instants of all reads, and fallbacks
+	// counts those by processes that are no readers.
+	down      bool
+	reads     []clock.Millis
+	fallbacks int
+	// refused counts requests to processes that are dead.
+	refused int
+	// slow is the most that a message takes beyond hopDelay.
+	slow  clock.Millis
+	nodes map[spool.NodeID]*process
+	order []*process
+	// backwards describes the first step back to an older list.
+	backwards string
+}
+
+type process struct {
+	*roster.Node
+	vm spool.VM
+	// skew is the difference of this process's clock, whose value at the start
+	// means nothing to the others.
+	skew clock.Millis
+	// dead ends the process; paused keeps what arrives until it goes on; cut
+	// separates it from the platform.
+	dead, paused, cut bool
+	backlog           []func()
+	held              map[int]func()
+	seen              int
+}
+
+func newFleet(seed uint64, entries, agents, domains int) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 7)), nodes: map[spool.NodeID]*process{}}
+	for i := range entries + agents {
+		vm := spool.VM{
+			ID: spool.NodeID(fmt.Sprintf("a%d", i-entries)), Role: spool.RoleEndpoint, State: spool.VMLive, Service: "model",
+			FailureDomain: spool.FailureDomain(fmt.Sprintf("d%d", i%domains)), Address: fmt.Sprintf("10.0.0.%d:1", i),
+		}
+		if i < entries {
+			vm.ID, vm.Role, vm.Service = spool.NodeID(fmt.Sprintf("e%d", i)), spool.RoleEntry, ""
+		}
+		f.vms = append(f.vms, vm)
+	}
+	f.change(func([]spool.VM) {})
+	return f
+}
+
+// start adds the process of a row.
+func (f *fleet) start(vm spool.VM, readers int) *process {
+	p := &process{vm: vm, skew: clock.Millis(f.random.IntN(1e6)), held: map[int]func(){}}
+	p.Node = roster.New(roster.Config{Node: vm.ID, Role: vm.Role, FailureDomain: vm.FailureDomain, Readers: readers},
+		p.time(f), f.random.Uint64())
+	f.nodes[vm.ID] = p
+	f.order = append(f.order, p)
+	f.step(p)
+	return p
+}
+
+func (f *fleet) startAll(readers int) {
+	for _, vm := range slices.Clone(f.vms) {
+		f.start(vm, readers)
+	}
+}
+
+func (p *process) time(f *fleet) clock.Millis { return f.now + p.skew }
+
+// change makes a new version of the platform's list.
+func (f *fleet) change(edit func(vms []spool.VM)) {
+	f.vms = slices.Clone(f.vms)
+	edit(f.vms)
+	f.version++
+	f.vms[0].Region = spool.Region(strconv.Itoa(f.version))
+}
+
+func (f *fleet) after(delay clock.Millis, run func()) {
+	f.seq++
+	heap.Push(&f.queue, event{f.now + delay, f.seq, run})
+}
+
+func (f *fleet) run(length clock.Millis) {
+	until := f.now + length
+	for len(f.queue) > 0 && f.queue[0].at <= until {
+		next := heap.Pop(&f.queue).(event)
+		f.now = next.at
+		next.run()
+	}
+	f.now = until
+}
+
+// at runs something in a process after a delay, or when it is no longer paused.
+func (f *fleet) at(p *process, delay clock.Millis, run func()) {
+	f.after(delay, func() {
+		switch {
+		case p.dead:
+		case p.paused:
+			p.backlog = append(p.backlog, run)
+		default:
+			run()
+		}
+	})
+}
+
+func (f *fleet) resume(p *process) {
+	backlog := p.backlog
+	p.paused, p.backlog = false, nil
+	for _, run := range backlog {
+		f.at(p, 0, run)
+	}
+}
+
+func (f *fleet) hop() clock.Millis {
+	if f.slow > 0 {
+		return hopDelay + clock.Millis(f.random.Int64N(int64(f.slow)))
+	}
+	return hopDelay
+}
+
+func (f *fleet) step(p *process) {
+	switch step := p.Next(p.time(f)).(type) {
+	case roster.Wait:
+		f.at(p, max(1, step.Until-p.time(f)), func() { f.step(p) })
+	case roster.Read:
+		if step.Fallback {
+			f.fallbacks++
+		}
+		f.read(p)
+	case roster.Pull:
+		f.pull(p, step)
+	}
+}
+
+func (f *fleet) read(p *process) {
+	sent := p.time(f)
+	f.reads = append(f.reads, f.now)
+	var vms []spool.VM
+	failed := false
+	f.after(f.hop(), func() { vms, failed = f.vms, f.down || p.cut })
+	f.at(p, 2*hopDelay+f.slow+platformDelay, func() {
+		if failed {
+			p.ReadFailed(p.time(f))
+		} else if changed, err := p.TakeList(sent, p.time(f), vms); err == nil {
+			f.taken(p, changed)
+		}
+		f.step(p)
+	})
+}
+
+func (f *fleet) pull(p *process, step roster.Pull) {
+	sent, done := p.time(f), false
+	finish := func(run func()) func() {
+		return func() {
+			if !done {
+				done = true
+				run()
+				f.step(p)
+			}
+		}
+	}
+	fail := finish(func() { p.PullFailed(p.time(f), step.Parent) })
+	f.at(p, step.Request.Wait+grace, fail)
+	parent := f.nodes[step.Parent.ID]
+	if parent == nil || parent.dead {
+		f.refused++
+		f.at(p, 2*hopDelay, fail)
+		return
+	}
+	f.at(parent, f.hop(), func() {
+		f.serve(parent, step.Request, func(reply roster.PullReply) {
+			f.at(p, f.hop(), finish(func() {
+				if changed, err := p.TakeReply(sent, p.time(f), step.Parent, reply); err == nil {
+					f.taken(p, changed)
+				}
+			}))
+		})
+	})
+}
+
+func (f *fleet) serve(parent *process, request roster.PullRequest, send func(roster.PullReply)) {
+	f.seq++
+	arrived, key := parent.time(f), f.seq
+	answer := func(expired bool) {
+		reply, ready, err := parent.Answer(parent.time(f), request)
+		if err != nil {
+			panic(err)
+		}
+		reply.Held = parent.time(f) - arrived
+		if ready || expired {
+			delete(parent.held, key)
+			send(reply)
+		}
+	}
+	parent.held[key] = func() { answer(false) }
+	answer(false)
+	f.at(parent, request.Wait, func() {
+		if parent.held[key] != nil {
+			answer(true)
+		}
+	})
+}
+
+// taken wakes the children that wait and checks that the list did not go back.
+func (f *fleet) taken(p *process, changed bool) {
+	if version := p.version(); version < p.seen {
+		f.backwards = fmt.Sprintf("%s went from version %d to %d at %v", p.vm.ID, p.seen, version, f.now)
+	} else {
+		p.seen = version
+	}
+	if changed {
+		for _, key := range sortedKeys(p.held) {
+			p.held[key]()
+		}
+	}
+}
+
+func sortedKeys(held map[int]func()) (keys []int) {
+	for key := range held {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// version returns the version of the list that a process has.
+func (p *process) version() int {
+	for _, vm := range p.Entries() {
+		if vm.ID == "e0" {
+			version, _ := strconv.Atoi(string(vm.Region))
+			return version
+		}
+	}
+	return 0
+}
+
+// lagging returns the processes that are alive and do not have exactly the rows
+// of the platform's list that they need.
+func (f *fleet) lagging() (nodes []spool.NodeID) {
+	for _, p := range f.order {
+		want := []spool.VM{}
+		own := spool.VM{}
+		for _, vm := range f.vms {
+			if vm.Role == spool.RoleEntry || p.vm.Role == spool.RoleEntry {
+				want = append(want, vm)
+			}
+			if vm.ID == p.vm.ID {
+				own = vm
+			}
+		}
+		slices.SortFunc(want, func(a, b spool.VM) int { return cmp.Compare(a.ID, b.ID) })
+		if row, _ := p.Own(); !p.dead && !p.paused && (!slices.Equal(p.Rows(), want) || row != own) {
+			nodes = append(nodes, p.vm.ID)
+		}
+	}
+	return nodes
+}
--- /dev/null
+++ b/pkg/roster/table.go
@@ -0,0 +1,267 @@
+// Package roster distributes the platform's list of VMs. A few entries of each
+// failure domain read it, the other processes pull what has changed from them.
+// It is a deterministic state machine; internal/roster runs it.
+package roster
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/klauspost/compress/flate"
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// buckets is the number of parts that are compared by digest. At 11,330 rows
+	// a part has 177 rows, about 7 KB compressed.
+	buckets = 64
+	// maxBucketBytes bounds a decompressed bucket.
+	maxBucketBytes = 8 << 20
+)
+
+// ErrDamaged means that rows do not decode or do not have the digest that came
+// with them.
+var ErrDamaged = errors.New("rows of the VM list are damaged")
+
+// Digests holds a hash of the rows of each bucket; 0 stands for no rows.
+type Digests [buckets]uint64
+
+// MarshalText encodes the digests in base64, half the size of decimal numbers.
+func (d Digests) MarshalText() ([]byte, error) {
+	plain := make([]byte, 0, 8*buckets)
+	for _, digest := range d {
+		plain = binary.BigEndian.AppendUint64(plain, digest)
+	}
+	return base64.RawStdEncoding.AppendEncode(nil, plain), nil
+}
+
+// UnmarshalText decodes what MarshalText returns.
+func (d *Digests) UnmarshalText(text []byte) error {
+	plain, err := base64.RawStdEncoding.AppendDecode(nil, text)
+	if err != nil {
+		return errors.Wrap(err, "decode digests")
+	}
+	if len(plain) != 8*buckets {
+		return errors.Errorf("digests have %d bytes instead of %d", len(plain), 8*buckets)
+	}
+	for i := range d {
+		d[i] = binary.BigEndian.Uint64(plain[8*i:])
+	}
+	return nil
+}
+
+// root returns one hash for all buckets.
+func (d Digests) root() uint64 {
+	plain := make([]byte, 0, 8*buckets)
+	for _, digest := range d {
+		plain = binary.BigEndian.AppendUint64(plain, digest)
+	}
+	return xxhash.Sum64(plain)
+}
+
+// Rows are the rows of one bucket in a message.
+type Rows struct {
+	// Bucket is its number.
+	Bucket int `json:"bucket"`
+	// Data is the JSON array of the rows in order of their ID, compressed with
+	// deflate. It is empty when the bucket has no rows.
+	Data []byte `json:"data,omitempty"`
+}
+
+// bucket is one part of a table.
+type bucket struct {
+	// rows are sorted by ID and never changed in place.
+	rows   []spool.VM
+	digest uint64
+	// encoded caches the rows in the form of a message.
+	encoded []byte
+}
+
+// table holds rows of the list with a digest for each bucket.
+type table struct {
+	buckets [buckets]bucket
+	// sorted caches all rows in order of their ID; nil when it is out of date.
+	sorted []spool.VM
+}
+
+func bucketOf(id spool.NodeID) int { return int(xxhash.Sum64String(string(id)) % buckets) }
+
+// rowDigest returns the hash of one row, and 0 for no row.
+func rowDigest(vm spool.VM) uint64 {
+	if vm.ID == "" {
+		return 0
+	}
+	return xxhash.Sum64(appendRow(nil, vm))
+}
+
+func appendRow(to []byte, vm spool.VM) []byte {
+	for _, field := range []string{
+		string(vm.ID), string(vm.Role), string(vm.State), string(vm.FailureDomain), string(vm.Region), string(vm.Service), vm.Address,
+	} {
+		to = binary.AppendUvarint(to, uint64(len(field)))
+		to = append(to, field...)
+	}
+	return to
+}
+
+// replace makes the table hold exactly the rows and reports whether that changes
+// anything. Of two rows with the same ID the later one counts.
+func (t *table) replace(vms []spool.VM) (changed bool) {
+	var parts [buckets][]spool.VM
+	for _, vm := range vms {
+		i := bucketOf(vm.ID)
+		parts[i] = append(parts[i], vm)
+	}
+	for i, rows := range parts {
+		slices.SortStableFunc(rows, func(a, b spool.VM) int { return cmp.Compare(a.ID, b.ID) })
+		rows = latestOfEach(rows)
+		if !slices.Equal(rows, t.buckets[i].rows) {
+			t.put(i, rows)
+			changed = true
+		}
+	}
+	return changed
+}
+
+func latestOfEach(sorted []spool.VM) []spool.VM {
+	kept := sorted[:0]
+	for i, vm := range sorted {
+		if i+1 == len(sorted) || sorted[i+1].ID != vm.ID {
+			kept = append(kept, vm)
+		}
+	}
+	return kept
+}
+
+func (t *table) put(i int, rows []spool.VM) {
+	t.buckets[i] = newBucket(rows)
+	t.sorted = nil
+}
+
+// newBucket returns the bucket of rows that are sorted by ID.
+func newBucket(rows []spool.VM) bucket {
+	if len(rows) == 0 {
+		return bucket{}
+	}
+	var plain []byte
+	for _, vm := range rows {
+		plain = appendRow(plain, vm)
+	}
+	return bucket{rows: rows, digest: xxhash.Sum64(plain)}
+}
+
+func (t *table) digests() (digests Digests) {
+	for i := range t.buckets {
+		digests[i] = t.buckets[i].digest
+	}
+	return digests
+}
+
+// rows returns all rows in order of their ID. They must not be changed.
+func (t *table) rows() []spool.VM {
+	if t.sorted != nil {
+		return t.sorted
+	}
+	count := 0
+	for i := range t.buckets {
+		count += len(t.buckets[i].rows)
+	}
+	t.sorted = make([]spool.VM, 0, count)
+	for i := range t.buckets {
+		t.sorted = append(t.sorted, t.buckets[i].rows...)
+	}
+	slices.SortFunc(t.sorted, func(a, b spool.VM) int { return cmp.Compare(a.ID, b.ID) })
+	return t.sorted
+}
+
+// get returns one row, and a zero one when it is not listed.
+func (t *table) get(id spool.NodeID) spool.VM {
+	rows := t.buckets[bucketOf(id)].rows
+	i, found := slices.BinarySearchFunc(rows, id, func(vm spool.VM, id spool.NodeID) int { return cmp.Compare(vm.ID, id) })
+	if !found {
+		return spool.VM{}
+	}
+	return rows[i]
+}
+
+// missing returns the buckets whose digest differs from that of the child.
+func (t *table) missing(child Digests) (lacking []Rows, err error) {
+	for i := range t.buckets {
+		if t.buckets[i].digest == child[i] {
+			continue
+		}
+		data, err := t.encoded(i)
+		if err != nil {
+			return nil, err
+		}
+		lacking = append(lacking, Rows{Bucket: i, Data: data})
+	}
+	return lacking, nil
+}
+
+// encoded returns the rows of a bucket in the form of a message.
+func (t *table) encoded(i int) (data []byte, err error) {
+	b := &t.buckets[i]
+	if b.encoded != nil || len(b.rows) == 0 {
+		return b.encoded, nil
+	}
+	plain, err := json.Marshal(b.rows)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode rows of the VM list")
+	}
+	var out bytes.Buffer
+	if err := flate.StatelessDeflate(&out, plain, true, nil); err != nil {
+		return nil, errors.Wrap(err, "compress rows of the VM list")
+	}
+	b.encoded = out.Bytes()
+	return b.encoded, nil
+}
+
+// merge replaces the buckets that a parent has sent. The result must have the
+// parent's digests; otherwise nothing changes and the error is ErrDamaged.
+func (t *table) merge(sent []Rows, digests Digests) (changed bool, err error) {
+	merged := map[int]bucket{}
+	for _, rows := range sent {
+		if rows.Bucket < 0 || rows.Bucket >= buckets {
+			return false, errors.Wrapf(ErrDamaged, "bucket %d does not exist", rows.Bucket)
+		}
+		decoded, err := decodeRows(rows.Data)
+		if err != nil {
+			return false, errors.Wrapf(ErrDamaged, "bucket %d: %v", rows.Bucket, err)
+		}
+		merged[rows.Bucket] = newBucket(decoded)
+	}
+	for i := range t.buckets {
+		result, ok := merged[i]
+		if !ok {
+			result = t.buckets[i]
+		}
+		if result.digest != digests[i] {
+			return false, errors.Wrapf(ErrDamaged, "bucket %d has another digest", i)
+		}
+	}
+	for i, result := range merged {
+		changed = changed || result.digest != t.buckets[i].digest
+		t.put(i, result.rows)
+	}
+	return changed, nil
+}
+
+func decodeRows(data []byte) (rows []spool.VM, err error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxBucketBytes))
+	if err != nil {
+		return nil, err
+	}
+	return rows, json.Unmarshal(plain, &rows)
+}
