Share the long poll between handlers

The relay of the VM list needs the same loop as control.pull: answer, wait for a change, answer again when the wait is over. wire.LongPoll holds it once.

--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -96,28 +95,12 @@
 		return nil, spool.Refuse(spool.CodeBadRequest, "offset and wait must not be negative")
 	}
 	arrived := r.clock.Now()
-	timer := time.NewTimer(min(request.Wait, maxPullWait).Duration())
-	defer timer.Stop()
-	for expired := false; ; {
+	return wire.LongPoll(ctx, r.ctx, min(request.Wait, maxPullWait), func() (wire.PullReply, bool, <-chan struct{}, error) {
 		changed := r.Changed()
 		reply, err := r.answer(request.After)
-		if err != nil {
-			return nil, err
-		}
 		reply.Held = r.clock.Now() - arrived
-		if expired || len(reply.Batches) > 0 || reply.Snapshot != nil {
-			return reply, nil
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			expired = true
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-r.ctx.Done():
-			return nil, spool.Refuse(spool.CodeShuttingDown, "node is shutting down")
-		}
-	}
+		return reply, len(reply.Batches) > 0 || reply.Snapshot != nil, changed, err
+	})
 }
 
 // answer returns what follows the offset; an empty reply when nothing does.
--- /dev/null
+++ b/internal/wire/longpoll.go
@@ -0,0 +1,36 @@
+package wire
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// LongPoll answers a request once there is something to tell, or when wait is
+// over. answer returns the reply as of now, whether it tells something, and a
+// channel that is closed with the next change. process ends with the process
+// that answers.
+func LongPoll[Reply any](ctx, process context.Context, wait clock.Millis, answer func() (reply Reply, ready bool, changed <-chan struct{}, err error)) (any, error) {
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	for expired := false; ; {
+		reply, ready, changed, err := answer()
+		if err != nil {
+			return nil, err
+		}
+		if expired || ready {
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-process.Done():
+			return nil, spool.Refuse(spool.CodeShuttingDown, "node is shutting down")
+		}
+	}
+}
