Read the VM list once per process, and relay it

Each entry read the platform's list twice, for the control stream and for the streams, and each agent read it as well.

internal/roster runs the relay in entries and agents. internal/streams takes the list from it (WithLists) instead of reading by itself; it takes lists in whose reads are at least ListEvery (500 ms) apart, so that two lists in a row are still two reads. Agents keep the entries and their own row. The client of the list returns the same slice while the platform's answer is the same.

internal/streams tests: the fake hands out the list sorted by ID, as the relay does, with the time of the read; the assertions are unchanged.

--- a/internal/cli/endpoint.go
+++ b/internal/cli/endpoint.go
@@ -37,6 +37,7 @@
 	command.Flags().StringVar(&settings.Listen, "listen", "127.0.0.1:7100", "IP address and port for messages between processes")
 	command.Flags().StringVar(&settings.HTTPListen, "http-listen", "", "IP address and port of /metrics, /healthz and /readyz; empty for none")
 	command.Flags().StringVar(&settings.VMsAddress, "vms-address", "", "IP address and port of the platform's list of VMs")
+	registerVMReaders(command, &settings.VMReaders)
 	command.Flags().StringVar(&settings.EngineAddress, "engine-address", "", "IP address and port of the model engine")
 	command.Flags().StringVar(&settings.ServiceAddress, "service-address", "", "IP address and port of the plain service")
 	registerTLS(command, &settings.TLS)
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -42,6 +42,7 @@
 	command.Flags().StringVar(&settings.LogAddress, "log-address", settings.LogAddress, "IP address and port of the platform's log")
 	command.Flags().IntVar(&settings.StreamCount, "streams", settings.StreamCount, "number of program streams, the same at every entry and never changed")
 	command.Flags().IntVar(&settings.LogReaders, "log-readers", settings.LogReaders, "entries of each failure domain that read the control stream from the log, the others pull from them; 0 for all")
+	registerVMReaders(command, &settings.VMReaders)
 	command.Flags().Int64Var(&settings.RetentionMs, "retention-ms", settings.RetentionMs, "how long the log keeps records, in milliseconds")
 	command.Flags().Int64Var(&settings.LameDuckMs, "lame-duck-ms", settings.LameDuckMs, "time between /readyz turning false and the end of accepting, in milliseconds")
 	command.Flags().StringVar(&settings.HTTPTLS.Cert, "http-tls-cert", "", "PEM file with the certificate of the callers' API; empty for plain HTTP")
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -48,6 +48,10 @@
 	command.Flags().StringVar(&files.CA, "tls-ca", "", "PEM file with the authority that signs the certificates of all processes")
 }
 
+func registerVMReaders(command *cobra.Command, readers *int) {
+	command.Flags().IntVar(readers, "vm-readers", *readers, "entries of each failure domain that read the list of VMs from the platform, all other processes pull from entries; 0 for all processes; the same at every process")
+}
+
 // serve starts a process, logs that it is ready and waits for a signal. start
 // returns the process and where it listens.
 func (f *processFlags) serve(node, part string, validate func() error, start func(*telemetry.Telemetry) (stopper, []zap.Field, error)) error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -73,6 +73,13 @@
 	p.list = append(p.list, Problem{Name: name, Reason: fmt.Sprintf(format, args...)})
 }
 
+// Count adds a problem when a number is negative.
+func (p *Problems) Count(name string, value int) {
+	if value < 0 {
+		p.Add(name, "must not be negative")
+	}
+}
+
 // Require records a problem when value is empty.
 func (p *Problems) Require(name, value string) {
 	if value == "" {
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -104,10 +104,16 @@
 	t.idle = append(t.idle, c)
 }
 
-// get sends an idempotent request, on an idle connection when there is one, and
-// decodes the JSON answer into result. A connection that the other side has
-// closed in the meantime is replaced once.
+// get fetches a path and decodes the JSON answer into result.
 func (t *transport) get(ctx context.Context, path string, wait clock.Millis, result any) error {
+	body, err := t.fetch(ctx, path, wait)
+	return decode(body, err, result)
+}
+
+// fetch sends an idempotent request, on an idle connection when there is one,
+// and returns the answer. A connection that the other side has closed in the
+// meantime is replaced once.
+func (t *transport) fetch(ctx context.Context, path string, wait clock.Millis) (body []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, (wait + requestTimeout).Duration())
 	defer cancel()
 	request := t.request(fasthttp.MethodGet, path, nil)
@@ -116,15 +122,14 @@
 		body, err := t.exchange(ctx, idle, request)
 		status := &errStatus{}
 		if err == nil || errors.As(err, &status) || ctx.Err() != nil {
-			return decode(body, err, result)
+			return body, err
 		}
 	}
 	fresh, err := t.dial(ctx)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	body, err := t.exchange(ctx, fresh, request)
-	return decode(body, err, result)
+	return t.exchange(ctx, fresh, request)
 }
 
 // send sends a request once, on a connection of its own, and returns the
--- a/internal/platform/vms.go
+++ b/internal/platform/vms.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -11,6 +13,12 @@
 // VMList is the client of the platform's list of VMs.
 type VMList struct {
 	transport *transport
+
+	mu sync.Mutex
+	// latest is the decoded list whose answer had the hash digest. Decoding 11,330
+	// rows takes about as long as a node may compute in a second.
+	latest []spool.VM
+	digest uint64
 }
 
 var _ spool.VMList = (*VMList)(nil)
@@ -18,9 +26,23 @@
 // NewVMList returns a client of the list at address, a host:port.
 func NewVMList(address string) *VMList { return &VMList{transport: newTransport(address)} }
 
-// VMs returns the list as the platform knows it, which lags.
+// VMs returns the list as the platform knows it, which lags. While the platform
+// gives the same answer, the slice is the same as before; it must not be changed.
 func (l *VMList) VMs(ctx context.Context) (vms []spool.VM, err error) {
 	defer func() { err = errors.Wrap(err, "read list of VMs") }()
-	err = l.transport.get(ctx, "/v1/vms", 0, &vms)
-	return vms, err
+	body, err := l.transport.fetch(ctx, "/v1/vms", 0)
+	if err != nil {
+		return nil, err
+	}
+	digest := xxhash.Sum64(body)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.latest != nil && l.digest == digest {
+		return l.latest, nil
+	}
+	if err := decode(body, nil, &vms); err != nil {
+		return nil, err
+	}
+	l.latest, l.digest = vms, digest
+	return vms, nil
 }
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -12,8 +12,10 @@
 	"github.com/baobabspool/baobabspool/internal/control"
 	"github.com/baobabspool/baobabspool/internal/endpoint"
 	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/internal/roster"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	_ "github.com/baobabspool/baobabspool/pkg/policy" // Registers the policies.
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -32,6 +34,9 @@
 	HTTPListen string
 	// VMsAddress is the host:port of the platform's list of VMs.
 	VMsAddress string
+	// VMReaders is how many entries of each failure domain read the list of VMs
+	// from the platform; with 0 every process does.
+	VMReaders int
 	// EngineAddress or ServiceAddress is the host:port of the endpoint; exactly
 	// one of them is set.
 	EngineAddress  string
@@ -51,6 +56,7 @@
 		problems.Address("http-listen", c.HTTPListen)
 	}
 	problems.Address("vms-address", c.VMsAddress)
+	problems.Count("vm-readers", c.VMReaders)
 	c.TLS.Check(&problems)
 	if (c.EngineAddress == "") == (c.ServiceAddress == "") {
 		problems.Add("engine-address", "give either engine-address or service-address")
@@ -64,16 +70,15 @@
 	return problems.Err()
 }
 
-// settleFor bounds the wait for the first control state at the start. An agent
-// that no entry answers starts with the defaults.
-const settleFor = 2 * time.Second
+// orderTimeout bounds one order to the engine.
+const orderTimeout = 2 * clock.Second
 
 // Endpoint is the running process of an endpoint agent.
 type Endpoint struct {
 	config  EndpointConfig
 	agent   *endpoint.Agent
 	control *control.Reader
-	vms     *vmWatch
+	vms     *roster.Runtime
 	clients *wire.Clients
 	log     *zap.Logger
 	// applied is the highest fencing number of an order that was carried out.
@@ -102,7 +107,11 @@
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
 	}
-	p.vms = newVMWatch(platform.NewVMList(p.config.VMsAddress), t, p.nudge)
+	p.vms, err = roster.New(rosterConfig(p.config.Node, spool.RoleEndpoint, p.config.FailureDomain, p.config.VMReaders),
+		platform.NewVMList(p.config.VMsAddress), p.clients, roster.WithTelemetry(t), roster.WithObserver(p.nudge))
+	if err != nil {
+		return nil, err
+	}
 	if err := p.startControl(t); err != nil {
 		return nil, err
 	}
@@ -119,11 +128,11 @@
 		Role:          spool.RoleEndpoint,
 		FailureDomain: spool.FailureDomain(p.config.FailureDomain),
 		Region:        spool.Region(p.config.Region),
-	}, control.WithPeers(p.vms.entries), control.WithClients(p.clients), control.WithTelemetry(t))
+	}, control.WithPeers(p.vms.Entries), control.WithClients(p.clients), control.WithTelemetry(t))
 	if err != nil {
 		return err
 	}
-	deadline := time.After(settleFor)
+	deadline := time.After(settleFor(p.config.VMReaders).Duration())
 	for !p.control.Ready() {
 		select {
 		case <-p.control.Changed():
@@ -190,12 +199,12 @@
 	id := spool.EndpointID(p.config.Node)
 	domain := spool.FailureDomain(p.config.FailureDomain)
 	p.agent.SetControlOffset(p.control.Offset())
-	p.agent.SetDraining(p.control.Draining(domain, id) || p.vms.leaving(spool.NodeID(p.config.Node)))
+	p.agent.SetDraining(p.control.Draining(domain, id) || p.vms.Leaving())
 	for _, order := range p.control.Orders(id) {
 		if order.Fence <= p.applied {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), vmsTimeout.Duration())
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout.Duration())
 		err := p.agent.ApplyOrder(ctx, order)
 		cancel()
 		if err != nil {
@@ -221,7 +230,7 @@
 	p.agent.SetDraining(true)
 	err = p.agent.Shutdown(ctx)
 	p.control.Close()
-	p.vms.close()
+	p.vms.Close()
 	p.clients.Close()
 	return err
 }
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -1,3 +1,5 @@
+// Package process puts the parts of an entry and of an endpoint agent together
+// and runs them as one process each.
 package process
 
 import (
@@ -14,6 +16,7 @@
 	"github.com/baobabspool/baobabspool/internal/entry"
 	"github.com/baobabspool/baobabspool/internal/platform"
 	"github.com/baobabspool/baobabspool/internal/quota"
+	"github.com/baobabspool/baobabspool/internal/roster"
 	"github.com/baobabspool/baobabspool/internal/streams"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
@@ -42,6 +45,9 @@
 	// LogReaders is how many entries of each failure domain read the control
 	// stream from the log; 0 for all.
 	LogReaders int
+	// VMReaders is how many entries of each failure domain read the list of VMs
+	// from the platform; with 0 every process does.
+	VMReaders int
 	// RetentionMs is how long the log keeps records.
 	RetentionMs int64
 	// LameDuckMs is the time between readyz turning false and the end of
@@ -75,9 +81,8 @@
 	if c.StreamCount < 1 {
 		problems.Add("streams", "must be at least 1")
 	}
-	if c.LogReaders < 0 {
-		problems.Add("log-readers", "must not be negative")
-	}
+	problems.Count("log-readers", c.LogReaders)
+	problems.Count("vm-readers", c.VMReaders)
 	if c.RetentionMs < int64(10*clock.Second) {
 		problems.Add("retention-ms", "must be at least 10000")
 	}
@@ -94,7 +99,7 @@
 	control *control.Reader
 	streams *streams.Manager
 	quota   *quota.Manager
-	vms     *vmWatch
+	vms     *roster.Runtime
 	log     *zap.Logger
 	// ready is control once it has been started.
 	ready atomic.Pointer[control.Reader]
@@ -121,8 +126,11 @@
 	}
 	clients := wire.NewClients(spool.NodeID(p.config.Node), wire.WithTLS(client))
 	log := platform.NewLog(p.config.LogAddress)
-	list := platform.NewVMList(p.config.VMsAddress)
-	p.vms = newVMWatch(list, t, func() {})
+	p.vms, err = roster.New(rosterConfig(p.config.Node, spool.RoleEntry, p.config.FailureDomain, p.config.VMReaders),
+		platform.NewVMList(p.config.VMsAddress), clients, roster.WithClock(source), roster.WithTelemetry(t))
+	if err != nil {
+		return nil, err
+	}
 	lateStreams := &lateStreams{}
 	p.quota = quota.New(quota.Config{
 		Node: spool.NodeID(p.config.Node), StreamCount: p.config.StreamCount, Timing: limit.DefaultTiming(),
@@ -134,7 +142,7 @@
 	if err := p.buildEntry(state, clients, source, t, entry.WithTLS(front, server)); err != nil {
 		return nil, err
 	}
-	if err := p.startStreams(log, list, clients, source, t); err != nil {
+	if err := p.startStreams(log, clients, source, t); err != nil {
 		return nil, err
 	}
 	lateStreams.set(p.streams)
@@ -160,7 +168,7 @@
 		Region:        spool.Region(p.config.Region),
 		LogReaders:    p.config.LogReaders,
 		Retention:     clock.Millis(p.config.RetentionMs),
-	}, control.WithLog(log), control.WithPeers(p.vms.entries), control.WithClients(clients),
+	}, control.WithLog(log), control.WithPeers(p.vms.Entries), control.WithClients(clients),
 		control.WithClock(source), control.WithTelemetry(t), control.WithObserver(versionsOf(place, p.quota.Observe)))
 	p.control = reader
 	p.ready.Store(reader)
@@ -185,11 +193,11 @@
 	entryConfig.LameDuckFor = clock.Millis(p.config.LameDuckMs)
 	p.entry, err = entry.New(entryConfig, state, p.quota,
 		entry.WithClock(source), entry.WithTelemetry(t), entry.WithClients(clients),
-		secure, entry.WithHandlers(p.control.Handlers()), entry.WithHandlers(p.quota.Handlers()))
+		secure, entry.WithHandlers(p.control.Handlers()), entry.WithHandlers(p.vms.Handlers()), entry.WithHandlers(p.quota.Handlers()))
 	return err
 }
 
-func (p *Entry) startStreams(log spool.Log, list spool.VMList, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry) (err error) {
+func (p *Entry) startStreams(log spool.Log, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry) (err error) {
 	p.streams, err = streams.New(streams.Config{
 		Node:          spool.NodeID(p.config.Node),
 		Address:       p.config.Listen,
@@ -197,7 +205,7 @@
 		Region:        spool.Region(p.config.Region),
 		StreamCount:   p.config.StreamCount,
 		Retention:     clock.Millis(p.config.RetentionMs),
-	}, streams.WithLog(log), streams.WithVMList(list), streams.WithCaller(clients), streams.WithClock(source),
+	}, streams.WithLog(log), streams.WithLists(p.vms), streams.WithCaller(clients), streams.WithClock(source),
 		streams.WithTelemetry(t), streams.WithControlOffset(p.control.Offset), streams.WithApplier(p.entry.Applier()))
 	return err
 }
@@ -240,7 +248,7 @@
 	p.streams.Close()
 	p.quota.Close()
 	p.control.Close()
-	p.vms.close()
+	p.vms.Close()
 }
 
 // maintainEvery paces the duties of the entry that owns the first stream.
--- /dev/null
+++ b/internal/process/roster.go
@@ -0,0 +1,24 @@
+package process
+
+import (
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/roster"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// rosterConfig describes a process to the relay of the VM list.
+func rosterConfig(node string, role spool.Role, domain string, readers int) roster.Config {
+	return roster.Config{
+		Node: spool.NodeID(node), Role: role, FailureDomain: spool.FailureDomain(domain), Readers: readers,
+	}
+}
+
+// settleFor bounds the wait of an agent for the first control state, which needs
+// a VM list. An agent that no entry answers starts with the defaults.
+func settleFor(readers int) clock.Millis {
+	const settle = 2 * clock.Second
+	if readers > 0 {
+		return settle + roster.DefaultAgentSpread
+	}
+	return settle
+}
--- a/internal/streams/cluster_test.go
+++ b/internal/streams/cluster_test.go
@@ -111,18 +111,18 @@
 	return &cluster{log: newMemoryLog(), nodes: map[string]*node{}, cut: map[string]bool{}}
 }
 
-func (c *cluster) VMs(context.Context) ([]spool.VM, error) {
+func (c *cluster) Latest() ([]spool.VM, clock.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	vms := []spool.VM{
-		{ID: "model-2", Role: spool.RoleEndpoint, State: spool.VMLive, Service: "appraiser-models"},
 		{ID: "model-1", Role: spool.RoleEndpoint, State: spool.VMLive, Service: "appraiser-models"},
+		{ID: "model-2", Role: spool.RoleEndpoint, State: spool.VMLive, Service: "appraiser-models"},
 		{ID: "model-3", Role: spool.RoleEndpoint, State: spool.VMLeaving, Service: "appraiser-models"},
 	}
 	for _, n := range c.nodes {
 		vms = append(vms, n.vm)
 	}
-	return vms, nil
+	return vms, clock.System().Now()
 }
 
 func (c *cluster) Call(ctx context.Context, address, method string, request, result any, _ func(json.RawMessage) error) error {
@@ -169,7 +169,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var err error
-	n.manager, err = streams.New(config, streams.WithLog(c.log), streams.WithVMList(c),
+	n.manager, err = streams.New(config, streams.WithLog(c.log), streams.WithLists(c),
 		streams.WithCaller(c), streams.WithApplier(n.user))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	n.handlers = n.manager.Handlers()
--- a/internal/streams/config.go
+++ b/internal/streams/config.go
@@ -5,9 +5,6 @@
 const (
 	// eventQueue bounds the messages that wait for the control goroutine.
 	eventQueue = 4096
-	// spareLogTasks lets the VM list be read beside one append and one read per
-	// stream.
-	spareLogTasks = 4
 	// peerTasks bounds the requests to other entries that are under way.
 	peerTasks = 256
 
@@ -25,7 +22,7 @@
 	defaultLogTimeout     = 2 * clock.Second
 	defaultPeerTimeout    = 500 * clock.Millis(1)
 	defaultTickEvery      = 10 * clock.Millis(1)
-	defaultListEvery      = 1 * clock.Second
+	defaultListEvery      = 500 * clock.Millis(1)
 	defaultHeartbeatEvery = 500 * clock.Millis(1)
 	defaultDeadAfter      = 1500 * clock.Millis(1)
 	defaultHandoverEvery  = 500 * clock.Millis(1)
--- a/internal/streams/control.go
+++ b/internal/streams/control.go
@@ -1,7 +1,6 @@
 package streams
 
 import (
-	"context"
 	"fmt"
 	"time"
 
@@ -20,8 +19,8 @@
 	// addresses holds the last known address of every node.
 	addresses map[spool.NodeID]string
 	view      *membership.View
-	listing   bool
-	listAt    clock.Millis
+	// listedAt is when the latest VM list was read.
+	listedAt  clock.Millis
 	publishAt clock.Millis
 	// round is the latest request for promises; confirmed is what such rounds
 	// have proved.
@@ -85,7 +84,7 @@
 
 // tick gives the time to every state machine and publishes the view.
 func (c *control) tick(now clock.Millis) {
-	c.readList(now)
+	c.takeList(now)
 	for _, s := range c.streams {
 		c.execute(s, s.journal.Tick(now))
 	}
@@ -99,18 +98,14 @@
 	}
 }
 
-func (c *control) readList(now clock.Millis) {
-	if c.listing || now < c.listAt {
+// takeList takes in a VM list that is newer than the one before.
+func (c *control) takeList(now clock.Millis) {
+	rows, readAt := c.m.lists.Latest()
+	if readAt == 0 || (c.listedAt != 0 && readAt-c.listedAt < c.m.config.ListEvery) {
 		return
 	}
-	c.listing, c.listAt = true, now+c.m.config.ListEvery
-	m := c.m
-	m.logPool.Go(func() {
-		ctx, cancel := context.WithTimeout(m.ctx, m.config.LogTimeout.Duration())
-		defer cancel()
-		vms, err := m.list.VMs(ctx)
-		m.send(listDone{vms, err})
-	})
+	c.listedAt = readAt
+	c.listed(now, rows)
 }
 
 func (c *control) event(name string) {
--- a/internal/streams/events.go
+++ b/internal/streams/events.go
@@ -118,14 +118,6 @@
 	c.execute(s, s.journal.SnapshotTaken(now, e.epoch, e.records))
 }
 
-// listDone is the answer to a read of the VM list.
-type listDone struct {
-	vms []spool.VM
-	err error
-}
-
-func (e listDone) handle(c *control, now clock.Millis) { c.listed(now, e.vms, e.err) }
-
 // leaving asks to hand every stream over.
 type leaving struct{ done chan struct{} }
 
--- a/internal/streams/members.go
+++ b/internal/streams/members.go
@@ -1,9 +1,7 @@
 package streams
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -42,13 +40,8 @@
 	c.members(c.view.Probed(now, e.command.Via, e.command.Target, e.err == nil, e.alive), now)
 }
 
-// listed takes the VM list.
-func (c *control) listed(now clock.Millis, vms []spool.VM, err error) {
-	c.listing = false
-	if err != nil {
-		c.event("streams.listFailed")
-		return
-	}
+// listed takes the VM list, whose rows are in order of their ID.
+func (c *control) listed(now clock.Millis, vms []spool.VM) {
 	var endpoints []spool.VM
 	present := map[spool.NodeID]bool{}
 	for _, vm := range vms {
@@ -60,7 +53,6 @@
 			c.addresses[vm.ID] = vm.Address
 		}
 	}
-	slices.SortFunc(endpoints, func(a, b spool.VM) int { return cmp.Compare(a.ID, b.ID) })
 	c.m.mu.Lock()
 	c.m.view.endpoints = endpoints
 	c.m.mu.Unlock()
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -47,9 +47,10 @@
 	// LogTimeout and PeerTimeout bound one request.
 	LogTimeout  clock.Millis
 	PeerTimeout clock.Millis
-	// TickEvery is how often the state machines are given the time, ListEvery how
-	// often the VM list is read.
+	// TickEvery is how often the state machines are given the time.
 	TickEvery clock.Millis
+	// ListEvery is the least time between the reads of two VM lists that are
+	// taken in, so that lists in a row are not two copies of the same read.
 	ListEvery clock.Millis
 	// HeartbeatEvery and DeadAfter pace the heartbeats and the verdict on a
 	// silent member; Fanout is the number of members that get heartbeats.
@@ -92,14 +93,21 @@
 	Call(ctx context.Context, address, method string, request, result any, onChunk func(json.RawMessage) error) error
 }
 
+// Lists is where the manager takes the VM list from.
+type Lists interface {
+	// Latest returns the rows in order of their ID, which are not changed, and the
+	// instant at which they were read; 0 before there is a list.
+	Latest() (rows []spool.VM, readAt clock.Millis)
+}
+
 // Option gives a part that the manager works with.
 type Option func(*Manager)
 
 // WithLog gives the platform's log. It is required.
 func WithLog(log spool.Log) Option { return func(m *Manager) { m.log = log } }
 
-// WithVMList gives the platform's VM list. It is required.
-func WithVMList(list spool.VMList) Option { return func(m *Manager) { m.list = list } }
+// WithLists gives the VM list. It is required.
+func WithLists(lists Lists) Option { return func(m *Manager) { m.lists = lists } }
 
 // WithCaller gives the connections to other entries. It is required.
 func WithCaller(caller Caller) Option { return func(m *Manager) { m.caller = caller } }
@@ -123,7 +131,7 @@
 type Manager struct {
 	config        Config
 	log           spool.Log
-	list          spool.VMList
+	lists         Lists
 	caller        Caller
 	applier       Applier
 	clock         clock.Clock
@@ -198,8 +206,7 @@
 	s.NoState += j.NoState
 }
 
-// New starts a manager. It begins to claim streams as soon as the VM list has
-// been read.
+// New starts a manager. It begins to claim streams as soon as there is a VM list.
 func New(config Config, options ...Option) (m *Manager, err error) {
 	defer func() { err = errors.Wrap(err, "start streams") }()
 	m = &Manager{
@@ -215,7 +222,8 @@
 		return nil, err
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
-	m.logPool = pond.NewPool(2*m.config.StreamCount + spareLogTasks)
+	// One append and one read of each stream.
+	m.logPool = pond.NewPool(2 * m.config.StreamCount)
 	m.peers = pond.NewPool(peerTasks)
 	m.control = newControl(m)
 	m.running.Add(1)
@@ -240,7 +248,7 @@
 
 func (m *Manager) validate() error {
 	switch {
-	case m.log == nil || m.list == nil || m.caller == nil:
+	case m.log == nil || m.lists == nil || m.caller == nil:
 		return errors.New("log, VM list and caller are required")
 	case m.config.Node == "":
 		return errors.New("node is empty")
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -19,6 +19,7 @@
 	MethodLease          = "limit.lease"
 	MethodPull           = "control.pull"
 	MethodControlStatus  = "control.status"
+	MethodRosterPull     = "roster.pull"
 	MethodRun            = "endpoint.run"
 	MethodRenew          = "endpoint.renew"
 	MethodFate           = "endpoint.fate"
