--- a/internal/capacity/ownership.go
+++ b/internal/capacity/ownership.go
@@ -33,6 +33,7 @@
 type entryFleet struct {
 	log     *standin.Log
 	streams int
+	rows    []spool.VM
 
 	mu      sync.Mutex
 	entries map[string]*fleetEntry
@@ -44,15 +45,10 @@
 	handlers wire.Mux
 }
 
-// VMs returns the rows of the entries that were started, dead ones included:
-// the platform's list lags.
-func (f *entryFleet) VMs(context.Context) (vms []spool.VM, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, entry := range f.entries {
-		vms = append(vms, entry.vm)
-	}
-	return vms, nil
+// Latest returns the rows of all entries, dead ones included: the platform's
+// list lags.
+func (f *entryFleet) Latest() (rows []spool.VM, readAt clock.Millis) {
+	return f.rows, clock.System().Now()
 }
 
 // Call passes a request to the entry at address.
@@ -81,11 +77,13 @@
 func newEntryFleet(size int) *entryFleet {
 	f := &entryFleet{log: standin.NewLog(1), streams: size, entries: map[string]*fleetEntry{}}
 	for i := range size {
-		name := fmt.Sprintf("entry-%d", i)
-		f.entries[name] = &fleetEntry{vm: spool.VM{
+		name := fmt.Sprintf("entry-%03d", i)
+		vm := spool.VM{
 			ID: spool.NodeID(name), Role: spool.RoleEntry, State: spool.VMLive, Address: name,
 			FailureDomain: spool.FailureDomain(fmt.Sprintf("domain-%d", i%ownershipDomains)), Region: "region",
-		}}
+		}
+		f.rows = append(f.rows, vm)
+		f.entries[name] = &fleetEntry{vm: vm}
 	}
 	return f
 }
@@ -95,7 +93,7 @@
 	for name, entry := range f.entries {
 		manager, err := streams.New(streams.Config{
 			Node: entry.vm.ID, Address: name, FailureDomain: entry.vm.FailureDomain, Region: entry.vm.Region, StreamCount: f.streams,
-		}, streams.WithLog(f.log), streams.WithVMList(f), streams.WithCaller(f))
+		}, streams.WithLog(f.log), streams.WithLists(f), streams.WithCaller(f))
 		if err != nil {
 			return err
 		}
