Explain each dispatch with what was known of the endpoints

Cause: 'explain' printed JSON whose decisions said 'dispatched' and nothing of the reason, and a call that found no endpoint left no decision at all. Change: a decision holds the chosen endpoint's cached tokens, load and age of its report, and the candidate with more of the prompt and the one with less load if there are any; refusals are decisions too. The methods' names and types come from package entry instead of copies in the command line.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -15,9 +15,11 @@
 
 	"github.com/baobabspool/baobabspool/internal/cli"
 	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/entry"
 	"github.com/baobabspool/baobabspool/internal/standin"
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 	"github.com/baobabspool/baobabspool/pkg/usage"
@@ -189,12 +191,33 @@
 		gomega.Expect(code).To(gomega.Equal(cli.ExitNotFound))
 	})
 
+	ginkgo.It("explains in sentences why a call went where it did", func() {
+		server, err := wire.Listen("127.0.0.1:0", wire.Mux{
+			entry.MethodExplain: wire.Handle(func(_ context.Context, request entry.ExplainRequest, _ wire.Send) (any, error) {
+				return entry.ExplainReply{
+					Program: program.View{ID: request.Program, Account: "fog", Turns: 2, Endpoint: "m1"},
+					Decisions: []entry.Decision{{Call: "turn-3", Attempt: 1, Endpoint: "m1", Reason: "dispatched", Choice: &entry.Choice{
+						Candidates:  3,
+						Chosen:      entry.Seen{Endpoint: "m1", CachedTokens: 900, Calls: 4, Window: 8, ReportAge: 120},
+						LeastLoaded: &entry.Seen{Endpoint: "m2", Calls: 1, Window: 8, ReportAge: -1},
+					}}, {Call: "turn-3", Attempt: 1, Endpoint: "m1", Reason: "silent", Message: "connection to the endpoint failed"}},
+				}, nil
+			}),
+		}, nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(server.Close)
+		gomega.Expect(good("explain", "p1", "--entries", server.Address())).To(gomega.And(
+			gomega.ContainSubstring("sent to m1 (900 tokens cached, 4 calls for 8 slots, report 120ms old), one of 3; less load at m2 (0 tokens cached, 1 calls for 8 slots, no report)"),
+			gomega.ContainSubstring("silent at m1: connection to the endpoint failed"),
+		))
+	})
+
 	// Guards against a report that passes over an entry without an answer.
 	ginkgo.It("reports what accounts were given in a window, and which entries are missing", func() {
 		recorder := usage.NewRecorder("e1", 0)
 		asked := clock.Millis(0)
 		server, err := wire.Listen("127.0.0.1:0", wire.Mux{
-			"entry.usage": wire.Handle(func(context.Context, struct{}, wire.Send) (any, error) {
+			entry.MethodUsage: wire.Handle(func(context.Context, struct{}, wire.Send) (any, error) {
 				asked += clock.Second
 				defer func() { recorder.Answered("fog"); recorder.Refused("fog", spool.CodeRateLimited) }()
 				sample := recorder.Sample(asked)
--- a/internal/cli/nodes.go
+++ b/internal/cli/nodes.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"sort"
-	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc/pool"
@@ -14,6 +13,7 @@
 
 	"github.com/baobabspool/baobabspool/internal/config"
 	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/entry"
 	"github.com/baobabspool/baobabspool/internal/process"
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -153,7 +153,7 @@
 		if err == nil && row.Control.Process == nil {
 			// An entry describes its streams and callers itself; a node without
 			// that method has nothing to add.
-			_ = q.call(vm.Address, methodEntryStatus, struct{}{}, &row.Control.Process)
+			_ = q.call(vm.Address, entry.MethodStatus, struct{}{}, &row.Control.Process)
 		}
 	} else {
 		row.Endpoint = &wire.EndpointStatus{}
@@ -196,71 +196,3 @@
 	sort.Strings(streams)
 	return fmt.Sprintf("calls %d\towns %v", entry.Calls, streams)
 }
-
-// Methods of package entry for operators.
-const (
-	methodExplain     = "entry.explain"
-	methodEntryStatus = "entry.status"
-)
-
-// explainRequest names the program.
-type explainRequest struct {
-	Program spool.ProgramID `json:"program"`
-}
-
-// NewExplain returns the command that shows what the owner of a program knows
-// of it.
-func NewExplain(options ...Option) *cobra.Command {
-	o := newOperator(options)
-	command := &cobra.Command{
-		Use:     "explain PROGRAM",
-		Short:   "Show the state of a program and why its calls went where they did",
-		Example: "  baobabspool explain 01j9... --vms-address 10.0.0.6:9000",
-		Args:    cobra.ExactArgs(1),
-	}
-	return o.ask(command, func(q *inquiry, args []string) error {
-		reply, err := q.explain(spool.ProgramID(args[0]))
-		if err != nil {
-			return err
-		}
-		q.json = true
-		return q.printTo(q.out, reply, nil)
-	})
-}
-
-// explain asks all entries and returns the owner's answer.
-func (q *inquiry) explain(program spool.ProgramID) (answer json.RawMessage, err error) {
-	var mu sync.Mutex
-	reached := 0
-	var last error
-	workers := pool.New().WithMaxGoroutines(maxAsked)
-	for _, vm := range q.vms {
-		if vm.Role != spool.RoleEntry {
-			continue
-		}
-		workers.Go(func() {
-			var reply json.RawMessage
-			err := q.call(vm.Address, methodExplain, explainRequest{Program: program}, &reply)
-			refusal := &spool.Refusal{}
-			mu.Lock()
-			defer mu.Unlock()
-			if err == nil || errors.As(err, &refusal) {
-				reached++
-			}
-			if err != nil {
-				last = err
-				return
-			}
-			answer = reply
-		})
-	}
-	workers.Wait()
-	switch {
-	case answer != nil:
-		return answer, nil
-	case reached > 0:
-		return nil, errors.Wrapf(errNotFound, "program %q: %v", program, last)
-	default:
-		return nil, errors.Wrapf(errUnreachable, "no entry answered: %v", last)
-	}
-}
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -13,13 +13,11 @@
 	"github.com/sourcegraph/conc/pool"
 	"github.com/spf13/cobra"
 
+	"github.com/baobabspool/baobabspool/internal/entry"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 	"github.com/baobabspool/baobabspool/pkg/usage"
 )
 
-// methodUsage is that of package entry.
-const methodUsage = "entry.usage"
-
 // maxWatch bounds the time between two samples.
 const maxWatch = time.Hour
 
@@ -74,7 +72,7 @@
 		asked++
 		workers.Go(func() {
 			sample := usage.Sample{}
-			if q.call(vm.Address, methodUsage, struct{}{}, &sample) != nil {
+			if q.call(vm.Address, entry.MethodUsage, struct{}{}, &sample) != nil {
 				return
 			}
 			mu.Lock()
--- a/internal/entry/calls_test.go
+++ b/internal/entry/calls_test.go
@@ -278,6 +278,14 @@
 		gomega.Expect(clients.Call(context.Background(), owner.entry.WireAddress(), entry.MethodExplain, request, &reply, nil)).To(gomega.Succeed())
 		gomega.Expect(reply.Decisions).To(gomega.HaveLen(1))
 		gomega.Expect(reply.Decisions[0].Endpoint).To(gomega.Equal(spool.EndpointID("model-1")))
+		gomega.Expect(reply.Decisions[0].Choice.Candidates).To(gomega.Equal(1))
+		gomega.Expect(reply.Decisions[0].Choice.Chosen.Endpoint).To(gomega.Equal(spool.EndpointID("model-1")))
+		b.operators.mu.Lock()
+		b.draining["walvis-b"] = true
+		b.operators.mu.Unlock()
+		fog.send("POST", path(id, "/calls"), turn("2", "now?"))
+		gomega.Expect(clients.Call(context.Background(), owner.entry.WireAddress(), entry.MethodExplain, request, &reply, nil)).To(gomega.Succeed())
+		gomega.Expect(reply.Decisions[1].Reason).To(gomega.Equal(string(spool.CodeNoEndpoint)), "a refusal is explained too")
 		var status entry.StatusReply
 		gomega.Expect(clients.Call(context.Background(), owner.entry.WireAddress(), entry.MethodStatus, struct{}{}, &status, nil)).To(gomega.Succeed())
 		gomega.Expect(status.Streams).To(gomega.HaveLen(testStreams))
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -36,13 +36,11 @@
 	retries.Started(e.clock.Now())
 	view := e.callView(flight)
 	for number := 1; ; number++ {
-		target, refusal := e.pick(flight, view)
+		target, choice, refusal := e.pick(flight, view)
+		e.noteChoice(shard, flight, number, choice, refusal)
 		if refusal != nil {
 			return reply, sent, refusal.WithNotRun(provenBy(sent))
 		}
-		e.note(shard, flight.ticket.Program, Decision{
-			At: e.clock.Now(), Call: flight.ticket.Call, Attempt: number, Endpoint: spool.EndpointID(target.ID), Reason: "dispatched",
-		})
 		reply, err = e.attempt(ctx, shard, flight, request, target)
 		if err == nil {
 			return reply, true, nil
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -21,6 +21,9 @@
 // ringSize is the number of decisions kept per program.
 const ringSize = 16
 
+// reasonDispatched is the reason of a decision that is no failure.
+const reasonDispatched = "dispatched"
+
 // Decision is one step in the life of a call, for operators.
 type Decision struct {
 	// At is when the decision was taken.
@@ -30,10 +33,12 @@
 	Attempt int          `json:"attempt"`
 	// Endpoint is the endpoint that was chosen.
 	Endpoint spool.EndpointID `json:"endpoint,omitempty"`
-	// Reason is "dispatched" or the failure.
+	// Reason is "dispatched", the failure, or the code of a refusal.
 	Reason string `json:"reason"`
 	// Message explains a failure.
 	Message string `json:"message,omitempty"`
+	// Choice is set when the call was dispatched.
+	Choice *Choice `json:"choice,omitempty"`
 }
 
 // ring holds the latest decisions.
@@ -66,6 +71,17 @@
 	})
 }
 
+// noteChoice keeps the choice of an endpoint, or why there was none.
+func (e *Entry) noteChoice(shard *shard, flight *flight, attempt int, choice *Choice, refusal *spool.Refusal) {
+	decision := Decision{At: e.clock.Now(), Call: flight.ticket.Call, Attempt: attempt, Reason: reasonDispatched, Choice: choice}
+	if refusal != nil {
+		decision.Reason, decision.Message = string(refusal.Code), refusal.Message
+	} else {
+		decision.Endpoint = choice.Chosen.Endpoint
+	}
+	e.note(shard, flight.ticket.Program, decision)
+}
+
 // ExplainRequest asks about one program.
 type ExplainRequest struct {
 	Program spool.ProgramID `json:"program"`
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -181,25 +181,26 @@
 }
 
 // pick chooses the endpoint of a call.
-func (e *Entry) pick(flight *flight, view spool.CallView) (target spool.VM, refusal *spool.Refusal) {
+func (e *Entry) pick(flight *flight, view spool.CallView) (target spool.VM, choice *Choice, refusal *spool.Refusal) {
 	vms := e.candidatesOf(flight.work.service).with(flight.ticket.Endpoint)
 	views := e.fleet.views(vms, e.control.Draining, flight.work.settings.RampFor, view.Program)
 	if len(views) == 0 {
-		return target, spool.Refuse(spool.CodeNoEndpoint, "service %q has no endpoint that takes work", flight.work.service).
+		return target, nil, spool.Refuse(spool.CodeNoEndpoint, "service %q has no endpoint that takes work", flight.work.service).
 			WithRetryAfter(noEndpointRetryAfter)
 	}
 	router, err := e.policies.router(flight.work.settings)
 	if err != nil {
-		return target, spool.Refuse(spool.CodeInternal, "%v", err)
+		return target, nil, spool.Refuse(spool.CodeInternal, "%v", err)
 	}
 	view.Correlation = flight.correlation()
-	id, ok := router.Pick(e.clock.Now(), view, views)
+	now := e.clock.Now()
+	id, ok := router.Pick(now, view, views)
 	for _, vm := range vms {
 		if ok && spool.EndpointID(vm.ID) == id {
-			return vm, nil
+			return vm, choiceOf(now, id, views), nil
 		}
 	}
-	return target, spool.Refuse(spool.CodeOverloaded, "no endpoint of service %q has capacity", flight.work.service).
+	return target, nil, spool.Refuse(spool.CodeOverloaded, "no endpoint of service %q has capacity", flight.work.service).
 		WithRetryAfter(drainTime(views))
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -57,8 +57,9 @@
 	retries.Started(e.clock.Now())
 	view := e.callView(flight)
 	for number := 1; ; number++ {
-		target, refusal := e.pick(flight, view)
+		target, choice, refusal := e.pick(flight, view)
 		if refusal != nil {
+			e.noteChoice(shard, flight, number, choice, refusal)
 			return answer, refusal
 		}
 		if request.Mark, err = e.learnMark(ctx, target); err != nil {
@@ -72,9 +73,7 @@
 		if err := e.intend(ctx, shard, flight, target, request.Mark); err != nil {
 			return answer, err
 		}
-		e.note(shard, flight.ticket.Program, Decision{
-			At: e.clock.Now(), Call: flight.ticket.Call, Attempt: number, Endpoint: spool.EndpointID(target.ID), Reason: "dispatched",
-		})
+		e.noteChoice(shard, flight, number, choice, nil)
 		reply, err := e.attempt(ctx, shard, flight, request, target)
 		result := program.OutcomeResult{}
 		failure, refused := spool.Failure(""), (*spool.Refusal)(nil)
