Refill a pool from the end of the previous owner's authority

Cause: a new owner waited for the authority period plus the lease period. The lease wait is not needed: the part of the burst that every pool leaves out covers the leases of the previous owner as well.

Change: Owner.Take waits for the authority period only and then refills from an empty pool; the package comment has the proof. Owner.Release returns the level, and TakeReleased takes it, so that a planned handover need not start empty; the streams do not carry it yet. Release says ok only with authority, since the previous predecessor may still grant otherwise: before, a release within that time would have let the third owner grant at once.

--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -19,9 +19,13 @@
 // r*L is at most a quarter of b; where the shortest lease is still too long, r
 // is lowered instead.
 //
-// Arithmetic of a change of owner. The old owner grants until its authority
-// ends, the new one starts later and with an empty pool. The sum is at most
-// (b - r*L) + r*(t+L), as if there had been one pool.
+// Arithmetic of a change of owner. The old owner grants until its authority ends
+// at A or earlier, the new one from A on with a pool that is empty at A. Take an
+// interval of grants [s, e] with s < A < e. The old owner grants at most
+// (b - r*L) + r*(A-s) in it and the new one r*(e-A), together (b - r*L) + r*(e-s)
+// as one pool would. The leases of the old owner need no wait: their use after A
+// is part of the r*L that every pool leaves out. After a release the same holds
+// with the level that the old owner had left.
 //
 // Arithmetic of returned tokens. A pool that lent x tokens and got them back
 // holds at most what it would hold had it never lent them. A return is counted
--- a/pkg/limit/owner.go
+++ b/pkg/limit/owner.go
@@ -92,26 +92,33 @@
 }
 
 // Take starts the ownership of epoch after the claim has become visible. It
-// grants when the previous owner's authority and leases have surely ended.
+// grants when the previous owner's authority has surely ended, from an empty
+// pool. Leases of the previous owner may be in use for longer: Pool.Cap leaves
+// room for them, as it does for the leases of an owner that stays.
 func (o *Owner) Take(now clock.Millis, epoch spool.Epoch) {
-	o.TakeReleased(now, epoch)
-	o.servesAt = o.time.least + o.timing.Authority + o.timing.Lease
+	o.TakeReleased(now, epoch, 0)
+	o.servesAt = o.time.least + o.timing.Authority
 }
 
-// TakeReleased is Take after the previous owner has said, by its release record,
-// that it grants no more.
-func (o *Owner) TakeReleased(now clock.Millis, epoch spool.Epoch) {
+// TakeReleased is Take after the previous owner has stopped granting and has
+// said so in its release record, with the level that Release returned. Only the
+// first owner after the release may use it.
+func (o *Owner) TakeReleased(now clock.Millis, epoch spool.Epoch, level float64) {
 	o.advance(now)
 	o.epoch, o.owned = epoch, true
 	o.servesAt, o.authorityEnds = o.time.least, o.time.most
-	o.pool.level = 0
+	o.pool.level = max(0, min(level, o.pool.limit))
 	clear(o.last)
 }
 
-// Release ends the ownership. The caller publishes the release afterwards.
-func (o *Owner) Release(now clock.Millis) {
-	o.advance(now)
+// Release ends the ownership and returns the pool's level, which the caller
+// publishes afterwards. ok is false when the owner might not grant at this
+// instant: its predecessor may still have authority, so the next owner has to use
+// Take.
+func (o *Owner) Release(now clock.Millis) (level float64, ok bool) {
+	ok = o.Serves(now)
 	o.owned = false
+	return o.pool.level, ok
 }
 
 // Authority allows grants until the given instant of the owner's clock. The
