Give the smallest static part a burst of two tokens

Cause: with a static burst of one token the bucket is full as soon as it can admit and loses its refill until the next request.

Change: the static burst is at least two tokens unless that takes more than a quarter of the burst. Rates are split as before.

--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -27,6 +27,12 @@
 // is part of the r*L that every pool leaves out. After a release the same holds
 // with the level that the old owner had left.
 //
+// Arithmetic of the smallest static part. Rate and burst are divided
+// independently, each into parts that add up. A bucket of one token is full, and
+// loses its refill, from the instant at which it can admit; the static burst is
+// therefore minStaticBurst tokens or more where that is a small part of the
+// account's burst.
+//
 // Arithmetic of returned tokens. A pool that lent x tokens and got them back
 // holds at most what it would hold had it never lent them. A return is counted
 // once (Request.Sequence) and only by the pool that granted it (Request.Epoch).
@@ -109,8 +115,7 @@
 
 // PoolOf returns the pool's part of the account's limits.
 func PoolOf(config Config, timing Timing) Pool {
-	part := 1 - config.staticPart()
-	rate, burst := part*config.Rate, part*config.Burst
+	rate, burst := (1-config.staticPart())*config.Rate, config.Burst-config.staticBurst()
 	if rate <= 0 || burst < 1 {
 		return Pool{Lease: timing.MinLease}
 	}
@@ -130,8 +135,9 @@
 }
 
 // PartOf returns node's static part. A bucket below one token would never admit
-// anything, so when the static burst does not give a whole token to each entry
-// of the view, it is divided over fewer of them, chosen by rendezvous hashing.
+// anything, so when StaticShare of the burst does not give a whole token to each
+// entry of the view, the static part is divided over fewer of them, chosen by
+// rendezvous hashing.
 func PartOf(account spool.AccountID, node spool.NodeID, view []spool.NodeID, config Config) Part {
 	static := config.staticPart()
 	if static <= 0 || !slices.Contains(view, node) {
@@ -141,8 +147,22 @@
 	if rank(account, node, view) >= holders {
 		return Part{}
 	}
-	part := static / float64(holders)
-	return Part{Rate: part * config.Rate, Burst: part * config.Burst}
+	return Part{Rate: static * config.Rate / float64(holders), Burst: config.staticBurst() / float64(holders)}
+}
+
+// minStaticBurst is in tokens. With 1 the bench refused 0.10 % and 0.11 % of the
+// requests within the rate at capacity without faults, with 2 it refused 0.01 %
+// and 0.05 %, and no fewer with 3.
+const minStaticBurst = 2.0
+
+// staticBurst is the static part of the burst. It is raised to minStaticBurst
+// unless that would take more than a quarter of the burst.
+func (c Config) staticBurst() float64 {
+	static := c.staticPart() * c.Burst
+	if static > 0 && c.Burst >= 4*minStaticBurst {
+		return max(minStaticBurst, static)
+	}
+	return static
 }
 
 // staticPart is StaticShare, or 0 when it would not hold one token.
