Keep parameters and chunks away from the codec of jsonrpc2

Cause: jsonrpc2 decodes the parameters of each message into maps, encodes them again, and encodes each message it writes three times. Every chunk of an answer paid for that at the agent, the owner and the entry.

Change: the stream of a connection takes parameters and results out of a message before jsonrpc2 decodes it, and writes messages itself. Chunks pass by jsonrpc2.

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -260,8 +260,8 @@
 		clients: clients, closed: make(chan struct{}), chunks: map[string]func(json.RawMessage){}, usedAt: time.Now(),
 	}
 	l.heard.Store(time.Now().UnixNano())
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-	l.rpc = jsonrpc2.NewConn(context.Background(), stream, l, quiet)
+	stream := newFrameStream(conn, l.receive)
+	l.rpc = jsonrpc2.NewConn(context.Background(), stream, l, stream.options()...)
 	go func() {
 		ticker := time.NewTicker(clients.pingEvery.Duration())
 		defer ticker.Stop()
@@ -300,7 +300,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), l.clients.silentAfter.Duration())
 		defer cancel()
 		var reply json.RawMessage
-		if l.rpc.Call(ctx, methodPing, envelope{}, &reply) == nil {
+		if l.rpc.Call(ctx, methodPing, envelope{}.raw(), &reply) == nil {
 			l.heard.Store(time.Now().UnixNano())
 		}
 	}()
@@ -314,22 +314,29 @@
 	})
 }
 
-// Handle receives the chunks. It runs on the connection's reader, so chunks and
-// the reply after them stay in order.
+// Handle takes chunks whose encoding the stream does not know. It runs on the
+// connection's reader, as receive does, so chunks and the reply after them stay
+// in order.
 func (l *link) Handle(_ context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) {
-	l.heard.Store(time.Now().UnixNano())
-	var frame envelope
-	if request.Method != methodChunk || request.Params == nil || json.Unmarshal(*request.Params, &frame) != nil {
+	if request.Method != methodChunk || request.Params == nil {
 		return
 	}
+	if chunk, ok := envelopeOf(*request.Params); ok {
+		l.receive(chunk)
+	}
+}
+
+// receive passes a chunk to its call.
+func (l *link) receive(chunk envelope) {
+	l.heard.Store(time.Now().UnixNano())
 	l.mu.Lock()
-	receive := l.chunks[frame.Correlation]
+	receive := l.chunks[chunk.Correlation]
 	l.mu.Unlock()
 	if receive == nil {
 		l.clients.crossed.Add(1)
 		return
 	}
-	receive(frame.Body)
+	receive(chunk.Body)
 }
 
 func (l *link) call(ctx context.Context, method string, frame envelope, result any, onChunk func(json.RawMessage) error) error {
@@ -350,22 +357,23 @@
 		delete(l.chunks, frame.Correlation)
 		l.mu.Unlock()
 	}()
-	pending, err := l.rpc.DispatchCall(ctx, method, frame)
+	pending, err := l.rpc.DispatchCall(ctx, method, frame.raw())
 	if err != nil {
 		// The frame may have been written in part, so nothing is proved.
 		return l.failure(err)
 	}
-	var reply envelope
+	var raw json.RawMessage
 	// A closed connection ends every pending call.
-	err = pending.Wait(ctx, &reply)
+	err = pending.Wait(ctx, &raw)
 	if err != nil && ctx.Err() != nil {
-		_ = l.rpc.Notify(context.Background(), methodCancel, envelope{Correlation: frame.Correlation})
+		_ = l.rpc.Notify(context.Background(), methodCancel, envelope{Correlation: frame.Correlation}.raw())
 		return context.Cause(ctx)
 	}
 	if err != nil {
 		return l.failure(err)
 	}
-	if reply.Correlation != frame.Correlation {
+	reply, ok := envelopeOf(raw)
+	if !ok || reply.Correlation != frame.Correlation {
 		l.clients.crossed.Add(1)
 		return ErrCrossed
 	}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -190,10 +190,9 @@
 }
 
 func (s *Server) serve(conn net.Conn, mux Mux) {
-	session := &session{server: s, mux: mux, running: map[string]context.CancelFunc{}}
+	session := &session{server: s, mux: mux, stream: newFrameStream(conn, nil), running: map[string]context.CancelFunc{}}
 	session.heard.Store(time.Now().UnixNano())
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-	rpc := jsonrpc2.NewConn(s.ctx, stream, session, quiet)
+	rpc := jsonrpc2.NewConn(s.ctx, session.stream, session, session.stream.options()...)
 	s.mu.Lock()
 	s.conns[rpc] = struct{}{}
 	s.mu.Unlock()
@@ -206,16 +205,11 @@
 	}()
 }
 
-// envelope frames the parameters of every request.
-type envelope struct {
-	Correlation string          `json:"correlation"`
-	Body        json.RawMessage `json:"body,omitempty"`
-}
-
 // session is the server's side of one connection.
 type session struct {
 	server *Server
 	mux    Mux
+	stream *frameStream
 	// heard is the time of the last message, in nanoseconds.
 	heard atomic.Int64
 
@@ -249,8 +243,9 @@
 	s.heard.Store(time.Now().UnixNano())
 	var frame envelope
 	if request.Params != nil {
-		if err := json.Unmarshal(*request.Params, &frame); err != nil {
-			s.replyError(ctx, conn, request, spool.Refuse(spool.CodeBadRequest, "envelope does not decode: %v", err))
+		var ok bool
+		if frame, ok = envelopeOf(*request.Params); !ok {
+			s.replyError(ctx, conn, request, spool.Refuse(spool.CodeBadRequest, "envelope does not decode"))
 			return
 		}
 	}
@@ -285,7 +280,7 @@
 		if err != nil {
 			return errors.Wrap(err, "encode chunk")
 		}
-		return conn.Notify(ctx, methodChunk, envelope{Correlation: frame.Correlation, Body: body})
+		return s.stream.sendChunk(envelope{Correlation: frame.Correlation, Body: body})
 	}
 	result, err := handler(ctx, frame.Body, send)
 	if err != nil {
@@ -297,7 +292,7 @@
 		s.replyError(ctx, conn, request, err)
 		return
 	}
-	_ = conn.Reply(ctx, request.ID, envelope{Correlation: frame.Correlation, Body: body})
+	_ = conn.Reply(ctx, request.ID, envelope{Correlation: frame.Correlation, Body: body}.raw())
 }
 
 func (s *session) replyError(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, err error) {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -32,7 +32,9 @@
 	)
 
 	ginkgo.BeforeEach(func() {
-		cancelled = make(chan struct{}, 1)
+		// A handler may end after its test, when cancelled is another channel.
+		ended := make(chan struct{}, 1)
+		cancelled = ended
 		mux := wire.Mux{
 			"test.stream": wire.Handle(func(_ context.Context, request text, send wire.Send) (any, error) {
 				for _, letter := range request.Value {
@@ -47,7 +49,7 @@
 			}),
 			"test.hang": wire.Handle(func(ctx context.Context, _ text, _ wire.Send) (any, error) {
 				<-ctx.Done()
-				cancelled <- struct{}{}
+				ended <- struct{}{}
 				return nil, ctx.Err()
 			}),
 		}
