Keep regions that cannot reach each other from taking each other's streams

Cause: tests with two regions of real processes and relays between them found three faults. (1) A region without the log whose failure domains reached each other went on serving a withdrawn key (still 'notFound' after 6 s). (2) With a log that both regions reached, each region took the other's streams in turn: no turn was answered for 5 s (30 of 42 wanted turns). (3) The owner of programs-0 removed the other region's entries from entry.member, so its accounts lost the static part of their rate there (48 of 58 refusals were rateLimited), and entries held calls of the other side's programs for up to 15 s in search of the owner.

Change: an entry proves contact only with a peer as far away as any other entry, so one that reaches neither the log nor another region is isolated. An owner in another region is replaced only when an entry of its region was heard after the owner went silent, or the VM list drops it; until then its region keeps its members, and calls of its programs are refused at once with noOwner. Ports of the tests are taken below the kernel's range for outgoing connections (a relay had taken the port of an engine). Cases run in three processes.

Removed by hand: the contact rule (deployment test, fails as above), the replacement rule (deployment and pkg/membership tests fail), the members of a cut-off region (deployment test: 44 of 52 turns).

--- a/internal/control/choice.go
+++ b/internal/control/choice.go
@@ -85,9 +85,8 @@
 
 // Choose picks the entry to ask: of the own failure domain first, and within it
 // always the same one while it answers. A node whose state is old alternates
-// between its own and other failure domains with each attempt, since only an
-// entry elsewhere proves that the node is not cut off together with its failure
-// domain.
+// between near and far entries with each attempt, since only a far one proves
+// that the node is not cut off together with its failure domain or region.
 func (n *Node) Choose(now clock.Millis, vms []spool.VM, attempt int) (spool.VM, bool) {
 	abroad := attempt%2 == 1 && n.fresh.freshFor(now) > n.abroadAfter()
 	entries := n.entries(vms)
@@ -102,9 +101,8 @@
 		if (a.State == spool.VMLive) != (b.State == spool.VMLive) {
 			return a.State == spool.VMLive
 		}
-		homeA, homeB := a.FailureDomain == n.config.FailureDomain, b.FailureDomain == n.config.FailureDomain
-		if homeA != homeB {
-			return homeA != abroad
+		if farA, farB := n.distance(a), n.distance(b); farA != farB {
+			return (farA < farB) != abroad
 		}
 		return n.preference(a) > n.preference(b)
 	})
@@ -152,14 +150,30 @@
 	}
 }
 
+// Distances between nodes.
+const (
+	sameDomain = iota
+	sameRegion
+	otherRegion
+)
+
+func (n *Node) distance(peer spool.VM) int {
+	switch {
+	case peer.Region != n.config.Region:
+		return otherRegion
+	case peer.FailureDomain != n.config.FailureDomain:
+		return sameRegion
+	default:
+		return sameDomain
+	}
+}
+
 // ProvesContact reports whether an answer of peer shows that the node is not cut
-// off together with its failure domain: the peer is elsewhere, or nobody is.
+// off together with its region or failure domain: no other entry is further
+// away. Entries of a region that reach only each other may miss a withdrawn key.
 func (n *Node) ProvesContact(peer spool.VM, vms []spool.VM) bool {
-	if peer.FailureDomain != n.config.FailureDomain {
-		return true
-	}
 	for _, other := range n.entries(vms) {
-		if other.FailureDomain != n.config.FailureDomain {
+		if n.distance(other) > n.distance(peer) {
 			return false
 		}
 	}
--- a/internal/control/fresh.go
+++ b/internal/control/fresh.go
@@ -31,7 +31,7 @@
 // heardPeer takes in a peer's answer after which the state equalled the peer's.
 // answered is a lower bound of when the peer answered. proves tells that the
 // peer could not have been reached by a node that is cut off together with its
-// failure domain.
+// failure domain or region.
 func (f *freshness) heardPeer(answered, freshFor clock.Millis, proves bool) {
 	if freshFor < 0 {
 		return
--- a/internal/control/isolation_test.go
+++ b/internal/control/isolation_test.go
@@ -5,6 +5,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/keyring"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -31,4 +32,28 @@
 		node.CloseWatched(10 * clock.Second)
 		gomega.Expect(watched).To(gomega.BeClosed())
 	})
+
+	// Guards against a region that keeps serving withdrawn keys because its own
+	// failure domains reach each other, and against one that stops serving in an
+	// outage of the log that it shares with the others.
+	ginkgo.DescribeTable("counts entries of other regions as contact when there are any",
+		func(from string, isolated bool) {
+			node := control.NewNode(control.Config{Node: "e1", Role: spool.RoleEntry, FailureDomain: "a", Region: "north"}, 0)
+			vms := map[string]spool.VM{
+				"domain": {ID: "e2", Role: spool.RoleEntry, FailureDomain: "a", Region: "north", Address: "2"},
+				"region": {ID: "e3", Role: spool.RoleEntry, FailureDomain: "b", Region: "north", Address: "3"},
+				"abroad": {ID: "e4", Role: spool.RoleEntry, FailureDomain: "c", Region: "south", Address: "4"},
+			}
+			list := []spool.VM{vms["domain"], vms["region"], vms["abroad"]}
+			for now := clock.Millis(0); now <= 10*clock.Second; now += 500 {
+				reply := wire.PullReply{FreshFor: now}
+				_, err := node.TakeReply(now, now, reply, node.ProvesContact(vms[from], list))
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			gomega.Expect(node.Isolated(10 * clock.Second)).To(gomega.Equal(isolated))
+		},
+		ginkgo.Entry("its failure domain", "domain", true),
+		ginkgo.Entry("its region", "region", true),
+		ginkgo.Entry("another region", "abroad", false),
+	)
 })
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -4,6 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -21,9 +25,45 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
+// shards are the label filters of the processes that share the cases; a case
+// waits for most of its time. The first takes every case without a label.
+var shards = []string{"!second && !third", "second", "third"}
+
+// shardVariable and binariesVariable tell a process of TestDeployment which
+// shard it runs and where the binaries are.
+const (
+	shardVariable    = "BAOBABSPOOL_TEST_SHARD"
+	binariesVariable = "BAOBABSPOOL_TEST_BINARIES"
+)
+
 func TestDeployment(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "deployment")
+	suite, reporter := ginkgo.GinkgoConfiguration()
+	if shard := os.Getenv(shardVariable); shard != "" {
+		suite.LabelFilter = shard
+	}
+	if suite.LabelFilter != "" || len(suite.FocusStrings) > 0 {
+		ginkgo.RunSpecs(t, "deployment", suite, reporter)
+		return
+	}
+	gomega.RegisterTestingT(t)
+	folder := binaries()
+	for _, shard := range shards {
+		t.Run(shard, func(t *testing.T) {
+			t.Parallel()
+			// The go command reads the log of the files that the parent has opened.
+			args := slices.DeleteFunc(slices.Clone(os.Args[1:]), func(arg string) bool {
+				return strings.HasPrefix(arg, "-test.testlogfile")
+			})
+			command := exec.Command(os.Args[0], args...)
+			command.Env = append(os.Environ(), shardVariable+"="+shard, binariesVariable+"="+folder)
+			output, err := command.CombinedOutput()
+			t.Log(string(output))
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
 }
 
 const (
@@ -83,6 +123,11 @@
 // faults once every program has had two turns on average, and returns when all
 // have ended.
 func runPrograms(ctx context.Context, s *system, key string, count int, faults func(*caller.Ledger)) *caller.Ledger {
+	return runTurns(ctx, s, key, count, 10, faults)
+}
+
+// runTurns is runPrograms with another number of turns.
+func runTurns(ctx context.Context, s *system, key string, count, turns int, faults func(*caller.Ledger)) *caller.Ledger {
 	book := caller.NewLedger()
 	var running sync.WaitGroup
 	for i := range count {
@@ -90,7 +135,7 @@
 			Account: account, Name: fmt.Sprintf("p%d", i), Seed: uint64(i), Model: model, Service: ledger,
 		})
 		running.Go(func() {
-			err := one.Run(ctx, caller.Plan{Turns: 10, Pause: 400 * time.Millisecond, SubAgent: i%4 == 0, Payout: true})
+			err := one.Run(ctx, caller.Plan{Turns: turns, Pause: 400 * time.Millisecond, SubAgent: i%4 == 0, Payout: true})
 			if err != nil {
 				book.Problem(err.Error())
 			}
--- a/internal/deployment/processes_test.go
+++ b/internal/deployment/processes_test.go
@@ -23,6 +23,9 @@
 
 // binaries are built once for all tests of the package.
 var binaries = sync.OnceValue(func() string {
+	if folder := os.Getenv(binariesVariable); folder != "" {
+		return folder
+	}
 	folder, err := os.MkdirTemp("", "baobabspool")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	build := exec.Command("go", "build", "-o", folder, "../../cmd/baobabspool", "../../cmd/standin")
@@ -51,12 +54,14 @@
 	mu        sync.Mutex
 	fronts    map[string]string
 	vms       []spool.VM
+	network   network
 }
 
 func newSystem() *system {
 	s := &system{
 		folder: ginkgo.GinkgoT().TempDir(), processes: map[string]*process{},
 		addresses: map[string]string{}, controls: map[string]string{}, fronts: map[string]string{},
+		network: newNetwork(),
 	}
 	ginkgo.DeferCleanup(func() {
 		for node := range s.processes {
@@ -66,11 +71,22 @@
 	return s
 }
 
+// nextPort is below the range from which the kernel takes ports of outgoing
+// connections, so that none of them takes the port of a process before it
+// listens or while it is restarted.
+var nextPort = 10_000 + os.Getpid()%25*800
+
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for {
+		nextPort++
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		gomega.Expect(listener.Close()).To(gomega.Succeed())
+		return address
+	}
 }
 
 // run starts a process that has not run before.
@@ -136,9 +152,11 @@
 	s.addresses[node] = freeAddress()
 	front := freeAddress()
 	s.list(spool.VM{ID: spool.NodeID(node), Role: spool.RoleEntry, FailureDomain: domain, Address: s.addresses[node]})
-	s.run("baobabspool", node, "entry", "--node", node, "--region", "r", "--failure-domain", string(domain),
+	region := s.network.region(domain)
+	s.run("baobabspool", node, "entry", "--node", node, "--region", string(region), "--failure-domain", string(domain),
 		"--listen", s.addresses[node], "--http-listen", front, "--lame-duck-ms", "0", "--log-level", "debug",
-		"--vms-address", s.addresses["vms"], "--log-address", s.addresses["log"])
+		"--vms-address", s.addresses[s.network.list(region)],
+		"--log-address", s.network.path(region, logRegion, s.addresses["log"]))
 	waitForListener(front)
 	s.setFront(node, front)
 }
@@ -147,16 +165,30 @@
 func (s *system) agent(node string, domain spool.FailureDomain, service spool.ServiceName, flag, endpoint string) {
 	s.addresses[node] = freeAddress()
 	s.list(spool.VM{ID: spool.NodeID(node), Role: spool.RoleEndpoint, FailureDomain: domain, Service: service, Address: s.addresses[node]})
-	s.run("baobabspool", node, "endpoint", "--node", node, "--region", "r", "--failure-domain", string(domain),
-		"--listen", s.addresses[node], "--vms-address", s.addresses["vms"], flag, s.addresses[endpoint])
+	region := s.network.region(domain)
+	s.run("baobabspool", node, "endpoint", "--node", node, "--region", string(region), "--failure-domain", string(domain),
+		"--listen", s.addresses[node], "--vms-address", s.addresses[s.network.list(region)], flag, s.addresses[endpoint])
 	waitForListener(s.addresses[node])
 }
 
 // list puts a VM on the platform's list.
 func (s *system) list(vm spool.VM) {
-	vm.State, vm.Region = spool.VMLive, "r"
+	vm.State, vm.Region = spool.VMLive, s.network.region(vm.FailureDomain)
 	s.vms = append(s.vms, vm)
-	s.post("vms", "/", standin.VMSettings{LagMs: 300, VMs: s.vms})
+	s.showVMs()
+}
+
+// showVMs gives the list of VMs to its stand-in in each region, with the
+// addresses that lead there from that region.
+func (s *system) showVMs() {
+	for region, node := range s.network.lists {
+		shown := make([]spool.VM, len(s.vms))
+		for i, vm := range s.vms {
+			vm.Address = s.network.path(region, vm.Region, vm.Address)
+			shown[i] = vm
+		}
+		s.post(node, "/", standin.VMSettings{LagMs: 300, VMs: shown})
+	}
 }
 
 // unlist takes a VM off the list and out of the balancer.
@@ -168,7 +200,7 @@
 		}
 	}
 	s.vms = kept
-	s.post("vms", "/", standin.VMSettings{LagMs: 300, VMs: s.vms})
+	s.showVMs()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.fronts, node)
--- /dev/null
+++ b/internal/deployment/regions_test.go
@@ -0,0 +1,131 @@
+package deployment_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/internal/caller"
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/pkg/keyring"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	north spool.Region = "north"
+	south spool.Region = "south"
+)
+
+// startRegions starts two entries with their agents in each of two regions, and
+// a ledger with an agent in each.
+func startRegions(ctx context.Context) (s *system, key string) {
+	s = newSystem()
+	s.network.regions = map[spool.FailureDomain]spool.Region{"a": north, "b": north, "c": south, "d": south}
+	s.network.lists = map[spool.Region]string{north: "vms-north", south: "vms-south"}
+	s.standin("log", "log")
+	s.standin("vms", "vms-north")
+	s.standin("vms", "vms-south")
+	s.standin("service", "ledger")
+	key = publish(ctx, platform.NewLog(s.addresses["log"]))
+	domains := []spool.FailureDomain{"a", "b", "c", "d"}
+	for i, domain := range domains {
+		s.entry(fmt.Sprintf("e%d", i+1), domain)
+	}
+	for i, domain := range domains {
+		engine := fmt.Sprintf("engine%d", i+1)
+		s.standin("engine", engine)
+		s.agent(fmt.Sprintf("m%d", i+1), domain, models, "--engine-address", engine)
+	}
+	s.agent("l1", "a", ledger, "--service-address", "ledger")
+	s.agent("l2", "c", ledger, "--service-address", "ledger")
+	return s, key
+}
+
+// issueKey publishes one more key of the account and returns it and a function
+// that withdraws it.
+func issueKey(ctx context.Context, s *system) (key string, withdraw func()) {
+	publisher := control.NewPublisher(platform.NewLog(s.addresses["log"]), "test")
+	gomega.Expect(publisher.Refresh(ctx)).To(gomega.Succeed())
+	shown, stored, err := keyring.Issue(account, publisher.Now(), 0)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = publisher.Publish(ctx, stored)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return shown.Reveal(), func() {
+		gomega.Expect(publisher.Refresh(ctx)).To(gomega.Succeed())
+		withdrawn, at, found := publisher.State().Keys().Get(stored.ID)
+		gomega.Expect(found).To(gomega.BeTrue())
+		withdrawn.Withdrawn, withdrawn.Base = true, at
+		_, err := publisher.Publish(ctx, withdrawn)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+}
+
+// codeOf returns the code with which an entry answers a question about a program
+// that does not exist: notFound as long as the key is in force.
+func codeOf(ctx context.Context, s *system, entry, key string) func() spool.Code {
+	front := s.fronts[entry]
+	client := caller.NewClient(func() []string { return []string{front} }, key)
+	return func() spool.Code {
+		err := client.Send(ctx, fasthttp.MethodGet, "/v1/programs/none", nil, &struct{}{})
+		if failure, ok := err.(*caller.Failure); ok {
+			return failure.Code
+		}
+		return spool.Code(fmt.Sprint(err))
+	}
+}
+
+var _ = ginkgo.Describe("Two regions of separate processes", ginkgo.Label("second"), func() {
+	const programs = 12
+
+	// Guards against two owners of one stream, and against an entry that keeps
+	// serving a key although no withdrawal can reach it.
+	ginkgo.It("lose and double nothing while they are cut off from each other and one of them from the log", func() {
+		ctx := within(90 * time.Second)
+		s, key := startRegions(ctx)
+		old, withdraw := issueKey(ctx, s)
+		for _, entry := range []string{"e1", "e2", "e3", "e4"} {
+			gomega.Eventually(codeOf(ctx, s, entry, old), "5s", "50ms").Should(gomega.Equal(spool.CodeNotFound))
+		}
+		book := runTurns(ctx, s, key, programs, 25, func(*caller.Ledger) {
+			s.network.cut(north, south, true)
+			s.network.cut(south, logRegion, true)
+			withdraw()
+			gomega.Eventually(codeOf(ctx, s, "e1", old), "3s", "50ms").Should(gomega.Equal(spool.CodeKeyWithdrawn))
+			for _, entry := range []string{"e3", "e4"} {
+				gomega.Eventually(codeOf(ctx, s, entry, old), "6s", "50ms").Should(gomega.Equal(spool.CodeIsolated))
+			}
+			time.Sleep(3 * time.Second)
+			s.network.cut(south, logRegion, false)
+			for _, entry := range []string{"e3", "e4"} {
+				gomega.Eventually(codeOf(ctx, s, entry, old), "5s", "50ms").Should(gomega.Equal(spool.CodeKeyWithdrawn))
+			}
+			s.network.cut(north, south, false)
+		})
+		expectIntact(s, book, programs)
+	})
+
+	// Guards against streams that each region takes from the other in turn while
+	// both can append claims, so that none is served, and against requests that
+	// arrive once the path works again and are then run a second time.
+	ginkgo.DescribeTable("lose and double nothing while both reach the log and packets between them are lost",
+		func(lose func(s *system, on bool)) {
+			ctx := within(90 * time.Second)
+			s, key := startRegions(ctx)
+			book := runTurns(ctx, s, key, programs, 25, func(book *caller.Ledger) {
+				lose(s, true)
+				time.Sleep(5 * time.Second)
+				before := book.Totals().Turns
+				gomega.Eventually(func() int { return book.Totals().Turns }, "5s", "50ms").Should(gomega.BeNumerically(">=", before+programs))
+				lose(s, false)
+			})
+			expectIntact(s, book, programs)
+		},
+		ginkgo.Entry("both ways", func(s *system, on bool) { s.network.cut(north, south, on) }),
+		ginkgo.Entry("from north to south", func(s *system, on bool) { s.network.lose(north, south, on) }),
+	)
+})
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -21,7 +21,8 @@
 	Submit(ctx context.Context, stream spool.Stream, records []spool.Record, needsLog bool) error
 	// Epoch returns this process's claim on a stream.
 	Epoch(stream spool.Stream) (spool.Epoch, bool)
-	// OwnerOf returns the owner of a stream and its address.
+	// OwnerOf returns the owner of a stream and its address, which is empty when
+	// the owner cannot be reached from here.
 	OwnerOf(stream spool.Stream) (spool.NodeID, string, bool)
 	// Members lists the live entries.
 	Members() []spool.VM
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -42,7 +42,7 @@
 		}
 		proven = worse(proven, refusal.NotRun)
 		refusal = refusal.WithNotRun(proven)
-		if !movable(refusal.Code) || forwards >= maxForwards || e.clock.Now()+wait > until {
+		if !movable(refusal) || forwards >= maxForwards || e.clock.Now()+wait > until {
 			return nil, refusal
 		}
 		e.telemetry.Retried(spool.FailureNotOwner)
@@ -53,8 +53,13 @@
 	}
 }
 
-// movable tells whether another owner may serve the operation.
-func movable(code spool.Code) bool {
+// movable tells whether another owner may serve the operation. When its owner
+// lives and cannot be reached from this region, only an entry elsewhere can.
+func movable(refusal *spool.Refusal) bool {
+	code := refusal.Code
+	if code == spool.CodeNoOwner && refusal.Owner != "" {
+		return false
+	}
 	return code == spool.CodeNotOwner || code == spool.CodeNoOwner || code == spool.CodeShuttingDown
 }
 
@@ -71,6 +76,11 @@
 	if !ok || owner == e.config.Node {
 		return nil, spool.Refuse(spool.CodeNoOwner, "stream %s has no owner at the moment", stream).WithRetryAfter(moveRetryAfter)
 	}
+	if address == "" {
+		refusal := spool.Refuse(spool.CodeNoOwner, "the owner of stream %s cannot be reached from this region", stream).WithRetryAfter(moveRetryAfter)
+		refusal.Owner = owner
+		return nil, refusal
+	}
 	*forwards++
 	request := wire.ForwardRequest{
 		Operation: operation.Name, Correlation: e.correlation(), Account: operation.Account,
--- a/internal/streams/members.go
+++ b/internal/streams/members.go
@@ -264,6 +264,7 @@
 		}
 	}
 	members, addresses := c.view.Members(), maps.Clone(c.addresses)
+	maps.DeleteFunc(addresses, func(node spool.NodeID, _ string) bool { return c.view.Verdict(node) == membership.Dead })
 	m := c.m
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -267,6 +267,7 @@
 }
 
 // OwnerOf returns the owner of a stream to the best of this entry's knowledge.
+// The address is empty when the owner cannot be reached from here.
 func (m *Manager) OwnerOf(stream spool.Stream) (node spool.NodeID, address string, ok bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/pkg/membership/ownership.go
+++ b/pkg/membership/ownership.go
@@ -95,11 +95,11 @@
 }
 
 // OwnerOf returns the owner of a stream as far as known, or the entry that
-// should own it.
+// should own it. The owner's verdict is Dead when its region cannot be reached.
 func (v *View) OwnerOf(index int) (spool.NodeID, bool) {
 	v.refresh()
 	s := v.streams[index]
-	if known, ok := v.owners[s.name]; ok && v.Verdict(known.Node) != Dead {
+	if known, ok := v.owners[s.name]; ok && !v.gone(known.Node) {
 		return known.Node, true
 	}
 	return s.winner, s.winner != ""
@@ -146,7 +146,9 @@
 // replaced, one that lives is asked for a handover.
 func (v *View) replace(now clock.Millis, s *streamView) {
 	if v.Verdict(s.owner) == Dead {
-		v.out = append(v.out, Allow{Stream: s.name, Owner: s.owner})
+		if v.gone(s.owner) {
+			v.out = append(v.out, Allow{Stream: s.name, Owner: s.owner})
+		}
 		return
 	}
 	settled := now-s.wonSince >= v.config.SettleAfter || v.Verdict(s.owner) == Leaving
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -136,8 +136,10 @@
 	// silentSince is when the first heartbeat that is still unanswered was sent;
 	// 0 while the entry answers.
 	silentSince clock.Millis
-	beatAt      clock.Millis
-	asked       bool
+	// heardAt is a lower bound of when the latest message came.
+	heardAt clock.Millis
+	beatAt  clock.Millis
+	asked   bool
 	// probed maps the members that were asked about this one to their answer.
 	probed map[spool.NodeID]probe
 }
@@ -152,7 +154,9 @@
 
 // View is one entry's view of the others. It is not safe for concurrent use.
 type View struct {
-	config  Config
+	config Config
+	// now is the time of the latest Tick.
+	now     clock.Millis
 	members map[spool.NodeID]*member
 	// selfListed means that the VM list shows this entry.
 	selfListed bool
@@ -224,7 +228,7 @@
 	if m == nil {
 		return
 	}
-	m.silentSince, m.probed = 0, nil
+	m.silentSince, m.probed, m.heardAt = 0, nil, v.now
 	v.judge(m, Alive, leaves)
 }
 
@@ -268,6 +272,7 @@
 
 // Tick lets time pass.
 func (v *View) Tick(now clock.Millis) []Command {
+	v.now = now
 	v.refresh()
 	for _, node := range v.targets {
 		m := v.members[node]
@@ -403,6 +408,7 @@
 	}
 	if s.winner == v.config.Self.ID && v.members[s.owner] != nil {
 		targets[s.owner] = true
+		v.watchRegion(s.owner, targets)
 	}
 }
 
@@ -422,12 +428,12 @@
 	return Alive
 }
 
-// Members returns the entries believed to live, this one and leaving ones
-// included, sorted by ID.
+// Members returns the entries believed to live, this one, leaving ones and those
+// of regions that cannot be reached included, sorted by ID.
 func (v *View) Members() []spool.VM {
 	members := []spool.VM{v.config.Self}
-	for _, m := range v.members {
-		if m.verdict != Dead {
+	for node, m := range v.members {
+		if !v.gone(node) {
 			members = append(members, m.vm)
 		}
 	}
