Repeat orders to an engine until its state shows them

Cause: an agent sent each order once and took a success for its effect. An order that timed out and took effect late replaced a later one for good; a restarted engine kept none of its orders; an engine that honours fencing numbers refused the earlier of two orders to a restarted agent, which then never sent the later one. An engine that answered late held up drains, since orders ran on the same goroutine.

Change: engines report their models, adapters, versions and role (spool.Engine.State, GET /v1/state). gatekeeper.Orders compares them with the orders in force and names the next command, under the highest number in force; the agent sends it unless it is isolated or has been paused since it read the state. Loads ordered together are 100 ms apart, repeats back off with jitter. ApplyOrder gives way to SetOrders; its test now also checks that the old order is not sent later.

Without the spacing of loads the test of the weight store fails.

--- a/internal/control/isolation_test.go
+++ b/internal/control/isolation_test.go
@@ -1,6 +1,8 @@
 package control_test
 
 import (
+	"fmt"
+
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
@@ -57,3 +59,22 @@
 		ginkgo.Entry("another region", "abroad", false),
 	)
 })
+
+var _ = ginkgo.Describe("State with orders to load", func() {
+	// Guards against endpoints that are ordered together and load at once, and
+	// against one that waits for all that were ever ordered.
+	ginkgo.It("gives each endpoint its turn among those ordered with it", func() {
+		state := control.NewState()
+		for offset := range spool.Offset(300) {
+			record, err := control.NewRecord(control.Order{
+				Endpoint: spool.EndpointID(fmt.Sprintf("m%03d", offset)),
+				Order:    spool.EngineOrder{Kind: spool.OrderLoad, Model: "fog", Version: "1"},
+			})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = state.Apply(spool.Batch{Offset: offset + 1, ID: fmt.Sprint(offset), Records: []spool.Record{record}})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		gomega.Expect([]int{state.LoadsAhead("m000"), state.LoadsAhead("m007"), state.LoadsAhead("m299"), state.LoadsAhead("m300")}).
+			To(gomega.Equal([]int{0, 7, 255, 0}))
+	})
+})
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -215,11 +215,13 @@
 	return r.node.state.Accounts()
 }
 
-// Orders returns the orders in force for an endpoint by ascending fence.
-func (r *Reader) Orders(endpoint spool.EndpointID) []spool.EngineOrder {
+// Orders returns the orders in force for an endpoint by ascending fence, and how
+// many endpoints load before it.
+func (r *Reader) Orders(endpoint spool.EndpointID) (orders []spool.EngineOrder, ahead int) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return append([]spool.EngineOrder(nil), r.node.state.Orders(endpoint)...)
+	orders = append(orders, r.node.state.Orders(endpoint)...)
+	return orders, r.node.state.LoadsAhead(endpoint)
 }
 
 // Offset returns the highest offset that is in force.
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -91,15 +91,6 @@
 	Base spool.Offset `json:"base"`
 }
 
-// subject names what the order decides on: a newer order with the same subject
-// replaces an older one.
-func (o Order) subject() string {
-	if o.Order.Kind == spool.OrderRole {
-		return "role"
-	}
-	return string(o.Order.Model) + "/" + o.Order.Adapter
-}
-
 // maxDescription, maxList and maxPattern bound what one record adds to the
 // memory of every node.
 const (
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -179,7 +179,7 @@
 	if order.Clear {
 		return nil
 	}
-	if len(entry.Value) >= maxOrders && findOrder(entry.Value, order.subject()) < 0 {
+	if len(entry.Value) >= maxOrders && findOrder(entry.Value, order.Order.Subject()) < 0 {
 		return errors.Errorf("endpoint has orders on %d subjects, which is the limit", maxOrders)
 	}
 	return nil
@@ -217,7 +217,7 @@
 	}
 	entry, _ := s.orders.Get(string(order.Endpoint))
 	orders := append([]spool.EngineOrder(nil), entry.Value...)
-	if i := findOrder(orders, order.subject()); i >= 0 {
+	if i := findOrder(orders, order.Order.Subject()); i >= 0 {
 		orders = append(orders[:i], orders[i+1:]...)
 	}
 	order.Order.Fence = uint64(offset)
@@ -226,7 +226,7 @@
 
 func findOrder(orders []spool.EngineOrder, subject string) int {
 	for i, order := range orders {
-		if (Order{Order: order}).subject() == subject {
+		if order.Subject() == subject {
 			return i
 		}
 	}
@@ -277,6 +277,35 @@
 	return entry.Value
 }
 
+// burstOffsets is the number of records within which orders to load count as
+// given together.
+const burstOffsets = 256
+
+// LoadsAhead counts the endpoints that were ordered to load together with an
+// endpoint and take their turn before it.
+func (s *State) LoadsAhead(endpoint spool.EndpointID) (ahead int) {
+	own, ok := latestLoad(s.Orders(endpoint))
+	if !ok {
+		return 0
+	}
+	for _, other := range s.orders.Names() {
+		fence, ok := latestLoad(s.Orders(spool.EndpointID(other)))
+		if ok && fence+burstOffsets > own && (fence < own || fence == own && other < string(endpoint)) {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+func latestLoad(orders []spool.EngineOrder) (fence uint64, ok bool) {
+	for _, order := range orders {
+		if order.Kind == spool.OrderLoad {
+			fence, ok = order.Fence, true
+		}
+	}
+	return fence, ok
+}
+
 // OrderedEndpoints lists the endpoints that have orders.
 func (s *State) OrderedEndpoints() []string { return s.orders.Names() }
 
--- /dev/null
+++ b/internal/deployment/orders_test.go
@@ -0,0 +1,74 @@
+package deployment_test
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/internal/standin"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+var _ = ginkgo.Describe("Engines behind agents in separate processes", ginkgo.Label("third"), func() {
+	// Guards against an order that never reaches its engine, is undone by the
+	// engine's restart, or by a replaced agent that wakes up.
+	ginkgo.It("end in the state that operators ordered last", func() {
+		ctx := within(60 * time.Second)
+		s := newSystem()
+		s.standin("log", "log")
+		s.standin("vms", "vms")
+		publish(ctx, platform.NewLog(s.addresses["log"]))
+		s.entry("e1", "a")
+		s.standin("engine", "engine1")
+		settingsOfEngine := standin.DefaultEngineSettings()
+		settingsOfEngine.HonoursFence = false
+		s.post("engine1", "/", settingsOfEngine)
+		s.agent("m1", "a", models, "--engine-address", "engine1")
+		operator := func() *control.Publisher {
+			publisher := control.NewPublisher(platform.NewLog(s.addresses["log"]), "test")
+			gomega.Expect(publisher.Refresh(ctx)).To(gomega.Succeed())
+			return publisher
+		}
+		load := func(base spool.Offset, version string) control.Order {
+			return control.Order{Endpoint: "m1", Base: base, Order: spool.EngineOrder{Kind: spool.OrderLoad, Model: model, Version: version}}
+		}
+		loaded := func() string {
+			stats := standin.EngineStats{}
+			s.stats("engine1", &stats)
+			if len(stats.State.Loaded) != 1 {
+				return ""
+			}
+			return stats.State.Loaded[0].Version
+		}
+		first, err := operator().Publish(ctx, load(0, "1"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Eventually(loaded, "10s", "50ms").Should(gomega.Equal("1"))
+
+		// Of two operators who have read the same orders, one succeeds.
+		_, err = operator().Publish(ctx, load(first, "2"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = operator().Publish(ctx, load(first, "3"))
+		conflict := &settings.ConflictError{}
+		gomega.Expect(errors.As(err, &conflict)).To(gomega.BeTrue(), "%v", err)
+		gomega.Eventually(loaded, "10s", "50ms").Should(gomega.Equal("2"))
+
+		// A second agent takes the place of one that is paused.
+		s.signal("m1", syscall.SIGSTOP)
+		s.run("baobabspool", "m1-next", "endpoint", "--node", "m1", "--region", "r", "--failure-domain", "a",
+			"--listen", freeAddress(), "--vms-address", s.addresses["vms"], "--engine-address", s.addresses["engine1"])
+		publisher := operator()
+		_, err = publisher.Publish(ctx, load(publisher.State().Offset(), "4"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Eventually(loaded, "10s", "50ms").Should(gomega.Equal("4"))
+		s.signal("m1", syscall.SIGCONT)
+		s.post("engine1", "/restart", struct{}{})
+		gomega.Eventually(loaded, "10s", "50ms").Should(gomega.Equal("4"))
+		gomega.Consistently(loaded, "2s", "50ms").Should(gomega.Equal("4"))
+	})
+})
--- a/internal/endpoint/agent.go
+++ b/internal/endpoint/agent.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 
 	"github.com/alitto/pond/v2"
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -77,15 +78,20 @@
 	// reachable tells whether the engine answered the last question.
 	reachable atomic.Bool
 
-	// orders serialises operator orders, so that an older one cannot overtake.
-	orders     sync.Mutex
-	orderFence gatekeeper.Fence
+	// inTouch tells whether the process can learn of later orders.
+	inTouch  func() bool
+	ordersMu sync.Mutex
+	orders   *gatekeeper.Orders
+	// ordered wakes the goroutine that carries out orders.
+	ordered chan struct{}
 }
 
 // New returns an agent that has not been started.
 func New(config Config, options ...Option) (agent *Agent, err error) {
 	defer func() { err = errors.Wrap(err, "new endpoint agent") }()
-	agent = &Agent{config: config, clock: clock.System(), inbox: make(chan any, inboxSize), idle: make(chan struct{})}
+	agent = &Agent{
+		config: config, clock: clock.System(), inbox: make(chan any, inboxSize), idle: make(chan struct{}), ordered: make(chan struct{}, 1), inTouch: func() bool { return true },
+	}
 	agent.ctx, agent.cancel = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(agent)
@@ -107,6 +113,7 @@
 		}
 	}
 	agent.log = agent.telemetry.Logger("endpoint")
+	agent.orders = gatekeeper.NewOrders(xxhash.Sum64String(string(config.Endpoint)))
 	agent.kernel = gatekeeper.New(config.Kernel, uuid.NewString()[:bootLength], queue, gate)
 	return agent, nil
 }
@@ -121,6 +128,7 @@
 		a.poll(a.config.LoadEvery, a.pollLoad)
 		a.poll(a.config.EventsEvery, a.pollEvents)
 		a.poll(a.config.ReconcileEvery, a.pollSessions)
+		a.goroutines.Go(a.obey)
 	}
 	a.reachable.Store(a.service != nil)
 	defer func() {
@@ -160,24 +168,6 @@
 // reports to entries.
 func (a *Agent) SetControlOffset(offset spool.Offset) { a.controlOffset.Store(int64(offset)) }
 
-// ApplyOrder carries out an operator's order unless a later one has been seen.
-// It fails with a refusal with CodeFenced when the order is old, and with the
-// engine's error otherwise.
-func (a *Agent) ApplyOrder(ctx context.Context, order spool.EngineOrder) (err error) {
-	defer func() { err = errors.Wrapf(err, "apply order %d", order.Fence) }()
-	if a.engine == nil {
-		return ErrNoEngine
-	}
-	a.orders.Lock()
-	defer a.orders.Unlock()
-	if err := a.orderFence.Check(order.Fence); err != nil {
-		a.telemetry.Refused(spool.CodeFenced)
-		return err
-	}
-	a.telemetry.Event("engineOrder")
-	return a.engine.Order(ctx, order)
-}
-
 // Shutdown refuses new calls, lets every admitted call finish and its answer be
 // sent, and stops. When ctx ends first, the remaining calls are cut and an
 // error is returned.
--- a/internal/endpoint/config.go
+++ b/internal/endpoint/config.go
@@ -91,6 +91,10 @@
 // WithService puts the agent in front of a plain service.
 func WithService(service spool.Service) Option { return func(a *Agent) { a.service = service } }
 
+// WithInTouch tells the agent whether it can learn of later orders; it sends the
+// engine no commands while it cannot.
+func WithInTouch(inTouch func() bool) Option { return func(a *Agent) { a.inTouch = inTouch } }
+
 // WithClock replaces the system clock.
 func WithClock(c clock.Clock) Option { return func(a *Agent) { a.clock = c } }
 
--- a/internal/endpoint/failure_test.go
+++ b/internal/endpoint/failure_test.go
@@ -152,9 +152,13 @@
 	ginkgo.It("refuses an old order to an engine that would ignore its number", func() {
 		mist := newEngine()
 		agent, _ := start(endpoint.WithEngine(mist))
-		gomega.Expect(agent.ApplyOrder(ctx, spool.EngineOrder{Fence: 7})).To(gomega.Succeed())
-		gomega.Expect(refusalOf(agent.ApplyOrder(ctx, spool.EngineOrder{Fence: 6})).Code).To(gomega.Equal(spool.CodeFenced))
-		gomega.Expect(mist.orders).To(gomega.HaveLen(1))
+		order := func(fence uint64, role string) []spool.EngineOrder {
+			return []spool.EngineOrder{{Fence: fence, Kind: spool.OrderRole, Role: role}}
+		}
+		gomega.Expect(agent.SetOrders(order(7, "prefill"), 0)).To(gomega.Succeed())
+		gomega.Eventually(mist.ordered).Should(gomega.HaveLen(1))
+		gomega.Expect(refusalOf(agent.SetOrders(order(6, "decode"), 0)).Code).To(gomega.Equal(spool.CodeFenced))
+		gomega.Consistently(mist.ordered, "300ms").Should(gomega.HaveLen(1))
 	})
 
 	ginkgo.It("is ready until it drains", func() {
--- a/internal/endpoint/fake_test.go
+++ b/internal/endpoint/fake_test.go
@@ -63,10 +63,28 @@
 }
 
 func (e *engine) Order(_ context.Context, order spool.EngineOrder) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.orders = append(e.orders, order)
 	return nil
 }
 
+// State shows the latest order only.
+func (e *engine) State(context.Context) (state spool.EngineState, _ error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.orders) > 0 {
+		state.Role = e.orders[len(e.orders)-1].Role
+	}
+	return state, nil
+}
+
+func (e *engine) ordered() []spool.EngineOrder {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]spool.EngineOrder{}, e.orders...)
+}
+
 func (e *engine) held() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -87,3 +87,10 @@
 	defer func() { err = errors.Wrap(err, "order") }()
 	return e.transport.send(ctx, fasthttp.MethodPost, "/v1/orders", order, nil)
 }
+
+// State returns the models, adapters, versions and role that the engine has.
+func (e *Engine) State(ctx context.Context) (state spool.EngineState, err error) {
+	defer func() { err = errors.Wrap(err, "read state") }()
+	err = e.transport.get(ctx, "/v1/state", 0, &state)
+	return state, err
+}
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -76,8 +76,6 @@
 	vms     *vmWatch
 	clients *wire.Clients
 	log     *zap.Logger
-	// applied is the highest fencing number of an order that was carried out.
-	applied uint64
 
 	wake chan struct{}
 	stop chan struct{}
@@ -151,7 +149,10 @@
 	agentConfig.Kernel.MaxWait = values.Duration(settings.QueueMaxWaitMs)
 	agentConfig.Kernel.CallLease = values.Duration(settings.MemoryLeaseMs)
 	agentConfig.Kernel.GraceLease = values.Duration(settings.MemoryLeaseMs)
-	options := []endpoint.Option{endpoint.WithTelemetry(t), endpoint.WithTLS(server)}
+	options := []endpoint.Option{
+		endpoint.WithTelemetry(t), endpoint.WithTLS(server),
+		endpoint.WithInTouch(func() bool { return !p.control.Isolated() }),
+	}
 	if p.config.EngineAddress != "" {
 		options = append(options, endpoint.WithEngine(platform.NewEngine(p.config.EngineAddress)))
 	} else {
@@ -191,18 +192,9 @@
 	domain := spool.FailureDomain(p.config.FailureDomain)
 	p.agent.SetControlOffset(p.control.Offset())
 	p.agent.SetDraining(p.control.Draining(domain, id) || p.vms.leaving(spool.NodeID(p.config.Node)))
-	for _, order := range p.control.Orders(id) {
-		if order.Fence <= p.applied {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), vmsTimeout.Duration())
-		err := p.agent.ApplyOrder(ctx, order)
-		cancel()
-		if err != nil {
-			p.log.Warn("order failed and will be repeated", zap.Uint64("fence", order.Fence), zap.Error(err))
-			return
-		}
-		p.applied = order.Fence
+	orders, ahead := p.control.Orders(id)
+	if err := p.agent.SetOrders(orders, ahead); err != nil {
+		p.log.Warn("orders were refused", zap.Error(err))
 	}
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -33,6 +33,9 @@
 	EventLoss float64 `json:"eventLoss"`
 	// HonoursFence makes the engine refuse orders with an old fencing number.
 	HonoursFence bool `json:"honoursFence"`
+	// OrderLateMs is how long an order takes to take effect and to be answered.
+	// It takes effect even when its sender has gone away.
+	OrderLateMs clock.Millis `json:"orderLateMs"`
 	// Silent makes streams stop without being closed.
 	Silent bool `json:"silent"`
 }
@@ -62,8 +65,9 @@
 	CachedTokens int `json:"cachedTokens"`
 	// LastCall is the time since the last call arrived; negative when none did.
 	LastCallMs clock.Millis `json:"lastCallMs"`
-	// Orders lists the orders carried out.
+	// Orders lists the orders carried out, State what they have made of it.
 	Orders []spool.EngineOrder `json:"orders,omitempty"`
+	State  spool.EngineState   `json:"state"`
 }
 
 // Engine is the stand-in of a model engine.
@@ -87,6 +91,7 @@
 	sequence  uint64
 	reports   []shownLoad
 	fence     uint64
+	state     spool.EngineState
 }
 
 // ticket is a call that waits for a slot.
@@ -144,6 +149,7 @@
 	defer e.mu.Unlock()
 	stats := e.stats
 	stats.Orders = append([]spool.EngineOrder(nil), stats.Orders...)
+	stats.State = e.stateCopy()
 	stats.LastCallMs = -1
 	if !e.lastCall.IsZero() {
 		stats.LastCallMs = clock.FromDuration(time.Since(e.lastCall))
@@ -167,6 +173,8 @@
 	e.cache = map[spool.ProgramID]*prefix{}
 	e.reports = nil
 	e.waiting = nil
+	e.fence = 0
+	e.state = spool.EngineState{}
 	close(e.cut)
 	e.cut = make(chan struct{})
 }
@@ -378,16 +386,3 @@
 	defer e.mu.Unlock()
 	e.drop(program)
 }
-
-// order carries out an operator's order unless the engine honours fencing
-// numbers and this one is old.
-func (e *Engine) order(order spool.EngineOrder) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.settings.HonoursFence && order.Fence < e.fence {
-		return false
-	}
-	e.fence = max(e.fence, order.Fence)
-	e.stats.Orders = append(e.stats.Orders, order)
-	return true
-}
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -52,6 +52,8 @@
 		reply(ctx, e.Sessions())
 	case strings.HasPrefix(path, "/v1/sessions/") && ctx.IsDelete():
 		e.free(spool.ProgramID(strings.TrimPrefix(path, "/v1/sessions/")))
+	case path == "/v1/state":
+		reply(ctx, e.State())
 	case path == "/v1/orders":
 		e.handleOrder(ctx)
 	default:
@@ -59,17 +61,6 @@
 	}
 }
 
-func (e *Engine) handleOrder(ctx *fasthttp.RequestCtx) {
-	var order spool.EngineOrder
-	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return
-	}
-	if !e.order(order) {
-		ctx.Error("fencing number is old", fasthttp.StatusPreconditionFailed)
-	}
-}
-
 func (e *Engine) handleGenerate(ctx *fasthttp.RequestCtx) {
 	var call spool.EngineCall
 	if err := json.Unmarshal(ctx.PostBody(), &call); err != nil {
--- /dev/null
+++ b/internal/standin/engine_orders.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// State returns what orders have made of the engine. A restart undoes it.
+func (e *Engine) State() spool.EngineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stateCopy()
+}
+
+func (e *Engine) stateCopy() spool.EngineState {
+	return spool.EngineState{Loaded: slices.Clone(e.state.Loaded), Role: e.state.Role}
+}
+
+func (e *Engine) handleOrder(ctx *fasthttp.RequestCtx) {
+	var order spool.EngineOrder
+	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	time.Sleep(e.Settings().OrderLateMs.Duration())
+	if !e.Order(order) {
+		ctx.Error("fencing number is old", fasthttp.StatusPreconditionFailed)
+	}
+}
+
+// Order carries out an operator's order unless the engine honours fencing
+// numbers and this one is old.
+func (e *Engine) Order(order spool.EngineOrder) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.settings.HonoursFence && order.Fence < e.fence {
+		return false
+	}
+	e.fence = max(e.fence, order.Fence)
+	e.stats.Orders = append(e.stats.Orders, order)
+	if order.Kind == spool.OrderRole {
+		e.state.Role = order.Role
+		return true
+	}
+	e.state.Loaded = slices.DeleteFunc(e.state.Loaded, func(one spool.LoadedModel) bool {
+		return one.Model == order.Model && one.Adapter == order.Adapter
+	})
+	if order.Kind == spool.OrderLoad {
+		e.state.Loaded = append(e.state.Loaded, spool.LoadedModel{Model: order.Model, Adapter: order.Adapter, Version: order.Version})
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/gatekeeper/orders_test.go
@@ -0,0 +1,191 @@
+package gatekeeper_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/standin"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// orderLease is how long an agent sends commands after it last heard of the
+	// control stream.
+	orderLease = 5 * clock.Second
+	longest    = 8 * clock.Second
+)
+
+// orderWorld is one engine with the agent that commands it, a predecessor of
+// that agent, and the orders that operators published.
+type orderWorld struct {
+	random *rand.Rand
+	now    clock.Millis
+	orders []spool.EngineOrder
+	engine *standin.Engine
+	agents []*orderAgent
+	// late holds commands that the engine has not carried out yet.
+	late []lateOrder
+}
+
+type orderAgent struct {
+	orders  *gatekeeper.Orders
+	heardAt clock.Millis
+	// pausedUntil is when a paused process wakes up and sends what it decided.
+	pausedUntil clock.Millis
+	cutUntil    clock.Millis
+	decided     *spool.EngineOrder
+}
+
+type lateOrder struct {
+	at    clock.Millis
+	order spool.EngineOrder
+}
+
+// publish adds an order; it replaces an earlier one on the same subject.
+func (w *orderWorld) publish(fence int) {
+	order := spool.EngineOrder{Fence: uint64(fence), Kind: spool.OrderRole, Role: fmt.Sprint("role", w.random.IntN(3))}
+	if w.random.IntN(3) > 0 {
+		order = spool.EngineOrder{
+			Fence: uint64(fence), Kind: []spool.OrderKind{spool.OrderLoad, spool.OrderUnload}[w.random.IntN(2)],
+			Model: spool.ModelName(fmt.Sprint("model", w.random.IntN(2))), Version: fmt.Sprint(w.random.IntN(3)),
+		}
+		if order.Kind == spool.OrderUnload {
+			order.Version = ""
+		}
+	}
+	w.orders = slices.DeleteFunc(slices.Clone(w.orders), func(o spool.EngineOrder) bool { return o.Subject() == order.Subject() })
+	w.orders = append(w.orders, order)
+}
+
+func (w *orderWorld) send(order spool.EngineOrder, faults bool) {
+	if faults && w.random.IntN(3) == 0 {
+		w.late = append(w.late, lateOrder{w.now + clock.Millis(w.random.Int64N(int64(longest))), order})
+		return
+	}
+	w.engine.Order(order)
+}
+
+func (w *orderWorld) act(a *orderAgent, faults bool) {
+	if w.now < a.pausedUntil {
+		return
+	}
+	if a.decided != nil {
+		w.send(*a.decided, faults)
+		a.decided = nil
+	}
+	inTouch := w.now-a.heardAt <= orderLease
+	if w.now >= a.cutUntil {
+		_ = a.orders.Set(w.orders, 0)
+		// The first look after a pause still sees the state from before it.
+		a.heardAt = w.now
+	}
+	if !inTouch {
+		return
+	}
+	command, due := a.orders.Next(w.now, w.engine.State())
+	switch {
+	case !due:
+	case faults && w.random.IntN(5) == 0:
+		a.decided = &command
+		a.pausedUntil = w.now + clock.Millis(w.random.Int64N(int64(longest)))
+	default:
+		w.send(command, faults)
+	}
+	if faults && w.random.IntN(20) == 0 {
+		a.cutUntil = w.now + clock.Millis(w.random.Int64N(int64(2*longest)))
+	}
+}
+
+func (w *orderWorld) step(faults bool) {
+	w.now += 250
+	due := w.late
+	w.late = nil
+	for _, late := range due {
+		if late.at <= w.now {
+			w.engine.Order(late.order)
+		} else {
+			w.late = append(w.late, late)
+		}
+	}
+	for _, agent := range w.agents {
+		w.act(agent, faults)
+	}
+	if faults && w.random.IntN(100) == 0 {
+		w.engine.Restart()
+	}
+}
+
+// TestOrdersReachTheEngine guards against an engine that ends in another state
+// than ordered: by a command that was carried out late, by a replaced agent that
+// wakes up, by a restart, or by refusing commands that are still needed.
+func TestOrdersReachTheEngine(t *testing.T) {
+	for seed := range uint64(400) {
+		settings := standin.DefaultEngineSettings()
+		settings.HonoursFence = seed%2 == 0
+		w := &orderWorld{random: rand.New(rand.NewPCG(seed, 1)), engine: standin.NewEngine(settings, seed)}
+		// The first agent replaces the second, which in every other pair of runs
+		// never hears of the control stream again.
+		for i := range uint64(2) {
+			w.agents = append(w.agents, &orderAgent{orders: gatekeeper.NewOrders(seed + i)})
+		}
+		for fence := 1; fence <= 240; fence++ {
+			if w.random.IntN(12) == 0 {
+				w.publish(fence)
+			}
+			w.step(true)
+		}
+		if seed/2%2 == 0 {
+			w.agents[1].cutUntil = clock.Hour
+		}
+		// A repeat can wait for 90 s.
+		for range 480 {
+			w.step(false)
+		}
+		for _, order := range w.orders {
+			if !w.engine.State().Shows(order) {
+				t.Fatalf("seed %d: engine is in state %+v, ordered %+v", seed, w.engine.State(), w.orders)
+			}
+		}
+	}
+}
+
+var _ = ginkgo.Describe("Orders to load", func() {
+	// Guards against a weight store that every engine asks at the same time.
+	ginkgo.It("stay within the rate of the weight store when many engines are ordered at once", func() {
+		const engines, perSecond = 200, 10
+		refused, tokens := 0, float64(perSecond)
+		states := make([]spool.EngineState, engines)
+		var agents []*gatekeeper.Orders
+		order := spool.EngineOrder{Fence: 7, Kind: spool.OrderLoad, Model: "fog", Version: "2"}
+		for i := range engines {
+			orders := gatekeeper.NewOrders(uint64(i))
+			gomega.Expect(orders.Set([]spool.EngineOrder{order}, clock.Millis(i)*clock.Second/perSecond)).To(gomega.Succeed())
+			agents = append(agents, orders)
+		}
+		for now := clock.Millis(0); now < 30*clock.Second; now += 100 {
+			tokens = min(perSecond, tokens+perSecond*0.1)
+			for i, orders := range agents {
+				if _, due := orders.Next(now, states[i]); !due {
+					continue
+				}
+				if tokens < 1 {
+					refused++
+					continue
+				}
+				tokens--
+				states[i].Loaded = []spool.LoadedModel{{Model: "fog", Version: "2"}}
+			}
+		}
+		gomega.Expect(refused).To(gomega.BeZero())
+		for _, state := range states {
+			gomega.Expect(state.Shows(order)).To(gomega.BeTrue())
+		}
+	})
+})
--- a/pkg/spool/platform.go
+++ b/pkg/spool/platform.go
@@ -215,6 +215,44 @@
 	Role string `json:"role,omitempty"`
 }
 
+// Subject names what an order decides on: a later order with the same subject
+// replaces it.
+func (o EngineOrder) Subject() string {
+	if o.Kind == OrderRole {
+		return "role"
+	}
+	return string(o.Model) + "/" + o.Adapter
+}
+
+// LoadedModel is a model, with an adapter or without, that an engine can run.
+type LoadedModel struct {
+	Model   ModelName `json:"model"`
+	Adapter string    `json:"adapter,omitempty"`
+	Version string    `json:"version,omitempty"`
+}
+
+// EngineState is what operators' orders have made of an engine.
+type EngineState struct {
+	// Loaded lists the models and adapters that are ready.
+	Loaded []LoadedModel `json:"loaded"`
+	// Role is the engine's role; empty for its default.
+	Role string `json:"role,omitempty"`
+}
+
+// Shows reports whether an order has taken effect. An order to load or unload
+// without a version is about any version.
+func (s EngineState) Shows(order EngineOrder) bool {
+	if order.Kind == OrderRole {
+		return s.Role == order.Role
+	}
+	loaded := false
+	for _, one := range s.Loaded {
+		loaded = loaded || one.Model == order.Model && one.Adapter == order.Adapter &&
+			(order.Version == "" || one.Version == order.Version)
+	}
+	return loaded == (order.Kind == OrderLoad)
+}
+
 // Engine is one model engine.
 type Engine interface {
 	// Generate streams the answer to call through onChunk, in order, and returns
@@ -231,6 +269,8 @@
 	// Order carries out an operator's order. It fails when the engine honours
 	// fencing numbers and order.Fence is old.
 	Order(ctx context.Context, order EngineOrder) error
+	// State returns the models, adapters, versions and role that the engine has.
+	State(ctx context.Context) (EngineState, error)
 }
 
 // ServiceCall is a request to a plain service.
