--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -49,7 +49,7 @@
 		}
 		proven = worse(proven, refusal.NotRun)
 		refusal = refusal.WithNotRun(proven)
-		reason, again := repeatable(refusal.Code)
+		reason, again := repeatable(refusal)
 		if reason == spool.FailurePending {
 			// The owner is known and asks an agent, which may take longer than
 			// the moves of a stream.
@@ -67,12 +67,15 @@
 }
 
 // repeatable tells whether the operation may be answered when it is sent again:
-// by another owner, or once the fate of the call is known.
-func repeatable(code spool.Code) (reason spool.Failure, again bool) {
-	switch code {
-	case spool.CodeNotOwner, spool.CodeNoOwner, spool.CodeShuttingDown:
+// by another owner, or once the fate of the call is known. When its owner lives
+// and cannot be reached from this region, only an entry elsewhere can answer.
+func repeatable(refusal *spool.Refusal) (reason spool.Failure, again bool) {
+	switch {
+	case refusal.Code == spool.CodeNoOwner && refusal.Owner != "":
+		return "", false
+	case refusal.Code == spool.CodeNotOwner, refusal.Code == spool.CodeNoOwner, refusal.Code == spool.CodeShuttingDown:
 		return spool.FailureNotOwner, true
-	case spool.CodeFatePending:
+	case refusal.Code == spool.CodeFatePending:
 		return spool.FailurePending, true
 	default:
 		return "", false
@@ -92,6 +95,11 @@
 	if !ok || owner == e.config.Node {
 		return nil, spool.Refuse(spool.CodeNoOwner, "stream %s has no owner at the moment", stream).WithRetryAfter(moveRetryAfter)
 	}
+	if address == "" {
+		refusal := spool.Refuse(spool.CodeNoOwner, "the owner of stream %s cannot be reached from this region", stream).WithRetryAfter(moveRetryAfter)
+		refusal.Owner = owner
+		return nil, refusal
+	}
 	*forwards++
 	request := wire.ForwardRequest{
 		Operation: operation.Name, Correlation: e.correlation(), Account: operation.Account,
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -15,7 +15,6 @@
 	"github.com/baobabspool/baobabspool/internal/roster"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
-	"github.com/baobabspool/baobabspool/pkg/clock"
 	_ "github.com/baobabspool/baobabspool/pkg/policy" // Registers the policies.
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -70,9 +69,6 @@
 	return problems.Err()
 }
 
-// orderTimeout bounds one order to the engine.
-const orderTimeout = 2 * clock.Second
-
 // Endpoint is the running process of an endpoint agent.
 type Endpoint struct {
 	config  EndpointConfig
@@ -81,8 +77,6 @@
 	vms     *roster.Runtime
 	clients *wire.Clients
 	log     *zap.Logger
-	// applied is the highest fencing number of an order that was carried out.
-	applied uint64
 
 	wake chan struct{}
 	stop chan struct{}
@@ -161,7 +155,10 @@
 	agentConfig.Kernel.StartMaxWait = values.Duration(settings.QueueStartMaxWaitMs)
 	agentConfig.Kernel.CallLease = values.Duration(settings.MemoryLeaseMs)
 	agentConfig.Kernel.GraceLease = values.Duration(settings.MemoryLeaseMs)
-	options := []endpoint.Option{endpoint.WithTelemetry(t), endpoint.WithTLS(server)}
+	options := []endpoint.Option{
+		endpoint.WithTelemetry(t), endpoint.WithTLS(server),
+		endpoint.WithInTouch(func() bool { return !p.control.Isolated() }),
+	}
 	if p.config.EngineAddress != "" {
 		options = append(options, endpoint.WithEngine(platform.NewEngine(p.config.EngineAddress)))
 	} else {
@@ -201,18 +198,9 @@
 	domain := spool.FailureDomain(p.config.FailureDomain)
 	p.agent.SetControlOffset(p.control.Offset())
 	p.agent.SetDraining(p.control.Draining(domain, id) || p.vms.Leaving())
-	for _, order := range p.control.Orders(id) {
-		if order.Fence <= p.applied {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout.Duration())
-		err := p.agent.ApplyOrder(ctx, order)
-		cancel()
-		if err != nil {
-			p.log.Warn("order failed and will be repeated", zap.Uint64("fence", order.Fence), zap.Error(err))
-			return
-		}
-		p.applied = order.Fence
+	orders, ahead := p.control.Orders(id)
+	if err := p.agent.SetOrders(orders, ahead); err != nil {
+		p.log.Warn("orders were refused", zap.Error(err))
 	}
 }
 
