Set the seeds of randomised tests in one place

Five packages set the same flags of rapid in slightly different ways; one of them did not turn the files of failures off.

--- a/pkg/journal/random_test.go
+++ b/pkg/journal/random_test.go
@@ -1,7 +1,6 @@
 package journal_test
 
 import (
-	"flag"
 	"slices"
 	"testing"
 
@@ -9,22 +8,13 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/baobabspool/baobabspool/internal/fixedseed"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/journal"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// TestMain fixes the seed and the number of checks unless flags set them, so that
-// a run can be repeated.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "600", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = f.Value.Set(value)
-		}
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { fixedseed.Main(m, map[string]string{"rapid.checks": "600"}) }
 
 func TestJournal(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
--- a/pkg/limit/invariant_test.go
+++ b/pkg/limit/invariant_test.go
@@ -1,30 +1,20 @@
 package limit_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"github.com/baobabspool/baobabspool/internal/fixedseed"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/limit"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// TestMain fixes the seed, so that a failure is seen by everyone.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "20260512", "rapid.checks": "200", "rapid.steps": "300", "rapid.nofailfile": "true"}
-	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
-	for name, value := range fixed {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	fixedseed.Main(m, map[string]string{"rapid.seed": "20260512", "rapid.checks": "200", "rapid.steps": "300"})
 }
 
 const entries = 4
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -1,7 +1,6 @@
 package membership_test
 
 import (
-	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -10,21 +9,13 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/baobabspool/baobabspool/internal/fixedseed"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/membership"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// TestMain fixes the seed unless a flag sets it, so that a run can be repeated.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = f.Value.Set(value)
-		}
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { fixedseed.Main(m, nil) }
 
 func TestMembership(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
--- a/pkg/policy/order/main_test.go
+++ b/pkg/policy/order/main_test.go
@@ -1,19 +1,9 @@
 package order_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/baobabspool/baobabspool/internal/fixedseed"
 )
 
-// TestMain fixes the seed unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20260512")
-		_ = flag.Set("rapid.nofailfile", "true")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Main(m, map[string]string{"rapid.seed": "20260512"}) }
--- a/pkg/program/program_test.go
+++ b/pkg/program/program_test.go
@@ -2,27 +2,19 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"github.com/baobabspool/baobabspool/internal/fixedseed"
 	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	// A fixed seed makes a failure of the state machine reproducible.
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Main(m, nil) }
 
 func TestProgram(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
