Let holders promise while the log is down, not every member

Cause: an owner that could not read the log asked every member once a second not to claim its streams. The cost is linear in the entries, and one dead member ended the authority of every pool.

Change: the owner asks the holders that it had when the log last answered. A holder that has promised fences a higher epoch at once and answers its seal when the promise has ended; a restarted holder answers no seal for the longest promise, since it has forgotten those that it gave. A new owner needs every answer, so no other entry serves before the promises end. A release voids the promises first, because no holder is asked after it. Claims are not forbidden any more.

All holders have to promise.

TestOneAuthority plays paused owners, a log that is down on one side, dead and restarted holders, false reports, cut links and claims, several at once. It did not find the missing silence after a restart; a test of the holder does.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -49,8 +49,8 @@
 type Streams interface {
 	// Epoch returns this entry's claim on a stream while it serves it.
 	Epoch(stream spool.Stream) (spool.Epoch, bool)
-	// Confirmed returns the instant until which no other entry can have claimed
-	// the stream.
+	// Confirmed returns the instant until which no other entry can serve the
+	// stream.
 	Confirmed(stream spool.Stream) (clock.Millis, bool)
 	// OwnerOf returns the owner of a stream and its address.
 	OwnerOf(stream spool.Stream) (spool.NodeID, string, bool)
--- a/internal/streams/control.go
+++ b/internal/streams/control.go
@@ -23,10 +23,6 @@
 	listing   bool
 	listAt    clock.Millis
 	publishAt clock.Millis
-	// round is the latest request for promises; confirmed is what such rounds
-	// have proved.
-	round     *round
-	confirmed map[spool.Stream]clock.Millis
 	// absent counts the lists in a row that lacked a node.
 	absent map[spool.NodeID]int
 	// leaving are those who wait for the end of a Leave; leaveBy is when streams
@@ -47,12 +43,11 @@
 func newControl(m *Manager) *control {
 	// The wall clock makes the incarnation differ from that of an earlier start.
 	incarnation := fmt.Sprintf("%s-%x", m.config.Node, time.Now().UnixNano())
-	return &control{
+	c := &control{
 		m: m, streams: map[spool.Stream]*streamState{}, waiting: map[journal.Ticket]*submission{},
 		holder:    journal.NewHolder(incarnation, m.config.HolderBytes),
 		addresses: map[spool.NodeID]string{m.config.Node: m.config.Address},
 		absent:    map[spool.NodeID]int{},
-		confirmed: map[spool.Stream]clock.Millis{},
 		view: membership.New(membership.Config{
 			Self: spool.VM{
 				ID: m.config.Node, Role: spool.RoleEntry, State: spool.VMLive, Address: m.config.Address,
@@ -63,6 +58,8 @@
 			SettleAfter: m.config.SettleAfter, HandoverEvery: m.config.HandoverEvery,
 		}),
 	}
+	c.holder.StartedAt(m.clock.Now() + m.config.PromiseFor)
+	return c
 }
 
 func (c *control) stream(name spool.Stream) (*streamState, bool) {
@@ -77,7 +74,7 @@
 	s := &streamState{name: name, index: index, lane: newLane(c.m), journal: journal.New(journal.Config{
 		Stream: name, Node: config.Node, AppendInterval: config.appendInterval(),
 		BatchBytes: config.BatchBytes, BacklogBytes: config.BacklogBytes,
-		PollWait: config.PollWait, Retention: config.Retention,
+		PollWait: config.PollWait, Retention: config.Retention, PromiseFor: config.PromiseFor,
 	})}
 	c.streams[name] = s
 	return s, true
@@ -92,7 +89,6 @@
 	c.stages(now)
 	c.members(c.view.Tick(now), now)
 	c.leave(now)
-	c.askPromises(now)
 	if now >= c.publishAt {
 		c.publishAt = now + publishEvery
 		c.publish()
--- a/internal/streams/execute.go
+++ b/internal/streams/execute.go
@@ -24,6 +24,8 @@
 			c.sendHold(name, command)
 		case journal.Seal:
 			c.sendSeal(name, command)
+		case journal.Promise:
+			c.sendPromise(name, command)
 		case journal.Release:
 			c.sendRelease(name, command)
 		case journal.Retain:
@@ -78,7 +80,6 @@
 	m.losses[s.name]++
 	delete(m.served, s.name)
 	m.mu.Unlock()
-	delete(c.confirmed, s.name)
 	switch cause {
 	case journal.LossTaken:
 		c.event("streams.lost")
--- a/internal/streams/handlers.go
+++ b/internal/streams/handlers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/journal"
@@ -17,6 +19,7 @@
 		wire.MethodHandover:  handler(m, (*control).handleHandover),
 		wire.MethodHold:      handler(m, (*control).handleHold),
 		wire.MethodSeal:      handler(m, (*control).handleSeal),
+		wire.MethodPromise:   handler(m, (*control).handlePromise),
 		wire.MethodRelease:   handler(m, (*control).handleRelease),
 	}
 }
@@ -43,7 +46,7 @@
 	}
 	// A journal that is sealed retains its units in the holder.
 	c.execute(s, s.journal.Sealed(now, request.Epoch))
-	answer, err := c.holder.Seal(request.Stream, request.Epoch)
+	answer, err := c.holder.Seal(now, request.Stream, request.Epoch)
 	if err != nil {
 		return reply, c.refusal(err)
 	}
@@ -63,6 +66,9 @@
 	if isFenced(err) {
 		return spool.Refuse(spool.CodeFenced, "%v", err)
 	}
+	if errors.Is(err, journal.ErrPromised) {
+		return spool.Refuse(spool.CodeConflict, "%v", err)
+	}
 	return spool.Refuse(spool.CodeOverloaded, "%v", err).WithRetryAfter(clock.Second)
 }
 
@@ -72,7 +78,7 @@
 	own := c.heartbeat(now)
 	return wire.HeartbeatReply{
 		Node: own.Node, ControlOffset: own.ControlOffset, Owned: own.Owned,
-		Leaving: own.Leaving, Changes: own.Changes, Promised: c.promise(now, request),
+		Leaving: own.Leaving, Changes: own.Changes,
 	}, nil
 }
 
@@ -105,6 +111,14 @@
 		return none, spool.Refuse(spool.CodeConflict, "stream %s stays here for now", request.Stream).
 			WithRetryAfter(c.m.config.HandoverEvery)
 	}
-	c.execute(s, s.journal.HandOver(now))
+	c.handOver(now, s)
 	return none, nil
 }
+
+// handOver starts the release of a stream. Promises that it was confirmed by end
+// for every reader before the release is appended.
+func (c *control) handOver(now clock.Millis, s *streamState) {
+	commands := s.journal.HandOver(now)
+	c.publish()
+	c.execute(s, commands)
+}
--- a/internal/streams/members.go
+++ b/internal/streams/members.go
@@ -229,7 +229,7 @@
 	idle := true
 	for _, s := range c.streams {
 		if _, next := c.view.Winner(s.index); now >= c.leaveBy || !next {
-			c.execute(s, s.journal.HandOver(now))
+			c.handOver(now, s)
 		}
 		idle = idle && s.journal.Phase() == journal.PhaseIdle
 	}
@@ -254,7 +254,7 @@
 			stats.Owned++
 		}
 		if until, ok := s.journal.Confirmed(); ok {
-			confirmed[name] = max(until, c.confirmed[name])
+			confirmed[name] = until
 		}
 	}
 	owners := make(map[spool.Stream]spool.NodeID, config.StreamCount)
--- a/internal/streams/promise.go
+++ b/internal/streams/promise.go
@@ -3,84 +3,49 @@
 import (
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/journal"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// round asks every other member for promises while the log does not answer.
-type round struct {
-	sentAt  clock.Millis
-	members int
-	// promises counts the members that have promised, by stream.
-	promises map[spool.Stream]int
+// promiseDone is a holder's answer to a request for a promise.
+type promiseDone struct {
+	stream      spool.Stream
+	command     journal.Promise
+	incarnation string
+	err         error
 }
 
-// promiseDone is a member's answer to a round.
-type promiseDone struct {
-	round    *round
-	promised []spool.Stream
+func (e promiseDone) handle(c *control, now clock.Millis) {
+	s, _ := c.stream(e.stream)
+	c.execute(s, s.journal.PromiseDone(now, e.command, e.incarnation, e.err == nil, isFenced(e.err)))
 }
 
-func (e promiseDone) handle(c *control, _ clock.Millis) {
-	for _, stream := range e.promised {
-		e.round.promises[stream]++
-		if e.round.promises[stream] == e.round.members {
-			c.confirmed[stream] = max(c.confirmed[stream], e.round.sentAt+c.m.config.PromiseFor)
-		}
-	}
+func (c *control) sendPromise(name spool.Stream, command journal.Promise) {
+	m := c.m
+	call := peerCall(c, command.Node, wire.MethodPromise, (*control).handlePromise)
+	m.peers.Go(func() {
+		reply, err := call(wire.PromiseRequest{Stream: name, Epoch: command.Epoch, For: command.For})
+		m.send(promiseDone{name, command, reply.Incarnation, err})
+	})
 }
 
-// askPromises keeps the authority over the streams that this entry serves while
-// the log is down: until the promises end no other member claims them. Members
-// that are believed dead are asked too, since they may only be cut off.
-func (c *control) askPromises(now clock.Millis) {
-	if c.round != nil && now-c.round.sentAt < c.m.config.PromiseFor/3 {
-		return
-	}
-	var streams []spool.Stream
-	for name, s := range c.streams {
-		if s.journal.Serving() && s.journal.LogDown() {
-			streams = append(streams, name)
-		}
+// handlePromise answers an owner. Its epoch is fenced when this node knows of a
+// newer claim, even if no seal has come yet.
+func (c *control) handlePromise(now clock.Millis, request wire.PromiseRequest) (reply wire.PromiseReply, err error) {
+	s, ok := c.stream(request.Stream)
+	if !ok {
+		return reply, spool.Refuse(spool.CodeBadRequest, "stream %q does not exist", request.Stream)
 	}
-	if len(streams) == 0 {
-		return
+	if _, known, ok := s.journal.Owner(); ok && known > request.Epoch {
+		return reply, spool.Refuse(spool.CodeFenced, "stream %s has been claimed with epoch %d", request.Stream, known)
 	}
-	others := c.view.Others()
-	r := &round{sentAt: now, members: len(others), promises: map[spool.Stream]int{}}
-	c.round = r
-	request := c.heartbeat(now)
-	request.Promise, request.PromiseFor = streams, c.m.config.PromiseFor
-	if len(others) == 0 {
-		for _, stream := range streams {
-			c.confirmed[stream] = now
-		}
+	if longest := c.m.config.PromiseFor; request.For > longest {
+		// It could outlast the silence after a restart.
+		return reply, spool.Refuse(spool.CodeBadRequest, "promise of %d ms exceeds the limit of %d ms", request.For, longest)
 	}
-	m := c.m
-	for _, node := range others {
-		call := peerCall(c, node, wire.MethodHeartbeat, (*control).handleHeartbeat)
-		m.peers.Go(func() {
-			if reply, err := call(request); err == nil {
-				m.send(promiseDone{r, reply.Promised})
-			}
-		})
-	}
-}
-
-// promise answers another entry's request. A node that has been sealed by a newer
-// claim, or knows of one, promises nothing.
-func (c *control) promise(now clock.Millis, request wire.HeartbeatRequest) (promised []spool.Stream) {
-	for _, name := range request.Promise {
-		s, ok := c.stream(name)
-		epoch, owned := request.Owned[name]
-		if !ok || !owned || c.holder.Fence(name) > epoch {
-			continue
-		}
-		if _, known, ok := s.journal.Owner(); ok && known > epoch {
-			continue
-		}
-		if s.journal.Promise(now + request.PromiseFor) {
-			promised = append(promised, name)
-		}
+	if err := c.holder.Promise(now, request.Stream, request.Epoch, request.For); err != nil {
+		return reply, c.refusal(err)
 	}
-	return promised
+	reply.Incarnation = c.holder.Incarnation()
+	return reply, nil
 }
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -65,8 +65,8 @@
 	// LeaveAfter is how long Leave waits for the next owner of a stream to ask for
 	// it before it releases the stream anyway.
 	LeaveAfter clock.Millis
-	// PromiseFor is the time for which members promise not to claim the streams of
-	// an owner while the log is down.
+	// PromiseFor is the time for which holders promise to leave the seal of a new
+	// owner unanswered while the log is down. It must be the same at all entries.
 	PromiseFor clock.Millis
 }
 
@@ -298,8 +298,8 @@
 }
 
 // Confirmed returns the instant, on this entry's clock, until which no other
-// entry can have claimed the stream: the start of the last read of its tail that
-// showed none, or the end of the promises that all other members have given.
+// entry can serve the stream: the start of the last read of its tail that showed
+// no newer claim, or the end of the promises that all its holders have given.
 func (m *Manager) Confirmed(stream spool.Stream) (until clock.Millis, ok bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -15,6 +15,7 @@
 	MethodHandover       = "entry.handover"
 	MethodHold           = "journal.hold"
 	MethodSeal           = "journal.seal"
+	MethodPromise        = "journal.promise"
 	MethodRelease        = "journal.release"
 	MethodLease          = "limit.lease"
 	MethodPull           = "control.pull"
@@ -210,10 +211,6 @@
 	FailureDomain spool.FailureDomain          `json:"failureDomain"`
 	ControlOffset spool.Offset                 `json:"controlOffset"`
 	Owned         map[spool.Stream]spool.Epoch `json:"owned,omitempty"`
-	// Promise asks the receiver not to claim the listed streams within
-	// PromiseFor; the reply repeats those it promises.
-	Promise    []spool.Stream `json:"promise,omitempty"`
-	PromiseFor clock.Millis   `json:"promiseForMs,omitempty"`
 	// Leaving means that the sender is about to stop and takes no streams.
 	Leaving bool `json:"leaving,omitempty"`
 	// Changes are the ownership changes that the sender has learnt of lately.
@@ -232,7 +229,6 @@
 	Node          spool.NodeID                 `json:"node"`
 	ControlOffset spool.Offset                 `json:"controlOffset"`
 	Owned         map[spool.Stream]spool.Epoch `json:"owned,omitempty"`
-	Promised      []spool.Stream               `json:"promised,omitempty"`
 	// Leaving and Changes are those of the answering node.
 	Leaving bool          `json:"leaving,omitempty"`
 	Changes []OwnerChange `json:"changes,omitempty"`
@@ -289,6 +285,19 @@
 	Incarnation string `json:"incarnation"`
 }
 
+// PromiseRequest asks a holder to answer no seal above Epoch for a time.
+type PromiseRequest struct {
+	Stream spool.Stream `json:"stream"`
+	Epoch  spool.Epoch  `json:"epoch"`
+	For    clock.Millis `json:"forMs"`
+}
+
+// PromiseReply says that the holder has promised.
+type PromiseReply struct {
+	// Incarnation changes when the holder restarts.
+	Incarnation string `json:"incarnation"`
+}
+
 // ReleaseRequest tells a holder that everything of lower epochs is on the log.
 type ReleaseRequest struct {
 	Stream spool.Stream `json:"stream"`
--- a/pkg/journal/command.go
+++ b/pkg/journal/command.go
@@ -64,6 +64,18 @@
 		Epoch spool.Epoch
 	}
 
+	// Promise asks a holder to answer no seal of a higher epoch for a time. The
+	// answer goes to PromiseDone.
+	Promise struct {
+		// Node is the holder; Epoch is the sender's claim.
+		Node  spool.NodeID
+		Epoch spool.Epoch
+		// AskedAt identifies the question.
+		AskedAt clock.Millis
+		// For is the length of the promise.
+		For clock.Millis
+	}
+
 	// Release tells a node that everything of epochs below Epoch is on the
 	// stream. The answer, if there is one, goes to ReleaseDone.
 	Release struct {
@@ -125,6 +137,7 @@
 func (Read) command()     {}
 func (Hold) command()     {}
 func (Seal) command()     {}
+func (Promise) command()  {}
 func (Release) command()  {}
 func (Answer) command()   {}
 func (Reset) command()    {}
--- a/pkg/journal/holder.go
+++ b/pkg/journal/holder.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -22,6 +23,8 @@
 	incarnation string
 	limit       int
 	used        int
+	// silentUntil is the end of the promises of an earlier start.
+	silentUntil clock.Millis
 	streams     map[spool.Stream]*copies
 }
 
@@ -29,6 +32,9 @@
 type copies struct {
 	// fence is the highest epoch seen; lower ones are refused.
 	fence spool.Epoch
+	// A seal above promisedTo is not answered before promisedUntil.
+	promisedTo    spool.Epoch
+	promisedUntil clock.Millis
 	// units are ordered by epoch and sequence, without repeats.
 	units []Unit
 }
@@ -86,14 +92,19 @@
 func (h *Holder) Units(stream spool.Stream) []Unit { return slices.Clone(h.stream(stream).units) }
 
 // Seal refuses epochs below epoch from now on and returns the units held of
-// them. It fails with ErrFenced when a higher epoch has sealed the stream.
-func (h *Holder) Seal(stream spool.Stream, epoch spool.Epoch) (answer Sealing, err error) {
+// them. It fails with ErrFenced when a higher epoch has sealed the stream, and
+// with ErrPromised until the holder's promises to lower epochs have ended; it
+// gives no new ones meanwhile.
+func (h *Holder) Seal(now clock.Millis, stream spool.Stream, epoch spool.Epoch) (answer Sealing, err error) {
 	c := h.stream(stream)
 	if epoch < c.fence {
 		return answer, errors.Wrapf(ErrFenced, "epoch %d of stream %s is below %d", epoch, stream, c.fence)
 	}
-	answer.Incarnation = h.incarnation
 	c.fence = epoch
+	if wait := h.promised(now, c, epoch); wait > 0 {
+		return answer, errors.Wrapf(ErrPromised, "stream %s for another %d ms", stream, wait)
+	}
+	answer.Incarnation = h.incarnation
 	for _, unit := range c.units {
 		if unit.Batch.Epoch < epoch {
 			answer.Units = append(answer.Units, unit)
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -53,6 +53,9 @@
 	// ExposeAfter is how long an append may take before its units go to holders
 	// as well, so that later submissions need not wait for it.
 	ExposeAfter clock.Millis
+	// PromiseFor is the time for which holders promise not to answer a seal while
+	// the log is down.
+	PromiseFor clock.Millis
 	// Retention is how long the log keeps records; a snapshot is due at half.
 	Retention clock.Millis
 }
@@ -65,6 +68,7 @@
 	defaultRetryAfter     = 200 * clock.Millis(1)
 	defaultOpenWait       = 300 * clock.Millis(1)
 	defaultExposeAfter    = 100 * clock.Millis(1)
+	defaultPromiseFor     = 3 * clock.Second
 	defaultRetention      = clock.Hour
 )
 
@@ -73,6 +77,7 @@
 		&c.AppendInterval: defaultAppendInterval, &c.PollWait: defaultPollWait,
 		&c.RetryAfter: defaultRetryAfter, &c.OpenWait: defaultOpenWait,
 		&c.ExposeAfter: defaultExposeAfter, &c.Retention: defaultRetention,
+		&c.PromiseFor: defaultPromiseFor,
 	} {
 		if *value == 0 {
 			*value = fallback
@@ -154,8 +159,12 @@
 	confirmed clock.Millis
 
 	peers map[spool.NodeID]*peer
-	// promised is the instant before which this node appends no claim.
-	promised clock.Millis
+	// promisers are the holders since the log last answered, all of which have to
+	// promise. promises is the latest round; promised is the end of the promises
+	// that all of them have given.
+	promisers []spool.NodeID
+	promises  promiseRound
+	promised  clock.Millis
 	// allowed is the owner that may be replaced; atTail means that the last read
 	// reached the end of the stream.
 	allowed spool.NodeID
@@ -197,9 +206,12 @@
 // Serving reports whether submissions are taken.
 func (j *Journal) Serving() bool { return j.phase == PhaseServing }
 
-// Confirmed returns the instant up to which the stream provably held no newer
-// claim.
-func (j *Journal) Confirmed() (clock.Millis, bool) { return j.confirmed, j.phase >= PhaseServing }
+// Confirmed returns the instant up to which provably no other node serves the
+// stream: the start of the last read that showed no newer claim, or the end of
+// the holders' promises.
+func (j *Journal) Confirmed() (clock.Millis, bool) {
+	return max(j.confirmed, j.promised), j.phase >= PhaseServing
+}
 
 // Stats returns the counters.
 func (j *Journal) Stats() Stats {
@@ -323,6 +335,7 @@
 		j.advance()
 		j.snapshotDue(now)
 		j.release(now)
+		j.askPromises(now)
 	}
 	j.appendDue(now)
 	return j.flush()
--- a/pkg/journal/takeover.go
+++ b/pkg/journal/takeover.go
@@ -36,7 +36,7 @@
 		return j.flush()
 	}
 	stats := j.Stats()
-	*j = Journal{config: j.config, phase: PhaseReading, replay: NewReplay(0), stats: stats, attempts: j.attempts, serial: j.serial, promised: j.promised}
+	*j = Journal{config: j.config, phase: PhaseReading, replay: NewReplay(0), stats: stats, attempts: j.attempts, serial: j.serial}
 	j.choose(holders)
 	j.emit(Reset{})
 	return j.Tick(now)
@@ -51,16 +51,6 @@
 	return j.Tick(now)
 }
 
-// Promise makes the journal append no claim before until, and reports whether it
-// can promise that: not while a claim of its own may be on its way to the stream.
-func (j *Journal) Promise(until clock.Millis) bool {
-	if j.phase >= PhaseClaiming {
-		return false
-	}
-	j.promised = max(j.promised, until)
-	return true
-}
-
 // Abandon stops following when the stream is no longer wanted. It is ignored
 // once the claim may be on the stream.
 func (j *Journal) Abandon() []Command {
@@ -73,7 +63,7 @@
 
 // claim decides at the tail of the stream whether to claim it.
 func (j *Journal) claim(now clock.Millis) {
-	if j.phase != PhaseReady || !j.atTail || j.logDown || now < j.promised {
+	if j.phase != PhaseReady || !j.atTail || j.logDown {
 		return
 	}
 	owner, _, owned := j.Owner()
@@ -348,6 +338,8 @@
 func (j *Journal) HandOver(now clock.Millis) []Command {
 	if j.phase == PhaseServing {
 		j.phase = PhaseReleasing
+		// The next owner asks no holder after a release.
+		j.promised = 0
 	}
 	return j.Tick(now)
 }
@@ -419,5 +411,5 @@
 	if fold == nil {
 		fold = NewFold(State{}, 0)
 	}
-	*j = Journal{config: j.config, fold: fold, stats: j.stats, attempts: j.attempts, serial: j.serial, promised: j.promised, out: j.out}
+	*j = Journal{config: j.config, fold: fold, stats: j.stats, attempts: j.attempts, serial: j.serial, out: j.out}
 }
