Let the connection's goroutine format the pieces of a streamed answer

Cause: fasthttp's stream writer runs in a goroutine of its own behind a pipe, so each piece woke one goroutine more on its way to the caller.

Change: the body of a streamed answer is a reader that the connection's goroutine reads.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -1,14 +1,10 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
-	"net"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -78,11 +74,7 @@
 	}
 	request.ctx.SetContentType("text/event-stream")
 	request.ctx.Response.Header.Set("Cache-Control", "no-store")
-	conn := request.ctx.Conn()
-	request.ctx.SetBodyStreamWriter(func(writer *bufio.Writer) {
-		defer cancel()
-		e.write(conn, writer, head, events, ended, form)
-	})
+	request.ctx.SetBodyStream(newEventBody(e, request.ctx.Conn(), form, head, events, ended, cancel), -1)
 	return true, nil
 }
 
@@ -92,72 +84,6 @@
 	return ended
 }
 
-var errCallerLeft = errors.New("caller has left")
-
-// write sends the events until the answer ends or the caller has left, which
-// shows only when a write fails.
-func (e *Entry) write(conn net.Conn, writer *bufio.Writer, head *Event, events <-chan Event, ended <-chan ending, form format) {
-	send := func(piece []byte, err error) error {
-		if err != nil {
-			return err
-		}
-		// A caller that reads nothing lets its connection's buffer fill.
-		_ = conn.SetWriteDeadline(time.Now().Add(e.config.IdleTimeout.Duration()))
-		if _, err := writer.Write(piece); err != nil {
-			return errors.Wrap(errCallerLeft, err.Error())
-		}
-		return errors.Wrap(writer.Flush(), errCallerLeft.Error())
-	}
-	if head != nil && e.sent(send(form.event(*head)), writer, form) {
-		return
-	}
-	ticker := time.NewTicker(e.config.HeartbeatEvery.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case event := <-events:
-			if e.sent(send(form.event(event)), writer, form) {
-				return
-			}
-		case <-ticker.C:
-			if e.sent(send([]byte(": heartbeat\n\n"), nil), writer, form) {
-				return
-			}
-		case end := <-ended:
-			// Every event was queued before the end.
-			for len(events) > 0 {
-				if e.sent(send(form.event(<-events)), writer, form) {
-					return
-				}
-			}
-			if end.err != nil {
-				refusal := asRefusal(end.err)
-				e.telemetry.Refused(refusal.Code)
-				_ = send(form.failed(refusal), nil)
-				return
-			}
-			_ = send(form.done(end.body))
-			return
-		}
-	}
-}
-
-// sent reports whether a stream is over: the caller has left, or the format
-// cannot express an event.
-func (e *Entry) sent(err error, writer *bufio.Writer, form format) bool {
-	if err == nil {
-		return false
-	}
-	if refusal := refusalOf(err); refusal != nil {
-		e.telemetry.Refused(refusal.Code)
-		_, _ = writer.Write(form.failed(refusal))
-		_ = writer.Flush()
-		return true
-	}
-	e.telemetry.Event("callerLeft")
-	return true
-}
-
 // nativeFormat is that of /v1/programs/{id}/calls.
 type nativeFormat struct{}
 
