Keep all but the latest messages of a program compressed

Cause: an owner at the target holds 1,091 histories of up to 150,000 tokens as plain messages, 0.85 GB.

Change: pkg/history packs the messages in blocks of 32 KB of text with zstd and a checksum; the latest message is never packed.

--- a/pkg/program/calls.go
+++ b/pkg/program/calls.go
@@ -198,16 +198,16 @@
 func (s *State) begin(now clock.Millis, program *Program, ticket *Ticket) *spool.Refusal {
 	owner := program.tree
 	if ticket.whole {
-		rest, ok := continues(program.messages, ticket.Messages)
+		rest, ok := program.history.Continues(ticket.Messages)
 		if !ok {
-			return spool.Refuse(spool.CodeConflict, "messages do not continue the program's history of %d messages", len(program.messages))
+			return spool.Refuse(spool.CodeConflict, "messages do not continue the program's history of %d messages", program.history.Len())
 		}
 		ticket.Messages, ticket.whole = rest, false
 	}
 	if ticket.Kind == CallModel && len(ticket.Messages) == 0 {
 		return spool.Refuse(spool.CodeBadRequest, "call brings no new message")
 	}
-	if bytes := program.bytes + textBytes(ticket.Messages); ticket.Kind == CallModel && bytes > s.limit.HistoryBytes {
+	if bytes := program.history.Bytes() + textBytes(ticket.Messages); ticket.Kind == CallModel && bytes > s.limit.HistoryBytes {
 		return spool.Refuse(spool.CodeTooLarge, "history would grow to %d bytes, %d are allowed", bytes, s.limit.HistoryBytes)
 	}
 	if owner.budget.Wall > 0 {
@@ -225,7 +225,7 @@
 	}
 	ticket.held = need
 	owner.reserved = owner.reserved.plus(need)
-	ticket.BaseCount, ticket.BaseDigest, ticket.BaseTokens = len(program.messages), program.digest, program.tokens
+	ticket.BaseCount, ticket.BaseDigest, ticket.BaseTokens = program.history.Len(), program.digest, program.tokens
 	ticket.Attained, ticket.Endpoint = owner.used.Tokens, program.endpoint
 	program.running = ticket
 	return nil
@@ -239,20 +239,6 @@
 	return total
 }
 
-// continues returns what prompt adds to history, or false when history is not
-// a prefix of prompt.
-func continues(history, prompt []spool.Message) ([]spool.Message, bool) {
-	if len(prompt) < len(history) {
-		return nil, false
-	}
-	for i := range history {
-		if history[i] != prompt[i] {
-			return nil, false
-		}
-	}
-	return prompt[len(history):], true
-}
-
 // Release ends a ticket, which frees what it still holds of the budget, and
 // starts the calls behind it. It is called after the call's record is durable
 // and applied, or when the call has ended without one.
--- a/pkg/program/fold.go
+++ b/pkg/program/fold.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/history"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -201,14 +202,14 @@
 	switch {
 	case len(data.Messages) == 0:
 		return invalid("turn has no messages")
-	case p.ended == "" && data.Base != len(p.messages):
-		return invalid("turn starts at message %d, history has %d", data.Base, len(p.messages))
+	case p.ended == "" && data.Base != p.history.Len():
+		return invalid("turn starts at message %d, history has %d", data.Base, p.history.Len())
 	case p.ended == "" && spool.HistoryDigest(p.digest, data.Messages...) != data.Digest:
 		return invalid("digest of the history does not match")
 	}
 	p.charge(data.Call, data.Charged, data.At)
 	finished := &call{
-		kind: CallModel, body: data.Body, answer: len(p.messages) + len(data.Messages) - 1, fate: FateDone,
+		kind: CallModel, body: data.Body, answer: p.history.Len() + len(data.Messages) - 1, fate: FateDone,
 		prompt: data.PromptTokens, cached: data.CachedTokens, generated: data.GeneratedTokens, endpoint: data.Endpoint,
 	}
 	p.calls[data.Call], p.last = finished, data.Call
@@ -219,8 +220,7 @@
 		finished.answer, finished.text = -1, data.Messages[len(data.Messages)-1].Content
 		return nil
 	}
-	p.messages = append(p.messages, data.Messages...)
-	p.bytes += textBytes(data.Messages)
+	p.history.Append(data.Messages...)
 	p.digest = data.Digest
 	p.tokens = data.PromptTokens + data.GeneratedTokens
 	return nil
@@ -310,10 +310,10 @@
 			continue
 		}
 		if known.answer >= 0 {
-			known.text, known.answer = p.messages[known.answer].Content, -1
+			known.text, known.answer = p.history.At(known.answer).Content, -1
 		}
 	}
-	p.messages, p.bytes = nil, 0
+	p.history = history.History{}
 	p.ended, p.endedAt = data.Reason, data.At
 	p.lastAt = max(p.lastAt, data.At)
 	if effects.Ended == nil {
--- a/pkg/program/lifecycle.go
+++ b/pkg/program/lifecycle.go
@@ -169,10 +169,10 @@
 	return program.view(), nil
 }
 
-// History returns the messages of a program. The caller must not change them.
+// History returns a copy of the messages of a program.
 func (s *State) History(id spool.ProgramID) []spool.Message {
 	if program := s.find(id); program != nil {
-		return program.messages[:len(program.messages):len(program.messages)]
+		return program.history.All()
 	}
 	return nil
 }
--- a/pkg/program/program.go
+++ b/pkg/program/program.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/history"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -64,12 +65,10 @@
 	idleFor clock.Millis
 	tree    *tree
 
-	messages []spool.Message
-	digest   string
+	history history.History
+	digest  string
 	// count is the number of messages, which stays when the end drops them.
 	count int
-	// bytes is the length of the text of messages.
-	bytes int
 	// tokens is the length of the history by the engine's count.
 	tokens int
 	calls  map[spool.CallID]*call
@@ -170,7 +169,7 @@
 	answer.PromptTokens, answer.CachedTokens, answer.GeneratedTokens = c.prompt, c.cached, c.generated
 	answer.Text = c.text
 	if c.answer >= 0 {
-		answer.Text = p.messages[c.answer].Content
+		answer.Text = p.history.At(c.answer).Content
 	}
 	return answer
 }
--- a/pkg/program/snapshot.go
+++ b/pkg/program/snapshot.go
@@ -111,7 +111,7 @@
 func (p *Program) snapshot() SnapshotEntry {
 	snapshot := SnapshotEntry{
 		ID: p.id, Account: p.account, Parent: p.parent, Model: p.model, Alarm: p.alarm, IdleFor: p.idleFor,
-		Messages: p.messages, Count: p.count, Digest: p.digest, Tokens: p.tokens, Last: p.last, Endpoint: p.endpoint,
+		Messages: p.history.All(), Count: p.count, Digest: p.digest, Tokens: p.tokens, Last: p.last, Endpoint: p.endpoint,
 		Turns: p.turns, Spent: p.spent, LastAt: p.lastAt, Ended: p.ended, EndedAt: p.endedAt,
 	}
 	for name, known := range p.calls {
@@ -165,9 +165,8 @@
 
 func restore(owner *tree, data SnapshotEntry) (*Program, error) {
 	program := &Program{
-		bytes: textBytes(data.Messages),
-		id:    data.ID, account: data.Account, parent: data.Parent, model: data.Model, alarm: data.Alarm,
-		idleFor: data.IdleFor, tree: owner, messages: data.Messages, count: data.Count, digest: data.Digest, tokens: data.Tokens,
+		id: data.ID, account: data.Account, parent: data.Parent, model: data.Model, alarm: data.Alarm,
+		idleFor: data.IdleFor, tree: owner, count: data.Count, digest: data.Digest, tokens: data.Tokens,
 		last: data.Last, endpoint: data.Endpoint, turns: data.Turns, spent: data.Spent, lastAt: data.LastAt,
 		ended: data.Ended, endedAt: data.EndedAt,
 		calls: make(map[spool.CallID]*call, len(data.Calls)), children: make(map[spool.CallID]child, len(data.Children)),
@@ -175,6 +174,7 @@
 	if data.Ended == "" && spool.HistoryDigest("", data.Messages...) != data.Digest {
 		return nil, invalid("digest of the history of %s does not match", data.ID)
 	}
+	program.history.Append(data.Messages...)
 	for _, known := range data.Calls {
 		if known.Index >= len(data.Messages) {
 			return nil, invalid("call %s lies beyond the history", known.Call)
