--- a/pkg/history/history_test.go
+++ b/pkg/history/history_test.go
@@ -9,10 +9,13 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/baobabspool/baobabspool/internal/fixedseed"
 	"github.com/baobabspool/baobabspool/pkg/history"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
+func TestMain(m *testing.M) { fixedseed.Main(m, nil) }
+
 func TestHistory(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	ginkgo.RunSpecs(t, "history")
