--- a/internal/endpoint/agent.go
+++ b/internal/endpoint/agent.go
@@ -101,9 +101,11 @@
 		err = multierr.Append(err, errors.New("exactly one of engine and service must be set"))
 	}
 	queue, queueErr := spool.Queues.New(config.Queue, config.Seed, config.QueueOptions)
+	pause, pauseErr := spool.Pauses.New(config.Pause, config.Seed, config.PauseOptions)
 	gate, gateErr := spool.Gates.New(config.Gate, config.Seed, config.GateOptions)
 	err = multierr.Append(err, errors.WithMessage(queueErr, "queue"))
 	err = multierr.Append(err, errors.WithMessage(gateErr, "gate"))
+	err = multierr.Append(err, errors.WithMessage(pauseErr, "pause"))
 	if err != nil {
 		return nil, err
 	}
@@ -114,7 +116,7 @@
 	}
 	agent.log = agent.telemetry.Logger("endpoint")
 	agent.orders = gatekeeper.NewOrders(xxhash.Sum64String(string(config.Endpoint)))
-	agent.kernel = gatekeeper.New(config.Kernel, uuid.NewString()[:bootLength], queue, gate)
+	agent.kernel = gatekeeper.New(config.Kernel, uuid.NewString()[:bootLength], queue, gate, pause)
 	return agent, nil
 }
 
