Wait for the VM list before an agent looks for its entries

The reader of the control stream waits longer each time that it knows no entry. The agent now waits for the list first, within the same deadline, which allows for the spread of first reads.

pkg/roster: the test of the readers also counts requests to parents, so that a comparison that never matches is caught; it survived before.

--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -132,6 +132,10 @@
 }
 
 func (p *Endpoint) startControl(t *telemetry.Telemetry) (err error) {
+	deadline := time.Now().Add(settleFor(p.config.VMReaders).Duration())
+	// The reader waits longer each time that it knows no entry, so it starts when
+	// there is a list.
+	await(deadline, func() bool { _, readAt := p.vms.Latest(); return readAt != 0 })
 	p.control, err = control.NewReader(control.Config{
 		Node:          spool.NodeID(p.config.Node),
 		Role:          spool.RoleEndpoint,
@@ -141,19 +145,24 @@
 	if err != nil {
 		return err
 	}
-	deadline := time.After(settleFor(p.config.VMReaders).Duration())
-	for !p.control.Ready() {
-		select {
-		case <-p.control.Changed():
-		case <-time.After(20 * time.Millisecond):
-		case <-deadline:
-			p.log.Warn("no entry answers, starting with default settings")
-			return nil
-		}
+	if !await(deadline, p.control.Ready) {
+		p.log.Warn("no entry answers, starting with default settings")
 	}
 	return nil
 }
 
+// await waits for a condition until the deadline and reports whether it holds.
+func await(deadline time.Time, holds func() bool) bool {
+	const checkEvery = 20 * time.Millisecond
+	for !holds() {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(checkEvery)
+	}
+	return true
+}
+
 func (p *Endpoint) startAgent(t *telemetry.Telemetry, server *tls.Config) (err error) {
 	values := p.control.Settings(settings.Scope{
 		Region: spool.Region(p.config.Region), FailureDomain: spool.FailureDomain(p.config.FailureDomain),
--- a/pkg/roster/fleet_test.go
+++ b/pkg/roster/fleet_test.go
@@ -54,8 +54,8 @@
 	down      bool
 	reads     []clock.Millis
 	fallbacks int
-	// refused counts requests to processes that are dead.
-	refused int
+	// pulls counts requests to parents, refused those to processes that are dead.
+	pulls, refused int
 	// slow is the most that a message takes beyond hopDelay.
 	slow  clock.Millis
 	nodes map[spool.NodeID]*process
@@ -195,6 +195,7 @@
 }
 
 func (f *fleet) pull(p *process, step roster.Pull) {
+	f.pulls++
 	sent, done := p.time(f), false
 	finish := func(run func()) func() {
 		return func() {
--- a/pkg/roster/node_test.go
+++ b/pkg/roster/node_test.go
@@ -95,12 +95,14 @@
 		f.within(3 * clock.Second)
 	})
 
-	// Guards against every process reading the platform's list all the time.
-	ginkgo.It("lets only the readers read the platform's list", func() {
+	// Guards against every process reading the platform's list all the time, and
+	// against requests that are answered at once although nothing has changed.
+	ginkgo.It("lets only the readers read the platform's list, and the others wait at their parents", func() {
 		f := settled(2)
-		f.reads = nil
+		f.reads, f.pulls = nil, 0
 		f.run(20 * clock.Second)
 		gomega.Expect(len(f.reads)).To(gomega.BeNumerically("<=", 3*readers*21))
+		gomega.Expect(f.pulls).To(gomega.BeNumerically("<=", len(f.order)*11), "one in 2 s")
 	})
 
 	// Guards against children that stay with readers that no longer answer, or ask
