--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -15,6 +15,7 @@
 	"github.com/baobabspool/baobabspool/internal/roster"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	_ "github.com/baobabspool/baobabspool/pkg/policy" // Registers the policies.
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -69,6 +70,14 @@
 	return problems.Err()
 }
 
+// Heartbeats of an agent's connections to its parent. At the defaults 33 agents
+// would cost an entry 10 KB/s for heartbeats alone; requests to a parent have
+// their own shorter limits.
+const (
+	silentAfter = 2 * clock.Second
+	pingEvery   = 1 * clock.Second
+)
+
 // Endpoint is the running process of an endpoint agent.
 type Endpoint struct {
 	config  EndpointConfig
@@ -94,12 +103,13 @@
 		return nil, err
 	}
 	p = &Endpoint{
-		config:  settingsOfProcess,
-		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node), wire.WithTLS(client)),
-		log:     t.Logger("endpoint"),
-		wake:    make(chan struct{}, 1),
-		stop:    make(chan struct{}),
-		done:    make(chan struct{}),
+		config: settingsOfProcess,
+		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node), wire.WithTLS(client),
+			wire.WithSilentAfter(silentAfter, pingEvery)),
+		log:  t.Logger("endpoint"),
+		wake: make(chan struct{}, 1),
+		stop: make(chan struct{}),
+		done: make(chan struct{}),
 	}
 	p.vms, err = roster.New(rosterConfig(p.config.Node, spool.RoleEndpoint, p.config.FailureDomain, p.config.VMReaders),
 		platform.NewVMList(p.config.VMsAddress), p.clients, roster.WithTelemetry(t), roster.WithObserver(p.nudge))
@@ -117,6 +127,10 @@
 }
 
 func (p *Endpoint) startControl(t *telemetry.Telemetry) (err error) {
+	deadline := time.Now().Add(settleFor(p.config.VMReaders).Duration())
+	// The reader waits longer each time that it knows no entry, so it starts when
+	// there is a list.
+	await(deadline, func() bool { _, readAt := p.vms.Latest(); return readAt != 0 })
 	p.control, err = control.NewReader(control.Config{
 		Node:          spool.NodeID(p.config.Node),
 		Role:          spool.RoleEndpoint,
@@ -126,19 +140,24 @@
 	if err != nil {
 		return err
 	}
-	deadline := time.After(settleFor(p.config.VMReaders).Duration())
-	for !p.control.Ready() {
-		select {
-		case <-p.control.Changed():
-		case <-time.After(20 * time.Millisecond):
-		case <-deadline:
-			p.log.Warn("no entry answers, starting with default settings")
-			return nil
-		}
+	if !await(deadline, p.control.Ready) {
+		p.log.Warn("no entry answers, starting with default settings")
 	}
 	return nil
 }
 
+// await waits for a condition until the deadline and reports whether it holds.
+func await(deadline time.Time, holds func() bool) bool {
+	const checkEvery = 20 * time.Millisecond
+	for !holds() {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(checkEvery)
+	}
+	return true
+}
+
 func (p *Endpoint) startAgent(t *telemetry.Telemetry, server *tls.Config) (err error) {
 	values := p.control.Settings(settings.Scope{
 		Region: spool.Region(p.config.Region), FailureDomain: spool.FailureDomain(p.config.FailureDomain),
