--- a/internal/streams/cluster_test.go
+++ b/internal/streams/cluster_test.go
@@ -98,6 +98,8 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	cut   map[string]bool
+	// calls counts the requests by method.
+	calls map[string]int
 }
 
 type node struct {
@@ -108,7 +110,7 @@
 }
 
 func newCluster() *cluster {
-	return &cluster{log: newMemoryLog(), nodes: map[string]*node{}, cut: map[string]bool{}}
+	return &cluster{log: newMemoryLog(), nodes: map[string]*node{}, cut: map[string]bool{}, calls: map[string]int{}}
 }
 
 func (c *cluster) VMs(context.Context) ([]spool.VM, error) {
@@ -128,6 +130,7 @@
 func (c *cluster) Call(ctx context.Context, address, method string, request, result any, _ func(json.RawMessage) error) error {
 	c.mu.Lock()
 	n, cut := c.nodes[address], c.cut[address]
+	c.calls[method]++
 	c.mu.Unlock()
 	if n == nil {
 		return spool.ErrNotSent
@@ -151,6 +154,12 @@
 	return json.Unmarshal(body, result)
 }
 
+func (c *cluster) count(method string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls[method]
+}
+
 func (c *cluster) start(i int, change func(*streams.Config)) *node {
 	name := fmt.Sprintf("entry-%d", i)
 	domain := spool.FailureDomain([]string{"ndar-a", "dkr-b", "ths-c", "klk-d"}[i%4])
--- /dev/null
+++ b/internal/streams/promise_test.go
@@ -0,0 +1,53 @@
+package streams_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/streams"
+	"github.com/baobabspool/baobabspool/internal/wire"
+)
+
+// promiseRate returns the requests for promises that an owner sends per second
+// and stream while the log is down.
+func promiseRate(members int, window time.Duration) float64 {
+	c := newCluster()
+	defer c.close()
+	slow := func(config *streams.Config) {
+		config.TickEvery, config.HeartbeatEvery, config.DeadAfter = 20, 500, 5000
+		config.ListEvery, config.PeerTimeout, config.PromiseFor = 500, 2000, 3000
+	}
+	for i := range members {
+		c.start(i, slow)
+	}
+	gomega.Eventually(c.owned, "60s", "100ms").Should(gomega.Equal(4))
+	time.Sleep(3 * time.Second)
+	c.log.setDown(true)
+	time.Sleep(time.Second)
+	before := c.count(wire.MethodPromise)
+	time.Sleep(window)
+	return float64(c.count(wire.MethodPromise)-before) / window.Seconds() / 4
+}
+
+var _ = ginkgo.Describe("promises", func() {
+	// Guards against a cost that grows with the members.
+	ginkgo.It("are asked of the holders only", func() {
+		gomega.Expect(promiseRate(12, 3*time.Second)).To(gomega.BeNumerically("~", 2, 0.7))
+	})
+})
+
+// BenchmarkPromises measures the requests for promises of one owner.
+func BenchmarkPromises(b *testing.B) {
+	for _, members := range []int{10, 30, 100, 330} {
+		b.Run(fmt.Sprint(members), func(b *testing.B) {
+			gomega.RegisterTestingT(b)
+			for b.Loop() {
+				b.ReportMetric(promiseRate(members, 6*time.Second), "requests/s")
+			}
+		})
+	}
+}
