Carry the level of a pool in the release record

Cause: after a planned handover the next owner of a stream did not know what the previous one had granted, so its pools waited 1.5 s and began empty.

The account limits stop granting at that instant and leave the levels of the pools that had authority. The release record carries them, and only the owner of the claim right after the release gets them. A pool whose level is missing waits as before.

--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -198,7 +198,8 @@
 		StreamCount:   p.config.StreamCount,
 		Retention:     clock.Millis(p.config.RetentionMs),
 	}, streams.WithLog(log), streams.WithVMList(list), streams.WithCaller(clients), streams.WithClock(source),
-		streams.WithTelemetry(t), streams.WithControlOffset(p.control.Offset), streams.WithApplier(p.entry.Applier()))
+		streams.WithTelemetry(t), streams.WithControlOffset(p.control.Offset), streams.WithApplier(p.entry.Applier()),
+		streams.WithHandover(p.quota.HandOver))
 	return err
 }
 
--- a/internal/process/state.go
+++ b/internal/process/state.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"encoding/json"
 	"sort"
 	"sync"
 
@@ -105,8 +106,15 @@
 	return 0, false
 }
 
-// Confirmed returns the instant until which no other entry can have claimed the
-// stream.
+// Inherited returns what the previous owner of a stream left with its release.
+func (l *lateStreams) Inherited(stream spool.Stream, epoch spool.Epoch) json.RawMessage {
+	if manager := l.get(); manager != nil {
+		return manager.Inherited(stream, epoch)
+	}
+	return nil
+}
+
+// Confirmed returns the instant until which no other entry can serve the stream.
 func (l *lateStreams) Confirmed(stream spool.Stream) (clock.Millis, bool) {
 	if manager := l.get(); manager != nil {
 		return manager.Confirmed(stream)
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -186,12 +186,13 @@
 func (m *Manager) own(now clock.Millis, id spool.AccountID, state *account) {
 	stream := spool.StreamOfAccount(id, m.config.StreamCount)
 	epoch, serves := m.streams.Epoch(stream)
+	serves = serves && m.left[stream] != epoch
 	switch {
 	case !serves && state.epoch != 0:
 		state.owner.Release(now)
 		state.epoch = 0
 	case serves && epoch != state.epoch:
-		state.owner.Take(now, epoch)
+		m.takeOver(now, stream, epoch, id, state.owner)
 		state.epoch = epoch
 	}
 	if until, ok := m.streams.Confirmed(stream); serves && ok {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strconv"
 	"sync"
 	"time"
@@ -52,6 +53,9 @@
 	// Confirmed returns the instant until which no other entry can serve the
 	// stream.
 	Confirmed(stream spool.Stream) (clock.Millis, bool)
+	// Inherited returns what HandOver of the previous owner returned, if it has
+	// released the stream to this entry's claim.
+	Inherited(stream spool.Stream, epoch spool.Epoch) json.RawMessage
 	// OwnerOf returns the owner of a stream and its address.
 	OwnerOf(stream spool.Stream) (spool.NodeID, string, bool)
 }
@@ -88,7 +92,9 @@
 	others  limit.Config
 	// waiting holds the requests for admission that have no outcome yet.
 	waiting map[string]*admission
-	next    uint64
+	// left holds the claims that are being released; their pools grant no more.
+	left map[spool.Stream]spool.Epoch
+	next uint64
 
 	versionsMu sync.Mutex
 	// versions are those that the loop has not taken in yet.
@@ -103,7 +109,7 @@
 	m := &Manager{
 		config: config, clock: source, freshFor: freshFor, streams: streams, limits: map[spool.AccountID]limit.Config{}, clients: clients, telemetry: t,
 		pool: pond.NewPool(maxAsking), inbox: make(chan message, inboxSize), ctx: ctx, cancel: cancel,
-		accounts: map[spool.AccountID]*account{}, waiting: map[string]*admission{},
+		accounts: map[spool.AccountID]*account{}, waiting: map[string]*admission{}, left: map[spool.Stream]spool.Epoch{},
 	}
 	go func() {
 		ticker := time.NewTicker(tickEvery.Duration())
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"testing"
 	"time"
@@ -32,6 +33,8 @@
 	owner   spool.NodeID
 	epoch   spool.Epoch
 	address map[spool.NodeID]string
+	// inherited is what the previous owner has left.
+	inherited json.RawMessage
 }
 
 func (o *ownership) move(owner spool.NodeID) {
@@ -69,6 +72,12 @@
 	return v.clock.Now(), v.owner == v.node && !v.paused
 }
 
+func (v *view) Inherited(spool.Stream, spool.Epoch) json.RawMessage {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.inherited
+}
+
 func (v *view) OwnerOf(spool.Stream) (spool.NodeID, string, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -169,6 +178,27 @@
 		gomega.Expect(len(f.admitted)).To(gomega.BeNumerically(">", 3*80*2/3))
 	})
 
+	// Guards against a planned change of owner that interrupts the grants, and
+	// against a level that is more than what the old owner had.
+	ginkgo.It("goes on without a pause when the owner releases the pool", func() {
+		config := limit.Config{Rate: 100, Burst: 40}
+		f := newFleet(config, always)
+		time.Sleep(2500 * time.Millisecond)
+		time.AfterFunc(300*time.Millisecond, func() {
+			left := f.managers[0].HandOver(spool.ProgramStream(0), 1)
+			f.owner.mu.Lock()
+			f.owner.inherited = left
+			f.owner.mu.Unlock()
+			time.Sleep(50 * time.Millisecond)
+			f.owner.move("e2")
+		})
+		f.send(1200*time.Millisecond, time.Millisecond)
+		gomega.Expect(f.over(config)).To(gomega.BeZero())
+		// 30 tokens of the burst and 100 a second; with the wait of 1.5 s after the
+		// release they would be 60.
+		gomega.Expect(len(f.admitted)).To(gomega.BeNumerically(">", 30+100*2/3))
+	})
+
 	// Guards against refusals of an account that keeps to its rate.
 	ginkgo.It("refuses nothing within the rate once the pool has an owner", func() {
 		f := newFleet(config, always)
--- a/internal/streams/events.go
+++ b/internal/streams/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/pkg/errors"
 
@@ -118,6 +119,18 @@
 	c.execute(s, s.journal.SnapshotTaken(now, e.epoch, e.records))
 }
 
+// handoverTaken is what the user leaves to the next owner.
+type handoverTaken struct {
+	stream spool.Stream
+	epoch  spool.Epoch
+	data   json.RawMessage
+}
+
+func (e handoverTaken) handle(c *control, now clock.Millis) {
+	s, _ := c.stream(e.stream)
+	c.execute(s, s.journal.HandoverTaken(now, e.epoch, e.data))
+}
+
 // listDone is the answer to a read of the VM list.
 type listDone struct {
 	vms []spool.VM
--- a/internal/streams/execute.go
+++ b/internal/streams/execute.go
@@ -37,7 +37,11 @@
 		case journal.Apply:
 			s.lane.add(func() { m.applier.Apply(name, command.Batch) })
 		case journal.Serving:
-			c.serving(s, command.Epoch)
+			c.serving(s, command)
+		case journal.Handover:
+			s.lane.add(func() {
+				m.send(handoverTaken{name, command.Epoch, m.handover(name, command.Epoch)})
+			})
 		case journal.Lost:
 			c.lost(s, command.Cause)
 		case journal.Snapshot:
@@ -58,18 +62,18 @@
 	s.lane.add(func() { submission.answer <- command.Refusal })
 }
 
-func (c *control) serving(s *streamState, epoch spool.Epoch) {
+func (c *control) serving(s *streamState, command journal.Serving) {
 	m := c.m
 	m.mu.RLock()
 	losses := m.losses[s.name]
 	m.mu.RUnlock()
 	c.event("streams.serving")
 	s.lane.add(func() {
-		m.applier.Serving(s.name, epoch)
+		m.applier.Serving(s.name, command.Epoch)
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		if m.losses[s.name] == losses {
-			m.served[s.name] = epoch
+			m.served[s.name], m.inherited[s.name] = command.Epoch, command.Inherited
 		}
 	})
 }
@@ -79,6 +83,7 @@
 	m.mu.Lock()
 	m.losses[s.name]++
 	delete(m.served, s.name)
+	delete(m.inherited, s.name)
 	m.mu.Unlock()
 	switch cause {
 	case journal.LossTaken:
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -113,6 +113,12 @@
 // WithTelemetry gives the counters and the logger.
 func WithTelemetry(t *telemetry.Telemetry) Option { return func(m *Manager) { m.telemetry = t } }
 
+// WithHandover asks what this entry leaves to the next owner of a stream that it
+// is about to release. The function must have stopped using what it returns.
+func WithHandover(leave func(stream spool.Stream, epoch spool.Epoch) json.RawMessage) Option {
+	return func(m *Manager) { m.handover = leave }
+}
+
 // WithControlOffset gives the offset of the control stream that this entry has
 // applied; heartbeats carry it.
 func WithControlOffset(offset func() spool.Offset) Option {
@@ -129,6 +135,7 @@
 	clock         clock.Clock
 	telemetry     *telemetry.Telemetry
 	controlOffset func() spool.Offset
+	handover      func(spool.Stream, spool.Epoch) json.RawMessage
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -144,6 +151,8 @@
 	mu sync.RWMutex
 	// served holds the streams that submissions are taken for.
 	served map[spool.Stream]spool.Epoch
+	// inherited is what the previous owners of served streams have left.
+	inherited map[spool.Stream]json.RawMessage
 	// losses counts the losses of each stream, so that a late Serving is ignored.
 	losses map[spool.Stream]int
 	view   view
@@ -206,6 +215,8 @@
 		config: config.withDefaults(), clock: clock.System(), applier: noApplier{},
 		controlOffset: func() spool.Offset { return 0 },
 		events:        make(chan event, eventQueue),
+		handover:      func(spool.Stream, spool.Epoch) json.RawMessage { return nil },
+		inherited:     map[spool.Stream]json.RawMessage{},
 		served:        map[spool.Stream]spool.Epoch{}, losses: map[spool.Stream]int{},
 	}
 	for _, option := range options {
@@ -266,6 +277,17 @@
 	return epoch, ok
 }
 
+// Inherited returns what the previous owner left when it released a stream that
+// this entry serves with epoch; nil when it left nothing.
+func (m *Manager) Inherited(stream spool.Stream, epoch spool.Epoch) json.RawMessage {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.served[stream] != epoch {
+		return nil
+	}
+	return m.inherited[stream]
+}
+
 // OwnerOf returns the owner of a stream to the best of this entry's knowledge.
 func (m *Manager) OwnerOf(stream spool.Stream) (node spool.NodeID, address string, ok bool) {
 	m.mu.RLock()
--- a/pkg/journal/append.go
+++ b/pkg/journal/append.go
@@ -67,8 +67,8 @@
 		next.adopted = adopted
 		records = append([]spool.Record{encode(KindHolders, Claim{Holders: adopted, Incarnations: j.opened(adopted)})}, records...)
 	}
-	if j.phase == PhaseReleasing && len(next.entries) == len(j.units) && len(j.staged) == 0 {
-		records = append(records, encode(KindRelease, struct{}{}))
+	if j.phase == PhaseReleasing && j.handover.taken && len(next.entries) == len(j.units) && len(j.staged) == 0 {
+		records = append(records, encode(KindRelease, releaseData{Handover: j.handover.data}))
 	}
 	return records
 }
--- a/pkg/journal/command.go
+++ b/pkg/journal/command.go
@@ -1,6 +1,8 @@
 package journal
 
 import (
+	"encoding/json"
+
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -108,6 +110,16 @@
 	Serving struct {
 		// Epoch is the node's claim.
 		Epoch spool.Epoch
+		// Inherited is what the previous owner left with its release; nil without
+		// one.
+		Inherited json.RawMessage
+	}
+
+	// Handover asks the user what it leaves to the next owner. The answer goes to
+	// HandoverTaken; the release is appended after it.
+	Handover struct {
+		// Epoch is the claim that is about to be released.
+		Epoch spool.Epoch
 	}
 
 	// Lost tells that the node no longer serves, or has given up its claim.
@@ -143,6 +155,7 @@
 func (Reset) command()    {}
 func (Apply) command()    {}
 func (Serving) command()  {}
+func (Handover) command() {}
 func (Lost) command()     {}
 func (Retain) command()   {}
 func (Snapshot) command() {}
--- a/pkg/journal/fold.go
+++ b/pkg/journal/fold.go
@@ -22,6 +22,8 @@
 	// Released means that the owner has given the stream up with nothing left to
 	// recover.
 	Released bool `json:"released,omitempty"`
+	// Handover is what the owner that released the stream left to the next one.
+	Handover json.RawMessage `json:"handover,omitempty"`
 	// Recovered is the highest epoch whose owner has appended everything that
 	// earlier owners had left at holders. Units of lower epochs are void.
 	Recovered spool.Epoch `json:"recovered"`
@@ -123,6 +125,7 @@
 		f.state.Owners, f.state.Holders, f.state.Incarnations = nil, nil, nil
 	}
 	f.state.Epoch, f.state.Owner, f.state.Released = batch.Epoch, batch.Writer, false
+	f.state.Handover = nil
 	f.current = claim.Holders
 	f.state.Owners = union(f.state.Owners, []spool.NodeID{batch.Writer})
 	f.state.Holders = union(f.state.Holders, claim.Holders)
@@ -137,7 +140,7 @@
 		case KindRecovered:
 			f.recovered(records[0])
 		case KindRelease:
-			f.state.Released = true
+			f.release(records[0])
 		case KindSnapshot:
 			f.snapshot(batch)
 			return units
@@ -159,6 +162,15 @@
 	return units
 }
 
+// release ends the epoch. Data that does not decode leaves nothing.
+func (f *Fold) release(record spool.Record) {
+	var data releaseData
+	if json.Unmarshal(record.Data, &data) != nil {
+		f.void++
+	}
+	f.state.Released, f.state.Handover = true, data.Handover
+}
+
 // fresh reports whether a unit in a valid batch is applied, and notes it.
 func (f *Fold) fresh(unit Unit) bool {
 	epoch := unit.Batch.Epoch
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"slices"
 
@@ -178,6 +179,10 @@
 	restore      []Unit
 	releases     map[spool.NodeID]*releasing
 
+	// inherited is what the previous owner left; handover what this one leaves.
+	inherited json.RawMessage
+	handover  handover
+
 	snapshots *snapshotting
 	stats     Stats
 	out       []Command
--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"testing"
 
@@ -276,6 +277,27 @@
 		gomega.Expect(holder.holder.Units(stream)).To(gomega.BeEmpty())
 	})
 
+	// Guards against a handover that is used twice: what it holds would then be
+	// granted by two owners.
+	ginkgo.It("passes what an owner leaves to the next owner and to no later one", func() {
+		w := newWorld(1, journal.Config{AppendInterval: 30, PollWait: 100})
+		first, second, third := w.nodes[0], w.nodes[1], w.nodes[2]
+		w.follow(first, "")
+		w.advance(800)
+		gomega.Expect(first.inherited).To(gomega.BeEmpty())
+		epoch := first.serving
+		w.execute(first, first.journal.HandOver(w.now))
+		w.advance(800)
+		w.follow(second, "")
+		w.advance(800)
+		gomega.Expect(second.inherited).To(gomega.Equal(fmt.Sprint(epoch)))
+		second.alive = false
+		w.follow(third, second.id)
+		w.advance(2000)
+		gomega.Expect(third.serving).NotTo(gomega.BeZero())
+		gomega.Expect(third.inherited).To(gomega.BeEmpty())
+	})
+
 	// Guards against two owners: a seal that is answered before a promise ends, a
 	// restarted holder that has forgotten its promises, and a promise after a seal.
 	ginkgo.It("answers no seal before a promise has ended, and promises nothing to an epoch that was sealed", func() {
--- a/pkg/journal/record.go
+++ b/pkg/journal/record.go
@@ -40,6 +40,12 @@
 	Incarnations map[spool.NodeID]string `json:"incarnations,omitempty"`
 }
 
+// releaseData is the data of a KindRelease record.
+type releaseData struct {
+	// Handover is what the owner's user leaves to the next owner.
+	Handover json.RawMessage `json:"handover,omitempty"`
+}
+
 // Unit is one submission: the records that are applied together. Units keep
 // their identity when another owner appends them again.
 type Unit struct {
--- a/pkg/journal/takeover.go
+++ b/pkg/journal/takeover.go
@@ -159,6 +159,7 @@
 		j.releases[node] = &releasing{epoch: j.epoch}
 	}
 	if before.Released {
+		j.inherited = before.Handover
 		return
 	}
 	for _, node := range before.Owners {
@@ -294,7 +295,7 @@
 	}
 	j.seals = nil
 	j.snapshots = &snapshotting{}
-	j.emit(Serving{Epoch: j.epoch})
+	j.emit(Serving{Epoch: j.epoch, Inherited: j.inherited})
 }
 
 // releasing is a node that may hold copies of lower epochs, which are all on the
@@ -334,24 +335,6 @@
 	}
 }
 
-// HandOver stops taking submissions, appends the rest and releases the stream.
-func (j *Journal) HandOver(now clock.Millis) []Command {
-	if j.phase == PhaseServing {
-		j.phase = PhaseReleasing
-		// The next owner asks no holder after a release.
-		j.promised = 0
-	}
-	return j.Tick(now)
-}
-
-func (j *Journal) finishRelease() {
-	for _, node := range j.order {
-		j.emit(Release{Node: node, Epoch: j.epoch + 1})
-	}
-	j.reset()
-	j.emit(Lost{Cause: LossReleased})
-}
-
 // Sealed handles a seal by a new owner that reached this node as the previous
 // owner. It retains what is acknowledged or may be held, and is not known to be
 // on the stream, for the new owner.
--- a/pkg/journal/world_test.go
+++ b/pkg/journal/world_test.go
@@ -82,6 +82,8 @@
 	serving spool.Epoch
 	// servingAt is when serving was set.
 	servingAt clock.Millis
+	// inherited is what the previous owner left.
+	inherited string
 }
 
 func newWorld(seed uint64, config journal.Config) *world {
@@ -221,7 +223,12 @@
 				n.applied = append(n.applied, string(record.Data))
 			}
 		case journal.Serving:
+			n.inherited = string(command.Inherited)
 			w.serving(n, command.Epoch)
+		case journal.Handover:
+			w.after(w.delay(), n, n.starts, func() {
+				w.execute(n, n.journal.HandoverTaken(w.now, command.Epoch, value2json(command.Epoch)))
+			})
 		case journal.Lost:
 			n.serving = 0
 			w.histories = append(w.histories, slices.Clone(n.applied))
@@ -370,6 +377,8 @@
 	w.problems = append(w.problems, fmt.Sprintf("at %s: ", w.now-1_000_000)+fmt.Sprintf(format, args...))
 }
 
+func value2json(epoch spool.Epoch) json.RawMessage { return json.RawMessage(fmt.Sprint(epoch)) }
+
 func value2record(value string) spool.Record {
 	return spool.Record{Kind: "test.value", Data: json.RawMessage(value)}
 }
