--- a/pkg/limit/invariant_test.go
+++ b/pkg/limit/invariant_test.go
@@ -73,6 +73,9 @@
 	meters   []*limit.Meter
 	rate     float64
 	busy     bool
+	// cut says which entries do not hear from the control stream in an outage of
+	// the log. Owners keep their authority by promises.
+	cut [entries]bool
 	burst    float64
 	admitted int
 }
@@ -186,7 +189,9 @@
 		f.send(i, n.share.Tick(f.local(n)))
 		n.owner.Tick(f.local(n))
 		if !f.oneIn(4) {
-			f.pull(n)
+			if !f.cut[i] {
+				f.pull(n)
+			}
 			f.renew(n)
 		}
 	}
@@ -302,6 +307,37 @@
 	f.bound()
 }
 
+// outage cuts some entries off the control stream or ends the outage. Changes of
+// the view that are published meanwhile reach the entries at different times.
+func (f *fleet) outage(t *rapid.T) {
+	if f.cut != [entries]bool{} || !f.oneIn(4) {
+		f.cut = [entries]bool{}
+		return
+	}
+	for i := range f.cut {
+		f.cut[i] = f.oneIn(2)
+	}
+	for range f.random.IntN(3) {
+		f.change(t)
+		f.pass(t)
+	}
+}
+
+// lower divides the account's limits while a new owner waits for the end of the
+// previous one's authority.
+func (f *fleet) lower(t *rapid.T) {
+	if !f.oneIn(4) {
+		return
+	}
+	f.claim(t)
+	f.pass(t)
+	next := *f.configs[len(f.configs)-1].config
+	next.Rate, next.Burst = next.Rate/4, max(1, next.Burst/4)
+	f.control = append(f.control, change{at: f.now, config: &next})
+	f.configs = append(f.configs, change{at: f.now, config: &next})
+	f.bound()
+}
+
 func (f *fleet) pause(*rapid.T) {
 	n := f.node()
 	if n.paused || f.oneIn(4) {
@@ -344,7 +380,8 @@
 		f := newFleet(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"pass": f.pass, "pass on": f.pass, "pass more": f.pass, "toggle": f.toggle, "admit": f.admit, "deliver": f.deliver,
-			"claim": f.claim, "change": f.change, "pause": f.pause, "step": f.step, "": f.check,
+			"claim": f.claim, "change": f.change, "pause": f.pause, "step": f.step,
+			"outage": f.outage, "lower": f.lower, "pass again": f.pass, "pass further": f.pass, "": f.check,
 		})
 		total += f.admitted
 	})
