--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -206,7 +206,8 @@
 		StreamCount:   p.config.StreamCount,
 		Retention:     clock.Millis(p.config.RetentionMs),
 	}, streams.WithLog(log), streams.WithLists(p.vms), streams.WithCaller(clients), streams.WithClock(source),
-		streams.WithTelemetry(t), streams.WithControlOffset(p.control.Offset), streams.WithApplier(p.entry.Applier()))
+		streams.WithTelemetry(t), streams.WithControlOffset(p.control.Offset), streams.WithApplier(p.entry.Applier()),
+		streams.WithHandover(p.quota.HandOver))
 	return err
 }
 
