Reload certificates without a restart

Cause: certificate files were read at the start only. With a certificate that expires during the run every caller and every new connection between processes failed from then on (all 12 programs given up, 'certificate has expired'). No test ran a whole deployment over TLS.

A timer was preferred to SIGHUP: nobody signals 11,000 VMs, and the files are read from memory. wire.WithTLS takes a function, so that the configuration is that of the time of the dial. Gauges show the seconds until expiry. A test runs entries, agents, callers, status and explain over TLS beyond the end of the first certificates, with streams open during the reload, and an agent and an operator of another authority.

Changed test: the unit test of TLSFiles uses Open in place of Load; it checks the same connections.

Removed by hand, each fails the deployment test: the reload, the check of the client's certificate.

--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"strings"
@@ -27,6 +28,7 @@
 type Client struct {
 	entries func() []string
 	key     string
+	scheme  string
 	http    *fasthttp.Client
 	next    atomic.Uint64
 }
@@ -37,6 +39,7 @@
 	return &Client{
 		entries: entries,
 		key:     key,
+		scheme:  "http://",
 		http: &fasthttp.Client{
 			StreamResponseBody:        true,
 			MaxIdemponentCallAttempts: 1,
@@ -48,6 +51,9 @@
 	}
 }
 
+// UseTLS makes the client use TLS. It must be called before the first request.
+func (c *Client) UseTLS(config *tls.Config) { c.scheme, c.http.TLSConfig = "https://", config }
+
 // Failure is an error answer of an entry.
 type Failure struct {
 	// Code, Message, NotRun and RetryAfter are those of spool.Refusal.
@@ -81,7 +87,7 @@
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(method)
-	request.SetRequestURI("http://" + entries[c.next.Add(1)%uint64(len(entries))] + path)
+	request.SetRequestURI(c.scheme + entries[c.next.Add(1)%uint64(len(entries))] + path)
 	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.key)
 	if body != nil {
 		request.Header.SetContentType("application/json")
--- a/internal/cli/endpoint.go
+++ b/internal/cli/endpoint.go
@@ -40,6 +40,7 @@
 	command.Flags().StringVar(&settings.EngineAddress, "engine-address", "", "IP address and port of the model engine")
 	command.Flags().StringVar(&settings.ServiceAddress, "service-address", "", "IP address and port of the plain service")
 	registerTLS(command, &settings.TLS)
+	registerReload(command, &settings.TLSReloadMs)
 	flags.register(command)
 	config.Bind(command)
 	return command
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -47,6 +47,7 @@
 	command.Flags().StringVar(&settings.HTTPTLS.Cert, "http-tls-cert", "", "PEM file with the certificate of the callers' API; empty for plain HTTP")
 	command.Flags().StringVar(&settings.HTTPTLS.Key, "http-tls-key", "", "PEM file with its key")
 	registerTLS(command, &settings.TLS)
+	registerReload(command, &settings.TLSReloadMs)
 	flags.register(command)
 	config.Bind(command)
 	return command
--- a/internal/cli/nodes.go
+++ b/internal/cli/nodes.go
@@ -46,11 +46,11 @@
 		}
 		ctx, cancel := context.WithTimeout(contextOf(command), clock.Millis(o.timeoutMs).Duration())
 		defer cancel()
-		_, secure, err := files.Load()
+		certificates, err := files.Open()
 		if err != nil {
 			return err
 		}
-		clients := wire.NewClients("operator", wire.WithTLS(secure))
+		clients := wire.NewClients("operator", wire.WithTLS(certificates.Client))
 		defer clients.Close()
 		vms, err := o.listVMs(ctx)
 		if err != nil {
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -48,6 +48,10 @@
 	command.Flags().StringVar(&files.CA, "tls-ca", "", "PEM file with the authority that signs the certificates of all processes")
 }
 
+func registerReload(command *cobra.Command, every *int64) {
+	command.Flags().Int64Var(every, "tls-reload-ms", process.DefaultTLSReloadMs, "how often the certificate files are read again, in milliseconds")
+}
+
 // serve starts a process, logs that it is ready and waits for a signal. start
 // returns the process and where it listens.
 func (f *processFlags) serve(node, part string, validate func() error, start func(*telemetry.Telemetry) (stopper, []zap.Field, error)) error {
--- /dev/null
+++ b/internal/deployment/certificates_test.go
@@ -0,0 +1,96 @@
+package deployment_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+// authority signs the certificate that all processes of a test share.
+type authority struct {
+	folder string
+	key    *ecdsa.PrivateKey
+	cert   *x509.Certificate
+}
+
+func newAuthority() *authority {
+	a := &authority{folder: ginkgo.GinkgoT().TempDir()}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	a.key, a.cert = sign(template, template, nil)
+	a.write("ca.pem", "CERTIFICATE", a.cert.Raw)
+	return a
+}
+
+// sign returns a new key and its certificate, which signs itself without a key.
+func sign(template, parent *x509.Certificate, by *ecdsa.PrivateKey) (*ecdsa.PrivateKey, *x509.Certificate) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	if by == nil {
+		by = key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, by)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	cert, err := x509.ParseCertificate(der)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return key, cert
+}
+
+// issue replaces the certificate in the files.
+func (a *authority) issue(until time.Time) {
+	key, cert := sign(&x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: "process"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: until, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		KeyUsage: x509.KeyUsageDigitalSignature,
+	}, a.cert, a.key)
+	secret, err := x509.MarshalECPrivateKey(key)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	a.write("cert.pem", "CERTIFICATE", cert.Raw)
+	a.write("key.pem", "EC PRIVATE KEY", secret)
+}
+
+func (a *authority) write(name, kind string, der []byte) {
+	path := filepath.Join(a.folder, name)
+	gomega.Expect(os.WriteFile(path+".new", pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)).To(gomega.Succeed())
+	gomega.Expect(os.Rename(path+".new", path)).To(gomega.Succeed())
+}
+
+// flags returns the flags that name the files, none for plain TCP.
+func (a *authority) flags(prefixes ...string) (flags []string) {
+	if a == nil {
+		return nil
+	}
+	for _, prefix := range prefixes {
+		flags = append(flags, "--"+prefix+"-cert", filepath.Join(a.folder, "cert.pem"), "--"+prefix+"-key", filepath.Join(a.folder, "key.pem"))
+	}
+	return append(flags, "--tls-ca", filepath.Join(a.folder, "ca.pem"))
+}
+
+// processFlags returns the flags of an entry or an agent.
+func (a *authority) processFlags(prefixes ...string) []string {
+	if a == nil {
+		return nil
+	}
+	return append(a.flags(prefixes...), "--tls-reload-ms", "500")
+}
+
+// trust returns the configuration of a caller that trusts the authority.
+func (a *authority) trust() *tls.Config {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.cert)
+	return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+}
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -100,7 +100,13 @@
 // start starts three entries in three failure domains, three engines and one
 // plain service with two agents.
 func start(ctx context.Context) (s *system, key string) {
+	return startWith(ctx, func(*system) {})
+}
+
+// startWith is start with a change to the system before its processes start.
+func startWith(ctx context.Context, change func(*system)) (s *system, key string) {
 	s = newSystem()
+	change(s)
 	s.standin("log", "log")
 	s.standin("vms", "vms")
 	s.standin("service", "ledger")
@@ -131,7 +137,7 @@
 	book := caller.NewLedger()
 	var running sync.WaitGroup
 	for i := range count {
-		one := caller.NewProgram(caller.NewClient(s.balanced, key), book, caller.Spec{
+		one := caller.NewProgram(s.client(key), book, caller.Spec{
 			Account: account, Name: fmt.Sprintf("p%d", i), Seed: uint64(i), Model: model, Service: ledger,
 		})
 		running.Go(func() {
--- a/internal/deployment/processes_test.go
+++ b/internal/deployment/processes_test.go
@@ -17,6 +17,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/baobabspool/baobabspool/internal/caller"
 	"github.com/baobabspool/baobabspool/internal/standin"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -55,6 +56,8 @@
 	fronts    map[string]string
 	vms       []spool.VM
 	network   network
+	// secure, unless nil, signs the certificates of entries and agents.
+	secure *authority
 }
 
 func newSystem() *system {
@@ -153,10 +156,10 @@
 	front := freeAddress()
 	s.list(spool.VM{ID: spool.NodeID(node), Role: spool.RoleEntry, FailureDomain: domain, Address: s.addresses[node]})
 	region := s.network.region(domain)
-	s.run("baobabspool", node, "entry", "--node", node, "--region", string(region), "--failure-domain", string(domain),
+	s.run("baobabspool", node, append(s.secure.processFlags("tls", "http-tls"), "entry", "--node", node, "--region", string(region), "--failure-domain", string(domain),
 		"--listen", s.addresses[node], "--http-listen", front, "--lame-duck-ms", "0", "--log-level", "debug",
 		"--vms-address", s.addresses[s.network.list(region)],
-		"--log-address", s.network.path(region, logRegion, s.addresses["log"]))
+		"--log-address", s.network.path(region, logRegion, s.addresses["log"]))...)
 	waitForListener(front)
 	s.setFront(node, front)
 }
@@ -166,8 +169,8 @@
 	s.addresses[node] = freeAddress()
 	s.list(spool.VM{ID: spool.NodeID(node), Role: spool.RoleEndpoint, FailureDomain: domain, Service: service, Address: s.addresses[node]})
 	region := s.network.region(domain)
-	s.run("baobabspool", node, "endpoint", "--node", node, "--region", string(region), "--failure-domain", string(domain),
-		"--listen", s.addresses[node], "--vms-address", s.addresses[s.network.list(region)], flag, s.addresses[endpoint])
+	s.run("baobabspool", node, append(s.secure.processFlags("tls"), "endpoint", "--node", node, "--region", string(region), "--failure-domain", string(domain),
+		"--listen", s.addresses[node], "--vms-address", s.addresses[s.network.list(region)], flag, s.addresses[endpoint])...)
 	waitForListener(s.addresses[node])
 }
 
@@ -233,6 +236,15 @@
 	return addresses
 }
 
+// client returns a caller's client of the entries that the balancer knows.
+func (s *system) client(key string) *caller.Client {
+	client := caller.NewClient(s.balanced, key)
+	if s.secure != nil {
+		client.UseTLS(s.secure.trust())
+	}
+	return client
+}
+
 func (s *system) post(node, path string, body any) {
 	encoded, err := json.Marshal(body)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- /dev/null
+++ b/internal/deployment/tls_test.go
@@ -0,0 +1,69 @@
+package deployment_test
+
+import (
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/caller"
+	"github.com/baobabspool/baobabspool/internal/standin"
+)
+
+// operate runs a command of an operator and returns its exit code and output.
+func (s *system) operate(files *authority, args ...string) (code int, output string) {
+	args = append(append(args, "--vms-address", s.addresses["vms"]), files.flags("tls")...)
+	command := exec.Command(filepath.Join(binaries(), "baobabspool"), args...)
+	raw, _ := command.CombinedOutput()
+	return command.ProcessState.ExitCode(), string(raw)
+}
+
+var _ = ginkgo.Describe("A deployment over TLS", ginkgo.Label("third"), func() {
+	const programs = 12
+
+	// Guards against connections that fail once the certificate of the start has
+	// expired, against streams that a reload cuts, and against a process of
+	// others that is let in.
+	ginkgo.It("goes on when certificates are replaced and the old ones expire", func() {
+		ctx := within(100 * time.Second)
+		ours, strangers := newAuthority(), newAuthority()
+		expiry := time.Now().Add(14 * time.Second)
+		ours.issue(expiry)
+		strangers.issue(time.Now().Add(time.Hour))
+		// They trust our certificates; ours must not trust theirs.
+		strangers.write("ca.pem", "CERTIFICATE", ours.cert.Raw)
+		s, key := startWith(ctx, func(s *system) { s.secure = ours })
+		s.standin("engine", "engineX")
+		s.secure = strangers
+		s.agent("mx", "c", models, "--engine-address", "engineX")
+		s.secure = ours
+		for _, engine := range []string{"engine1", "engine2", "engine3"} {
+			s.post(engine, "/", map[string]any{"tokenMs": 20})
+		}
+		code, output := s.operate(strangers, "status", "--endpoints")
+		gomega.Expect(code).To(gomega.Equal(7), output)
+		book := runTurns(ctx, s, key, programs, 20, func(*caller.Ledger) {
+			ours.issue(time.Now().Add(time.Hour))
+			gomega.Eventually(func() bool { return time.Now().After(expiry) }, "20s", "50ms").Should(gomega.BeTrue())
+			s.stop("m1")
+			s.restart("m1")
+		})
+		s.unlist("mx")
+		expectIntact(s, book, programs)
+		gomega.Expect(book.Totals().Retries).NotTo(gomega.HaveKey("noAnswer"))
+		stats := standin.EngineStats{}
+		s.stats("engineX", &stats)
+		gomega.Expect(stats.Calls).To(gomega.BeZero())
+		// New connections to every process work, also from an operator.
+		gomega.Eventually(func() int {
+			code, output = s.operate(ours, "status", "--endpoints")
+			return code
+		}, "10s", "100ms").Should(gomega.BeZero(), func() string { return output })
+		program := caller.NewProgram(s.client(key), book, caller.Spec{Account: account, Name: "last", Model: model, Service: ledger})
+		gomega.Expect(program.Start(ctx)).To(gomega.Succeed())
+		code, output = s.operate(ours, "explain", string(program.ID()))
+		gomega.Expect(code).To(gomega.BeZero(), output)
+	})
+})
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +13,7 @@
 	"github.com/baobabspool/baobabspool/internal/platform"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	_ "github.com/baobabspool/baobabspool/pkg/policy" // Registers the policies.
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -38,6 +38,8 @@
 	ServiceAddress string
 	// TLS protects the messages between our processes.
 	TLS TLSFiles
+	// TLSReloadMs is how often its files are read again.
+	TLSReloadMs int64
 }
 
 // Validate returns every error of the settings at once.
@@ -52,6 +54,7 @@
 	}
 	problems.Address("vms-address", c.VMsAddress)
 	c.TLS.Check(&problems)
+	checkReload(c.TLS.Cert, c.TLSReloadMs, &problems)
 	if (c.EngineAddress == "") == (c.ServiceAddress == "") {
 		problems.Add("engine-address", "give either engine-address or service-address")
 		return problems.Err()
@@ -76,6 +79,7 @@
 	vms     *vmWatch
 	clients *wire.Clients
 	log     *zap.Logger
+	between *Certificates
 
 	wake chan struct{}
 	stop chan struct{}
@@ -88,13 +92,17 @@
 	if err := settingsOfProcess.Validate(); err != nil {
 		return nil, err
 	}
-	server, client, err := settingsOfProcess.TLS.Load()
+	between, err := settingsOfProcess.TLS.Open()
 	if err != nil {
 		return nil, err
 	}
+	if err := between.follow(clock.Millis(settingsOfProcess.TLSReloadMs), t, "baobabspool_tls_expires_s"); err != nil {
+		return nil, err
+	}
 	p = &Endpoint{
 		config:  settingsOfProcess,
-		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node), wire.WithTLS(client)),
+		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node), wire.WithTLS(between.Client)),
+		between: between,
 		log:     t.Logger("endpoint"),
 		wake:    make(chan struct{}, 1),
 		stop:    make(chan struct{}),
@@ -104,7 +112,7 @@
 	if err := p.startControl(t); err != nil {
 		return nil, err
 	}
-	if err := p.startAgent(t, server); err != nil {
+	if err := p.startAgent(t); err != nil {
 		return nil, err
 	}
 	go func() { p.follow() }()
@@ -134,7 +142,7 @@
 	return nil
 }
 
-func (p *Endpoint) startAgent(t *telemetry.Telemetry, server *tls.Config) (err error) {
+func (p *Endpoint) startAgent(t *telemetry.Telemetry) (err error) {
 	values := p.control.Settings(settings.Scope{
 		Region: spool.Region(p.config.Region), FailureDomain: spool.FailureDomain(p.config.FailureDomain),
 	})
@@ -150,7 +158,7 @@
 	agentConfig.Kernel.CallLease = values.Duration(settings.MemoryLeaseMs)
 	agentConfig.Kernel.GraceLease = values.Duration(settings.MemoryLeaseMs)
 	options := []endpoint.Option{
-		endpoint.WithTelemetry(t), endpoint.WithTLS(server),
+		endpoint.WithTelemetry(t), endpoint.WithTLS(p.between.Server()),
 		endpoint.WithInTouch(func() bool { return !p.control.Isolated() }),
 	}
 	if p.config.EngineAddress != "" {
@@ -215,5 +223,6 @@
 	p.control.Close()
 	p.vms.close()
 	p.clients.Close()
+	p.between.close()
 	return err
 }
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -50,13 +50,15 @@
 	// TLS protects the messages between our processes, HTTPTLS the callers' API.
 	TLS     TLSFiles
 	HTTPTLS FrontTLS
+	// TLSReloadMs is how often the files of both are read again.
+	TLSReloadMs int64
 }
 
 // DefaultEntryConfig returns the values that are used when nothing else is set.
 func DefaultEntryConfig() EntryConfig {
 	return EntryConfig{
 		Listen: "127.0.0.1:7000", HTTPListen: "127.0.0.1:8080", StreamCount: 8,
-		RetentionMs: int64(clock.Hour), LameDuckMs: 2000,
+		RetentionMs: int64(clock.Hour), LameDuckMs: 2000, TLSReloadMs: DefaultTLSReloadMs,
 	}
 }
 
@@ -72,6 +74,7 @@
 	problems.Address("log-address", c.LogAddress)
 	c.TLS.Check(&problems)
 	c.HTTPTLS.check(&problems)
+	checkReload(c.TLS.Cert+c.HTTPTLS.Cert, c.TLSReloadMs, &problems)
 	if c.StreamCount < 1 {
 		problems.Add("streams", "must be at least 1")
 	}
@@ -96,6 +99,10 @@
 	quota   *quota.Manager
 	vms     *vmWatch
 	log     *zap.Logger
+	// between and front hold the certificates for messages between processes and
+	// for the callers' API.
+	between *Certificates
+	front   *Certificates
 	// ready is control once it has been started.
 	ready atomic.Pointer[control.Reader]
 
@@ -111,15 +118,10 @@
 	}
 	p = &Entry{config: processConfig, log: t.Logger("entry")}
 	source := clock.System()
-	server, client, err := p.config.TLS.Load()
-	if err != nil {
+	if err := p.openTLS(t); err != nil {
 		return nil, err
 	}
-	front, err := p.config.HTTPTLS.Load()
-	if err != nil {
-		return nil, err
-	}
-	clients := wire.NewClients(spool.NodeID(p.config.Node), wire.WithTLS(client))
+	clients := wire.NewClients(spool.NodeID(p.config.Node), wire.WithTLS(p.between.Client))
 	log := platform.NewLog(p.config.LogAddress)
 	list := platform.NewVMList(p.config.VMsAddress)
 	p.vms = newVMWatch(list, t, func() {})
@@ -131,7 +133,7 @@
 		return nil, err
 	}
 	state := &controlState{reader: p.control, region: spool.Region(p.config.Region), domain: spool.FailureDomain(p.config.FailureDomain)}
-	if err := p.buildEntry(state, clients, source, t, entry.WithTLS(front, server)); err != nil {
+	if err := p.buildEntry(state, clients, source, t, entry.WithTLS(p.front.Server(), p.between.Server())); err != nil {
 		return nil, err
 	}
 	if err := p.startStreams(log, list, clients, source, t); err != nil {
@@ -151,6 +153,20 @@
 	return p, nil
 }
 
+func (p *Entry) openTLS(t *telemetry.Telemetry) (err error) {
+	if p.between, err = p.config.TLS.Open(); err != nil {
+		return err
+	}
+	if p.front, err = p.config.HTTPTLS.Open(); err != nil {
+		return err
+	}
+	every := clock.Millis(p.config.TLSReloadMs)
+	if err = p.between.follow(every, t, "baobabspool_tls_expires_s"); err != nil {
+		return err
+	}
+	return p.front.follow(every, t, "baobabspool_http_tls_expires_s")
+}
+
 func (p *Entry) startControl(log spool.Log, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry) (err error) {
 	place := settings.Scope{Region: spool.Region(p.config.Region), FailureDomain: spool.FailureDomain(p.config.FailureDomain)}
 	reader, err := control.NewReader(control.Config{
@@ -241,6 +257,8 @@
 	p.quota.Close()
 	p.control.Close()
 	p.vms.close()
+	p.between.close()
+	p.front.close()
 }
 
 // maintainEvery paces the duties of the entry that owns the first stream.
--- a/internal/process/tls.go
+++ b/internal/process/tls.go
@@ -2,8 +2,6 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
-	"os"
 
 	"github.com/pkg/errors"
 
@@ -34,32 +32,9 @@
 	}
 }
 
-// Load reads the files and returns the configuration of a server and of a
-// client; both are nil when no file is set.
-func (f TLSFiles) Load() (server, client *tls.Config, err error) {
-	defer func() { err = errors.Wrap(err, "load TLS files") }()
-	if f.Cert == "" {
-		return nil, nil, nil
-	}
-	certificate, err := tls.LoadX509KeyPair(f.Cert, f.Key)
-	if err != nil {
-		return nil, nil, err
-	}
-	authority, err := os.ReadFile(f.CA)
-	if err != nil {
-		return nil, nil, err
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(authority) {
-		return nil, nil, errors.Errorf("%s holds no certificate", f.CA)
-	}
-	server = &tls.Config{
-		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{certificate},
-		ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool,
-	}
-	client = &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{certificate}, RootCAs: pool}
-	return server, client, nil
-}
+// Open reads the files. It returns nil, which stands for plain TCP, when none is
+// set.
+func (f TLSFiles) Open() (*Certificates, error) { return f.open(tls.VersionTLS13) }
 
 // FrontTLS names the PEM files of the callers' API. Either both are set or none.
 type FrontTLS struct {
@@ -72,15 +47,19 @@
 	}
 }
 
-// Load reads the files and returns the configuration of a server, nil when no
-// file is set.
-func (f FrontTLS) Load() (server *tls.Config, err error) {
-	if f.Cert == "" {
-		return nil, nil
-	}
-	certificate, err := tls.LoadX509KeyPair(f.Cert, f.Key)
-	if err != nil {
-		return nil, errors.Wrap(err, "load TLS files of the callers' API")
+// Open reads the files. It returns nil when none is set.
+func (f FrontTLS) Open() (certificates *Certificates, err error) {
+	defer func() { err = errors.Wrap(err, "callers' API") }()
+	return TLSFiles{Cert: f.Cert, Key: f.Key}.open(tls.VersionTLS12)
+}
+
+// DefaultTLSReloadMs is how often the certificate files are read again.
+const DefaultTLSReloadMs = 10_000
+
+// checkReload adds an interval that is not positive to problems when there are
+// files to read.
+func checkReload(cert string, every int64, problems *config.Problems) {
+	if cert != "" && every <= 0 {
+		problems.Add("tls-reload-ms", "must be above 0")
 	}
-	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{certificate}}, nil
 }
--- a/internal/process/tls_test.go
+++ b/internal/process/tls_test.go
@@ -5,6 +5,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -18,7 +19,10 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"go.uber.org/zap"
+
 	"github.com/baobabspool/baobabspool/internal/process"
+	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
 )
 
@@ -53,14 +57,14 @@
 	// Guards against processes of others that pass for ours on the network.
 	ginkgo.It("lets only processes with a certificate of the authority talk to each other", func() {
 		ours, strangers := issue(ginkgo.GinkgoT().TempDir()), issue(ginkgo.GinkgoT().TempDir())
-		server, client, err := ours.Load()
+		own, err := ours.Open()
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		listener, err := wire.Listen("127.0.0.1:0", wire.Mux{
 			"test.echo": wire.Handle(func(_ context.Context, text string, _ wire.Send) (any, error) { return text, nil }),
-		}, server)
+		}, own.Server())
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		ginkgo.DeferCleanup(listener.Close)
-		_, strange, err := strangers.Load()
+		strange, err := strangers.Open()
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		reply := ""
 		call := func(option wire.ClientOption) error {
@@ -68,10 +72,10 @@
 			defer clients.Close()
 			return clients.Call(context.Background(), listener.Address(), "test.echo", "hello", &reply, nil)
 		}
-		gomega.Expect(call(wire.WithTLS(client))).To(gomega.Succeed())
+		gomega.Expect(call(wire.WithTLS(own.Client))).To(gomega.Succeed())
 		gomega.Expect(reply).To(gomega.Equal("hello"))
-		gomega.Expect(call(wire.WithTLS(strange))).NotTo(gomega.Succeed())
-		gomega.Expect(call(wire.WithTLS(nil))).NotTo(gomega.Succeed())
+		gomega.Expect(call(wire.WithTLS(strange.Client))).NotTo(gomega.Succeed())
+		gomega.Expect(call(wire.WithTLS((*process.Certificates)(nil).Client))).NotTo(gomega.Succeed())
 	})
 
 	ginkgo.It("reports files that are missing or incomplete", func() {
@@ -80,7 +84,43 @@
 		gomega.Expect(config.Validate()).To(gomega.MatchError(gomega.And(
 			gomega.ContainSubstring("tls-cert, tls-key and tls-ca go together"),
 			gomega.ContainSubstring("http-tls-cert and http-tls-key go together"))))
-		_, _, err := process.TLSFiles{Cert: "none", Key: "none", CA: "none"}.Load()
+		_, err := process.TLSFiles{Cert: "none", Key: "none", CA: "none"}.Open()
 		gomega.Expect(err).To(gomega.HaveOccurred())
 	})
+
+	// Guards against a process that takes half of a change: a new certificate
+	// with the old key.
+	ginkgo.It("keeps the old files until the new ones fit together", func() {
+		folder := ginkgo.GinkgoT().TempDir()
+		files, other := issue(folder), issue(ginkgo.GinkgoT().TempDir())
+		config := process.EndpointConfig{
+			Node: "m1", FailureDomain: "a", Region: "r", Listen: "127.0.0.1:0", VMsAddress: "127.0.0.1:1",
+			ServiceAddress: "127.0.0.1:1", TLS: files, TLSReloadMs: 20,
+		}
+		t, err := telemetry.New("m1", zap.NewNop())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		endpoint, err := process.NewEndpoint(config, t)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(func() { _ = endpoint.Shutdown(context.Background()) })
+		served := func() []byte {
+			conn, err := tls.Dial("tcp", endpoint.Address(), &tls.Config{InsecureSkipVerify: true})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			defer func() { _ = conn.Close() }()
+			return conn.ConnectionState().PeerCertificates[0].Raw
+		}
+		events := func(name string) int64 {
+			return t.Totals()[telemetry.Series{Kind: telemetry.KindEvent, Label: name}]
+		}
+		first := served()
+		replace := func(from, to string) {
+			content, err := os.ReadFile(from)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(os.WriteFile(to, content, 0o600)).To(gomega.Succeed())
+		}
+		replace(other.Cert, files.Cert)
+		gomega.Eventually(func() int64 { return events("tlsReloadFailed") }).Should(gomega.BeNumerically(">=", 1))
+		gomega.Expect(served()).To(gomega.Equal(first))
+		replace(other.Key, files.Key)
+		gomega.Eventually(served).ShouldNot(gomega.Equal(first))
+	})
 })
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -37,7 +37,7 @@
 
 // Clients holds one connection per address and replaces those that break.
 type Clients struct {
-	tlsConfig   *tls.Config
+	tlsConfig   func() *tls.Config
 	dialTimeout clock.Millis
 	pingEvery   clock.Millis
 	silentAfter clock.Millis
@@ -57,8 +57,9 @@
 // ClientOption changes a default of Clients.
 type ClientOption func(*Clients)
 
-// WithTLS makes connections use TLS.
-func WithTLS(config *tls.Config) ClientOption {
+// WithTLS makes new connections use the TLS configuration that config returns at
+// the time; nil stands for plain TCP.
+func WithTLS(config func() *tls.Config) ClientOption {
 	return func(c *Clients) { c.tlsConfig = config }
 }
 
@@ -77,6 +78,7 @@
 // unique among processes.
 func NewClients(node spool.NodeID, options ...ClientOption) *Clients {
 	clients := &Clients{
+		tlsConfig:   func() *tls.Config { return nil },
 		dialTimeout: defaultDialTimeout,
 		pingEvery:   defaultPingEvery,
 		silentAfter: defaultSilentAfter,
@@ -206,8 +208,8 @@
 	dialer := &net.Dialer{Timeout: c.dialTimeout.Duration()}
 	var conn net.Conn
 	var err error
-	if c.tlsConfig != nil {
-		conn, err = tls.DialWithDialer(dialer, "tcp", address, c.tlsConfig)
+	if config := c.tlsConfig(); config != nil {
+		conn, err = tls.DialWithDialer(dialer, "tcp", address, config)
 	} else {
 		conn, err = dialer.Dial("tcp", address)
 	}
