--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +42,8 @@
 	ServiceAddress string
 	// TLS protects the messages between our processes.
 	TLS TLSFiles
+	// TLSReloadMs is how often its files are read again.
+	TLSReloadMs int64
 }
 
 // Validate returns every error of the settings at once.
@@ -58,6 +59,7 @@
 	problems.Address("vms-address", c.VMsAddress)
 	problems.Count("vm-readers", c.VMReaders)
 	c.TLS.Check(&problems)
+	checkReload(c.TLS.Cert, c.TLSReloadMs, &problems)
 	if (c.EngineAddress == "") == (c.ServiceAddress == "") {
 		problems.Add("engine-address", "give either engine-address or service-address")
 		return problems.Err()
@@ -86,6 +88,7 @@
 	vms     *roster.Runtime
 	clients *wire.Clients
 	log     *zap.Logger
+	between *Certificates
 
 	wake chan struct{}
 	stop chan struct{}
@@ -98,18 +101,22 @@
 	if err := settingsOfProcess.Validate(); err != nil {
 		return nil, err
 	}
-	server, client, err := settingsOfProcess.TLS.Load()
+	between, err := settingsOfProcess.TLS.Open()
 	if err != nil {
 		return nil, err
 	}
+	if err := between.follow(clock.Millis(settingsOfProcess.TLSReloadMs), t, "baobabspool_tls_expires_s"); err != nil {
+		return nil, err
+	}
 	p = &Endpoint{
 		config: settingsOfProcess,
-		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node), wire.WithTLS(client),
+		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node), wire.WithTLS(between.Client),
 			wire.WithSilentAfter(silentAfter, pingEvery)),
-		log:  t.Logger("endpoint"),
-		wake: make(chan struct{}, 1),
-		stop: make(chan struct{}),
-		done: make(chan struct{}),
+		between: between,
+		log:     t.Logger("endpoint"),
+		wake:    make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+		done:    make(chan struct{}),
 	}
 	p.vms, err = roster.New(rosterConfig(p.config.Node, spool.RoleEndpoint, p.config.FailureDomain, p.config.VMReaders),
 		platform.NewVMList(p.config.VMsAddress), p.clients, roster.WithTelemetry(t), roster.WithObserver(p.nudge))
@@ -119,7 +126,7 @@
 	if err := p.startControl(t); err != nil {
 		return nil, err
 	}
-	if err := p.startAgent(t, server); err != nil {
+	if err := p.startAgent(t); err != nil {
 		return nil, err
 	}
 	go func() { p.follow() }()
@@ -158,7 +165,7 @@
 	return true
 }
 
-func (p *Endpoint) startAgent(t *telemetry.Telemetry, server *tls.Config) (err error) {
+func (p *Endpoint) startAgent(t *telemetry.Telemetry) (err error) {
 	values := p.control.Settings(settings.Scope{
 		Region: spool.Region(p.config.Region), FailureDomain: spool.FailureDomain(p.config.FailureDomain),
 	})
@@ -177,7 +184,7 @@
 	agentConfig.Kernel.CallLease = values.Duration(settings.MemoryLeaseMs)
 	agentConfig.Kernel.GraceLease = values.Duration(settings.MemoryLeaseMs)
 	options := []endpoint.Option{
-		endpoint.WithTelemetry(t), endpoint.WithTLS(server),
+		endpoint.WithTelemetry(t), endpoint.WithTLS(p.between.Server()),
 		endpoint.WithInTouch(func() bool { return !p.control.Isolated() }),
 	}
 	if p.config.EngineAddress != "" {
@@ -242,5 +249,6 @@
 	p.control.Close()
 	p.vms.Close()
 	p.clients.Close()
+	p.between.close()
 	return err
 }
