--- a/internal/deployment/certificates_test.go
+++ b/internal/deployment/certificates_test.go
@@ -54,7 +54,7 @@
 func (a *authority) issue(until time.Time) {
 	key, cert := sign(&x509.Certificate{
 		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: "process"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: until, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: until, IPAddresses: []net.IP{net.ParseIP(loopbackOf(os.Getpid()))},
 		KeyUsage: x509.KeyUsageDigitalSignature,
 	}, a.cert, a.key)
 	secret, err := x509.MarshalECPrivateKey(key)
