--- a/pkg/limit/invariant_test.go
+++ b/pkg/limit/invariant_test.go
@@ -70,12 +70,12 @@
 	network []message
 	configs []change
 	// meters check intervals that begin in the same stretch of settings.
-	meters   []*limit.Meter
-	rate     float64
-	busy     bool
+	meters []*limit.Meter
+	rate   float64
+	busy   bool
 	// cut says which entries do not hear from the control stream in an outage of
 	// the log. Owners keep their authority by promises.
-	cut [entries]bool
+	cut      [entries]bool
 	burst    float64
 	admitted int
 }
