--- a/internal/bench/agent.go
+++ b/internal/bench/agent.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -26,6 +27,9 @@
 	withinOK bool
 }
 
+// start tells whether the call is the first one of a root program.
+func (c *call) start() bool { return c.program.parent == nil && c.program.answered == 0 }
+
 func sorted(calls map[*call]struct{}) []*call {
 	list := make([]*call, 0, len(calls))
 	for c := range calls {
@@ -38,22 +42,23 @@
 // agent stands beside one engine and drives the queue and the gate.
 type agent struct {
 	*system
-	id       spool.EndpointID
-	domain   string
-	engine   *engine
-	queue    spool.Queue
-	gate     spool.Gate
+	id     spool.EndpointID
+	domain string
+	engine *engine
+	queue  spool.Queue
+	gate   spool.Gate
+	pause  spool.PausePolicy
+	// paused holds the programs whose tools run and whose latest call ran here.
+	paused   map[spool.ProgramID]spool.PausedView
 	waiting  map[string]*call
 	running  int
-	perCall  float64
+	backlog  gatekeeper.Backlog
 	draining bool
 	// listed and returnedAt are what the entries know.
 	listed     bool
 	returnedAt clock.Millis
 }
 
-const serviceTimeWeight = 0.1
-
 func (a *agent) window() int {
 	if a.variant.ideal {
 		return 1 << 30
@@ -61,19 +66,32 @@
 	return a.gate.Window(a.now)
 }
 
+// wait estimates the wait of a call that arrives now.
+func (a *agent) wait(call spool.CallView) clock.Millis {
+	if a.variant.StartMaxWait == 0 {
+		return a.backlog.DrainTime(a.running+a.queue.Len()+1-a.window(), a.window())
+	}
+	return a.backlog.Wait(a.now, call, a.queue.Ahead(call), a.running, a.window())
+}
+
 // submit takes a call in or refuses it.
 func (a *agent) submit(c *call) {
-	wait := clock.Millis(a.perCall * float64(max(0, a.running+len(a.waiting)+1-a.window())) / float64(a.window()))
+	wait, bound := a.wait(c.view), queueMaxWait
+	if c.view.Start() && a.variant.StartMaxWait > 0 {
+		bound = a.variant.StartMaxWait
+	}
 	switch {
 	case a.draining:
 		a.fail(c, spool.FailureRefused, 0)
 		return
-	case wait > queueMaxWait && !c.view.Alarm:
-		a.fail(c, spool.FailureOverloaded, wait-queueMaxWait)
+	case wait > bound && !c.view.Alarm:
+		a.fail(c, spool.FailureOverloaded, wait-bound)
 		return
 	}
+	a.resumed(c)
 	a.waiting[c.view.Correlation] = c
 	a.queue.Push(a.now, c.view)
+	a.backlog.Pushed(a.now, c.view)
 	a.schedule()
 }
 
@@ -89,6 +107,7 @@
 		}
 		c := a.waiting[view.Correlation]
 		delete(a.waiting, view.Correlation)
+		a.backlog.Popped(a.now, view, true)
 		a.start(c)
 	}
 }
@@ -110,10 +129,11 @@
 func (a *agent) ended(c *call, cached int) {
 	a.running--
 	took := float64(a.now - c.startAt)
-	a.perCall += serviceTimeWeight * (took - a.perCall)
+	a.backlog.Ended(took)
 	a.gate.Observe(a.now, spool.GateEvent{Kind: spool.GateCompleted, Latency: took / float64(c.turn.generated)})
 	a.queue.Served(a.now, c.view, c.view.PromptTokens-cached+c.turn.generated)
 	a.count.served(a.now, c, cached)
+	a.rest(c)
 	a.after(hop, func() { c.entry.answered(c) })
 	a.schedule()
 }
@@ -129,6 +149,7 @@
 		a.fail(a.waiting[view.Correlation], spool.FailureRefused, 0)
 		a.queue.Served(a.now, view, 0)
 		delete(a.waiting, view.Correlation)
+		a.backlog.Popped(a.now, view, false)
 	}
 }
 
@@ -145,9 +166,13 @@
 	load := a.engine.load()
 	a.after(reportLag, func() {
 		a.gate.Observe(a.now, spool.GateEvent{Kind: spool.GateReport, Load: load})
+		a.move(load)
 		a.schedule()
 	})
-	status := status{at: a.now, window: a.window(), running: a.running, queued: len(a.waiting), perCall: a.perCall}
+	status := status{
+		at: a.now, window: a.window(), running: a.running, queued: len(a.waiting), perCall: a.backlog.MillisPerCall(),
+		starts: a.backlog.Starts(), startWait: a.wait(spool.CallView{}),
+	}
 	a.after(hop, func() {
 		for _, e := range a.entries {
 			e.status[a.id] = status
@@ -155,3 +180,42 @@
 	})
 	a.after(reportEvery, a.report)
 }
+
+// rest notes that the program's tool runs from now on.
+func (a *agent) rest(c *call) {
+	a.paused[c.view.Program] = spool.PausedView{
+		Program: c.view.Program, Account: c.view.Account,
+		Tokens: c.view.PromptTokens + c.turn.generated, Since: a.now,
+	}
+}
+
+func (a *agent) resumed(c *call) {
+	if view, ok := a.paused[c.view.Program]; ok {
+		a.pause.Resumed(view.Program, view.Account, a.now-view.Since)
+		delete(a.paused, c.view.Program)
+	}
+}
+
+// move carries the pause policy's decisions out.
+func (a *agent) move(load spool.EngineLoad) {
+	var paused []spool.PausedView
+	for id, view := range a.paused {
+		if _, ok := a.engine.prefixes[id]; ok {
+			paused = append(paused, view)
+		}
+	}
+	slices.SortFunc(paused, func(x, y spool.PausedView) int { return cmp.Compare(x.Program, y.Program) })
+	memory := spool.MemoryView{Tokens: load.CacheTokens, Limit: load.CacheLimit, Queued: len(a.waiting)}
+	for _, decision := range a.pause.Choose(a.now, memory, paused) {
+		if decision.Action == spool.PauseExport {
+			a.engine.export(decision.Program)
+		}
+	}
+}
+
+// gone frees the export of a program that has ended.
+func (a *agent) gone(id spool.ProgramID) {
+	a.engine.freeExport(id)
+	a.pause.Gone(id)
+	delete(a.paused, id)
+}
--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/gatekeeper"
 	"github.com/baobabspool/baobabspool/pkg/limit"
 	_ "github.com/baobabspool/baobabspool/pkg/policy" // registers the policies
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -62,7 +63,11 @@
 }
 
 func (s *system) options() spool.Options {
-	return spool.Options{"gate.coldConcurrency": coldCapacity, "gate.maxConcurrency": slots}
+	options := spool.Options{"gate.coldConcurrency": coldCapacity, "gate.maxConcurrency": slots}
+	for name, value := range s.variant.Options {
+		options[name] = value
+	}
+	return options
 }
 
 // must returns a policy; the names are constants of this package.
@@ -84,8 +89,10 @@
 		engine:  newEngine(s.events, s.random, s.variant.ideal),
 		queue:   must(spool.Queues.New(s.variant.Queue, s.seed+uint64(i), s.options())),
 		gate:    s.newGate(),
+		pause:   must(spool.Pauses.New(s.variant.Pause, s.seed, s.options())),
+		paused:  map[spool.ProgramID]spool.PausedView{},
 		waiting: map[string]*call{}, listed: true,
-		perCall: meanGenerated * tokenMillis,
+		backlog: gatekeeper.NewBacklog(meanGenerated * tokenMillis),
 	}
 	a.engine.onEvict = func(id spool.ProgramID) {
 		if p, ok := s.programs[id]; ok {
@@ -188,7 +195,7 @@
 	switch {
 	case c.view.Alarm:
 		return limit.ClassAlarm
-	case c.program.parent == nil && c.program.answered == 0:
+	case c.start():
 		return limit.ClassStart
 	default:
 		return limit.ClassCall
@@ -240,13 +247,21 @@
 func correlation(n uint64) string { return strconv.FormatUint(n, 10) }
 
 // simulate runs one workload and returns its counters.
-func simulate(d Deployment, v Variant, load float64, faults bool, seed uint64) *counters {
-	s := newSystem(d, v, seed)
-	for i, script := range workload(d, load, seed, warmUp+window+drainOff) {
+func simulate(j *job) *counters {
+	s := newSystem(j.deployment, j.variant, j.seed)
+	if j.short {
+		for _, a := range s.order {
+			a.engine.limit = shortCache
+		}
+	}
+	for i, script := range workload(j.deployment, j.load, j.seed, warmUp+window+drainOff) {
+		if j.short {
+			script.prolong()
+		}
 		id := spool.ProgramID("p" + strconv.Itoa(i))
 		s.at(script.start, func() { s.start(id, nil, script, nil) })
 	}
-	if faults && !v.ideal {
+	if j.faults && !j.variant.ideal {
 		s.at(leaveAt, s.leave)
 		s.at(returnAt, s.comeBack)
 		s.at(restartAt, func() { s.order[len(s.order)-1].engine.restart() })
--- a/internal/control/isolation_test.go
+++ b/internal/control/isolation_test.go
@@ -1,10 +1,13 @@
 package control_test
 
 import (
+	"fmt"
+
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/baobabspool/baobabspool/internal/control"
+	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/keyring"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -31,4 +34,47 @@
 		node.CloseWatched(10 * clock.Second)
 		gomega.Expect(watched).To(gomega.BeClosed())
 	})
+
+	// Guards against a region that keeps serving withdrawn keys because its own
+	// failure domains reach each other, and against one that stops serving in an
+	// outage of the log that it shares with the others.
+	ginkgo.DescribeTable("counts entries of other regions as contact when there are any",
+		func(from string, isolated bool) {
+			node := control.NewNode(control.Config{Node: "e1", Role: spool.RoleEntry, FailureDomain: "a", Region: "north"}, 0)
+			vms := map[string]spool.VM{
+				"domain": {ID: "e2", Role: spool.RoleEntry, FailureDomain: "a", Region: "north", Address: "2"},
+				"region": {ID: "e3", Role: spool.RoleEntry, FailureDomain: "b", Region: "north", Address: "3"},
+				"abroad": {ID: "e4", Role: spool.RoleEntry, FailureDomain: "c", Region: "south", Address: "4"},
+			}
+			list := []spool.VM{vms["domain"], vms["region"], vms["abroad"]}
+			for now := clock.Millis(0); now <= 10*clock.Second; now += 500 {
+				reply := wire.PullReply{FreshFor: now}
+				_, err := node.TakeReply(now, now, reply, node.ProvesContact(vms[from], list))
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			gomega.Expect(node.Isolated(10 * clock.Second)).To(gomega.Equal(isolated))
+		},
+		ginkgo.Entry("its failure domain", "domain", true),
+		ginkgo.Entry("its region", "region", true),
+		ginkgo.Entry("another region", "abroad", false),
+	)
+})
+
+var _ = ginkgo.Describe("State with orders to load", func() {
+	// Guards against endpoints that are ordered together and load at once, and
+	// against one that waits for all that were ever ordered.
+	ginkgo.It("gives each endpoint its turn among those ordered with it", func() {
+		state := control.NewState()
+		for offset := range spool.Offset(300) {
+			record, err := control.NewRecord(control.Order{
+				Endpoint: spool.EndpointID(fmt.Sprintf("m%03d", offset)),
+				Order:    spool.EngineOrder{Kind: spool.OrderLoad, Model: "fog", Version: "1"},
+			})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = state.Apply(spool.Batch{Offset: offset + 1, ID: fmt.Sprint(offset), Records: []spool.Record{record}})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		gomega.Expect([]int{state.LoadsAhead("m000"), state.LoadsAhead("m007"), state.LoadsAhead("m299"), state.LoadsAhead("m300")}).
+			To(gomega.Equal([]int{0, 7, 255, 0}))
+	})
 })
