Compare the policies with real entries and agents

Cause: the bench drives the policies with fakes; nothing showed whether its figures hold with the processes.

Tests: none beyond the runs; a run takes too long for the suite.

--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/baobabspool/baobabspool/internal/bench"
+	"github.com/baobabspool/baobabspool/internal/demo"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -16,7 +17,7 @@
 // NewBench returns the command that measures the policies in virtual time.
 func NewBench() *cobra.Command {
 	var seeds int
-	var asJSON, refusals bool
+	var asJSON, refusals, processes bool
 	var loads []float64
 	var options map[string]string
 	policy := bench.Policy()
@@ -26,6 +27,9 @@
 		Short: "Measure the scheduling policies beside naive baselines in virtual time",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
+			if processes {
+				return compareReal(command, loads)
+			}
 			for name, text := range options {
 				value, err := strconv.ParseFloat(text, 64)
 				if err != nil {
@@ -49,6 +53,7 @@
 	flags := command.Flags()
 	flags.IntVar(&seeds, "seeds", defaultSeeds, "number of seeds, from 1 upwards")
 	flags.BoolVar(&asJSON, "json", false, "print one JSON object")
+	flags.BoolVar(&processes, "real", false, "compare the default policies with the baseline with real entries and agents before stand-ins, 80 s for each load")
 	flags.BoolVar(&refusals, "refusals", false, "print which calls were refused while a failure domain left and returned")
 	flags.Float64SliceVar(&loads, "loads", bench.DefaultLoads(), "offered loads, in multiples of the capacity")
 	flags.StringToStringVar(&options, "option", nil, "numbers for the policies, such as routing.startWaitMs=10000")
@@ -59,3 +64,19 @@
 	flags.StringVar(&policy.Pause, "pause", policy.Pause, "tool pause policy to compare with the baseline")
 	return command
 }
+
+// compareSeed is that of the comparison with real entries and agents.
+const compareSeed = 1
+
+// compareReal measures at one load: the one given, or the capacity.
+func compareReal(command *cobra.Command, loads []float64) error {
+	load := 1.0
+	if len(loads) == 1 {
+		load = loads[0]
+	}
+	sides, err := demo.Compare(command.Context(), load, compareSeed)
+	if err != nil {
+		return err
+	}
+	return demo.WriteCompared(command.OutOrStdout(), load, sides)
+}
--- /dev/null
+++ b/internal/demo/compare.go
@@ -0,0 +1,372 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/internal/caller"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/limit"
+	"github.com/baobabspool/baobabspool/pkg/settings"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// The comparison repeats the bench's cell with faults with real entries and
+// agents, about sixty times as fast: answers of 40 tokens at 4 ms each in place of
+// 250 at 25 to 37 ms. Waits that the bench bounds in seconds are scaled alike.
+const (
+	compareSlots     = 4
+	compareGenerated = 40
+	compareTokenMs   = 4.0
+	comparePrefill   = 470.0
+	compareCache     = 100_000
+	comparePause     = 55 * time.Millisecond
+	compareWarmUp    = 5 * time.Second
+	compareWindow    = 28 * time.Second
+	compareLeave     = 6 * time.Second
+	compareReturn    = 12 * time.Second
+	compareServiceTo = 16 * time.Second
+	comparePatience  = 2 * time.Second
+	compareWarmAfter = 8
+	// compareCallsOf is the mean number of calls of a program; starting one takes
+	// a token of the rate too.
+	compareCallsOf = 9.0
+)
+
+// compareAccounts split the capacity; the last one sends four times its rate.
+var compareAccounts = []struct {
+	id   spool.AccountID
+	part float64
+}{{"large", 0.45}, {"middle", 0.3}, {"small", 0.15}, {"greedy", 0.1}}
+
+// Compared are the figures of one side.
+type Compared struct {
+	Name string
+	// P50, P95 and P99 are latencies of whole programs of the accounts that keep to
+	// their rate, in milliseconds.
+	P50, P95, P99 float64
+	// Recomputed is the share of prompt tokens recomputed although some engine had
+	// computed them.
+	Recomputed float64
+	// WorstServed is the smallest ratio of requests answered to those that one
+	// central bucket would have admitted.
+	WorstServed  float64
+	WorstAccount spool.AccountID
+	// RefusedWithin is the share of those requests by which the admissions of
+	// accounts fell short, as in the bench.
+	RefusedWithin float64
+	// Service is the share of requests answered while a failure domain leaves and
+	// returns; refusals by rate do not count.
+	Service           float64
+	Calls, Unfinished int
+	Overloads         int
+	// Errors counts the requests that Service lacks by their code.
+	Errors map[string]int
+}
+
+// Compare runs the baseline policies and then the built ones before the
+// stand-ins, for about 80 s.
+func Compare(ctx context.Context, load float64, seed uint64) (sides []Compared, err error) {
+	defer func() { err = errors.Wrap(err, "compare policies") }()
+	baseline := []any{
+		change(settings.LevelFleet, "", string(settings.PolicyRouter), `"roundRobin"`),
+		change(settings.LevelFleet, "", string(settings.PolicyQueue), `"fcfs"`),
+		change(settings.LevelFleet, "", string(settings.PolicyGate), `"fixed"`),
+		change(settings.LevelFleet, "", string(settings.PolicyRetry), `"always"`),
+		change(settings.LevelFleet, "", string(settings.PolicyPause), `"keep"`),
+		change(settings.LevelFleet, "", string(settings.LimitStaticShare), "1"),
+	}
+	for _, side := range []struct {
+		name  string
+		extra []any
+	}{{"baseline", baseline}, {"policies", nil}} {
+		figures, err := compareSide(ctx, load, seed, side.extra)
+		if err != nil {
+			return nil, errors.Wrap(err, side.name)
+		}
+		figures.Name = side.name
+		sides = append(sides, figures)
+	}
+	return sides, nil
+}
+
+// scaled are the settings of both sides.
+func scaled() []any {
+	list := []any{}
+	for name, value := range map[settings.Duration]int{
+		settings.QueueMaxWaitMs: 500, settings.CallTimeoutMs: 2000, settings.QueueStartMaxWaitMs: 1860,
+		settings.RoutingStartWaitMs: 500, settings.RoutingLossWaitMs: 1860, settings.OrderStartPatienceMs: 1780,
+		settings.DrainRampMs: 500,
+	} {
+		list = append(list, change(settings.LevelFleet, "", string(name), fmt.Sprint(value)))
+	}
+	return append(list,
+		change(settings.LevelFleet, "", string(settings.GateMaxConcurrency), fmt.Sprint(compareSlots)),
+		change(settings.LevelFleet, "", string(settings.PausePrefillSpeed), fmt.Sprint(comparePrefill)),
+		change(settings.LevelFleet, "", string(settings.PauseTransferSpeed), fmt.Sprint(10*comparePrefill)))
+}
+
+func compareSide(ctx context.Context, load float64, seed uint64, extra []any) (figures Compared, err error) {
+	prefill := 600 / comparePrefill
+	capacity := 4 * compareSlots / (compareGenerated*compareTokenMs + prefill) * 1000
+	c := &comparison{
+		began: time.Now(), seed: seed, latency: hdrhistogram.New(1, int64(clock.Hour), 3),
+		central: map[spool.AccountID]*limit.Central{}, within: map[spool.AccountID]int{}, answered: map[spool.AccountID]int{},
+		admitted: map[spool.AccountID]int{}, errors: map[string]int{},
+	}
+	var holders []*account
+	for _, a := range compareAccounts {
+		rate := a.part * capacity * (compareCallsOf + 1) / compareCallsOf
+		holders = append(holders, &account{id: a.id, limits: caller.Limits{Rate: rate, Burst: max(10, rate)}})
+		c.central[a.id] = limit.NewCentral(0, limit.Config{Rate: rate, Burst: max(10, rate)})
+	}
+	c.system, err = newCluster(ctx, seed, holders, append(scaled(), extra...)...)
+	if err != nil {
+		return figures, err
+	}
+	defer c.system.close()
+	for _, engine := range c.system.engines {
+		s := engine.Settings()
+		s.Slots, s.ColdSlots, s.TokenMs, s.PrefillTokensPerMs, s.CacheTokens = compareSlots, 2, compareTokenMs, comparePrefill, compareCache
+		// Engines are warm until the failure domain returns, as in the bench.
+		s.TransferTokensPerMs, s.WarmAfter = 10*comparePrefill, 0
+		engine.SetSettings(s)
+	}
+	c.began = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, compareWarmUp+compareWindow)
+	defer cancel()
+	greedy := compareAccounts[len(compareAccounts)-1].part
+	for i, a := range compareAccounts {
+		offered := (load - 4*greedy) / (1 - greedy) * a.part
+		if a.part == greedy {
+			offered = 4 * greedy
+		}
+		c.callers.Go(func() { c.offer(ctx, holders[i], offered*capacity/compareCallsOf, uint64(i)) })
+	}
+	c.callers.Go(func() { c.fault(ctx) })
+	c.callers.Wait()
+	return c.figures(), c.failed
+}
+
+// comparison is one side under way.
+type comparison struct {
+	system  *cluster
+	began   time.Time
+	seed    uint64
+	callers sync.WaitGroup
+
+	mu                sync.Mutex
+	latency           *hdrhistogram.Histogram
+	central           map[spool.AccountID]*limit.Central
+	within, admitted  map[spool.AccountID]int
+	answered          map[spool.AccountID]int
+	prompt, wasted    int
+	errors            map[string]int
+	issued, errored   int
+	calls, unfinished int
+	failed            error
+}
+
+func (c *comparison) at() time.Duration { return time.Since(c.began) - compareWarmUp }
+
+// fault takes a failure domain out and brings it back with cold engines.
+func (c *comparison) fault(ctx context.Context) {
+	_ = caller.Pause(ctx, compareWarmUp+compareLeave)
+	err := c.system.drain(ctx, domains[0], true)
+	_ = caller.Pause(ctx, compareReturn-compareLeave)
+	for i, engine := range c.system.engines {
+		if i%len(domains) == 0 {
+			s := engine.Settings()
+			s.WarmAfter = compareWarmAfter
+			engine.SetSettings(s)
+			engine.Restart()
+		}
+	}
+	if again := c.system.drain(ctx, domains[0], false); err == nil {
+		err = again
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed = err
+}
+
+// offer starts programs of an account at random times.
+func (c *comparison) offer(ctx context.Context, holder *account, perSecond float64, stream uint64) {
+	random := rand.New(rand.NewPCG(c.seed, stream))
+	client := caller.NewClient(func() []string { return c.system.addresses }, holder.key)
+	for caller.Pause(ctx, time.Duration(random.ExpFloat64()/perSecond*float64(time.Second))) == nil {
+		seed := random.Uint64()
+		c.callers.Go(func() { c.program(ctx, client, holder.id, rand.New(rand.NewPCG(seed, 1))) })
+	}
+}
+
+// program runs one program. A program that is refused before its first answer is
+// dropped, as in the bench.
+func (c *comparison) program(ctx context.Context, client *caller.Client, holder spool.AccountID, random *rand.Rand) {
+	since, at := time.Now(), c.at()
+	var started struct {
+		Program string `json:"programId"`
+	}
+	body := map[string]any{"model": modelName}
+	if !c.request(ctx, client, holder, "/v1/programs", body, &started, true) {
+		return
+	}
+	turns := min(60, max(2, int(math.Exp(2+0.7*random.NormFloat64())+0.5)))
+	added, held := 1000+random.IntN(3000), 0
+	for turn := range turns {
+		answer := struct {
+			Prompt int `json:"promptTokens"`
+			Cached int `json:"cachedTokens"`
+		}{}
+		body := map[string]any{
+			"callId": fmt.Sprint(turn), "maxTokens": 8 + int(random.ExpFloat64()*(compareGenerated-8)),
+			"messages": []spool.Message{{Role: "user", Content: strings.Repeat("fog ", added)}},
+		}
+		if !c.request(ctx, client, holder, "/v1/programs/"+started.Program+"/calls", body, &answer, turn == 0) {
+			if turn > 0 {
+				c.ended(holder, at, since, false)
+			}
+			return
+		}
+		c.note(func() {
+			c.prompt += answer.Prompt
+			c.wasted += max(0, min(held, answer.Prompt)-answer.Cached)
+		})
+		held = answer.Prompt
+		added = 100 + int(random.ExpFloat64()*500)
+		_ = caller.Pause(ctx, 5*time.Millisecond+time.Duration(random.ExpFloat64()*float64(comparePause)))
+	}
+	c.ended(holder, at, since, true)
+	var none any
+	_ = client.Send(ctx, fasthttp.MethodDelete, "/v1/programs/"+started.Program, nil, &none)
+}
+
+// note changes the counters while the window lasts.
+func (c *comparison) note(change func()) {
+	if at := c.at(); at < 0 || at >= compareWindow {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+}
+
+func (c *comparison) ended(holder spool.AccountID, at time.Duration, since time.Time, done bool) {
+	if at < 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !done {
+		c.unfinished++
+	}
+	if holder != "greedy" {
+		_ = c.latency.RecordValue(max(1, time.Since(since).Milliseconds()))
+	}
+}
+
+// request repeats a request until it is answered, unless it begins a program.
+func (c *comparison) request(ctx context.Context, client *caller.Client, holder spool.AccountID, path string, body, answer any, first bool) bool {
+	for issued := c.at(); ctx.Err() == nil; {
+		c.note(func() {
+			if c.central[holder].Admit(clock.FromDuration(c.at()), 1) {
+				c.within[holder]++
+			}
+		})
+		err := client.Send(ctx, fasthttp.MethodPost, path, body, answer)
+		if ctx.Err() != nil {
+			return false
+		}
+		failure := &caller.Failure{}
+		limited := errors.As(err, &failure) && failure.Code == spool.CodeRateLimited
+		c.note(func() { c.count(holder, issued, err, limited) })
+		if err == nil {
+			return true
+		}
+		if first || c.at()-issued >= comparePatience {
+			return false
+		}
+		wait := max(10*time.Millisecond, failure.RetryAfter.Duration())
+		_ = caller.Pause(ctx, wait+time.Duration(rand.Float64()*float64(wait)))
+	}
+	return false
+}
+
+func (c *comparison) count(holder spool.AccountID, issued time.Duration, err error, limited bool) {
+	if err == nil {
+		c.calls++
+		c.answered[holder]++
+	}
+	if !limited {
+		c.admitted[holder]++
+	}
+	if issued >= compareLeave && issued < compareServiceTo && !limited {
+		c.issued++
+		if err != nil {
+			c.errored++
+			c.errors[codeOf(err)]++
+		}
+	}
+}
+
+// codeOf returns the code of a failure.
+func codeOf(err error) string {
+	failure := &caller.Failure{}
+	if errors.As(err, &failure) {
+		return string(failure.Code)
+	}
+	return "noAnswer"
+}
+
+func (c *comparison) figures() Compared {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	share := func(a, b int) float64 { return float64(a) / float64(max(b, 1)) }
+	f := Compared{
+		P50: float64(c.latency.ValueAtQuantile(50)), P95: float64(c.latency.ValueAtQuantile(95)), P99: float64(c.latency.ValueAtQuantile(99)),
+		Recomputed: share(c.wasted, c.prompt), WorstServed: math.Inf(1), Service: 1 - share(c.errored, c.issued),
+		Calls: c.calls, Unfinished: c.unfinished, Errors: c.errors,
+	}
+	within, missing := 0, 0
+	for account, allowed := range c.within {
+		within += allowed
+		missing += max(0, allowed-c.admitted[account])
+		if served := share(c.answered[account], allowed); served < f.WorstServed {
+			f.WorstServed, f.WorstAccount = served, account
+		}
+	}
+	f.RefusedWithin = share(missing, within)
+	for _, engine := range c.system.engines {
+		f.Overloads += engine.Stats().Overloads
+	}
+	return f
+}
+
+// WriteCompared prints the figures of both sides.
+func WriteCompared(w io.Writer, load float64, sides []Compared) error {
+	fmt.Fprintf(w, "real entries and agents, load %.1f with a failure domain out; latencies in ms\n", load)
+	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "\tp50\tp95\tp99\trecomputed\tworst served\trefused within\tservice\tcalls\tunfinished\tcold overload\t")
+	for _, f := range sides {
+		fmt.Fprintf(table, "%s\t%.0f\t%.0f\t%.0f\t%.3f\t%.3f %s\t%.4f\t%.4f\t%d\t%d\t%d\t\n", f.Name, f.P50, f.P95, f.P99,
+			f.Recomputed, f.WorstServed, f.WorstAccount, f.RefusedWithin, f.Service, f.Calls, f.Unfinished, f.Overloads)
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "write figures")
+	}
+	for _, f := range sides {
+		fmt.Fprintf(w, "%s, requests not answered while the failure domain left and returned: %v\n", f.Name, f.Errors)
+	}
+	return nil
+}
