--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +14,7 @@
 	"github.com/baobabspool/baobabspool/internal/roster"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	_ "github.com/baobabspool/baobabspool/pkg/policy" // Registers the policies.
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -42,6 +42,8 @@
 	ServiceAddress string
 	// TLS protects the messages between our processes.
 	TLS TLSFiles
+	// TLSReloadMs is how often its files are read again.
+	TLSReloadMs int64
 }
 
 // Validate returns every error of the settings at once.
@@ -57,6 +59,7 @@
 	problems.Address("vms-address", c.VMsAddress)
 	problems.Count("vm-readers", c.VMReaders)
 	c.TLS.Check(&problems)
+	checkReload(c.TLS.Cert, c.TLSReloadMs, &problems)
 	if (c.EngineAddress == "") == (c.ServiceAddress == "") {
 		problems.Add("engine-address", "give either engine-address or service-address")
 		return problems.Err()
@@ -69,6 +72,14 @@
 	return problems.Err()
 }
 
+// Heartbeats of an agent's connections to its parent. At the defaults 33 agents
+// would cost an entry 10 KB/s for heartbeats alone; requests to a parent have
+// their own shorter limits.
+const (
+	silentAfter = 2 * clock.Second
+	pingEvery   = 1 * clock.Second
+)
+
 // Endpoint is the running process of an endpoint agent.
 type Endpoint struct {
 	config  EndpointConfig
@@ -77,6 +88,7 @@
 	vms     *roster.Runtime
 	clients *wire.Clients
 	log     *zap.Logger
+	between *Certificates
 
 	wake chan struct{}
 	stop chan struct{}
@@ -89,13 +101,18 @@
 	if err := settingsOfProcess.Validate(); err != nil {
 		return nil, err
 	}
-	server, client, err := settingsOfProcess.TLS.Load()
+	between, err := settingsOfProcess.TLS.Open()
 	if err != nil {
 		return nil, err
 	}
+	if err := between.follow(clock.Millis(settingsOfProcess.TLSReloadMs), t, "baobabspool_tls_expires_s"); err != nil {
+		return nil, err
+	}
 	p = &Endpoint{
-		config:  settingsOfProcess,
-		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node), wire.WithTLS(client)),
+		config: settingsOfProcess,
+		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node), wire.WithTLS(between.Client),
+			wire.WithSilentAfter(silentAfter, pingEvery)),
+		between: between,
 		log:     t.Logger("endpoint"),
 		wake:    make(chan struct{}, 1),
 		stop:    make(chan struct{}),
@@ -109,7 +126,7 @@
 	if err := p.startControl(t); err != nil {
 		return nil, err
 	}
-	if err := p.startAgent(t, server); err != nil {
+	if err := p.startAgent(t); err != nil {
 		return nil, err
 	}
 	go func() { p.follow() }()
@@ -117,6 +134,10 @@
 }
 
 func (p *Endpoint) startControl(t *telemetry.Telemetry) (err error) {
+	deadline := time.Now().Add(settleFor(p.config.VMReaders).Duration())
+	// The reader waits longer each time that it knows no entry, so it starts when
+	// there is a list.
+	await(deadline, func() bool { _, readAt := p.vms.Latest(); return readAt != 0 })
 	p.control, err = control.NewReader(control.Config{
 		Node:          spool.NodeID(p.config.Node),
 		Role:          spool.RoleEndpoint,
@@ -126,20 +147,25 @@
 	if err != nil {
 		return err
 	}
-	deadline := time.After(settleFor(p.config.VMReaders).Duration())
-	for !p.control.Ready() {
-		select {
-		case <-p.control.Changed():
-		case <-time.After(20 * time.Millisecond):
-		case <-deadline:
-			p.log.Warn("no entry answers, starting with default settings")
-			return nil
-		}
+	if !await(deadline, p.control.Ready) {
+		p.log.Warn("no entry answers, starting with default settings")
 	}
 	return nil
 }
 
-func (p *Endpoint) startAgent(t *telemetry.Telemetry, server *tls.Config) (err error) {
+// await waits for a condition until the deadline and reports whether it holds.
+func await(deadline time.Time, holds func() bool) bool {
+	const checkEvery = 20 * time.Millisecond
+	for !holds() {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(checkEvery)
+	}
+	return true
+}
+
+func (p *Endpoint) startAgent(t *telemetry.Telemetry) (err error) {
 	values := p.control.Settings(settings.Scope{
 		Region: spool.Region(p.config.Region), FailureDomain: spool.FailureDomain(p.config.FailureDomain),
 	})
@@ -158,7 +184,7 @@
 	agentConfig.Kernel.CallLease = values.Duration(settings.MemoryLeaseMs)
 	agentConfig.Kernel.GraceLease = values.Duration(settings.MemoryLeaseMs)
 	options := []endpoint.Option{
-		endpoint.WithTelemetry(t), endpoint.WithTLS(server),
+		endpoint.WithTelemetry(t), endpoint.WithTLS(p.between.Server()),
 		endpoint.WithInTouch(func() bool { return !p.control.Isolated() }),
 	}
 	if p.config.EngineAddress != "" {
@@ -223,5 +249,6 @@
 	p.control.Close()
 	p.vms.Close()
 	p.clients.Close()
+	p.between.close()
 	return err
 }
