--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -20,11 +20,18 @@
 	maxMoveWait   = 400 * clock.Millis(1)
 )
 
-// execute runs an operation at the owner of its program, wherever that is, and
+// execute runs a caller's operation and counts what became of it.
+func (e *Entry) execute(ctx context.Context, operation Operation, sink Sink) (json.RawMessage, error) {
+	body, err := e.followed(ctx, operation, sink)
+	e.countUsage(operation, err)
+	return body, err
+}
+
+// followed runs an operation at the owner of its program, wherever that is, and
 // follows the program when its stream moves. Every operation carries a callId
 // or a new program's identifier, so it may be sent again when its fate is
 // unknown.
-func (e *Entry) execute(ctx context.Context, operation Operation, sink Sink) (json.RawMessage, error) {
+func (e *Entry) followed(ctx context.Context, operation Operation, sink Sink) (json.RawMessage, error) {
 	stream := spool.StreamOfProgram(operation.Program, e.config.Streams)
 	until := e.clock.Now() + e.config.ForwardFor
 	relay := &relay{sink: sink}
@@ -42,10 +49,16 @@
 		}
 		proven = worse(proven, refusal.NotRun)
 		refusal = refusal.WithNotRun(proven)
-		if !movable(refusal) || forwards >= maxForwards || e.clock.Now()+wait > until {
+		reason, again := repeatable(refusal)
+		if reason == spool.FailurePending {
+			// The owner is known and asks an agent, which may take longer than
+			// the moves of a stream.
+			forwards = 0
+		}
+		if !again || forwards >= maxForwards || e.clock.Now()+wait > until {
 			return nil, refusal
 		}
-		e.telemetry.Retried(spool.FailureNotOwner)
+		e.telemetry.Retried(reason)
 		if !pause(ctx, wait) {
 			return nil, left(context.Cause(ctx)).WithNotRun(proven)
 		}
@@ -53,14 +66,20 @@
 	}
 }
 
-// movable tells whether another owner may serve the operation. When its owner
-// lives and cannot be reached from this region, only an entry elsewhere can.
-func movable(refusal *spool.Refusal) bool {
-	code := refusal.Code
-	if code == spool.CodeNoOwner && refusal.Owner != "" {
-		return false
-	}
-	return code == spool.CodeNotOwner || code == spool.CodeNoOwner || code == spool.CodeShuttingDown
+// repeatable tells whether the operation may be answered when it is sent again:
+// by another owner, or once the fate of the call is known. When its owner lives
+// and cannot be reached from this region, only an entry elsewhere can answer.
+func repeatable(refusal *spool.Refusal) (reason spool.Failure, again bool) {
+	switch {
+	case refusal.Code == spool.CodeNoOwner && refusal.Owner != "":
+		return "", false
+	case refusal.Code == spool.CodeNotOwner, refusal.Code == spool.CodeNoOwner, refusal.Code == spool.CodeShuttingDown:
+		return spool.FailureNotOwner, true
+	case refusal.Code == spool.CodeFatePending:
+		return spool.FailurePending, true
+	default:
+		return "", false
+	}
 }
 
 // once sends the operation to the present owner.
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -11,6 +11,7 @@
 	"github.com/baobabspool/baobabspool/internal/control"
 	"github.com/baobabspool/baobabspool/internal/endpoint"
 	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/internal/roster"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -32,6 +33,9 @@
 	HTTPListen string
 	// VMsAddress is the host:port of the platform's list of VMs.
 	VMsAddress string
+	// VMReaders is how many entries of each failure domain read the list of VMs
+	// from the platform; with 0 every process does.
+	VMReaders int
 	// EngineAddress or ServiceAddress is the host:port of the endpoint; exactly
 	// one of them is set.
 	EngineAddress  string
@@ -53,6 +57,7 @@
 		problems.Address("http-listen", c.HTTPListen)
 	}
 	problems.Address("vms-address", c.VMsAddress)
+	problems.Count("vm-readers", c.VMReaders)
 	c.TLS.Check(&problems)
 	checkReload(c.TLS.Cert, c.TLSReloadMs, &problems)
 	if (c.EngineAddress == "") == (c.ServiceAddress == "") {
@@ -67,16 +72,12 @@
 	return problems.Err()
 }
 
-// settleFor bounds the wait for the first control state at the start. An agent
-// that no entry answers starts with the defaults.
-const settleFor = 2 * time.Second
-
 // Endpoint is the running process of an endpoint agent.
 type Endpoint struct {
 	config  EndpointConfig
 	agent   *endpoint.Agent
 	control *control.Reader
-	vms     *vmWatch
+	vms     *roster.Runtime
 	clients *wire.Clients
 	log     *zap.Logger
 	between *Certificates
@@ -108,7 +109,11 @@
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
 	}
-	p.vms = newVMWatch(platform.NewVMList(p.config.VMsAddress), t, p.nudge)
+	p.vms, err = roster.New(rosterConfig(p.config.Node, spool.RoleEndpoint, p.config.FailureDomain, p.config.VMReaders),
+		platform.NewVMList(p.config.VMsAddress), p.clients, roster.WithTelemetry(t), roster.WithObserver(p.nudge))
+	if err != nil {
+		return nil, err
+	}
 	if err := p.startControl(t); err != nil {
 		return nil, err
 	}
@@ -125,11 +130,11 @@
 		Role:          spool.RoleEndpoint,
 		FailureDomain: spool.FailureDomain(p.config.FailureDomain),
 		Region:        spool.Region(p.config.Region),
-	}, control.WithPeers(p.vms.entries), control.WithClients(p.clients), control.WithTelemetry(t))
+	}, control.WithPeers(p.vms.Entries), control.WithClients(p.clients), control.WithTelemetry(t))
 	if err != nil {
 		return err
 	}
-	deadline := time.After(settleFor)
+	deadline := time.After(settleFor(p.config.VMReaders).Duration())
 	for !p.control.Ready() {
 		select {
 		case <-p.control.Changed():
@@ -155,6 +160,7 @@
 	agentConfig.QueueOptions = values.Options()
 	agentConfig.GateOptions = values.Options()
 	agentConfig.Kernel.MaxWait = values.Duration(settings.QueueMaxWaitMs)
+	agentConfig.Kernel.StartMaxWait = values.Duration(settings.QueueStartMaxWaitMs)
 	agentConfig.Kernel.CallLease = values.Duration(settings.MemoryLeaseMs)
 	agentConfig.Kernel.GraceLease = values.Duration(settings.MemoryLeaseMs)
 	options := []endpoint.Option{
@@ -199,7 +205,7 @@
 	id := spool.EndpointID(p.config.Node)
 	domain := spool.FailureDomain(p.config.FailureDomain)
 	p.agent.SetControlOffset(p.control.Offset())
-	p.agent.SetDraining(p.control.Draining(domain, id) || p.vms.leaving(spool.NodeID(p.config.Node)))
+	p.agent.SetDraining(p.control.Draining(domain, id) || p.vms.Leaving())
 	orders, ahead := p.control.Orders(id)
 	if err := p.agent.SetOrders(orders, ahead); err != nil {
 		p.log.Warn("orders were refused", zap.Error(err))
@@ -221,7 +227,7 @@
 	p.agent.SetDraining(true)
 	err = p.agent.Shutdown(ctx)
 	p.control.Close()
-	p.vms.close()
+	p.vms.Close()
 	p.clients.Close()
 	p.between.close()
 	return err
--- a/internal/streams/members.go
+++ b/internal/streams/members.go
@@ -1,9 +1,7 @@
 package streams
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -42,13 +40,8 @@
 	c.members(c.view.Probed(now, e.command.Via, e.command.Target, e.err == nil, e.alive), now)
 }
 
-// listed takes the VM list.
-func (c *control) listed(now clock.Millis, vms []spool.VM, err error) {
-	c.listing = false
-	if err != nil {
-		c.event("streams.listFailed")
-		return
-	}
+// listed takes the VM list, whose rows are in order of their ID.
+func (c *control) listed(now clock.Millis, vms []spool.VM) {
 	var endpoints []spool.VM
 	present := map[spool.NodeID]bool{}
 	for _, vm := range vms {
@@ -60,7 +53,6 @@
 			c.addresses[vm.ID] = vm.Address
 		}
 	}
-	slices.SortFunc(endpoints, func(a, b spool.VM) int { return cmp.Compare(a.ID, b.ID) })
 	c.m.mu.Lock()
 	c.m.view.endpoints = endpoints
 	c.m.mu.Unlock()
@@ -229,7 +221,7 @@
 	idle := true
 	for _, s := range c.streams {
 		if _, next := c.view.Winner(s.index); now >= c.leaveBy || !next {
-			c.execute(s, s.journal.HandOver(now))
+			c.handOver(now, s)
 		}
 		idle = idle && s.journal.Phase() == journal.PhaseIdle
 	}
@@ -254,7 +246,7 @@
 			stats.Owned++
 		}
 		if until, ok := s.journal.Confirmed(); ok {
-			confirmed[name] = max(until, c.confirmed[name])
+			confirmed[name] = until
 		}
 	}
 	owners := make(map[spool.Stream]spool.NodeID, config.StreamCount)
