Keep a stream that is not read from stopping its connection

Cause: the reader of a connection called onChunk itself. When a caller stops reading an answer that another entry forwards, onChunk blocks, and with it every call and the heartbeat between the two entries: after 2 s the connection counted as silent and all its calls were lost, again and again until the caller's write deadline of 60 s.

A call returns after its chunks have been taken, and the error of onChunk now also ends a call whose reply has come.

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -257,37 +257,6 @@
 	chunks map[string]*receiver
 }
 
-// receiver passes the chunks of one call on until the call returns.
-type receiver struct {
-	onChunk func(json.RawMessage) error
-	// cancel ends the call with the error of onChunk.
-	cancel context.CancelCauseFunc
-
-	// mu is held while onChunk runs.
-	mu sync.Mutex
-	// ended is set when the call returns; later chunks are dropped.
-	ended bool
-}
-
-func (r *receiver) receive(chunk json.RawMessage) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.ended || r.onChunk == nil {
-		return
-	}
-	if err := r.onChunk(chunk); err != nil {
-		r.cancel(err)
-	}
-}
-
-// end waits for a chunk that is being received. Without it, a chunk of a call
-// that has failed could reach the caller after the first chunk of the repeat.
-func (r *receiver) end() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.ended = true
-}
-
 func newLink(clients *Clients, address string, conn net.Conn) *link {
 	l := &link{
 		clients: clients, closed: make(chan struct{}), chunks: map[string]*receiver{}, usedAt: time.Now(),
@@ -379,36 +348,42 @@
 	l.mu.Lock()
 	l.chunks[frame.Correlation] = chunks
 	l.mu.Unlock()
-	defer func() {
-		l.mu.Lock()
-		delete(l.chunks, frame.Correlation)
-		l.mu.Unlock()
-		chunks.end()
-	}()
+	body, err := l.exchange(ctx, method, frame)
+	l.mu.Lock()
+	delete(l.chunks, frame.Correlation)
+	l.mu.Unlock()
+	if slow := chunks.end(err != nil); err == nil {
+		err = slow
+	}
+	if err != nil || result == nil {
+		return err
+	}
+	return errors.Wrap(json.Unmarshal(body, result), "decode reply")
+}
+
+// exchange sends a request and waits for its reply, which follows every chunk.
+func (l *link) exchange(ctx context.Context, method string, frame envelope) (body json.RawMessage, err error) {
 	pending, err := l.rpc.DispatchCall(ctx, method, frame.raw())
 	if err != nil {
 		// The frame may have been written in part, so nothing is proved.
-		return l.failure(err)
+		return nil, l.failure(err)
 	}
 	var raw json.RawMessage
 	// A closed connection ends every pending call.
 	err = pending.Wait(ctx, &raw)
 	if err != nil && ctx.Err() != nil {
 		_ = l.rpc.Notify(context.Background(), methodCancel, envelope{Correlation: frame.Correlation}.raw())
-		return context.Cause(ctx)
+		return nil, context.Cause(ctx)
 	}
 	if err != nil {
-		return l.failure(err)
+		return nil, l.failure(err)
 	}
 	reply, ok := envelopeOf(raw)
 	if !ok || reply.Correlation != frame.Correlation {
 		l.clients.crossed.Add(1)
-		return ErrCrossed
-	}
-	if result == nil {
-		return nil
+		return nil, ErrCrossed
 	}
-	return errors.Wrap(json.Unmarshal(reply.Body, result), "decode reply")
+	return reply.Body, nil
 }
 
 // failure turns the error of a call into a refusal or one of this package's
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -93,6 +93,30 @@
 		gomega.Eventually(returned).Should(gomega.Receive())
 	})
 
+	// Guards against one caller that stops reading and thereby stops all calls
+	// between two processes, until the connection counts as silent and they are
+	// lost.
+	ginkgo.It("serves other calls while the chunks of one are not taken", func() {
+		release, slow := make(chan struct{}), make(chan error, 1)
+		got := ""
+		go func() {
+			slow <- clients.Call(context.Background(), server.Address(), "test.stream", text{"abcdef"}, nil, func(chunk json.RawMessage) error {
+				<-release
+				piece := text{}
+				_ = json.Unmarshal(chunk, &piece)
+				got += piece.Value
+				return nil
+			})
+		}()
+		// Longer than the time after which a connection counts as silent.
+		for started := time.Now(); time.Since(started) < time.Second; {
+			gomega.Expect(clients.Call(context.Background(), server.Address(), "test.stream", text{"a"}, nil, nil)).To(gomega.Succeed())
+		}
+		close(release)
+		gomega.Eventually(slow).Should(gomega.Receive(gomega.BeNil()))
+		gomega.Expect(got).To(gomega.Equal("abcdef"))
+	})
+
 	ginkgo.It("passes a refusal on with all its fields", func() {
 		err := clients.Call(context.Background(), server.Address(), "test.refuse", text{}, nil, nil)
 		refusal := &spool.Refusal{}
