Give up every idle connection to the platform after a timeout

Cause: up to 16 idle connections are kept to the log, the list of VMs and the engine. When the path to it went silent for good while new connections worked, each read took the next idle one and waited for its whole timeout (4 s for a long poll of the log), so a node could be without the log for a minute.

Change: a request that has timed out closes the idle connections.

Test first: 8 of 8 reads failed before the change, one after it.

--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -110,12 +110,29 @@
 	return decode(body, err, result)
 }
 
+// dropIdle closes the idle connections once a request has timed out. The fault
+// that made one silent has usually silenced the others, and each would cost
+// another timeout.
+func (t *transport) dropIdle(ctx context.Context) {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return
+	}
+	t.mu.Lock()
+	idle := t.idle
+	t.idle = nil
+	t.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
 // fetch sends an idempotent request, on an idle connection when there is one,
 // and returns the answer. A connection that the other side has closed in the
 // meantime is replaced once.
 func (t *transport) fetch(ctx context.Context, path string, wait clock.Millis) (body []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, (wait + requestTimeout).Duration())
 	defer cancel()
+	defer func() { t.dropIdle(ctx) }()
 	request := t.request(fasthttp.MethodGet, path, nil)
 	defer fasthttp.ReleaseRequest(request)
 	if idle := t.take(); idle != nil {
