Test connections that go silent between real processes

Each entry is a region of its own, with relays between entries, to the agents of other regions and to the log.

The closing of idle connections to the platform is not caught here but by its own test in internal/platform.

--- a/internal/deployment/network_test.go
+++ b/internal/deployment/network_test.go
@@ -67,3 +67,13 @@
 	n.lose(a, b, on)
 	n.lose(b, a, on)
 }
+
+// silence makes every connection that is open between regions, and to the log,
+// pass nothing any more.
+func (n network) silence() {
+	for _, relays := range n.relays {
+		for _, relay := range relays {
+			relay.silence()
+		}
+	}
+}
