--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -31,6 +31,14 @@
 		progress(measured.Name)
 		all = append(all, measured)
 	}
+	relay, err := rosterRelay()
+	if err != nil {
+		return nil, err
+	}
+	for _, one := range relay {
+		progress(one.Name)
+	}
+	all = append(all, relay...)
 	choices, err := routing()
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/capacity/roster.go
@@ -0,0 +1,363 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/cputime"
+	"github.com/baobabspool/baobabspool/internal/roster"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	state "github.com/baobabspool/baobabspool/pkg/roster"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// Part of a failure domain: one reader, seven other entries, and as many
+	// agents for each entry as at the target. The other rows have no process.
+	rosterEntries        = 8
+	rosterAgentsPerEntry = 33
+	rosterDomains        = 14
+	rosterRest           = 2 * time.Second
+	rosterSettled        = 8 * time.Second
+	rosterUnused         = 1 * clock.Second
+)
+
+// rosterSizes are the rows of the VM list.
+var rosterSizes = []int{1000, 3000, 6000, 11330}
+
+// rosterList stands for the client of the platform's list: it hashes the answer
+// and decodes it when it has changed.
+type rosterList struct {
+	mu      sync.Mutex
+	vms     []spool.VM
+	body    []byte
+	digest  uint64
+	decoded []spool.VM
+}
+
+func (l *rosterList) VMs(context.Context) ([]spool.VM, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if digest := xxhash.Sum64(l.body); l.decoded == nil || digest != l.digest {
+		l.decoded, l.digest = nil, digest
+		if err := json.Unmarshal(l.body, &l.decoded); err != nil {
+			return nil, err
+		}
+	}
+	return l.decoded, nil
+}
+
+// change edits the rows. Encoding is the platform's work and outside the lists'
+// measured times.
+func (l *rosterList) change(edit func(vms []spool.VM)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	edit(l.vms)
+	l.body, _ = json.Marshal(l.vms)
+}
+
+// rosterRow returns a row of a failure domain that has no process here.
+func rosterRow(i int) spool.VM {
+	domain := 1 + i%(rosterDomains-1)
+	vm := spool.VM{
+		ID: spool.NodeID(fmt.Sprintf("rosterbench-vm-%06d", i)), Role: spool.RoleEndpoint, State: spool.VMLive,
+		FailureDomain: spool.FailureDomain(fmt.Sprintf("region-%d-zone-%02d", domain%7, domain)),
+		Region:        spool.Region(fmt.Sprintf("region-%d", domain%7)), Service: "appraiser-models",
+		Address: fmt.Sprintf("10.%d.%d.%d:7100", i>>16, i>>8&255, i&255),
+	}
+	if i%(1+rosterAgentsPerEntry) == 0 {
+		vm.Role, vm.Service = spool.RoleEntry, ""
+	}
+	return vm
+}
+
+// rosterFleet runs one part of a fleet with connections on loopback.
+type rosterFleet struct {
+	list  *rosterList
+	nodes []*roster.Runtime
+	// started is closed once all nodes are.
+	started chan struct{}
+	stops   []func()
+}
+
+func startRoster(rows int) (f *rosterFleet, err error) {
+	f = &rosterFleet{list: &rosterList{}, started: make(chan struct{})}
+	vms := make([]spool.VM, rows)
+	for i := range vms {
+		vms[i] = rosterRow(i)
+	}
+	const processes = rosterEntries * (1 + rosterAgentsPerEntry)
+	for i := range processes {
+		vms[i].FailureDomain, vms[i].Role, vms[i].Service = "region-0-zone-00", spool.RoleEndpoint, "appraiser-models"
+		if i >= rosterEntries {
+			continue
+		}
+		vms[i].Role, vms[i].Service = spool.RoleEntry, ""
+		if vms[i].Address, err = f.listen(i); err != nil {
+			return f, err
+		}
+	}
+	f.list.change(func([]spool.VM) { f.list.vms = vms })
+	for _, vm := range vms[:processes] {
+		// Connections of the start are not part of the rest.
+		options := []wire.ClientOption{wire.WithUnusedAfter(rosterUnused)}
+		if vm.Role != spool.RoleEntry {
+			options = append(options, wire.WithSilentAfter(2*clock.Second, 1*clock.Second))
+		}
+		clients := wire.NewClients(vm.ID, options...)
+		node, err := roster.New(state.Config{
+			Node: vm.ID, Role: vm.Role, FailureDomain: vm.FailureDomain, Readers: 1, FirstSpread: clock.Second,
+		}, f.list, clients)
+		if err != nil {
+			return f, err
+		}
+		f.nodes = append(f.nodes, node)
+		f.stops = append(f.stops, clients.Close, node.Close)
+	}
+	close(f.started)
+	return f, nil
+}
+
+// listen starts the server of an entry.
+func (f *rosterFleet) listen(i int) (address string, err error) {
+	server, err := wire.Listen("127.0.0.1:0", wire.Mux{
+		wire.MethodRosterPull: func(ctx context.Context, params json.RawMessage, send wire.Send) (any, error) {
+			<-f.started
+			return f.nodes[i].Handlers()[wire.MethodRosterPull](ctx, params, send)
+		},
+	}, nil)
+	if err != nil {
+		return "", err
+	}
+	f.stops = append(f.stops, func() { _ = server.Close() })
+	return server.Address(), nil
+}
+
+func (f *rosterFleet) stop() {
+	for _, stop := range slices.Backward(f.stops) {
+		stop()
+	}
+}
+
+// settle waits until every entry sees the rows that are leaving, and every agent
+// the entries among them, and returns how long that took.
+func (f *rosterFleet) settle(leaving int) (time.Duration, error) {
+	start := time.Now()
+	count := func(rows []spool.VM, role spool.Role) (count int) {
+		for _, vm := range rows {
+			if vm.State == spool.VMLeaving && (role == "" || vm.Role == role) {
+				count++
+			}
+		}
+		return count
+	}
+	entries := count(f.list.vms, spool.RoleEntry)
+	for {
+		behind := 0
+		for i, node := range f.nodes {
+			rows, _ := node.Latest()
+			want := entries
+			if i < rosterEntries {
+				want = leaving
+			}
+			if len(rows) == 0 || count(rows, "") != want {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return time.Since(start), nil
+		}
+		if time.Since(start) > rosterSettled {
+			return 0, errors.Errorf("%d nodes do not have the list after %v", behind, rosterSettled)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// written returns the bytes that this process has written so far.
+func written() float64 {
+	text, _ := os.ReadFile("/proc/self/io")
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, "wchar: "); ok {
+			count, _ := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			return count
+		}
+	}
+	return 0
+}
+
+// rosterCost is what one fleet costs.
+type rosterCost struct {
+	// restBytes are sent and received per second by one entry; restCPU is the
+	// share of a core per node.
+	restBytes, restCPU float64
+	// domainBytes are sent and received by one entry, and domainCPU is used by one
+	// node, in ms, for the change of a failure domain; domainTime, in ms, is until
+	// all nodes know it.
+	domainBytes, domainCPU, domainTime float64
+}
+
+func measureRoster(rows int) (cost rosterCost, err error) {
+	f, err := startRoster(rows)
+	defer f.stop()
+	if err != nil {
+		return cost, err
+	}
+	if _, err := f.settle(0); err != nil {
+		return cost, err
+	}
+	time.Sleep((rosterUnused + 2*clock.Second).Duration())
+	nodes := float64(len(f.nodes))
+	bytes, cpu, since := written(), cputime.Used(), time.Now()
+	time.Sleep(rosterRest)
+	rest := (written() - bytes) / time.Since(since).Seconds()
+	cost.restBytes = rest / rosterEntries
+	cost.restCPU = (cputime.Used() - cpu).Seconds() / time.Since(since).Seconds() / nodes
+
+	bytes, cpu, since = written(), cputime.Used(), time.Now()
+	leaving := 0
+	f.list.change(func(vms []spool.VM) {
+		for i := range vms {
+			if vms[i].FailureDomain == rosterRow(1).FailureDomain {
+				vms[i].State = spool.VMLeaving
+			}
+			if vms[i].State == spool.VMLeaving {
+				leaving++
+			}
+		}
+	})
+	took, err := f.settle(leaving)
+	cost.domainBytes = max(0, written()-bytes-rest*time.Since(since).Seconds()) / rosterEntries
+	cost.domainTime = float64(took.Milliseconds())
+	cost.domainCPU = max(0, (cputime.Used()-cpu).Seconds()-cost.restCPU*nodes*time.Since(since).Seconds()) * 1000 / nodes
+	return cost, err
+}
+
+// rosterRelay measures the relay of the VM list, and the direct reading of it as
+// the baseline.
+func rosterRelay() (all []Series, err error) {
+	rest := Series{Name: "roster-rest-bytes", What: "relay of the VM list at rest, sent and received by an entry with 33 agents", XUnit: "rows", YUnit: "bytes/s"}
+	cpu := Series{Name: "roster-rest-cpu", What: "processor time of the relay at rest, per node", XUnit: "rows", YUnit: "share of a core"}
+	domain := Series{Name: "roster-domain-bytes", What: "sent and received by an entry with 33 agents when a failure domain, one of 14, changes at once", XUnit: "rows", YUnit: "bytes"}
+	work := Series{Name: "roster-domain-cpu", What: "processor time for that, mean of the reader, 7 entries and 264 agents", XUnit: "rows", YUnit: "ms"}
+	lag := Series{Name: "roster-domain-lag", What: "time until all nodes know that, with a read a second", XUnit: "rows", YUnit: "ms"}
+	for _, rows := range rosterSizes {
+		cost, err := measureRoster(rows)
+		if err != nil {
+			return nil, err
+		}
+		x := float64(rows)
+		rest.Points = append(rest.Points, Point{x, cost.restBytes})
+		cpu.Points = append(cpu.Points, Point{x, cost.restCPU})
+		domain.Points = append(domain.Points, Point{x, cost.domainBytes})
+		work.Points = append(work.Points, Point{x, cost.domainCPU})
+		lag.Points = append(lag.Points, Point{x, cost.domainTime})
+	}
+	change, err := rosterChange()
+	if err != nil {
+		return nil, err
+	}
+	return append([]Series{rest, cpu, change, domain, work, lag}, rosterDirect()...), nil
+}
+
+// rosterChange measures the messages by which a child entry learns of one VM
+// that changes.
+func rosterChange() (result Series, err error) {
+	result = series("roster-change-bytes", "messages between a child entry and its parent for one VM that changes", "rows", "bytes", rosterSizes, func(rows int) float64 {
+		size, failed := rosterExchange(rows)
+		err = errors.Wrap(failed, "change of a VM")
+		return size
+	})
+	return result, err
+}
+
+func rosterExchange(rows int) (size float64, err error) {
+	vms := make([]spool.VM, rows)
+	for i := range vms {
+		vms[i] = rosterRow(i)
+	}
+	var parent, child *state.Node
+	for _, vm := range vms {
+		if vm.Role != spool.RoleEntry || vm.FailureDomain != vms[0].FailureDomain {
+			continue
+		}
+		node := state.New(state.Config{Node: vm.ID, Role: vm.Role, FailureDomain: vm.FailureDomain, Readers: 1}, 0, 1)
+		if _, err := node.TakeList(0, 0, vms); err != nil {
+			return 0, err
+		}
+		if node.Reads() {
+			parent = node
+		} else {
+			child = node
+		}
+	}
+	vms = slices.Clone(vms)
+	vms[rows-1].State = spool.VMLeaving
+	if _, err := parent.TakeList(clock.Second, clock.Second, vms); err != nil {
+		return 0, err
+	}
+	for now := clock.Second; ; now++ {
+		pull, ok := child.Next(now).(state.Pull)
+		if !ok {
+			return 0, errors.New("child has no parent")
+		}
+		reply, _, err := parent.Answer(now, pull.Request)
+		if err != nil {
+			return 0, err
+		}
+		request, _ := json.Marshal(pull.Request)
+		answer, _ := json.Marshal(reply)
+		size += float64(len(request) + len(answer))
+		if changed, err := child.TakeReply(now, now, pull.Parent, reply); changed || err != nil {
+			return size, err
+		}
+	}
+}
+
+// rosterDirect measures one node that reads and decodes the whole list each
+// time, as every node did before the relay, and the memory of a list.
+func rosterDirect() []Series {
+	encoded := func(rows int) []byte {
+		vms := make([]spool.VM, rows)
+		for i := range vms {
+			vms[i] = rosterRow(i)
+		}
+		body, _ := json.Marshal(vms)
+		return body
+	}
+	const readsPerSecond = 2
+	bytes := series("vms-direct-bytes", "baseline: a node that reads the VM list twice a second, an entry did so three times", "rows", "bytes/s",
+		rosterSizes, func(rows int) float64 { return readsPerSecond * float64(len(encoded(rows))) })
+	cpu := series("vms-direct-cpu", "baseline: decoding of that list", "rows", "share of a core", rosterSizes, func(rows int) float64 {
+		body, times := encoded(rows), 4
+		start := cputime.Used()
+		for range times {
+			var vms []spool.VM
+			_ = json.Unmarshal(body, &vms)
+		}
+		return (cputime.Used() - start).Seconds() / float64(times) * readsPerSecond
+	})
+	memory := series("roster-memory", "state of the VM list in an entry, with the caches for its children", "rows", "bytes", rosterSizes, func(rows int) float64 {
+		return heapOf(func() any {
+			node := state.New(state.Config{Node: "e", Role: spool.RoleEntry, Readers: 1}, 0, 1)
+			var vms []spool.VM
+			_ = json.Unmarshal(encoded(rows), &vms)
+			_, _ = node.TakeList(1, 1, vms)
+			_, _, _ = node.Answer(1, state.PullRequest{Digests: &state.Digests{}})
+			node.Rows()
+			return node
+		})
+	})
+	return []Series{bytes, cpu, memory}
+}
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -37,6 +37,16 @@
 	row("account limits of 430 accounts", "limit-cpu", "%.2f %% of a core", 100*fits["limit-cpu"].Slope*targetAccounts)
 	row("heartbeats among 330 entries", "heartbeat-messages", "%.1f messages/s", fits["heartbeat-messages"].At(targetEntries))
 	row("one entry's death, messages of all entries", "suspicion-messages", "%.0f messages in 10 s", fits["suspicion-messages"].At(targetEntries))
+	const rows, changesPerDay, childrenOfReader = targetServers + targetEntries, 2 * 970, 11
+	row("VM list at rest, entry with 33 agents", "roster-rest-bytes", "%.1f KB/s", fits["roster-rest-bytes"].At(rows)/1000)
+	row("VM list at rest, any node", "roster-rest-cpu", "%.2f %% of a core", 100*fits["roster-rest-cpu"].At(rows))
+	row("VM list, 970 VMs a day that leave and return, reader with 11 children", "roster-change-bytes", "%.2f KB/s",
+		fits["roster-change-bytes"].At(rows)*childrenOfReader*changesPerDay/86400/1000)
+	row("VM list, a failure domain changes at once, an entry that is no reader", "roster-domain-bytes", "%.2f MB", fits["roster-domain-bytes"].At(rows)/1e6)
+	row("VM list, the same, processor time per node", "roster-domain-cpu", "%.0f ms", fits["roster-domain-cpu"].At(rows))
+	row("VM list of an entry", "roster-memory", "%.1f MB", fits["roster-memory"].At(rows)/megabyte)
+	row("VM list read directly by each node, as before the relay", "vms-direct-bytes, vms-direct-cpu", "%.0f KB/s, %.0f %% of a core",
+		fits["vms-direct-bytes"].At(rows)/1000, 100*fits["vms-direct-cpu"].At(rows))
 	row("one choice among 11,000 endpoints", "routing-cpu", "%.0f µs", fits["routing-cpu"].At(targetServers))
 	row("one choice among the 917 endpoints of one of 12 models", "routing-cpu", "%.0f µs", fits["routing-cpu"].At(targetServers/12))
 	row("fold of the streams of one failure domain, by one entry of the rest, 340 turns each", "recovery", "%.1f s",
