--- a/internal/endpoint/config.go
+++ b/internal/endpoint/config.go
@@ -21,9 +21,9 @@
 	// HTTPListen is the host:port of /metrics, /healthz and /readyz; empty for
 	// none.
 	HTTPListen string
-	// Queue and Gate name the plug-ins; the options are passed to them.
-	Queue, Gate               string
-	QueueOptions, GateOptions spool.Options
+	// Queue, Gate and Pause name the plug-ins; the options are passed to them.
+	Queue, Gate, Pause                      string
+	QueueOptions, GateOptions, PauseOptions spool.Options
 	// Seed feeds the random sources of the plug-ins.
 	Seed uint64
 	// Kernel holds the bounds of the decisions.
@@ -46,6 +46,7 @@
 	return Config{
 		Queue:          "fair",
 		Gate:           "adaptive",
+		Pause:          "export",
 		Kernel:         gatekeeper.DefaultConfig(),
 		TickEvery:      50,
 		LoadEvery:      500,
@@ -91,6 +92,10 @@
 // WithService puts the agent in front of a plain service.
 func WithService(service spool.Service) Option { return func(a *Agent) { a.service = service } }
 
+// WithInTouch tells the agent whether it can learn of later orders; it sends the
+// engine no commands while it cannot.
+func WithInTouch(inTouch func() bool) Option { return func(a *Agent) { a.inTouch = inTouch } }
+
 // WithClock replaces the system clock.
 func WithClock(c clock.Clock) Option { return func(a *Agent) { a.clock = c } }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -31,8 +31,17 @@
 	EventLagMs clock.Millis `json:"eventLagMs"`
 	// EventLoss is the share of cache events, 0 to 1, that are never shown.
 	EventLoss float64 `json:"eventLoss"`
+	// ExportTokens is the room for exports; TransferTokensPerMs is how fast
+	// prefixes are exported and imported.
+	ExportTokens        int     `json:"exportTokens"`
+	TransferTokensPerMs float64 `json:"transferTokensPerMs"`
+	// LoseExportAnswers makes exports take effect without an answer.
+	LoseExportAnswers bool `json:"loseExportAnswers"`
 	// HonoursFence makes the engine refuse orders with an old fencing number.
 	HonoursFence bool `json:"honoursFence"`
+	// OrderLateMs is how long an order takes to take effect and to be answered.
+	// It takes effect even when its sender has gone away.
+	OrderLateMs clock.Millis `json:"orderLateMs"`
 	// Silent makes streams stop without being closed.
 	Silent bool `json:"silent"`
 }
@@ -42,6 +51,7 @@
 	return EngineSettings{
 		Slots: 8, ColdSlots: 2, WarmAfter: 6, TokenMs: 1, PrefillTokensPerMs: 200,
 		CacheTokens: 200_000, LoadLagMs: 100, EventLagMs: 200, EventLoss: 0.1, HonoursFence: true,
+		ExportTokens: 800_000, TransferTokensPerMs: 2000,
 	}
 }
 
@@ -60,10 +70,14 @@
 	// PromptTokens and CachedTokens sum over the calls.
 	PromptTokens int `json:"promptTokens"`
 	CachedTokens int `json:"cachedTokens"`
+	// Exports and Imports count prefixes moved out and back.
+	Exports int `json:"exports"`
+	Imports int `json:"imports"`
 	// LastCall is the time since the last call arrived; negative when none did.
 	LastCallMs clock.Millis `json:"lastCallMs"`
-	// Orders lists the orders carried out.
+	// Orders lists the orders carried out, State what they have made of it.
 	Orders []spool.EngineOrder `json:"orders,omitempty"`
+	State  spool.EngineState   `json:"state"`
 }
 
 // Engine is the stand-in of a model engine.
@@ -82,11 +96,14 @@
 	running   int
 	waiting   []*ticket
 	cache     map[spool.ProgramID]*prefix
+	// exports survives restarts.
+	exports   map[string]*exported
 	clockTick uint64
 	events    []shownEvent
 	sequence  uint64
 	reports   []shownLoad
 	fence     uint64
+	state     spool.EngineState
 }
 
 // ticket is a call that waits for a slot.
@@ -121,6 +138,7 @@
 		generation: 1,
 		cut:        make(chan struct{}),
 		cache:      map[spool.ProgramID]*prefix{},
+		exports:    map[string]*exported{},
 	}
 }
 
@@ -144,6 +162,7 @@
 	defer e.mu.Unlock()
 	stats := e.stats
 	stats.Orders = append([]spool.EngineOrder(nil), stats.Orders...)
+	stats.State = e.stateCopy()
 	stats.LastCallMs = -1
 	if !e.lastCall.IsZero() {
 		stats.LastCallMs = clock.FromDuration(time.Since(e.lastCall))
@@ -167,6 +186,8 @@
 	e.cache = map[spool.ProgramID]*prefix{}
 	e.reports = nil
 	e.waiting = nil
+	e.fence = 0
+	e.state = spool.EngineState{}
 	close(e.cut)
 	e.cut = make(chan struct{})
 }
@@ -378,16 +399,3 @@
 	defer e.mu.Unlock()
 	e.drop(program)
 }
-
-// order carries out an operator's order unless the engine honours fencing
-// numbers and this one is old.
-func (e *Engine) order(order spool.EngineOrder) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.settings.HonoursFence && order.Fence < e.fence {
-		return false
-	}
-	e.fence = max(e.fence, order.Fence)
-	e.stats.Orders = append(e.stats.Orders, order)
-	return true
-}
--- a/internal/streams/control.go
+++ b/internal/streams/control.go
@@ -22,10 +22,6 @@
 	// listedAt is when the latest VM list was read.
 	listedAt  clock.Millis
 	publishAt clock.Millis
-	// round is the latest request for promises; confirmed is what such rounds
-	// have proved.
-	round     *round
-	confirmed map[spool.Stream]clock.Millis
 	// absent counts the lists in a row that lacked a node.
 	absent map[spool.NodeID]int
 	// leaving are those who wait for the end of a Leave; leaveBy is when streams
@@ -46,12 +42,11 @@
 func newControl(m *Manager) *control {
 	// The wall clock makes the incarnation differ from that of an earlier start.
 	incarnation := fmt.Sprintf("%s-%x", m.config.Node, time.Now().UnixNano())
-	return &control{
+	c := &control{
 		m: m, streams: map[spool.Stream]*streamState{}, waiting: map[journal.Ticket]*submission{},
 		holder:    journal.NewHolder(incarnation, m.config.HolderBytes),
 		addresses: map[spool.NodeID]string{m.config.Node: m.config.Address},
 		absent:    map[spool.NodeID]int{},
-		confirmed: map[spool.Stream]clock.Millis{},
 		view: membership.New(membership.Config{
 			Self: spool.VM{
 				ID: m.config.Node, Role: spool.RoleEntry, State: spool.VMLive, Address: m.config.Address,
@@ -62,6 +57,8 @@
 			SettleAfter: m.config.SettleAfter, HandoverEvery: m.config.HandoverEvery,
 		}),
 	}
+	c.holder.StartedAt(m.clock.Now() + m.config.PromiseFor)
+	return c
 }
 
 func (c *control) stream(name spool.Stream) (*streamState, bool) {
@@ -76,7 +73,7 @@
 	s := &streamState{name: name, index: index, lane: newLane(c.m), journal: journal.New(journal.Config{
 		Stream: name, Node: config.Node, AppendInterval: config.appendInterval(),
 		BatchBytes: config.BatchBytes, BacklogBytes: config.BacklogBytes,
-		PollWait: config.PollWait, Retention: config.Retention,
+		PollWait: config.PollWait, Retention: config.Retention, PromiseFor: config.PromiseFor,
 	})}
 	c.streams[name] = s
 	return s, true
@@ -91,7 +88,6 @@
 	c.stages(now)
 	c.members(c.view.Tick(now), now)
 	c.leave(now)
-	c.askPromises(now)
 	if now >= c.publishAt {
 		c.publishAt = now + publishEvery
 		c.publish()
--- a/pkg/settings/known.go
+++ b/pkg/settings/known.go
@@ -39,9 +39,18 @@
 	PolicyQueue           Text     = "policy.queue"
 	PolicyGate            Text     = "policy.gate"
 	PolicyRetry           Text     = "policy.retry"
+	PolicyPause           Text     = "policy.pause"
+	PauseHighShare        Number   = "pause.highShare"
+	PauseLowShare         Number   = "pause.lowShare"
+	PausePrefillSpeed     Number   = "pause.prefillTokensPerMs"
+	PauseTransferSpeed    Number   = "pause.transferTokensPerMs"
 	GateColdConcurrency   Integer  = "gate.coldConcurrency"
 	GateMaxConcurrency    Integer  = "gate.maxConcurrency"
 	QueueMaxWaitMs        Duration = "queue.maxWaitMs"
+	QueueStartMaxWaitMs   Duration = "queue.startMaxWaitMs"
+	OrderStartPatienceMs  Duration = "order.startPatienceMs"
+	RoutingStartWaitMs    Duration = "routing.startWaitMs"
+	RoutingLossWaitMs     Duration = "routing.lossStartWaitMs"
 	RetryBudgetShare      Number   = "retry.budgetShare"
 	RetryMaxAttempts      Integer  = "retry.maxAttempts"
 	MemoryLeaseMs         Duration = "memory.leaseMs"
@@ -81,9 +90,18 @@
 	text(PolicyQueue, "fair", placeLevels, spool.Queues.Names, "Policy that orders the calls in front of an endpoint.")
 	text(PolicyGate, "adaptive", placeLevels, spool.Gates.Names, "Policy that bounds the concurrency of an endpoint.")
 	text(PolicyRetry, "budgeted", placeLevels, spool.Retries.Names, "Policy that decides on retries.")
+	text(PolicyPause, "export", placeLevels, spool.Pauses.Names, "Policy that decides on a program's engine memory while its tool runs.")
+	number(PauseHighShare, "share", 0.01, 1, 0.85, placeLevels, "Fill of an engine's prefix cache above which prefixes of paused programs are exported.")
+	number(PauseLowShare, "share", 0, 1, 0.75, placeLevels, "Fill of the cache that these exports aim at.")
+	number(PausePrefillSpeed, "tokens/ms", 0.001, 1e6, 10, placeLevels, "Speed at which an engine computes a prompt.")
+	number(PauseTransferSpeed, "tokens/ms", 0.001, 1e6, 80, placeLevels, "Speed at which an engine exports and imports a prefix. Nothing is exported where this is not faster than computing.")
 	integer(GateColdConcurrency, "calls", 1, maxConcurrencySetting, 1, placeLevels, "Concurrent calls on an endpoint in cold start.")
 	integer(GateMaxConcurrency, "calls", 1, maxConcurrencySetting, 16, placeLevels, "Highest concurrency of an endpoint.")
 	duration(QueueMaxWaitMs, 0, maxMillis, 30000, callLevels, "Expected wait beyond which an endpoint refuses new calls.")
+	duration(QueueStartMaxWaitMs, 1, maxMillis, 110000, placeLevels, "Expected wait beyond which an endpoint refuses first calls of programs.")
+	duration(OrderStartPatienceMs, 0, maxMillis, 105000, placeLevels, "Wait at an endpoint after which the first call of a program is queued like a call of a program that has begun.")
+	duration(RoutingStartWaitMs, 0, maxMillis, 30000, callLevels, "Expected wait beyond which an entry refuses first calls of programs while no capacity is lost; 0 for no bound.")
+	duration(RoutingLossWaitMs, 0, maxMillis, 110000, callLevels, "The same bound once a fifth of the capacity is lost; in between it changes evenly.")
 	number(RetryBudgetShare, "share", 0, 1, 0.1, placeLevels, "Retries as a share of first attempts.")
 	integer(RetryMaxAttempts, "attempts", 1, 20, 10, placeLevels, "Attempts of one call, the first included.")
 	duration(MemoryLeaseMs, 100, maxMillis, 30000, callLevels, "How long an endpoint keeps a program's engine memory without renewal.")
