Count written bytes in one place

The benchmark of the control stream and the measurement of the VM list both parsed /proc/self/io. cputime.Written does it once.

--- a/internal/capacity/roster.go
+++ b/internal/capacity/roster.go
@@ -4,10 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -185,18 +182,6 @@
 	}
 }
 
-// written returns the bytes that this process has written so far.
-func written() float64 {
-	text, _ := os.ReadFile("/proc/self/io")
-	for line := range strings.Lines(string(text)) {
-		if value, ok := strings.CutPrefix(line, "wchar: "); ok {
-			count, _ := strconv.ParseFloat(strings.TrimSpace(value), 64)
-			return count
-		}
-	}
-	return 0
-}
-
 // rosterCost is what one fleet costs.
 type rosterCost struct {
 	// restBytes are sent and received per second by one entry; restCPU is the
@@ -219,13 +204,13 @@
 	}
 	time.Sleep((rosterUnused + 2*clock.Second).Duration())
 	nodes := float64(len(f.nodes))
-	bytes, cpu, since := written(), cputime.Used(), time.Now()
+	bytes, cpu, since := cputime.Written(), cputime.Used(), time.Now()
 	time.Sleep(rosterRest)
-	rest := (written() - bytes) / time.Since(since).Seconds()
+	rest := (cputime.Written() - bytes) / time.Since(since).Seconds()
 	cost.restBytes = rest / rosterEntries
 	cost.restCPU = (cputime.Used() - cpu).Seconds() / time.Since(since).Seconds() / nodes
 
-	bytes, cpu, since = written(), cputime.Used(), time.Now()
+	bytes, cpu, since = cputime.Written(), cputime.Used(), time.Now()
 	leaving := 0
 	f.list.change(func(vms []spool.VM) {
 		for i := range vms {
@@ -238,7 +223,7 @@
 		}
 	})
 	took, err := f.settle(leaving)
-	cost.domainBytes = max(0, written()-bytes-rest*time.Since(since).Seconds()) / rosterEntries
+	cost.domainBytes = max(0, cputime.Written()-bytes-rest*time.Since(since).Seconds()) / rosterEntries
 	cost.domainTime = float64(took.Milliseconds())
 	cost.domainCPU = max(0, (cputime.Used()-cpu).Seconds()-cost.restCPU*nodes*time.Since(since).Seconds()) * 1000 / nodes
 	return cost, err
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"os"
 	"runtime"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -130,15 +128,7 @@
 
 // usage returns the process's CPU time in nanoseconds and the bytes that it has
 // written, to sockets included.
-func usage() (cpu, written int64) {
-	text, _ := os.ReadFile("/proc/self/io")
-	for _, line := range strings.Split(string(text), "\n") {
-		if value, ok := strings.CutPrefix(line, "wchar: "); ok {
-			written, _ = strconv.ParseInt(value, 10, 64)
-		}
-	}
-	return int64(cputime.Used()), written
-}
+func usage() (cpu, written int64) { return int64(cputime.Used()), int64(cputime.Written()) }
 
 // BenchmarkRecord measures the time to fold a record and what it adds to the
 // memory of a node, by kind of record.
--- a/internal/cputime/cputime.go
+++ b/internal/cputime/cputime.go
@@ -1,4 +1,5 @@
-// Package cputime tells how much processor time this process has used.
+// Package cputime tells what this process has used: processor time, and bytes
+// written.
 package cputime
 
 import (
--- /dev/null
+++ b/internal/cputime/written.go
@@ -0,0 +1,23 @@
+package cputime
+
+import (
+	"os"
+	"strconv"
+	"strings"
+)
+
+// Written returns the bytes that this process has written so far, to files and
+// connections; 0 when the platform does not tell.
+func Written() float64 {
+	text, err := os.ReadFile("/proc/self/io")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, "wchar: "); ok {
+			count, _ := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			return count
+		}
+	}
+	return 0
+}
