--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -52,6 +52,10 @@
 	command.Flags().IntVar(readers, "vm-readers", *readers, "entries of each failure domain that read the list of VMs from the platform, all other processes pull from entries; 0 for all processes; the same at every process")
 }
 
+func registerReload(command *cobra.Command, every *int64) {
+	command.Flags().Int64Var(every, "tls-reload-ms", process.DefaultTLSReloadMs, "how often the certificate files are read again, in milliseconds")
+}
+
 // serve starts a process, logs that it is ready and waits for a signal. start
 // returns the process and where it listens.
 func (f *processFlags) serve(node, part string, validate func() error, start func(*telemetry.Telemetry) (stopper, []zap.Field, error)) error {
