--- a/pkg/roster/table.go
+++ b/pkg/roster/table.go
@@ -232,11 +232,13 @@
 // parent's digests; otherwise nothing changes and the error is ErrDamaged.
 func (t *table) merge(sent []Rows, digests Digests) (changed bool, err error) {
 	merged := map[int]bucket{}
+	// One decompressor serves all buckets, since a new one allocates 40 KB.
+	inflate := flate.NewReader(nil)
 	for _, rows := range sent {
 		if rows.Bucket < 0 || rows.Bucket >= buckets {
 			return false, errors.Wrapf(ErrDamaged, "bucket %d does not exist", rows.Bucket)
 		}
-		decoded, err := decodeRows(rows.Data)
+		decoded, err := decodeRows(inflate, rows.Data)
 		if err != nil {
 			return false, errors.Wrapf(ErrDamaged, "bucket %d: %v", rows.Bucket, err)
 		}
@@ -258,11 +260,14 @@
 	return changed, nil
 }
 
-func decodeRows(data []byte) (rows []spool.VM, err error) {
+func decodeRows(inflate io.Reader, data []byte) (rows []spool.VM, err error) {
 	if len(data) == 0 {
 		return nil, nil
 	}
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxBucketBytes))
+	if err := inflate.(flate.Resetter).Reset(bytes.NewReader(data), nil); err != nil {
+		return nil, err
+	}
+	plain, err := io.ReadAll(io.LimitReader(inflate, maxBucketBytes))
 	if err != nil {
 		return nil, err
 	}
