Measure traffic with entries as processes of their own

Cause: first token and processor time were measured with everything in one process, so the cost of an entry, and gaps between tokens under load, were not known. The direct calls of a caller shared one program whose prompt the stand-in had cached, while each call through the system brought a new prompt; the stand-in sleeps for uncached tokens, and a sleep below 1 ms takes 1 ms. A trace shows its first token after 2.23 ms instead of 1.20 ms, so 1.0 ms of the difference was not the system's.

Change: both ways bring new programs. cmd/capacity starts two entries by its own binary with one core each and measures, at four loads, the first token and the gap between tokens directly, at the owner and forwarded, and the processor time of either entry per request and per token. Histories are measured with the text of the repository, packed and plain. A caller reads a stream to its end, so that its connection is kept. MeasureOverhead and FirstToken are replaced by MeasureLoad and TimedTurn.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -10,9 +10,19 @@
 	"github.com/spf13/cobra"
 
 	"github.com/baobabspool/baobabspool/internal/capacity"
+	"github.com/baobabspool/baobabspool/internal/cli"
 )
 
 func main() {
+	// The measurements start entries as processes of their own. This binary then
+	// runs the command of baobabspool, so that no other has to be built.
+	if len(os.Args) > 1 && os.Args[1] == "entry" {
+		if err := cli.NewRoot().Execute(); err != nil {
+			fmt.Fprintln(os.Stderr, "error:", err)
+			os.Exit(cli.ExitCode(err))
+		}
+		return
+	}
 	if err := newRoot().Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -27,7 +37,11 @@
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
 		RunE: func(command *cobra.Command, _ []string) error {
-			all, err := capacity.Measure(context.Background(), func(name string) {
+			binary, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			all, err := capacity.Measure(context.Background(), []string{binary, "entry"}, func(name string) {
 				fmt.Fprintln(command.ErrOrStderr(), "measured", name)
 			})
 			if err != nil {
--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -181,6 +182,10 @@
 			onText()
 		}
 		done, err := readEvent(name, []byte(data), &text, &answer)
+		if done {
+			// The connection is kept only when the body has been read to its end.
+			_, _ = io.Copy(io.Discard, source)
+		}
 		if done || err != nil {
 			return answer, err
 		}
--- a/internal/caller/program.go
+++ b/internal/caller/program.go
@@ -202,17 +202,13 @@
 	})
 }
 
-// FirstToken sends one turn and returns the time to the first piece of its
-// answer. It neither checks the answer nor repeats the request.
-func (p *Program) FirstToken(ctx context.Context, call string, messages []spool.Message, tokens int) (first time.Duration, err error) {
+// TimedTurn sends one turn by client and returns when its pieces came. It
+// neither checks the answer nor repeats the request.
+func (p *Program) TimedTurn(ctx context.Context, client *Client, call string, messages []spool.Message, tokens int) (arrivals *Arrivals, err error) {
 	body := callBody{Call: call, Messages: messages, MaxTokens: tokens, Stream: true}
-	since := time.Now()
-	_, err = p.client.stream(ctx, p.path("/calls"), body, func() {
-		if first == 0 {
-			first = time.Since(since)
-		}
-	})
-	return first, err
+	arrivals = NewArrivals()
+	_, err = client.stream(ctx, p.path("/calls"), body, arrivals.Add)
+	return arrivals, err
 }
 
 // spawn runs a sub-agent of two turns.
--- /dev/null
+++ b/internal/capacity/corpus.go
@@ -0,0 +1,39 @@
+package capacity
+
+import (
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Corpus returns the text of the Go and Markdown files of this repository below
+// root. Unrelated files stand side by side in a fixed order, so that the text is
+// no more repetitive than what agents read and write.
+func Corpus(root string) (text string, err error) {
+	defer func() { err = errors.Wrap(err, "read the texts of the repository") }()
+	var files []string
+	for _, pattern := range []string{"*/*/*.go", "docs/*.md"} {
+		found, err := filepath.Glob(filepath.Join(root, pattern))
+		if err != nil {
+			return "", err
+		}
+		files = append(files, found...)
+	}
+	if len(files) == 0 {
+		return "", errors.Errorf("%s is not the root of the repository", root)
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	random.Shuffle(len(files), func(i, j int) { files[i], files[j] = files[j], files[i] })
+	var all strings.Builder
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return "", err
+		}
+		all.Write(content)
+	}
+	return all.String(), nil
+}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -20,28 +20,31 @@
 	endMark   = "<!-- end of the tables -->"
 )
 
-// Measure runs every measurement. progress is called with the name of each.
-func Measure(ctx context.Context, progress func(name string)) (all []Series, err error) {
+// Measure runs every measurement. entry is the command line that starts an
+// entry; progress is called with the name of each measurement.
+func Measure(ctx context.Context, entry []string, progress func(name string)) (all []Series, err error) {
 	defer func() { err = errors.Wrap(err, "measure capacity") }()
 	plain := []func() Series{
-		controlMemory, programMemory, historyMemory, recovery, limitCost, heartbeats, suspicion,
+		controlMemory, programMemory, recovery, limitCost, heartbeats, suspicion,
 	}
 	for _, measure := range plain {
 		measured := measure()
 		progress(measured.Name)
 		all = append(all, measured)
 	}
-	choices, err := routing()
+	histories, err := historyMemory()
 	if err != nil {
 		return nil, err
 	}
-	progress(choices.Name)
-	direct, through, perToken, err := firstToken(ctx)
+	progress("history-memory")
+	all = append(all, histories...)
+	choices, err := routing()
 	if err != nil {
 		return nil, err
 	}
-	progress(through.Name)
-	return append(all, choices, direct, through, perToken), nil
+	progress(choices.Name)
+	measured, err := traffic(ctx, entry, progress)
+	return append(append(all, choices), measured...), err
 }
 
 // Table formats the measurements and their fits as Markdown.
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -10,6 +10,7 @@
 	"github.com/baobabspool/baobabspool/internal/control"
 	"github.com/baobabspool/baobabspool/internal/cputime"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/history"
 	"github.com/baobabspool/baobabspool/pkg/keyring"
 	"github.com/baobabspool/baobabspool/pkg/limit"
 	"github.com/baobabspool/baobabspool/pkg/membership"
@@ -73,17 +74,42 @@
 func programMemory() Series {
 	return series("program-memory", "state of programs with one short turn, at the owner", "programs", "bytes",
 		[]int{500, 1000, 2000, 4000}, func(programs int) float64 {
-			return heapOf(func() any { return programState(programs, 1, 40) })
+			return heapOf(func() any { return programState(programs, 1, 40, idleText) })
 		})
 }
 
-// historyMemory measures the owner's state per token of history.
-func historyMemory() Series {
+// historyMemory measures the owner's state per token of history, as messages
+// and with all but the latest of them packed.
+func historyMemory() (all []Series, err error) {
+	text, err := Corpus(".")
+	if err != nil {
+		return nil, err
+	}
+	// The encoder's own memory does not grow with the histories.
+	history.Pack([]spool.Message{{Content: text[:1000]}})
 	const programs, turnBytes = 20, 1600
-	return series("history-memory", "state of 20 programs of growing history, at the owner", "tokens of history", "bytes",
-		[]int{20, 60, 120, 340}, func(turns int) float64 {
-			return heapOf(func() any { return programState(programs, turns, turnBytes) })
+	sizes := []int{20, 60, 120, 340}
+	plain := series("history-plain", "texts of the histories of 20 programs, not packed; text of this repository, 4 bytes a token", "tokens of history", "bytes",
+		sizes, func(turns int) float64 {
+			return heapOf(func() any {
+				var messages []spool.Message
+				for i := range 2 * programs * turns {
+					messages = append(messages, spool.Message{Role: "user", Content: strings.Clone(slice(text, i, turnBytes/2))})
+				}
+				return messages
+			})
+		}).scaled(programs * turnBytes / 4)
+	packed := series("history-memory", "state of 20 programs of growing history, at the owner; the same text", "tokens of history", "bytes",
+		sizes, func(turns int) float64 {
+			return heapOf(func() any { return programState(programs, turns, turnBytes, text) })
 		}).scaled(programs * turnBytes / 4)
+	return []Series{plain, packed}, nil
+}
+
+// slice returns the piece of text with the given number and length.
+func slice(text string, number, length int) string {
+	at := number * length % (len(text) - length)
+	return strings.ToValidUTF8(text[at:at+length], "?")
 }
 
 // scaled multiplies every X.
@@ -94,7 +120,10 @@
 	return s
 }
 
-func programState(programs, turns, turnBytes int) *program.State {
+// idleText fills histories where the content does not matter.
+var idleText = strings.Repeat("knots and dye. ", 1000)
+
+func programState(programs, turns, turnBytes int, text string) *program.State {
 	state := program.NewState(program.DefaultLimits)
 	for i := range programs {
 		id := spool.ProgramID(fmt.Sprintf("%026d", i))
@@ -106,22 +135,22 @@
 			panic(err)
 		}
 		state.Apply([]spool.Record{record})
-		applyTurns(state, id, turns, turnBytes)
+		applyTurns(state, id, turns, func(number int) string { return slice(text, 2*i*turns+number, turnBytes/2) })
 	}
 	return state
 }
 
 // applyTurns folds finished turns, as a new owner does.
-func applyTurns(state *program.State, id spool.ProgramID, turns, turnBytes int) {
+func applyTurns(state *program.State, id spool.ProgramID, turns int, text func(number int) string) {
 	digest := ""
 	for turn := range turns {
-		question := spool.Message{Role: "user", Content: strings.Repeat("q", turnBytes/2)}
-		answer := spool.AnswerMessage(strings.Repeat("a", turnBytes/2))
+		question := spool.Message{Role: "user", Content: text(2 * turn)}
+		answer := spool.AnswerMessage(text(2*turn + 1))
 		digest = spool.HistoryDigest(digest, question, answer)
 		body, _ := json.Marshal(program.Turn{
 			Call: spool.CallID(fmt.Sprintf("turn-%d", turn)), Body: "digest", Base: 2 * turn,
-			Messages: []spool.Message{question, answer}, Digest: digest, GeneratedTokens: turnBytes / 8,
-			Charged: turnBytes / 4, Endpoint: "m1", At: 2,
+			Messages: []spool.Message{question, answer}, Digest: digest, GeneratedTokens: len(answer.Content) / 4,
+			Charged: len(answer.Content) / 2, Endpoint: "m1", At: 2,
 		})
 		effects := state.Apply([]spool.Record{{Kind: program.KindTurn, Program: id, Data: body}})
 		if len(effects.Invalid) > 0 {
@@ -136,7 +165,7 @@
 	return series("recovery", "time to fold the turns of a stream again after a change of owner", "turns", "ms",
 		[]int{1000, 2000, 4000, 8000}, func(turns int) float64 {
 			since := time.Now()
-			runtime.KeepAlive(programState(turns/20, 20, turnBytes))
+			runtime.KeepAlive(programState(turns/20, 20, turnBytes, idleText))
 			return float64(time.Since(since)) / float64(time.Millisecond)
 		})
 }
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -12,6 +12,7 @@
 	targetAccounts = 430.0
 	targetPrograms = 360000.0
 	targetTokens   = 3.5e6
+	targetRequests = 12000.0
 	targetDomains  = 14.0
 	targetChanges  = 35000.0
 	// longestHistory is in tokens and holds for one program.
@@ -41,21 +42,27 @@
 	row("one choice among the 917 endpoints of one of 12 models", "routing-cpu", "%.0f µs", fits["routing-cpu"].At(targetServers/12))
 	row("fold of the streams of one failure domain, by one entry of the rest, 340 turns each", "recovery", "%.1f s",
 		fits["recovery"].Slope*(targetPrograms/targetDomains)/(targetEntries*(1-1/targetDomains))*340/1000)
-	perToken := fits["token-cpu"].At(0)
-	tokens := targetTokens / targetEntries
-	if points := seriesOf(all, "token-cpu").Points; len(points) > 0 {
-		perToken = points[len(points)-1].Y
+	for _, way := range ways {
+		trafficRows(row, fits, way.name)
 	}
-	row(fmt.Sprintf("%.0f tokens/s of traffic, with stand-in engines and callers in the same process", tokens), "token-cpu, highest rate", "%.2f cores", perToken*tokens/1e6)
 	row("changes of configuration", "35,000 a day", "%.2f records/s", targetChanges/86400)
 	return out.String()
 }
 
-func seriesOf(all []Series, name string) Series {
-	for _, one := range all {
-		if one.Name == name {
-			return one
-		}
-	}
-	return Series{}
+// trafficRows works out what the traffic of one entry needs when all of it takes
+// one way. An entry that forwards everything also owns as much for others.
+func trafficRows(row func(what, from, format string, values ...any), fits map[string]Fit, way string) {
+	tokens, requests := targetTokens/targetEntries, targetRequests/targetEntries
+	perRequest := fits["entry-request-cpu-"+way].Slope
+	// Each answer under load is one request, so the slope per token holds its part.
+	load := fits["entry-token-cpu-"+way]
+	perToken := load.Slope - perRequest/answerTokens
+	row(fmt.Sprintf("processor time per request with a program start, %s", way), "entry-request-cpu-"+way, "%.2f ms", 1000*perRequest)
+	row(fmt.Sprintf("processor time per token, %s", way), "entry-token-cpu-"+way+" less the requests", "%.0f µs", 1e6*perToken)
+	row(fmt.Sprintf("%.0f requests/s and %.0f tokens/s of traffic, %s", requests, tokens, way), "both, and the cost at rest", "%.2f cores",
+		load.Intercept+perRequest*requests+perToken*tokens)
+	row(fmt.Sprintf("tokens/s that one core carries in answers of %d tokens, %s", answerTokens, way), "entry-token-cpu-"+way, "%.0f", (1-load.Intercept)/load.Slope)
+	own := func(name string) float64 { return fits[name+"-"+way].At(tokens) - fits[name+"-direct-"+way].At(tokens) }
+	row(fmt.Sprintf("the system's part of the p95 of the first token, %s", way), "loaded-first", "%.1f ms, %.1f %% of 680 ms", own("loaded-first"), own("loaded-first")/6.8)
+	row(fmt.Sprintf("the system's part of the p95 between tokens, %s", way), "token-gap", "%.1f ms, %.1f %% of 75 ms", own("token-gap"), own("token-gap")/0.75)
 }
--- a/internal/capacity/traffic.go
+++ b/internal/capacity/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/baobabspool/baobabspool/internal/cputime"
 	"github.com/baobabspool/baobabspool/internal/demo"
@@ -10,26 +11,117 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// firstToken measures the median time to the first token, directly and through
-// the system, and the processor time per token.
-func firstToken(ctx context.Context) (direct, through, perToken Series, err error) {
-	direct = Series{Name: "first-token-direct", What: "median time to the first token, calling the engine directly", XUnit: "callers at a time", YUnit: "ms"}
-	through = Series{Name: "first-token-through", What: "the same through entry and agent, in the same run", XUnit: "callers at a time", YUnit: "ms"}
-	perToken = Series{Name: "token-cpu", What: "processor time per token of entries, agents, engines and callers together", XUnit: "tokens/s", YUnit: "µs of a core"}
-	const calls, tokens = 12, 64
-	for _, callers := range []int{2, 4, 8, 16} {
-		result, err := demo.MeasureOverhead(ctx, callers, calls, tokens)
+const (
+	// loadFor is the length of one cell. Every answer is shorter.
+	loadFor = 3 * time.Second
+	// answerTokens is the length of the answers under load.
+	answerTokens = 64
+)
+
+// ways are the two ways through the system.
+var ways = []struct {
+	name, what string
+	forwarded  bool
+}{
+	{"owner", "through the entry that owns the program", false},
+	{"forwarded", "through an entry that forwards to the owner", true},
+}
+
+// traffic measures what callers see through the system and directly, and what
+// the entries cost. Each entry is a process of its own with one core, started by
+// the command line entry; agents, engines and callers share this process.
+func traffic(ctx context.Context, entry []string, progress func(string)) (all []Series, err error) {
+	for _, measure := range []func(context.Context, []string) ([]Series, error){quietFirstToken, loadedTokens, requestCost} {
+		measured, err := measure(ctx, entry)
 		if err != nil {
-			return direct, through, perToken, err
+			return nil, err
+		}
+		for _, one := range measured {
+			progress(one.Name)
+		}
+		all = append(all, measured...)
+	}
+	return all, nil
+}
+
+// quietFirstToken measures the first token with few callers.
+func quietFirstToken(ctx context.Context, entry []string) (all []Series, err error) {
+	for _, way := range ways {
+		named := func(name, what string) Series {
+			return Series{Name: name + "-" + way.name, What: what, XUnit: "callers at a time", YUnit: "ms"}
+		}
+		direct := named("first-token-direct", "median time to the first token, calling the engine directly, in the run of the next row")
+		through := named("first-token", "median time to the first token "+way.what)
+		for _, callers := range []int{2, 4, 8, 16} {
+			load, err := demo.MeasureLoad(ctx, demo.LoadOptions{
+				Entry: entry, Callers: callers, For: loadFor, Tokens: 16, TokenMs: 1, Forwarded: way.forwarded, Direct: true,
+			})
+			if err != nil {
+				return nil, err
+			}
+			direct.add(float64(callers), load.Direct.First.P50)
+			through.add(float64(callers), load.Through.First.P50)
+		}
+		all = append(all, direct, through)
+	}
+	return all, nil
+}
+
+// loadedTokens measures tails and processor time under many streams.
+func loadedTokens(ctx context.Context, entry []string) (all []Series, err error) {
+	for _, way := range ways {
+		named := func(name, what, unit string) Series {
+			return Series{Name: name + "-" + way.name, What: what, XUnit: "tokens/s through the system", YUnit: unit}
+		}
+		direct := named("loaded-first-direct", "p95 of the first token directly, in the run of the next row", "ms")
+		through := named("loaded-first", "p95 of the first token "+way.what, "ms")
+		directGap := named("token-gap-direct", "p95 between two tokens directly, in the run of the next row", "ms")
+		gap := named("token-gap", "p95 between two tokens "+way.what, "ms")
+		cores := named("entry-token-cpu", "cores of one entry with answers of 64 tokens, each of a new program, "+way.what, "cores")
+		other := named("other-token-cpu", "cores of the other entry in that run, which holds the records and owns forwarded programs", "cores")
+		for _, callers := range []int{80, 160, 320, 640} {
+			load, err := demo.MeasureLoad(ctx, demo.LoadOptions{
+				Entry: entry, Callers: callers, For: loadFor, Tokens: answerTokens, TokenMs: 20, Forwarded: way.forwarded, Direct: true,
+			})
+			if err != nil {
+				return nil, err
+			}
+			x := load.TokensPerSecond
+			direct.add(x, load.Direct.First.P95)
+			through.add(x, load.Through.First.P95)
+			directGap.add(x, load.Direct.Gap.P95)
+			gap.add(x, load.Through.Gap.P95)
+			cores.add(x, load.EntryCores)
+			other.add(x, load.OtherCores)
+		}
+		all = append(all, direct, through, directGap, gap, cores, other)
+	}
+	return all, nil
+}
+
+// requestCost measures the processor time of requests with the shortest answer.
+func requestCost(ctx context.Context, entry []string) (all []Series, err error) {
+	for _, way := range ways {
+		cores := Series{
+			Name: "entry-request-cpu-" + way.name, What: "cores of one entry with answers of one token, each of a new program, " + way.what,
+			XUnit: "requests/s", YUnit: "cores",
 		}
-		x := float64(callers)
-		direct.Points = append(direct.Points, Point{x, result.Direct})
-		through.Points = append(through.Points, Point{x, result.Through})
-		perToken.Points = append(perToken.Points, Point{result.TokensPerSecond, result.CoreMicrosPerToken})
+		for _, callers := range []int{1, 2, 4, 8} {
+			load, err := demo.MeasureLoad(ctx, demo.LoadOptions{
+				Entry: entry, Callers: callers, For: loadFor, Tokens: 1, TokenMs: 10, Forwarded: way.forwarded,
+			})
+			if err != nil {
+				return nil, err
+			}
+			cores.add(load.RequestsPerSecond, load.EntryCores)
+		}
+		all = append(all, cores)
 	}
-	return direct, through, perToken, nil
+	return all, nil
 }
 
+func (s *Series) add(x, y float64) { s.Points = append(s.Points, Point{x, y}) }
+
 // routing measures one choice of the router.
 func routing() (Series, error) {
 	router, err := spool.Routers.New("affinity", 1, spool.Options{})
--- /dev/null
+++ b/internal/demo/children.go
@@ -0,0 +1,64 @@
+package demo
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/internal/cputime"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// startChild starts an entry as a process of its own.
+func (c *cluster) startChild(node string, domain spool.FailureDomain, address string) error {
+	front, err := freePort()
+	if err != nil {
+		return err
+	}
+	args := append(append([]string{}, c.spawn[1:]...),
+		"--node", node, "--failure-domain", string(domain), "--region", region, "--listen", address, "--http-listen", front,
+		"--vms-address", c.vmsAt, "--log-address", c.logAt, "--streams", fmt.Sprint(streamCount),
+		"--lame-duck-ms", "0", "--log-level", "error")
+	child := exec.Command(c.spawn[0], args...)
+	// With one core its processor time is not that of threads that wake each other.
+	child.Env = append(os.Environ(), "GOMAXPROCS=1")
+	child.Stdout, child.Stderr = os.Stderr, os.Stderr
+	if err := child.Start(); err != nil {
+		return err
+	}
+	c.children = append(c.children, child)
+	c.addresses = append(c.addresses, front)
+	return nil
+}
+
+// childrenReady reports whether every entry is ready. A program's start waits
+// until its stream has an owner.
+func (c *cluster) childrenReady() bool {
+	for _, address := range c.addresses {
+		status, _, err := fasthttp.GetTimeout(nil, "http://"+address+"/readyz", time.Second)
+		if err != nil || status != fasthttp.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// childrenTimes returns the processor time of each child process so far.
+func (c *cluster) childrenTimes() (used []time.Duration) {
+	for _, child := range c.children {
+		used = append(used, cputime.Of(child.Process.Pid))
+	}
+	return used
+}
+
+// stopChildren ends the child processes at once; nobody uses them any more.
+func (c *cluster) stopChildren() {
+	for _, child := range c.children {
+		_ = child.Process.Signal(syscall.SIGKILL)
+		_ = child.Wait()
+	}
+}
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"os/exec"
 	"sync"
 	"time"
 
@@ -63,20 +64,32 @@
 	vmsAt     string
 	// engineAt are the addresses of the engines.
 	engineAt []string
+	// entryCount is the number of entries.
+	entryCount int
+	// spawn is the command line that starts an entry as a process of its own; the
+	// entries run in this process when it is empty. children are those processes.
+	spawn    []string
+	children []*exec.Cmd
 }
 
 // newCluster starts everything. extra holds control records that are published
 // before the processes start, and may repeat settings of the demonstration.
-func newCluster(ctx context.Context, seed uint64, accounts []*account, extra ...any) (c *cluster, err error) {
+func newCluster(ctx context.Context, seed uint64, accounts []*account, extra ...any) (*cluster, error) {
+	return startCluster(ctx, &cluster{entryCount: 4}, seed, accounts, extra...)
+}
+
+// startCluster starts the parts of a cluster whose size has been set.
+func startCluster(ctx context.Context, size *cluster, seed uint64, accounts []*account, extra ...any) (c *cluster, err error) {
+	c = size
 	defer func() {
 		err = errors.Wrap(err, "start the demonstration")
-		if err != nil && c != nil {
+		if err != nil {
 			c.close()
 		}
 	}()
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	c = &cluster{log: standin.NewLog(seed), vms: standin.NewVMList(200), service: standin.NewService(), accounts: accounts}
+	c.log, c.vms, c.service, c.accounts = standin.NewLog(seed), standin.NewVMList(200), standin.NewService(), accounts
 	if err := c.startPlatform(seed); err != nil {
 		return c, err
 	}
@@ -164,7 +177,7 @@
 }
 
 func (c *cluster) startProcesses() error {
-	for i := range 4 {
+	for i := range c.entryCount {
 		if err := c.startEntry(fmt.Sprintf("e%d", i+1), domains[i%2]); err != nil {
 			return err
 		}
@@ -210,6 +223,9 @@
 		ID: spool.NodeID(node), Role: spool.RoleEntry, State: spool.VMLive,
 		FailureDomain: domain, Region: region, Address: address,
 	})
+	if len(c.spawn) > 0 {
+		return c.startChild(node, domain, address)
+	}
 	t, err := c.newTelemetry(node)
 	if err != nil {
 		return err
@@ -259,7 +275,7 @@
 				}
 			}
 		}
-		ready := owned == streamCount
+		ready := owned == streamCount || len(c.children) > 0 && c.childrenReady()
 		for _, entry := range c.entries {
 			ready = ready && len(entry.Control().Members()) == len(c.entries) && len(entry.Streams().Endpoints(modelService)) == len(c.engines)
 		}
@@ -308,6 +324,7 @@
 		stopping.Go(func() { _ = entry.Shutdown(ctx) })
 	}
 	stopping.Wait()
+	c.stopChildren()
 	for _, endpoint := range c.endpoints {
 		stopping.Go(func() { _ = endpoint.Shutdown(ctx) })
 	}
