--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -44,7 +44,16 @@
 	}
 	progress(choices.Name)
 	measured, err := traffic(ctx, entry, progress)
-	return append(append(all, choices), measured...), err
+	if err != nil {
+		return nil, err
+	}
+	all = append(append(all, choices), measured...)
+	owned, err := ownership(ctx)
+	if err != nil {
+		return nil, err
+	}
+	progress("ownership")
+	return append(all, owned...), nil
 }
 
 // Table formats the measurements and their fits as Markdown.
--- a/internal/deployment/processes_test.go
+++ b/internal/deployment/processes_test.go
@@ -11,18 +11,23 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/baobabspool/baobabspool/internal/caller"
 	"github.com/baobabspool/baobabspool/internal/standin"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
 // binaries are built once for all tests of the package.
 var binaries = sync.OnceValue(func() string {
+	if folder := os.Getenv(binariesVariable); folder != "" {
+		return folder
+	}
 	folder, err := os.MkdirTemp("", "baobabspool")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	build := exec.Command("go", "build", "-o", folder, "../../cmd/baobabspool", "../../cmd/standin")
@@ -51,12 +56,16 @@
 	mu        sync.Mutex
 	fronts    map[string]string
 	vms       []spool.VM
+	network   network
+	// secure, unless nil, signs the certificates of entries and agents.
+	secure *authority
 }
 
 func newSystem() *system {
 	s := &system{
 		folder: ginkgo.GinkgoT().TempDir(), processes: map[string]*process{},
 		addresses: map[string]string{}, controls: map[string]string{}, fronts: map[string]string{},
+		network: newNetwork(),
 	}
 	ginkgo.DeferCleanup(func() {
 		for node := range s.processes {
@@ -66,11 +75,34 @@
 	return s
 }
 
+// firstPort and lastPort bound the ports of the processes.
+const (
+	firstPort = 20_000
+	lastPort  = 29_999
+)
+
+var nextPort atomic.Int64
+
+// freeAddress returns an address that nothing else uses. Each test process has
+// an IP address of its own, since a port that was found free on 127.0.0.1 can
+// be taken by another connection before the process listens on it.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	host := loopbackOf(os.Getpid())
+	for port := firstPort + nextPort.Add(1); port <= lastPort; port = firstPort + nextPort.Add(1) {
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
+		if err != nil {
+			continue
+		}
+		gomega.Expect(listener.Close()).To(gomega.Succeed())
+		return listener.Addr().String()
+	}
+	ginkgo.Fail("no port is free at " + host)
+	return ""
+}
+
+// loopbackOf returns the address of the loopback network for a process.
+func loopbackOf(pid int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
 }
 
 // run starts a process that has not run before.
@@ -136,9 +168,11 @@
 	s.addresses[node] = freeAddress()
 	front := freeAddress()
 	s.list(spool.VM{ID: spool.NodeID(node), Role: spool.RoleEntry, FailureDomain: domain, Address: s.addresses[node]})
-	s.run("baobabspool", node, "entry", "--node", node, "--region", "r", "--failure-domain", string(domain),
+	region := s.network.region(domain)
+	s.run("baobabspool", node, append(s.secure.processFlags("tls", "http-tls"), "entry", "--node", node, "--region", string(region), "--failure-domain", string(domain),
 		"--listen", s.addresses[node], "--http-listen", front, "--lame-duck-ms", "0", "--log-level", "debug",
-		"--vms-address", s.addresses["vms"], "--log-address", s.addresses["log"])
+		"--vms-address", s.addresses[s.network.list(region)],
+		"--log-address", s.network.path(region, logRegion, s.addresses["log"]))...)
 	waitForListener(front)
 	s.setFront(node, front)
 }
@@ -147,16 +181,30 @@
 func (s *system) agent(node string, domain spool.FailureDomain, service spool.ServiceName, flag, endpoint string) {
 	s.addresses[node] = freeAddress()
 	s.list(spool.VM{ID: spool.NodeID(node), Role: spool.RoleEndpoint, FailureDomain: domain, Service: service, Address: s.addresses[node]})
-	s.run("baobabspool", node, "endpoint", "--node", node, "--region", "r", "--failure-domain", string(domain),
-		"--listen", s.addresses[node], "--vms-address", s.addresses["vms"], flag, s.addresses[endpoint])
+	region := s.network.region(domain)
+	s.run("baobabspool", node, append(s.secure.processFlags("tls"), "endpoint", "--node", node, "--region", string(region), "--failure-domain", string(domain),
+		"--listen", s.addresses[node], "--vms-address", s.addresses[s.network.list(region)], flag, s.addresses[endpoint])...)
 	waitForListener(s.addresses[node])
 }
 
 // list puts a VM on the platform's list.
 func (s *system) list(vm spool.VM) {
-	vm.State, vm.Region = spool.VMLive, "r"
+	vm.State, vm.Region = spool.VMLive, s.network.region(vm.FailureDomain)
 	s.vms = append(s.vms, vm)
-	s.post("vms", "/", standin.VMSettings{LagMs: 300, VMs: s.vms})
+	s.showVMs()
+}
+
+// showVMs gives the list of VMs to its stand-in in each region, with the
+// addresses that lead there from that region.
+func (s *system) showVMs() {
+	for region, node := range s.network.lists {
+		shown := make([]spool.VM, len(s.vms))
+		for i, vm := range s.vms {
+			vm.Address = s.network.path(region, vm.Region, vm.Address)
+			shown[i] = vm
+		}
+		s.post(node, "/", standin.VMSettings{LagMs: 300, VMs: shown})
+	}
 }
 
 // unlist takes a VM off the list and out of the balancer.
@@ -168,7 +216,7 @@
 		}
 	}
 	s.vms = kept
-	s.post("vms", "/", standin.VMSettings{LagMs: 300, VMs: s.vms})
+	s.showVMs()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.fronts, node)
@@ -201,6 +249,15 @@
 	return addresses
 }
 
+// client returns a caller's client of the entries that the balancer knows.
+func (s *system) client(key string) *caller.Client {
+	client := caller.NewClient(s.balanced, key)
+	if s.secure != nil {
+		client.UseTLS(s.secure.trust())
+	}
+	return client
+}
+
 func (s *system) post(node, path string, body any) {
 	encoded, err := json.Marshal(body)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,8 +11,10 @@
 	"github.com/baobabspool/baobabspool/internal/control"
 	"github.com/baobabspool/baobabspool/internal/endpoint"
 	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/internal/roster"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	_ "github.com/baobabspool/baobabspool/pkg/policy" // Registers the policies.
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -32,12 +33,17 @@
 	HTTPListen string
 	// VMsAddress is the host:port of the platform's list of VMs.
 	VMsAddress string
+	// VMReaders is how many entries of each failure domain read the list of VMs
+	// from the platform; with 0 every process does.
+	VMReaders int
 	// EngineAddress or ServiceAddress is the host:port of the endpoint; exactly
 	// one of them is set.
 	EngineAddress  string
 	ServiceAddress string
 	// TLS protects the messages between our processes.
 	TLS TLSFiles
+	// TLSReloadMs is how often its files are read again.
+	TLSReloadMs int64
 }
 
 // Validate returns every error of the settings at once.
@@ -51,7 +57,9 @@
 		problems.Address("http-listen", c.HTTPListen)
 	}
 	problems.Address("vms-address", c.VMsAddress)
+	problems.Count("vm-readers", c.VMReaders)
 	c.TLS.Check(&problems)
+	checkReload(c.TLS.Cert, c.TLSReloadMs, &problems)
 	if (c.EngineAddress == "") == (c.ServiceAddress == "") {
 		problems.Add("engine-address", "give either engine-address or service-address")
 		return problems.Err()
@@ -64,20 +72,23 @@
 	return problems.Err()
 }
 
-// settleFor bounds the wait for the first control state at the start. An agent
-// that no entry answers starts with the defaults.
-const settleFor = 2 * time.Second
+// Heartbeats of an agent's connections to its parent. At the defaults 33 agents
+// would cost an entry 10 KB/s for heartbeats alone; requests to a parent have
+// their own shorter limits.
+const (
+	silentAfter = 2 * clock.Second
+	pingEvery   = 1 * clock.Second
+)
 
 // Endpoint is the running process of an endpoint agent.
 type Endpoint struct {
 	config  EndpointConfig
 	agent   *endpoint.Agent
 	control *control.Reader
-	vms     *vmWatch
+	vms     *roster.Runtime
 	clients *wire.Clients
 	log     *zap.Logger
-	// applied is the highest fencing number of an order that was carried out.
-	applied uint64
+	between *Certificates
 
 	wake chan struct{}
 	stop chan struct{}
@@ -90,23 +101,32 @@
 	if err := settingsOfProcess.Validate(); err != nil {
 		return nil, err
 	}
-	server, client, err := settingsOfProcess.TLS.Load()
+	between, err := settingsOfProcess.TLS.Open()
 	if err != nil {
 		return nil, err
 	}
+	if err := between.follow(clock.Millis(settingsOfProcess.TLSReloadMs), t, "baobabspool_tls_expires_s"); err != nil {
+		return nil, err
+	}
 	p = &Endpoint{
-		config:  settingsOfProcess,
-		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node), wire.WithTLS(client)),
+		config: settingsOfProcess,
+		clients: wire.NewClients(spool.NodeID(settingsOfProcess.Node), wire.WithTLS(between.Client),
+			wire.WithSilentAfter(silentAfter, pingEvery)),
+		between: between,
 		log:     t.Logger("endpoint"),
 		wake:    make(chan struct{}, 1),
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
 	}
-	p.vms = newVMWatch(platform.NewVMList(p.config.VMsAddress), t, p.nudge)
+	p.vms, err = roster.New(rosterConfig(p.config.Node, spool.RoleEndpoint, p.config.FailureDomain, p.config.VMReaders),
+		platform.NewVMList(p.config.VMsAddress), p.clients, roster.WithTelemetry(t), roster.WithObserver(p.nudge))
+	if err != nil {
+		return nil, err
+	}
 	if err := p.startControl(t); err != nil {
 		return nil, err
 	}
-	if err := p.startAgent(t, server); err != nil {
+	if err := p.startAgent(t); err != nil {
 		return nil, err
 	}
 	go func() { p.follow() }()
@@ -114,29 +134,38 @@
 }
 
 func (p *Endpoint) startControl(t *telemetry.Telemetry) (err error) {
+	deadline := time.Now().Add(settleFor(p.config.VMReaders).Duration())
+	// The reader waits longer each time that it knows no entry, so it starts when
+	// there is a list.
+	await(deadline, func() bool { _, readAt := p.vms.Latest(); return readAt != 0 })
 	p.control, err = control.NewReader(control.Config{
 		Node:          spool.NodeID(p.config.Node),
 		Role:          spool.RoleEndpoint,
 		FailureDomain: spool.FailureDomain(p.config.FailureDomain),
 		Region:        spool.Region(p.config.Region),
-	}, control.WithPeers(p.vms.entries), control.WithClients(p.clients), control.WithTelemetry(t))
+	}, control.WithPeers(p.vms.Entries), control.WithClients(p.clients), control.WithTelemetry(t))
 	if err != nil {
 		return err
 	}
-	deadline := time.After(settleFor)
-	for !p.control.Ready() {
-		select {
-		case <-p.control.Changed():
-		case <-time.After(20 * time.Millisecond):
-		case <-deadline:
-			p.log.Warn("no entry answers, starting with default settings")
-			return nil
-		}
+	if !await(deadline, p.control.Ready) {
+		p.log.Warn("no entry answers, starting with default settings")
 	}
 	return nil
 }
 
-func (p *Endpoint) startAgent(t *telemetry.Telemetry, server *tls.Config) (err error) {
+// await waits for a condition until the deadline and reports whether it holds.
+func await(deadline time.Time, holds func() bool) bool {
+	const checkEvery = 20 * time.Millisecond
+	for !holds() {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(checkEvery)
+	}
+	return true
+}
+
+func (p *Endpoint) startAgent(t *telemetry.Telemetry) (err error) {
 	values := p.control.Settings(settings.Scope{
 		Region: spool.Region(p.config.Region), FailureDomain: spool.FailureDomain(p.config.FailureDomain),
 	})
@@ -146,12 +175,18 @@
 	agentConfig.HTTPListen = p.config.HTTPListen
 	agentConfig.Queue = values.Text(settings.PolicyQueue)
 	agentConfig.Gate = values.Text(settings.PolicyGate)
+	agentConfig.Pause = values.Text(settings.PolicyPause)
+	agentConfig.PauseOptions = values.Options()
 	agentConfig.QueueOptions = values.Options()
 	agentConfig.GateOptions = values.Options()
 	agentConfig.Kernel.MaxWait = values.Duration(settings.QueueMaxWaitMs)
+	agentConfig.Kernel.StartMaxWait = values.Duration(settings.QueueStartMaxWaitMs)
 	agentConfig.Kernel.CallLease = values.Duration(settings.MemoryLeaseMs)
 	agentConfig.Kernel.GraceLease = values.Duration(settings.MemoryLeaseMs)
-	options := []endpoint.Option{endpoint.WithTelemetry(t), endpoint.WithTLS(server)}
+	options := []endpoint.Option{
+		endpoint.WithTelemetry(t), endpoint.WithTLS(p.between.Server()),
+		endpoint.WithInTouch(func() bool { return !p.control.Isolated() }),
+	}
 	if p.config.EngineAddress != "" {
 		options = append(options, endpoint.WithEngine(platform.NewEngine(p.config.EngineAddress)))
 	} else {
@@ -190,19 +225,10 @@
 	id := spool.EndpointID(p.config.Node)
 	domain := spool.FailureDomain(p.config.FailureDomain)
 	p.agent.SetControlOffset(p.control.Offset())
-	p.agent.SetDraining(p.control.Draining(domain, id) || p.vms.leaving(spool.NodeID(p.config.Node)))
-	for _, order := range p.control.Orders(id) {
-		if order.Fence <= p.applied {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), vmsTimeout.Duration())
-		err := p.agent.ApplyOrder(ctx, order)
-		cancel()
-		if err != nil {
-			p.log.Warn("order failed and will be repeated", zap.Uint64("fence", order.Fence), zap.Error(err))
-			return
-		}
-		p.applied = order.Fence
+	p.agent.SetDraining(p.control.Draining(domain, id) || p.vms.Leaving())
+	orders, ahead := p.control.Orders(id)
+	if err := p.agent.SetOrders(orders, ahead); err != nil {
+		p.log.Warn("orders were refused", zap.Error(err))
 	}
 }
 
@@ -221,7 +247,8 @@
 	p.agent.SetDraining(true)
 	err = p.agent.Shutdown(ctx)
 	p.control.Close()
-	p.vms.close()
+	p.vms.Close()
 	p.clients.Close()
+	p.between.close()
 	return err
 }
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -1,3 +1,5 @@
+// Package process puts the parts of an entry and of an endpoint agent together
+// and runs them as one process each.
 package process
 
 import (
@@ -14,6 +16,7 @@
 	"github.com/baobabspool/baobabspool/internal/entry"
 	"github.com/baobabspool/baobabspool/internal/platform"
 	"github.com/baobabspool/baobabspool/internal/quota"
+	"github.com/baobabspool/baobabspool/internal/roster"
 	"github.com/baobabspool/baobabspool/internal/streams"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
@@ -42,6 +45,9 @@
 	// LogReaders is how many entries of each failure domain read the control
 	// stream from the log; 0 for all.
 	LogReaders int
+	// VMReaders is how many entries of each failure domain read the list of VMs
+	// from the platform; with 0 every process does.
+	VMReaders int
 	// RetentionMs is how long the log keeps records.
 	RetentionMs int64
 	// LameDuckMs is the time between readyz turning false and the end of
@@ -50,13 +56,15 @@
 	// TLS protects the messages between our processes, HTTPTLS the callers' API.
 	TLS     TLSFiles
 	HTTPTLS FrontTLS
+	// TLSReloadMs is how often the files of both are read again.
+	TLSReloadMs int64
 }
 
 // DefaultEntryConfig returns the values that are used when nothing else is set.
 func DefaultEntryConfig() EntryConfig {
 	return EntryConfig{
 		Listen: "127.0.0.1:7000", HTTPListen: "127.0.0.1:8080", StreamCount: 8,
-		RetentionMs: int64(clock.Hour), LameDuckMs: 2000,
+		RetentionMs: int64(clock.Hour), LameDuckMs: 2000, TLSReloadMs: DefaultTLSReloadMs,
 	}
 }
 
@@ -72,12 +80,12 @@
 	problems.Address("log-address", c.LogAddress)
 	c.TLS.Check(&problems)
 	c.HTTPTLS.check(&problems)
+	checkReload(c.TLS.Cert+c.HTTPTLS.Cert, c.TLSReloadMs, &problems)
 	if c.StreamCount < 1 {
 		problems.Add("streams", "must be at least 1")
 	}
-	if c.LogReaders < 0 {
-		problems.Add("log-readers", "must not be negative")
-	}
+	problems.Count("log-readers", c.LogReaders)
+	problems.Count("vm-readers", c.VMReaders)
 	if c.RetentionMs < int64(10*clock.Second) {
 		problems.Add("retention-ms", "must be at least 10000")
 	}
@@ -94,8 +102,12 @@
 	control *control.Reader
 	streams *streams.Manager
 	quota   *quota.Manager
-	vms     *vmWatch
+	vms     *roster.Runtime
 	log     *zap.Logger
+	// between and front hold the certificates for messages between processes and
+	// for the callers' API.
+	between *Certificates
+	front   *Certificates
 	// ready is control once it has been started.
 	ready atomic.Pointer[control.Reader]
 
@@ -111,18 +123,16 @@
 	}
 	p = &Entry{config: processConfig, log: t.Logger("entry")}
 	source := clock.System()
-	server, client, err := p.config.TLS.Load()
-	if err != nil {
+	if err := p.openTLS(t); err != nil {
 		return nil, err
 	}
-	front, err := p.config.HTTPTLS.Load()
+	clients := wire.NewClients(spool.NodeID(p.config.Node), wire.WithTLS(p.between.Client))
+	log := platform.NewLog(p.config.LogAddress)
+	p.vms, err = roster.New(rosterConfig(p.config.Node, spool.RoleEntry, p.config.FailureDomain, p.config.VMReaders),
+		platform.NewVMList(p.config.VMsAddress), clients, roster.WithClock(source), roster.WithTelemetry(t))
 	if err != nil {
 		return nil, err
 	}
-	clients := wire.NewClients(spool.NodeID(p.config.Node), wire.WithTLS(client))
-	log := platform.NewLog(p.config.LogAddress)
-	list := platform.NewVMList(p.config.VMsAddress)
-	p.vms = newVMWatch(list, t, func() {})
 	lateStreams := &lateStreams{}
 	p.quota = quota.New(quota.Config{
 		Node: spool.NodeID(p.config.Node), StreamCount: p.config.StreamCount, Timing: limit.DefaultTiming(),
@@ -131,10 +141,10 @@
 		return nil, err
 	}
 	state := &controlState{reader: p.control, region: spool.Region(p.config.Region), domain: spool.FailureDomain(p.config.FailureDomain)}
-	if err := p.buildEntry(state, clients, source, t, entry.WithTLS(front, server)); err != nil {
+	if err := p.buildEntry(state, clients, source, t, entry.WithTLS(p.front.Server(), p.between.Server())); err != nil {
 		return nil, err
 	}
-	if err := p.startStreams(log, list, clients, source, t); err != nil {
+	if err := p.startStreams(log, clients, source, t); err != nil {
 		return nil, err
 	}
 	lateStreams.set(p.streams)
@@ -151,6 +161,20 @@
 	return p, nil
 }
 
+func (p *Entry) openTLS(t *telemetry.Telemetry) (err error) {
+	if p.between, err = p.config.TLS.Open(); err != nil {
+		return err
+	}
+	if p.front, err = p.config.HTTPTLS.Open(); err != nil {
+		return err
+	}
+	every := clock.Millis(p.config.TLSReloadMs)
+	if err = p.between.follow(every, t, "baobabspool_tls_expires_s"); err != nil {
+		return err
+	}
+	return p.front.follow(every, t, "baobabspool_http_tls_expires_s")
+}
+
 func (p *Entry) startControl(log spool.Log, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry) (err error) {
 	place := settings.Scope{Region: spool.Region(p.config.Region), FailureDomain: spool.FailureDomain(p.config.FailureDomain)}
 	reader, err := control.NewReader(control.Config{
@@ -160,7 +184,7 @@
 		Region:        spool.Region(p.config.Region),
 		LogReaders:    p.config.LogReaders,
 		Retention:     clock.Millis(p.config.RetentionMs),
-	}, control.WithLog(log), control.WithPeers(p.vms.entries), control.WithClients(clients),
+	}, control.WithLog(log), control.WithPeers(p.vms.Entries), control.WithClients(clients),
 		control.WithClock(source), control.WithTelemetry(t), control.WithObserver(versionsOf(place, p.quota.Observe)))
 	p.control = reader
 	p.ready.Store(reader)
@@ -185,11 +209,11 @@
 	entryConfig.LameDuckFor = clock.Millis(p.config.LameDuckMs)
 	p.entry, err = entry.New(entryConfig, state, p.quota,
 		entry.WithClock(source), entry.WithTelemetry(t), entry.WithClients(clients),
-		secure, entry.WithHandlers(p.control.Handlers()), entry.WithHandlers(p.quota.Handlers()))
+		secure, entry.WithHandlers(p.control.Handlers()), entry.WithHandlers(p.vms.Handlers()), entry.WithHandlers(p.quota.Handlers()))
 	return err
 }
 
-func (p *Entry) startStreams(log spool.Log, list spool.VMList, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry) (err error) {
+func (p *Entry) startStreams(log spool.Log, clients *wire.Clients, source clock.Clock, t *telemetry.Telemetry) (err error) {
 	p.streams, err = streams.New(streams.Config{
 		Node:          spool.NodeID(p.config.Node),
 		Address:       p.config.Listen,
@@ -197,8 +221,9 @@
 		Region:        spool.Region(p.config.Region),
 		StreamCount:   p.config.StreamCount,
 		Retention:     clock.Millis(p.config.RetentionMs),
-	}, streams.WithLog(log), streams.WithVMList(list), streams.WithCaller(clients), streams.WithClock(source),
-		streams.WithTelemetry(t), streams.WithControlOffset(p.control.Offset), streams.WithApplier(p.entry.Applier()))
+	}, streams.WithLog(log), streams.WithLists(p.vms), streams.WithCaller(clients), streams.WithClock(source),
+		streams.WithTelemetry(t), streams.WithControlOffset(p.control.Offset), streams.WithApplier(p.entry.Applier()),
+		streams.WithHandover(p.quota.HandOver))
 	return err
 }
 
@@ -240,7 +265,9 @@
 	p.streams.Close()
 	p.quota.Close()
 	p.control.Close()
-	p.vms.close()
+	p.vms.Close()
+	p.between.close()
+	p.front.close()
 }
 
 // maintainEvery paces the duties of the entry that owns the first stream.
--- a/internal/process/state.go
+++ b/internal/process/state.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"encoding/json"
 	"sort"
 	"sync"
 
@@ -11,6 +12,7 @@
 	"github.com/baobabspool/baobabspool/pkg/program"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
+	"github.com/baobabspool/baobabspool/pkg/usage"
 )
 
 // controlState gives the parts of an entry their view of the control state.
@@ -59,6 +61,9 @@
 func (s *controlState) Settings(account spool.AccountID, id spool.ProgramID) entry.Settings {
 	values := s.reader.Settings(s.scope(account, id))
 	return entry.Settings{
+		Limit: usage.Limit{
+			RatePerSecond: values.Number(settings.LimitRatePerSecond), Burst: values.Number(settings.LimitBurst),
+		},
 		Weight: values.Number(settings.AccountWeight),
 		Budget: program.Budget{
 			Tokens: values.Integer(settings.BudgetTokens),
@@ -105,8 +110,15 @@
 	return 0, false
 }
 
-// Confirmed returns the instant until which no other entry can have claimed the
-// stream.
+// Inherited returns what the previous owner of a stream left with its release.
+func (l *lateStreams) Inherited(stream spool.Stream, epoch spool.Epoch) json.RawMessage {
+	if manager := l.get(); manager != nil {
+		return manager.Inherited(stream, epoch)
+	}
+	return nil
+}
+
+// Confirmed returns the instant until which no other entry can serve the stream.
 func (l *lateStreams) Confirmed(stream spool.Stream) (clock.Millis, bool) {
 	if manager := l.get(); manager != nil {
 		return manager.Confirmed(stream)
--- a/internal/streams/cluster_test.go
+++ b/internal/streams/cluster_test.go
@@ -98,6 +98,8 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	cut   map[string]bool
+	// calls counts the requests by method.
+	calls map[string]int
 }
 
 type node struct {
@@ -108,26 +110,27 @@
 }
 
 func newCluster() *cluster {
-	return &cluster{log: newMemoryLog(), nodes: map[string]*node{}, cut: map[string]bool{}}
+	return &cluster{log: newMemoryLog(), nodes: map[string]*node{}, cut: map[string]bool{}, calls: map[string]int{}}
 }
 
-func (c *cluster) VMs(context.Context) ([]spool.VM, error) {
+func (c *cluster) Latest() ([]spool.VM, clock.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	vms := []spool.VM{
-		{ID: "model-2", Role: spool.RoleEndpoint, State: spool.VMLive, Service: "appraiser-models"},
 		{ID: "model-1", Role: spool.RoleEndpoint, State: spool.VMLive, Service: "appraiser-models"},
+		{ID: "model-2", Role: spool.RoleEndpoint, State: spool.VMLive, Service: "appraiser-models"},
 		{ID: "model-3", Role: spool.RoleEndpoint, State: spool.VMLeaving, Service: "appraiser-models"},
 	}
 	for _, n := range c.nodes {
 		vms = append(vms, n.vm)
 	}
-	return vms, nil
+	return vms, clock.System().Now()
 }
 
 func (c *cluster) Call(ctx context.Context, address, method string, request, result any, _ func(json.RawMessage) error) error {
 	c.mu.Lock()
 	n, cut := c.nodes[address], c.cut[address]
+	c.calls[method]++
 	c.mu.Unlock()
 	if n == nil {
 		return spool.ErrNotSent
@@ -151,6 +154,12 @@
 	return json.Unmarshal(body, result)
 }
 
+func (c *cluster) count(method string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls[method]
+}
+
 func (c *cluster) start(i int, change func(*streams.Config)) *node {
 	name := fmt.Sprintf("entry-%d", i)
 	domain := spool.FailureDomain([]string{"ndar-a", "dkr-b", "ths-c", "klk-d"}[i%4])
@@ -169,7 +178,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var err error
-	n.manager, err = streams.New(config, streams.WithLog(c.log), streams.WithVMList(c),
+	n.manager, err = streams.New(config, streams.WithLog(c.log), streams.WithLists(c),
 		streams.WithCaller(c), streams.WithApplier(n.user))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	n.handlers = n.manager.Handlers()
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -37,7 +37,7 @@
 
 // Clients holds one connection per address and replaces those that break.
 type Clients struct {
-	tlsConfig   *tls.Config
+	tlsConfig   func() *tls.Config
 	dialTimeout clock.Millis
 	pingEvery   clock.Millis
 	silentAfter clock.Millis
@@ -57,8 +57,9 @@
 // ClientOption changes a default of Clients.
 type ClientOption func(*Clients)
 
-// WithTLS makes connections use TLS.
-func WithTLS(config *tls.Config) ClientOption {
+// WithTLS makes new connections use the TLS configuration that config returns at
+// the time; nil stands for plain TCP.
+func WithTLS(config func() *tls.Config) ClientOption {
 	return func(c *Clients) { c.tlsConfig = config }
 }
 
@@ -77,6 +78,7 @@
 // unique among processes.
 func NewClients(node spool.NodeID, options ...ClientOption) *Clients {
 	clients := &Clients{
+		tlsConfig:   func() *tls.Config { return nil },
 		dialTimeout: defaultDialTimeout,
 		pingEvery:   defaultPingEvery,
 		silentAfter: defaultSilentAfter,
@@ -96,7 +98,7 @@
 
 // Call sends one request to address and decodes the reply into result, which
 // may be nil. onChunk, which may be nil, receives the chunks in order before
-// Call returns. Cancelling ctx cancels the request at the other process. The
+// Call returns and is never called afterwards. Cancelling ctx cancels the request at the other process. The
 // error is a *spool.Refusal when the other process refused.
 func (c *Clients) Call(ctx context.Context, address, method string, request, result any, onChunk func(json.RawMessage) error) (err error) {
 	defer func() { err = errors.Wrapf(err, "call %s at %s", method, address) }()
@@ -206,8 +208,8 @@
 	dialer := &net.Dialer{Timeout: c.dialTimeout.Duration()}
 	var conn net.Conn
 	var err error
-	if c.tlsConfig != nil {
-		conn, err = tls.DialWithDialer(dialer, "tcp", address, c.tlsConfig)
+	if config := c.tlsConfig(); config != nil {
+		conn, err = tls.DialWithDialer(dialer, "tcp", address, config)
 	} else {
 		conn, err = dialer.Dial("tcp", address)
 	}
@@ -252,12 +254,43 @@
 
 	mu sync.Mutex
 	// chunks maps the correlation of each call under way to its receiver.
-	chunks map[string]func(json.RawMessage)
+	chunks map[string]*receiver
+}
+
+// receiver passes the chunks of one call on until the call returns.
+type receiver struct {
+	onChunk func(json.RawMessage) error
+	// cancel ends the call with the error of onChunk.
+	cancel context.CancelCauseFunc
+
+	// mu is held while onChunk runs.
+	mu sync.Mutex
+	// ended is set when the call returns; later chunks are dropped.
+	ended bool
+}
+
+func (r *receiver) receive(chunk json.RawMessage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended || r.onChunk == nil {
+		return
+	}
+	if err := r.onChunk(chunk); err != nil {
+		r.cancel(err)
+	}
+}
+
+// end waits for a chunk that is being received. Without it, a chunk of a call
+// that has failed could reach the caller after the first chunk of the repeat.
+func (r *receiver) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
 }
 
 func newLink(clients *Clients, address string, conn net.Conn) *link {
 	l := &link{
-		clients: clients, closed: make(chan struct{}), chunks: map[string]func(json.RawMessage){}, usedAt: time.Now(),
+		clients: clients, closed: make(chan struct{}), chunks: map[string]*receiver{}, usedAt: time.Now(),
 	}
 	l.heard.Store(time.Now().UnixNano())
 	stream := newFrameStream(conn, l.receive)
@@ -330,32 +363,27 @@
 func (l *link) receive(chunk envelope) {
 	l.heard.Store(time.Now().UnixNano())
 	l.mu.Lock()
-	receive := l.chunks[chunk.Correlation]
+	to := l.chunks[chunk.Correlation]
 	l.mu.Unlock()
-	if receive == nil {
+	if to == nil {
 		l.clients.crossed.Add(1)
 		return
 	}
-	receive(chunk.Body)
+	to.receive(chunk.Body)
 }
 
 func (l *link) call(ctx context.Context, method string, frame envelope, result any, onChunk func(json.RawMessage) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	chunks := &receiver{onChunk: onChunk, cancel: cancel}
 	l.mu.Lock()
-	l.chunks[frame.Correlation] = func(chunk json.RawMessage) {
-		if onChunk == nil {
-			return
-		}
-		if err := onChunk(chunk); err != nil {
-			cancel(err)
-		}
-	}
+	l.chunks[frame.Correlation] = chunks
 	l.mu.Unlock()
 	defer func() {
 		l.mu.Lock()
 		delete(l.chunks, frame.Correlation)
 		l.mu.Unlock()
+		chunks.end()
 	}()
 	pending, err := l.rpc.DispatchCall(ctx, method, frame.raw())
 	if err != nil {
--- a/pkg/journal/command.go
+++ b/pkg/journal/command.go
@@ -1,6 +1,8 @@
 package journal
 
 import (
+	"encoding/json"
+
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -64,6 +66,18 @@
 		Epoch spool.Epoch
 	}
 
+	// Promise asks a holder to answer no seal of a higher epoch for a time. The
+	// answer goes to PromiseDone.
+	Promise struct {
+		// Node is the holder; Epoch is the sender's claim.
+		Node  spool.NodeID
+		Epoch spool.Epoch
+		// AskedAt identifies the question.
+		AskedAt clock.Millis
+		// For is the length of the promise.
+		For clock.Millis
+	}
+
 	// Release tells a node that everything of epochs below Epoch is on the
 	// stream. The answer, if there is one, goes to ReleaseDone.
 	Release struct {
@@ -96,6 +110,16 @@
 	Serving struct {
 		// Epoch is the node's claim.
 		Epoch spool.Epoch
+		// Inherited is what the previous owner left with its release; nil without
+		// one.
+		Inherited json.RawMessage
+	}
+
+	// Handover asks the user what it leaves to the next owner. The answer goes to
+	// HandoverTaken; the release is appended after it.
+	Handover struct {
+		// Epoch is the claim that is about to be released.
+		Epoch spool.Epoch
 	}
 
 	// Lost tells that the node no longer serves, or has given up its claim.
@@ -125,11 +149,13 @@
 func (Read) command()     {}
 func (Hold) command()     {}
 func (Seal) command()     {}
+func (Promise) command()  {}
 func (Release) command()  {}
 func (Answer) command()   {}
 func (Reset) command()    {}
 func (Apply) command()    {}
 func (Serving) command()  {}
+func (Handover) command() {}
 func (Lost) command()     {}
 func (Retain) command()   {}
 func (Snapshot) command() {}
--- a/pkg/journal/random_test.go
+++ b/pkg/journal/random_test.go
@@ -1,7 +1,6 @@
 package journal_test
 
 import (
-	"flag"
 	"slices"
 	"testing"
 
@@ -9,22 +8,13 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/baobabspool/baobabspool/internal/fixedseed"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/journal"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// TestMain fixes the seed and the number of checks unless flags set them, so that
-// a run can be repeated.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "600", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = f.Value.Set(value)
-		}
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { fixedseed.Main(m, map[string]string{"rapid.checks": "600"}) }
 
 func TestJournal(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
@@ -197,7 +187,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), journal.Config{
 			AppendInterval: 30, BatchBytes: 1200, BacklogBytes: 9000, PollWait: 100,
-			RetryAfter: 60, OpenWait: 60, ExposeAfter: 40, Retention: clock.Second,
+			RetryAfter: 60, OpenWait: 60, ExposeAfter: 40, Retention: clock.Second, PromiseFor: 300,
 		})
 		w.follow(w.nodes[0], "")
 		w.advance(200)
--- a/pkg/journal/takeover.go
+++ b/pkg/journal/takeover.go
@@ -36,7 +36,7 @@
 		return j.flush()
 	}
 	stats := j.Stats()
-	*j = Journal{config: j.config, phase: PhaseReading, replay: NewReplay(0), stats: stats, attempts: j.attempts, serial: j.serial, promised: j.promised}
+	*j = Journal{config: j.config, pace: j.pace, phase: PhaseReading, replay: NewReplay(0), stats: stats, attempts: j.attempts, serial: j.serial}
 	j.choose(holders)
 	j.emit(Reset{})
 	return j.Tick(now)
@@ -51,16 +51,6 @@
 	return j.Tick(now)
 }
 
-// Promise makes the journal append no claim before until, and reports whether it
-// can promise that: not while a claim of its own may be on its way to the stream.
-func (j *Journal) Promise(until clock.Millis) bool {
-	if j.phase >= PhaseClaiming {
-		return false
-	}
-	j.promised = max(j.promised, until)
-	return true
-}
-
 // Abandon stops following when the stream is no longer wanted. It is ignored
 // once the claim may be on the stream.
 func (j *Journal) Abandon() []Command {
@@ -73,7 +63,7 @@
 
 // claim decides at the tail of the stream whether to claim it.
 func (j *Journal) claim(now clock.Millis) {
-	if j.phase != PhaseReady || !j.atTail || j.logDown || now < j.promised {
+	if j.phase != PhaseReady || !j.atTail || j.logDown {
 		return
 	}
 	owner, _, owned := j.Owner()
@@ -84,7 +74,7 @@
 	// offset is new even when retention has removed every earlier claim.
 	j.epoch = max(j.fold.Epoch(), spool.Epoch(j.fold.Offset())) + 1
 	j.phase = PhaseClaiming
-	j.appendAt = now
+	j.pace.expedite(now)
 }
 
 // finishReading ends the replay. From now on the tail is followed.
@@ -169,6 +159,7 @@
 		j.releases[node] = &releasing{epoch: j.epoch}
 	}
 	if before.Released {
+		j.inherited = before.Handover
 		return
 	}
 	for _, node := range before.Owners {
@@ -304,7 +295,7 @@
 	}
 	j.seals = nil
 	j.snapshots = &snapshotting{}
-	j.emit(Serving{Epoch: j.epoch})
+	j.emit(Serving{Epoch: j.epoch, Inherited: j.inherited})
 }
 
 // releasing is a node that may hold copies of lower epochs, which are all on the
@@ -344,22 +335,6 @@
 	}
 }
 
-// HandOver stops taking submissions, appends the rest and releases the stream.
-func (j *Journal) HandOver(now clock.Millis) []Command {
-	if j.phase == PhaseServing {
-		j.phase = PhaseReleasing
-	}
-	return j.Tick(now)
-}
-
-func (j *Journal) finishRelease() {
-	for _, node := range j.order {
-		j.emit(Release{Node: node, Epoch: j.epoch + 1})
-	}
-	j.reset()
-	j.emit(Lost{Cause: LossReleased})
-}
-
 // Sealed handles a seal by a new owner that reached this node as the previous
 // owner. It retains what is acknowledged or may be held, and is not known to be
 // on the stream, for the new owner.
@@ -419,5 +394,5 @@
 	if fold == nil {
 		fold = NewFold(State{}, 0)
 	}
-	*j = Journal{config: j.config, fold: fold, stats: j.stats, attempts: j.attempts, serial: j.serial, promised: j.promised, out: j.out}
+	*j = Journal{config: j.config, pace: j.pace, fold: fold, stats: j.stats, attempts: j.attempts, serial: j.serial, out: j.out}
 }
--- a/pkg/limit/invariant_test.go
+++ b/pkg/limit/invariant_test.go
@@ -1,30 +1,20 @@
 package limit_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"github.com/baobabspool/baobabspool/internal/fixedseed"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/limit"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// TestMain fixes the seed, so that a failure is seen by everyone.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "20260512", "rapid.checks": "200", "rapid.steps": "300", "rapid.nofailfile": "true"}
-	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
-	for name, value := range fixed {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	fixedseed.Main(m, map[string]string{"rapid.seed": "20260512", "rapid.checks": "200", "rapid.steps": "300"})
 }
 
 const entries = 4
@@ -70,9 +60,12 @@
 	network []message
 	configs []change
 	// meters check intervals that begin in the same stretch of settings.
-	meters   []*limit.Meter
-	rate     float64
-	busy     bool
+	meters []*limit.Meter
+	rate   float64
+	busy   bool
+	// cut says which entries do not hear from the control stream in an outage of
+	// the log. Owners keep their authority by promises.
+	cut      [entries]bool
 	burst    float64
 	admitted int
 }
@@ -136,10 +129,17 @@
 
 func (f *fleet) local(n *entry) clock.Millis { return f.now + n.offset }
 
+// send passes a request to the owner, and often to an entry that may have been
+// the owner before: entries learn of a new owner late.
 func (f *fleet) send(from int, request *limit.Request) {
-	if request != nil && f.claimer >= 0 {
-		f.network = append(f.network, message{to: f.claimer, from: from, request: request})
+	if request == nil || f.claimer < 0 {
+		return
 	}
+	to := f.claimer
+	if f.oneIn(3) {
+		to = f.random.IntN(entries)
+	}
+	f.network = append(f.network, message{to: to, from: from, request: request})
 }
 
 func (f *fleet) index(n *entry) int {
@@ -179,7 +179,9 @@
 		f.send(i, n.share.Tick(f.local(n)))
 		n.owner.Tick(f.local(n))
 		if !f.oneIn(4) {
-			f.pull(n)
+			if !f.cut[i] {
+				f.pull(n)
+			}
 			f.renew(n)
 		}
 	}
@@ -259,16 +261,20 @@
 	if n.paused || !f.oneIn(3) {
 		return
 	}
+	// Two changes of owner in a row, the second before the first owner's
+	// authority has ended, are as likely as single ones.
+	if f.oneIn(2) {
+		defer f.claim(nil)
+	}
 	f.epoch++
-	released := false
+	released, level := false, 0.0
 	if f.claimer >= 0 && !f.nodes[f.claimer].paused && f.oneIn(2) {
 		old := f.nodes[f.claimer]
-		old.owner.Release(f.local(old))
-		released = true
+		level, released = old.owner.Release(f.local(old))
 	}
 	f.claimer, n.epoch = f.index(n), f.epoch
 	if released {
-		n.owner.TakeReleased(f.local(n), f.epoch)
+		n.owner.TakeReleased(f.local(n), f.epoch, level)
 	} else {
 		n.owner.Take(f.local(n), f.epoch)
 	}
@@ -291,6 +297,37 @@
 	f.bound()
 }
 
+// outage cuts some entries off the control stream or ends the outage. Changes of
+// the view that are published meanwhile reach the entries at different times.
+func (f *fleet) outage(t *rapid.T) {
+	if f.cut != [entries]bool{} || !f.oneIn(4) {
+		f.cut = [entries]bool{}
+		return
+	}
+	for i := range f.cut {
+		f.cut[i] = f.oneIn(2)
+	}
+	for range f.random.IntN(3) {
+		f.change(t)
+		f.pass(t)
+	}
+}
+
+// lower divides the account's limits while a new owner waits for the end of the
+// previous one's authority.
+func (f *fleet) lower(t *rapid.T) {
+	if !f.oneIn(4) {
+		return
+	}
+	f.claim(t)
+	f.pass(t)
+	next := *f.configs[len(f.configs)-1].config
+	next.Rate, next.Burst = next.Rate/4, max(1, next.Burst/4)
+	f.control = append(f.control, change{at: f.now, config: &next})
+	f.configs = append(f.configs, change{at: f.now, config: &next})
+	f.bound()
+}
+
 func (f *fleet) pause(*rapid.T) {
 	n := f.node()
 	if n.paused || f.oneIn(4) {
@@ -333,7 +370,8 @@
 		f := newFleet(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"pass": f.pass, "pass on": f.pass, "pass more": f.pass, "toggle": f.toggle, "admit": f.admit, "deliver": f.deliver,
-			"claim": f.claim, "change": f.change, "pause": f.pause, "step": f.step, "": f.check,
+			"claim": f.claim, "change": f.change, "pause": f.pause, "step": f.step,
+			"outage": f.outage, "lower": f.lower, "pass again": f.pass, "pass further": f.pass, "": f.check,
 		})
 		total += f.admitted
 	})
