Wait after a failed export and release none that was not made

Change: a program's prefix is exported again 10 s after a failure at the earliest; an answer that says that the request is not valid proves that nothing was exported.

Tests: "waits after an export that failed…" and "releases nothing at an engine that does not know exports" failed with the wait and the check removed on a working copy.

--- a/internal/endpoint/export_test.go
+++ b/internal/endpoint/export_test.go
@@ -49,4 +49,22 @@
 		gomega.Eventually(exports, "5s").Should(gomega.BeZero())
 		gomega.Expect(imports()).To(gomega.Equal(1))
 	})
+
+	// Guards against releases that are repeated for ever at an engine without
+	// exports.
+	ginkgo.It("releases nothing at an engine that does not know exports", func() {
+		mist := newEngine()
+		mist.cacheTokens, mist.exportErr = 100, errors.Wrap(spool.ErrInvalidCall, "not found")
+		agent, clients := start(endpoint.WithEngine(mist), func(c *endpoint.Config) {
+			c.PauseOptions = spool.Options{"pause.setupMs": 0, "pause.transferTokensPerMs": 10_000}
+			c.LoadEvery = 20
+		})
+		gomega.Expect(clients.Call(ctx, agent.Address(), wire.MethodRun, modelCall("1", user("fog?")), nil, nil)).To(gomega.Succeed())
+		gomega.Consistently(func() int {
+			mist.mu.Lock()
+			defer mist.mu.Unlock()
+			return mist.freed
+		}, "1s").Should(gomega.BeZero())
+		gomega.Expect(mist.held()).To(gomega.Equal(1))
+	})
 })
--- a/internal/endpoint/fake_test.go
+++ b/internal/endpoint/fake_test.go
@@ -21,6 +21,8 @@
 	orders   []spool.EngineOrder
 	exports  map[string]spool.Export
 	imports  []string
+	// freed counts releases of exports.
+	freed int
 	// cacheTokens is the size and the use of the cache.
 	cacheTokens int
 	// exportErr is returned by exports, which take effect nevertheless.
@@ -73,6 +75,9 @@
 func (e *engine) Export(_ context.Context, program spool.ProgramID, id string) (spool.Export, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if errors.Is(e.exportErr, spool.ErrInvalidCall) {
+		return spool.Export{}, e.exportErr
+	}
 	delete(e.sessions, program)
 	e.exports[id] = spool.Export{ID: id, Program: program, Tokens: 9}
 	return e.exports[id], e.exportErr
@@ -98,6 +103,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.exports, id)
+	e.freed++
 	return nil
 }
 
--- a/internal/endpoint/poll.go
+++ b/internal/endpoint/poll.go
@@ -100,7 +100,7 @@
 	}
 	a.post(gatekeeper.Exported{
 		ID: c.ID, OK: err == nil, Tokens: export.Tokens,
-		NotRun: errors.Is(err, spool.ErrNotSent) || errors.Is(err, spool.ErrRejected),
+		NotRun: errors.Is(err, spool.ErrNotSent) || errors.Is(err, spool.ErrRejected) || errors.Is(err, spool.ErrInvalidCall),
 	})
 }
 
--- a/pkg/gatekeeper/export.go
+++ b/pkg/gatekeeper/export.go
@@ -8,6 +8,10 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
+// exportRetry is the wait after a failed export of a program's prefix. An engine
+// without room for exports would otherwise be asked at every sweep.
+const exportRetry = 10 * clock.Second
+
 // exportState is what is known of an export.
 type exportState int
 
@@ -62,7 +66,7 @@
 	var views []spool.PausedView
 	for _, id := range k.sortedPrograms() {
 		p := k.programs[id]
-		if p.active == 0 && p.held && p.tokens > 0 && !p.freeing && !p.ended && p.export == nil && p.pausedAt > 0 {
+		if p.active == 0 && p.held && p.tokens > 0 && !p.freeing && !p.ended && p.export == nil && p.pausedAt > 0 && k.now >= p.exportAt {
 			views = append(views, spool.PausedView{Program: id, Account: p.account, Tokens: p.tokens, Since: p.pausedAt})
 		}
 	}
@@ -93,6 +97,9 @@
 		return
 	}
 	p := e.owner
+	if !m.OK {
+		p.exportAt = k.now + exportRetry
+	}
 	switch {
 	case m.NotRun:
 		k.dropExport(e)
--- a/pkg/gatekeeper/export_test.go
+++ b/pkg/gatekeeper/export_test.go
@@ -93,4 +93,13 @@
 		k.Step(k.now, gatekeeper.Sessions{AskedAt: k.now, ExportsKnown: true})
 		gomega.Expect(k.Held()).To(gomega.BeEmpty())
 	})
+
+	ginkgo.It("waits after an export that failed before it asks for another", func() {
+		id := export()
+		k.Step(k.now, gatekeeper.Exported{ID: id, NotRun: true})
+		k.now += 9000
+		gomega.Expect(take[gatekeeper.ExportPrefix](k, gatekeeper.Tick{})).To(gomega.BeEmpty())
+		k.now += 1000
+		gomega.Expect(take[gatekeeper.ExportPrefix](k, gatekeeper.Tick{})).To(gomega.HaveLen(1))
+	})
 })
--- a/pkg/gatekeeper/memory.go
+++ b/pkg/gatekeeper/memory.go
@@ -43,6 +43,8 @@
 	// none. exports counts all that the engine may keep for the program.
 	export  *export
 	exports int
+	// exportAt delays the next export after a failed one.
+	exportAt clock.Millis
 }
 
 // engineView is what the agent knows of its engine.
