--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -24,44 +24,31 @@
 // entry; progress is called with the name of each measurement.
 func Measure(ctx context.Context, entry []string, progress func(name string)) (all []Series, err error) {
 	defer func() { err = errors.Wrap(err, "measure capacity") }()
-	plain := []func() Series{
-		controlMemory, programMemory, recovery, limitCost, heartbeats, suspicion,
-	}
-	for _, measure := range plain {
-		measured := measure()
-		progress(measured.Name)
-		all = append(all, measured)
-	}
-	relay, err := rosterRelay()
-	if err != nil {
-		return nil, err
-	}
-	for _, one := range relay {
-		progress(one.Name)
-	}
-	all = append(all, relay...)
-	histories, err := historyMemory()
-	if err != nil {
-		return nil, err
-	}
-	progress("history-memory")
-	all = append(all, histories...)
-	choices, err := routing()
-	if err != nil {
-		return nil, err
-	}
-	progress(choices.Name)
-	measured, err := traffic(ctx, entry, progress)
-	if err != nil {
-		return nil, err
-	}
-	all = append(append(all, choices), measured...)
-	owned, err := ownership(ctx)
-	if err != nil {
-		return nil, err
+	one := func(measure func() Series) func() ([]Series, error) {
+		return func() ([]Series, error) { return []Series{measure()}, nil }
+	}
+	for _, measure := range []func() ([]Series, error){
+		one(controlMemory), one(programMemory), one(recovery), one(limitCost), one(heartbeats), one(suspicion),
+		rosterRelay, historyMemory,
+		func() ([]Series, error) {
+			choices, err := routing()
+			return []Series{choices}, err
+		},
+		func() ([]Series, error) { return quietFirstToken(ctx, entry) },
+		func() ([]Series, error) { return loadedTokens(ctx, entry) },
+		func() ([]Series, error) { return requestCost(ctx, entry) },
+		func() ([]Series, error) { return ownership(ctx) },
+	} {
+		measured, err := measure()
+		if err != nil {
+			return nil, err
+		}
+		for _, series := range measured {
+			progress(series.Name)
+		}
+		all = append(all, measured...)
 	}
-	progress("ownership")
-	return append(all, owned...), nil
+	return all, nil
 }
 
 // Table formats the measurements and their fits as Markdown.
--- a/internal/capacity/traffic.go
+++ b/internal/capacity/traffic.go
@@ -27,22 +27,10 @@
 	{"forwarded", "through an entry that forwards to the owner", true},
 }
 
-// traffic measures what callers see through the system and directly, and what
-// the entries cost. Each entry is a process of its own with one core, started by
-// the command line entry; agents, engines and callers share this process.
-func traffic(ctx context.Context, entry []string, progress func(string)) (all []Series, err error) {
-	for _, measure := range []func(context.Context, []string) ([]Series, error){quietFirstToken, loadedTokens, requestCost} {
-		measured, err := measure(ctx, entry)
-		if err != nil {
-			return nil, err
-		}
-		for _, one := range measured {
-			progress(one.Name)
-		}
-		all = append(all, measured...)
-	}
-	return all, nil
-}
+// The measurements of traffic tell what callers see through the system and
+// directly, and what the entries cost. Each entry is a process of its own with
+// one core, started by the command line entry; agents, engines and callers share
+// this process.
 
 // quietFirstToken measures the first token with few callers.
 func quietFirstToken(ctx context.Context, entry []string) (all []Series, err error) {
