Choose the entry of a small static part independently of the pool

In processes the pool follows the stream, which is independent.

Change: the key of the static part differs.

--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -137,14 +137,16 @@
 // PartOf returns node's static part. A bucket below one token would never admit
 // anything, so when StaticShare of the burst does not give a whole token to each
 // entry of the view, the static part is divided over fewer of them, chosen by
-// rendezvous hashing.
+// rendezvous hashing. The key differs from that of the account alone, so that the
+// static part is not at the entry that Fleet gives the pool to: the death of one
+// entry would then take both.
 func PartOf(account spool.AccountID, node spool.NodeID, view []spool.NodeID, config Config) Part {
 	static := config.staticPart()
 	if static <= 0 || !slices.Contains(view, node) {
 		return Part{}
 	}
 	holders := min(len(view), int(static*config.Burst))
-	if rank(account, node, view) >= holders {
+	if rank("static:"+account, node, view) >= holders {
 		return Part{}
 	}
 	return Part{Rate: static * config.Rate / float64(holders), Burst: config.staticBurst() / float64(holders)}
