--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -20,28 +20,42 @@
 	endMark   = "<!-- end of the tables -->"
 )
 
-// Measure runs every measurement. progress is called with the name of each.
-func Measure(ctx context.Context, progress func(name string)) (all []Series, err error) {
+// Measure runs every measurement. entry is the command line that starts an
+// entry; progress is called with the name of each measurement.
+func Measure(ctx context.Context, entry []string, progress func(name string)) (all []Series, err error) {
 	defer func() { err = errors.Wrap(err, "measure capacity") }()
 	plain := []func() Series{
-		controlMemory, programMemory, historyMemory, recovery, limitCost, heartbeats, suspicion,
+		controlMemory, programMemory, recovery, limitCost, heartbeats, suspicion,
 	}
 	for _, measure := range plain {
 		measured := measure()
 		progress(measured.Name)
 		all = append(all, measured)
 	}
+	relay, err := rosterRelay()
+	if err != nil {
+		return nil, err
+	}
+	for _, one := range relay {
+		progress(one.Name)
+	}
+	all = append(all, relay...)
+	histories, err := historyMemory()
+	if err != nil {
+		return nil, err
+	}
+	progress("history-memory")
+	all = append(all, histories...)
 	choices, err := routing()
 	if err != nil {
 		return nil, err
 	}
 	progress(choices.Name)
-	direct, through, perToken, err := firstToken(ctx)
+	measured, err := traffic(ctx, entry, progress)
 	if err != nil {
 		return nil, err
 	}
-	progress(through.Name)
-	all = append(all, choices, direct, through, perToken)
+	all = append(append(all, choices), measured...)
 	owned, err := ownership(ctx)
 	if err != nil {
 		return nil, err
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -12,6 +12,7 @@
 	targetAccounts = 430.0
 	targetPrograms = 360000.0
 	targetTokens   = 3.5e6
+	targetRequests = 12000.0
 	targetDomains  = 14.0
 	targetChanges  = 35000.0
 	// longestHistory is in tokens and holds for one program.
@@ -37,16 +38,23 @@
 	row("account limits of 430 accounts", "limit-cpu", "%.2f %% of a core", 100*fits["limit-cpu"].Slope*targetAccounts)
 	row("heartbeats among 330 entries", "heartbeat-messages", "%.1f messages/s", fits["heartbeat-messages"].At(targetEntries))
 	row("one entry's death, messages of all entries", "suspicion-messages", "%.0f messages in 10 s", fits["suspicion-messages"].At(targetEntries))
+	const rows, changesPerDay, childrenOfReader = targetServers + targetEntries, 2 * 970, 11
+	row("VM list at rest, entry with 33 agents", "roster-rest-bytes", "%.1f KB/s", fits["roster-rest-bytes"].At(rows)/1000)
+	row("VM list at rest, any node", "roster-rest-cpu", "%.2f %% of a core", 100*fits["roster-rest-cpu"].At(rows))
+	row("VM list, 970 VMs a day that leave and return, reader with 11 children", "roster-change-bytes", "%.2f KB/s",
+		fits["roster-change-bytes"].At(rows)*childrenOfReader*changesPerDay/86400/1000)
+	row("VM list, a failure domain changes at once, an entry that is no reader", "roster-domain-bytes", "%.2f MB", fits["roster-domain-bytes"].At(rows)/1e6)
+	row("VM list, the same, processor time per node", "roster-domain-cpu", "%.0f ms", fits["roster-domain-cpu"].At(rows))
+	row("VM list of an entry", "roster-memory", "%.1f MB", fits["roster-memory"].At(rows)/megabyte)
+	row("VM list read directly by each node, as before the relay", "vms-direct-bytes, vms-direct-cpu", "%.0f KB/s, %.0f %% of a core",
+		fits["vms-direct-bytes"].At(rows)/1000, 100*fits["vms-direct-cpu"].At(rows))
 	row("one choice among 11,000 endpoints", "routing-cpu", "%.0f µs", fits["routing-cpu"].At(targetServers))
 	row("one choice among the 917 endpoints of one of 12 models", "routing-cpu", "%.0f µs", fits["routing-cpu"].At(targetServers/12))
 	row("fold of the streams of one failure domain, by one entry of the rest, 340 turns each", "recovery", "%.1f s",
 		fits["recovery"].Slope*(targetPrograms/targetDomains)/(targetEntries*(1-1/targetDomains))*340/1000)
-	perToken := fits["token-cpu"].At(0)
-	tokens := targetTokens / targetEntries
-	if points := seriesOf(all, "token-cpu").Points; len(points) > 0 {
-		perToken = points[len(points)-1].Y
+	for _, way := range ways {
+		trafficRows(row, fits, way.name)
 	}
-	row(fmt.Sprintf("%.0f tokens/s of traffic, with stand-in engines and callers in the same process", tokens), "token-cpu, highest rate", "%.2f cores", perToken*tokens/1e6)
 	row("every stream served after a cold start of 330 entries", "cold-start", "%.1f s", fits["cold-start"].At(targetEntries))
 	row("appends of that start", "cold-start-appends", "%.0f", fits["cold-start-appends"].At(targetEntries))
 	row("every stream served after an entry has died", "entry-recovery", "%.1f s", fits["entry-recovery"].At(targetEntries))
@@ -55,11 +63,20 @@
 	return out.String()
 }
 
-func seriesOf(all []Series, name string) Series {
-	for _, one := range all {
-		if one.Name == name {
-			return one
-		}
-	}
-	return Series{}
+// trafficRows works out what the traffic of one entry needs when all of it takes
+// one way. An entry that forwards everything also owns as much for others.
+func trafficRows(row func(what, from, format string, values ...any), fits map[string]Fit, way string) {
+	tokens, requests := targetTokens/targetEntries, targetRequests/targetEntries
+	perRequest := fits["entry-request-cpu-"+way].Slope
+	// Each answer under load is one request, so the slope per token holds its part.
+	load := fits["entry-token-cpu-"+way]
+	perToken := load.Slope - perRequest/answerTokens
+	row(fmt.Sprintf("processor time per request with a program start, %s", way), "entry-request-cpu-"+way, "%.2f ms", 1000*perRequest)
+	row(fmt.Sprintf("processor time per token, %s", way), "entry-token-cpu-"+way+" less the requests", "%.0f µs", 1e6*perToken)
+	row(fmt.Sprintf("%.0f requests/s and %.0f tokens/s of traffic, %s", requests, tokens, way), "both, and the cost at rest", "%.2f cores",
+		load.Intercept+perRequest*requests+perToken*tokens)
+	row(fmt.Sprintf("tokens/s that one core carries in answers of %d tokens, %s", answerTokens, way), "entry-token-cpu-"+way, "%.0f", (1-load.Intercept)/load.Slope)
+	own := func(name string) float64 { return fits[name+"-"+way].At(tokens) - fits[name+"-direct-"+way].At(tokens) }
+	row(fmt.Sprintf("the system's part of the p95 of the first token, %s", way), "loaded-first", "%.1f ms, %.1f %% of 680 ms", own("loaded-first"), own("loaded-first")/6.8)
+	row(fmt.Sprintf("the system's part of the p95 between tokens, %s", way), "token-gap", "%.1f ms, %.1f %% of 75 ms", own("token-gap"), own("token-gap")/0.75)
 }
