--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -8,6 +8,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"io"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -187,6 +188,10 @@
 			onText()
 		}
 		done, err := readEvent(name, []byte(data), &text, &answer)
+		if done {
+			// The connection is kept only when the body has been read to its end.
+			_, _ = io.Copy(io.Discard, source)
+		}
 		if done || err != nil {
 			return answer, err
 		}
