Test two failure domains that die together or one by one

The entries of two of three failure domains are killed together while the log is up, and two seconds apart while it is down. Nothing is lost or doubled; both holders of a stream have what the first of them answered for.

Removed by hand: holders return nothing when they are sealed (both cases fail). Not covered: the owner and the only holder that answered die together with the log down, where turns are lost by design.

--- /dev/null
+++ b/internal/deployment/domains_test.go
@@ -0,0 +1,55 @@
+package deployment_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/caller"
+	"github.com/baobabspool/baobabspool/internal/standin"
+)
+
+var _ = ginkgo.Describe("Failure domains of separate processes that die", ginkgo.Label("third"), func() {
+	const programs = 12
+
+	lose := func(s *system, entry string) {
+		s.kill(entry)
+		s.unlist(entry)
+	}
+	replace := func(s *system) {
+		s.entry("e4", "a")
+		s.entry("e5", "b")
+	}
+
+	// Guards against a turn that was acknowledged before it was on the log, which
+	// the last entry does not hold.
+	ginkgo.It("lose nothing when two die together while the log is up", func() {
+		ctx := within(90 * time.Second)
+		s, key := start(ctx)
+		book := runPrograms(ctx, s, key, programs, func(*caller.Ledger) {
+			lose(s, "e1")
+			lose(s, "e2")
+			replace(s)
+		})
+		expectIntact(s, book, programs)
+	})
+
+	// Guards against a copy at one holder only: both holders of a stream have the
+	// turns that were acknowledged by the first of them.
+	ginkgo.It("lose nothing when two die one by one while the log is down", func() {
+		ctx := within(90 * time.Second)
+		s, key := start(ctx)
+		book := runPrograms(ctx, s, key, programs, func(book *caller.Ledger) {
+			s.post("log", "/", standin.LogFaults{Down: true})
+			before := book.Totals().Turns
+			gomega.Eventually(func() int { return book.Totals().Turns }, "10s", "20ms").Should(gomega.BeNumerically(">=", before+programs))
+			lose(s, "e1")
+			time.Sleep(2 * time.Second)
+			lose(s, "e2")
+			replace(s)
+			s.post("log", "/", standin.LogFaults{})
+		})
+		expectIntact(s, book, programs)
+	})
+})
