--- a/internal/cputime/cputime.go
+++ b/internal/cputime/cputime.go
@@ -1,4 +1,5 @@
-// Package cputime tells how much processor time processes have used.
+// Package cputime tells what processes have used: processor time, and bytes
+// written.
 package cputime
 
 import (
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -147,7 +147,7 @@
 			}
 		})
 	}
-	gomega.Eventually(func() int { return book.Totals().Turns }, "30s", "10ms").Should(gomega.BeNumerically(">=", 2*count))
+	gomega.Eventually(func() int { return book.Totals().Turns }, "30s", "10ms").Should(gomega.BeNumerically(">=", 2*count), func() string { return fmt.Sprintf("%+v", book.Totals()) })
 	faults(book)
 	running.Wait()
 	return book
