Drop dead entries from the list in the ownership measurement

The list never dropped the entry that had died first; when it had been a holder of the stream whose owner died next, the new owner waited for both by design. Change: dead entries leave the list after 4 s.

--- a/internal/capacity/ownership.go
+++ b/internal/capacity/ownership.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	ownershipDomains = 14
 	// ownershipTimeout bounds the wait for every stream to be served.
 	ownershipTimeout = 60 * clock.Second
+	// listLag is how long the list of VMs shows an entry that has died. It is
+	// longer than heartbeats need, so that an owner is found dead without the list.
+	listLag = 4 * clock.Second
 	// ownershipStep is how often the streams are looked at.
 	ownershipStep = 5 * clock.Millis(1)
 )
@@ -43,12 +47,26 @@
 	vm       spool.VM
 	manager  *streams.Manager
 	handlers wire.Mux
+	// diedAt is when the entry was crashed; 0 while it lives.
+	diedAt clock.Millis
 }
 
-// Latest returns the rows of all entries, dead ones included: the platform's
-// list lags.
+// Latest returns the rows of the entries, those of dead ones for listLag.
 func (f *entryFleet) Latest() (rows []spool.VM, readAt clock.Millis) {
-	return f.rows, clock.System().Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := clock.System().Now()
+	listed := func(vm spool.VM) bool {
+		entry := f.entries[string(vm.ID)]
+		return entry.diedAt == 0 || now < entry.diedAt+listLag
+	}
+	for _, vm := range f.rows {
+		if !listed(vm) {
+			f.rows = slices.DeleteFunc(slices.Clone(f.rows), func(vm spool.VM) bool { return !listed(vm) })
+			break
+		}
+	}
+	return f.rows, now
 }
 
 // Call passes a request to the entry at address.
@@ -111,7 +129,7 @@
 	for _, entry := range f.entries {
 		if entry.manager != nil && dies(entry.vm) {
 			managers = append(managers, entry.manager)
-			entry.manager = nil
+			entry.manager, entry.diedAt = nil, clock.System().Now()
 		}
 	}
 	f.mu.Unlock()
@@ -160,13 +178,13 @@
 		return times, 0, errors.Wrapf(err, "cold start of %d entries", size)
 	}
 	appends = f.log.Stats().Appends
-	if err := f.settle(ctx); err != nil {
-		return times, appends, err
-	}
 	for i, dies := range []func(vm, busiest spool.VM) bool{
 		func(vm, busiest spool.VM) bool { return vm.ID == busiest.ID },
 		func(vm, busiest spool.VM) bool { return vm.FailureDomain == busiest.FailureDomain },
 	} {
+		if err := f.settle(ctx); err != nil {
+			return times, appends, err
+		}
 		busiest := f.busiest()
 		start = time.Now()
 		f.crash(func(vm spool.VM) bool { return dies(vm, busiest) })
@@ -196,7 +214,7 @@
 // settle waits until the streams have moved to the entries that rank first, so
 // that the next measurement starts from rest.
 func (f *entryFleet) settle(ctx context.Context) error {
-	const quiet = 4 * clock.Second
+	const quiet = 6 * clock.Second
 	select {
 	case <-time.After(quiet.Duration()):
 		return nil
