Take replaced holders off the stream

Cause: a new owner asks every holder that the previous claim or a later record named, and holders never left that set within an epoch. When one of them had died or been replaced, the next owner waited until the VM list dropped it, and then, since a holder without an answer makes the previous owner's answer necessary, until the list dropped the owner too.

A record that takes effect late cannot drop a holder that was named again: a restarted process has another incarnation, and the same process is named again only when exactly one such record was sent and read back. The record stands last in its batch, since older readers skip what follows an unknown kind.

--- a/pkg/journal/append.go
+++ b/pkg/journal/append.go
@@ -101,6 +101,11 @@
 		next.adopted = adopted
 		records = append([]spool.Record{encode(KindHolders, Claim{Holders: adopted, Incarnations: j.opened(adopted)})}, records...)
 	}
+	if dropped := j.dropDue(next.at); len(dropped.Holders) > 0 {
+		// Last in the batch, since a reader of an earlier version skips what
+		// follows a kind of record that it does not know.
+		records = append(records, encode(KindDropped, dropped))
+	}
 	if j.phase == PhaseReleasing && j.handover.taken && len(next.entries) == len(j.units) && len(j.staged) == 0 {
 		records = append(records, encode(KindRelease, releaseData{Handover: j.handover.data}))
 	}
--- a/pkg/journal/fold.go
+++ b/pkg/journal/fold.go
@@ -75,6 +75,9 @@
 // State returns a copy of the fold's state.
 func (f *Fold) State() State { return f.state.clone() }
 
+// named reports whether the next owner would ask a node as a holder.
+func (f *Fold) named(node spool.NodeID) bool { return slices.Contains(f.state.Holders, node) }
+
 // Epoch returns the highest claimed epoch.
 func (f *Fold) Epoch() spool.Epoch { return f.state.Epoch }
 
@@ -137,6 +140,8 @@
 		switch records[0].Kind {
 		case KindHolders:
 			f.holders(records[0])
+		case KindDropped:
+			f.dropped(records[0])
 		case KindRecovered:
 			f.recovered(records[0])
 		case KindRelease:
@@ -193,6 +198,25 @@
 	f.incarnations(claim)
 }
 
+// dropped takes holders out that are not needed any more. One whose incarnation
+// differs has been named again since.
+func (f *Fold) dropped(record spool.Record) {
+	var claim Claim
+	if json.Unmarshal(record.Data, &claim) != nil {
+		f.void++
+		return
+	}
+	for _, node := range claim.Holders {
+		if f.state.Incarnations[node] != claim.Incarnations[node] || claim.Incarnations[node] == changed {
+			continue
+		}
+		other := func(holder spool.NodeID) bool { return holder == node }
+		f.current = slices.DeleteFunc(slices.Clone(f.current), other)
+		f.state.Holders = slices.DeleteFunc(slices.Clone(f.state.Holders), other)
+		delete(f.state.Incarnations, node)
+	}
+}
+
 func (f *Fold) incarnations(claim Claim) {
 	if f.state.Incarnations == nil {
 		f.state.Incarnations = map[spool.NodeID]string{}
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -150,6 +150,7 @@
 	attempt  *attempt
 	attempts uint64
 	pace     pacing
+	drops    drops
 	// logDown is set by a failed append or read and cleared by a good read.
 	logDown bool
 
--- a/pkg/journal/peer.go
+++ b/pkg/journal/peer.go
@@ -188,12 +188,13 @@
 		}
 	}
 	j.releases[node] = r
+	j.drops.dismissed[node] = r.after
 }
 
 // adopting lists the new holders that have answered and are to be named.
 func (j *Journal) adopting() (nodes []spool.NodeID) {
 	for _, node := range j.order {
-		if p := j.peers[node]; p.adopting && p.opened && !p.usable {
+		if p := j.peers[node]; p.adopting && p.opened && !p.usable && j.mayName(node, p.incarnation) {
 			nodes = append(nodes, node)
 		}
 	}
@@ -207,6 +208,7 @@
 	for _, node := range nodes {
 		if p := j.peers[node]; p != nil && p.adopting && p.opened {
 			p.adopting, p.usable = false, true
+			delete(j.drops.sent, node)
 		}
 	}
 }
--- a/pkg/journal/record.go
+++ b/pkg/journal/record.go
@@ -19,6 +19,7 @@
 const (
 	KindClaim     spool.RecordKind = "journal.claim"
 	KindHolders   spool.RecordKind = "journal.holders"
+	KindDropped   spool.RecordKind = "journal.dropped"
 	KindRecovered spool.RecordKind = "journal.recovered"
 	KindRelease   spool.RecordKind = "journal.release"
 	KindSnapshot  spool.RecordKind = "journal.snapshot"
@@ -32,7 +33,8 @@
 // ErrMalformed means that a batch does not decode. Readers skip and count it.
 var ErrMalformed = errors.New("batch is malformed")
 
-// Claim is the data of a KindClaim, KindHolders or KindRecovered record.
+// Claim is the data of a KindClaim, KindHolders, KindDropped or KindRecovered
+// record.
 type Claim struct {
 	// Holders are the nodes that keep copies of what is not yet on the stream.
 	Holders []spool.NodeID `json:"holders,omitempty"`
--- a/pkg/journal/takeover.go
+++ b/pkg/journal/takeover.go
@@ -295,6 +295,7 @@
 	}
 	j.seals = nil
 	j.snapshots = &snapshotting{}
+	j.drops = newDrops()
 	j.emit(Serving{Epoch: j.epoch, Inherited: j.inherited})
 }
 
