Wait until the engine has an order before it stops being late

Cause: 'repeats the latest order when an older one takes effect after it' failed once under load. The test switched the engine's lateness off as soon as the agent had begun to send; when the engine received the order only then, the order took effect at once and the sequence was [5, 6]. A pause of 50 ms at the engine makes it fail every time. Change: the stand-in counts the orders that it has received, and the test waits for that. With the pause the test now passes.

--- a/internal/endpoint/orders_test.go
+++ b/internal/endpoint/orders_test.go
@@ -45,9 +45,9 @@
 
 	// Guards against an order that timed out and takes effect after a later one.
 	ginkgo.It("repeats the latest order when an older one takes effect after it", func() {
-		agent, client, fog := begin(func() bool { return true })
+		agent, _, fog := begin(func() bool { return true })
 		gomega.Expect(agent.SetOrders(role(5, "prefill"), 0)).To(gomega.Succeed())
-		gomega.Eventually(client.sent.Load).Should(gomega.BeNumerically(">=", 1))
+		gomega.Eventually(func() int { return fog.Stats().OrdersReceived }, "5s").Should(gomega.Equal(1))
 		settings := fog.Settings()
 		settings.OrderLateMs = 0
 		fog.SetSettings(settings)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -75,6 +75,8 @@
 	Imports int `json:"imports"`
 	// LastCall is the time since the last call arrived; negative when none did.
 	LastCallMs clock.Millis `json:"lastCallMs"`
+	// OrdersReceived counts the orders that have arrived, late ones included.
+	OrdersReceived int `json:"ordersReceived"`
 	// Orders lists the orders carried out, State what they have made of it.
 	Orders []spool.EngineOrder `json:"orders,omitempty"`
 	State  spool.EngineState   `json:"state"`
--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -27,12 +28,20 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	time.Sleep(e.Settings().OrderLateMs.Duration())
+	time.Sleep(e.orderReceived().Duration())
 	if !e.Order(order) {
 		ctx.Error("fencing number is old", fasthttp.StatusPreconditionFailed)
 	}
 }
 
+// orderReceived counts an order and returns how late it takes effect.
+func (e *Engine) orderReceived() clock.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.OrdersReceived++
+	return e.settings.OrderLateMs
+}
+
 // Order carries out an operator's order unless the engine honours fencing
 // numbers and this one is old.
 func (e *Engine) Order(order spool.EngineOrder) bool {
