Wait with one function, and count a program's end in one step

Cause: entry and control each had the same function that waits for a time or the end of a context, and the capacity measurement a third form; ending a program asked its shard's goroutine twice in a row. Change: clock.Pause serves all three, and the count is taken with the cut.

--- a/internal/capacity/ownership.go
+++ b/internal/capacity/ownership.go
@@ -215,12 +215,8 @@
 // that the next measurement starts from rest.
 func (f *entryFleet) settle(ctx context.Context) error {
 	const quiet = 6 * clock.Second
-	select {
-	case <-time.After(quiet.Duration()):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	clock.Pause(ctx, quiet)
+	return ctx.Err()
 }
 
 // ownership measures how long streams are without an owner.
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -183,7 +182,7 @@
 func (p *Publisher) Publish(ctx context.Context, contents ...any) (offset spool.Offset, err error) {
 	var retry backoff
 	for !p.read {
-		if err := p.Refresh(ctx); err != nil && !pauseFor(ctx, retry.next(0.5)) {
+		if err := p.Refresh(ctx); err != nil && !clock.Pause(ctx, retry.next(0.5)) {
 			return 0, errors.Wrap(ErrNotPublished, err.Error())
 		}
 	}
@@ -261,7 +260,7 @@
 				last = err
 			}
 		}
-		if !pauseFor(ctx, retry.next(0.5)) {
+		if !clock.Pause(ctx, retry.next(0.5)) {
 			break
 		}
 	}
@@ -277,17 +276,6 @@
 	return p.log.Append(ctx, spool.ControlStream, batch)
 }
 
-func pauseFor(ctx context.Context, d clock.Millis) bool {
-	timer := time.NewTimer(d.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // conclude turns the outcome of the batch into the result of Publish.
 func (p *Publisher) conclude() (spool.Offset, error) {
 	var problems error
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -72,7 +71,7 @@
 		}
 		e.telemetry.Retried(failure)
 		view.Tried = append(view.Tried, spool.EndpointID(target.ID))
-		if !pause(ctx, wait) {
+		if !clock.Pause(ctx, wait) {
 			return reply, sent, left(context.Cause(ctx)).WithNotRun(provenBy(sent))
 		}
 	}
@@ -99,17 +98,6 @@
 	}
 }
 
-func pause(ctx context.Context, wait clock.Millis) bool {
-	timer := time.NewTimer(wait.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // judge classifies the failure of an attempt.
 func judge(ctx context.Context, err error) (spool.Failure, *spool.Refusal) {
 	if ctx.Err() != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -168,7 +168,7 @@
 func (e *Entry) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrap(err, "shut entry down") }()
 	e.ready.Store(false)
-	pause(ctx, e.config.LameDuckFor)
+	clock.Pause(ctx, e.config.LameDuckFor)
 	err = e.front.ShutdownWithContext(ctx)
 	e.mu.Lock()
 	e.closing = true
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -59,7 +59,7 @@
 			return nil, refusal
 		}
 		e.telemetry.Retried(reason)
-		if !pause(ctx, wait) {
+		if !clock.Pause(ctx, wait) {
 			return nil, left(context.Cause(ctx)).WithNotRun(proven)
 		}
 		wait = min(2*wait, maxMoveWait)
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -244,8 +244,10 @@
 		if err := e.commit(shard.ctx, shard, []spool.Record{entry}, false); err != nil {
 			return nil, err
 		}
-		shard.do(func() { e.cut(shard, operation.Program) })
-		e.countEnd(shard, operation.Program, reason)
+		shard.do(func() {
+			e.cut(shard, operation.Program)
+			e.countEnd(shard, operation.Program, reason)
+		})
 	}
 	return e.show(shard, operation)
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -64,7 +64,7 @@
 		}
 		if request.Mark, err = e.learnMark(ctx, target); err != nil {
 			failure, refused := judge(ctx, err)
-			if wait, again := e.again(ctx, flight, retries, number, failure, refused.WithNotRun(spool.NotRunTrue)); !again || !pause(ctx, wait) {
+			if wait, again := e.again(ctx, flight, retries, number, failure, refused.WithNotRun(spool.NotRunTrue)); !again || !clock.Pause(ctx, wait) {
 				return answer, refused.WithNotRun(spool.NotRunTrue)
 			}
 			view.Tried = append(view.Tried, spool.EndpointID(target.ID))
@@ -93,7 +93,7 @@
 		}
 		refused = refused.WithNotRun(spool.NotRunTrue)
 		wait, again := e.again(ctx, flight, retries, number, failure, refused)
-		if !again || !pause(ctx, wait) {
+		if !again || !clock.Pause(ctx, wait) {
 			return answer, refused
 		}
 		if failure == spool.FailureFenced && e.poll(ctx, target) == nil {
@@ -195,7 +195,7 @@
 		case wire.FateUnknown:
 			return unknown
 		}
-		if !pause(shard.ctx, fateWait) {
+		if !clock.Pause(shard.ctx, fateWait) {
 			break
 		}
 	}
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -30,16 +30,15 @@
 	}
 }
 
-// countEnd records the time of a root program that its caller has ended.
+// countEnd records the time of a root program that its caller has ended. It runs
+// on the shard's goroutine.
 func (e *Entry) countEnd(shard *shard, id spool.ProgramID, reason program.EndReason) {
 	if reason != program.EndByCaller || id.Root() != id {
 		return
 	}
-	shard.do(func() {
-		if view, err := shard.state.Inspect(id); err == nil {
-			e.usage.ProgramEnded(view.Account, view.LastAt-view.StartedAt)
-		}
-	})
+	if view, err := shard.state.Inspect(id); err == nil {
+		e.usage.ProgramEnded(view.Account, view.LastAt-view.StartedAt)
+	}
 }
 
 // sampleUsage answers entry.usage.
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -4,6 +4,7 @@
 package clock
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -73,3 +74,15 @@
 	}
 	return Millis(c.now.Add(int64(d)))
 }
+
+// Pause waits for a time and reports false when ctx ends first.
+func Pause(ctx context.Context, wait Millis) bool {
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
