Serve the users' platform with a gateway: thin version of the whole path

Cause: baobabspool did not run on the users' platform. Weighed: the existing entry with an adapter below it, whose VM list, claims and agents have no counterpart there, against a gateway on each front that keeps everything lasting in the platform's store. Change: role 'gateway' with its own HTTP connections (internal/httpconn), routes and keys per configuration version (pkg/catalog), endpoints (pkg/endpoints), kept turns (pkg/chain), token budgets (pkg/spend), and the translation in platform/. An agent beside each endpoint is left out: it would add a hop and a machine to each request.

--- /dev/null
+++ b/internal/cli/gateway.go
@@ -0,0 +1,53 @@
+package cli
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"go.uber.org/multierr"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/gateway"
+	"github.com/baobabspool/baobabspool/internal/httpconn"
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/platform"
+)
+
+func newGateway() *cobra.Command {
+	var flags processFlags
+	path := os.Getenv(platform.SettingsVariable)
+	command := &cobra.Command{
+		Use:   "gateway",
+		Short: "Run a gateway, the process that callers of a platform deployment talk to",
+		Long: `Run a gateway, the process that callers of a platform deployment talk to. It
+reads the platform's settings file and follows the configuration, the endpoints
+and the other gateways in the platform's store. SIGTERM lets the requests in flight
+finish.`,
+		Example: `  baobabspool gateway --settings-file /etc/baobabspool/settings.toml`,
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			settings, err := platform.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			validate := func() error {
+				return errors.Wrap(multierr.Combine(settings.Validate()...), "settings")
+			}
+			return flags.serve(string(settings.Node), "gateway", validate, func(t *telemetry.Telemetry) (stopper, []zap.Field, error) {
+				system := clock.System()
+				client := httpconn.NewClient(system)
+				store := platform.NewStore(settings.StoreAddress, client)
+				g, err := gateway.New(settings, store, platform.Codec{}, client, system, t)
+				if err != nil {
+					return nil, nil, err
+				}
+				return g, []zap.Field{zap.String("address", g.Address())}, nil
+			})
+		},
+	}
+	command.Flags().StringVar(&path, "settings-file", path, "path of the platform's settings file; the default is in "+platform.SettingsVariable)
+	flags.register(command)
+	return command
+}
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -81,6 +81,8 @@
 	defer func() { err = errors.Wrap(err, "shutdown") }()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	// A process without settings to read again must not end by SIGHUP.
+	signal.Ignore(syscall.SIGHUP)
 	<-signals
 	log.Info("shutting down, calls in flight finish first")
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Millis(f.shutdownMs).Duration())
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -26,6 +26,7 @@
 	root.AddCommand(
 		newEntry(),
 		newEndpoint(),
+		newGateway(),
 		NewSettings(),
 		NewKey(),
 		NewAccount(),
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/httpconn"
+	"github.com/baobabspool/baobabspool/pkg/catalog"
+	"github.com/baobabspool/baobabspool/pkg/endpoints"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// maxTries bounds the endpoints that are asked for one request, those that
+	// refuse it included.
+	maxTries = 5
+	// maxAnswerBytes bounds an answer that is passed on whole.
+	maxAnswerBytes = 32 << 20
+	// eventStream is the content type of a stream of events.
+	eventStream = "text/event-stream"
+	// maxUrgency is the least urgent level that endpoints know.
+	maxUrgency = 9
+)
+
+// verdict is what one try at an endpoint came to.
+type verdict int
+
+const (
+	// answered: the caller has its answer.
+	answered verdict = iota
+	// notRun: the endpoint has not run the request and never will.
+	notRun
+	// mayHaveRun: the request was sent and no usable answer came.
+	mayHaveRun
+	// broken: a part of the answer was passed on and the rest will not come.
+	broken
+)
+
+// forward sends the request to endpoints until one answers. It returns a reason
+// when no answer has been started.
+func (r *request) forward(ctx context.Context) spool.Code {
+	last := reasonNoEndpoint
+	for tries := 0; tries < maxTries; tries++ {
+		if ctx.Err() != nil {
+			break
+		}
+		endpoint := r.pick()
+		if endpoint == nil {
+			break
+		}
+		switch r.try(ctx, endpoint) {
+		case answered:
+			return ""
+		case broken:
+			r.exchange.Abort()
+			return ""
+		case notRun:
+			last = reasonEndpointsFull
+		case mayHaveRun:
+			r.runs++
+			last = reasonMayHaveRun
+			if !r.repeatable() || r.runs >= r.route.Attempts {
+				return r.failure(ctx, last)
+			}
+			r.gateway.telemetry.Event("requestRepeated")
+		}
+		r.tried[endpoint.ID()] = true
+	}
+	return r.failure(ctx, last)
+}
+
+// failure returns the reason for a request that no endpoint answered. What may
+// have run is never refused with a promise that it did not.
+func (r *request) failure(ctx context.Context, last spool.Code) spool.Code {
+	switch {
+	case ctx.Err() != nil:
+		return reasonTimeout
+	case r.runs > 0:
+		return reasonMayHaveRun
+	default:
+		return last
+	}
+}
+
+// repeatable reports whether the request may run again.
+func (r *request) repeatable() bool {
+	return r.route.Kind == catalog.Idempotent || r.route.Kind == catalog.Stream && r.route.Resumable
+}
+
+func (r *request) pick() *endpoints.Endpoint {
+	want := endpoints.Want{
+		Service: r.service.Name, Salt: r.call.Attempt, Tried: r.tried, ColdPerSecond: r.service.ColdPerSecond,
+	}
+	if r.service.Engine {
+		want.Affinity = string(r.call.Program)
+	}
+	return r.gateway.table.Pick(r.gateway.clock.Now(), want)
+}
+
+// try sends the request to one endpoint.
+func (r *request) try(ctx context.Context, endpoint *endpoints.Endpoint) verdict {
+	g := r.gateway
+	send := spool.EndpointSend{
+		Endpoint: endpoint.ID(), Account: r.account, TimeLeft: max(1, r.deadline-g.clock.Now()),
+		Urgency: -1, BodyBytes: len(r.body),
+	}
+	if r.service.Engine {
+		send.Urgency = min(maxUrgency, max(0, r.priority))
+	}
+	if r.route.Resumable {
+		send.ResumeAfter = r.call.ResumeAfter
+	}
+	call := &httpconn.Call{
+		Address: endpoint.Address(), Method: r.call.Method,
+		Head: g.codec.EncodeRequest(r.exchange.Request(), send), Body: r.body,
+		Accept: func(header http.Header) bool {
+			attempt := g.codec.DecodeAnswer(0, header).Attempt
+			return attempt == "" || attempt == r.call.Attempt
+		},
+	}
+	response, err := g.client.Do(ctx, call)
+	if err != nil {
+		g.table.Done(g.clock.Now(), endpoint, failureOf(ctx), 0)
+		if errors.Is(err, httpconn.ErrNotSent) {
+			return notRun
+		}
+		return mayHaveRun
+	}
+	answer := g.codec.DecodeAnswer(response.StatusCode, response.Header)
+	result, outcome := r.take(ctx, response, answer)
+	g.table.Done(g.clock.Now(), endpoint, outcome, answer.ColdFor)
+	return result
+}
+
+// failureOf tells a failure of the endpoint from a request that was taken back.
+func failureOf(ctx context.Context) endpoints.Outcome {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return endpoints.Cancelled
+	}
+	return endpoints.Failed
+}
+
+// take passes an answer on.
+func (r *request) take(ctx context.Context, response *httpconn.Response, answer spool.EndpointAnswer) (verdict, endpoints.Outcome) {
+	success := response.StatusCode >= 200 && response.StatusCode < 300
+	switch {
+	case answer.NotRun:
+		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
+		response.Close(err == nil)
+		if answer.Misdirected {
+			return notRun, endpoints.Misdirected
+		}
+		return notRun, endpoints.Full
+	case success && !answer.Sealed:
+		response.Close(false)
+		return mayHaveRun, endpoints.Failed
+	case success && strings.HasPrefix(response.Header.Get("Content-Type"), eventStream):
+		return r.stream(ctx, response)
+	default:
+		return r.whole(ctx, response)
+	}
+}
+
+// whole reads an answer to its end before it is passed on, so that one that is cut
+// off can still be asked for again.
+func (r *request) whole(ctx context.Context, response *httpconn.Response) (verdict, endpoints.Outcome) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	response.Close(err == nil)
+	if err != nil {
+		return mayHaveRun, failureOf(ctx)
+	}
+	// A failed write means that the caller has left; the request has run.
+	_ = r.exchange.Respond(response.StatusCode, r.gateway.codec.AnswerHeader(response.Header), body)
+	return answered, endpoints.Answered
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,153 @@
+// Package gateway is the process that callers of a deployment talk to: it finds
+// the route and the client account of a request, keeps the account's limits and
+// the programs' budgets, sends the request to an endpoint, and keeps the turns of
+// programs in the store. It speaks to the platform through spool.Store and
+// spool.Codec.
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/httpconn"
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+	"github.com/baobabspool/baobabspool/pkg/catalog"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/endpoints"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Codec is the translation that a gateway needs.
+type Codec interface {
+	spool.Codec
+	catalog.Decoder
+}
+
+// Gateway is one process. It is safe for concurrent use.
+type Gateway struct {
+	settings  spool.GatewaySettings
+	codec     Codec
+	client    *httpconn.Client
+	clock     clock.Clock
+	telemetry *telemetry.Telemetry
+	log       *zap.Logger
+
+	server  *httpconn.Server
+	ready   *readyServer
+	table   *endpoints.Table
+	state   *sharedState
+	turns   *turnStore
+	budgets *budgetStore
+	limits  *limiter
+	health  *storeHealth
+
+	// catalog is the newest configuration; nil until one is known. Its version
+	// never decreases.
+	catalog  atomic.Pointer[catalog.Catalog]
+	stopping atomic.Bool
+
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+const (
+	// upkeepInterval is for dropping what has expired.
+	upkeepInterval = 2 * time.Second
+	// leaveAfter is the time from the start of a stop to the end of accepting. The
+	// balancer asks once a second and takes a process out after two misses.
+	leaveAfter = 3 * time.Second
+	// stopMargin is kept between the end of the last request and SIGKILL.
+	stopMargin = 300 * clock.Millis(1)
+)
+
+// New starts a gateway.
+func New(settings spool.GatewaySettings, store spool.Store, codec Codec, client *httpconn.Client, system clock.Clock, t *telemetry.Telemetry) (gateway *Gateway, err error) {
+	defer func() { err = errors.Wrap(err, "start gateway") }()
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &Gateway{
+		settings: settings, codec: codec, client: client, clock: system, telemetry: t, log: t.Logger("gateway"),
+		table: endpoints.NewTable(settings.FailureDomain), cancel: cancel,
+		health: newStoreHealth(system, t.Logger("store")),
+	}
+	watched := &watchedStore{Store: store, health: g.health}
+	g.limits = newLimiter(system)
+	g.turns = newTurnStore(ctx, watched, system, settings)
+	g.budgets = newBudgetStore(ctx, watched, system, settings)
+	g.state = newSharedState(g, watched)
+	if g.ready, err = newReadyServer(settings.ReadyListen, g.isReady, t); err != nil {
+		cancel()
+		return nil, err
+	}
+	if g.server, err = httpconn.NewServer(settings.Listen, g.handle); err != nil {
+		cancel()
+		return nil, err
+	}
+	g.wg.Add(2)
+	go func() {
+		defer g.wg.Done()
+		g.state.run(ctx)
+	}()
+	go func() {
+		defer g.wg.Done()
+		g.upkeep(ctx)
+	}()
+	return g, nil
+}
+
+// Address returns the address that requests are taken at.
+func (g *Gateway) Address() string { return g.server.Address() }
+
+func (g *Gateway) isReady() bool { return g.catalog.Load() != nil && !g.stopping.Load() }
+
+func (g *Gateway) upkeep(ctx context.Context) {
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := g.clock.Now()
+		g.turns.index.Expire(now)
+		g.budgets.expire(now)
+		g.client.Sweep()
+	}
+}
+
+// Shutdown stops being ready at once, goes on serving until the balancer has noticed,
+// and then waits for the requests in flight.
+func (g *Gateway) Shutdown(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "stop gateway") }()
+	ctx, cancel := context.WithTimeout(ctx, (g.settings.StopWithin - stopMargin).Duration())
+	defer cancel()
+	g.stopping.Store(true)
+	g.server.Drain()
+	clock.Pause(ctx, clock.FromDuration(leaveAfter))
+	g.server.Stop(ctx)
+	g.budgets.flush(ctx)
+	g.cancel()
+	g.wg.Wait()
+	return g.ready.stop()
+}
+
+// install takes a configuration in, unless a newer one is in force.
+func (g *Gateway) install(next *catalog.Catalog) {
+	known := g.catalog.Load()
+	if known != nil && known.Version() >= next.Version() {
+		return
+	}
+	g.catalog.Store(next)
+	limits := next.Limits()
+	g.server.SetLimits(httpconn.Limits{
+		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
+		HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+	})
+	g.limits.configure(next.Accounts())
+	g.log.Info("configuration in force", zap.Int64("version", next.Version()))
+}
--- /dev/null
+++ b/internal/gateway/handle.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/httpconn"
+	"github.com/baobabspool/baobabspool/pkg/catalog"
+	"github.com/baobabspool/baobabspool/pkg/chain"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// defaultTimeout bounds a request whose caller and route name no time.
+const defaultTimeout = 30 * clock.Second
+
+// request is one request on its way through the gateway. It is used by one
+// goroutine.
+type request struct {
+	gateway  *Gateway
+	exchange *httpconn.Exchange
+	call     spool.GatewayCall
+	catalog  *catalog.Catalog
+	route    *catalog.Route
+	// account is empty on public routes without a key.
+	account  spool.AccountID
+	priority int
+	service  *catalog.Service
+	// deadline is when the final answer is due.
+	deadline clock.Millis
+	// body is what the endpoint gets.
+	body []byte
+	// line are the turns that a kept turn continues.
+	line []*chain.Turn
+	// tried endpoints have refused or failed the request.
+	tried map[spool.EndpointID]bool
+	// runs counts the endpoints that may have run the request.
+	runs int
+	// events counts the events that were passed to the caller.
+	events int
+}
+
+// handle answers one request of a caller.
+func (g *Gateway) handle(ctx context.Context, exchange *httpconn.Exchange) {
+	r := &request{gateway: g, exchange: exchange, tried: map[spool.EndpointID]bool{}}
+	if reason := r.admit(); reason != "" {
+		r.reject(refuse(reason))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, (r.deadline - g.clock.Now()).Duration())
+	defer cancel()
+	if wait, ok := g.limits.admit(r.account); !ok {
+		over := refuse(reasonOverLimit)
+		over.after = wait
+		r.reject(over)
+		return
+	}
+	reason := r.serve(ctx)
+	if reason == "" {
+		return
+	}
+	if r.runs == 0 {
+		g.limits.giveBack(r.account)
+	}
+	r.reject(refuse(reason))
+}
+
+// admit finds what the request asks for and who asks. It returns the reason of a
+// refusal, empty for none.
+func (r *request) admit() spool.Code {
+	r.catalog = r.gateway.catalog.Load()
+	if r.catalog == nil {
+		return reasonNoConfiguration
+	}
+	call, err := r.gateway.codec.DecodeRequest(r.exchange.Request())
+	r.call = call
+	if err != nil {
+		return reasonBadRequest
+	}
+	if r.route = r.catalog.Route(call.Host, call.Path); r.route == nil {
+		return reasonNoRoute
+	}
+	account := r.catalog.AccountOf(call.Key)
+	if account == nil && !r.route.Public {
+		return reasonUnknownKey
+	}
+	r.priority = r.route.Priority
+	if account != nil {
+		r.account = account.ID
+		if account.Priority != nil {
+			r.priority = *account.Priority
+		}
+	}
+	r.setDeadline()
+	identity := call.Attempt
+	if call.Session != "" {
+		identity = call.Session
+	}
+	if r.service = r.catalog.Service(r.route.Target(identity)); r.service == nil {
+		return reasonNoEndpoint
+	}
+	r.body = r.exchange.Body()
+	return ""
+}
+
+func (r *request) setDeadline() {
+	left := defaultTimeout
+	if r.route.Timeout > 0 {
+		left = r.route.Timeout
+	}
+	if r.call.TimeLeft > 0 {
+		left = min(left, r.call.TimeLeft)
+	}
+	r.deadline = r.gateway.clock.Now() + left
+}
+
+// serve makes the answer; it returns a reason when none has been started.
+func (r *request) serve(ctx context.Context) (reason spool.Code) {
+	if reason := r.continueLine(ctx); reason != "" {
+		return reason
+	}
+	if r.call.TokenBudget <= 0 || r.call.Program == "" {
+		return r.forward(ctx)
+	}
+	if reason := r.reserve(ctx); reason != "" {
+		return reason
+	}
+	reason = r.forward(ctx)
+	spent := int64(r.events) * int64(max(1, r.service.EventTokens))
+	r.gateway.budgets.settle(r.call.Program, r.call.Attempt, spent)
+	return reason
+}
+
+// continueLine makes the prompt of a kept turn from the turns before it.
+func (r *request) continueLine(ctx context.Context) spool.Code {
+	if !r.route.KeepsHistory {
+		return ""
+	}
+	if r.gateway.health.isAway() {
+		return reasonStoreAway
+	}
+	if r.call.Previous == "" {
+		return ""
+	}
+	line, err := r.gateway.turns.line(ctx, r.account, r.call.Previous)
+	switch {
+	case errors.Is(err, errNoTurn):
+		return reasonNoTurn
+	case err != nil:
+		return reasonTurnUncertain
+	}
+	r.line = line
+	r.body = chain.Prompt(line, r.exchange.Body())
+	return ""
+}
+
+func (r *request) reserve(ctx context.Context) spool.Code {
+	if r.gateway.health.isAway() {
+		return reasonStoreAway
+	}
+	most := max(1, r.call.MaxOutputTokens)
+	err := r.gateway.budgets.reserve(ctx, r.call.Program, r.call.Attempt, most, r.call.TokenBudget)
+	switch {
+	case errors.Is(err, errBudgetSpent):
+		return reasonBudgetSpent
+	case err != nil:
+		return reasonBudgetUnknown
+	}
+	return ""
+}
+
+// reject answers with a refusal, unless an answer has been started.
+func (r *request) reject(refusal refusal) {
+	r.gateway.telemetry.Refused(refusal.reason)
+	r.gateway.log.Info("request refused", zap.String("request", r.call.Attempt), zap.String("program", string(r.call.Program)),
+		zap.String("reason", string(refusal.reason)), zap.Int("status", refusal.status), zap.Int64("retryAfterMs", int64(refusal.after)))
+	if r.exchange.Started() {
+		r.exchange.Abort()
+		return
+	}
+	r.exchange.Reject(refusal.status, refusal.after)
+}
--- /dev/null
+++ b/internal/gateway/health.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// awayAfter is the time of failed calls without a success after which the store
+// counts as away.
+const awayAfter = 300 * clock.Millis(1)
+
+// storeHealth tells whether the store answers this gateway.
+type storeHealth struct {
+	clock clock.Clock
+	log   *zap.Logger
+	mu    sync.Mutex
+	// failingSince is the time of the first failure since the last success; 0 for
+	// none.
+	failingSince clock.Millis
+	away         bool
+}
+
+func newStoreHealth(system clock.Clock, log *zap.Logger) *storeHealth {
+	return &storeHealth{clock: system, log: log}
+}
+
+func (h *storeHealth) note(err error) {
+	now := h.clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil || errors.Is(err, spool.ErrTrimmed) {
+		if h.away {
+			h.log.Info("store answers again", zap.Int64("awayMs", int64(now-h.failingSince)))
+		}
+		h.failingSince, h.away = 0, false
+		return
+	}
+	if h.failingSince == 0 {
+		h.failingSince = now
+	}
+	if !h.away && now-h.failingSince >= awayAfter {
+		h.away = true
+		h.log.Warn("store is away", zap.Error(err))
+	}
+}
+
+// isAway reports whether the store has not answered for a while.
+func (h *storeHealth) isAway() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.away
+}
+
+// watchedStore notes the outcome of every call.
+type watchedStore struct {
+	spool.Store
+	health *storeHealth
+}
+
+// Append implements spool.Store.
+func (s *watchedStore) Append(ctx context.Context, partition spool.Partition, records [][]byte) (int64, error) {
+	offset, err := s.Store.Append(ctx, partition, records)
+	s.note(ctx, err)
+	return offset, err
+}
+
+// Read implements spool.Store.
+func (s *watchedStore) Read(ctx context.Context, partition spool.Partition, from int64, wait clock.Millis) (spool.LogPage, error) {
+	page, err := s.Store.Read(ctx, partition, from, wait)
+	s.note(ctx, err)
+	return page, err
+}
+
+// note leaves calls out that the gateway took back itself.
+func (s *watchedStore) note(ctx context.Context, err error) {
+	if err != nil && errors.Is(context.Cause(ctx), context.Canceled) {
+		return
+	}
+	s.health.note(err)
+}
--- /dev/null
+++ b/internal/gateway/ready.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+)
+
+// MetricsPath is where the metrics are served, on the address that the balancer
+// asks.
+const MetricsPath = "/metrics"
+
+// readyIdleTimeout closes connections on which nobody asks any more.
+const readyIdleTimeout = 30 * time.Second
+
+// readyServer answers the balancer's question and serves the metrics.
+type readyServer struct {
+	server *fasthttp.Server
+	done   chan error
+}
+
+func newReadyServer(address string, ready func() bool, t *telemetry.Telemetry) (server *readyServer, err error) {
+	defer func() { err = errors.Wrapf(err, "listen on %s", address) }()
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	metrics := t.Handler()
+	handler := func(ctx *fasthttp.RequestCtx) {
+		switch {
+		case string(ctx.Path()) == MetricsPath:
+			metrics(ctx)
+		case ready():
+			ctx.SetStatusCode(fasthttp.StatusOK)
+		default:
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	}
+	server = &readyServer{
+		server: &fasthttp.Server{Handler: handler, IdleTimeout: readyIdleTimeout, NoDefaultServerHeader: true},
+		done:   make(chan error, 1),
+	}
+	go func() { server.done <- server.server.Serve(listener) }()
+	return server, nil
+}
+
+func (s *readyServer) stop() error {
+	if err := s.server.Shutdown(); err != nil {
+		return err
+	}
+	return <-s.done
+}
--- /dev/null
+++ b/internal/gateway/refusal.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Reasons for which a gateway answers a request itself.
+const (
+	reasonNoConfiguration spool.Code = "noConfiguration"
+	reasonBadRequest      spool.Code = "badRequest"
+	reasonNoRoute         spool.Code = "noRoute"
+	reasonUnknownKey      spool.Code = "unknownKey"
+	reasonOverLimit       spool.Code = "overLimit"
+	reasonNoTurn          spool.Code = "noTurn"
+	reasonTurnUncertain   spool.Code = "turnUncertain"
+	reasonStoreAway       spool.Code = "storeAway"
+	reasonBudgetSpent     spool.Code = "budgetSpent"
+	reasonBudgetUnknown   spool.Code = "budgetUnknown"
+	reasonNoEndpoint      spool.Code = "noEndpoint"
+	reasonEndpointsFull   spool.Code = "endpointsFull"
+	reasonMayHaveRun      spool.Code = "mayHaveRun"
+	reasonTimeout         spool.Code = "timeout"
+)
+
+// Times after which a caller may come back.
+const (
+	// retryStartup is for a process that has just started.
+	retryStartup = 300 * clock.Millis(1)
+	// retryStore is for a store that is away; outages last seconds.
+	retryStore = 700 * clock.Millis(1)
+	// retryEndpoint is for a service without a usable endpoint.
+	retryEndpoint = 250 * clock.Millis(1)
+	// retryFull is for a service whose endpoints are full; a slot is free within the
+	// time of a request.
+	retryFull = 60 * clock.Millis(1)
+)
+
+// refusal is an answer of the gateway's own.
+type refusal struct {
+	status int
+	reason spool.Code
+	// after is when to come back; 0 for never or unknown.
+	after clock.Millis
+}
+
+var refusals = map[spool.Code]refusal{
+	reasonNoConfiguration: {status: http.StatusServiceUnavailable, after: retryStartup},
+	reasonBadRequest:      {status: http.StatusBadRequest},
+	reasonNoRoute:         {status: http.StatusNotFound},
+	reasonUnknownKey:      {status: http.StatusUnauthorized},
+	reasonOverLimit:       {status: http.StatusTooManyRequests},
+	reasonNoTurn:          {status: http.StatusNotFound},
+	reasonTurnUncertain:   {status: http.StatusServiceUnavailable, after: retryStore},
+	reasonStoreAway:       {status: http.StatusServiceUnavailable, after: retryStore},
+	reasonBudgetSpent:     {status: http.StatusPaymentRequired},
+	reasonBudgetUnknown:   {status: http.StatusServiceUnavailable, after: retryStore},
+	reasonNoEndpoint:      {status: http.StatusServiceUnavailable, after: retryEndpoint},
+	reasonEndpointsFull:   {status: http.StatusServiceUnavailable, after: retryFull},
+	reasonMayHaveRun:      {status: http.StatusBadGateway},
+	reasonTimeout:         {status: http.StatusGatewayTimeout},
+}
+
+// refuse returns the answer for a reason.
+func refuse(reason spool.Code) refusal {
+	r := refusals[reason]
+	r.reason = reason
+	return r
+}
--- /dev/null
+++ b/internal/httpconn/client.go
@@ -0,0 +1,271 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+)
+
+// Errors of a call, by what they say of the request.
+var (
+	// ErrNotSent means that no byte of the request has left.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrNoAnswer means that the request may have been received and that no
+	// usable answer came.
+	ErrNoAnswer = errors.New("no answer")
+)
+
+const (
+	// dialTimeout is in a region, where a connection takes a few milliseconds.
+	dialTimeout = 400 * time.Millisecond
+	// keptFor is the idle time after which a connection is not used again, unless
+	// its peer states a shorter one.
+	keptFor = 4 * clock.Second
+	// keptMargin is taken off the idle time that a peer states.
+	keptMargin = 500 * clock.Millis(1)
+	// maxKept is the number of idle connections kept to one address.
+	maxKept = 32
+	// inlineWrite is the size up to which a request is written before its answer
+	// is awaited. A larger one is written beside, since a peer may answer early and
+	// read on late.
+	inlineWrite = 16 << 10
+)
+
+// Client keeps connections to many addresses.
+type Client struct {
+	clock clock.Clock
+	mu    sync.Mutex
+	// idle holds the kept connections of an address, the last used at the end.
+	idle map[string][]*clientConn
+}
+
+// NewClient returns a client without connections.
+func NewClient(system clock.Clock) *Client {
+	return &Client{clock: system, idle: map[string][]*clientConn{}}
+}
+
+type clientConn struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	// usableUntil is the end of the time for which the peer keeps the connection.
+	usableUntil clock.Millis
+}
+
+// Call is one request to an address.
+type Call struct {
+	// Address is a host:port.
+	Address string
+	// Method is the HTTP method.
+	Method string
+	// Head is the whole head of the request with its empty line.
+	Head []byte
+	// Body follows the head.
+	Body []byte
+	// Accept reports whether a response belongs to this request; one that does not
+	// is dropped. Nil accepts all.
+	Accept func(header http.Header) bool
+	// Fresh asks for a new connection.
+	Fresh bool
+}
+
+// Response is an answer whose body is read by the caller of Do.
+type Response struct {
+	*http.Response
+	client  *Client
+	conn    *clientConn
+	address string
+	written chan error
+	stop    func() bool
+	done    bool
+}
+
+// Do sends a call and waits for the head of its answer. The connection breaks
+// when ctx ends. Errors wrap ErrNotSent or ErrNoAnswer.
+func (c *Client) Do(ctx context.Context, call *Call) (response *Response, err error) {
+	conn, err := c.take(ctx, call)
+	if err != nil {
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
+	written := conn.write(call)
+	header, err := conn.readHead(call)
+	if err != nil {
+		stop()
+		_ = conn.conn.Close()
+		return nil, errors.Wrap(ErrNoAnswer, err.Error())
+	}
+	return &Response{Response: header, client: c, conn: conn, address: call.Address, written: written, stop: stop}, nil
+}
+
+func (c *clientConn) write(call *Call) chan error {
+	written := make(chan error, 1)
+	if len(call.Head)+len(call.Body) <= inlineWrite {
+		_, err := c.conn.Write(append(call.Head, call.Body...))
+		written <- err
+		return written
+	}
+	go func() {
+		buffers := net.Buffers{call.Head, call.Body}
+		_, err := buffers.WriteTo(c.conn)
+		written <- err
+	}()
+	return written
+}
+
+// readHead reads responses until one belongs to the call.
+func (c *clientConn) readHead(call *Call) (*http.Response, error) {
+	request := &http.Request{Method: call.Method}
+	for {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if call.Accept == nil || call.Accept(response.Header) {
+			return response, nil
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// Close ends the use of the response. whole says that its body has been read to
+// its end, so that the connection may be kept.
+func (r *Response) Close(whole bool) {
+	if r.done {
+		return
+	}
+	r.done = true
+	open := r.stop()
+	keep := whole && open && !r.Response.Close && r.framed()
+	select {
+	case err := <-r.written:
+		keep = keep && err == nil
+	default:
+		// The peer answered before it had the whole request.
+		keep = false
+	}
+	if !keep || r.conn.reader.Buffered() > 0 {
+		_ = r.conn.conn.Close()
+		return
+	}
+	r.client.keep(r.address, r.conn, r.Header)
+}
+
+func (r *Response) framed() bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+}
+
+// SetReadDeadline bounds the reading of the body.
+func (r *Response) SetReadDeadline(at time.Time) { _ = r.conn.conn.SetReadDeadline(at) }
+
+func (c *Client) keep(address string, conn *clientConn, header http.Header) {
+	kept := keptFor
+	if stated, ok := statedTimeout(header.Get("Keep-Alive")); ok {
+		kept = min(kept, stated-keptMargin)
+	}
+	conn.usableUntil = c.clock.Now() + kept
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	if len(list) >= maxKept || kept <= 0 {
+		_ = conn.conn.Close()
+		return
+	}
+	c.idle[address] = append(list, conn)
+}
+
+func statedTimeout(value string) (timeout clock.Millis, ok bool) {
+	for part := range strings.SplitSeq(value, ",") {
+		name, text, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if name != "timeout" {
+			continue
+		}
+		seconds, err := strconv.Atoi(text)
+		return clock.Millis(seconds) * clock.Second, err == nil
+	}
+	return 0, false
+}
+
+func (c *Client) take(ctx context.Context, call *Call) (*clientConn, error) {
+	for !call.Fresh {
+		conn := c.pop(call.Address)
+		if conn == nil {
+			break
+		}
+		if c.clock.Now() < conn.usableUntil && isQuiet(conn.conn) {
+			_ = conn.conn.SetDeadline(time.Time{})
+			return conn, nil
+		}
+		_ = conn.conn.Close()
+	}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp4", call.Address)
+	if err != nil {
+		return nil, err
+	}
+	Tune(conn, keepAliveProbe)
+	return &clientConn{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+}
+
+func (c *Client) pop(address string) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	last := list[len(list)-1]
+	list[len(list)-1] = nil
+	c.idle[address] = list[:len(list)-1]
+	return last
+}
+
+// Forget closes the kept connections of an address.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	list := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, conn := range list {
+		_ = conn.conn.Close()
+	}
+}
+
+// Sweep closes connections that have been idle for too long.
+func (c *Client) Sweep() {
+	now := c.clock.Now()
+	var old []*clientConn
+	c.mu.Lock()
+	for address, list := range c.idle {
+		kept := list[:0]
+		for _, conn := range list {
+			if now < conn.usableUntil {
+				kept = append(kept, conn)
+				continue
+			}
+			old = append(old, conn)
+		}
+		c.idle[address] = kept
+		if len(kept) == 0 {
+			delete(c.idle, address)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range old {
+		_ = conn.conn.Close()
+	}
+}
--- /dev/null
+++ b/pkg/chain/turn.go
@@ -0,0 +1,119 @@
+// Package chain holds the turns of agent programs whose history the system keeps.
+// A turn continues an earlier one; its prompt is everything along that line.
+package chain
+
+import (
+	"encoding/binary"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+// Turn is one turn that was answered whole.
+type Turn struct {
+	// ID is the caller's identifier of the request.
+	ID string
+	// Account holds the turn; no other account may continue it.
+	Account spool.AccountID
+	// Line are the turns before this one, oldest first.
+	Line []string
+	// Input is the body of the request, Output what the endpoint generated, in the
+	// form in which later prompts contain it.
+	Input  []byte
+	Output []byte
+	// EndedAt is the clock of the gateway that served the turn.
+	EndedAt clock.Millis
+	// Retention is how long the turn is kept after its end.
+	Retention clock.Millis
+}
+
+// recordVersion is the first byte of an encoded turn.
+const recordVersion = 1
+
+// ErrBadRecord means that bytes are no encoded turn.
+var ErrBadRecord = errors.New("record is no turn")
+
+// Encode returns the turn as a record.
+func (t *Turn) Encode() []byte {
+	data := make([]byte, 0, len(t.Input)+len(t.Output)+len(t.Line)*24+64)
+	data = append(data, recordVersion)
+	data = appendBytes(data, []byte(t.ID))
+	data = appendBytes(data, []byte(t.Account))
+	data = binary.AppendUvarint(data, uint64(len(t.Line)))
+	for _, id := range t.Line {
+		data = appendBytes(data, []byte(id))
+	}
+	data = appendBytes(data, t.Input)
+	data = appendBytes(data, t.Output)
+	data = binary.AppendVarint(data, int64(t.EndedAt))
+	return binary.AppendVarint(data, int64(t.Retention))
+}
+
+func appendBytes(data, value []byte) []byte {
+	data = binary.AppendUvarint(data, uint64(len(value)))
+	return append(data, value...)
+}
+
+// Decode reads a record. The turn does not share memory with it.
+func Decode(record []byte) (turn *Turn, err error) {
+	if len(record) == 0 || record[0] != recordVersion {
+		return nil, ErrBadRecord
+	}
+	r := reader{rest: record[1:]}
+	turn = &Turn{ID: string(r.bytes()), Account: spool.AccountID(r.bytes())}
+	count := r.uvarint()
+	if count > uint64(len(record)) {
+		return nil, ErrBadRecord
+	}
+	for range count {
+		turn.Line = append(turn.Line, string(r.bytes()))
+	}
+	turn.Input = append([]byte(nil), r.bytes()...)
+	turn.Output = append([]byte(nil), r.bytes()...)
+	turn.EndedAt = clock.Millis(r.varint())
+	turn.Retention = clock.Millis(r.varint())
+	if r.failed || len(r.rest) > 0 || turn.ID == "" {
+		return nil, ErrBadRecord
+	}
+	return turn, nil
+}
+
+// reader takes values from the front of a record. After a failure it returns
+// zero values.
+type reader struct {
+	rest   []byte
+	failed bool
+}
+
+func (r *reader) uvarint() uint64 {
+	value, size := binary.Uvarint(r.rest)
+	if size <= 0 {
+		r.failed, r.rest = true, nil
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return value
+}
+
+func (r *reader) varint() int64 {
+	value, size := binary.Varint(r.rest)
+	if size <= 0 {
+		r.failed, r.rest = true, nil
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return value
+}
+
+func (r *reader) bytes() []byte {
+	size := r.uvarint()
+	if size > uint64(len(r.rest)) {
+		r.failed, r.rest = true, nil
+		return nil
+	}
+	value := r.rest[:size]
+	r.rest = r.rest[size:]
+	return value
+}
