--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,15 +7,18 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/baobabspool/baobabspool/internal/httpconn"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
+	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/catalog"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/endpoints"
@@ -45,6 +48,8 @@
 	budgets *budgetStore
 	limits  *limiter
 	health  *storeHealth
+	clients *wire.Clients
+	peers   *wire.Server
 
 	// catalog is the newest configuration; nil until one is known. Its version
 	// never decreases.
@@ -75,10 +80,18 @@
 		health: newStoreHealth(system, t.Logger("store")),
 	}
 	watched := &watchedStore{Store: store, health: g.health}
-	g.limits = newLimiter(system)
+	boot, lifetime := clock.Boot(), uuid.NewString()
+	owner := newPoolOwner(settings, lifetime, watched, boot, t.Logger("limits"))
+	members := newMemberBook(settings.Node, boot, owner, t.Logger("members"))
+	g.clients = wire.NewClients(settings.Node, wire.WithSilentAfter(silentPeer, pingPeer))
+	g.state = newSharedState(g, watched, lifetime, members, boot)
+	g.limits = newLimiter(settings, owner, boot, func() clock.Millis { return g.state.freshFor(boot.Now()) }, g.clients, t)
 	g.turns = newTurnStore(ctx, watched, system, settings)
 	g.budgets = newBudgetStore(ctx, watched, system, settings)
-	g.state = newSharedState(g, watched)
+	if err = g.listenPeers(); err != nil {
+		cancel()
+		return nil, err
+	}
 	if g.ready, err = newReadyServer(settings.ReadyListen, g.isReady, t); err != nil {
 		cancel()
 		return nil, err
@@ -99,6 +112,18 @@
 	return g, nil
 }
 
+// listenPeers answers the other gateways, where the settings name an address.
+func (g *Gateway) listenPeers() (err error) {
+	if g.settings.ControlListen == "" {
+		return nil
+	}
+	handlers := wire.Mux{}
+	maps.Copy(handlers, g.limits.manager.Handlers())
+	maps.Copy(handlers, g.state.relayHandlers())
+	g.peers, err = wire.Listen(g.settings.ControlListen, handlers, nil)
+	return err
+}
+
 // Address returns the address that requests are taken at.
 func (g *Gateway) Address() string { return g.server.Address() }
 
@@ -131,8 +156,13 @@
 	clock.Pause(ctx, clock.FromDuration(leaveAfter))
 	g.server.Stop(ctx)
 	g.budgets.flush(ctx)
+	g.limits.close(ctx)
 	g.cancel()
 	g.wg.Wait()
+	g.clients.Close()
+	if g.peers != nil {
+		logStop(g.log, "peers", g.peers.Close())
+	}
 	return g.ready.stop()
 }
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -10,6 +10,7 @@
 	"github.com/baobabspool/baobabspool/pkg/catalog"
 	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/limit"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -51,20 +52,24 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (r.deadline - g.clock.Now()).Duration())
 	defer cancel()
-	if wait, ok := g.limits.admit(r.account); !ok {
+	if err := g.limits.admit(ctx, r.account, r.class()); err != nil {
 		over := refuse(reasonOverLimit)
-		over.after = wait
+		over.after = retryAfter(err)
 		r.reject(over)
 		return
 	}
-	reason := r.serve(ctx)
-	if reason == "" {
-		return
+	if reason := r.serve(ctx); reason != "" {
+		r.reject(refuse(reason))
 	}
-	if r.runs == 0 {
-		g.limits.giveBack(r.account)
+}
+
+// class orders the requests of an account that wait for a token: a program that
+// has begun goes before one that has not.
+func (r *request) class() limit.Class {
+	if r.route.Kind == catalog.Stream && r.call.Previous == "" {
+		return limit.ClassStart
 	}
-	r.reject(refuse(reason))
+	return limit.ClassCall
 }
 
 // admit finds what the request asks for and who asks. It returns the reason of a
@@ -171,10 +176,18 @@
 	return ""
 }
 
+func (r *request) routeName() string {
+	if r.route == nil {
+		return ""
+	}
+	return r.route.Name
+}
+
 // reject answers with a refusal, unless an answer has been started.
 func (r *request) reject(refusal refusal) {
 	r.gateway.telemetry.Refused(refusal.reason)
 	r.gateway.log.Info("request refused", zap.String("request", r.call.Attempt), zap.String("program", string(r.call.Program)),
+		zap.String("account", string(r.account)), zap.Bool("first", r.call.Previous == ""), zap.String("route", r.routeName()),
 		zap.String("reason", string(refusal.reason)), zap.Int("status", refusal.status), zap.Int64("retryAfterMs", int64(refusal.after)))
 	if r.exchange.Started() {
 		r.exchange.Abort()
--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -1,83 +1,134 @@
 package gateway
 
 import (
+	"context"
+	"encoding/json"
+	"maps"
 	"sync"
 
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/quota"
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/catalog"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/limit"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// limiter keeps this gateway's part of the rate and burst of each client account.
+const (
+	// staticShare is the part of each limit that is divided over the gateways; the
+	// rest is lent by the owner of the pools. It serves while the owner is away.
+	staticShare = 0.5
+	// viewFor is how long a gateway uses its static part without news from the store.
+	viewFor = 20 * clock.Second
+	// viewMember is how long a gateway without a new record keeps its static part in
+	// the view of the others. It exceeds viewFor, so that a part is given to others
+	// only when its holder has lost it.
+	viewMember = 30 * clock.Second
+	// growAfter is the time from a change to the growth of a part; every gateway that
+	// reaches the store has learned of the change by then.
+	growAfter = 2500 * clock.Millis(1)
+	// ownerAuthority is how long an owner grants after it was confirmed.
+	ownerAuthority = 2 * clock.Second
+	// holdForToken bounds the time for which a request waits for a token that is on
+	// its way.
+	holdForToken = 60 * clock.Millis(1)
+	// silentPeer is the time after which a connection to another gateway that
+	// answers nothing is replaced; it is asked every pingPeer.
+	silentPeer = 600 * clock.Millis(1)
+	pingPeer   = 250 * clock.Millis(1)
+)
+
+// limiter keeps the rate and burst of each client account over all gateways.
 type limiter struct {
-	clock    clock.Clock
-	mu       sync.Mutex
-	gateways int
-	accounts map[spool.AccountID]*bucket
-}
+	manager *quota.Manager
+	owner   *poolOwner
 
-type bucket struct {
-	rate, burst float64
-	level       float64
-	at          clock.Millis
+	mu sync.Mutex
+	// limited holds the accounts with a limit.
+	limited map[spool.AccountID]limit.Config
 }
 
-// assumedGateways is the number of gateways until their records are known.
-const assumedGateways = 16
-
-func newLimiter(system clock.Clock) *limiter {
-	return &limiter{clock: system, gateways: assumedGateways, accounts: map[spool.AccountID]*bucket{}}
+func limitTiming() limit.Timing {
+	timing := limit.DefaultTiming()
+	timing.Authority = ownerAuthority
+	timing.View = viewFor
+	timing.Grow = growAfter
+	timing.MinHold, timing.MaxHold = holdForToken, holdForToken
+	return timing
 }
 
-func (l *limiter) setGateways(count int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.gateways = max(1, count)
+func newLimiter(settings spool.GatewaySettings, owner *poolOwner, boot clock.Clock, freshFor func() clock.Millis, clients *wire.Clients, t *telemetry.Telemetry) *limiter {
+	config := quota.Config{
+		Node: settings.Node, StreamCount: 1, Timing: limitTiming(), Lost: owner.lost, Answered: owner.answered,
+	}
+	return &limiter{
+		manager: quota.New(config, boot, freshFor, owner, clients, t),
+		owner:   owner, limited: map[spool.AccountID]limit.Config{},
+	}
 }
 
+// configure takes the accounts of a configuration in.
 func (l *limiter) configure(accounts []catalog.Account) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	next := map[spool.AccountID]*bucket{}
+	changed := map[spool.AccountID]limit.Config{}
+	next := map[spool.AccountID]limit.Config{}
 	for _, account := range accounts {
 		if account.Rate <= 0 {
 			continue
 		}
-		known := l.accounts[account.ID]
-		if known == nil {
-			known = &bucket{level: account.Burst / float64(l.gateways), at: l.clock.Now()}
+		next[account.ID] = limit.Config{Rate: account.Rate, Burst: max(1, account.Burst), StaticShare: staticShare}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, config := range next {
+		if l.limited[id] != config {
+			changed[id] = config
 		}
-		known.rate, known.burst = account.Rate, account.Burst
-		next[account.ID] = known
 	}
-	l.accounts = next
+	l.limited = next
+	if len(changed) > 0 {
+		l.manager.Observe(quota.Version{Limits: maps.Clone(changed)})
+	}
 }
 
-// admit takes one request of an account. When it is refused, wait is the time
-// until one is admitted.
-func (l *limiter) admit(id spool.AccountID) (wait clock.Millis, ok bool) {
-	now := l.clock.Now()
+// view takes the gateways that divide the static parts in.
+func (l *limiter) view(members []spool.NodeID, resumed, skipped bool) {
+	l.manager.Observe(quota.Version{Members: members, Resumed: resumed, Skipped: skipped})
+}
+
+// admit takes one request of an account. It fails with a *spool.Refusal.
+func (l *limiter) admit(ctx context.Context, id spool.AccountID, class limit.Class) error {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	b := l.accounts[id]
-	if b == nil {
-		return 0, true
+	_, limited := l.limited[id]
+	l.mu.Unlock()
+	if !limited {
+		return nil
 	}
-	rate, burst := b.rate/float64(l.gateways), max(1, b.burst/float64(l.gateways))
-	b.level = min(burst, b.level+rate*float64(now-b.at)/float64(clock.Second))
-	b.at = now
-	if b.level >= 1 {
-		b.level--
-		return 0, true
+	return l.manager.Take(ctx, id, class)
+}
+
+// close gives the pools up and ends the limiter.
+func (l *limiter) close(ctx context.Context) {
+	l.owner.release(ctx, func(stream spool.Stream, epoch spool.Epoch) json.RawMessage {
+		return l.manager.HandOver(stream, epoch)
+	})
+	l.manager.Close()
+}
+
+// retryAfter returns when a refused request may come back.
+func retryAfter(err error) clock.Millis {
+	var refusal *spool.Refusal
+	if errors.As(err, &refusal) {
+		return refusal.RetryAfter
 	}
-	return clock.Millis((1-b.level)/rate*float64(clock.Second)) + 1, false
+	return retryEndpoint
 }
 
-// giveBack returns the token of a request that did not run.
-func (l *limiter) giveBack(id spool.AccountID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if b := l.accounts[id]; b != nil {
-		b.level++
+func logStop(log *zap.Logger, part string, err error) {
+	if err != nil {
+		log.Warn("part did not stop cleanly", zap.String("part", part), zap.Error(err))
 	}
 }
--- /dev/null
+++ b/internal/gateway/members.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// memberKey precedes the name of a gateway in the members' topic.
+	memberKey = "gateway/"
+	// memberBeat is the time between two writes of a gateway's record.
+	memberBeat = 2 * clock.Second
+	// memberLive is how long a gateway counts as running after its last record.
+	memberLive = 5 * clock.Second
+)
+
+// memberRecord is what a gateway writes about itself.
+type memberRecord struct {
+	FailureDomain spool.FailureDomain `json:"failureDomain"`
+	Address       string              `json:"address"`
+	// Lifetime tells the processes of a node apart.
+	Lifetime string `json:"lifetime"`
+	Beat     int64  `json:"beat"`
+	// Leaving says that the gateway stops.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// memberBook holds the gateways of the deployment. It is a sink of the members'
+// topic and safe for concurrent use.
+type memberBook struct {
+	boot  clock.Clock
+	owner *poolOwner
+	self  spool.NodeID
+	log   *zap.Logger
+
+	mu      sync.Mutex
+	members map[spool.NodeID]member
+	// loaded is set by the first reset; known says that it held this node.
+	loaded, known bool
+	confirmedAt   clock.Millis
+}
+
+type member struct {
+	record memberRecord
+	// seenAt is the boot clock when the record was read.
+	seenAt clock.Millis
+}
+
+var _ sink = (*memberBook)(nil)
+
+func newMemberBook(self spool.NodeID, boot clock.Clock, owner *poolOwner, log *zap.Logger) *memberBook {
+	return &memberBook{boot: boot, owner: owner, self: self, log: log, members: map[spool.NodeID]member{}}
+}
+
+func (b *memberBook) reset(records []spool.KeyedRecord) {
+	for _, record := range records {
+		b.change(record)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.loaded {
+		_, b.known = b.members[b.self]
+		b.loaded = true
+	}
+}
+
+func (b *memberBook) change(record spool.KeyedRecord) {
+	if record.Key == ownerKey {
+		b.owner.observe(record.Value, record.Offset)
+		return
+	}
+	name, ok := strings.CutPrefix(record.Key, memberKey)
+	if !ok {
+		return
+	}
+	var value memberRecord
+	if err := json.Unmarshal(record.Value, &value); err != nil {
+		b.log.Warn("gateway's record is left out", zap.String("gateway", name), zap.Error(err))
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members[spool.NodeID(name)] = member{record: value, seenAt: b.boot.Now()}
+}
+
+func (b *memberBook) confirm(sentAt clock.Millis) {
+	b.mu.Lock()
+	b.confirmedAt = max(b.confirmedAt, sentAt)
+	b.mu.Unlock()
+	b.owner.confirm(sentAt)
+}
+
+// confirmed returns when the last read of the records was sent; false before the
+// first.
+func (b *memberBook) confirmed() (clock.Millis, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.confirmedAt, b.loaded
+}
+
+// resumed reports whether this node had a record before this process started.
+func (b *memberBook) resumed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.known
+}
+
+// within returns the gateways whose record is younger than age, this one always,
+// in order.
+func (b *memberBook) within(age clock.Millis) (members []spool.NodeID) {
+	now := b.boot.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	members = append(members, b.self)
+	for id, member := range b.members {
+		if id != b.self && now-member.seenAt <= age {
+			members = append(members, id)
+		}
+	}
+	slices.Sort(members)
+	return members
+}
+
+// live returns the gateways that run and do not leave.
+func (b *memberBook) live() (live []spool.NodeID) {
+	for _, id := range b.within(memberLive) {
+		if !b.leaving(id) {
+			live = append(live, id)
+		}
+	}
+	return live
+}
+
+func (b *memberBook) leaving(id spool.NodeID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.members[id].record.Leaving
+}
+
+// addresses returns where the other gateways that may run answer.
+func (b *memberBook) addresses() (addresses []string) {
+	for _, id := range b.within(viewMember) {
+		b.mu.Lock()
+		address := b.members[id].record.Address
+		b.mu.Unlock()
+		if id != b.self && address != "" {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// methodRelay asks a gateway for the records of a keyed topic.
+	methodRelay = "gateway.relay"
+	// relayTimeout bounds one call to another gateway.
+	relayTimeout = 400 * clock.Millis(1)
+)
+
+// errNotRead means that a gateway has not read a topic yet.
+var errNotRead = errors.New("topic has not been read")
+
+type relayRequest struct {
+	Topic spool.Topic `json:"topic"`
+	// From is the first offset that the asking gateway has not seen; negative when
+	// it has seen none.
+	From int64 `json:"from"`
+}
+
+type relayReply struct {
+	Records []relayRecord `json:"records"`
+	// Next is the offset after the last record that the answering gateway has seen.
+	Next int64 `json:"next"`
+	// Age is the time since the answering gateway's last read of the store.
+	Age clock.Millis `json:"ageMs"`
+	// Whole says that the records are all there are, and not only changes.
+	Whole bool `json:"whole"`
+}
+
+type relayRecord struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Offset int64  `json:"offset"`
+}
+
+// relayHandlers answers other gateways from the followers.
+func (s *sharedState) relayHandlers() wire.Mux {
+	return wire.Mux{
+		methodRelay: wire.Handle(func(_ context.Context, request relayRequest, _ wire.Send) (any, error) {
+			for _, f := range s.followers {
+				if f.topic != request.Topic {
+					continue
+				}
+				if reply, ok := f.answer(request.From); ok {
+					return reply, nil
+				}
+			}
+			return nil, errNotRead
+		}),
+	}
+}
+
+// relay asks one other gateway, chosen at random.
+func (s *sharedState) relay(ctx context.Context, topic spool.Topic, from int64) (reply relayReply, err error) {
+	addresses := s.members.addresses()
+	if len(addresses) == 0 {
+		addresses = s.gateway.settings.Seeds
+	}
+	if len(addresses) == 0 {
+		return reply, errNotRead
+	}
+	address := addresses[rand.IntN(len(addresses))]
+	if address == s.gateway.settings.ControlListen {
+		return reply, errNotRead
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout.Duration())
+	defer cancel()
+	err = s.gateway.clients.Call(ctx, address, methodRelay, relayRequest{Topic: topic, From: from}, &reply, nil)
+	return reply, err
+}
--- /dev/null
+++ b/internal/gateway/shared.go
@@ -0,0 +1,230 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// operatorWait is how long a read of the operator's topic waits for a change.
+	// It also bounds the time in which a silent connection is noticed.
+	operatorWait = clock.Second
+	// endpointInterval is the time between two reads of the endpoints' records.
+	endpointInterval = 400 * clock.Millis(1)
+	// memberInterval is the time between two reads of the gateways' records.
+	memberInterval = 500 * clock.Millis(1)
+)
+
+// sharedState follows what operators, endpoints and gateways write to the store.
+type sharedState struct {
+	gateway   *Gateway
+	store     spool.Store
+	log       *zap.Logger
+	members   *memberBook
+	operator  *operatorSink
+	followers []*follower
+	lifetime  string
+}
+
+func newSharedState(g *Gateway, store spool.Store, lifetime string, members *memberBook, boot clock.Clock) *sharedState {
+	s := &sharedState{gateway: g, store: store, log: g.log, members: members, lifetime: lifetime}
+	s.operator = &operatorSink{gateway: g, log: g.log, evacuated: map[spool.FailureDomain]bool{}}
+	s.followers = []*follower{
+		{topic: spool.TopicOperator, wait: operatorWait, sink: s.operator},
+		{topic: spool.TopicEndpoints, interval: endpointInterval, sink: &endpointSink{gateway: g, log: g.log}},
+		{topic: spool.TopicMembers, interval: memberInterval, sink: members},
+	}
+	for _, f := range s.followers {
+		f.store, f.boot, f.log, f.relay = store, boot, g.log, s.relay
+		f.records, f.next = map[string]spool.KeyedRecord{}, -1
+	}
+	return s
+}
+
+func (s *sharedState) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, f := range s.followers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.run(ctx)
+		}()
+	}
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		s.beat(ctx)
+	}()
+	s.divide(ctx)
+	wg.Wait()
+}
+
+// freshFor returns the age of the configuration and of the view of the gateways;
+// negative before both are known.
+func (s *sharedState) freshFor(now clock.Millis) clock.Millis {
+	members, known := s.members.confirmed()
+	operator, read := s.operator.confirmed()
+	if !known || !read {
+		return -1
+	}
+	return max(0, now-min(members, operator))
+}
+
+// beat writes this gateway's record.
+func (s *sharedState) beat(ctx context.Context) {
+	for beat := int64(1); ctx.Err() == nil; beat++ {
+		err := s.write(ctx, beat, false)
+		if err != nil && ctx.Err() == nil {
+			s.log.Debug("own record was not written", zap.Error(err))
+		}
+		clock.Pause(ctx, memberBeat)
+	}
+}
+
+func (s *sharedState) write(ctx context.Context, beat int64, leaving bool) error {
+	record, err := json.Marshal(memberRecord{
+		FailureDomain: s.gateway.settings.FailureDomain, Address: s.gateway.settings.ControlListen,
+		Lifetime: s.lifetime, Beat: beat, Leaving: leaving,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	return s.store.AppendKeyed(ctx, spool.TopicMembers, memberKey+string(s.gateway.settings.Node), record)
+}
+
+// divide tells the limits who the gateways are, and claims the pools when nobody
+// owns them.
+func (s *sharedState) divide(ctx context.Context) {
+	var view []spool.NodeID
+	first := true
+	for ctx.Err() == nil {
+		if _, known := s.members.confirmed(); known {
+			members := s.members.within(viewMember)
+			if first || !slices.Equal(view, members) {
+				s.gateway.limits.view(members, first && (s.members.resumed() || s.gateway.settings.FirstStart), false)
+				s.gateway.table.SetGateways(len(members))
+				view, first = members, false
+			}
+			s.gateway.limits.owner.claimIfVacant(ctx, s.members.live())
+		}
+		clock.Pause(ctx, memberInterval/2)
+	}
+}
+
+// operatorSink takes in what operators write.
+type operatorSink struct {
+	gateway *Gateway
+	log     *zap.Logger
+
+	mu          sync.Mutex
+	evacuated   map[spool.FailureDomain]bool
+	confirmedAt clock.Millis
+	read        bool
+}
+
+var _ sink = (*operatorSink)(nil)
+
+func (s *operatorSink) reset(records []spool.KeyedRecord) {
+	s.mu.Lock()
+	s.evacuated = map[spool.FailureDomain]bool{}
+	s.mu.Unlock()
+	for _, record := range records {
+		s.change(record)
+	}
+	s.evacuate("", false)
+}
+
+func (s *operatorSink) change(record spool.KeyedRecord) {
+	change, err := s.gateway.codec.DecodeOperator(record.Key, record.Value)
+	switch {
+	case err != nil:
+		s.log.Warn("operator's record is left out", zap.String("key", record.Key), zap.Error(err))
+	case change.Catalog != nil:
+		s.gateway.install(change.Catalog)
+	case change.Evacuated != "":
+		s.log.Info("evacuation changes", zap.String("failureDomain", string(change.Evacuated)), zap.Bool("evacuated", len(record.Value) > 0))
+		s.evacuate(change.Evacuated, len(record.Value) > 0)
+	}
+}
+
+func (s *operatorSink) evacuate(domain spool.FailureDomain, evacuated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := map[spool.FailureDomain]bool{}
+	for known := range s.evacuated {
+		next[known] = true
+	}
+	delete(next, domain)
+	if evacuated {
+		next[domain] = true
+	}
+	s.evacuated = next
+	s.gateway.table.SetEvacuated(next)
+}
+
+func (s *operatorSink) confirm(sentAt clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmedAt, s.read = max(s.confirmedAt, sentAt), true
+}
+
+func (s *operatorSink) confirmed() (clock.Millis, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmedAt, s.read
+}
+
+// endpointSink takes in what endpoints write.
+type endpointSink struct {
+	gateway *Gateway
+	log     *zap.Logger
+}
+
+var _ sink = (*endpointSink)(nil)
+
+func (s *endpointSink) reset(records []spool.KeyedRecord) {
+	ids := map[spool.EndpointID]bool{}
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			continue
+		}
+		ids[spool.EndpointID(record.Key)] = true
+		s.change(record)
+	}
+	s.gateway.table.Keep(s.now(), ids)
+}
+
+func (s *endpointSink) now() clock.Millis {
+	now := s.gateway.clock.Now()
+	s.gateway.table.StoreAway(now, s.gateway.health.isAway())
+	return now
+}
+
+func (s *endpointSink) change(record spool.KeyedRecord) {
+	now := s.now()
+	if len(record.Value) == 0 {
+		s.log.Info("endpoint's record is gone", zap.String("endpoint", record.Key))
+		s.gateway.table.Drop(now, spool.EndpointID(record.Key))
+		return
+	}
+	endpoint, err := s.gateway.codec.DecodeEndpoint(record.Key, record.Value)
+	if err != nil {
+		s.log.Warn("endpoint's record is left out", zap.Error(err))
+		return
+	}
+	if s.gateway.table.Put(now, endpoint) {
+		s.log.Info("endpoint changes", zap.String("endpoint", record.Key), zap.String("service", string(endpoint.Service)),
+			zap.Bool("draining", endpoint.Draining), zap.Int64("coldMs", int64(endpoint.ColdFor)))
+	}
+}
+
+func (s *endpointSink) confirm(clock.Millis) { s.now() }
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -173,6 +173,9 @@
 		if moved {
 			state.share.View(now, m.members)
 		}
+		if version.Resumed {
+			state.share.Resume(now)
+		}
 	}
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -20,9 +20,12 @@
 )
 
 const (
-	// tickEvery is how often time passes for the limits. Held requests are looked
-	// at with each tick.
+	// tickEvery is how often time passes for the limits while requests are held,
+	// which are looked at with each tick.
 	tickEvery = 10 * clock.Millis(1)
+	// restTick is the time between ticks while none is held. Parts and pools must be
+	// told the time every quarter of limit.Timing.MaxGap or more often.
+	restTick = 200 * clock.Millis(1)
 	// leaseTimeout bounds one request to a pool's owner.
 	leaseTimeout = 1 * clock.Second
 	// maxAsking bounds the requests to owners that are under way.
@@ -42,6 +45,8 @@
 	Members []spool.NodeID
 	// Limits holds the accounts whose limits may have changed.
 	Limits map[spool.AccountID]limit.Config
+	// Resumed says that this entry held the same parts before it was restarted.
+	Resumed bool
 	// Others are the limits of accounts that no version has named.
 	Others limit.Config
 }
@@ -68,6 +73,10 @@
 	StreamCount int
 	// Timing holds the durations, which are the same at all entries.
 	Timing limit.Timing
+	// Lost, unless nil, is told of each owner that did not answer, Answered of each
+	// that did. They must not block.
+	Lost     func(owner spool.NodeID)
+	Answered func(owner spool.NodeID)
 }
 
 // Manager holds the limits of one entry. It is safe for concurrent use.
@@ -112,14 +121,19 @@
 		accounts: map[spool.AccountID]*account{}, waiting: map[string]*admission{}, left: map[spool.Stream]spool.Epoch{},
 	}
 	go func() {
-		ticker := time.NewTicker(tickEvery.Duration())
-		defer ticker.Stop()
+		timer := time.NewTimer(restTick.Duration())
+		defer timer.Stop()
 		for {
+			held := len(m.waiting) > 0
 			select {
-			case <-ticker.C:
+			case <-timer.C:
 				m.tick(m.clock.Now())
+				timer.Reset(m.untilTick().Duration())
 			case received := <-m.inbox:
 				received.apply(m, m.clock.Now())
+				if !held && len(m.waiting) > 0 {
+					timer.Reset(tickEvery.Duration())
+				}
 			case <-ctx.Done():
 				return
 			}
@@ -128,6 +142,13 @@
 	return m
 }
 
+func (m *Manager) untilTick() clock.Millis {
+	if len(m.waiting) > 0 {
+		return tickEvery
+	}
+	return restTick
+}
+
 // Observe takes the next version in. It never blocks on the loop.
 func (m *Manager) Observe(version Version) {
 	m.versionsMu.Lock()
@@ -232,6 +253,12 @@
 		return m.lease(ctx, message)
 	}
 	err = m.clients.Call(ctx, address, wire.MethodLease, message, &reply, nil)
+	if heard := m.config.Answered; err == nil && heard != nil {
+		heard(owner)
+	}
+	if lost := m.config.Lost; err != nil && lost != nil {
+		lost(owner)
+	}
 	return reply, err
 }
 
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -50,6 +50,24 @@
 
 func (c systemClock) Now() Millis { return c.base + FromDuration(time.Since(c.start)) }
 
+// Boot returns a clock that also counts the time for which the machine was
+// suspended, which System leaves out. Leases that others rely on the end of need
+// it. Where the kernel does not offer such a clock it is System.
+func Boot() Clock {
+	if _, err := bootTime(); err != nil {
+		return System()
+	}
+	return bootClock{}
+}
+
+type bootClock struct{}
+
+func (bootClock) Now() Millis {
+	// Boot has seen that the call succeeds.
+	now, _ := bootTime()
+	return now
+}
+
 // Manual is a clock that moves only when told to. Tests and the bench use it.
 // It is safe for concurrent use.
 type Manual struct {
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -81,6 +81,11 @@
 	// View is the time for which an entry may use its static part after it has
 	// heard from the control stream.
 	View clock.Millis
+	// Grow is the time from a change to the growth of a part that it enlarges; 0 for
+	// View + Lease. A shorter time is for views that drop a member only when it has
+	// lost the right to use its part: what may then be admitted beyond the limits is
+	// what a member that has not heard of a new one still holds of that one's part.
+	Grow clock.Millis
 	// MaxGap is the longest time between two inputs that counts as elapsed for
 	// refills and waits. A longer one may be a step of the clock.
 	MaxGap clock.Millis
@@ -99,6 +104,14 @@
 	}
 }
 
+// grow returns the time from a change to the growth that it allows.
+func (t Timing) grow() clock.Millis {
+	if t.Grow > 0 {
+		return t.Grow
+	}
+	return t.View + t.Lease
+}
+
 // leaseOfBurst is the largest part of the pool's burst that is set aside for
 // admissions on leases granted before an interval.
 const leaseOfBurst = 0.25
--- a/pkg/limit/owner.go
+++ b/pkg/limit/owner.go
@@ -88,7 +88,7 @@
 	o.advance(now)
 	o.target = PoolOf(config, o.timing)
 	o.reshape(smallerPool(o.shape, o.target))
-	o.growAt = o.time.least + o.timing.View + o.timing.Lease
+	o.growAt = o.time.least + o.timing.grow()
 }
 
 // Take starts the ownership of epoch after the claim has become visible. It
--- a/pkg/limit/share.go
+++ b/pkg/limit/share.go
@@ -174,7 +174,16 @@
 func (s *Share) retarget() {
 	s.target = PartOf(s.account, s.node, s.view, s.config)
 	s.reshape(Part{Rate: min(s.part.Rate, s.target.Rate), Burst: min(s.part.Burst, s.target.Burst)})
-	s.growAt = s.time.least + s.timing.View + s.timing.Lease
+	s.growAt = s.time.least + s.timing.grow()
+}
+
+// Resume puts the part in force that the view gives, with an empty bucket. It is
+// for a node that held the same part before its process was restarted: the earlier
+// process is gone, and what it may have admitted is made up for by the empty bucket.
+func (s *Share) Resume(now clock.Millis) {
+	s.advance(now)
+	s.reshape(s.target)
+	s.static.level = 0
 }
 
 func (s *Share) reshape(part Part) {
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -158,7 +158,9 @@
 	ReadyListen   string
 	ControlListen string
 	// Seeds are control addresses of gateways that may be stale.
-	Seeds        []string
+	Seeds []string
+	// FirstStart says that no process of the deployment has run before.
+	FirstStart   bool
 	StoreAddress string
 	// Partitions is the number of partitions of a topic.
 	Partitions     int
