--- a/internal/gateway/appender.go
+++ b/internal/gateway/appender.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -11,9 +14,13 @@
 const (
 	// appendTimeout bounds one append; a slow store takes some hundred
 	// milliseconds.
-	appendTimeout = 600 * clock.Millis(1)
+	appendTimeout = 450 * clock.Millis(1)
 	// appendRetry is the time between two tries of an append.
 	appendRetry = 40 * clock.Millis(1)
+	// lazyDelay is the longest time for which a record waits for others to go with.
+	lazyDelay = 350 * clock.Millis(1)
+	// drainInterval is the time between two looks at what is left to write.
+	drainInterval = 5 * clock.Millis(1)
 	// lengthPrefix is what the store adds to each record, in bytes.
 	lengthPrefix = 4
 )
@@ -25,10 +32,16 @@
 	store     spool.Store
 	partition spool.Partition
 	maxBytes  int
+	clock     clock.Clock
 
 	mu      sync.Mutex
 	waiting []*pendingRecord
 	running bool
+	// lazy are records that wait for others to go with.
+	lazy      []*pendingRecord
+	lazyTimer bool
+	// failingSince is the first failed append since the last good one; 0 for none.
+	failingSince clock.Millis
 }
 
 type pendingRecord struct {
@@ -40,8 +53,32 @@
 	done   chan struct{}
 }
 
-func newAppender(ctx context.Context, store spool.Store, partition spool.Partition, maxBytes int) *appender {
-	return &appender{ctx: ctx, store: store, partition: partition, maxBytes: maxBytes}
+func newAppender(ctx context.Context, store spool.Store, partition spool.Partition, maxBytes int, system clock.Clock) *appender {
+	return &appender{ctx: ctx, store: store, partition: partition, maxBytes: maxBytes, clock: system}
+}
+
+// errPartitionAway means that a partition has not taken a record for a while.
+var errPartitionAway = errors.New("partition does not answer")
+
+// away reports whether the partition has not taken a record for a while and is
+// still being tried.
+func (a *appender) away() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.running && a.failingSince != 0 && a.clock.Now()-a.failingSince >= awayAfter
+}
+
+// drain waits until nothing is left to write or ctx ends.
+func (a *appender) drain(ctx context.Context) {
+	a.flushLazy()
+	for a.busy() && clock.Pause(ctx, drainInterval) {
+	}
+}
+
+func (a *appender) busy() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.running
 }
 
 // append writes record and returns its offset. It tries until ctx ends; the record
@@ -57,15 +94,28 @@
 	}
 }
 
-// add writes record some time; the caller does not wait.
+// add writes record with the next one that is waited for, or after lazyDelay.
 func (a *appender) add(ctx context.Context, record []byte) {
-	a.enqueue(&pendingRecord{ctx: ctx, record: record, done: make(chan struct{})})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lazy = append(a.lazy, &pendingRecord{ctx: ctx, record: record, done: make(chan struct{})})
+	if !a.lazyTimer {
+		a.lazyTimer = true
+		time.AfterFunc(lazyDelay.Duration(), a.flushLazy)
+	}
 }
 
-func (a *appender) enqueue(pending *pendingRecord) {
+func (a *appender) flushLazy() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.waiting = append(a.waiting, pending)
+	a.lazyTimer = false
+	if len(a.lazy) > 0 {
+		a.start()
+	}
+}
+
+// start makes the records that wait be written. It is called with the lock held.
+func (a *appender) start() {
 	if a.running {
 		return
 	}
@@ -73,6 +123,13 @@
 	go a.run()
 }
 
+func (a *appender) enqueue(pending *pendingRecord) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiting = append(a.waiting, pending)
+	a.start()
+}
+
 func (a *appender) run() {
 	for {
 		batch := a.take()
@@ -90,6 +147,8 @@
 func (a *appender) take() (batch []*pendingRecord) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.waiting = append(a.waiting, a.lazy...)
+	a.lazy = nil
 	size := 0
 	kept := a.waiting[:0]
 	for _, pending := range a.waiting {
@@ -124,6 +183,7 @@
 	ctx, cancel := context.WithTimeout(a.ctx, appendTimeout.Duration())
 	defer cancel()
 	offset, err := a.store.Append(ctx, a.partition, records)
+	a.note(err)
 	if err != nil {
 		return false
 	}
@@ -133,6 +193,17 @@
 	return true
 }
 
+func (a *appender) note(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case err == nil:
+		a.failingSince = 0
+	case a.failingSince == 0:
+		a.failingSince = a.clock.Now()
+	}
+}
+
 func (p *pendingRecord) finish(offset int64, err error) {
 	p.offset, p.err = offset, err
 	close(p.done)
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -2,35 +2,91 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"sync"
-	"time"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spend"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// errBudgetSpent means that the program's budget does not hold another turn.
-var errBudgetSpent = errors.New("budget of the program is spent")
+// Errors of budgets.
+var (
+	// errBudgetSpent means that the budget does not hold another turn.
+	errBudgetSpent = errors.New("budget of the program is spent")
+	// errBudgetUnknown means that the store did not say what is left of the budget.
+	errBudgetUnknown = errors.New("budget of the program is not known")
+)
 
 const (
-	// settleDelay is the time in which corrections wait for others.
-	settleDelay = 150 * clock.Millis(1)
-	// settleTimeout bounds the tries of a correction. A lost one leaves the turn
-	// counted with its most.
-	settleTimeout = 20 * clock.Second
+	// turnsPerGrant is the number of turns that a grant is asked for. With more, a
+	// gateway asks the store less often; with fewer, it keeps less from others.
+	turnsPerGrant = 3
+	// holdIdle is the time without a turn after which a gateway returns its grants.
+	// A program that was refused elsewhere is judged by what is known a second later.
+	holdIdle = 600 * clock.Millis(1)
+	// releaseInterval is the time between two looks for idle grants.
+	releaseInterval = 250 * clock.Millis(1)
+	// endTimeout bounds the tries to write the end of a grant. A lost end leaves the
+	// grant counted whole.
+	endTimeout = 20 * clock.Second
+	// knownTimeout bounds the look for records of a program.
+	knownTimeout = 150 * clock.Millis(1)
+	// maxBudgetPartitions keeps the partitions few, so that the records of a gateway
+	// share appends. One partition takes some hundred appends in a second.
+	maxBudgetPartitions = 2
+	// grantSeparator follows the lifetime in the identifier of a grant.
+	grantSeparator = "."
+	// methodSettle asks a gateway to give back what it holds of a program.
+	methodSettle = "gateway.settle"
 )
 
-// budgetStore reserves and settles the tokens of turns. The ledger of a program is
-// the partition of its identifier.
+type settleRequest struct {
+	Program spool.ProgramID `json:"program"`
+}
+
+// handlers answers other gateways.
+func (s *budgetStore) handlers() wire.Mux {
+	return wire.Mux{
+		methodSettle: wire.Handle(func(ctx context.Context, request settleRequest, _ wire.Send) (any, error) {
+			return struct{}{}, s.settle(ctx, request.Program)
+		}),
+	}
+}
+
+// budgetStore takes grants for the programs whose turns this gateway runs. The
+// ledger of a program is the partition of its identifier.
 type budgetStore struct {
-	ctx     context.Context
-	store   spool.Store
-	clock   clock.Clock
-	ledgers []*budgetLedger
+	ctx      context.Context
+	store    spool.Store
+	health   *storeHealth
+	clock    clock.Clock
+	lifetime string
+	ledgers  []*budgetLedger
+	// askSettle asks the gateway of a lifetime to settle a program.
+	askSettle func(ctx context.Context, lifetime string, id spool.ProgramID) error
+	// sequence numbers the grants of this process.
+	sequence atomic.Uint64
+
+	mu sync.Mutex
+	// programs are those that this gateway holds grants of or asks for.
+	programs map[spool.ProgramID]*heldProgram
+}
+
+type heldProgram struct {
+	// asking is locked while a grant is asked for, so that turns side by side ask
+	// once.
+	asking sync.Mutex
+	// mu guards hold and closed.
+	mu     sync.Mutex
+	hold   spend.Hold
+	closed bool
 }
 
 type budgetLedger struct {
@@ -39,20 +95,22 @@
 	appender  *appender
 	// reading serialises the reads of the partition.
 	reading sync.Mutex
-	mu      sync.Mutex
-	// unsettled are corrections that wait for the timer.
-	unsettled []spend.Entry
 }
 
-func newBudgetStore(ctx context.Context, store spool.Store, system clock.Clock, settings spool.GatewaySettings) *budgetStore {
-	s := &budgetStore{ctx: ctx, store: store, clock: system}
-	for i := range settings.Partitions {
+func newBudgetStore(ctx context.Context, store spool.Store, health *storeHealth, system clock.Clock, settings spool.GatewaySettings, lifetime string) *budgetStore {
+	s := &budgetStore{ctx: ctx, store: store, health: health, clock: system, lifetime: lifetime, programs: map[spool.ProgramID]*heldProgram{}}
+	for i := range min(settings.Partitions, maxBudgetPartitions) {
 		partition := spool.Partition{Topic: spool.TopicBudgets, Index: i}
 		s.ledgers = append(s.ledgers, &budgetLedger{
 			Ledger: spend.NewLedger(), partition: partition,
-			appender: newAppender(ctx, store, partition, settings.MaxAppendBytes),
+			appender: newAppender(ctx, store, partition, settings.MaxAppendBytes, system),
 		})
 	}
+	go func() {
+		for clock.Pause(ctx, releaseInterval) {
+			s.release(holdIdle)
+		}
+	}()
 	return s
 }
 
@@ -60,36 +118,164 @@
 	return s.ledgers[xxhash.Sum64String(string(program))%uint64(len(s.ledgers))]
 }
 
-// reserve counts a turn with most tokens, durably, and returns errBudgetSpent when
-// the budget does not hold them beside what other turns are counted with.
-func (s *budgetStore) reserve(ctx context.Context, program spool.ProgramID, turn string, most, budget int64) (err error) {
-	defer func() { err = errors.Wrap(err, "reserve tokens") }()
-	ledger := s.ledger(program)
-	ledger.Await(turn)
-	defer ledger.Forget(turn)
-	entry := spend.Entry{Program: program, Turn: turn, Tokens: most}
-	offset, err := ledger.appender.append(ctx, entry.Encode())
-	if err != nil {
-		s.settle(program, turn, 0)
-		return err
+// turnBudget is the part of a program's budget that one turn may use.
+type turnBudget struct {
+	store   *budgetStore
+	program *heldProgram
+	most    int64
+}
+
+// begin sets the most of a turn aside, durably. It fails with errBudgetSpent or
+// errBudgetUnknown.
+func (s *budgetStore) begin(ctx context.Context, id spool.ProgramID, most, budget int64) (turn *turnBudget, err error) {
+	defer func() { err = errors.Wrapf(err, "budget of program %q", id) }()
+	for {
+		program := s.program(id)
+		if program.begin(s.clock.Now(), most) {
+			return &turnBudget{store: s, program: program, most: most}, nil
+		}
+		if err := s.extend(ctx, id, program, most, budget); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (s *budgetStore) program(id spool.ProgramID) *heldProgram {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	program := s.programs[id]
+	if program == nil {
+		program = &heldProgram{}
+		s.programs[id] = program
+	}
+	return program
+}
+
+func (p *heldProgram) begin(now clock.Millis, most int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.closed && p.hold.Begin(now, most)
+}
+
+func (p *heldProgram) missing(most int64) (tokens int64, closed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hold.Missing(most), p.closed
+}
+
+// end counts what a turn has generated.
+func (t *turnBudget) end(used int64) {
+	t.program.mu.Lock()
+	defer t.program.mu.Unlock()
+	t.program.hold.End(t.store.clock.Now(), t.most, used)
+}
+
+// extend asks the ledger for another grant, unless one has come meanwhile.
+func (s *budgetStore) extend(ctx context.Context, id spool.ProgramID, program *heldProgram, most, budget int64) error {
+	program.asking.Lock()
+	defer program.asking.Unlock()
+	need, closed := program.missing(most)
+	if need == 0 || closed {
+		return nil
+	}
+	if s.spent(id, need, budget) {
+		return errBudgetSpent
+	}
+	if s.health.isAway() || s.ledger(id).appender.away() {
+		return errors.Wrap(errBudgetUnknown, errPartitionAway.Error())
+	}
+	record := spend.Record{
+		Program: id, Grant: s.newGrant(),
+		Need: need, Want: max(need, turnsPerGrant*most), Budget: budget,
+	}
+	granted, err := s.ask(ctx, record)
+	if err == nil && granted < need && s.collect(ctx, id) {
+		record.Grant = s.newGrant()
+		granted, err = s.ask(ctx, record)
 	}
-	before, err := s.before(ctx, ledger, turn, offset)
 	if err != nil {
-		s.settle(program, turn, 0)
-		return err
+		// The record may still take effect; its end makes that harmless.
+		s.write(spend.Record{Program: id, Grant: record.Grant, End: true})
+		return errors.Wrap(errBudgetUnknown, err.Error())
 	}
-	if before+most > budget {
-		s.settle(program, turn, 0)
+	if granted < need {
 		return errBudgetSpent
 	}
+	program.mu.Lock()
+	defer program.mu.Unlock()
+	if program.closed {
+		s.write(spend.Record{Program: id, Grant: record.Grant, End: true})
+		return nil
+	}
+	program.hold.Add(record.Grant, granted)
 	return nil
 }
 
-// before reads the ledger up to the reservation at offset.
-func (s *budgetStore) before(ctx context.Context, ledger *budgetLedger, turn string, offset int64) (int64, error) {
+// newGrant returns an identifier that begins with this process's lifetime.
+func (s *budgetStore) newGrant() string {
+	return s.lifetime + grantSeparator + strconv.FormatUint(s.sequence.Add(1), 36)
+}
+
+// collect asks the gateways that hold grants of a program to give back what they do
+// not use. It reports whether one did.
+func (s *budgetStore) collect(ctx context.Context, id spool.ProgramID) bool {
+	holders := map[string]bool{}
+	for _, grant := range s.ledger(id).Open(id) {
+		lifetime, _, _ := strings.Cut(grant, grantSeparator)
+		if lifetime != s.lifetime {
+			holders[lifetime] = true
+		}
+	}
+	results := make(chan error, len(holders))
+	for lifetime := range holders {
+		go func() { results <- s.askSettle(ctx, lifetime, id) }()
+	}
+	settled := false
+	for range holders {
+		if err := <-results; err == nil {
+			settled = true
+		}
+	}
+	return settled
+}
+
+// spent reports whether the ledger says that the budget does not hold need tokens
+// and that no gateway has any to give back. The total of a program without open
+// grants does not decrease.
+func (s *budgetStore) spent(id spool.ProgramID, need, budget int64) bool {
+	ledger := s.ledger(id)
+	return ledger.Total(id)+need > budget && len(ledger.Open(id)) == 0
+}
+
+// known reports whether a turn of the program has run before, here or elsewhere.
+func (s *budgetStore) known(ctx context.Context, id spool.ProgramID) bool {
+	s.mu.Lock()
+	held := s.programs[id] != nil
+	s.mu.Unlock()
+	ledger := s.ledger(id)
+	if held || ledger.Known(id) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, knownTimeout.Duration())
+	defer cancel()
+	// A read from the next offset on shows whether there is more; an unreachable
+	// store leaves the question open and the program counts as new.
+	_ = s.catchUp(ctx, ledger, ledger.Next()+1)
+	return ledger.Known(id)
+}
+
+// ask appends the request of a grant and reads the ledger up to it.
+func (s *budgetStore) ask(ctx context.Context, record spend.Record) (granted int64, err error) {
+	ledger := s.ledger(record.Program)
+	ledger.Await(record.Grant)
+	defer ledger.Forget(record.Grant)
+	offset, err := ledger.appender.append(ctx, record.Encode())
+	if err != nil {
+		return 0, err
+	}
 	for {
-		if tokens, ok := ledger.Before(turn); ok {
-			return tokens, nil
+		if granted, ok := ledger.Granted(record.Grant); ok {
+			return granted, nil
 		}
 		if err := s.catchUp(ctx, ledger, offset+1); err != nil {
 			return 0, err
@@ -102,58 +288,92 @@
 	ledger.reading.Lock()
 	defer ledger.reading.Unlock()
 	for ledger.Next() < until {
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 		page, err := s.store.Read(callCtx, ledger.partition, ledger.Next(), 0)
 		cancel()
 		switch {
 		case errors.Is(err, spool.ErrTrimmed) && page.First > ledger.Next():
 			ledger.Skip(page.First)
-		case err != nil && ctx.Err() != nil:
-			return err
 		case err != nil:
 			clock.Pause(ctx, appendRetry)
 		default:
 			ledger.Apply(s.clock.Now(), page.From, page.Records)
+			if len(page.Records) == 0 {
+				return nil
+			}
 		}
 	}
 	return nil
 }
 
-// settle corrects the reservation of a turn that has ended.
-func (s *budgetStore) settle(program spool.ProgramID, turn string, tokens int64) {
-	ledger := s.ledger(program)
-	ledger.mu.Lock()
-	defer ledger.mu.Unlock()
-	ledger.unsettled = append(ledger.unsettled, spend.Entry{Program: program, Turn: turn, Tokens: tokens, Final: true})
-	if len(ledger.unsettled) == 1 {
-		time.AfterFunc(settleDelay.Duration(), func() { s.writeUnsettled(ledger) })
+// write appends a record some time.
+func (s *budgetStore) write(record spend.Record) {
+	ctx, cancel := context.WithTimeout(s.ctx, endTimeout.Duration())
+	context.AfterFunc(ctx, cancel)
+	s.ledger(record.Program).appender.add(ctx, record.Encode())
+}
+
+// release returns the grants of programs that have run no turn for a time.
+func (s *budgetStore) release(idle clock.Millis) {
+	now := s.clock.Now()
+	var ends []spend.Record
+	s.mu.Lock()
+	for id, program := range s.programs {
+		if records, closed := program.close(now, idle, spend.Record{Program: id}); closed {
+			ends = append(ends, records...)
+			delete(s.programs, id)
+		}
+	}
+	s.mu.Unlock()
+	for _, end := range ends {
+		s.write(end)
+	}
+}
+
+// close ends the hold when no turn has run for a time and no grant is asked for.
+func (p *heldProgram) close(now, idle clock.Millis, record spend.Record) (ends []spend.Record, closed bool) {
+	if !p.asking.TryLock() {
+		return nil, false
+	}
+	defer p.asking.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.hold.Idle(now, idle) {
+		return nil, false
 	}
+	p.closed = true
+	return p.hold.Settle(record), true
 }
 
-func (s *budgetStore) writeUnsettled(ledger *budgetLedger) {
-	ledger.mu.Lock()
-	entries := ledger.unsettled
-	ledger.unsettled = nil
-	ledger.mu.Unlock()
-	ctx, cancel := context.WithTimeout(s.ctx, settleTimeout.Duration())
-	time.AfterFunc(settleTimeout.Duration(), cancel)
-	for _, entry := range entries {
-		ledger.appender.add(ctx, entry.Encode())
+// settle gives back what this gateway holds of a program beyond its running turns,
+// for another gateway that needs it, and returns when that is durable.
+func (s *budgetStore) settle(ctx context.Context, id spool.ProgramID) error {
+	s.mu.Lock()
+	program := s.programs[id]
+	s.mu.Unlock()
+	if program == nil {
+		return nil
+	}
+	program.mu.Lock()
+	ends := program.hold.Settle(spend.Record{Program: id})
+	program.mu.Unlock()
+	appender := s.ledger(id).appender
+	for _, end := range ends {
+		if _, err := appender.append(ctx, end.Encode()); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
-// flush writes all corrections that wait.
+// flush returns all grants and waits until that is durable or ctx ends.
 func (s *budgetStore) flush(ctx context.Context) {
+	s.release(0)
 	for _, ledger := range s.ledgers {
-		ledger.mu.Lock()
-		entries := ledger.unsettled
-		ledger.unsettled = nil
-		ledger.mu.Unlock()
-		for _, entry := range entries {
-			if _, err := ledger.appender.append(ctx, entry.Encode()); err != nil {
-				return
-			}
-		}
+		ledger.appender.drain(ctx)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,7 @@
 	budgets *budgetStore
 	limits  *limiter
 	health  *storeHealth
+	store   *pathStore
 	clients *wire.Clients
 	peers   *wire.Server
 
@@ -79,15 +81,17 @@
 		table: endpoints.NewTable(settings.FailureDomain), cancel: cancel,
 		health: newStoreHealth(system, t.Logger("store")),
 	}
-	watched := &watchedStore{Store: store, health: g.health}
-	boot, lifetime := clock.Boot(), uuid.NewString()
+	watched := newPathStore(store, g.health, system, g.callPeer, t)
+	boot, lifetime := clock.Boot(), newLifetime()
+	g.budgets = newBudgetStore(ctx, watched, g.health, system, settings, lifetime)
 	owner := newPoolOwner(settings, lifetime, watched, boot, t.Logger("limits"))
 	members := newMemberBook(settings.Node, boot, owner, t.Logger("members"))
 	g.clients = wire.NewClients(settings.Node, wire.WithSilentAfter(silentPeer, pingPeer))
+	g.budgets.askSettle = g.askSettle
 	g.state = newSharedState(g, watched, lifetime, members, boot)
 	g.limits = newLimiter(settings, owner, boot, func() clock.Millis { return g.state.freshFor(boot.Now()) }, g.clients, t)
+	g.store = watched
 	g.turns = newTurnStore(ctx, watched, system, settings)
-	g.budgets = newBudgetStore(ctx, watched, system, settings)
 	if err = g.listenPeers(); err != nil {
 		cancel()
 		return nil, err
@@ -112,6 +116,9 @@
 	return g, nil
 }
 
+// newLifetime returns a name for this process that no other one has.
+func newLifetime() string { return strings.ReplaceAll(uuid.NewString(), "-", "")[:16] }
+
 // listenPeers answers the other gateways, where the settings name an address.
 func (g *Gateway) listenPeers() (err error) {
 	if g.settings.ControlListen == "" {
@@ -120,10 +127,32 @@
 	handlers := wire.Mux{}
 	maps.Copy(handlers, g.limits.manager.Handlers())
 	maps.Copy(handlers, g.state.relayHandlers())
+	maps.Copy(handlers, g.store.handlers())
+	maps.Copy(handlers, g.budgets.handlers())
 	g.peers, err = wire.Listen(g.settings.ControlListen, handlers, nil)
 	return err
 }
 
+// askSettle asks the gateway of a lifetime to give back what it holds of a program.
+func (g *Gateway) askSettle(ctx context.Context, lifetime string, id spool.ProgramID) error {
+	address, ok := g.state.members.addressOf(lifetime)
+	if !ok {
+		return errNoPeer
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout.Duration())
+	defer cancel()
+	return g.clients.Call(ctx, address, methodSettle, settleRequest{Program: id}, &struct{}{}, nil)
+}
+
+// callPeer calls another gateway, chosen at random.
+func (g *Gateway) callPeer(ctx context.Context, method string, request, reply any) error {
+	address, ok := g.state.peer()
+	if !ok {
+		return errNoPeer
+	}
+	return g.clients.Call(ctx, address, method, request, reply, nil)
+}
+
 // Address returns the address that requests are taken at.
 func (g *Gateway) Address() string { return g.server.Address() }
 
@@ -142,7 +171,17 @@
 		g.turns.index.Expire(now)
 		g.budgets.expire(now)
 		g.client.Sweep()
+		g.log.Info("totals", zap.Any("counters", totals(g.telemetry)))
+	}
+}
+
+// totals returns the counters by kind and label.
+func totals(t *telemetry.Telemetry) map[string]int64 {
+	counters := map[string]int64{}
+	for series, count := range t.Totals() {
+		counters[series.Kind+"."+series.Label] = count
 	}
+	return counters
 }
 
 // Shutdown stops being ready at once, goes on serving until the balancer has noticed,
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -17,6 +17,10 @@
 // defaultTimeout bounds a request whose caller and route name no time.
 const defaultTimeout = 30 * clock.Second
 
+// budgetWait bounds the wait for the program's budget. A store that is slow answers
+// within it; a request that waits longer does better to come back.
+const budgetWait = 900 * clock.Millis(1)
+
 // request is one request on its way through the gateway. It is used by one
 // goroutine.
 type request struct {
@@ -52,7 +56,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (r.deadline - g.clock.Now()).Duration())
 	defer cancel()
-	if err := g.limits.admit(ctx, r.account, r.class()); err != nil {
+	if err := g.limits.admit(ctx, r.account, r.class(), func() bool { return r.startsProgram(ctx) }); err != nil {
 		over := refuse(reasonOverLimit)
 		over.after = retryAfter(err)
 		r.reject(over)
@@ -63,6 +67,14 @@
 	}
 }
 
+// startsProgram reports whether no turn of the program has run.
+func (r *request) startsProgram(ctx context.Context) bool {
+	if r.route.Kind != catalog.Stream || r.call.Program == "" || r.call.Previous != "" {
+		return false
+	}
+	return !r.gateway.budgets.known(ctx, r.call.Program)
+}
+
 // class orders the requests of an account that wait for a token: a program that
 // has begun goes before one that has not.
 func (r *request) class() limit.Class {
@@ -129,12 +141,12 @@
 	if r.call.TokenBudget <= 0 || r.call.Program == "" {
 		return r.forward(ctx)
 	}
-	if reason := r.reserve(ctx); reason != "" {
+	budget, reason := r.beginBudget(ctx)
+	if reason != "" {
 		return reason
 	}
 	reason = r.forward(ctx)
-	spent := int64(r.events) * int64(max(1, r.service.EventTokens))
-	r.gateway.budgets.settle(r.call.Program, r.call.Attempt, spent)
+	budget.end(int64(r.events) * int64(max(1, r.service.EventTokens)))
 	return reason
 }
 
@@ -161,19 +173,18 @@
 	return ""
 }
 
-func (r *request) reserve(ctx context.Context) spool.Code {
-	if r.gateway.health.isAway() {
-		return reasonStoreAway
-	}
+func (r *request) beginBudget(ctx context.Context) (*turnBudget, spool.Code) {
 	most := max(1, r.call.MaxOutputTokens)
-	err := r.gateway.budgets.reserve(ctx, r.call.Program, r.call.Attempt, most, r.call.TokenBudget)
+	ctx, cancel := context.WithTimeout(ctx, budgetWait.Duration())
+	defer cancel()
+	budget, err := r.gateway.budgets.begin(ctx, r.call.Program, most, r.call.TokenBudget)
 	switch {
 	case errors.Is(err, errBudgetSpent):
-		return reasonBudgetSpent
+		return nil, reasonBudgetSpent
 	case err != nil:
-		return reasonBudgetUnknown
+		return nil, reasonBudgetUnknown
 	}
-	return ""
+	return budget, ""
 }
 
 func (r *request) routeName() string {
@@ -187,7 +198,7 @@
 func (r *request) reject(refusal refusal) {
 	r.gateway.telemetry.Refused(refusal.reason)
 	r.gateway.log.Info("request refused", zap.String("request", r.call.Attempt), zap.String("program", string(r.call.Program)),
-		zap.String("account", string(r.account)), zap.Bool("first", r.call.Previous == ""), zap.String("route", r.routeName()),
+		zap.String("account", string(r.account)), zap.Bool("first", r.call.Previous == ""), zap.Int64("mostTokens", r.call.MaxOutputTokens), zap.Int64("tokenBudget", r.call.TokenBudget), zap.String("route", r.routeName()),
 		zap.String("reason", string(refusal.reason)), zap.Int("status", refusal.status), zap.Int64("retryAfterMs", int64(refusal.after)))
 	if r.exchange.Started() {
 		r.exchange.Abort()
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -56,31 +55,3 @@
 	defer h.mu.Unlock()
 	return h.away
 }
-
-// watchedStore notes the outcome of every call.
-type watchedStore struct {
-	spool.Store
-	health *storeHealth
-}
-
-// Append implements spool.Store.
-func (s *watchedStore) Append(ctx context.Context, partition spool.Partition, records [][]byte) (int64, error) {
-	offset, err := s.Store.Append(ctx, partition, records)
-	s.note(ctx, err)
-	return offset, err
-}
-
-// Read implements spool.Store.
-func (s *watchedStore) Read(ctx context.Context, partition spool.Partition, from int64, wait clock.Millis) (spool.LogPage, error) {
-	page, err := s.Store.Read(ctx, partition, from, wait)
-	s.note(ctx, err)
-	return page, err
-}
-
-// note leaves calls out that the gateway took back itself.
-func (s *watchedStore) note(ctx context.Context, err error) {
-	if err != nil && errors.Is(context.Cause(ctx), context.Canceled) {
-		return
-	}
-	s.health.note(err)
-}
--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -20,8 +20,12 @@
 
 const (
 	// staticShare is the part of each limit that is divided over the gateways; the
-	// rest is lent by the owner of the pools. It serves while the owner is away.
-	staticShare = 0.5
+	// rest is lent by the owner of the pools. It serves while the owner is away. The
+	// requests of an account arrive unevenly, so a large static part is left unused.
+	staticShare = 0.2
+	// toleranceUsed is the part of the tolerance in counting that makes up for what
+	// the leases keep out of the pool's burst.
+	toleranceUsed = 0.5
 	// viewFor is how long a gateway uses its static part without news from the store.
 	viewFor = 20 * clock.Second
 	// viewMember is how long a gateway without a new record keeps its static part in
@@ -47,9 +51,14 @@
 	manager *quota.Manager
 	owner   *poolOwner
 
+	clock clock.Clock
+	// tolerance is how requests over the limits are counted.
+	tolerance spool.LimitTolerance
+
 	mu sync.Mutex
 	// limited holds the accounts with a limit.
 	limited map[spool.AccountID]limit.Config
+	starts  startGate
 }
 
 func limitTiming() limit.Timing {
@@ -67,7 +76,7 @@
 	}
 	return &limiter{
 		manager: quota.New(config, boot, freshFor, owner, clients, t),
-		owner:   owner, limited: map[spool.AccountID]limit.Config{},
+		owner:   owner, clock: boot, tolerance: settings.LimitTolerance, limited: map[spool.AccountID]limit.Config{}, starts: newStartGate(),
 	}
 }
 
@@ -79,13 +88,14 @@
 		if account.Rate <= 0 {
 			continue
 		}
-		next[account.ID] = limit.Config{Rate: account.Rate, Burst: max(1, account.Burst), StaticShare: staticShare}
+		next[account.ID] = l.configOf(account)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, config := range next {
 		if l.limited[id] != config {
 			changed[id] = config
+			changed[startsOf(id)] = l.starts.config(config)
 		}
 	}
 	l.limited = next
@@ -94,20 +104,44 @@
 	}
 }
 
+// configOf returns the limit of an account. The burst is raised within the tolerance
+// in which requests are counted, by no more than what leases keep out of the pool.
+func (l *limiter) configOf(account catalog.Account) limit.Config {
+	seconds := float64(l.tolerance.Window) / float64(clock.Second)
+	tolerated := l.tolerance.Over*(account.Rate*seconds+account.Burst) + l.tolerance.Slack
+	burst := account.Burst + min(account.Burst/3, toleranceUsed*tolerated)
+	return limit.Config{Rate: account.Rate, Burst: max(1, burst), StaticShare: staticShare}
+}
+
 // view takes the gateways that divide the static parts in.
 func (l *limiter) view(members []spool.NodeID, resumed, skipped bool) {
 	l.manager.Observe(quota.Version{Members: members, Resumed: resumed, Skipped: skipped})
 }
 
-// admit takes one request of an account. It fails with a *spool.Refusal.
-func (l *limiter) admit(ctx context.Context, id spool.AccountID, class limit.Class) error {
+// admit takes one request of an account. isStart tells whether the request begins
+// a program; it is asked only while the account is short of tokens. admit fails with
+// a *spool.Refusal.
+func (l *limiter) admit(ctx context.Context, id spool.AccountID, class limit.Class, isStart func() bool) error {
+	now := l.clock.Now()
 	l.mu.Lock()
 	_, limited := l.limited[id]
+	short := limited && l.starts.short(now, id)
 	l.mu.Unlock()
 	if !limited {
 		return nil
 	}
-	return l.manager.Take(ctx, id, class)
+	if short && isStart() {
+		if err := l.manager.Take(ctx, startsOf(id), limit.ClassStart); err != nil {
+			return err
+		}
+	}
+	err := l.manager.Take(ctx, id, class)
+	if err != nil {
+		l.mu.Lock()
+		l.starts.refused(l.clock.Now(), id)
+		l.mu.Unlock()
+	}
+	return err
 }
 
 // close gives the pools up and ends the limiter.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -156,3 +156,15 @@
 	}
 	return addresses
 }
+
+// addressOf returns where the gateway of a lifetime answers.
+func (b *memberBook) addressOf(lifetime string) (address string, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, member := range b.members {
+		if member.record.Lifetime == lifetime {
+			return member.record.Address, member.record.Address != ""
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/gateway/pathstore.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/telemetry"
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// methodStore makes a call to the store on behalf of another gateway.
+	methodStore = "gateway.store"
+	// peerTimeout bounds a call to the store by way of another gateway.
+	peerTimeout = 500 * clock.Millis(1)
+	// directPause is the time for which the own way to the store is not tried first
+	// after it failed.
+	directPause = clock.Second
+)
+
+// errNoPeer means that no other gateway is known.
+var errNoPeer = errors.New("no other gateway is known")
+
+// pathStore reaches the store directly or, while the store does not answer this
+// gateway, by way of another one. The store may turn single machines away. All
+// records that go through it may be written twice.
+type pathStore struct {
+	direct spool.Store
+	health *storeHealth
+	clock  clock.Clock
+	// call asks another gateway.
+	call func(ctx context.Context, method string, request, reply any) error
+
+	telemetry *telemetry.Telemetry
+
+	mu sync.Mutex
+	// avoidUntil is the end of the time for which others are asked first.
+	avoidUntil clock.Millis
+}
+
+var _ spool.Store = (*pathStore)(nil)
+
+func newPathStore(direct spool.Store, health *storeHealth, system clock.Clock, call func(ctx context.Context, method string, request, reply any) error, t *telemetry.Telemetry) *pathStore {
+	return &pathStore{telemetry: t, direct: direct, health: health, clock: system, call: call}
+}
+
+// storeRequest is a call on behalf of another gateway: an append, an append to a
+// keyed topic, or a read.
+type storeRequest struct {
+	Topic     spool.Topic `json:"topic"`
+	Partition int         `json:"partition"`
+	Records   [][]byte    `json:"records,omitempty"`
+	Key       string      `json:"key,omitempty"`
+	Value     []byte      `json:"value,omitempty"`
+	// From is the first offset of a read.
+	From int64 `json:"from,omitempty"`
+}
+
+type storeReply struct {
+	// Offset is that of the first record appended.
+	Offset int64 `json:"offset"`
+	// Trimmed says that a read asked for records that are gone; First is the first
+	// one kept.
+	Trimmed bool     `json:"trimmed,omitempty"`
+	First   int64    `json:"first"`
+	End     int64    `json:"end"`
+	Records [][]byte `json:"records,omitempty"`
+}
+
+// Append implements spool.Store.
+func (s *pathStore) Append(ctx context.Context, partition spool.Partition, records [][]byte) (offset int64, err error) {
+	request := storeRequest{Topic: partition.Topic, Partition: partition.Index, Records: records}
+	err = s.try(ctx, func() (err error) {
+		s.telemetry.Event("storeAppend." + string(partition.Topic))
+		offset, err = s.direct.Append(ctx, partition, records)
+		return err
+	}, func() error {
+		reply, err := s.ask(ctx, request)
+		offset = reply.Offset
+		return err
+	})
+	return offset, err
+}
+
+// AppendKeyed implements spool.Store.
+func (s *pathStore) AppendKeyed(ctx context.Context, topic spool.Topic, key string, value []byte) error {
+	return s.try(ctx, func() error {
+		s.telemetry.Event("storeAppend." + string(topic))
+		return s.direct.AppendKeyed(ctx, topic, key, value)
+	}, func() error {
+		_, err := s.ask(ctx, storeRequest{Topic: topic, Key: key, Value: value})
+		return err
+	})
+}
+
+// Read implements spool.Store. A read that waits always goes directly.
+func (s *pathStore) Read(ctx context.Context, partition spool.Partition, from int64, wait clock.Millis) (page spool.LogPage, err error) {
+	if wait > 0 {
+		s.telemetry.Event("storeRead." + string(partition.Topic))
+		page, err = s.direct.Read(ctx, partition, from, wait)
+		s.note(ctx, err)
+		return page, err
+	}
+	err = s.try(ctx, func() (err error) {
+		s.telemetry.Event("storeRead." + string(partition.Topic))
+		page, err = s.direct.Read(ctx, partition, from, 0)
+		return err
+	}, func() error {
+		reply, err := s.ask(ctx, storeRequest{Topic: partition.Topic, Partition: partition.Index, From: from})
+		page = spool.LogPage{From: from, First: reply.First, End: reply.End, Records: reply.Records}
+		if err == nil && reply.Trimmed {
+			err = spool.ErrTrimmed
+		}
+		return err
+	})
+	return page, err
+}
+
+// Newest implements spool.Store. It goes directly.
+func (s *pathStore) Newest(ctx context.Context, topic spool.Topic) (records []spool.KeyedRecord, end int64, err error) {
+	records, end, err = s.direct.Newest(ctx, topic)
+	s.note(ctx, err)
+	return records, end, err
+}
+
+// SplitKeyed implements spool.Store.
+func (s *pathStore) SplitKeyed(record []byte) (key string, value []byte, ok bool) {
+	return s.direct.SplitKeyed(record)
+}
+
+// try takes the direct way and then the other one; the other way round shortly
+// after the direct one failed.
+func (s *pathStore) try(ctx context.Context, direct, peer func() error) error {
+	first, second := direct, peer
+	avoid := s.avoidsDirect()
+	if avoid {
+		first, second = peer, direct
+	}
+	err := first()
+	if !avoid {
+		s.note(ctx, err)
+	}
+	if err == nil || errors.Is(err, spool.ErrTrimmed) || ctx.Err() != nil {
+		s.heard(err)
+		return err
+	}
+	err = second()
+	if avoid {
+		s.note(ctx, err)
+	}
+	s.heard(err)
+	return err
+}
+
+func (s *pathStore) avoidsDirect() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clock.Now() < s.avoidUntil
+}
+
+// note takes the outcome of a direct call in. It leaves calls out that the
+// gateway took back itself.
+func (s *pathStore) note(ctx context.Context, err error) {
+	if err != nil && errors.Is(context.Cause(ctx), context.Canceled) {
+		return
+	}
+	s.health.note(err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil || errors.Is(err, spool.ErrTrimmed) {
+		s.avoidUntil = 0
+		return
+	}
+	s.avoidUntil = s.clock.Now() + directPause
+}
+
+// heard notes that the store answered, whatever way the call took.
+func (s *pathStore) heard(err error) {
+	if err == nil || errors.Is(err, spool.ErrTrimmed) {
+		s.health.note(nil)
+	}
+}
+
+func (s *pathStore) ask(ctx context.Context, request storeRequest) (reply storeReply, err error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout.Duration())
+	defer cancel()
+	if err := s.call(ctx, methodStore, request, &reply); err != nil {
+		return reply, errors.Wrap(spool.ErrOutcomeUnknown, err.Error())
+	}
+	return reply, nil
+}
+
+// handlers answers other gateways, directly only.
+func (s *pathStore) handlers() wire.Mux {
+	return wire.Mux{
+		methodStore: wire.Handle(func(ctx context.Context, request storeRequest, _ wire.Send) (any, error) {
+			if s.avoidsDirect() {
+				return nil, spool.ErrLogUnavailable
+			}
+			ctx, cancel := context.WithTimeout(ctx, peerTimeout.Duration())
+			defer cancel()
+			reply, err := s.serve(ctx, request)
+			s.note(ctx, err)
+			return reply, err
+		}),
+	}
+}
+
+func (s *pathStore) serve(ctx context.Context, request storeRequest) (reply storeReply, err error) {
+	partition := spool.Partition{Topic: request.Topic, Index: request.Partition}
+	switch {
+	case request.Key != "":
+		return reply, s.direct.AppendKeyed(ctx, request.Topic, request.Key, request.Value)
+	case len(request.Records) > 0:
+		reply.Offset, err = s.direct.Append(ctx, partition, request.Records)
+		return reply, err
+	}
+	page, err := s.direct.Read(ctx, partition, request.From, 0)
+	if errors.Is(err, spool.ErrTrimmed) {
+		return storeReply{Trimmed: true, First: page.First}, nil
+	}
+	return storeReply{First: page.First, End: page.End, Records: page.Records}, err
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -30,7 +30,7 @@
 	// retryStartup is for a process that has just started.
 	retryStartup = 300 * clock.Millis(1)
 	// retryStore is for a store that is away; outages last seconds.
-	retryStore = 700 * clock.Millis(1)
+	retryStore = clock.Second
 	// retryEndpoint is for a service without a usable endpoint.
 	retryEndpoint = 250 * clock.Millis(1)
 	// retryFull is for a service whose endpoints are full; a slot is free within the
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -61,21 +61,23 @@
 	}
 }
 
-// relay asks one other gateway, chosen at random.
-func (s *sharedState) relay(ctx context.Context, topic spool.Topic, from int64) (reply relayReply, err error) {
+// peer returns the address of another gateway, chosen at random.
+func (s *sharedState) peer() (address string, ok bool) {
 	addresses := s.members.addresses()
 	if len(addresses) == 0 {
 		addresses = s.gateway.settings.Seeds
 	}
 	if len(addresses) == 0 {
-		return reply, errNotRead
-	}
-	address := addresses[rand.IntN(len(addresses))]
-	if address == s.gateway.settings.ControlListen {
-		return reply, errNotRead
+		return "", false
 	}
+	address = addresses[rand.IntN(len(addresses))]
+	return address, address != s.gateway.settings.ControlListen
+}
+
+// relay asks another gateway for what it has read of a topic.
+func (s *sharedState) relay(ctx context.Context, topic spool.Topic, from int64) (reply relayReply, err error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout.Duration())
 	defer cancel()
-	err = s.gateway.clients.Call(ctx, address, methodRelay, relayRequest{Topic: topic, From: from}, &reply, nil)
+	err = s.gateway.callPeer(ctx, methodRelay, relayRequest{Topic: topic, From: from}, &reply)
 	return reply, err
 }
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -48,7 +48,7 @@
 	s := &turnStore{store: store, clock: system, index: chain.NewIndex()}
 	for i := range settings.Partitions {
 		partition := spool.Partition{Topic: spool.TopicTurns, Index: i}
-		s.appenders = append(s.appenders, newAppender(ctx, store, partition, settings.MaxAppendBytes))
+		s.appenders = append(s.appenders, newAppender(ctx, store, partition, settings.MaxAppendBytes, system))
 		s.readers = append(s.readers, &turnReader{})
 	}
 	return s
--- a/pkg/spend/ledger.go
+++ b/pkg/spend/ledger.go
@@ -1,79 +1,26 @@
 // Package spend counts the tokens that the turns of a program generate, over all
-// gateways. The count is a fold of a log partition that every gateway of the
-// program reads in the same order: a turn reserves its most before it starts and
-// corrects the reservation when it has ended.
+// gateways. Gateways take grants from the program's budget before they hand out
+// tokens, and return what is left when the program goes elsewhere. What a grant
+// holds follows from a log partition that all of them read in the same order.
 package spend
 
 import (
-	"encoding/binary"
 	"sync"
 
-	"github.com/pkg/errors"
-
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// Entry is one record: the tokens that a turn is counted with from there on.
-type Entry struct {
-	Program spool.ProgramID
-	// Turn identifies the request; a later entry of the same turn replaces an
-	// earlier one.
-	Turn   string
-	Tokens int64
-	// Final entries correct a reservation. A reservation that takes effect after the
-	// correction changes nothing.
-	Final bool
-}
-
-// ErrBadRecord means that bytes are no encoded entry.
-var ErrBadRecord = errors.New("record is no entry of a budget")
-
-const (
-	recordReserve byte = 1
-	recordFinal   byte = 2
-)
-
-// Encode returns the entry as a record.
-func (e Entry) Encode() []byte {
-	data := make([]byte, 0, len(e.Program)+len(e.Turn)+16)
-	kind := recordReserve
-	if e.Final {
-		kind = recordFinal
-	}
-	data = append(data, kind)
-	data = binary.AppendUvarint(data, uint64(len(e.Program)))
-	data = append(data, e.Program...)
-	data = binary.AppendUvarint(data, uint64(e.Tokens))
-	return append(data, e.Turn...)
-}
-
-// Decode reads a record.
-func Decode(record []byte) (entry Entry, err error) {
-	if len(record) < 2 || record[0] != recordReserve && record[0] != recordFinal {
-		return entry, ErrBadRecord
-	}
-	entry.Final = record[0] == recordFinal
-	size, n := binary.Uvarint(record[1:])
-	rest := record[1+max(n, 0):]
-	if n <= 0 || size > uint64(len(rest)) {
-		return entry, ErrBadRecord
-	}
-	entry.Program, rest = spool.ProgramID(rest[:size]), rest[size:]
-	tokens, n := binary.Uvarint(rest)
-	if n <= 0 || tokens > 1<<62 {
-		return entry, ErrBadRecord
-	}
-	entry.Tokens, entry.Turn = int64(tokens), string(rest[n:])
-	return entry, nil
-}
-
-// programMemory is how long a program is remembered after its last entry. A
+// programMemory is how long a program is remembered after its last record. A
 // stopped program may return within the retention of its turns.
 const programMemory = 10 * clock.Minute
 
 type program struct {
-	turns map[string]Entry
+	// grants holds what each grant counts with; an ended one with what was used.
+	grants map[string]int64
+	// open are the grants that may hold more than is used.
+	open map[string]bool
+	// total is the sum of grants.
 	total int64
 	last  clock.Millis
 }
@@ -84,14 +31,14 @@
 	programs map[spool.ProgramID]*program
 	// next is the offset of the first record that has not been applied.
 	next int64
-	// before holds, for each turn that waits, the total before its reservation; -1
-	// until the reservation has been applied.
-	before map[string]int64
+	// awaited holds the outcome of the grants that are waited for; negative until
+	// it is known.
+	awaited map[string]int64
 }
 
 // NewLedger returns an empty ledger that starts at offset 0.
 func NewLedger() *Ledger {
-	return &Ledger{programs: map[spool.ProgramID]*program{}, before: map[string]int64{}}
+	return &Ledger{programs: map[spool.ProgramID]*program{}, awaited: map[string]int64{}}
 }
 
 // Next returns the offset of the first record that has not been applied.
@@ -116,63 +63,105 @@
 	if from > l.next {
 		return false
 	}
-	for i, record := range records {
+	for i, data := range records {
 		if from+int64(i) < l.next {
 			continue
 		}
 		l.next++
-		entry, err := Decode(record)
+		record, err := Decode(data)
 		if err != nil {
 			// A record of another writer belongs to no program.
 			continue
 		}
-		l.apply(now, entry)
+		l.apply(now, record)
 	}
 	return true
 }
 
-func (l *Ledger) apply(now clock.Millis, entry Entry) {
-	p := l.programs[entry.Program]
+func (l *Ledger) apply(now clock.Millis, record Record) {
+	p := l.programs[record.Program]
 	if p == nil {
-		p = &program{turns: map[string]Entry{}}
-		l.programs[entry.Program] = p
+		p = &program{grants: map[string]int64{}, open: map[string]bool{}}
+		l.programs[record.Program] = p
 	}
 	p.last = now
-	known, ok := p.turns[entry.Turn]
-	if ok && !entry.Final {
+	known, ok := p.grants[record.Grant]
+	if record.End {
+		delete(p.open, record.Grant)
+		p.grants[record.Grant] = record.Used
+		p.total += record.Used - known
+		return
+	}
+	// An append that was repeated, or one that takes effect after its end, changes
+	// nothing.
+	if ok {
 		return
 	}
-	if before, waits := l.before[entry.Turn]; waits && before < 0 {
-		l.before[entry.Turn] = p.total
+	granted := grantOf(record, record.Budget-p.total)
+	p.grants[record.Grant] = granted
+	if granted > 0 {
+		p.open[record.Grant] = true
 	}
-	p.total += entry.Tokens - known.Tokens
-	p.turns[entry.Turn] = entry
+	p.total += granted
+	if _, awaited := l.awaited[record.Grant]; awaited {
+		l.awaited[record.Grant] = granted
+	}
+}
+
+// grantOf returns what a request gets of the tokens that are left. It leaves half
+// of what it does not need, so that turns at other gateways find something.
+func grantOf(record Record, left int64) int64 {
+	if left < record.Need {
+		return 0
+	}
+	return max(record.Need, min(record.Want, left/2))
 }
 
-// Await asks for the total before the reservation of a turn; it is called before
-// the reservation is appended.
-func (l *Ledger) Await(turn string) {
+// Open returns the grants of a program that may hold more than is used.
+func (l *Ledger) Open(id spool.ProgramID) (grants []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.before[turn] = -1
+	p := l.programs[id]
+	if p == nil {
+		return nil
+	}
+	for grant := range p.open {
+		grants = append(grants, grant)
+	}
+	return grants
+}
+
+// Await asks for the outcome of a grant; it is called before its record is
+// appended.
+func (l *Ledger) Await(grant string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.awaited[grant] = -1
 }
 
 // Forget ends Await.
-func (l *Ledger) Forget(turn string) {
+func (l *Ledger) Forget(grant string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.before, turn)
+	delete(l.awaited, grant)
 }
 
-// Before returns the tokens of a program that precede the reservation of a turn;
-// false while the reservation has not been applied.
-func (l *Ledger) Before(turn string) (tokens int64, ok bool) {
+// Granted returns the tokens of an awaited grant, 0 when the budget did not hold
+// what it needed; false while its record has not been applied.
+func (l *Ledger) Granted(grant string) (tokens int64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	tokens, ok = l.before[turn]
+	tokens, ok = l.awaited[grant]
 	return tokens, ok && tokens >= 0
 }
 
+// Known reports whether the program has a record.
+func (l *Ledger) Known(id spool.ProgramID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.programs[id] != nil
+}
+
 // Total returns what a program is counted with.
 func (l *Ledger) Total(id spool.ProgramID) int64 {
 	l.mu.Lock()
@@ -183,7 +172,7 @@
 	return 0
 }
 
-// Expire forgets programs without a recent entry.
+// Expire forgets programs without a recent record.
 func (l *Ledger) Expire(now clock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -174,14 +174,23 @@
 	DrainWithin  clock.Millis
 	ConfigWithin clock.Millis
 	StopWithin   clock.Millis
-	// LimitWindow is the window in which the requests of an account are counted.
-	LimitWindow clock.Millis
+	// LimitTolerance is how the requests of an account are counted.
+	LimitTolerance LimitTolerance
 	// FirstPort and LastPort bound the ports for messages between gateways.
 	FirstPort, LastPort int
 	// MemoryMB is the memory of the process.
 	MemoryMB int64
 }
 
+// LimitTolerance is how requests over the limit of an account are counted: those of
+// a window may exceed rate times window plus burst by the part Over and by Slack
+// requests.
+type LimitTolerance struct {
+	Window clock.Millis
+	Over   float64
+	Slack  float64
+}
+
 // Validate returns every setting that cannot be used.
 func (s GatewaySettings) Validate() (problems []error) {
 	addresses := map[string]string{"listen": s.Listen, "ready listen": s.ReadyListen, "store address": s.StoreAddress}
