--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 	boot, lifetime := clock.Boot(), newLifetime()
 	g.budgets = newBudgetStore(ctx, watched, g.health, system, settings, lifetime)
 	owner := newPoolOwner(settings, lifetime, watched, boot, t.Logger("limits"))
+	owner.ask = g.askAlive
 	members := newMemberBook(settings.Node, boot, owner, t.Logger("members"))
 	g.clients = wire.NewClients(settings.Node, wire.WithSilentAfter(silentPeer, pingPeer))
 	g.budgets.askSettle = g.askSettle
@@ -133,6 +134,12 @@
 	return err
 }
 
+// askAlive asks the gateway at an address whether it runs.
+func (g *Gateway) askAlive(ctx context.Context, address string, request aliveRequest) (reply aliveReply, err error) {
+	err = g.clients.Call(ctx, address, methodAlive, request, &reply, nil)
+	return reply, err
+}
+
 // askSettle asks the gateway of a lifetime to give back what it holds of a program.
 func (g *Gateway) askSettle(ctx context.Context, lifetime string, id spool.ProgramID) error {
 	address, ok := g.state.members.addressOf(lifetime)
--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -22,7 +22,7 @@
 	// staticShare is the part of each limit that is divided over the gateways; the
 	// rest is lent by the owner of the pools. It serves while the owner is away. The
 	// requests of an account arrive unevenly, so a large static part is left unused.
-	staticShare = 0.2
+	staticShare = 0.25
 	// toleranceUsed is the part of the tolerance in counting that makes up for what
 	// the leases keep out of the pool's burst.
 	toleranceUsed = 0.5
@@ -35,11 +35,13 @@
 	// growAfter is the time from a change to the growth of a part; every gateway that
 	// reaches the store has learned of the change by then.
 	growAfter = 2500 * clock.Millis(1)
-	// ownerAuthority is how long an owner grants after it was confirmed.
-	ownerAuthority = 2 * clock.Second
+	// ownerAuthority is how long an owner grants after it was confirmed. It bridges
+	// most outages of the store; an owner that is gone without a trace is replaced
+	// only after it.
+	ownerAuthority = 6 * clock.Second
 	// holdForToken bounds the time for which a request waits for a token that is on
 	// its way.
-	holdForToken = 60 * clock.Millis(1)
+	holdForToken = 150 * clock.Millis(1)
 	// silentPeer is the time after which a connection to another gateway that
 	// answers nothing is replaced; it is asked every pingPeer.
 	silentPeer = 600 * clock.Millis(1)
@@ -74,10 +76,22 @@
 	config := quota.Config{
 		Node: settings.Node, StreamCount: 1, Timing: limitTiming(), Lost: owner.lost, Answered: owner.answered,
 	}
-	return &limiter{
+	l := &limiter{
 		manager: quota.New(config, boot, freshFor, owner, clients, t),
 		owner:   owner, clock: boot, tolerance: settings.LimitTolerance, limited: map[spool.AccountID]limit.Config{}, starts: newStartGate(),
 	}
+	owner.accounts = l.accounts
+	return l
+}
+
+// accounts returns the names of all limits, those of starts included.
+func (l *limiter) accounts() (ids []spool.AccountID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.limited {
+		ids = append(ids, id, startsOf(id))
+	}
+	return ids
 }
 
 // configure takes the accounts of a configuration in.
@@ -130,12 +144,13 @@
 	if !limited {
 		return nil
 	}
+	var err error
 	if short && isStart() {
-		if err := l.manager.Take(ctx, startsOf(id), limit.ClassStart); err != nil {
-			return err
-		}
+		err = l.manager.Take(ctx, startsOf(id), limit.ClassStart)
+	}
+	if err == nil {
+		err = l.manager.Take(ctx, id, class)
 	}
-	err := l.manager.Take(ctx, id, class)
 	if err != nil {
 		l.mu.Lock()
 		l.starts.refused(l.clock.Now(), id)
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/baobabspool/baobabspool/internal/quota"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -19,10 +20,16 @@
 	// topic. The offset of the record is the epoch of the claim.
 	ownerKey = "limitOwner"
 	// suspectAfter is the time for which an owner does not answer before the first
-	// candidate takes its place.
-	suspectAfter = 400 * clock.Millis(1)
+	// candidate takes its place. The next owner waits out the authority of one that
+	// may still run, so an owner that is only frozen or cut off for a moment does
+	// better to stay.
+	suspectAfter = 2 * clock.Second
 	// candidateDelay is added for each candidate that should have come first.
 	candidateDelay = 500 * clock.Millis(1)
+	// probeInterval is the time without an answer after which the owner is asked,
+	// probeTimeout bounds the question.
+	probeInterval = 300 * clock.Millis(1)
+	probeTimeout  = 400 * clock.Millis(1)
 	// claimPause is the time between two claims of this gateway.
 	claimPause = clock.Second
 )
@@ -45,18 +52,33 @@
 	clock clock.Clock
 	store spool.Store
 	log   *zap.Logger
+	// accounts returns the accounts with a limit; ask puts a question to
+	// the gateway at an address.
+	accounts func() []spool.AccountID
+	ask      func(ctx context.Context, address string, request aliveRequest) (aliveReply, error)
 
 	mu sync.Mutex
 	// claim is the newest record, at offset epoch - 1; epoch is 0 without one.
 	claim claimRecord
 	epoch spool.Epoch
-	// inherited are the levels that the record before the claim released.
+	// inherited are the levels that the previous owner left; nil when not known.
 	inherited json.RawMessage
+	// grantsFrom is when the authority of the previous owner has surely ended; 0 once
+	// it is known to grant no more.
+	grantsFrom clock.Millis
+	// predecessor is the claim before the newest one.
+	predecessor claimRecord
+	// yieldedTo is the epoch in whose favour this gateway has stopped granting.
+	yieldedTo spool.Epoch
 	// confirmedAt is when the last read that found the claim newest was sent.
 	confirmedAt clock.Millis
 	// silentSince is the first unanswered call to the owner since its last answer; 0
 	// for none.
 	silentSince clock.Millis
+	// answeredAt is when the owner last answered.
+	answeredAt clock.Millis
+	// gone are the lifetimes of owners whose process has provably ended.
+	gone map[string]bool
 	// vacantSince is when the pools were first found without an owner; 0 while they
 	// have one.
 	vacantSince clock.Millis
@@ -67,14 +89,20 @@
 
 func newPoolOwner(settings spool.GatewaySettings, lifetime string, store spool.Store, boot clock.Clock, log *zap.Logger) *poolOwner {
 	self := claimRecord{Node: settings.Node, Address: settings.ControlListen, Lifetime: lifetime}
-	return &poolOwner{self: self, clock: boot, store: store, log: log, claimedAt: -claimPause}
+	return &poolOwner{self: self, clock: boot, store: store, log: log, claimedAt: -claimPause, gone: map[string]bool{}}
 }
 
 // Epoch implements quota.Streams.
 func (o *poolOwner) Epoch(spool.Stream) (spool.Epoch, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.epoch, o.owns()
+	return o.epoch, o.grants()
+}
+
+// grants reports whether this gateway may grant: its claim is the newest, and the
+// owner before it has ended or its authority has.
+func (o *poolOwner) grants() bool {
+	return o.owns() && o.yieldedTo <= o.epoch && o.clock.Now() >= o.grantsFrom
 }
 
 func (o *poolOwner) owns() bool {
@@ -85,17 +113,22 @@
 func (o *poolOwner) Confirmed(spool.Stream) (clock.Millis, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.confirmedAt, o.owns()
+	return o.confirmedAt, o.grants()
 }
 
 // Inherited implements quota.Streams.
 func (o *poolOwner) Inherited(_ spool.Stream, epoch spool.Epoch) json.RawMessage {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if epoch != o.epoch {
+	switch {
+	case epoch != o.epoch:
 		return nil
+	case o.inherited != nil:
+		return o.inherited
+	default:
+		// The wait for the previous owner is over before the epoch is shown.
+		return o.emptyLevels()
 	}
-	return o.inherited
 }
 
 // OwnerOf implements quota.Streams.
@@ -118,12 +151,24 @@
 	if epoch <= o.epoch {
 		return
 	}
-	o.inherited = nil
-	if o.claim.Released {
-		o.inherited = o.claim.Levels
-	}
+	previous, first := o.claim, o.epoch == 0
 	o.claim, o.epoch, o.silentSince, o.vacantSince = record, epoch, 0, 0
-	o.log.Info("limit owner changes", zap.String("owner", string(record.Node)), zap.Int64("epoch", int64(epoch)), zap.Bool("released", record.Released))
+	o.inherited, o.grantsFrom, o.predecessor = nil, o.clock.Now()+ownerAuthority, previous
+	switch {
+	case previous.Released:
+		o.grant(previous.Levels)
+	case first || o.gone[previous.Lifetime] || previous.Lifetime == record.Lifetime:
+		o.grant(nil)
+	}
+	o.log.Info("limit owner changes", zap.String("owner", string(record.Node)), zap.Int64("epoch", int64(epoch)),
+		zap.Bool("released", record.Released), zap.Bool("waits", o.grantsFrom > o.clock.Now()))
+}
+
+// grant ends the wait for the previous owner, which grants no more. levels are what
+// its pools held; nil when that is not known.
+func (o *poolOwner) grant(levels json.RawMessage) {
+	o.grantsFrom = 0
+	o.inherited = levels
 }
 
 // confirm says that a read sent at the given time has been taken in.
@@ -146,7 +191,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if owner == o.claim.Node {
-		o.silentSince = 0
+		o.silentSince, o.answeredAt = 0, o.clock.Now()
 	}
 }
 
@@ -180,7 +225,7 @@
 	restarted := o.claim.Node == o.self.Node
 	silent := o.silentSince != 0 && now-o.silentSince >= suspectAfter
 	switch {
-	case o.epoch == 0, restarted, o.claim.Released, silent, !slices.Contains(live, o.claim.Node):
+	case o.epoch == 0, restarted, o.claim.Released, silent, o.gone[o.claim.Lifetime]:
 		if o.vacantSince == 0 {
 			o.vacantSince = now
 		}
@@ -188,14 +233,98 @@
 		o.vacantSince = 0
 		return false
 	}
-	delay := candidateDelay * clock.Millis(o.rank(live))
+	// The node of the previous owner comes first when it is back.
+	delay := candidateDelay * clock.Millis(o.rank(live)+1)
 	if !restarted && now-o.vacantSince < delay {
 		return false
 	}
+	if restarted {
+		o.gone[o.claim.Lifetime] = true
+	}
 	o.claimedAt = now
 	return true
 }
 
+// probe asks the owner whether it runs, unless it has answered lately. The owner
+// itself asks its predecessor to stop granting, while it waits for that.
+func (o *poolOwner) probe(ctx context.Context) {
+	now := o.clock.Now()
+	o.mu.Lock()
+	claim, epoch := o.claim, o.epoch
+	waits := o.owns() && now < o.grantsFrom
+	due := waits || epoch != 0 && !claim.Released && !o.owns() && now-o.answeredAt >= probeInterval
+	if waits {
+		claim = o.predecessor
+	}
+	o.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	question := aliveRequest{}
+	if waits {
+		question.Yield = epoch
+	}
+	reply, err := o.ask(ctx, claim.Address, question)
+	ended := err == nil && reply.Lifetime != claim.Lifetime || errors.Is(err, unix.ECONNREFUSED)
+	switch {
+	case ended:
+		// Nothing listens at the address, or another process does.
+		o.markGone(claim.Lifetime)
+	case err != nil:
+		o.lost(claim.Node)
+	default:
+		o.answered(claim.Node)
+	}
+	if waits && (ended || err == nil) {
+		o.stopWaiting(epoch, reply.Levels)
+	}
+}
+
+func (o *poolOwner) stopWaiting(epoch spool.Epoch, levels json.RawMessage) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.epoch == epoch {
+		o.grant(levels)
+	}
+}
+
+// answer tells another gateway the lifetime of this one, after it has stopped
+// granting in favour of a newer claim where that is asked.
+func (o *poolOwner) answer(request aliveRequest, handOver func(stream spool.Stream, epoch spool.Epoch) json.RawMessage) aliveReply {
+	reply := aliveReply{Lifetime: o.self.Lifetime}
+	o.mu.Lock()
+	epoch, granted := o.epoch, o.grants() && o.epoch < request.Yield
+	o.yieldedTo = max(o.yieldedTo, request.Yield)
+	o.mu.Unlock()
+	if granted {
+		reply.Levels = handOver(spool.ProgramStream(0), epoch)
+	}
+	return reply
+}
+
+func (o *poolOwner) markGone(lifetime string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.gone[lifetime] = true
+}
+
+// emptyLevels are the levels of pools whose owner is provably gone: the new owner
+// may grant at once, from nothing.
+func (o *poolOwner) emptyLevels() json.RawMessage {
+	levels := map[spool.AccountID]float64{}
+	for _, id := range o.accounts() {
+		levels[id] = 0
+	}
+	data, err := json.Marshal(levels)
+	if err != nil {
+		// The keys are strings and the values numbers, so this does not happen.
+		return nil
+	}
+	return data
+}
+
 // rank counts the members that come before this one as candidates. The present
 // owner is none.
 func (o *poolOwner) rank(live []spool.NodeID) (before int) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,8 @@
 const (
 	// methodRelay asks a gateway for the records of a keyed topic.
 	methodRelay = "gateway.relay"
+	// methodAlive asks a gateway for its lifetime.
+	methodAlive = "gateway.alive"
 	// relayTimeout bounds one call to another gateway.
 	relayTimeout = 400 * clock.Millis(1)
 )
@@ -21,6 +24,18 @@
 // errNotRead means that a gateway has not read a topic yet.
 var errNotRead = errors.New("topic has not been read")
 
+type aliveRequest struct {
+	// Yield is the epoch of a claim in whose favour the gateway is to stop granting;
+	// 0 for none.
+	Yield spool.Epoch `json:"yield,omitempty"`
+}
+
+type aliveReply struct {
+	Lifetime string `json:"lifetime"`
+	// Levels are what the pools of a gateway that stopped granting held.
+	Levels json.RawMessage `json:"levels,omitempty"`
+}
+
 type relayRequest struct {
 	Topic spool.Topic `json:"topic"`
 	// From is the first offset that the asking gateway has not seen; negative when
@@ -47,6 +62,9 @@
 // relayHandlers answers other gateways from the followers.
 func (s *sharedState) relayHandlers() wire.Mux {
 	return wire.Mux{
+		methodAlive: wire.Handle(func(_ context.Context, request aliveRequest, _ wire.Send) (any, error) {
+			return s.gateway.limits.owner.answer(request, s.gateway.limits.manager.HandOver), nil
+		}),
 		methodRelay: wire.Handle(func(_ context.Context, request relayRequest, _ wire.Send) (any, error) {
 			for _, f := range s.followers {
 				if f.topic != request.Topic {
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -114,6 +114,7 @@
 				s.gateway.table.SetGateways(len(members))
 				view, first = members, false
 			}
+			s.gateway.limits.owner.probe(ctx)
 			s.gateway.limits.owner.claimIfVacant(ctx, s.members.live())
 		}
 		clock.Pause(ctx, memberInterval/2)
--- a/internal/gateway/starts.go
+++ b/internal/gateway/starts.go
@@ -8,7 +8,7 @@
 
 const (
 	// shortFor is how long an account counts as short of tokens after a refusal.
-	shortFor = 3 * clock.Second
+	shortFor = 8 * clock.Second
 	// requestsPerProgram is how many requests of the limit a program takes from its
 	// start to its end.
 	requestsPerProgram = 16.0
--- a/internal/httpconn/server.go
+++ b/internal/httpconn/server.go
@@ -89,8 +89,18 @@
 // SetLimits replaces the limits of the requests that are read from now on.
 func (s *Server) SetLimits(limits Limits) { s.limits.Store(&limits) }
 
-// Drain makes every answer from now on close its connection.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Drain makes every answer from now on close its connection, and closes those that
+// wait for another request: their callers open new ones, which reach other servers
+// as soon as the balancer has noticed. A connection without a first request stays,
+// since its request may be on the way.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		conn.closeIfUsed()
+	}
+}
 
 // Stop stops accepting, closes idle connections, and waits for the requests in
 // flight until ctx ends. Connections that are still busy then are closed.
@@ -197,6 +207,8 @@
 	mu     sync.Mutex
 	// busy is true from the first byte of a request to the end of its answer.
 	busy bool
+	// used is set by the first request.
+	used bool
 	// stopped says that no further request may be read.
 	stopped bool
 }
@@ -224,6 +236,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = !c.stopped
+	c.used = true
 	return c.busy
 }
 
@@ -234,6 +247,15 @@
 	return !c.stopped
 }
 
+func (c *serverConn) closeIfUsed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.used && !c.busy {
+		c.stopped = true
+		_ = c.conn.Close()
+	}
+}
+
 func (c *serverConn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/multierr"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -111,7 +112,8 @@
 	}
 	link, err := c.acquire(ctx, address)
 	if err != nil {
-		return errors.Wrap(spool.ErrNotSent, err.Error())
+		// The cause is kept: a refused connection proves that the process has ended.
+		return multierr.Append(spool.ErrNotSent, err)
 	}
 	defer c.release(link)
 	correlation := c.prefix + strconv.FormatUint(c.next.Add(1), 36)
