--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,7 @@
 	limits  *limiter
 	health  *storeHealth
 	store   *pathStore
+	choice  *peerChoice
 	clients *wire.Clients
 	peers   *wire.Server
 
@@ -68,6 +69,9 @@
 	// leaveAfter is the time from the start of a stop to the end of accepting. The
 	// balancer asks once a second and takes a process out after two misses.
 	leaveAfter = 3 * time.Second
+	// lostStore is the time without the store after which a gateway is not ready. It
+	// is well above one call that timed out.
+	lostStore = 1200 * clock.Millis(1)
 	// stopMargin is kept between the end of the last request and SIGKILL.
 	stopMargin = 300 * clock.Millis(1)
 )
@@ -79,9 +83,10 @@
 	g := &Gateway{
 		settings: settings, codec: codec, client: client, clock: system, telemetry: t, log: t.Logger("gateway"),
 		table: endpoints.NewTable(settings.FailureDomain), cancel: cancel,
+		choice: newPeerChoice(system),
 		health: newStoreHealth(system, t.Logger("store")),
 	}
-	watched := newPathStore(store, g.health, system, g.callPeer, t)
+	watched := newPathStore(store, g.health, g.callPeer, t)
 	boot, lifetime := clock.Boot(), newLifetime()
 	g.budgets = newBudgetStore(ctx, watched, g.health, system, settings, lifetime)
 	owner := newPoolOwner(settings, lifetime, watched, boot, t.Logger("limits"))
@@ -151,19 +156,28 @@
 	return g.clients.Call(ctx, address, methodSettle, settleRequest{Program: id}, &struct{}{}, nil)
 }
 
-// callPeer calls another gateway, chosen at random.
+// callPeer calls another gateway, one that helped before where there is one.
 func (g *Gateway) callPeer(ctx context.Context, method string, request, reply any) error {
-	address, ok := g.state.peer()
+	address, ok := g.choice.pick(g.state.peerAddresses())
 	if !ok {
 		return errNoPeer
 	}
-	return g.clients.Call(ctx, address, method, request, reply, nil)
+	err := g.clients.Call(ctx, address, method, request, reply, nil)
+	g.choice.note(address, err)
+	return err
 }
 
 // Address returns the address that requests are taken at.
 func (g *Gateway) Address() string { return g.server.Address() }
 
-func (g *Gateway) isReady() bool { return g.catalog.Load() != nil && !g.stopping.Load() }
+// isReady reports whether the balancer is to send new connections here. A gateway
+// that reaches the store neither itself nor by way of another one leaves them to
+// those that do.
+func (g *Gateway) isReady() bool {
+	lost := g.health.lostFor() > lostStore
+	g.server.SetLeaving(lost)
+	return g.catalog.Load() != nil && !g.stopping.Load() && !lost
+}
 
 func (g *Gateway) upkeep(ctx context.Context) {
 	ticker := time.NewTicker(upkeepInterval)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -175,7 +175,8 @@
 
 func (r *request) beginBudget(ctx context.Context) (*turnBudget, spool.Code) {
 	most := max(1, r.call.MaxOutputTokens)
-	ctx, cancel := context.WithTimeout(ctx, budgetWait.Duration())
+	wait := min(budgetWait, (r.deadline-r.gateway.clock.Now())/2)
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
 	budget, err := r.gateway.budgets.begin(ctx, r.call.Program, most, r.call.TokenBudget)
 	switch {
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// lostFor returns the time since the first failed call without a success; 0 while
+// calls succeed.
+func (h *storeHealth) lostFor() clock.Millis {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failingSince == 0 {
+		return 0
+	}
+	return h.clock.Now() - h.failingSince
+}
+
 // isAway reports whether the store has not answered for a while.
 func (h *storeHealth) isAway() bool {
 	h.mu.Lock()
--- a/internal/gateway/pathstore.go
+++ b/internal/gateway/pathstore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -17,9 +18,9 @@
 	methodStore = "gateway.store"
 	// peerTimeout bounds a call to the store by way of another gateway.
 	peerTimeout = 500 * clock.Millis(1)
-	// directPause is the time for which the own way to the store is not tried first
-	// after it failed.
-	directPause = clock.Second
+	// hedgeAfter is the time after which a call takes the other way as well. The
+	// store answers within a few milliseconds.
+	hedgeAfter = 150 * clock.Millis(1)
 )
 
 // errNoPeer means that no other gateway is known.
@@ -31,21 +32,21 @@
 type pathStore struct {
 	direct spool.Store
 	health *storeHealth
-	clock  clock.Clock
 	// call asks another gateway.
 	call func(ctx context.Context, method string, request, reply any) error
 
 	telemetry *telemetry.Telemetry
 
 	mu sync.Mutex
-	// avoidUntil is the end of the time for which others are asked first.
-	avoidUntil clock.Millis
+	// failing says that the last direct call failed. The reads that follow the
+	// operators' records are always direct and find out when that ends.
+	failing bool
 }
 
 var _ spool.Store = (*pathStore)(nil)
 
-func newPathStore(direct spool.Store, health *storeHealth, system clock.Clock, call func(ctx context.Context, method string, request, reply any) error, t *telemetry.Telemetry) *pathStore {
-	return &pathStore{telemetry: t, direct: direct, health: health, clock: system, call: call}
+func newPathStore(direct spool.Store, health *storeHealth, call func(ctx context.Context, method string, request, reply any) error, t *telemetry.Telemetry) *pathStore {
+	return &pathStore{telemetry: t, direct: direct, health: health, call: call}
 }
 
 // storeRequest is a call on behalf of another gateway: an append, an append to a
@@ -74,16 +75,38 @@
 // Append implements spool.Store.
 func (s *pathStore) Append(ctx context.Context, partition spool.Partition, records [][]byte) (offset int64, err error) {
 	request := storeRequest{Topic: partition.Topic, Partition: partition.Index, Records: records}
-	err = s.try(ctx, func() (err error) {
+	var first answer[int64]
+	err = s.try(ctx, func() error {
 		s.telemetry.Event("storeAppend." + string(partition.Topic))
-		offset, err = s.direct.Append(ctx, partition, records)
-		return err
+		offset, err := s.direct.Append(ctx, partition, records)
+		return first.set(offset, err)
 	}, func() error {
 		reply, err := s.ask(ctx, request)
-		offset = reply.Offset
-		return err
+		return first.set(reply.Offset, err)
 	})
-	return offset, err
+	return first.get(), err
+}
+
+// answer holds the result of the way that succeeded first.
+type answer[T any] struct {
+	mu    sync.Mutex
+	value T
+	taken bool
+}
+
+func (a *answer[T]) set(value T, err error) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if (err == nil || errors.Is(err, spool.ErrTrimmed)) && !a.taken {
+		a.value, a.taken = value, true
+	}
+	return err
+}
+
+func (a *answer[T]) get() T {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.value
 }
 
 // AppendKeyed implements spool.Store.
@@ -105,19 +128,18 @@
 		s.note(ctx, err)
 		return page, err
 	}
-	err = s.try(ctx, func() (err error) {
+	var first answer[spool.LogPage]
+	err = s.try(ctx, func() error {
 		s.telemetry.Event("storeRead." + string(partition.Topic))
-		page, err = s.direct.Read(ctx, partition, from, 0)
-		return err
+		return first.set(s.direct.Read(ctx, partition, from, 0))
 	}, func() error {
 		reply, err := s.ask(ctx, storeRequest{Topic: partition.Topic, Partition: partition.Index, From: from})
-		page = spool.LogPage{From: from, First: reply.First, End: reply.End, Records: reply.Records}
 		if err == nil && reply.Trimmed {
 			err = spool.ErrTrimmed
 		}
-		return err
+		return first.set(spool.LogPage{From: from, First: reply.First, End: reply.End, Records: reply.Records}, err)
 	})
-	return page, err
+	return first.get(), err
 }
 
 // Newest implements spool.Store. It goes directly.
@@ -132,34 +154,53 @@
 	return s.direct.SplitKeyed(record)
 }
 
-// try takes the direct way and then the other one; the other way round shortly
-// after the direct one failed.
+// try takes the direct way, and the other one as well when the first does not
+// succeed or takes long. While the direct way fails the other one goes first.
 func (s *pathStore) try(ctx context.Context, direct, peer func() error) error {
-	first, second := direct, peer
-	avoid := s.avoidsDirect()
-	if avoid {
-		first, second = peer, direct
-	}
-	err := first()
-	if !avoid {
+	ways := []func() error{func() error {
+		err := direct()
 		s.note(ctx, err)
-	}
-	if err == nil || errors.Is(err, spool.ErrTrimmed) || ctx.Err() != nil {
-		s.heard(err)
 		return err
+	}, peer}
+	if s.avoidsDirect() {
+		ways[0], ways[1] = ways[1], ways[0]
 	}
-	err = second()
-	if avoid {
-		s.note(ctx, err)
+	results := make(chan error, len(ways))
+	started := 0
+	start := func() {
+		way := ways[started]
+		started++
+		go func() { results <- way() }()
+	}
+	start()
+	hedge := time.NewTimer(hedgeAfter.Duration())
+	defer hedge.Stop()
+	for ended := 0; ; {
+		select {
+		case err := <-results:
+			ended++
+			if err == nil || errors.Is(err, spool.ErrTrimmed) || ended == len(ways) {
+				s.heard(err)
+				return err
+			}
+			if started < len(ways) && ctx.Err() == nil {
+				start()
+			}
+			if ended == started {
+				return err
+			}
+		case <-hedge.C:
+			if started < len(ways) {
+				start()
+			}
+		}
 	}
-	s.heard(err)
-	return err
 }
 
 func (s *pathStore) avoidsDirect() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.clock.Now() < s.avoidUntil
+	return s.failing
 }
 
 // note takes the outcome of a direct call in. It leaves calls out that the
@@ -171,11 +212,7 @@
 	s.health.note(err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil || errors.Is(err, spool.ErrTrimmed) {
-		s.avoidUntil = 0
-		return
-	}
-	s.avoidUntil = s.clock.Now() + directPause
+	s.failing = err != nil && !errors.Is(err, spool.ErrTrimmed)
 }
 
 // heard notes that the store answered, whatever way the call took.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 
 	"github.com/pkg/errors"
 
@@ -79,17 +78,17 @@
 	}
 }
 
-// peer returns the address of another gateway, chosen at random.
-func (s *sharedState) peer() (address string, ok bool) {
-	addresses := s.members.addresses()
-	if len(addresses) == 0 {
-		addresses = s.gateway.settings.Seeds
+// peerAddresses returns where other gateways may answer.
+func (s *sharedState) peerAddresses() (addresses []string) {
+	if addresses = s.members.addresses(); len(addresses) > 0 {
+		return addresses
 	}
-	if len(addresses) == 0 {
-		return "", false
+	for _, seed := range s.gateway.settings.Seeds {
+		if seed != s.gateway.settings.ControlListen {
+			addresses = append(addresses, seed)
+		}
 	}
-	address = addresses[rand.IntN(len(addresses))]
-	return address, address != s.gateway.settings.ControlListen
+	return addresses
 }
 
 // relay asks another gateway for what it has read of a topic.
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -4,7 +4,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,11 +19,11 @@
 
 // Exchange is one request with its answer. It is used by one goroutine.
 type Exchange struct {
-	conn     net.Conn
-	request  *http.Request
-	body     []byte
-	idle     clock.Millis
-	draining *atomic.Bool
+	conn    net.Conn
+	server  *Server
+	request *http.Request
+	body    []byte
+	idle    clock.Millis
 	// closing says that the connection ends with this answer.
 	closing bool
 	// started is set when the first byte of the answer has been written.
@@ -179,4 +178,6 @@
 	_ = e.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
-func (e *Exchange) mustClose() bool { return e.closing || e.draining != nil && e.draining.Load() }
+func (e *Exchange) mustClose() bool {
+	return e.closing || e.server.draining.Load() || e.server.leaving.Load()
+}
--- a/internal/httpconn/server.go
+++ b/internal/httpconn/server.go
@@ -56,6 +56,8 @@
 	limits   atomic.Pointer[Limits]
 	// draining asks callers to leave: each answer closes its connection.
 	draining atomic.Bool
+	// leaving does so until it is taken back.
+	leaving atomic.Bool
 
 	mu sync.Mutex
 	// conns are the open connections.
@@ -102,6 +104,9 @@
 	}
 }
 
+// SetLeaving makes answers close their connections, or stops doing so.
+func (s *Server) SetLeaving(leaving bool) { s.leaving.Store(leaving) }
+
 // Stop stops accepting, closes idle connections, and waits for the requests in
 // flight until ctx ends. Connections that are still busy then are closed.
 func (s *Server) Stop(ctx context.Context) {
@@ -269,7 +274,7 @@
 // another.
 func (c *serverConn) one(limits Limits) (keep bool) {
 	request, body, status := c.read(limits)
-	exchange := &Exchange{conn: c.conn, request: request, body: body, draining: &c.server.draining, idle: limits.IdleTimeout}
+	exchange := &Exchange{conn: c.conn, request: request, body: body, server: c.server, idle: limits.IdleTimeout}
 	if status != 0 {
 		exchange.closing = true
 		exchange.Reject(status, 0)
