Test the gateway against stand-ins of the store and of endpoints

Change: internal/standin gains a store of topics with doors that fail one by one, and an endpoint on raw connections that can break the protocol; specs cover forged and malformed requests, lost, crossed and cut answers, drains, outages, turned-away gateways, limits over a killed gateway, budgets over gateways and a restart; rapid machines cover budgets, cold endpoints, records and streams. Ruled out as faults: two first failures were of the tests (a sequential caller that never pressed against the limit; a gateway cut off before it had learned of the other one).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -219,11 +219,28 @@
 	g.limits.close(ctx)
 	g.cancel()
 	g.wg.Wait()
+	g.closePeers()
+	return g.ready.stop()
+}
+
+// Kill ends the gateway without letting requests finish or giving anything back.
+func (g *Gateway) Kill() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	g.stopping.Store(true)
+	g.cancel()
+	g.server.Stop(ctx)
+	g.limits.manager.Close()
+	g.wg.Wait()
+	g.closePeers()
+	logStop(g.log, "ready", g.ready.stop())
+}
+
+func (g *Gateway) closePeers() {
 	g.clients.Close()
 	if g.peers != nil {
 		logStop(g.log, "peers", g.peers.Close())
 	}
-	return g.ready.stop()
 }
 
 // install takes a configuration in, unless a newer one is in force.
--- /dev/null
+++ b/internal/gateway/requests_test.go
@@ -0,0 +1,257 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/standin"
+)
+
+var _ = ginkgo.Describe("A request", func() {
+	var (
+		d *deployment
+		n *node
+		u *standin.Upstream
+	)
+	ginkgo.BeforeEach(func() {
+		d = newDeployment()
+		d.publish()
+		u = d.endpoint("e1", "app", nil)
+		n = d.start("g1")
+		n.served("/lookup/a", "key-1")
+	})
+
+	// An endpoint must not see the key, and callers forge the headers that only the
+	// gateway may set.
+	ginkgo.It("reaches the endpoint with its account and without key or forged headers", func() {
+		r, attempt := n.call("POST", "/charge/x?y=%20z", "key-2", "body",
+			"X-Tenant", "dealers", "X-Hold", "h", "Kv-From", "1.2.3.4:5/x", "X-Pin-Ms", "9", "X-Kv-Backup", "a", "X-Expect-Instance", "other", "X-Custom", "kept")
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		gomega.Expect(r.header.Get("X-Server-Seal")).To(gomega.Equal("e1"))
+		requests := u.Requests()
+		got := requests[len(requests)-1]
+		gomega.Expect(got.Method + " " + got.Target + " " + got.Body).To(gomega.Equal("POST /charge/x?y=%20z body"))
+		gomega.Expect(got.Header.Get("X-Attempt-Id")).To(gomega.Equal(attempt))
+		gomega.Expect(got.Header.Get("X-Tenant")).To(gomega.Equal("weavers"))
+		gomega.Expect(got.Header.Get("X-Expect-Instance")).To(gomega.Equal("e1"))
+		gomega.Expect(got.Header.Get("X-Custom")).To(gomega.Equal("kept"))
+		for _, name := range []string{"Authorization", "X-Hold", "Kv-From", "X-Pin-Ms", "X-Kv-Backup"} {
+			gomega.Expect(got.Header).NotTo(gomega.HaveKey(name))
+		}
+	})
+
+	ginkgo.DescribeTable("is refused by what is wrong with it", func(path, key string, status int) {
+		r, _ := n.call("GET", path, key, "")
+		gomega.Expect(r.status).To(gomega.Equal(status))
+	},
+		ginkgo.Entry("no route", "/nowhere/", "key-1", http.StatusNotFound),
+		ginkgo.Entry("no key", "/lookup/a", "", http.StatusUnauthorized),
+		ginkgo.Entry("unknown key", "/lookup/a", "key-9", http.StatusUnauthorized),
+		ginkgo.Entry("no key on a public route", "/open/a", "", http.StatusOK),
+	)
+
+	ginkgo.It("is refused without an identifier", func() {
+		response, _ := n.raw("GET /lookup/a HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer key-1\r\n\r\n")
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusBadRequest))
+	})
+
+	ginkgo.DescribeTable("is rejected when it is malformed", func(text string, status int) {
+		response, _ := n.raw(text)
+		gomega.Expect(response.StatusCode).To(gomega.Equal(status))
+		n.served("/lookup/a", "key-1")
+	},
+		ginkgo.Entry("no HTTP", "hello\r\n\r\n", http.StatusBadRequest),
+		ginkgo.Entry("two lengths", "POST /charge/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", http.StatusBadRequest),
+		ginkgo.Entry("huge headers", "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 40_000)+"\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge),
+		ginkgo.Entry("huge body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n", http.StatusRequestEntityTooLarge),
+	)
+
+	// The body of a GET must not be read as the next request.
+	ginkgo.It("carries what looks like a second request as its body", func() {
+		smuggled := "POST /charge/smuggled HTTP/1.1\r\nHost: " + host + "\r\nX-Attempt-Id: s\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n"
+		response, _ := n.raw(fmt.Sprintf("GET /lookup/b HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: outer\r\nAuthorization: Bearer key-1\r\nContent-Length: %d\r\n\r\n%s", host, len(smuggled), smuggled))
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+		time.Sleep(100 * time.Millisecond)
+		for _, got := range u.Requests() {
+			gomega.Expect(got.Target).NotTo(gomega.ContainSubstring("smuggled"))
+		}
+	})
+
+	ginkgo.It("gets a configuration soon after it is published, and no older one", func() {
+		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-2"}}}
+		d.publish()
+		gomega.Eventually(func() int {
+			r, _ := n.call("GET", "/lookup/a", "key-1", "")
+			return r.status
+		}, "2s", "20ms").Should(gomega.Equal(http.StatusUnauthorized))
+		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}}}
+		d.version = 1
+		d.publish()
+		d.topics.Put("keyed.op", "config", []byte("{torn"))
+		gomega.Consistently(func() int {
+			r, _ := n.call("GET", "/lookup/a", "key-1", "")
+			return r.status
+		}, "1s", "100ms").Should(gomega.Equal(http.StatusUnauthorized))
+	})
+})
+
+var _ = ginkgo.Describe("A request whose endpoint fails", func() {
+	var d *deployment
+	ginkgo.BeforeEach(func() {
+		d = newDeployment()
+		d.publish()
+	})
+
+	// counted counts the requests whose path names the case.
+	counted := func(us ...*standin.Upstream) (count int) {
+		for _, u := range us {
+			for _, request := range u.Requests() {
+				if strings.Contains(request.Target, "/case") {
+					count++
+				}
+			}
+		}
+		return count
+	}
+
+	ginkgo.It("goes to another endpoint when it provably did not run", func() {
+		shed := d.endpoint("e1", "app", (*standin.Upstream).Shed)
+		good := d.endpoint("e2", "app", nil)
+		n := d.start("g1")
+		n.served("/lookup/a", "key-1")
+		for range 10 {
+			r, _ := n.call("POST", "/charge/case", "key-1", "x")
+			gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		}
+		gomega.Expect(counted(good)).To(gomega.Equal(10))
+		_ = shed
+	})
+
+	// A payout that may have run must neither run again nor be called not run.
+	ginkgo.It("is not sent again when it may have run and must run once", func() {
+		cut := func(_ *standin.Upstream, _ io.Writer, request standin.UpstreamRequest) bool { return false }
+		a, b := d.endpoint("e1", "app", cut), d.endpoint("e2", "app", cut)
+		n := d.start("g1")
+		gomega.Eventually(func() int {
+			n.call("POST", "/charge/case", "key-1", "x")
+			return counted(a, b)
+		}, soon, "50ms").Should(gomega.Equal(1))
+		r, _ := n.call("POST", "/charge/case", "key-1", "x")
+		gomega.Expect(counted(a, b)).To(gomega.Equal(2))
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusBadGateway))
+	})
+
+	ginkgo.It("is sent again when it is idempotent, to as many endpoints as the route allows", func() {
+		cut := func(_ *standin.Upstream, _ io.Writer, request standin.UpstreamRequest) bool { return false }
+		a, b, c := d.endpoint("e1", "app", cut), d.endpoint("e2", "app", cut), d.endpoint("e3", "app", cut)
+		n := d.start("g1")
+		gomega.Eventually(func() int {
+			r, _ := n.call("GET", "/lookup/warm", "key-1", "")
+			return r.status
+		}, soon, "50ms").Should(gomega.Equal(http.StatusBadGateway))
+		n.call("GET", "/lookup/case", "key-1", "")
+		gomega.Expect(counted(a, b, c)).To(gomega.Equal(2))
+	})
+
+	// An endpoint may send a second answer after a whole one; it belongs to nobody.
+	ginkgo.It("does not get an answer that belongs to another request", func() {
+		d.endpoint("e1", "app", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
+			u.Whole(conn, request, "mine "+request.Header.Get("X-Attempt-Id"))
+			request.Header.Set("X-Attempt-Id", "stranger")
+			return u.Whole(conn, request, "other")
+		})
+		n := d.start("g1")
+		n.served("/lookup/a", "key-1")
+		for range 20 {
+			r, attempt := n.call("GET", "/lookup/a", "key-1", "")
+			gomega.Expect(r.body).To(gomega.Equal("mine " + attempt))
+		}
+	})
+
+	ginkgo.It("does not get a success without the endpoint's seal, or one that is cut off", func() {
+		var torn atomic.Bool
+		d.endpoint("e1", "app", func(_ *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
+			seal := ""
+			if torn.Load() {
+				seal = "X-Server-Seal: e1\r\n"
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 10\r\n\r\nhalf", seal)
+			return false
+		})
+		n := d.start("g1")
+		for range 2 {
+			gomega.Eventually(func() int {
+				r, _ := n.call("POST", "/charge/a", "key-1", "")
+				return r.status
+			}, soon, "50ms").Should(gomega.Equal(http.StatusBadGateway))
+			torn.Store(true)
+		}
+	})
+
+	ginkgo.It("is answered at the route's timeout and the endpoint is told to stop", func() {
+		hang := d.endpoint("e1", "app", func(_ *standin.Upstream, _ io.Writer, request standin.UpstreamRequest) bool {
+			time.Sleep(3 * time.Second)
+			return true
+		})
+		n := d.start("g1")
+		gomega.Eventually(func() int {
+			start := time.Now()
+			r, _ := n.call("POST", "/charge/case", "key-1", "")
+			if counted(hang) > 0 {
+				gomega.Expect(time.Since(start)).To(gomega.BeNumerically("~", 1500*time.Millisecond, 400*time.Millisecond))
+			}
+			return r.status
+		}, soon, "50ms").Should(gomega.Equal(http.StatusGatewayTimeout))
+	})
+
+	ginkgo.It("gets no more once the endpoint drains", func() {
+		u := d.endpoint("e1", "app", nil)
+		n := d.start("g1")
+		n.served("/lookup/a", "key-1")
+		d.announce("e1", "app", u.Address(), "draining")
+		gomega.Eventually(func() int {
+			r, _ := n.call("GET", "/lookup/a", "key-1", "")
+			return r.status
+		}, "2s", "50ms").Should(gomega.Equal(http.StatusServiceUnavailable))
+		r, _ := n.call("GET", "/lookup/a", "key-1", "")
+		gomega.Expect(r.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+	})
+
+	ginkgo.It("ignores forged records of endpoints", func() {
+		u := d.endpoint("e1", "app", nil)
+		n := d.start("g1")
+		n.served("/lookup/a", "key-1")
+		for _, forged := range []string{"{", `{"service":"app"}`, `{"service":1}`, `{"service":"app","address":"x","zone":"a","version":"v","slots":1,"state":"ready"}`, `{"service":"app","address":"127.0.0.1:1","zone":"a","version":"v","slots":1,"state":"odd"}`} {
+			d.topics.Put("keyed.servers", "forged", []byte(forged))
+		}
+		time.Sleep(600 * time.Millisecond)
+		for range 10 {
+			r, _ := n.call("GET", "/lookup/a", "key-1", "")
+			gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		}
+		gomega.Expect(len(u.Requests())).To(gomega.BeNumerically(">=", 10))
+	})
+
+	// Work for a caller that has left would take a slot from others.
+	ginkgo.It("is taken back when its caller leaves in the middle of a stream", func() {
+		u := d.endpoint("m1", "models", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
+			return u.Stream(conn, request, 20*time.Millisecond, -1, strings.Fields(strings.Repeat("w ", 200))...)
+		})
+		n := d.start("g1")
+		gomega.Eventually(func() int {
+			response, conn := n.raw(fmt.Sprintf("POST /review/a HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: left-%d\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n", host, attempts.Add(1)))
+			if response.StatusCode == http.StatusOK {
+				_ = conn.Close()
+			}
+			return response.StatusCode
+		}, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		gomega.Eventually(u.Cut, "500ms", "10ms").Should(gomega.Equal(1))
+	})
+})
--- /dev/null
+++ b/internal/gateway/turns_test.go
@@ -0,0 +1,315 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/standin"
+)
+
+// speak answers each turn with two events.
+func speak(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
+	return u.Stream(conn, request, 0, -1, "one", "two")
+}
+
+var _ = ginkgo.Describe("A kept turn", func() {
+	var (
+		d *deployment
+		u *standin.Upstream
+	)
+	ginkgo.BeforeEach(func() {
+		d = newDeployment()
+		d.publish()
+		u = d.endpoint("m1", "models", speak)
+	})
+
+	// first serves a first turn and returns its identifier.
+	first := func(n *node) (id string) {
+		gomega.Eventually(func() int {
+			r, attempt := n.call("POST", "/chat/", "key-1", "hello\n")
+			id = attempt
+			return r.status
+		}, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		return id
+	}
+	lastBody := func() string {
+		requests := u.Requests()
+		return requests[len(requests)-1].Body
+	}
+
+	ginkgo.It("continues at a gateway that was started after the first one was killed", func() {
+		n := d.start("g1")
+		id := first(n)
+		r, second := n.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id)
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		n.stop()
+		other := d.start("g2")
+		gomega.Eventually(func() int {
+			r, _ := other.call("POST", "/chat/", "key-1", "end\n", "X-Previous-Turn", second)
+			return r.status
+		}, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		gomega.Expect(lastBody()).To(gomega.Equal("hello\none\ntwo\nmore\none\ntwo\nend\n"))
+	})
+
+	ginkgo.It("is not found for another account, nor when it never was", func() {
+		n := d.start("g1")
+		id := first(n)
+		r, _ := n.call("POST", "/chat/", "key-3", "x", "X-Previous-Turn", id)
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusNotFound))
+		r, _ = n.call("POST", "/chat/", "key-1", "x", "X-Previous-Turn", "never")
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusNotFound))
+	})
+
+	// Two gateways keep turns of a line in turn, each in its own partition.
+	ginkgo.It("continues in turn at two gateways", func() {
+		a, b := d.start("g1"), d.start("g2")
+		id, want := first(a), "hello\none\ntwo\n"
+		for i := range 4 {
+			n := []*node{b, a}[i%2]
+			var r reply
+			r, id = n.call("POST", "/chat/", "key-1", "next\n", "X-Previous-Turn", id)
+			gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+			want += "next\n"
+			gomega.Expect(lastBody()).To(gomega.Equal(want))
+			want += "one\ntwo\n"
+		}
+	})
+
+	// A whole answer promises that the turn can be continued.
+	ginkgo.It("does not end whole while the store takes no record", func() {
+		n := d.start("g1")
+		id := first(n)
+		n.door.SetFaults(standin.TopicFaults{Mode: "busy", Partitions: []string{"turns/0", "turns/1", "turns/2", "turns/3"}})
+		r, _ := n.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id, "X-Deadline-Ms", "800")
+		gomega.Expect(r.err).To(gomega.HaveOccurred())
+		gomega.Expect(r.body).To(gomega.ContainSubstring("data: two"))
+	})
+
+	ginkgo.It("goes to another partition while its own takes no record", func() {
+		n := d.start("g1")
+		id := first(n)
+		for _, down := range []string{"turns/0", "turns/1", "turns/2"} {
+			n.door.SetFaults(standin.TopicFaults{Mode: "busy", Partitions: []string{down}})
+			var r reply
+			r, id = n.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id)
+			gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		}
+	})
+
+	ginkgo.It("is refused at once with a time to come back while the store is away", func() {
+		n := d.start("g1")
+		id := first(n)
+		n.door.SetFaults(standin.TopicFaults{Mode: "busy"})
+		gomega.Eventually(func() string {
+			start := time.Now()
+			r, _ := n.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id, "X-Deadline-Ms", "900")
+			if r.status != http.StatusServiceUnavailable || time.Since(start) > 100*time.Millisecond {
+				return ""
+			}
+			return r.header.Get("Retry-After")
+		}, soon, "50ms").ShouldNot(gomega.BeEmpty())
+		gomega.Eventually(n.ready, soon, "50ms").Should(gomega.BeFalse())
+		n.door.SetFaults(standin.TopicFaults{})
+		gomega.Eventually(func() int {
+			r, _ := n.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id)
+			return r.status
+		}, "3s", "50ms").Should(gomega.Equal(http.StatusOK))
+		gomega.Eventually(n.ready, soon, "50ms").Should(gomega.BeTrue())
+	})
+
+	// The store may turn single machines away.
+	ginkgo.It("is kept by way of another gateway when the store turns this one away", func() {
+		a, b := d.start("g1"), d.start("g2")
+		id := first(a)
+		first(b)
+		// Gateways learn of each other within a second.
+		time.Sleep(time.Second)
+		a.door.SetFaults(standin.TopicFaults{Mode: "silent"})
+		time.Sleep(time.Second)
+		for range 5 {
+			var r reply
+			r, id = a.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id)
+			gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		}
+		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-2"}}}
+		d.publish()
+		gomega.Eventually(func() int {
+			r, _ := a.call("POST", "/chat/", "key-1", "x")
+			return r.status
+		}, "3s", "50ms").Should(gomega.Equal(http.StatusUnauthorized))
+	})
+})
+
+var _ = ginkgo.Describe("A program's budget", func() {
+	var (
+		d *deployment
+		u *standin.Upstream
+	)
+	ginkgo.BeforeEach(func() {
+		d = newDeployment()
+		d.publish()
+		u = d.endpoint("m1", "models", speak)
+	})
+
+	// turn runs a turn of program p that generates 20 tokens of at most 50.
+	turn := func(n *node, program string, budget string) reply {
+		r, _ := n.call("POST", "/review/", "key-1", "x", "X-Program-Id", program, "X-Token-Budget", budget, "X-Token-Count", "5,50")
+		return r
+	}
+
+	ginkgo.It("holds over gateways and a restart", func() {
+		a, b := d.start("g1"), d.start("g2")
+		gomega.Eventually(func() int { return turn(a, "warm", "1000").status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		gomega.Eventually(func() int { return turn(b, "warm", "1000").status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		served := 0
+		for i := range 12 {
+			if turn([]*node{a, b}[i%2], "p", "200").status == http.StatusOK {
+				served++
+			}
+		}
+		// Eight turns have generated 160 tokens; a ninth could exceed the budget.
+		gomega.Expect(served).To(gomega.Equal(8))
+		a.stop()
+		c := d.start("g3")
+		gomega.Eventually(func() int { return turn(c, "p", "200").status }, soon, "50ms").Should(gomega.Equal(http.StatusPaymentRequired))
+	})
+
+	ginkgo.It("never starts a turn that it refuses", func() {
+		n := d.start("g1")
+		gomega.Eventually(func() int { return turn(n, "warm", "1000").status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		before := len(u.Requests())
+		gomega.Expect(turn(n, "small", "40").status).To(gomega.Equal(http.StatusPaymentRequired))
+		gomega.Expect(len(u.Requests())).To(gomega.Equal(before))
+	})
+
+	// A program under way goes on while the store is away, on the grant that its
+	// gateway holds; another one cannot start.
+	ginkgo.It("lasts through an outage for as long as its grant", func() {
+		n := d.start("g1")
+		gomega.Eventually(func() int { return turn(n, "p", "1000").status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		n.door.SetFaults(standin.TopicFaults{Mode: "busy"})
+		gomega.Expect(turn(n, "p", "1000").status).To(gomega.Equal(http.StatusOK))
+		gomega.Eventually(func() int { return turn(n, "q", "1000").status }, soon, "50ms").Should(gomega.Equal(http.StatusServiceUnavailable))
+	})
+})
+
+var _ = ginkgo.Describe("An account's limit", func() {
+	// Requests of a caller stay with one gateway, so that the load of an account is
+	// uneven. A static split refused most of it.
+	ginkgo.It("serves a rate below it at one of three gateways", func() {
+		d := newDeployment()
+		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": 60, "burst": 60}}
+		d.publish()
+		d.endpoint("e1", "app", nil)
+		n := d.start("g1")
+		d.start("g2")
+		d.start("g3")
+		n.served("/lookup/a", "key-1")
+		time.Sleep(time.Second)
+		refused := 0
+		for range 120 {
+			if r, _ := n.call("GET", "/lookup/a", "key-1", ""); r.status != http.StatusOK {
+				refused++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		gomega.Expect(refused).To(gomega.BeNumerically("<=", 2))
+	})
+
+	ginkgo.It("is kept over all gateways, also after one of them is killed", func() {
+		const rate, burst = 20, 20
+		d := newDeployment()
+		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": rate, "burst": burst}}
+		d.publish()
+		u := d.endpoint("e1", "app", nil)
+		nodes := []*node{d.start("g1"), d.start("g2"), d.start("g3")}
+		for _, n := range nodes {
+			n.served("/lookup/a", "key-1")
+		}
+		time.Sleep(time.Second)
+		before, end := len(u.Requests()), time.Now().Add(5*time.Second)
+		var refused, silent atomic.Int64
+		var wg sync.WaitGroup
+		for i := range 12 {
+			n := nodes[i%len(nodes)]
+			wg.Add(1)
+			go func() {
+				defer ginkgo.GinkgoRecover()
+				defer wg.Done()
+				for time.Now().Before(end) {
+					r, _ := n.call("GET", "/lookup/a", "key-1", "")
+					if r.status == http.StatusTooManyRequests {
+						refused.Add(1)
+						if r.header.Get("Retry-After") == "" {
+							silent.Add(1)
+						}
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		nodes[0].stop()
+		wg.Wait()
+		served := len(u.Requests()) - before
+		gomega.Expect(refused.Load()).To(gomega.BeNumerically(">", 0))
+		gomega.Expect(silent.Load()).To(gomega.BeZero())
+		gomega.Expect(float64(served)).To(gomega.BeNumerically("<=", (rate*5+burst)*1.1+20))
+		gomega.Expect(served).To(gomega.BeNumerically(">=", rate*5/2))
+	})
+})
+
+var _ = ginkgo.Describe("A gateway that stops", func() {
+	ginkgo.It("is not ready at once, and finishes what it has begun", func() {
+		d := newDeployment()
+		d.publish()
+		d.endpoint("m1", "models", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
+			return u.Stream(conn, request, 100*time.Millisecond, -1, strings.Fields("a b c d e f g h")...)
+		})
+		n := d.start("g1")
+		gomega.Eventually(func() int {
+			r, _ := n.call("POST", "/review/warm", "key-1", "")
+			return r.status
+		}, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		answer := make(chan reply, 1)
+		go func() {
+			r, _ := n.call("POST", "/review/a", "key-1", "")
+			answer <- r
+		}()
+		time.Sleep(200 * time.Millisecond)
+		stopped := make(chan error, 1)
+		g := n.gateway
+		n.gateway = nil
+		go func() { stopped <- g.Shutdown(background()) }()
+		gomega.Eventually(n.ready, "500ms", "20ms").Should(gomega.BeFalse())
+		var r reply
+		gomega.Eventually(answer, soon).Should(gomega.Receive(&r))
+		gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(r.body).To(gomega.ContainSubstring("data: h"))
+		gomega.Eventually(stopped, soon).Should(gomega.Receive(gomega.BeNil()))
+	})
+
+	ginkgo.It("answers 503 before it knows a configuration", func() {
+		d := newDeployment()
+		door, err := standin.ServeTopics(d.topics, "127.0.0.1:0", "")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(door.Close)
+		d.publish()
+		n := d.start("g1")
+		n.stop()
+		n.door.SetFaults(standin.TopicFaults{Mode: "busy"})
+		n.run()
+		r, _ := n.call("GET", "/lookup/a", "key-1", "")
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(n.ready()).To(gomega.BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/standin/topics.go
@@ -0,0 +1,273 @@
+package standin
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// TopicFaults are the fault switches of one door to the topics, the address that
+// one caller uses.
+type TopicFaults struct {
+	// Mode is empty for a door that works, "busy" for 503, "silent" for no answer,
+	// and "lost" for calls that take effect and are not answered.
+	Mode string `json:"mode"`
+	// Partitions, unless empty, names the partitions that the mode is for, as
+	// "topic/number".
+	Partitions []string `json:"partitions,omitempty"`
+	// LateMs delays the effect of a call that is not answered.
+	LateMs int `json:"lateMs,omitempty"`
+}
+
+const (
+	modeBusy   = "busy"
+	modeSilent = "silent"
+	modeLost   = "lost"
+)
+
+
+// Topics is the stand-in of the platform's store of topics, in memory. It is
+// linearizable and safe for concurrent use.
+type Topics struct {
+	mu         sync.Mutex
+	partitions map[string]*topicPartition
+	appends    int
+	reads      int
+}
+
+type topicPartition struct {
+	// first is the offset of records[0].
+	first   int64
+	records [][]byte
+	// newest holds the offset of the newest record of each key.
+	newest map[string]int64
+	values map[string][]byte
+	// grown is closed and replaced whenever a record is added.
+	grown chan struct{}
+}
+
+// NewTopics returns an empty store.
+func NewTopics() *Topics { return &Topics{partitions: map[string]*topicPartition{}} }
+
+func (t *Topics) partition(name string) *topicPartition {
+	p := t.partitions[name]
+	if p == nil {
+		p = &topicPartition{newest: map[string]int64{}, values: map[string][]byte{}, grown: make(chan struct{})}
+		t.partitions[name] = p
+	}
+	return p
+}
+
+// Put writes the record of a key, as an operator or an endpoint does; an empty
+// value drops the key.
+func (t *Topics) Put(topic, key string, value []byte) {
+	record := append([]byte{byte(len(key))}, key...)
+	t.append(topic+"/0", [][]byte{append(record, value...)})
+}
+
+// Calls returns how many appends and reads have been answered.
+func (t *Topics) Calls() (appends, reads int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.appends, t.reads
+}
+
+// Trim forgets the records of a partition before its end.
+func (t *Topics) Trim(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.partition(name)
+	p.first += int64(len(p.records))
+	p.records = nil
+}
+
+func (t *Topics) append(name string, records [][]byte) (offset, end int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.appends++
+	p := t.partition(name)
+	offset = p.first + int64(len(p.records))
+	for _, record := range records {
+		p.add(record)
+	}
+	close(p.grown)
+	p.grown = make(chan struct{})
+	return offset, p.first + int64(len(p.records))
+}
+
+func (p *topicPartition) add(record []byte) {
+	offset := p.first + int64(len(p.records))
+	p.records = append(p.records, append([]byte(nil), record...))
+	if len(record) == 0 || len(record) < 1+int(record[0]) {
+		return
+	}
+	key, value := string(record[1:1+int(record[0])]), record[1+int(record[0]):]
+	delete(p.newest, key)
+	delete(p.values, key)
+	if len(value) > 0 {
+		p.newest[key], p.values[key] = offset, append([]byte(nil), value...)
+	}
+}
+
+// ServeTopics opens a door to the store at address, with fault switches of its own
+// at control, which may be empty.
+func ServeTopics(topics *Topics, address, control string) (door *TopicsDoor, err error) {
+	door = &TopicsDoor{topics: topics}
+	door.Server, err = Serve(address, control, door.handle, switches(door.Faults, door.SetFaults))
+	return door, err
+}
+
+// TopicsDoor is one address of the store.
+type TopicsDoor struct {
+	*Server
+	topics *Topics
+
+	mu     sync.Mutex
+	faults TopicFaults
+}
+
+// Faults returns the switches in force.
+func (d *TopicsDoor) Faults() TopicFaults {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.faults
+}
+
+// SetFaults changes the switches.
+func (d *TopicsDoor) SetFaults(faults TopicFaults) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.faults = faults
+}
+
+// modeOf returns the fault of a partition, empty for none.
+func (d *TopicsDoor) modeOf(name string) (mode string, late time.Duration) {
+	faults := d.Faults()
+	if len(faults.Partitions) == 0 {
+		return faults.Mode, time.Duration(faults.LateMs) * time.Millisecond
+	}
+	for _, partition := range faults.Partitions {
+		if partition == name {
+			return faults.Mode, time.Duration(faults.LateMs) * time.Millisecond
+		}
+	}
+	return "", 0
+}
+
+// silence is how long a silent door holds a call.
+const silence = 5 * time.Second
+
+func (d *TopicsDoor) handle(ctx *fasthttp.RequestCtx) {
+	arguments := ctx.QueryArgs()
+	name := string(arguments.Peek("topic")) + "/" + string(arguments.Peek("part"))
+	mode, late := d.modeOf(name)
+	switch mode {
+	case modeBusy:
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	case modeSilent:
+		time.Sleep(silence)
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	case modeLost:
+		time.Sleep(late)
+	}
+	switch string(ctx.Path()) {
+	case "/baobabspool/log-append":
+		d.append(ctx, name)
+	case "/baobabspool/log-read":
+		d.read(ctx, name)
+	case "/baobabspool/log-newest":
+		d.newest(ctx, name)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+	if mode == modeLost {
+		ctx.Response.Reset()
+		time.Sleep(silence)
+	}
+}
+
+func (d *TopicsDoor) append(ctx *fasthttp.RequestCtx, name string) {
+	var records [][]byte
+	for rest := ctx.PostBody(); len(rest) >= 4; {
+		size := int(binary.BigEndian.Uint32(rest))
+		if size > len(rest)-4 {
+			ctx.SetStatusCode(fasthttp.StatusBadRequest)
+			return
+		}
+		records = append(records, rest[4:4+size])
+		rest = rest[4+size:]
+	}
+	offset, end := d.topics.append(name, records)
+	reply(ctx, map[string]int64{"offset": offset, "end": end})
+}
+
+func (d *TopicsDoor) read(ctx *fasthttp.RequestCtx, name string) {
+	from, err := strconv.ParseInt(string(ctx.QueryArgs().Peek("from")), 10, 64)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	deadline := time.After(time.Duration(ctx.QueryArgs().GetUintOrZero("wait_ms")) * time.Millisecond)
+	for {
+		body, first, grown := d.topics.since(name, from)
+		switch {
+		case from < first:
+			ctx.SetStatusCode(fasthttp.StatusGone)
+			reply(ctx, map[string]int64{"first": first})
+			return
+		case grown == nil:
+			ctx.SetBody(body)
+			return
+		}
+		select {
+		case <-grown:
+		case <-deadline:
+			ctx.SetBody(body)
+			return
+		}
+	}
+}
+
+// since returns the answer to a read; grown is not nil when there is no record.
+func (t *Topics) since(name string, from int64) (body []byte, first int64, grown <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	p := t.partition(name)
+	end := p.first + int64(len(p.records))
+	body = binary.BigEndian.AppendUint64(nil, uint64(end))
+	body = binary.BigEndian.AppendUint64(body, uint64(p.first))
+	if from >= end {
+		return body, p.first, p.grown
+	}
+	for offset := max(from, p.first); offset < end; offset++ {
+		record := p.records[offset-p.first]
+		body = binary.BigEndian.AppendUint32(body, uint32(len(record)))
+		body = append(body, record...)
+	}
+	return body, p.first, nil
+}
+
+type newestItem struct {
+	Key    string `json:"key"`
+	Value  string `json:"value"`
+	Offset int64  `json:"offset"`
+}
+
+func (d *TopicsDoor) newest(ctx *fasthttp.RequestCtx, name string) {
+	d.topics.mu.Lock()
+	p := d.topics.partition(name)
+	items := []newestItem{}
+	for key, offset := range p.newest {
+		items = append(items, newestItem{Key: key, Value: base64.StdEncoding.EncodeToString(p.values[key]), Offset: offset})
+	}
+	end := p.first + int64(len(p.records))
+	d.topics.mu.Unlock()
+	reply(ctx, map[string]any{"items": items, "has_more": false, "end": end})
+}
--- /dev/null
+++ b/pkg/chain/chain_test.go
@@ -0,0 +1,101 @@
+package chain_test
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/baobabspool/baobabspool/internal/fixedseed"
+	"github.com/baobabspool/baobabspool/pkg/chain"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m, map[string]string{"rapid.checks": "200"}) }
+
+func TestChain(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "chain")
+}
+
+func turn(id string, line ...string) *chain.Turn {
+	return &chain.Turn{
+		ID: id, Account: "weavers", Line: line, Input: []byte("in " + id + "\n"), Output: []byte("out " + id + "\n"),
+		Retention: clock.Minute,
+	}
+}
+
+var _ = ginkgo.Describe("Index", func() {
+	ginkgo.It("returns the line of a turn, oldest first", func() {
+		index := chain.NewIndex()
+		for _, t := range []*chain.Turn{turn("a"), turn("b", "a"), turn("c", "a", "b"), turn("x")} {
+			index.Add(0, t)
+		}
+		line, missing := index.Line("c")
+		gomega.Expect(missing).To(gomega.BeEmpty())
+		gomega.Expect(string(chain.Prompt(line, []byte("next")))).To(gomega.Equal(
+			"in a\nout a\nin b\nout b\nin c\nout c\nnext"))
+	})
+
+	// A prompt with a hole would mix up what was said.
+	ginkgo.It("names the turns that it does not have", func() {
+		index := chain.NewIndex()
+		index.Add(0, turn("c", "a", "b"))
+		index.Add(0, turn("a"))
+		_, missing := index.Line("c")
+		gomega.Expect(missing).To(gomega.Equal([]string{"b"}))
+		_, missing = index.Line("z")
+		gomega.Expect(missing).To(gomega.Equal([]string{"z"}))
+	})
+
+	ginkgo.It("keeps the first copy of a turn", func() {
+		index := chain.NewIndex()
+		index.Add(0, turn("a"))
+		other := turn("a")
+		other.Output = []byte("forged")
+		index.Add(0, other)
+		line, _ := index.Line("a")
+		gomega.Expect(string(line[0].Output)).To(gomega.Equal("out a\n"))
+	})
+
+	ginkgo.It("keeps a turn for its retention and drops it afterwards", func() {
+		index := chain.NewIndex()
+		index.Add(0, turn("a"))
+		index.Expire(clock.Minute)
+		_, missing := index.Line("a")
+		gomega.Expect(missing).To(gomega.BeEmpty())
+		index.Expire(2 * clock.Minute)
+		_, missing = index.Line("a")
+		gomega.Expect(missing).NotTo(gomega.BeEmpty())
+		gomega.Expect(index.Bytes()).To(gomega.BeZero())
+	})
+})
+
+// TestTurnCodec guards against turns that change on their way through the log.
+func TestTurnCodec(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.SliceOfN(rapid.Byte(), 1, 50)
+		before := &chain.Turn{
+			ID: rapid.StringN(1, 20, -1).Draw(t, "id"), Account: spool.AccountID(rapid.String().Draw(t, "account")),
+			Line: rapid.SliceOfN(rapid.String(), 1, 5).Draw(t, "line"), Input: text.Draw(t, "input"), Output: text.Draw(t, "output"),
+			EndedAt: clock.Millis(rapid.Int64().Draw(t, "ended")), Retention: clock.Millis(rapid.Int64().Draw(t, "retention")),
+		}
+		after, err := chain.Decode(before.Encode())
+		if err != nil || !reflect.DeepEqual(before, after) {
+			t.Fatalf("%+v became %+v, %v", before, after, err)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(turn("b", "a").Encode())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		decoded, err := chain.Decode(data)
+		if err == nil && decoded.ID == "" {
+			t.Fatal("a turn without an identifier was read")
+		}
+	})
+}
--- /dev/null
+++ b/pkg/events/events_test.go
@@ -0,0 +1,67 @@
+package events_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/baobabspool/baobabspool/internal/fixedseed"
+	"github.com/baobabspool/baobabspool/pkg/events"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m, nil) }
+
+func TestEvents(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "events")
+}
+
+var _ = ginkgo.Describe("Splitter", func() {
+	// An endpoint may stop in the middle of an event; the part must not reach the
+	// caller, who could join it with the event of another run.
+	ginkgo.It("keeps a part of an event back", func() {
+		splitter := events.NewSplitter()
+		gomega.Expect(string(splitter.Add([]byte("id: 1\ndata: a\n\nid: 2\nda")))).To(gomega.Equal("id: 1\ndata: a\n\n"))
+		gomega.Expect(string(splitter.Rest())).To(gomega.Equal("id: 2\nda"))
+		gomega.Expect(string(splitter.Add([]byte("ta: b\n\n")))).To(gomega.Equal("id: 2\ndata: b\n\n"))
+	})
+
+	ginkgo.It("reads the data and the identifiers of events", func() {
+		whole := []byte("x-weight-versions: 2\nid: 7\ndata: one\ndata:two\n\n: comment\n\nid: 8\ndata: three\n\n")
+		gomega.Expect(events.Count(whole)).To(gomega.Equal(2))
+		gomega.Expect(events.LastID(whole)).To(gomega.Equal("8"))
+		gomega.Expect(string(events.AppendData(nil, whole))).To(gomega.Equal("one\ntwo\nthree\n"))
+	})
+})
+
+// TestSplitterChunks cuts a stream at any places: what is passed on is the same.
+func TestSplitterChunks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var stream []byte
+		count := rapid.IntRange(0, 20).Draw(t, "events")
+		for i := range count {
+			stream = fmt.Appendf(stream, "id: %d\ndata: %s\n\n", i, rapid.StringMatching(`[a-z ]{0,30}`).Draw(t, "data"))
+		}
+		splitter := events.NewSplitter()
+		var passed []byte
+		for rest := stream; len(rest) > 0; {
+			size := rapid.IntRange(1, len(rest)).Draw(t, "size")
+			whole := splitter.Add(rest[:size])
+			if len(whole) > 0 && !bytes.HasSuffix(whole, []byte("\n\n")) {
+				t.Fatalf("%q is no whole event", whole)
+			}
+			passed = append(passed, whole...)
+			rest = rest[size:]
+		}
+		if !bytes.Equal(passed, stream) {
+			t.Fatalf("%q was passed on of %q", passed, stream)
+		}
+		if events.Count(passed) != count {
+			t.Fatalf("%d events were counted of %d", events.Count(passed), count)
+		}
+	})
+}
