Close waiting connections when a gateway drains

Cause: a connection counted as busy until its caller's next request, so drain and stop closed none that waited; that request was then closed without an answer, and the wait for the connection lasted until SIGKILL. Ruled out: the server of the balancer's question, which also waited for kept connections (mended, with a test) but was not what held the process. Change: the end of an answer makes the connection idle; whether it carries another request is what its caller was told. Tests, which fail without it: waiting, fresh and busy connections while draining; a stop with kept connections.

--- a/internal/gateway/appender.go
+++ b/internal/gateway/appender.go
@@ -71,7 +71,10 @@
 // drain waits until nothing is left to write or ctx ends.
 func (a *appender) drain(ctx context.Context) {
 	a.flushLazy()
-	for a.busy() && clock.Pause(ctx, drainInterval) {
+	for a.busy() {
+		if !clock.Pause(ctx, drainInterval) {
+			return
+		}
 	}
 }
 
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -233,8 +233,11 @@
 		o.vacantSince = 0
 		return false
 	}
-	// The node of the previous owner comes first when it is back.
-	delay := candidateDelay * clock.Millis(o.rank(live)+1)
+	delay := candidateDelay * clock.Millis(o.rank(live))
+	if !o.claim.Released && o.epoch != 0 {
+		// The node of the previous owner comes first when it is back.
+		delay += candidateDelay
+	}
 	if !restarted && now-o.vacantSince < delay {
 		return false
 	}
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -17,6 +18,9 @@
 // readyIdleTimeout closes connections on which nobody asks any more.
 const readyIdleTimeout = 30 * time.Second
 
+// readyStopTimeout bounds the wait for connections that are kept open.
+const readyStopTimeout = 50 * time.Millisecond
+
 // readyServer answers the balancer's question and serves the metrics.
 type readyServer struct {
 	server *fasthttp.Server
@@ -48,8 +52,13 @@
 	return server, nil
 }
 
+// stop closes the listener. Connections that are kept open, by the balancer or by
+// whoever reads the metrics, end with the process.
 func (s *readyServer) stop() error {
-	if err := s.server.Shutdown(); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), readyStopTimeout)
+	defer cancel()
+	err := s.server.ShutdownWithContext(ctx)
+	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
 	return <-s.done
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -136,7 +136,7 @@
 
 	// A payout that may have run must neither run again nor be called not run.
 	ginkgo.It("is not sent again when it may have run and must run once", func() {
-		cut := func(_ *standin.Upstream, _ io.Writer, request standin.UpstreamRequest) bool { return false }
+		cut := func(_ *standin.Upstream, _ io.Writer, _ standin.UpstreamRequest) bool { return false }
 		a, b := d.endpoint("e1", "app", cut), d.endpoint("e2", "app", cut)
 		n := d.start("g1")
 		gomega.Eventually(func() int {
@@ -149,7 +149,7 @@
 	})
 
 	ginkgo.It("is sent again when it is idempotent, to as many endpoints as the route allows", func() {
-		cut := func(_ *standin.Upstream, _ io.Writer, request standin.UpstreamRequest) bool { return false }
+		cut := func(_ *standin.Upstream, _ io.Writer, _ standin.UpstreamRequest) bool { return false }
 		a, b, c := d.endpoint("e1", "app", cut), d.endpoint("e2", "app", cut), d.endpoint("e3", "app", cut)
 		n := d.start("g1")
 		gomega.Eventually(func() int {
@@ -177,7 +177,7 @@
 
 	ginkgo.It("does not get a success without the endpoint's seal, or one that is cut off", func() {
 		var torn atomic.Bool
-		d.endpoint("e1", "app", func(_ *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
+		d.endpoint("e1", "app", func(_ *standin.Upstream, conn io.Writer, _ standin.UpstreamRequest) bool {
 			seal := ""
 			if torn.Load() {
 				seal = "X-Server-Seal: e1\r\n"
@@ -196,7 +196,7 @@
 	})
 
 	ginkgo.It("is answered at the route's timeout and the endpoint is told to stop", func() {
-		hang := d.endpoint("e1", "app", func(_ *standin.Upstream, _ io.Writer, request standin.UpstreamRequest) bool {
+		hang := d.endpoint("e1", "app", func(_ *standin.Upstream, _ io.Writer, _ standin.UpstreamRequest) bool {
 			time.Sleep(3 * time.Second)
 			return true
 		})
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/baobabspool/baobabspool/internal/standin"
+	"github.com/baobabspool/baobabspool/platform"
 )
 
 // speak answers each turn with two events.
@@ -298,6 +300,25 @@
 		gomega.Eventually(stopped, soon).Should(gomega.Receive(gomega.BeNil()))
 	})
 
+	// The balancer keeps its connection. Waiting for it held the process until it was
+	// killed, eight seconds later, while its callers were turned away.
+	ginkgo.It("does not wait for connections that nobody uses", func() {
+		d := newDeployment()
+		d.publish()
+		n := d.start("g1")
+		for _, address := range []string{n.settings.ReadyListen, n.settings.Listen} {
+			conn, err := net.Dial("tcp4", address)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			defer func() { _ = conn.Close() }()
+		}
+		_, err := http.Get("http://" + n.settings.ReadyListen + platform.ReadyPath)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		g, start := n.gateway, time.Now()
+		n.gateway = nil
+		gomega.Expect(g.Shutdown(background())).To(gomega.Succeed())
+		gomega.Expect(time.Since(start)).To(gomega.BeNumerically("<", 3500*time.Millisecond))
+	})
+
 	ginkgo.It("answers 503 before it knows a configuration", func() {
 		d := newDeployment()
 		door, err := standin.ServeTopics(d.topics, "127.0.0.1:0", "")
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -158,15 +158,18 @@
 	return nil
 }
 
-// finish closes an answer that the handler left incomplete.
-func (e *Exchange) finish() {
-	if e.started && !e.streaming {
-		if e.closing {
-			e.closeWrite()
-		}
-		return
+// finish closes an answer that the handler left incomplete. It reports whether the
+// connection can carry another request, as the caller was told.
+func (e *Exchange) finish() (open bool) {
+	switch {
+	case !e.started || e.streaming:
+		e.Abort()
+	case e.closing:
+		e.closeWrite()
+	default:
+		return true
 	}
-	e.Abort()
+	return false
 }
 
 // closeWrite ends the connection after a whole answer, so that the reader, which
--- /dev/null
+++ b/internal/httpconn/httpconn_test.go
@@ -0,0 +1,304 @@
+package httpconn_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/httpconn"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+)
+
+func TestHTTPConn(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "httpconn")
+}
+
+const soon = 5 * time.Second
+
+func serve(handler httpconn.Handler) *httpconn.Server {
+	server, err := httpconn.NewServer("127.0.0.1:0", handler)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		server.Stop(ctx)
+	})
+	return server
+}
+
+func echo(_ context.Context, exchange *httpconn.Exchange) {
+	_ = exchange.Respond(http.StatusOK, nil, []byte(exchange.Request().RequestURI+string(exchange.Body())))
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dial(address string) *caller {
+	conn, err := net.Dial("tcp4", address)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(func() { _ = conn.Close() })
+	_ = conn.SetReadDeadline(time.Now().Add(soon))
+	return &caller{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func (c *caller) send(text string) {
+	_, err := io.WriteString(c, text)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+func (c *caller) receive() (response *http.Response, body string) {
+	response, err := http.ReadResponse(c.reader, nil)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	data, err := io.ReadAll(response.Body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return response, string(data)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+var _ = ginkgo.Describe("Server", func() {
+	ginkgo.It("answers requests of one connection in turn, also pipelined ones", func() {
+		c := dial(serve(echo).Address())
+		c.send(get("/a") + get("/b"))
+		for _, want := range []string{"/a", "/b"} {
+			_, body := c.receive()
+			gomega.Expect(body).To(gomega.Equal(want))
+		}
+	})
+
+	ginkgo.It("reads bodies with a length and in chunks", func() {
+		c := dial(serve(echo).Address())
+		c.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxyPOST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n2\r\nyz\r\n0\r\n\r\n")
+		_, body := c.receive()
+		gomega.Expect(body).To(gomega.Equal("/axy"))
+		_, body = c.receive()
+		gomega.Expect(body).To(gomega.Equal("/bxyz"))
+	})
+
+	ginkgo.It("ends the context of a request whose caller leaves", func() {
+		left := make(chan struct{})
+		server := serve(func(ctx context.Context, _ *httpconn.Exchange) {
+			<-ctx.Done()
+			close(left)
+		})
+		c := dial(server.Address())
+		c.send(get("/a"))
+		_ = c.Close()
+		gomega.Eventually(left, "300ms").Should(gomega.BeClosed())
+	})
+
+	ginkgo.It("does not let an unfinished stream pass for a whole one", func() {
+		c := dial(serve(func(_ context.Context, exchange *httpconn.Exchange) {
+			exchange.StartStream(http.StatusOK, nil)
+			_ = exchange.Chunk([]byte("part"))
+		}).Address())
+		c.send(get("/a"))
+		response, err := http.ReadResponse(c.reader, nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.ReadAll(response.Body)
+		gomega.Expect(err).To(gomega.HaveOccurred())
+	})
+
+	// A connection that was told to stay open was closed on its next request, without
+	// an answer, and the wait for it lasted until the process was killed.
+	ginkgo.It("closes waiting connections when it drains, and answers those that have asked", func() {
+		release := make(chan struct{})
+		server := serve(func(ctx context.Context, exchange *httpconn.Exchange) {
+			if exchange.Request().RequestURI == "/slow" {
+				<-release
+			}
+			echo(ctx, exchange)
+		})
+		waiting, fresh, busy := dial(server.Address()), dial(server.Address()), dial(server.Address())
+		waiting.send(get("/a"))
+		waiting.receive()
+		busy.send(get("/slow"))
+		time.Sleep(50 * time.Millisecond)
+		server.Drain()
+		_, err := waiting.reader.ReadByte()
+		gomega.Expect(err).To(gomega.MatchError(io.EOF))
+		close(release)
+		for _, c := range []*caller{fresh, busy} {
+			if c == fresh {
+				c.send(get("/b"))
+			}
+			response, _ := c.receive()
+			gomega.Expect(response.Close).To(gomega.BeTrue())
+		}
+		start := time.Now()
+		server.Stop(context.Background())
+		gomega.Expect(time.Since(start)).To(gomega.BeNumerically("<", time.Second))
+	})
+
+	ginkgo.It("rejects a request that takes too long", func() {
+		server := serve(echo)
+		limits := httpconn.DefaultLimits()
+		limits.HeaderTimeout = 100
+		server.SetLimits(limits)
+		c := dial(server.Address())
+		c.send("GET /slow HTTP/1.1\r\n")
+		response, _ := c.receive()
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusRequestTimeout))
+	})
+})
+
+// upstream answers each connection with script, in turn.
+func upstream(script func(conn net.Conn, reader *bufio.Reader)) (address string, accepted *atomic.Int64) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(func() { _ = listener.Close() })
+	accepted = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				script(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return listener.Addr().String(), accepted
+}
+
+func call(address, id string) *httpconn.Call {
+	return &httpconn.Call{
+		Address: address, Method: http.MethodGet, Head: []byte(get("/" + id)),
+		Accept: func(header http.Header) bool { return header.Get("Id") == id },
+	}
+}
+
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func read(response *httpconn.Response) string {
+	body, err := io.ReadAll(response.Body)
+	response.Close(err == nil)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return string(body)
+}
+
+var _ = ginkgo.Describe("Client", func() {
+	client := func() *httpconn.Client { return httpconn.NewClient(clock.System()) }
+
+	ginkgo.It("keeps a connection for the next call", func() {
+		address, accepted := upstream(func(conn net.Conn, reader *bufio.Reader) {
+			for {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, whole(strings.TrimPrefix(request.RequestURI, "/"), "x"))
+			}
+		})
+		c := client()
+		for i := range 5 {
+			response, err := c.Do(context.Background(), call(address, fmt.Sprint(i)))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(read(response)).To(gomega.Equal("x"))
+		}
+		gomega.Expect(accepted.Load()).To(gomega.Equal(int64(1)))
+	})
+
+	ginkgo.It("drops answers to other requests", func() {
+		address, _ := upstream(func(conn net.Conn, reader *bufio.Reader) {
+			_, _ = http.ReadRequest(reader)
+			_, _ = io.WriteString(conn, whole("other", "not mine")+whole("1", "mine"))
+			_, _ = reader.ReadByte()
+		})
+		response, err := client().Do(context.Background(), call(address, "1"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(read(response)).To(gomega.Equal("mine"))
+	})
+
+	ginkgo.It("does not use a connection with bytes that nobody asked for", func() {
+		address, accepted := upstream(func(conn net.Conn, reader *bufio.Reader) {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			id := strings.TrimPrefix(request.RequestURI, "/")
+			_, _ = io.WriteString(conn, whole(id, "x"))
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(conn, whole("2", "stale"))
+			_, _ = reader.ReadByte()
+		})
+		c := client()
+		for _, id := range []string{"1", "2"} {
+			response, err := c.Do(context.Background(), call(address, id))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(read(response)).To(gomega.Equal("x"))
+			time.Sleep(60 * time.Millisecond)
+		}
+		gomega.Expect(accepted.Load()).To(gomega.Equal(int64(2)))
+	})
+
+	// An answer may come before the peer has read the body. The rest of the body must
+	// not become the start of the next request.
+	ginkgo.It("does not keep a connection whose request was not written whole", func() {
+		address, accepted := upstream(func(conn net.Conn, reader *bufio.Reader) {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, whole(strings.TrimPrefix(request.RequestURI, "/"), "early"))
+			time.Sleep(200 * time.Millisecond)
+		})
+		c := client()
+		for _, id := range []string{"1", "2"} {
+			long := call(address, id)
+			long.Method, long.Body = http.MethodPost, make([]byte, 8<<20)
+			long.Head = fmt.Appendf(nil, "POST /%s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", id, len(long.Body))
+			response, err := c.Do(context.Background(), long)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(read(response)).To(gomega.Equal("early"))
+		}
+		gomega.Expect(accepted.Load()).To(gomega.Equal(int64(2)))
+	})
+
+	ginkgo.It("tells a request that was not sent from one that may have been received", func() {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gone := listener.Addr().String()
+		_ = listener.Close()
+		_, err = client().Do(context.Background(), call(gone, "1"))
+		gomega.Expect(errors.Is(err, httpconn.ErrNotSent)).To(gomega.BeTrue())
+
+		address, _ := upstream(func(_ net.Conn, reader *bufio.Reader) { _, _ = http.ReadRequest(reader) })
+		_, err = client().Do(context.Background(), call(address, "1"))
+		gomega.Expect(errors.Is(err, httpconn.ErrNoAnswer)).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("breaks the connection when its context ends", func() {
+		closed := make(chan struct{})
+		address, _ := upstream(func(_ net.Conn, reader *bufio.Reader) {
+			_, _ = http.ReadRequest(reader)
+			_, _ = reader.ReadByte()
+			close(closed)
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := client().Do(ctx, call(address, "1"))
+		gomega.Expect(errors.Is(err, httpconn.ErrNoAnswer)).To(gomega.BeTrue())
+		gomega.Eventually(closed, "500ms").Should(gomega.BeClosed())
+	})
+})
--- a/internal/httpconn/server.go
+++ b/internal/httpconn/server.go
@@ -226,11 +226,7 @@
 		if _, err := c.reader.Peek(1); err != nil {
 			return
 		}
-		if !c.begin() {
-			return
-		}
-		keep := c.one(limits)
-		if !keep || !c.end() {
+		if !c.begin() || !c.one(limits) {
 			return
 		}
 	}
@@ -245,11 +241,16 @@
 	return c.busy
 }
 
-func (c *serverConn) end() bool {
+// rest marks the connection as waiting for another request, and closes it when
+// that must not come.
+func (c *serverConn) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
-	return !c.stopped
+	if c.stopped || c.server.draining.Load() {
+		c.stopped = true
+		_ = c.conn.Close()
+	}
 }
 
 func (c *serverConn) closeIfUsed() {
@@ -271,7 +272,7 @@
 }
 
 // one reads and answers one request and reports whether the connection can carry
-// another.
+// another. It returns when the next request begins.
 func (c *serverConn) one(limits Limits) (keep bool) {
 	request, body, status := c.read(limits)
 	exchange := &Exchange{conn: c.conn, request: request, body: body, server: c.server, idle: limits.IdleTimeout}
@@ -289,16 +290,18 @@
 	go func() {
 		defer close(done)
 		c.server.handler(ctx, exchange)
-		exchange.finish()
-		// The reader below waits for the next request or for the caller to leave.
-		_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout.Duration()))
+		if exchange.finish() {
+			_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout.Duration()))
+			c.rest()
+		}
 	}()
+	// The caller leaves or sends its next request, early or after the answer.
 	_, err := c.reader.Peek(1)
 	if err != nil {
 		cancel()
 	}
 	<-done
-	return err == nil && !exchange.mustClose()
+	return err == nil && !exchange.closing
 }
 
 // read parses one request with its body; status is not 0 when it is rejected.
--- a/internal/standin/topics.go
+++ b/internal/standin/topics.go
@@ -29,7 +29,6 @@
 	modeLost   = "lost"
 )
 
-
 // Topics is the stand-in of the platform's store of topics, in memory. It is
 // linearizable and safe for concurrent use.
 type Topics struct {
--- a/pkg/spend/spend_test.go
+++ b/pkg/spend/spend_test.go
@@ -162,7 +162,7 @@
 				apply(late[0])
 				late = late[1:]
 			},
-			"kill": func(t *rapid.T) {
+			"kill": func(*rapid.T) {
 				g := pick()
 				// The running turns may have handed out everything before the kill.
 				for _, running := range g.running {
