Find turns at other gateways, and write them past failing partitions

Change: after its own partitions a turn is looked for at up to 12 other gateways, then in all partitions; partitions whose last append failed come last. The parts of a gateway are assembled before any address is opened: the balancer's question could reach one without a server.

Test with two gateways and silent partitions.

--- a/internal/gateway/appender.go
+++ b/internal/gateway/appender.go
@@ -68,6 +68,13 @@
 	return a.running && a.failingSince != 0 && a.clock.Now()-a.failingSince >= awayAfter
 }
 
+// failing reports whether the last append failed.
+func (a *appender) failing() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.failingSince != 0
+}
+
 // drain waits until nothing is left to write or ctx ends.
 func (a *appender) drain(ctx context.Context) {
 	a.flushLazy()
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -97,8 +97,10 @@
 	reading sync.Mutex
 }
 
-func newBudgetStore(ctx context.Context, store spool.Store, health *storeHealth, system clock.Clock, settings spool.GatewaySettings, lifetime string) *budgetStore {
-	s := &budgetStore{ctx: ctx, store: store, health: health, clock: system, lifetime: lifetime, programs: map[spool.ProgramID]*heldProgram{}}
+func newBudgetStore(ctx context.Context, store spool.Store, health *storeHealth, system clock.Clock, settings spool.GatewaySettings, lifetime string, askSettle func(ctx context.Context, lifetime string, id spool.ProgramID) error) *budgetStore {
+	s := &budgetStore{
+		askSettle: askSettle, ctx: ctx, store: store, health: health, clock: system, lifetime: lifetime, programs: map[spool.ProgramID]*heldProgram{},
+	}
 	for i := range min(settings.Partitions, maxBudgetPartitions) {
 		partition := spool.Partition{Topic: spool.TopicBudgets, Index: i}
 		s.ledgers = append(s.ledgers, &budgetLedger{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -82,31 +83,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		settings: settings, codec: codec, client: client, clock: system, telemetry: t, log: t.Logger("gateway"),
-		table: endpoints.NewTable(settings.FailureDomain), cancel: cancel,
-		choice: newPeerChoice(system),
+		table: endpoints.NewTable(settings.FailureDomain), cancel: cancel, choice: newPeerChoice(system),
 		health: newStoreHealth(system, t.Logger("store")),
 	}
-	watched := newPathStore(store, g.health, g.callPeer, t)
-	boot, lifetime := clock.Boot(), newLifetime()
-	g.budgets = newBudgetStore(ctx, watched, g.health, system, settings, lifetime)
-	owner := newPoolOwner(settings, lifetime, watched, boot, t.Logger("limits"))
-	owner.ask = g.askAlive
-	members := newMemberBook(settings.Node, boot, owner, t.Logger("members"))
-	g.clients = wire.NewClients(settings.Node, wire.WithSilentAfter(silentPeer, pingPeer))
-	g.budgets.askSettle = g.askSettle
-	g.state = newSharedState(g, watched, lifetime, members, boot)
-	g.limits = newLimiter(settings, owner, boot, func() clock.Millis { return g.state.freshFor(boot.Now()) }, g.clients, t)
-	g.store = watched
-	g.turns = newTurnStore(ctx, watched, system, settings)
-	if err = g.listenPeers(); err != nil {
-		cancel()
-		return nil, err
-	}
-	if g.ready, err = newReadyServer(settings.ReadyListen, g.isReady, t); err != nil {
-		cancel()
-		return nil, err
-	}
-	if g.server, err = httpconn.NewServer(settings.Listen, g.handle); err != nil {
+	g.assemble(ctx, store)
+	if err := g.listen(); err != nil {
 		cancel()
 		return nil, err
 	}
@@ -122,6 +103,39 @@
 	return g, nil
 }
 
+// assemble makes the parts of the gateway and connects them.
+func (g *Gateway) assemble(ctx context.Context, store spool.Store) {
+	boot, lifetime := clock.Boot(), newLifetime()
+	g.clients = wire.NewClients(g.settings.Node, wire.WithSilentAfter(silentPeer, pingPeer))
+	g.store = newPathStore(store, g.health, g.callPeer, g.telemetry)
+	g.turns = newTurnStore(ctx, g.store, g.clock, g.settings, g.askTurns)
+	g.budgets = newBudgetStore(ctx, g.store, g.health, g.clock, g.settings, lifetime, g.askSettle)
+	owner := newPoolOwner(g.settings, lifetime, g.store, boot, g.askAlive, g.telemetry.Logger("limits"))
+	members := newMemberBook(g.settings.Node, boot, owner, g.telemetry.Logger("members"))
+	g.state = newSharedState(g, g.store, lifetime, members, boot)
+	freshFor := func() clock.Millis { return g.state.freshFor(boot.Now()) }
+	g.limits = newLimiter(g.settings, owner, boot, freshFor, g.clients, g.telemetry)
+}
+
+// listen opens the addresses of other gateways, of callers and of the balancer.
+func (g *Gateway) listen() (err error) {
+	if err := g.listenPeers(); err != nil {
+		return err
+	}
+	if g.server, err = httpconn.NewServer(g.settings.Listen, g.handle); err != nil {
+		g.closePeers()
+		return err
+	}
+	g.ready, err = newReadyServer(g.settings.ReadyListen, g.isReady, g.telemetry)
+	if err != nil {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		g.server.Stop(ended)
+		g.closePeers()
+	}
+	return err
+}
+
 // newLifetime returns a name for this process that no other one has.
 func newLifetime() string { return strings.ReplaceAll(uuid.NewString(), "-", "")[:16] }
 
@@ -135,6 +149,7 @@
 	maps.Copy(handlers, g.state.relayHandlers())
 	maps.Copy(handlers, g.store.handlers())
 	maps.Copy(handlers, g.budgets.handlers())
+	maps.Copy(handlers, g.turns.handlers())
 	g.peers, err = wire.Listen(g.settings.ControlListen, handlers, nil)
 	return err
 }
@@ -156,6 +171,29 @@
 	return g.clients.Call(ctx, address, methodSettle, settleRequest{Program: id}, &struct{}{}, nil)
 }
 
+// askTurns asks other gateways for the line of a turn and returns the first answer
+// that has it.
+func (g *Gateway) askTurns(ctx context.Context, turn string) [][]byte {
+	addresses := g.state.peerAddresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), maxAsked)]
+	results := make(chan [][]byte, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			var reply turnsReply
+			// A gateway that does not answer has nothing to offer.
+			_ = g.clients.Call(ctx, address, methodTurns, turnsRequest{Turn: turn}, &reply, nil)
+			results <- reply.Records
+		}()
+	}
+	for range addresses {
+		if records := <-results; len(records) > 0 {
+			return records
+		}
+	}
+	return nil
+}
+
 // callPeer calls another gateway, one that helped before where there is one.
 func (g *Gateway) callPeer(ctx context.Context, method string, request, reply any) error {
 	address, ok := g.choice.pick(g.state.peerAddresses())
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -87,9 +87,9 @@
 
 var _ quota.Streams = (*poolOwner)(nil)
 
-func newPoolOwner(settings spool.GatewaySettings, lifetime string, store spool.Store, boot clock.Clock, log *zap.Logger) *poolOwner {
+func newPoolOwner(settings spool.GatewaySettings, lifetime string, store spool.Store, boot clock.Clock, ask func(ctx context.Context, address string, request aliveRequest) (aliveReply, error), log *zap.Logger) *poolOwner {
 	self := claimRecord{Node: settings.Node, Address: settings.ControlListen, Lifetime: lifetime}
-	return &poolOwner{self: self, clock: boot, store: store, log: log, claimedAt: -claimPause, gone: map[string]bool{}}
+	return &poolOwner{self: self, clock: boot, store: store, ask: ask, log: log, claimedAt: -claimPause, gone: map[string]bool{}}
 }
 
 // Epoch implements quota.Streams.
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -22,8 +23,15 @@
 	// turnTry is the time after which a turn's record goes to another partition as
 	// well.
 	turnTry = 250 * clock.Millis(1)
-	// turnRead bounds one read of a partition.
+	// homeRead bounds the read of the partitions to which turns belong, peerRead the
+	// question to other gateways, and turnRead the read of all partitions.
+	homeRead = 200 * clock.Millis(1)
+	peerRead = 150 * clock.Millis(1)
 	turnRead = 700 * clock.Millis(1)
+	// methodTurns asks a gateway for the line of a turn.
+	methodTurns = "gateway.turns"
+	// maxAsked bounds the gateways that are asked for one turn.
+	maxAsked = 12
 )
 
 // turnStore keeps turns in the partitions of a topic. A turn belongs to the
@@ -36,6 +44,8 @@
 	index     *chain.Index
 	appenders []*appender
 	readers   []*turnReader
+	// ask asks other gateways for the line of a turn and returns its records.
+	ask func(ctx context.Context, turn string) [][]byte
 }
 
 // turnReader reads one partition up to its end when a turn is looked for.
@@ -44,8 +54,8 @@
 	next int64
 }
 
-func newTurnStore(ctx context.Context, store spool.Store, system clock.Clock, settings spool.GatewaySettings) *turnStore {
-	s := &turnStore{store: store, clock: system, index: chain.NewIndex()}
+func newTurnStore(ctx context.Context, store spool.Store, system clock.Clock, settings spool.GatewaySettings, ask func(ctx context.Context, turn string) [][]byte) *turnStore {
+	s := &turnStore{store: store, clock: system, index: chain.NewIndex(), ask: ask}
 	for i := range settings.Partitions {
 		partition := spool.Partition{Topic: spool.TopicTurns, Index: i}
 		s.appenders = append(s.appenders, newAppender(ctx, store, partition, settings.MaxAppendBytes, system))
@@ -65,9 +75,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan error, len(s.appenders))
-	home, started := s.home(turn.ID), 0
+	order, started := s.order(turn.ID), 0
 	start := func() {
-		partition := s.appenders[(home+started)%len(s.appenders)]
+		partition := order[started]
 		started++
 		go func() {
 			_, err := partition.append(ctx, record)
@@ -91,12 +101,28 @@
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
-		if started < len(s.appenders) {
+		if started < len(order) {
 			start()
 		}
 	}
 }
 
+// order returns the partitions in which a turn is written, its own first unless
+// that one is failing.
+func (s *turnStore) order(id string) (order []*appender) {
+	home := s.home(id)
+	var failing []*appender
+	for i := range s.appenders {
+		partition := s.appenders[(home+i)%len(s.appenders)]
+		if partition.failing() {
+			failing = append(failing, partition)
+			continue
+		}
+		order = append(order, partition)
+	}
+	return append(order, failing...)
+}
+
 // line returns the turns that a successor of id continues. It fails with errNoTurn
 // only when every partition has been read to its end.
 func (s *turnStore) line(ctx context.Context, account spool.AccountID, id string) (line []*chain.Turn, err error) {
@@ -113,25 +139,27 @@
 	return line, nil
 }
 
+// find looks for turns where they belong, then at other gateways, then in every
+// partition.
 func (s *turnStore) find(ctx context.Context, id string, missing []string) (line []*chain.Turn, err error) {
 	// The second round finds the earlier turns that the first one named.
 	for range 2 {
-		homes := map[int]bool{}
-		for _, turn := range missing {
-			homes[s.home(turn)] = true
-		}
-		if err := s.read(ctx, homes); err != nil {
+		if s.readHomes(ctx, missing) != nil {
 			break
 		}
 		if line, missing = s.index.Line(id); len(missing) == 0 {
 			return line, nil
 		}
 	}
+	s.askOthers(ctx, id)
+	if line, missing = s.index.Line(id); len(missing) == 0 {
+		return line, nil
+	}
 	all := map[int]bool{}
 	for i := range s.readers {
 		all[i] = true
 	}
-	failed := s.read(ctx, all)
+	failed := s.read(ctx, all, turnRead)
 	if line, missing = s.index.Line(id); len(missing) == 0 {
 		return line, nil
 	}
@@ -141,8 +169,55 @@
 	return nil, errNoTurn
 }
 
+func (s *turnStore) readHomes(ctx context.Context, turns []string) error {
+	homes := map[int]bool{}
+	for _, turn := range turns {
+		homes[s.home(turn)] = true
+	}
+	return s.read(ctx, homes, homeRead)
+}
+
+// askOthers takes over what other gateways have of the line of a turn.
+func (s *turnStore) askOthers(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, peerRead.Duration())
+	defer cancel()
+	for _, record := range s.ask(ctx, id) {
+		if turn, err := chain.Decode(record); err == nil {
+			s.index.Add(s.clock.Now(), turn)
+		}
+	}
+}
+
+type turnsRequest struct {
+	Turn string `json:"turn"`
+}
+
+type turnsReply struct {
+	// Records are the turns of the line, whole or none.
+	Records [][]byte `json:"records,omitempty"`
+}
+
+// handlers answers other gateways from the index.
+func (s *turnStore) handlers() wire.Mux {
+	return wire.Mux{
+		methodTurns: wire.Handle(func(_ context.Context, request turnsRequest, _ wire.Send) (any, error) {
+			var reply turnsReply
+			line, missing := s.index.Line(request.Turn)
+			if len(missing) > 0 {
+				return reply, nil
+			}
+			for _, turn := range line {
+				reply.Records = append(reply.Records, turn.Encode())
+			}
+			return reply, nil
+		}),
+	}
+}
+
 // read brings partitions up to their ends, side by side.
-func (s *turnStore) read(ctx context.Context, partitions map[int]bool) error {
+func (s *turnStore) read(ctx context.Context, partitions map[int]bool, timeout clock.Millis) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
 	results := make(chan error, len(partitions))
 	for i := range partitions {
 		go func() { results <- s.readers[i].catchUp(ctx, s, i) }()
@@ -158,11 +233,12 @@
 
 // catchUp reads a partition until its end, as the end stands during the call.
 func (r *turnReader) catchUp(ctx context.Context, s *turnStore, index int) error {
-	ctx, cancel := context.WithTimeout(ctx, turnRead.Duration())
-	defer cancel()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
 		page, err := s.store.Read(ctx, spool.Partition{Topic: spool.TopicTurns, Index: index}, r.next, 0)
 		if errors.Is(err, spool.ErrTrimmed) && page.First > r.next {
 			r.next = page.First
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -127,6 +127,22 @@
 		gomega.Eventually(n.ready, soon, "50ms").Should(gomega.BeTrue())
 	})
 
+	// A part of the store may be silent for seconds. The gateway that served a turn
+	// still has it.
+	ginkgo.It("continues at another gateway while the partitions of the line are silent", func() {
+		a, b := d.start("g1"), d.start("g2")
+		id := first(a)
+		first(b)
+		time.Sleep(time.Second)
+		silent := standin.TopicFaults{Mode: "silent", Partitions: []string{"turns/0", "turns/1", "turns/2", "turns/3"}}
+		b.door.SetFaults(silent)
+		a.door.SetFaults(silent)
+		r, _ := b.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id, "X-Deadline-Ms", "1500")
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		gomega.Expect(r.body).To(gomega.ContainSubstring("data: two"))
+		gomega.Expect(lastBody()).To(gomega.Equal("hello\none\ntwo\nmore\n"))
+	})
+
 	// The store may turn single machines away.
 	ginkgo.It("is kept by way of another gateway when the store turns this one away", func() {
 		a, b := d.start("g1"), d.start("g2")
