Write logs without blocking, read settings again on SIGHUP, name the adapters

Cause: a process wrote its log to standard error, one system call a line, and would have waited for a reader that stops; SIGHUP was ignored; two folders were named platform. Change: a bounded writer in the background on standard output, with counts of what was dropped; a line for each try at an endpoint; SIGHUP reads the settings file again and takes over the seeds; internal/platform is internal/adapters. A request over its account's limit waits 45 ms at most, and comes back after 300 ms or later.

--- a/internal/platform/platform_test.go
+++ b/internal/adapters/adapters_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package adapters_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
-	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/internal/adapters"
 	"github.com/baobabspool/baobabspool/internal/standin"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -28,13 +28,13 @@
 var _ = ginkgo.Describe("Log", func() {
 	var (
 		log    *standin.Log
-		client *platform.Log
+		client *adapters.Log
 		ctx    = context.Background()
 	)
 
 	ginkgo.BeforeEach(func() {
 		log = standin.NewLog(1)
-		client = platform.NewLog(started(standin.ServeLog(log, "127.0.0.1:0", "")))
+		client = adapters.NewLog(started(standin.ServeLog(log, "127.0.0.1:0", "")))
 	})
 
 	ginkgo.It("reads back what was appended, in order", func() {
@@ -81,7 +81,7 @@
 var _ = ginkgo.Describe("Engine", func() {
 	var (
 		engine *standin.Engine
-		client *platform.Engine
+		client *adapters.Engine
 		call   = spool.EngineCall{
 			Correlation: "c1", Program: "p", MaxTokens: 4,
 			Messages: []spool.Message{{Role: "user", Content: "knots per square decimetre?"}},
@@ -90,7 +90,7 @@
 
 	ginkgo.BeforeEach(func() {
 		engine = standin.NewEngine(standin.DefaultEngineSettings(), 1)
-		client = platform.NewEngine(started(standin.ServeEngine(engine, "127.0.0.1:0", "")))
+		client = adapters.NewEngine(started(standin.ServeEngine(engine, "127.0.0.1:0", "")))
 	})
 
 	ginkgo.It("exports a prefix, imports it after a restart and says when nothing was exported", func() {
@@ -171,7 +171,7 @@
 		service := standin.NewService()
 		server, err := standin.ServeService(service, "127.0.0.1:0", "")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		client := platform.NewService(server.Address())
+		client := adapters.NewService(server.Address())
 		call := spool.ServiceCall{Correlation: "c", Call: "payout-1", Method: "POST", Path: "/payouts"}
 		result, err := client.Call(context.Background(), call)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/platform/service.go
+++ b/internal/adapters/service.go
@@ -1,4 +1,4 @@
-package platform
+package adapters
 
 import (
 	"context"
--- a/internal/platform/silent_test.go
+++ b/internal/adapters/silent_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package adapters_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/internal/adapters"
 	"github.com/baobabspool/baobabspool/internal/standin"
 )
 
@@ -57,7 +57,7 @@
 		const connections = 8
 		server := started(standin.ServeLog(standin.NewLog(1), "127.0.0.1:0", ""))
 		address, silent := silencer(server)
-		client := platform.NewLog(address)
+		client := adapters.NewLog(address)
 		var reads sync.WaitGroup
 		for range connections {
 			reads.Go(func() { _, _ = client.Read(context.Background(), "s", 0, 200) })
--- a/internal/platform/transport.go
+++ b/internal/adapters/transport.go
@@ -1,7 +1,7 @@
-// Package platform adapts the platform's services to the interfaces of package
+// Package adapters adapts the platform's services to the interfaces of package
 // spool: the log, the list of VMs, the model engines and the plain services.
 // The adapters are thin, so another platform needs only another set of them.
-package platform
+package adapters
 
 import (
 	"bufio"
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -16,9 +16,9 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/baobabspool/baobabspool/internal/adapters"
 	"github.com/baobabspool/baobabspool/internal/config"
 	"github.com/baobabspool/baobabspool/internal/control"
-	"github.com/baobabspool/baobabspool/internal/platform"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -97,8 +97,8 @@
 
 func newOperator(options []Option) *operator {
 	o := &operator{
-		openLog: func(address string) spool.Log { return platform.NewLog(address) },
-		openVMs: func(address string) spool.VMList { return platform.NewVMList(address) },
+		openLog: func(address string) spool.Log { return adapters.NewLog(address) },
+		openVMs: func(address string) spool.VMList { return adapters.NewVMList(address) },
 	}
 	for _, option := range options {
 		option(o)
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -15,6 +15,26 @@
 	"github.com/baobabspool/baobabspool/platform"
 )
 
+// gatewayProcess is a gateway with the file that its settings come from.
+type gatewayProcess struct {
+	*gateway.Gateway
+	path string
+}
+
+// Reload takes over the settings that may change while the process runs: the
+// addresses at which other gateways may be found.
+func (p *gatewayProcess) Reload() error {
+	settings, err := platform.LoadSettings(p.path)
+	if err != nil {
+		return err
+	}
+	if err := multierr.Combine(settings.Validate()...); err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	p.SetSeeds(settings.Seeds)
+	return nil
+}
+
 func newGateway() *cobra.Command {
 	var flags processFlags
 	path := os.Getenv(platform.SettingsVariable)
@@ -43,7 +63,7 @@
 				if err != nil {
 					return nil, nil, err
 				}
-				return g, []zap.Field{zap.String("address", g.Address())}, nil
+				return &gatewayProcess{Gateway: g, path: path}, []zap.Field{zap.String("address", g.Address())}, nil
 			})
 		},
 	}
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -79,17 +79,42 @@
 // signal ends the wait for calls in flight.
 func (f *processFlags) runUntilSignal(process stopper, log *zap.Logger) (err error) {
 	defer func() { err = errors.Wrap(err, "shutdown") }()
+	defer func() { _ = log.Sync() }()
 	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	// A process without settings to read again must not end by SIGHUP.
-	signal.Ignore(syscall.SIGHUP)
-	<-signals
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for stop := <-signals; stop == syscall.SIGHUP; stop = <-signals {
+		reload(process, log)
+	}
 	log.Info("shutting down, calls in flight finish first")
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Millis(f.shutdownMs).Duration())
 	defer cancel()
 	go func() {
-		<-signals
+		for <-signals == syscall.SIGHUP {
+			log.Info("settings are not read again while the process stops")
+		}
 		cancel()
 	}()
-	return process.Shutdown(ctx)
+	err = process.Shutdown(ctx)
+	log.Info("stopped", zap.Error(err))
+	return err
+}
+
+// reloader is a process that can read its settings again.
+type reloader interface {
+	Reload() error
+}
+
+// reload reads the settings of a process again, where it has any. Bad settings
+// change nothing.
+func reload(process stopper, log *zap.Logger) {
+	r, ok := process.(reloader)
+	if !ok {
+		log.Info("no settings to read again")
+		return
+	}
+	if err := r.Reload(); err != nil {
+		log.Error("settings were not read again", zap.Error(err))
+		return
+	}
+	log.Info("settings were read again")
 }
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/baobabspool/baobabspool/internal/adapters"
 	"github.com/baobabspool/baobabspool/internal/caller"
-	"github.com/baobabspool/baobabspool/internal/platform"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -187,7 +187,7 @@
 var question = []spool.Message{{Role: "user", Content: "how many knots in a square decimetre?"}}
 
 func (m *measurement) callDirect(ctx context.Context, i, call int) error {
-	engine := platform.NewEngine(m.system.engineAt[i%len(m.system.engineAt)])
+	engine := adapters.NewEngine(m.system.engineAt[i%len(m.system.engineAt)])
 	arrivals := caller.NewArrivals()
 	_, err := engine.Generate(ctx, spool.EngineCall{
 		Correlation: fmt.Sprint(i, "-", call), Program: spool.ProgramID(fmt.Sprint("direct-", i, "-", call)),
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -16,9 +16,9 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/baobabspool/baobabspool/internal/adapters"
 	"github.com/baobabspool/baobabspool/internal/caller"
 	"github.com/baobabspool/baobabspool/internal/control"
-	"github.com/baobabspool/baobabspool/internal/platform"
 	"github.com/baobabspool/baobabspool/internal/standin"
 	"github.com/baobabspool/baobabspool/pkg/keyring"
 	"github.com/baobabspool/baobabspool/pkg/settings"
@@ -110,7 +110,7 @@
 	s.standin("log", "log")
 	s.standin("vms", "vms")
 	s.standin("service", "ledger")
-	key = publish(ctx, platform.NewLog(s.addresses["log"]))
+	key = publish(ctx, adapters.NewLog(s.addresses["log"]))
 	domains := []spool.FailureDomain{"a", "b", "c"}
 	for i, domain := range domains {
 		s.entry(fmt.Sprintf("e%d", i+1), domain)
--- a/internal/deployment/orders_test.go
+++ b/internal/deployment/orders_test.go
@@ -8,8 +8,8 @@
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"github.com/baobabspool/baobabspool/internal/adapters"
 	"github.com/baobabspool/baobabspool/internal/control"
-	"github.com/baobabspool/baobabspool/internal/platform"
 	"github.com/baobabspool/baobabspool/internal/standin"
 	"github.com/baobabspool/baobabspool/pkg/settings"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -23,7 +23,7 @@
 		s := newSystem()
 		s.standin("log", "log")
 		s.standin("vms", "vms")
-		publish(ctx, platform.NewLog(s.addresses["log"]))
+		publish(ctx, adapters.NewLog(s.addresses["log"]))
 		s.entry("e1", "a")
 		s.standin("engine", "engine1")
 		settingsOfEngine := standin.DefaultEngineSettings()
@@ -31,7 +31,7 @@
 		s.post("engine1", "/", settingsOfEngine)
 		s.agent("m1", "a", models, "--engine-address", "engine1")
 		operator := func() *control.Publisher {
-			publisher := control.NewPublisher(platform.NewLog(s.addresses["log"]), "test")
+			publisher := control.NewPublisher(adapters.NewLog(s.addresses["log"]), "test")
 			gomega.Expect(publisher.Refresh(ctx)).To(gomega.Succeed())
 			return publisher
 		}
--- a/internal/deployment/regions_test.go
+++ b/internal/deployment/regions_test.go
@@ -9,9 +9,9 @@
 	"github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/baobabspool/baobabspool/internal/adapters"
 	"github.com/baobabspool/baobabspool/internal/caller"
 	"github.com/baobabspool/baobabspool/internal/control"
-	"github.com/baobabspool/baobabspool/internal/platform"
 	"github.com/baobabspool/baobabspool/pkg/keyring"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -31,7 +31,7 @@
 	s.standin("vms", "vms-north")
 	s.standin("vms", "vms-south")
 	s.standin("service", "ledger")
-	key = publish(ctx, platform.NewLog(s.addresses["log"]))
+	key = publish(ctx, adapters.NewLog(s.addresses["log"]))
 	domains := []spool.FailureDomain{"a", "b", "c", "d"}
 	for i, domain := range domains {
 		s.entry(fmt.Sprintf("e%d", i+1), domain)
@@ -49,7 +49,7 @@
 // issueKey publishes one more key of the account and returns it and a function
 // that withdraws it.
 func issueKey(ctx context.Context, s *system) (key string, withdraw func()) {
-	publisher := control.NewPublisher(platform.NewLog(s.addresses["log"]), "test")
+	publisher := control.NewPublisher(adapters.NewLog(s.addresses["log"]), "test")
 	gomega.Expect(publisher.Refresh(ctx)).To(gomega.Succeed())
 	shown, stored, err := keyring.Issue(account, publisher.Now(), 0)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/endpoint/orders_test.go
+++ b/internal/endpoint/orders_test.go
@@ -7,15 +7,15 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/baobabspool/baobabspool/internal/adapters"
 	"github.com/baobabspool/baobabspool/internal/endpoint"
-	"github.com/baobabspool/baobabspool/internal/platform"
 	"github.com/baobabspool/baobabspool/internal/standin"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
 // counted counts the orders sent to an engine.
 type counted struct {
-	*platform.Engine
+	*adapters.Engine
 	sent atomic.Int64
 }
 
@@ -35,7 +35,7 @@
 		server, err := standin.ServeEngine(fog, "127.0.0.1:0", "")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		ginkgo.DeferCleanup(server.Close)
-		client := &counted{Engine: platform.NewEngine(server.Address())}
+		client := &counted{Engine: adapters.NewEngine(server.Address())}
 		agent, _ := start(func(a *endpoint.Agent) {
 			endpoint.WithEngine(client)(a)
 			endpoint.WithInTouch(inTouch)(a)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/baobabspool/baobabspool/internal/httpconn"
 	"github.com/baobabspool/baobabspool/pkg/catalog"
@@ -27,17 +28,17 @@
 )
 
 // verdict is what one try at an endpoint came to.
-type verdict int
+type verdict string
 
 const (
 	// answered: the caller has its answer.
-	answered verdict = iota
+	answered verdict = "answered"
 	// notRun: the endpoint has not run the request and never will.
-	notRun
+	notRun verdict = "notRun"
 	// mayHaveRun: the request was sent and no usable answer came.
-	mayHaveRun
+	mayHaveRun verdict = "mayHaveRun"
 	// broken: a part of the answer was passed on and the rest will not come.
-	broken
+	broken verdict = "broken"
 )
 
 // forward sends the request to endpoints until one answers. It returns a reason
@@ -52,7 +53,9 @@
 		if endpoint == nil {
 			break
 		}
-		switch r.try(ctx, endpoint) {
+		result := r.try(ctx, endpoint)
+		r.logTry(endpoint, tries, result)
+		switch result {
 		case answered:
 			return ""
 		case broken:
@@ -73,6 +76,18 @@
 	return r.failure(ctx, last)
 }
 
+// logTry writes what became of the request at one endpoint.
+func (r *request) logTry(endpoint *endpoints.Endpoint, tries int, result verdict) {
+	message := "request answered"
+	if result != answered {
+		message = "endpoint did not answer"
+	}
+	r.gateway.log.Info(message, zap.String("request", r.call.Attempt), zap.String("program", string(r.call.Program)),
+		zap.String("account", string(r.account)), zap.String("route", r.route.Name), zap.String("endpoint", string(endpoint.ID())),
+		zap.String("outcome", string(result)), zap.Int("status", r.exchange.Status()), zap.Int("try", tries+1), zap.Int("runs", r.runs),
+		zap.Int("events", r.events), zap.Int64("leftMs", int64(r.deadline-r.gateway.clock.Now())), zap.Int64("version", r.catalog.Version()))
+}
+
 // failure returns the reason for a request that no endpoint answered. What may
 // have run is never refused with a promise that it did not.
 func (r *request) failure(ctx context.Context, last spool.Code) spool.Code {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	// catalog is the newest configuration; nil until one is known. Its version
 	// never decreases.
 	catalog  atomic.Pointer[catalog.Catalog]
+	seeds    atomic.Pointer[[]string]
 	stopping atomic.Bool
 
 	cancel context.CancelFunc
@@ -86,6 +87,7 @@
 		table: endpoints.NewTable(settings.FailureDomain), cancel: cancel, choice: newPeerChoice(system),
 		health: newStoreHealth(system, t.Logger("store")),
 	}
+	g.SetSeeds(settings.Seeds)
 	g.assemble(ctx, store)
 	if err := g.listen(); err != nil {
 		cancel()
@@ -205,6 +207,9 @@
 	return err
 }
 
+// SetSeeds replaces the addresses that are asked while no other gateway is known.
+func (g *Gateway) SetSeeds(seeds []string) { g.seeds.Store(&seeds) }
+
 // Address returns the address that requests are taken at.
 func (g *Gateway) Address() string { return g.server.Address() }
 
--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -41,7 +41,11 @@
 	ownerAuthority = 6 * clock.Second
 	// holdForToken bounds the time for which a request waits for a token that is on
 	// its way.
-	holdForToken = 150 * clock.Millis(1)
+	holdForToken = 45 * clock.Millis(1)
+	// retryShort is the shortest time after which a request over the limit is asked to
+	// come back. The tokens of a moment are taken by those that wait; callers come
+	// back once or twice only.
+	retryShort = 300 * clock.Millis(1)
 	// silentPeer is the time after which a connection to another gateway that
 	// answers nothing is replaced; it is asked every pingPeer.
 	silentPeer = 600 * clock.Millis(1)
@@ -171,7 +175,7 @@
 func retryAfter(err error) clock.Millis {
 	var refusal *spool.Refusal
 	if errors.As(err, &refusal) {
-		return refusal.RetryAfter
+		return max(retryShort, refusal.RetryAfter)
 	}
 	return retryEndpoint
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -83,7 +83,7 @@
 	if addresses = s.members.addresses(); len(addresses) > 0 {
 		return addresses
 	}
-	for _, seed := range s.gateway.settings.Seeds {
+	for _, seed := range *s.gateway.seeds.Load() {
 		if seed != s.gateway.settings.ControlListen {
 			addresses = append(addresses, seed)
 		}
--- a/internal/gateway/starts.go
+++ b/internal/gateway/starts.go
@@ -11,7 +11,7 @@
 	shortFor = 8 * clock.Second
 	// requestsPerProgram is how many requests of the limit a program takes from its
 	// start to its end.
-	requestsPerProgram = 16.0
+	requestsPerProgram = 20.0
 	// minStartBurst is the smallest burst of starts; with less than two tokens the
 	// pool of an account lends none.
 	minStartBurst = 4.0
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -7,10 +7,10 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/baobabspool/baobabspool/internal/adapters"
 	"github.com/baobabspool/baobabspool/internal/config"
 	"github.com/baobabspool/baobabspool/internal/control"
 	"github.com/baobabspool/baobabspool/internal/endpoint"
-	"github.com/baobabspool/baobabspool/internal/platform"
 	"github.com/baobabspool/baobabspool/internal/roster"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
@@ -119,7 +119,7 @@
 		done:    make(chan struct{}),
 	}
 	p.vms, err = roster.New(rosterConfig(p.config.Node, spool.RoleEndpoint, p.config.FailureDomain, p.config.VMReaders),
-		platform.NewVMList(p.config.VMsAddress), p.clients, roster.WithTelemetry(t), roster.WithObserver(p.nudge))
+		adapters.NewVMList(p.config.VMsAddress), p.clients, roster.WithTelemetry(t), roster.WithObserver(p.nudge))
 	if err != nil {
 		return nil, err
 	}
@@ -188,9 +188,9 @@
 		endpoint.WithInTouch(func() bool { return !p.control.Isolated() }),
 	}
 	if p.config.EngineAddress != "" {
-		options = append(options, endpoint.WithEngine(platform.NewEngine(p.config.EngineAddress)))
+		options = append(options, endpoint.WithEngine(adapters.NewEngine(p.config.EngineAddress)))
 	} else {
-		options = append(options, endpoint.WithService(platform.NewService(p.config.ServiceAddress)))
+		options = append(options, endpoint.WithService(adapters.NewService(p.config.ServiceAddress)))
 	}
 	if p.agent, err = endpoint.New(agentConfig, options...); err != nil {
 		return err
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -11,10 +11,10 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/baobabspool/baobabspool/internal/adapters"
 	"github.com/baobabspool/baobabspool/internal/config"
 	"github.com/baobabspool/baobabspool/internal/control"
 	"github.com/baobabspool/baobabspool/internal/entry"
-	"github.com/baobabspool/baobabspool/internal/platform"
 	"github.com/baobabspool/baobabspool/internal/quota"
 	"github.com/baobabspool/baobabspool/internal/roster"
 	"github.com/baobabspool/baobabspool/internal/streams"
@@ -127,9 +127,9 @@
 		return nil, err
 	}
 	clients := wire.NewClients(spool.NodeID(p.config.Node), wire.WithTLS(p.between.Client))
-	log := platform.NewLog(p.config.LogAddress)
+	log := adapters.NewLog(p.config.LogAddress)
 	p.vms, err = roster.New(rosterConfig(p.config.Node, spool.RoleEntry, p.config.FailureDomain, p.config.VMReaders),
-		platform.NewVMList(p.config.VMsAddress), clients, roster.WithClock(source), roster.WithTelemetry(t))
+		adapters.NewVMList(p.config.VMsAddress), clients, roster.WithClock(source), roster.WithTelemetry(t))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/internal/adapters"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -93,7 +93,7 @@
 		// The slot is free before the caller learns of the end and sends more.
 		e.leave(ready, generation, result != nil)
 		if result != nil {
-			stream.send(platform.GenerateEvent{Result: result})
+			stream.send(adapters.GenerateEvent{Result: result})
 		}
 	})
 }
@@ -126,7 +126,7 @@
 			}
 		}
 		chunk := spool.Chunk{Correlation: g.call.Correlation, Index: i, Text: word}
-		if !g.send(platform.GenerateEvent{Chunk: &chunk}) {
+		if !g.send(adapters.GenerateEvent{Chunk: &chunk}) {
 			return nil
 		}
 	}
@@ -148,7 +148,7 @@
 	}
 }
 
-func (g *answerStream) send(event platform.GenerateEvent) bool {
+func (g *answerStream) send(event adapters.GenerateEvent) bool {
 	body, err := json.Marshal(event)
 	if err != nil {
 		return false
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -8,7 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/baobabspool/baobabspool/internal/platform"
+	"github.com/baobabspool/baobabspool/internal/adapters"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 )
 
@@ -84,8 +84,8 @@
 const hangFor = 10 * time.Minute
 
 func (s *Service) handle(ctx *fasthttp.RequestCtx) {
-	call := string(ctx.Request.Header.Peek(platform.HeaderCall))
-	correlation := string(ctx.Request.Header.Peek(platform.HeaderCorrelation))
+	call := string(ctx.Request.Header.Peek(adapters.HeaderCall))
+	correlation := string(ctx.Request.Header.Peek(adapters.HeaderCorrelation))
 	s.mu.Lock()
 	s.stats.Executions[call]++
 	if seesKey(ctx) {
@@ -102,7 +102,7 @@
 		return
 	}
 	time.Sleep(faults.SlowMs.Duration())
-	ctx.Response.Header.Set(platform.HeaderCorrelation, correlation)
+	ctx.Response.Header.Set(adapters.HeaderCorrelation, correlation)
 	reply(ctx, serviceAnswer{Call: call, Path: string(ctx.Path()), Bytes: len(ctx.PostBody())})
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"os"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -54,24 +56,33 @@
 	KindEvent     = "event"
 )
 
-// NewLogger builds a logger. format is "json" or "console"; level is one of
-// zap's level names.
+const (
+	// linesPerSecond is the number of lines of one message that are written in a
+	// second; of the others one in linesThereafter is. Each message has a budget of
+	// its own, so that lines about good requests do not displace others.
+	linesPerSecond  = 100
+	linesThereafter = 100
+)
+
+// NewLogger builds a logger that writes to standard output without blocking.
+// format is "json" or "console"; level is one of zap's level names.
 func NewLogger(format, level string) (logger *zap.Logger, err error) {
 	defer func() { err = errors.Wrap(err, "build logger") }()
-	config := zap.NewProductionConfig()
-	if format == "console" {
-		config = zap.NewDevelopmentConfig()
-		config.DisableStacktrace = true
-	} else if format != "json" {
-		return nil, errors.Errorf("log format %q is neither json nor console", format)
-	}
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, err
 	}
-	config.Level = zap.NewAtomicLevelAt(parsed)
-	config.DisableCaller = true
-	return config.Build()
+	var encoder zapcore.Encoder
+	switch format {
+	case "json":
+		encoder = zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	case "console":
+		encoder = zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
+	default:
+		return nil, errors.Errorf("log format %q is neither json nor console", format)
+	}
+	core := zapcore.NewCore(encoder, NewBoundedWriter(os.Stdout), parsed)
+	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, linesThereafter)), nil
 }
 
 // New returns the telemetry of the process called node.
