Hand the limits' pools over when their owner stops

Change: the owner names its successor and the levels when the stop begins, in one record, and every gateway is told to read it; a handover that takes effect late, after another claim, is void. Found on the way by the race detector: an endpoint's address was read while its record was replaced.

Test: two owners stop in turn under load within the rate, none refused.

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -42,6 +43,9 @@
 	// relay asks another gateway for the records from an offset on.
 	relay func(ctx context.Context, topic spool.Topic, from int64) (relayReply, error)
 
+	// nudged holds a request to read at once.
+	nudged chan struct{}
+
 	mu sync.Mutex
 	// records are the newest of each key, dropped keys included.
 	records map[string]spool.KeyedRecord
@@ -57,7 +61,7 @@
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if err == nil {
-			clock.Pause(ctx, f.interval)
+			f.pause(ctx)
 			continue
 		}
 		f.stepRelayed(ctx)
@@ -65,6 +69,25 @@
 	}
 }
 
+// pause waits for the next read, or for nudge.
+func (f *follower) pause(ctx context.Context) {
+	timer := time.NewTimer(f.interval.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.nudged:
+	case <-ctx.Done():
+	}
+}
+
+// nudge makes the next read come at once.
+func (f *follower) nudge() {
+	select {
+	case f.nudged <- struct{}{}:
+	default:
+	}
+}
+
 func (f *follower) position() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,7 @@
 	g.turns = newTurnStore(ctx, g.store, g.clock, g.settings, g.askTurns)
 	g.budgets = newBudgetStore(ctx, g.store, g.health, g.clock, g.settings, lifetime, g.askSettle)
 	owner := newPoolOwner(g.settings, lifetime, g.store, boot, g.askAlive, g.telemetry.Logger("limits"))
+	owner.nudge = func() { g.state.nudgeAll() }
 	members := newMemberBook(g.settings.Node, boot, owner, g.telemetry.Logger("members"))
 	g.state = newSharedState(g, g.store, lifetime, members, boot)
 	freshFor := func() clock.Millis { return g.state.freshFor(boot.Now()) }
@@ -239,6 +240,17 @@
 	}
 }
 
+// handOver tells the others that this gateway leaves and gives the pools of the
+// limits to one of them.
+func (g *Gateway) handOver(ctx context.Context) {
+	g.state.leaving.Store(true)
+	if err := g.state.write(ctx); err != nil {
+		g.log.Warn("leaving was not written", zap.Error(err))
+	}
+	g.limits.owner.handOver(ctx, successor(g.state.members.candidates()), g.limits.manager.HandOver)
+	g.state.nudgeAll()
+}
+
 // totals returns the counters by kind and label.
 func totals(t *telemetry.Telemetry) map[string]int64 {
 	counters := map[string]int64{}
@@ -256,11 +268,12 @@
 	defer cancel()
 	g.stopping.Store(true)
 	g.server.Drain()
+	g.handOver(ctx)
 	clock.Pause(ctx, clock.FromDuration(leaveAfter))
 	g.server.Stop(ctx)
 	g.budgets.flush(ctx)
-	g.limits.close(ctx)
 	g.cancel()
+	g.limits.manager.Close()
 	g.wg.Wait()
 	g.closePeers()
 	return g.ready.stop()
--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"sync"
 
@@ -163,14 +162,6 @@
 	return err
 }
 
-// close gives the pools up and ends the limiter.
-func (l *limiter) close(ctx context.Context) {
-	l.owner.release(ctx, func(stream spool.Stream, epoch spool.Epoch) json.RawMessage {
-		return l.manager.HandOver(stream, epoch)
-	})
-	l.manager.Close()
-}
-
 // retryAfter returns when a refused request may come back.
 func retryAfter(err error) clock.Millis {
 	var refusal *spool.Refusal
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -128,6 +128,19 @@
 	return members
 }
 
+// candidates returns the other gateways that run and do not leave, as owners.
+func (b *memberBook) candidates() (candidates []claimRecord) {
+	for _, id := range b.live() {
+		b.mu.Lock()
+		record := b.members[id].record
+		b.mu.Unlock()
+		if id != b.self && record.Address != "" {
+			candidates = append(candidates, claimRecord{Node: id, Address: record.Address, Lifetime: record.Lifetime})
+		}
+	}
+	return candidates
+}
+
 // live returns the gateways that run and do not leave.
 func (b *memberBook) live() (live []spool.NodeID) {
 	for _, id := range b.within(memberLive) {
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -34,15 +34,18 @@
 	claimPause = clock.Second
 )
 
-// claimRecord is the value of the owner's key.
+// claimRecord is the value of the owner's key. A gateway writes one for itself, or,
+// when it stops, for the gateway that is to follow it.
 type claimRecord struct {
 	Node    spool.NodeID `json:"node"`
 	Address string       `json:"address"`
 	// Lifetime tells the processes of a node apart.
 	Lifetime string `json:"lifetime"`
-	// Released says that the owner grants no more; Levels is what its pools hold.
-	Released bool            `json:"released,omitempty"`
-	Levels   json.RawMessage `json:"levels,omitempty"`
+	// From is the lifetime of the owner that hands its pools over, and Levels what
+	// they hold. They are void unless that owner's claim is the one before: the store
+	// may execute an append long after it was sent.
+	From   string          `json:"from,omitempty"`
+	Levels json.RawMessage `json:"levels,omitempty"`
 }
 
 // poolOwner follows which gateway owns the pools of the accounts' limits, and
@@ -55,7 +58,9 @@
 	// accounts returns the accounts with a limit; ask puts a question to
 	// the gateway at an address.
 	accounts func() []spool.AccountID
-	ask      func(ctx context.Context, address string, request aliveRequest) (aliveReply, error)
+	// nudge makes every gateway read the members' topic now.
+	nudge func()
+	ask   func(ctx context.Context, address string, request aliveRequest) (aliveReply, error)
 
 	mu sync.Mutex
 	// claim is the newest record, at offset epoch - 1; epoch is 0 without one.
@@ -83,6 +88,8 @@
 	// have one.
 	vacantSince clock.Millis
 	claimedAt   clock.Millis
+	// disputed says that a late record has taken the place of this gateway's claim.
+	disputed bool
 }
 
 var _ quota.Streams = (*poolOwner)(nil)
@@ -106,7 +113,7 @@
 }
 
 func (o *poolOwner) owns() bool {
-	return o.epoch != 0 && !o.claim.Released && o.claim.Node == o.self.Node && o.claim.Lifetime == o.self.Lifetime
+	return o.epoch != 0 && o.claim.Node == o.self.Node && o.claim.Lifetime == o.self.Lifetime
 }
 
 // Confirmed implements quota.Streams.
@@ -135,7 +142,7 @@
 func (o *poolOwner) OwnerOf(spool.Stream) (spool.NodeID, string, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.claim.Node, o.claim.Address, o.epoch != 0 && !o.claim.Released
+	return o.claim.Node, o.claim.Address, o.epoch != 0
 }
 
 // observe takes the newest record of the owner's key in.
@@ -151,17 +158,22 @@
 	if epoch <= o.epoch {
 		return
 	}
-	previous, first := o.claim, o.epoch == 0
+	previous, known := o.claim, o.epoch != 0
+	if record.From != "" && known && record.From != previous.Lifetime {
+		o.log.Warn("late handover is left out", zap.String("to", string(record.Node)), zap.Int64("offset", offset))
+		o.disputed = o.owns()
+		return
+	}
 	o.claim, o.epoch, o.silentSince, o.vacantSince = record, epoch, 0, 0
 	o.inherited, o.grantsFrom, o.predecessor = nil, o.clock.Now()+ownerAuthority, previous
 	switch {
-	case previous.Released:
-		o.grant(previous.Levels)
-	case first || o.gone[previous.Lifetime] || previous.Lifetime == record.Lifetime:
+	case record.From != "" && known:
+		o.grant(record.Levels)
+	case record.From == "" && (!known || o.gone[previous.Lifetime] || previous.Lifetime == record.Lifetime):
 		o.grant(nil)
 	}
 	o.log.Info("limit owner changes", zap.String("owner", string(record.Node)), zap.Int64("epoch", int64(epoch)),
-		zap.Bool("released", record.Released), zap.Bool("waits", o.grantsFrom > o.clock.Now()))
+		zap.String("from", record.From), zap.Bool("waits", o.grantsFrom > o.clock.Now()))
 }
 
 // grant ends the wait for the previous owner, which grants no more. levels are what
@@ -210,7 +222,9 @@
 	defer cancel()
 	if err := o.store.AppendKeyed(callCtx, spool.TopicMembers, ownerKey, value); err != nil {
 		o.log.Warn("claim was not written", zap.Error(err))
+		return
 	}
+	o.nudge()
 }
 
 // vacant reports whether this gateway is to claim the pools now. live are the
@@ -219,13 +233,18 @@
 	now := o.clock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.disputed {
+		// A reader that starts now finds the late record; the claim is written again.
+		o.disputed, o.claimedAt = false, now
+		return true
+	}
 	if o.owns() || now < o.claimedAt+claimPause {
 		return false
 	}
 	restarted := o.claim.Node == o.self.Node
 	silent := o.silentSince != 0 && now-o.silentSince >= suspectAfter
 	switch {
-	case o.epoch == 0, restarted, o.claim.Released, silent, o.gone[o.claim.Lifetime]:
+	case o.epoch == 0, restarted, silent, o.gone[o.claim.Lifetime]:
 		if o.vacantSince == 0 {
 			o.vacantSince = now
 		}
@@ -234,7 +253,7 @@
 		return false
 	}
 	delay := candidateDelay * clock.Millis(o.rank(live))
-	if !o.claim.Released && o.epoch != 0 {
+	if o.epoch != 0 {
 		// The node of the previous owner comes first when it is back.
 		delay += candidateDelay
 	}
@@ -255,7 +274,7 @@
 	o.mu.Lock()
 	claim, epoch := o.claim, o.epoch
 	waits := o.owns() && now < o.grantsFrom
-	due := waits || epoch != 0 && !claim.Released && !o.owns() && now-o.answeredAt >= probeInterval
+	due := waits || epoch != 0 && !o.owns() && now-o.answeredAt >= probeInterval
 	if waits {
 		claim = o.predecessor
 	}
@@ -344,23 +363,32 @@
 	return xxhash.Sum64String(ownerKey + "\x00" + string(node))
 }
 
-// release gives the pools up, so that the next owner can grant at once.
-func (o *poolOwner) release(ctx context.Context, handOver func(stream spool.Stream, epoch spool.Epoch) json.RawMessage) {
+// handOver gives the pools to another gateway, so that it can grant at once.
+func (o *poolOwner) handOver(ctx context.Context, successor claimRecord, stop func(stream spool.Stream, epoch spool.Epoch) json.RawMessage) {
 	o.mu.Lock()
-	epoch, owns := o.epoch, o.owns()
+	epoch, grants := o.epoch, o.grants()
 	o.mu.Unlock()
-	if !owns {
+	if !grants || successor.Lifetime == "" {
 		return
 	}
-	record := o.self
-	record.Released = true
-	record.Levels = handOver(spool.ProgramStream(0), epoch)
-	value, err := json.Marshal(record)
+	successor.From = o.self.Lifetime
+	successor.Levels = stop(spool.ProgramStream(0), epoch)
+	value, err := json.Marshal(successor)
 	if err != nil {
-		o.log.Error("release cannot be encoded", zap.Error(err))
+		o.log.Error("handover cannot be encoded", zap.Error(err))
 		return
 	}
 	if err := o.store.AppendKeyed(ctx, spool.TopicMembers, ownerKey, value); err != nil {
-		o.log.Warn("release was not written", zap.Error(err))
+		o.log.Warn("handover was not written", zap.Error(err))
+	}
+}
+
+// successor returns the first candidate of the gateways that are given.
+func successor(candidates []claimRecord) (best claimRecord) {
+	for _, candidate := range candidates {
+		if best.Node == "" || candidateScore(candidate.Node) > candidateScore(best.Node) {
+			best = candidate
+		}
 	}
+	return best
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -16,6 +16,8 @@
 	methodRelay = "gateway.relay"
 	// methodAlive asks a gateway for its lifetime.
 	methodAlive = "gateway.alive"
+	// methodNudge makes a gateway read the members' topic at once.
+	methodNudge = "gateway.nudge"
 	// relayTimeout bounds one call to another gateway.
 	relayTimeout = 400 * clock.Millis(1)
 )
@@ -64,6 +66,10 @@
 		methodAlive: wire.Handle(func(_ context.Context, request aliveRequest, _ wire.Send) (any, error) {
 			return s.gateway.limits.owner.answer(request, s.gateway.limits.manager.HandOver), nil
 		}),
+		methodNudge: wire.Handle(func(context.Context, struct{}, wire.Send) (any, error) {
+			s.nudgeMembers()
+			return struct{}{}, nil
+		}),
 		methodRelay: wire.Handle(func(_ context.Context, request relayRequest, _ wire.Send) (any, error) {
 			for _, f := range s.followers {
 				if f.topic != request.Topic {
@@ -78,6 +84,27 @@
 	}
 }
 
+func (s *sharedState) nudgeMembers() {
+	for _, f := range s.followers {
+		if f.topic == spool.TopicMembers {
+			f.nudge()
+		}
+	}
+}
+
+// nudgeAll makes all gateways read the members' topic, this one first. It does not
+// wait for the others, which read it soon in any case.
+func (s *sharedState) nudgeAll() {
+	s.nudgeMembers()
+	for _, address := range s.members.addresses() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), relayTimeout.Duration())
+			defer cancel()
+			_ = s.gateway.clients.Call(ctx, address, methodNudge, struct{}{}, &struct{}{}, nil)
+		}()
+	}
+}
+
 // peerAddresses returns where other gateways may answer.
 func (s *sharedState) peerAddresses() (addresses []string) {
 	if addresses = s.members.addresses(); len(addresses) > 0 {
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -31,6 +32,9 @@
 	operator  *operatorSink
 	followers []*follower
 	lifetime  string
+	// beats numbers the own records; leaving is set when the gateway stops.
+	beats   atomic.Int64
+	leaving atomic.Bool
 }
 
 func newSharedState(g *Gateway, store spool.Store, lifetime string, members *memberBook, boot clock.Clock) *sharedState {
@@ -43,7 +47,7 @@
 	}
 	for _, f := range s.followers {
 		f.store, f.boot, f.log, f.relay = store, boot, g.log, s.relay
-		f.records, f.next = map[string]spool.KeyedRecord{}, -1
+		f.records, f.next, f.nudged = map[string]spool.KeyedRecord{}, -1, make(chan struct{}, 1)
 	}
 	return s
 }
@@ -79,8 +83,8 @@
 
 // beat writes this gateway's record.
 func (s *sharedState) beat(ctx context.Context) {
-	for beat := int64(1); ctx.Err() == nil; beat++ {
-		err := s.write(ctx, beat, false)
+	for ctx.Err() == nil {
+		err := s.write(ctx)
 		if err != nil && ctx.Err() == nil {
 			s.log.Debug("own record was not written", zap.Error(err))
 		}
@@ -88,10 +92,10 @@
 	}
 }
 
-func (s *sharedState) write(ctx context.Context, beat int64, leaving bool) error {
+func (s *sharedState) write(ctx context.Context) error {
 	record, err := json.Marshal(memberRecord{
 		FailureDomain: s.gateway.settings.FailureDomain, Address: s.gateway.settings.ControlListen,
-		Lifetime: s.lifetime, Beat: beat, Leaving: leaving,
+		Lifetime: s.lifetime, Beat: s.beats.Add(1), Leaving: s.leaving.Load(),
 	})
 	if err != nil {
 		return err
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -286,6 +286,37 @@
 	})
 })
 
+var _ = ginkgo.Describe("The owner of the pools", func() {
+	// Each planned restart of the owner refused requests within the rate for half a
+	// second, until another gateway had found the pools vacant.
+	ginkgo.It("hands them over when it stops, and no request within the rate is refused", func() {
+		d := newDeployment()
+		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": 60, "burst": 60}}
+		d.publish()
+		d.endpoint("e1", "app", nil)
+		nodes := []*node{d.start("g1"), d.start("g2"), d.start("g3")}
+		for _, n := range nodes {
+			n.served("/lookup/a", "key-1")
+		}
+		time.Sleep(time.Second)
+		for _, leaving := range nodes[:2] {
+			g := leaving.gateway
+			leaving.gateway = nil
+			stopped := make(chan error, 1)
+			go func() { stopped <- g.Shutdown(background()) }()
+			refused := 0
+			for range 75 {
+				if r, _ := nodes[2].call("GET", "/lookup/a", "key-1", ""); r.status == http.StatusTooManyRequests {
+					refused++
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			gomega.Expect(refused).To(gomega.BeZero())
+			gomega.Eventually(stopped, soon).Should(gomega.Receive(gomega.BeNil()))
+		}
+	})
+})
+
 var _ = ginkgo.Describe("A gateway that stops", func() {
 	ginkgo.It("is not ready at once, and finishes what it has begun", func() {
 		d := newDeployment()
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -24,6 +24,12 @@
 
 // Endpoint is one start of an endpoint.
 type Endpoint struct {
+	// id, address and domain do not change, so that they are read without the
+	// table's lock.
+	id      spool.EndpointID
+	address string
+	domain  spool.FailureDomain
+	// record is the newest one.
 	record spool.EndpointRecord
 	// inFlight counts the requests of this gateway.
 	inFlight int
@@ -44,13 +50,13 @@
 }
 
 // ID returns the identifier of the start.
-func (e *Endpoint) ID() spool.EndpointID { return e.record.ID }
+func (e *Endpoint) ID() spool.EndpointID { return e.id }
 
 // Address returns the host:port of the endpoint.
-func (e *Endpoint) Address() string { return e.record.Address }
+func (e *Endpoint) Address() string { return e.address }
 
 // FailureDomain returns where the endpoint runs.
-func (e *Endpoint) FailureDomain() spool.FailureDomain { return e.record.FailureDomain }
+func (e *Endpoint) FailureDomain() spool.FailureDomain { return e.domain }
 
 // Table holds the endpoints of all services. It is safe for concurrent use.
 type Table struct {
@@ -97,7 +103,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.byID[record.ID]
-	if known != nil && known.record.StartedAt == record.StartedAt && known.record.Address == record.Address && known.record.Service == record.Service {
+	if known != nil && known.isSame(record) {
 		if record.Sequence < known.record.Sequence {
 			return false
 		}
@@ -110,13 +116,18 @@
 	if known != nil {
 		t.remove(known)
 	}
-	endpoint := &Endpoint{record: record}
+	endpoint := &Endpoint{id: record.ID, address: record.Address, domain: record.FailureDomain, record: record}
 	endpoint.cool(now, record.ColdFor)
 	t.byID[record.ID] = endpoint
 	t.byService[record.Service] = append(t.byService[record.Service], endpoint)
 	return true
 }
 
+// isSame reports whether record is of the same start.
+func (e *Endpoint) isSame(record spool.EndpointRecord) bool {
+	return e.record.StartedAt == record.StartedAt && e.record.Service == record.Service && e.address == record.Address && e.domain == record.FailureDomain
+}
+
 // Drop takes in that the record of an endpoint is gone. Records also lapse while
 // the store is away; such an endpoint is kept until it had time to write again.
 func (t *Table) Drop(now clock.Millis, id spool.EndpointID) {
