--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,14 +1,17 @@
 // Command standin runs one stand-in of the platform as a process of its own:
-// the log, the list of VMs, a model engine or a plain service. Each has a
+// the log, the list of VMs, a model engine, a plain service, the store of topics
+// or an endpoint behind gateways. All but the last have a
 // control port with its fault switches: GET shows them, POST sets them.
 package main
 
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -44,6 +47,8 @@
 		newCommand("vms", "Run the list of VMs", startVMs),
 		newCommand("engine", "Run a model engine", startEngine),
 		newCommand("service", "Run a plain service", startService),
+		newCommand("topics", "Run the store of topics that gateways share", startTopics),
+		newCommand("upstream", "Run an endpoint behind gateways", startUpstream),
 	)
 	return root
 }
@@ -111,6 +116,57 @@
 	return standin.ServeEngine(standin.NewEngine(settings, f.seed), f.address, f.control)
 }
 
+// topicsSettings are the records that a store begins with.
+type topicsSettings struct {
+	Records []struct {
+		Topic string          `json:"topic"`
+		Key   string          `json:"key"`
+		Value json.RawMessage `json:"value"`
+	} `json:"records"`
+}
+
+func startTopics(f flags) (*standin.Server, error) {
+	settings := topicsSettings{}
+	if err := decode(f.settings, &settings); err != nil {
+		return nil, err
+	}
+	topics := standin.NewTopics()
+	for _, record := range settings.Records {
+		topics.Put(record.Topic, record.Key, record.Value)
+	}
+	door, err := standin.ServeTopics(topics, f.address, f.control)
+	if err != nil {
+		return nil, err
+	}
+	return door.Server, nil
+}
+
+// upstreamSettings say how an endpoint answers.
+type upstreamSettings struct {
+	ID string `json:"id"`
+	// Events, unless empty, are the data of the events of each answer.
+	Events []string `json:"events"`
+	// PauseMs is the time between events.
+	PauseMs int `json:"pauseMs"`
+}
+
+func startUpstream(f flags) (*standin.Server, error) {
+	settings := upstreamSettings{ID: "upstream"}
+	if err := decode(f.settings, &settings); err != nil {
+		return nil, err
+	}
+	upstream, err := standin.NewUpstreamAt(f.address, settings.ID, nil)
+	if err != nil {
+		return nil, err
+	}
+	if len(settings.Events) > 0 {
+		upstream.SetAnswer(func(conn io.Writer, request standin.UpstreamRequest) bool {
+			return upstream.Stream(conn, request, time.Duration(settings.PauseMs)*time.Millisecond, -1, settings.Events...)
+		})
+	}
+	return upstream.Server(), nil
+}
+
 func startService(f flags) (*standin.Server, error) {
 	service := standin.NewService()
 	faults := service.Faults()
--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"go.uber.org/multierr"
+
+	"github.com/baobabspool/baobabspool/platform"
+)
+
+// NewCheck returns the command that validates the files of a deployment without
+// starting anything.
+func NewCheck() *cobra.Command {
+	path, configuration := os.Getenv(platform.SettingsVariable), ""
+	command := &cobra.Command{
+		Use:     "check",
+		Short:   "Validate a settings file and a configuration without starting",
+		Example: "  baobabspool check --settings-file settings.toml --configuration config.json",
+		Args:    checkArgs(cobra.NoArgs), SilenceUsage: true,
+		RunE: func(command *cobra.Command, _ []string) error {
+			err := multierr.Append(checkSettings(path), checkConfiguration(configuration))
+			for _, problem := range multierr.Errors(err) {
+				fmt.Fprintln(command.OutOrStdout(), problem)
+			}
+			if err != nil {
+				return errors.Wrapf(errUsage, "%d problems", len(multierr.Errors(err)))
+			}
+			fmt.Fprintln(command.OutOrStdout(), "no problem found")
+			return nil
+		},
+	}
+	command.Flags().StringVar(&path, "settings-file", path, "path of the settings file; the default is in "+platform.SettingsVariable)
+	command.Flags().StringVar(&configuration, "configuration", "", "path of a configuration as operators publish it; empty for none")
+	return command
+}
+
+// checkSettings returns every problem of a settings file.
+func checkSettings(path string) error {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	return multierr.Combine(settings.Validate()...)
+}
+
+func checkConfiguration(path string) error {
+	if path == "" {
+		return nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "configuration")
+	}
+	_, err = platform.Codec{}.DecodeOperator(platform.ConfigurationKey, data)
+	return errors.Wrapf(err, "configuration %q", path)
+}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -146,15 +146,15 @@
 		good("settings", "set", "fleet/limit.burst", "10")
 	})
 
-	ginkgo.It("has its reference of settings up to date in docs/operations.md", func() {
-		page, err := os.ReadFile("../../docs/operations.md")
+	ginkgo.It("has its reference of settings up to date in docs/OPERATIONS.md", func() {
+		page, err := os.ReadFile("../../docs/OPERATIONS.md")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		copied := filepath.Join(ginkgo.GinkgoT().TempDir(), "operations.md")
+		copied := filepath.Join(ginkgo.GinkgoT().TempDir(), "OPERATIONS.md")
 		gomega.Expect(os.WriteFile(copied, page, 0o600)).To(gomega.Succeed())
 		good("settings", "reference", "--write", copied)
 		written, err := os.ReadFile(copied)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		gomega.Expect(string(written)).To(gomega.Equal(string(page)), "run: go run ./cmd/baobabspool settings reference --write docs/operations.md")
+		gomega.Expect(string(written)).To(gomega.Equal(string(page)), "run: go run ./cmd/baobabspool settings reference --write docs/OPERATIONS.md")
 	})
 
 	ginkgo.It("has a registered policy as the default of each policy setting", func() {
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -36,6 +36,7 @@
 		NewStatus(),
 		NewExplain(),
 		NewReport(),
+		NewCheck(),
 		newDemo(),
 		NewBench(),
 		newVersion(),
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -344,7 +344,7 @@
 		Use:     "reference",
 		Short:   "Print the table of every setting, in Markdown",
 		Long:    "Print the table of every setting, in Markdown. With --write, replace the table in a page, between its two marking lines.",
-		Example: "  baobabspool settings reference --write docs/operations.md",
+		Example: "  baobabspool settings reference --write docs/OPERATIONS.md",
 		Args:    checkArgs(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			if page != "" {
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -279,9 +279,14 @@
 		if granted, ok := ledger.Granted(record.Grant); ok {
 			return granted, nil
 		}
+		before := ledger.Next()
 		if err := s.catchUp(ctx, ledger, offset+1); err != nil {
 			return 0, err
 		}
+		if ledger.Next() == before && !clock.Pause(ctx, appendRetry) {
+			// The read was behind the append.
+			return 0, context.Cause(ctx)
+		}
 	}
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -54,7 +54,7 @@
 			break
 		}
 		result := r.try(ctx, endpoint)
-		r.logTry(endpoint, tries, result)
+		r.logTry(ctx, endpoint, tries, result)
 		switch result {
 		case answered:
 			return ""
@@ -77,17 +77,31 @@
 }
 
 // logTry writes what became of the request at one endpoint.
-func (r *request) logTry(endpoint *endpoints.Endpoint, tries int, result verdict) {
+func (r *request) logTry(ctx context.Context, endpoint *endpoints.Endpoint, tries int, result verdict) {
 	message := "request answered"
 	if result != answered {
-		message = "endpoint did not answer"
+		message = "request not answered"
 	}
 	r.gateway.log.Info(message, zap.String("request", r.call.Attempt), zap.String("program", string(r.call.Program)),
 		zap.String("account", string(r.account)), zap.String("route", r.route.Name), zap.String("endpoint", string(endpoint.ID())),
-		zap.String("outcome", string(result)), zap.Int("status", r.exchange.Status()), zap.Int("try", tries+1), zap.Int("runs", r.runs),
+		zap.String("outcome", string(result)), zap.String("cause", causeOf(ctx, result)), zap.Int("status", r.exchange.Status()), zap.Int("try", tries+1), zap.Int("runs", r.runs),
 		zap.Int("events", r.events), zap.Int64("leftMs", int64(r.deadline-r.gateway.clock.Now())), zap.Int64("version", r.catalog.Version()))
 }
 
+// causeOf tells who ended a try that was not answered.
+func causeOf(ctx context.Context, result verdict) string {
+	switch {
+	case result == answered:
+		return ""
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return "timeout"
+	case ctx.Err() != nil:
+		return "callerLeft"
+	default:
+		return "endpoint"
+	}
+}
+
 // failure returns the reason for a request that no endpoint answered. What may
 // have run is never refused with a promise that it did not.
 func (r *request) failure(ctx context.Context, last spool.Code) spool.Code {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,9 @@
 const (
 	// upkeepInterval is for dropping what has expired.
 	upkeepInterval = 2 * time.Second
+	// totalsEvery is the number of rounds of upkeep between two lines with the
+	// counters.
+	totalsEvery = 5
 	// leaveAfter is the time from the start of a stop to the end of accepting. The
 	// balancer asks once a second and takes a process out after two misses.
 	leaveAfter = 3 * time.Second
@@ -226,7 +229,7 @@
 func (g *Gateway) upkeep(ctx context.Context) {
 	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
-	for {
+	for round := 1; ; round++ {
 		select {
 		case <-ctx.Done():
 			return
@@ -236,7 +239,9 @@
 		g.turns.index.Expire(now)
 		g.budgets.expire(now)
 		g.client.Sweep()
-		g.log.Info("totals", zap.Any("counters", totals(g.telemetry)))
+		if round%totalsEvery == 0 {
+			g.log.Info("totals", zap.Any("counters", totals(g.telemetry)))
+		}
 	}
 }
 
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -253,8 +253,11 @@
 			}
 		}
 		r.next += int64(len(page.Records))
-		if r.next >= page.End || len(page.Records) == 0 {
+		switch {
+		case r.next >= page.End:
 			return nil
+		case len(page.Records) == 0:
+			return errors.Errorf("no record at %d of %d", r.next, page.End)
 		}
 	}
 }
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -35,7 +35,15 @@
 // NewUpstream starts an endpoint under an identifier. answer writes the answer to
 // each request and reports whether the connection goes on; nil answers with 200.
 func NewUpstream(id string, answer func(conn io.Writer, request UpstreamRequest) (keep bool)) (*Upstream, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	return NewUpstreamAt("127.0.0.1:0", id, answer)
+}
+
+// Server returns the endpoint as a stand-in without a control port.
+func (u *Upstream) Server() *Server { return &Server{service: u.listener} }
+
+// NewUpstreamAt is NewUpstream at an address.
+func NewUpstreamAt(address, id string, answer func(conn io.Writer, request UpstreamRequest) (keep bool)) (*Upstream, error) {
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/settings/reference.go
+++ b/pkg/settings/reference.go
@@ -6,7 +6,7 @@
 )
 
 // Reference returns the table of every known setting in Markdown. It is the
-// source of the reference in docs/operations.md.
+// source of the reference in docs/OPERATIONS.md.
 func Reference() string {
 	var b strings.Builder
 	b.WriteString("| setting | type | unit | range | default | levels | meaning |\n|---|---|---|---|---|---|---|\n")
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -193,8 +193,8 @@
 
 // Validate returns every setting that cannot be used.
 func (s GatewaySettings) Validate() (problems []error) {
-	addresses := map[string]string{"listen": s.Listen, "ready listen": s.ReadyListen, "store address": s.StoreAddress}
-	for _, name := range []string{"listen", "ready listen", "store address"} {
+	addresses := map[string]string{"listen": s.Listen, "ready listen": s.ReadyListen, "store": s.StoreAddress}
+	for _, name := range []string{"listen", "ready listen", "store"} {
 		if addresses[name] == "" {
 			problems = append(problems, errors.Errorf("%s address is empty", name))
 		}
