--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -43,6 +43,8 @@
 	// relay asks another gateway for the records from an offset on.
 	relay func(ctx context.Context, topic spool.Topic, from int64) (relayReply, error)
 
+	// stretch is the factor by which a large fleet lengthens interval.
+	stretch func() clock.Millis
 	// nudged holds a request to read at once.
 	nudged chan struct{}
 
@@ -71,7 +73,7 @@
 
 // pause waits for the next read, or for nudge.
 func (f *follower) pause(ctx context.Context) {
-	timer := time.NewTimer(f.interval.Duration())
+	timer := time.NewTimer((f.interval * f.stretch()).Duration())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -21,6 +21,11 @@
 	endpointInterval = 400 * clock.Millis(1)
 	// memberInterval is the time between two reads of the gateways' records.
 	memberInterval = 500 * clock.Millis(1)
+	// stretchPer is the number of gateways that adds the interval once more, up to
+	// maxStretch intervals; the longest keeps within the time in which a leaving
+	// endpoint gets no more requests.
+	stretchPer = 100
+	maxStretch = 3
 )
 
 // sharedState follows what operators, endpoints and gateways write to the store.
@@ -35,6 +40,8 @@
 	// beats numbers the own records; leaving is set when the gateway stops.
 	beats   atomic.Int64
 	leaving atomic.Bool
+	// fleet is the number of gateways.
+	fleet atomic.Int64
 }
 
 func newSharedState(g *Gateway, store spool.Store, lifetime string, members *memberBook, boot clock.Clock) *sharedState {
@@ -46,7 +53,7 @@
 		{topic: spool.TopicMembers, interval: memberInterval, sink: members},
 	}
 	for _, f := range s.followers {
-		f.store, f.boot, f.log, f.relay = store, boot, g.log, s.relay
+		f.store, f.boot, f.log, f.relay, f.stretch = store, boot, g.log, s.relay, s.stretch
 		f.records, f.next, f.nudged = map[string]spool.KeyedRecord{}, -1, make(chan struct{}, 1)
 	}
 	return s
@@ -81,6 +88,12 @@
 	return max(0, now-min(members, operator))
 }
 
+// stretch returns the factor by which the time between two reads grows with the
+// fleet, so that the reads of all gateways stay within what the store answers.
+func (s *sharedState) stretch() clock.Millis {
+	return clock.Millis(min(maxStretch, 1+s.fleet.Load()/stretchPer))
+}
+
 // beat writes this gateway's record.
 func (s *sharedState) beat(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -116,6 +129,7 @@
 			if first || !slices.Equal(view, members) {
 				s.gateway.limits.view(members, first && (s.members.resumed() || s.gateway.settings.FirstStart), false)
 				s.gateway.table.SetGateways(len(members))
+				s.fleet.Store(int64(len(members)))
 				view, first = members, false
 			}
 			s.gateway.limits.owner.probe(ctx)
