--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -31,19 +32,22 @@
 	// An endpoint must not see the key, and callers forge the headers that only the
 	// gateway may set.
 	ginkgo.It("reaches the endpoint with its account and without key or forged headers", func() {
-		r, attempt := n.call("POST", "/charge/x?y=%20z", "key-2", "body",
-			"X-Tenant", "dealers", "X-Hold", "h", "Kv-From", "1.2.3.4:5/x", "X-Pin-Ms", "9", "X-Kv-Backup", "a", "X-Expect-Instance", "other", "X-Custom", "kept")
+		r, attempt := n.call("POST", "/charge/x?y=%20z", "key-2", "body", func(_ *standin.CallerRequest, more http.Header) {
+			maps.Copy(more, standin.Forged())
+			more.Set("X-Custom", "kept")
+		})
 		gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
-		gomega.Expect(r.header.Get("X-Server-Seal")).To(gomega.Equal("e1"))
+		gomega.Expect(standin.Seal(r.header)).To(gomega.Equal("e1"))
 		requests := u.Requests()
 		got := requests[len(requests)-1]
 		gomega.Expect(got.Method + " " + got.Target + " " + got.Body).To(gomega.Equal("POST /charge/x?y=%20z body"))
-		gomega.Expect(got.Header.Get("X-Attempt-Id")).To(gomega.Equal(attempt))
-		gomega.Expect(got.Header.Get("X-Tenant")).To(gomega.Equal("weavers"))
-		gomega.Expect(got.Header.Get("X-Expect-Instance")).To(gomega.Equal("e1"))
+		gomega.Expect(got.Attempt()).To(gomega.Equal(attempt))
+		gomega.Expect(got.Account()).To(gomega.Equal("weavers"))
+		gomega.Expect(got.Expected()).To(gomega.Equal("e1"))
 		gomega.Expect(got.Header.Get("X-Custom")).To(gomega.Equal("kept"))
-		for _, name := range []string{"Authorization", "X-Hold", "Kv-From", "X-Pin-Ms", "X-Kv-Backup"} {
-			gomega.Expect(got.Header).NotTo(gomega.HaveKey(name))
+		gomega.Expect(got.Header).NotTo(gomega.HaveKey("Authorization"))
+		for name, forged := range standin.Forged() {
+			gomega.Expect(got.Header[name]).NotTo(gomega.Equal(forged))
 		}
 	})
 
@@ -58,7 +62,7 @@
 	)
 
 	ginkgo.It("is refused without an identifier", func() {
-		response, _ := n.raw("GET /lookup/a HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer key-1\r\n\r\n")
+		response, _ := n.raw("GET /lookup/a HTTP/1.1\r\n" + headText(standin.CallerRequest{Key: "key-1"}) + "\r\n")
 		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusBadRequest))
 	})
 
@@ -75,8 +79,8 @@
 
 	// The body of a GET must not be read as the next request.
 	ginkgo.It("carries what looks like a second request as its body", func() {
-		smuggled := "POST /charge/smuggled HTTP/1.1\r\nHost: " + host + "\r\nX-Attempt-Id: s\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n"
-		response, _ := n.raw(fmt.Sprintf("GET /lookup/b HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: outer\r\nAuthorization: Bearer key-1\r\nContent-Length: %d\r\n\r\n%s", host, len(smuggled), smuggled))
+		smuggled := "POST /charge/smuggled HTTP/1.1\r\n" + headText(standin.CallerRequest{Attempt: "s", Key: "key-1"}) + "Content-Length: 0\r\n\r\n"
+		response, _ := n.raw(fmt.Sprintf("GET /lookup/b HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", headText(standin.CallerRequest{Attempt: "outer", Key: "key-1"}), len(smuggled), smuggled))
 		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
 		time.Sleep(100 * time.Millisecond)
 		for _, got := range u.Requests() {
@@ -94,7 +98,7 @@
 		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}}}
 		d.version = 1
 		d.publish()
-		d.topics.Put("keyed.op", "config", []byte("{torn"))
+		d.topics.PutConfiguration([]byte("{torn"))
 		gomega.Consistently(func() int {
 			r, _ := n.call("GET", "/lookup/a", "key-1", "")
 			return r.status
@@ -163,8 +167,8 @@
 	// An endpoint may send a second answer after a whole one; it belongs to nobody.
 	ginkgo.It("does not get an answer that belongs to another request", func() {
 		d.endpoint("e1", "app", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
-			u.Whole(conn, request, "mine "+request.Header.Get("X-Attempt-Id"))
-			request.Header.Set("X-Attempt-Id", "stranger")
+			u.Whole(conn, request, "mine "+request.Attempt())
+			request.Header = standin.CallerRequest{Attempt: "stranger"}.Header()
 			return u.Whole(conn, request, "other")
 		})
 		n := d.start("g1")
@@ -177,13 +181,12 @@
 
 	ginkgo.It("does not get a success without the endpoint's seal, or one that is cut off", func() {
 		var torn atomic.Bool
-		d.endpoint("e1", "app", func(_ *standin.Upstream, conn io.Writer, _ standin.UpstreamRequest) bool {
-			seal := ""
+		d.endpoint("e1", "app", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
 			if torn.Load() {
-				seal = "X-Server-Seal: e1\r\n"
+				return u.Torn(conn, request, "half")
 			}
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 10\r\n\r\nhalf", seal)
-			return false
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbare")
+			return true
 		})
 		n := d.start("g1")
 		for range 2 {
@@ -229,7 +232,7 @@
 		n := d.start("g1")
 		n.served("/lookup/a", "key-1")
 		for _, forged := range []string{"{", `{"service":"app"}`, `{"service":1}`, `{"service":"app","address":"x","zone":"a","version":"v","slots":1,"state":"ready"}`, `{"service":"app","address":"127.0.0.1:1","zone":"a","version":"v","slots":1,"state":"odd"}`} {
-			d.topics.Put("keyed.servers", "forged", []byte(forged))
+			d.topics.PutEndpointText("forged", []byte(forged))
 		}
 		time.Sleep(600 * time.Millisecond)
 		for range 10 {
@@ -246,7 +249,7 @@
 		})
 		n := d.start("g1")
 		gomega.Eventually(func() int {
-			response, conn := n.raw(fmt.Sprintf("POST /review/a HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: left-%d\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n", host, attempts.Add(1)))
+			response, conn := n.raw("POST /review/a HTTP/1.1\r\n" + headText(standin.CallerRequest{Attempt: newAttempt(), Key: "key-1"}) + "Content-Length: 0\r\n\r\n")
 			if response.StatusCode == http.StatusOK {
 				_ = conn.Close()
 			}
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -75,7 +76,7 @@
 	d.config["version"] = d.version
 	value, err := json.Marshal(d.config)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	d.topics.Put("keyed.op", "config", value)
+	d.topics.PutConfiguration(value)
 }
 
 // endpoint announces an upstream as an endpoint of a service.
@@ -91,8 +92,8 @@
 }
 
 func (d *deployment) announce(id, service, address, state string) {
-	value := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":4,"state":%q,"cold_left_ms":0,"seq":1,"born":1}`, service, address, state)
-	d.topics.Put("keyed.servers", id, []byte(value))
+	entry := standin.EndpointEntry{Service: service, Address: address, Zone: "a", Version: "v1", Slots: 4, State: state, Sequence: 1, Born: 1}
+	gomega.Expect(d.topics.PutEndpoint(id, entry)).To(gomega.Succeed())
 }
 
 func freeAddress() string {
@@ -159,21 +160,39 @@
 // attempts numbers the requests of all callers.
 var attempts atomic.Int64
 
-// call sends a request with a key and returns the answer. headers are names and
-// values in turn.
-func (n *node) call(method, path, key, body string, headers ...string) (r reply, attempt string) {
-	attempt = fmt.Sprintf("attempt-%d", attempts.Add(1))
+func newAttempt() string { return fmt.Sprintf("attempt-%d", attempts.Add(1)) }
+
+// previous names the turn that is continued.
+func previous(turn string) func(*standin.CallerRequest, http.Header) {
+	return func(says *standin.CallerRequest, _ http.Header) { says.Previous = turn }
+}
+
+// deadline sets how long the caller waits.
+func deadline(ms int) func(*standin.CallerRequest, http.Header) {
+	return func(says *standin.CallerRequest, _ http.Header) { says.DeadlineMs = ms }
+}
+
+// headText returns the headers of a raw request.
+func headText(says standin.CallerRequest) string {
+	var text strings.Builder
+	_ = says.Header().Write(&text)
+	return "Host: " + host + "\r\n" + text.String()
+}
+
+// call sends a request with a key and returns the answer. Each of changes changes
+// what the caller says.
+func (n *node) call(method, path, key, body string, changes ...func(*standin.CallerRequest, http.Header)) (r reply, attempt string) {
+	attempt = newAttempt()
+	says := standin.CallerRequest{Attempt: attempt, Key: key, DeadlineMs: 3000}
+	more := http.Header{}
+	for _, change := range changes {
+		change(&says, more)
+	}
 	request, err := http.NewRequest(method, "http://"+n.settings.Listen+path, strings.NewReader(body))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	request.Host = host
-	request.Header.Set("X-Attempt-Id", attempt)
-	request.Header.Set("X-Deadline-Ms", "3000")
-	if key != "" {
-		request.Header.Set("Authorization", "Bearer "+key)
-	}
-	for i := 0; i+1 < len(headers); i += 2 {
-		request.Header.Set(headers[i], headers[i+1])
-	}
+	request.Header = says.Header()
+	maps.Copy(request.Header, more)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: soon}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -49,12 +49,12 @@
 	ginkgo.It("continues at a gateway that was started after the first one was killed", func() {
 		n := d.start("g1")
 		id := first(n)
-		r, second := n.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id)
+		r, second := n.call("POST", "/chat/", "key-1", "more\n", previous(id))
 		gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
 		n.stop()
 		other := d.start("g2")
 		gomega.Eventually(func() int {
-			r, _ := other.call("POST", "/chat/", "key-1", "end\n", "X-Previous-Turn", second)
+			r, _ := other.call("POST", "/chat/", "key-1", "end\n", previous(second))
 			return r.status
 		}, soon, "50ms").Should(gomega.Equal(http.StatusOK))
 		gomega.Expect(lastBody()).To(gomega.Equal("hello\none\ntwo\nmore\none\ntwo\nend\n"))
@@ -63,9 +63,9 @@
 	ginkgo.It("is not found for another account, nor when it never was", func() {
 		n := d.start("g1")
 		id := first(n)
-		r, _ := n.call("POST", "/chat/", "key-3", "x", "X-Previous-Turn", id)
+		r, _ := n.call("POST", "/chat/", "key-3", "x", previous(id))
 		gomega.Expect(r.status).To(gomega.Equal(http.StatusNotFound))
-		r, _ = n.call("POST", "/chat/", "key-1", "x", "X-Previous-Turn", "never")
+		r, _ = n.call("POST", "/chat/", "key-1", "x", previous("never"))
 		gomega.Expect(r.status).To(gomega.Equal(http.StatusNotFound))
 	})
 
@@ -76,7 +76,7 @@
 		for i := range 4 {
 			n := []*node{b, a}[i%2]
 			var r reply
-			r, id = n.call("POST", "/chat/", "key-1", "next\n", "X-Previous-Turn", id)
+			r, id = n.call("POST", "/chat/", "key-1", "next\n", previous(id))
 			gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
 			want += "next\n"
 			gomega.Expect(lastBody()).To(gomega.Equal(want))
@@ -89,7 +89,7 @@
 		n := d.start("g1")
 		id := first(n)
 		n.door.SetFaults(standin.TopicFaults{Mode: "busy", Partitions: []string{"turns/0", "turns/1", "turns/2", "turns/3"}})
-		r, _ := n.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id, "X-Deadline-Ms", "800")
+		r, _ := n.call("POST", "/chat/", "key-1", "more\n", previous(id), deadline(800))
 		gomega.Expect(r.err).To(gomega.HaveOccurred())
 		gomega.Expect(r.body).To(gomega.ContainSubstring("data: two"))
 	})
@@ -100,7 +100,7 @@
 		for _, down := range []string{"turns/0", "turns/1", "turns/2"} {
 			n.door.SetFaults(standin.TopicFaults{Mode: "busy", Partitions: []string{down}})
 			var r reply
-			r, id = n.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id)
+			r, id = n.call("POST", "/chat/", "key-1", "more\n", previous(id))
 			gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
 			gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
 		}
@@ -112,7 +112,7 @@
 		n.door.SetFaults(standin.TopicFaults{Mode: "busy"})
 		gomega.Eventually(func() string {
 			start := time.Now()
-			r, _ := n.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id, "X-Deadline-Ms", "900")
+			r, _ := n.call("POST", "/chat/", "key-1", "more\n", previous(id), deadline(900))
 			if r.status != http.StatusServiceUnavailable || time.Since(start) > 100*time.Millisecond {
 				return ""
 			}
@@ -121,7 +121,7 @@
 		gomega.Eventually(n.ready, soon, "50ms").Should(gomega.BeFalse())
 		n.door.SetFaults(standin.TopicFaults{})
 		gomega.Eventually(func() int {
-			r, _ := n.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id)
+			r, _ := n.call("POST", "/chat/", "key-1", "more\n", previous(id))
 			return r.status
 		}, "3s", "50ms").Should(gomega.Equal(http.StatusOK))
 		gomega.Eventually(n.ready, soon, "50ms").Should(gomega.BeTrue())
@@ -137,7 +137,7 @@
 		silent := standin.TopicFaults{Mode: "silent", Partitions: []string{"turns/0", "turns/1", "turns/2", "turns/3"}}
 		b.door.SetFaults(silent)
 		a.door.SetFaults(silent)
-		r, _ := b.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id, "X-Deadline-Ms", "1500")
+		r, _ := b.call("POST", "/chat/", "key-1", "more\n", previous(id), deadline(1500))
 		gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
 		gomega.Expect(r.body).To(gomega.ContainSubstring("data: two"))
 		gomega.Expect(lastBody()).To(gomega.Equal("hello\none\ntwo\nmore\n"))
@@ -154,7 +154,7 @@
 		time.Sleep(time.Second)
 		for range 5 {
 			var r reply
-			r, id = a.call("POST", "/chat/", "key-1", "more\n", "X-Previous-Turn", id)
+			r, id = a.call("POST", "/chat/", "key-1", "more\n", previous(id))
 			gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
 			gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
 		}
@@ -179,18 +179,20 @@
 	})
 
 	// turn runs a turn of program p that generates 20 tokens of at most 50.
-	turn := func(n *node, program string, budget string) reply {
-		r, _ := n.call("POST", "/review/", "key-1", "x", "X-Program-Id", program, "X-Token-Budget", budget, "X-Token-Count", "5,50")
+	turn := func(n *node, program string, budget int) reply {
+		r, _ := n.call("POST", "/review/", "key-1", "x", func(says *standin.CallerRequest, _ http.Header) {
+			says.Program, says.TokenBudget, says.MostTokens = program, budget, 50
+		})
 		return r
 	}
 
 	ginkgo.It("holds over gateways and a restart", func() {
 		a, b := d.start("g1"), d.start("g2")
-		gomega.Eventually(func() int { return turn(a, "warm", "1000").status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
-		gomega.Eventually(func() int { return turn(b, "warm", "1000").status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		gomega.Eventually(func() int { return turn(a, "warm", 1000).status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		gomega.Eventually(func() int { return turn(b, "warm", 1000).status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
 		served := 0
 		for i := range 12 {
-			if turn([]*node{a, b}[i%2], "p", "200").status == http.StatusOK {
+			if turn([]*node{a, b}[i%2], "p", 200).status == http.StatusOK {
 				served++
 			}
 		}
@@ -198,14 +200,14 @@
 		gomega.Expect(served).To(gomega.Equal(8))
 		a.stop()
 		c := d.start("g3")
-		gomega.Eventually(func() int { return turn(c, "p", "200").status }, soon, "50ms").Should(gomega.Equal(http.StatusPaymentRequired))
+		gomega.Eventually(func() int { return turn(c, "p", 200).status }, soon, "50ms").Should(gomega.Equal(http.StatusPaymentRequired))
 	})
 
 	ginkgo.It("never starts a turn that it refuses", func() {
 		n := d.start("g1")
-		gomega.Eventually(func() int { return turn(n, "warm", "1000").status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		gomega.Eventually(func() int { return turn(n, "warm", 1000).status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
 		before := len(u.Requests())
-		gomega.Expect(turn(n, "small", "40").status).To(gomega.Equal(http.StatusPaymentRequired))
+		gomega.Expect(turn(n, "small", 40).status).To(gomega.Equal(http.StatusPaymentRequired))
 		gomega.Expect(len(u.Requests())).To(gomega.Equal(before))
 	})
 
@@ -213,10 +215,10 @@
 	// gateway holds; another one cannot start.
 	ginkgo.It("lasts through an outage for as long as its grant", func() {
 		n := d.start("g1")
-		gomega.Eventually(func() int { return turn(n, "p", "1000").status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		gomega.Eventually(func() int { return turn(n, "p", 1000).status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
 		n.door.SetFaults(standin.TopicFaults{Mode: "busy"})
-		gomega.Expect(turn(n, "p", "1000").status).To(gomega.Equal(http.StatusOK))
-		gomega.Eventually(func() int { return turn(n, "q", "1000").status }, soon, "50ms").Should(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(turn(n, "p", 1000).status).To(gomega.Equal(http.StatusOK))
+		gomega.Eventually(func() int { return turn(n, "q", 1000).status }, soon, "50ms").Should(gomega.Equal(http.StatusServiceUnavailable))
 	})
 })
 
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -125,6 +125,12 @@
 	return true
 }
 
+// Torn answers with 200 and a sealed body that ends before its length.
+func (u *Upstream) Torn(conn io.Writer, request UpstreamRequest, body string) bool {
+	u.head(conn, request, http.StatusOK, fmt.Sprintf("X-Server-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", u.id, len(body)+1, body))
+	return false
+}
+
 // Shed answers that the request has not run.
 func (u *Upstream) Shed(conn io.Writer, request UpstreamRequest) bool {
 	u.head(conn, request, http.StatusServiceUnavailable, "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
