Wait for an owner that may still grant, whoever claimed after it

Cause, found by reading: a claim that was written twice, as after a lost answer, counted as a successor of its own process and ended its wait; so did the end of a claimant that was itself still waiting. Two owners could then grant at once. Ruled out as guards: the proof that the last claimant is gone says nothing of the one before it. Change: a claim says whether the owner before may still grant, repeating it changes nothing, and it is written again when the wait is over.

--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -41,6 +41,9 @@
 	Address string       `json:"address"`
 	// Lifetime tells the processes of a node apart.
 	Lifetime string `json:"lifetime"`
+	// Waits says that the owner before may still grant. The record is written again
+	// without it when that has ended.
+	Waits bool `json:"waits,omitempty"`
 	// From is the lifetime of the owner that hands its pools over, and Levels what
 	// they hold. They are void unless that owner's claim is the one before: the store
 	// may execute an append long after it was sent.
@@ -159,6 +162,11 @@
 		return
 	}
 	previous, known := o.claim, o.epoch != 0
+	if known && record.From == "" && record.Lifetime == previous.Lifetime {
+		// The owner repeats its claim; what it waits for stays the same.
+		o.claim, o.epoch = record, epoch
+		return
+	}
 	if record.From != "" && known && record.From != previous.Lifetime {
 		o.log.Warn("late handover is left out", zap.String("to", string(record.Node)), zap.Int64("offset", offset))
 		o.disputed = o.owns()
@@ -169,7 +177,7 @@
 	switch {
 	case record.From != "" && known:
 		o.grant(record.Levels)
-	case record.From == "" && (!known || o.gone[previous.Lifetime] || previous.Lifetime == record.Lifetime):
+	case record.From == "" && (!known || o.gone[previous.Lifetime] && !previous.Waits):
 		o.grant(nil)
 	}
 	o.log.Info("limit owner changes", zap.String("owner", string(record.Node)), zap.Int64("epoch", int64(epoch)),
@@ -213,7 +221,7 @@
 	if !o.vacant(live) {
 		return
 	}
-	value, err := json.Marshal(o.self)
+	value, err := json.Marshal(o.next())
 	if err != nil {
 		o.log.Error("claim cannot be encoded", zap.Error(err))
 		return
@@ -227,8 +235,21 @@
 	o.nudge()
 }
 
-// vacant reports whether this gateway is to claim the pools now. live are the
-// gateways that have written their record lately.
+// next returns the claim that this gateway would write now.
+func (o *poolOwner) next() claimRecord {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	record := o.self
+	if o.owns() {
+		record.Waits = !o.grants()
+		return record
+	}
+	record.Waits = o.epoch != 0 && (o.claim.Waits || !o.gone[o.claim.Lifetime])
+	return record
+}
+
+// vacant reports whether this gateway is to write a claim now. live are the gateways
+// that have written their record lately.
 func (o *poolOwner) vacant(live []spool.NodeID) bool {
 	now := o.clock.Now()
 	o.mu.Lock()
@@ -238,7 +259,15 @@
 		o.disputed, o.claimedAt = false, now
 		return true
 	}
-	if o.owns() || now < o.claimedAt+claimPause {
+	if now < o.claimedAt+claimPause {
+		return false
+	}
+	if o.owns() {
+		// The record must say whether the owner before may still grant.
+		if o.claim.Waits == o.grants() {
+			o.claimedAt = now
+			return true
+		}
 		return false
 	}
 	restarted := o.claim.Node == o.self.Node
@@ -299,7 +328,7 @@
 	default:
 		o.answered(claim.Node)
 	}
-	if waits && (ended || err == nil) {
+	if waits && !claim.Waits && (ended || err == nil) {
 		o.stopWaiting(epoch, reply.Levels)
 	}
 }
