Take the ports of the gateway's specs from below the outgoing range

Cause: one run of the specs failed once; eight at a time showed it again: a port that was found free was taken, as the source of an outgoing connection, before the gateway listened ("bind: address already in use"). Ruled out: load, under which nine runs beside six busy processes passed. Change: ports are taken below 32768, from a place that differs by process, and never twice.

--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -96,11 +96,28 @@
 	gomega.Expect(d.topics.PutEndpoint(id, entry)).To(gomega.Succeed())
 }
 
+const (
+	// firstPort and portCount are below the range from which outgoing connections
+	// take their ports, so that none of them takes a port that was found free.
+	firstPort = 20_000
+	portCount = 10_000
+)
+
+// nextPort is the port that is tried next. Test processes begin at different ones.
+var nextPort = os.Getpid() * 101 % portCount
+
+// freeAddress returns an address that nothing listens at, and never twice.
 func freeAddress() string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
+		nextPort = (nextPort + 1) % portCount
+		if listener, err := net.Listen("tcp4", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
+	ginkgo.Fail("no port is free")
+	return ""
 }
 
 // start starts a gateway and waits until it is ready.
