Refuse for the moment while the holder of a grant may not be known yet

The other gateway held the tokens, and this one, started 200 ms before, did not know its address yet. A 402 ends a program. Ruled out: the ledger's count, which was right. Change: until a gateway must have read the records of all that run, an unknown holder makes the budget unknown (503 with a time to come back) and not spent.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -22,6 +22,9 @@
 	errBudgetSpent = errors.New("budget of the program is spent")
 	// errBudgetUnknown means that the store did not say what is left of the budget.
 	errBudgetUnknown = errors.New("budget of the program is not known")
+	// errHolderUnknown means that a gateway that holds a grant may run and is not
+	// known yet.
+	errHolderUnknown = errors.New("holder of a grant is not known yet")
 )
 
 const (
@@ -191,9 +194,12 @@
 		Need: need, Want: max(need, turnsPerGrant*most), Budget: budget,
 	}
 	granted, err := s.ask(ctx, record)
-	if err == nil && granted < need && s.collect(ctx, id) {
-		record.Grant = s.newGrant()
-		granted, err = s.ask(ctx, record)
+	if err == nil && granted < need {
+		var settled bool
+		if settled, err = s.collect(ctx, id); settled {
+			record.Grant = s.newGrant()
+			granted, err = s.ask(ctx, record)
+		}
 	}
 	if err != nil {
 		// The record may still take effect; its end makes that harmless.
@@ -219,8 +225,9 @@
 }
 
 // collect asks the gateways that hold grants of a program to give back what they do
-// not use. It reports whether one did.
-func (s *budgetStore) collect(ctx context.Context, id spool.ProgramID) bool {
+// not use. It reports whether one did, and fails with errHolderUnknown
+// when none did and one of them may come to be known.
+func (s *budgetStore) collect(ctx context.Context, id spool.ProgramID) (settled bool, err error) {
 	holders := map[string]bool{}
 	for _, grant := range s.ledger(id).Open(id) {
 		lifetime, _, _ := strings.Cut(grant, grantSeparator)
@@ -232,13 +239,19 @@
 	for lifetime := range holders {
 		go func() { results <- s.askSettle(ctx, lifetime, id) }()
 	}
-	settled := false
 	for range holders {
-		if err := <-results; err == nil {
+		result := <-results
+		switch {
+		case result == nil:
 			settled = true
+		case errors.Is(result, errHolderUnknown):
+			err = errHolderUnknown
 		}
 	}
-	return settled
+	if settled {
+		return true, nil
+	}
+	return false, err
 }
 
 // spent reports whether the ledger says that the budget does not hold need tokens
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,7 +169,10 @@
 // askSettle asks the gateway of a lifetime to give back what it holds of a program.
 func (g *Gateway) askSettle(ctx context.Context, lifetime string, id spool.ProgramID) error {
 	address, ok := g.state.members.addressOf(lifetime)
-	if !ok {
+	switch {
+	case !ok && g.state.members.settling():
+		return errHolderUnknown
+	case !ok:
 		return errNoPeer
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout.Duration())
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -44,7 +44,9 @@
 	members map[spool.NodeID]member
 	// loaded is set by the first reset; known says that it held this node.
 	loaded, known bool
-	confirmedAt   clock.Millis
+	// loadedAt is when that reset was taken in.
+	loadedAt    clock.Millis
+	confirmedAt clock.Millis
 }
 
 type member struct {
@@ -67,7 +69,7 @@
 	defer b.mu.Unlock()
 	if !b.loaded {
 		_, b.known = b.members[b.self]
-		b.loaded = true
+		b.loaded, b.loadedAt = true, b.boot.Now()
 	}
 }
 
@@ -170,6 +172,13 @@
 	return addresses
 }
 
+// settling reports whether gateways that run may not be known yet.
+func (b *memberBook) settling() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.loaded || b.boot.Now()-b.loadedAt < memberBeat+memberInterval
+}
+
 // addressOf returns where the gateway of a lifetime answers.
 func (b *memberBook) addressOf(lifetime string) (address string, ok bool) {
 	b.mu.Lock()
