Remove what the gateway decodes and nothing uses

No decision, bound or assertion is touched. Ruled out for now: Index.Bytes and events.LastID, whose only readers are tests, stay with their assertions.

--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -117,7 +116,7 @@
 	}
 	l.limited = next
 	if len(changed) > 0 {
-		l.manager.Observe(quota.Version{Limits: maps.Clone(changed)})
+		l.manager.Observe(quota.Version{Limits: changed})
 	}
 }
 
@@ -131,8 +130,8 @@
 }
 
 // view takes the gateways that divide the static parts in.
-func (l *limiter) view(members []spool.NodeID, resumed, skipped bool) {
-	l.manager.Observe(quota.Version{Members: members, Resumed: resumed, Skipped: skipped})
+func (l *limiter) view(members []spool.NodeID, resumed bool) {
+	l.manager.Observe(quota.Version{Members: members, Resumed: resumed})
 }
 
 // admit takes one request of an account. isStart tells whether the request begins
