--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -116,7 +117,7 @@
 	}
 	l.limited = next
 	if len(changed) > 0 {
-		l.manager.Observe(quota.Version{Limits: changed})
+		l.manager.Observe(quota.Version{Limits: maps.Clone(changed)})
 	}
 }
 
@@ -130,8 +131,8 @@
 }
 
 // view takes the gateways that divide the static parts in.
-func (l *limiter) view(members []spool.NodeID, resumed bool) {
-	l.manager.Observe(quota.Version{Members: members, Resumed: resumed})
+func (l *limiter) view(members []spool.NodeID, resumed, skipped bool) {
+	l.manager.Observe(quota.Version{Members: members, Resumed: resumed, Skipped: skipped})
 }
 
 // admit takes one request of an account. isStart tells whether the request begins
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -127,7 +127,7 @@
 		if _, known := s.members.confirmed(); known {
 			members := s.members.within(viewMember)
 			if first || !slices.Equal(view, members) {
-				s.gateway.limits.view(members, first && (s.members.resumed() || s.gateway.settings.FirstStart))
+				s.gateway.limits.view(members, first && (s.members.resumed() || s.gateway.settings.FirstStart), false)
 				s.gateway.table.SetGateways(len(members))
 				s.fleet.Store(int64(len(members)))
 				view, first = members, false
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -126,7 +126,7 @@
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(door.Close)
 	n := &node{door: door, settings: spool.GatewaySettings{
-		Node: spool.NodeID(name), FailureDomain: "a", Listen: freeAddress(), ReadyListen: freeAddress(),
+		Node: spool.NodeID(name), FailureDomain: "a", Region: "r", Listen: freeAddress(), ReadyListen: freeAddress(),
 		ControlListen: freeAddress(), StoreAddress: door.Address(), Partitions: 4, MaxAppendBytes: 1 << 20,
 		StopWithin: 4 * clock.Second, FirstStart: true,
 		LimitTolerance: spool.LimitTolerance{Window: 5 * clock.Second, Over: 0.1, Slack: 20},
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -234,6 +234,17 @@
 	return last
 }
 
+// Forget closes the kept connections of an address.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	list := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, conn := range list {
+		_ = conn.conn.Close()
+	}
+}
+
 // Sweep closes connections that have been idle for too long.
 func (c *Client) Sweep() {
 	now := c.clock.Now()
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -83,6 +83,9 @@
 	e.streaming = true
 }
 
+// Flush writes the head of a stream before its first chunk.
+func (e *Exchange) Flush() error { return e.flush() }
+
 // Chunk writes a part of the body.
 func (e *Exchange) Chunk(data []byte) error {
 	if len(data) == 0 {
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -42,6 +42,8 @@
 	Kind   Kind
 	// Timeout is the longest time until the final answer.
 	Timeout clock.Millis
+	// Goal is the time within which an answer is on time.
+	Goal clock.Millis
 	// Priority is 0 for the most urgent.
 	Priority int
 	// Targets is not empty.
@@ -56,11 +58,17 @@
 	Public bool
 	// Resumable streams may go on at another endpoint after an event.
 	Resumable bool
+	// GapGoal is the longest pause between events of an answer on time.
+	GapGoal clock.Millis
 }
 
 // Service is a group of endpoints that do the same work.
 type Service struct {
 	Name spool.ServiceName
+	// MaxConnections is what one endpoint accepts from all callers.
+	MaxConnections int
+	// ColdFor is how long an endpoint is cold after its start.
+	ColdFor clock.Millis
 	// ColdPerSecond is the number of requests that a cold endpoint bears in a
 	// second; 0 for no limit.
 	ColdPerSecond float64
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -107,6 +107,7 @@
 	FinishIn clock.Millis
 	// TokenBudget is what all turns of the program may generate; 0 for no budget.
 	TokenBudget     int64
+	PromptTokens    int64
 	MaxOutputTokens int64
 	// Previous is the turn that this one continues; empty for a first turn.
 	Previous string
@@ -138,12 +139,19 @@
 	Misdirected bool
 	// ColdFor is how long the endpoint is cold; 0 when not said.
 	ColdFor clock.Millis
+	// Leaving says that the endpoint closes the connection.
+	Leaving bool
 }
 
+// ErrBadRecord means that a record of another writer cannot be used.
+var ErrBadRecord = errors.New("record cannot be used")
+
 // GatewaySettings is what a gateway is told at its start.
 type GatewaySettings struct {
 	Node          NodeID
+	IP            string
 	FailureDomain FailureDomain
+	Region        Region
 	// Listen takes requests, ReadyListen the balancer's questions and the metrics,
 	// ControlListen messages of other gateways.
 	Listen        string
@@ -156,11 +164,22 @@
 	StoreAddress string
 	// Partitions is the number of partitions of a topic.
 	Partitions     int
+	MaxRecordBytes int
 	MaxAppendBytes int
-	// StopWithin is the time from SIGTERM to SIGKILL.
-	StopWithin clock.Millis
+	// EndpointHeartbeat is the interval at which endpoints write their record.
+	EndpointHeartbeat clock.Millis
+	// DrainWithin is the time in which a leaving endpoint gets no more requests,
+	// ConfigWithin that in which a configuration is in force everywhere, and
+	// StopWithin the time from SIGTERM to SIGKILL.
+	DrainWithin  clock.Millis
+	ConfigWithin clock.Millis
+	StopWithin   clock.Millis
 	// LimitTolerance is how the requests of an account are counted.
 	LimitTolerance LimitTolerance
+	// FirstPort and LastPort bound the ports for messages between gateways.
+	FirstPort, LastPort int
+	// MemoryMB is the memory of the process.
+	MemoryMB int64
 }
 
 // LimitTolerance is how requests over the limit of an account are counted: those of
