Keep the limits' pools with a stopping owner until the next one asks for them

It released its pools first and then waited for the append until the end of its grace: from 9 s to 17.5 s the pools had no owner, and the others answered 1,500 requests with overLimit.

Change: a stopping owner names its successor, and goes on granting until that one asks for the levels, with the question that a new owner asks any predecessor. The append is tried until it is written. Levels no longer travel through the store, so a record that is executed late hands nothing over, and the special cases for it go. A successor asks as soon as it reads its name. Found on the way: an owner that wrote its claim again began from the inherited levels a second time, and could grant them twice; pools now keep their tenure. A pool that the predecessor did not name begins empty instead of waiting for the predecessor's authority.

Replaced tests: 'takes a handover of the owner before, and leaves a late one out' becomes three specs: the successor waits until the predecessor has answered, a late record passes the ownership on without levels, and an owner whose record is not taken keeps granting.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"sync"
 
 	"go.uber.org/zap"
 
@@ -10,15 +12,40 @@
 )
 
 // PoolOwner gives tests the ownership of the pools without a gateway.
-type PoolOwner struct{ *poolOwner }
+type PoolOwner struct {
+	*poolOwner
+	claims *claimStore
+}
+
+// claimStore takes the claims that are written, or fails.
+type claimStore struct {
+	spool.Store
+	mu      sync.Mutex
+	failing bool
+	writes  int
+	last    []byte
+}
+
+func (s *claimStore) AppendKeyed(_ context.Context, _ spool.Topic, _ string, value []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if s.failing {
+		return spool.ErrLogUnavailable
+	}
+	s.last = value
+	return nil
+}
 
 // NewPoolOwner returns the ownership as a gateway with the given lifetime sees it.
 // No other gateway answers it.
 func NewPoolOwner(node spool.NodeID, lifetime string, source clock.Clock) PoolOwner {
 	silent := func(context.Context, string, aliveRequest) (aliveReply, error) { return aliveReply{}, errNoPeer }
-	owner := newPoolOwner(spool.GatewaySettings{Node: node}, lifetime, nil, source, silent, zap.NewNop())
+	claims := &claimStore{}
+	owner := newPoolOwner(spool.GatewaySettings{Node: node}, lifetime, claims, source, silent, zap.NewNop())
 	owner.accounts = func() []spool.AccountID { return nil }
-	return PoolOwner{poolOwner: owner}
+	owner.nudge = func() {}
+	return PoolOwner{poolOwner: owner, claims: claims}
 }
 
 // Observe takes a record in.
@@ -27,15 +54,61 @@
 // MarkGone says that the process of a lifetime has ended.
 func (o PoolOwner) MarkGone(lifetime string) { o.markGone(lifetime) }
 
-// Grants reports whether this gateway may grant.
-func (o PoolOwner) Grants() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.grants()
+// ProbeAnswered asks the owner before, which answers with its lifetime.
+func (o PoolOwner) ProbeAnswered(lifetime string) {
+	o.ask = func(context.Context, string, aliveRequest) (aliveReply, error) {
+		return aliveReply{Lifetime: lifetime}, nil
+	}
+	o.probe(context.Background())
 }
 
+// Grants reports whether this gateway may grant.
+func (o PoolOwner) Grants() bool { return o.mayGrant() }
+
 // Vacant reports whether a claim is to be written.
 func (o PoolOwner) Vacant(live ...spool.NodeID) bool { return o.vacant(live) }
 
 // Waits reports whether the next claim says that the owner before may still grant.
 func (o PoolOwner) Waits() bool { return o.next().Waits }
+
+// Tenure returns the epoch of the pools.
+func (o PoolOwner) Tenure() spool.Epoch {
+	epoch, _ := o.Epoch(spool.ProgramStream(0))
+	return epoch
+}
+
+// HandOver names another gateway as the owner.
+func (o PoolOwner) HandOver(ctx context.Context, node spool.NodeID, lifetime string) {
+	o.handOver(ctx, func() []claimRecord { return []claimRecord{{Node: node, Lifetime: lifetime}} })
+}
+
+// YieldTo answers a newer owner and returns the epoch whose pools are handed over; 0
+// for none.
+func (o PoolOwner) YieldTo(epoch spool.Epoch) (handed spool.Epoch) {
+	o.answer(aliveRequest{Yield: epoch}, func(_ spool.Stream, of spool.Epoch) json.RawMessage {
+		handed = of
+		return nil
+	})
+	return handed
+}
+
+// FailWrites makes the store refuse claims, or take them.
+func (o PoolOwner) FailWrites(failing bool) {
+	o.claims.mu.Lock()
+	defer o.claims.mu.Unlock()
+	o.claims.failing = failing
+}
+
+// Writes returns the number of claims that were sent to the store.
+func (o PoolOwner) Writes() int {
+	o.claims.mu.Lock()
+	defer o.claims.mu.Unlock()
+	return o.claims.writes
+}
+
+// Written returns the last claim that the store took.
+func (o PoolOwner) Written() string {
+	o.claims.mu.Lock()
+	defer o.claims.mu.Unlock()
+	return string(o.claims.last)
+}
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -83,9 +83,12 @@
 }
 
 // nudge makes the next read come at once.
-func (f *follower) nudge() {
+func (f *follower) nudge() { signal(f.nudged) }
+
+// signal leaves a signal in a channel that holds one.
+func signal(to chan<- struct{}) {
 	select {
-	case f.nudged <- struct{}{}:
+	case to <- struct{}{}:
 	default:
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -248,15 +248,14 @@
 	}
 }
 
-// handOver tells the others that this gateway leaves and gives the pools of the
-// limits to one of them.
+// handOver tells the others that this gateway leaves and names one of them as the
+// owner of the limits' pools.
 func (g *Gateway) handOver(ctx context.Context) {
 	g.state.leaving.Store(true)
+	g.limits.owner.handOver(ctx, g.state.members.candidates)
 	if err := g.state.write(ctx); err != nil {
 		g.log.Warn("leaving was not written", zap.Error(err))
 	}
-	g.limits.owner.handOver(ctx, successor(g.state.members.candidates()), g.limits.manager.HandOver)
-	g.state.nudgeAll()
 }
 
 // totals returns the counters by kind and label.
@@ -276,9 +275,16 @@
 	defer cancel()
 	g.stopping.Store(true)
 	g.server.Drain()
-	g.handOver(ctx)
+	handing, stopHanding := context.WithCancel(ctx)
+	defer stopHanding()
+	g.wg.Add(1)
+	go func() {
+		defer g.wg.Done()
+		g.handOver(handing)
+	}()
 	clock.Pause(ctx, clock.FromDuration(leaveAfter))
 	g.server.Stop(ctx)
+	stopHanding()
 	g.budgets.flush(ctx)
 	g.cancel()
 	g.limits.manager.Close()
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -35,7 +35,9 @@
 )
 
 // claimRecord is the value of the owner's key. A gateway writes one for itself, or,
-// when it stops, for the gateway that is to follow it.
+// when it stops, for the gateway that is to follow it. The gateway that is named asks
+// the owner before it to stop granting and for what its pools hold, so a record that
+// the store executes long after it was sent does no harm.
 type claimRecord struct {
 	Node    spool.NodeID `json:"node"`
 	Address string       `json:"address"`
@@ -44,11 +46,6 @@
 	// Waits says that the owner before may still grant. The record is written again
 	// without it when that has ended.
 	Waits bool `json:"waits,omitempty"`
-	// From is the lifetime of the owner that hands its pools over, and Levels what
-	// they hold. They are void unless that owner's claim is the one before: the store
-	// may execute an append long after it was sent.
-	From   string          `json:"from,omitempty"`
-	Levels json.RawMessage `json:"levels,omitempty"`
 }
 
 // poolOwner follows which gateway owns the pools of the accounts' limits, and
@@ -69,6 +66,9 @@
 	// claim is the newest record, at offset epoch - 1; epoch is 0 without one.
 	claim claimRecord
 	epoch spool.Epoch
+	// tenure is the epoch in which the claim's gateway was first named; it stays the
+	// same while that gateway repeats its claim, and so do its pools.
+	tenure spool.Epoch
 	// inherited are the levels that the previous owner left; nil when not known.
 	inherited json.RawMessage
 	// grantsFrom is when the authority of the previous owner has surely ended; 0 once
@@ -78,6 +78,8 @@
 	predecessor claimRecord
 	// yieldedTo is the epoch in whose favour this gateway has stopped granting.
 	yieldedTo spool.Epoch
+	// granted is the newest tenure in which this gateway may have granted; 0 for none.
+	granted spool.Epoch
 	// confirmedAt is when the last read that found the claim newest was sent.
 	confirmedAt clock.Millis
 	// silentSince is the first unanswered call to the owner since its last answer; 0
@@ -91,28 +93,32 @@
 	// have one.
 	vacantSince clock.Millis
 	claimedAt   clock.Millis
-	// disputed says that a late record has taken the place of this gateway's claim.
-	disputed bool
+	// named holds a signal when a newest claim names this gateway.
+	named chan struct{}
 }
 
 var _ quota.Streams = (*poolOwner)(nil)
 
 func newPoolOwner(settings spool.GatewaySettings, lifetime string, store spool.Store, boot clock.Clock, ask func(ctx context.Context, address string, request aliveRequest) (aliveReply, error), log *zap.Logger) *poolOwner {
 	self := claimRecord{Node: settings.Node, Address: settings.ControlListen, Lifetime: lifetime}
-	return &poolOwner{self: self, clock: boot, store: store, ask: ask, log: log, claimedAt: -claimPause, gone: map[string]bool{}}
+	return &poolOwner{self: self, clock: boot, store: store, ask: ask, log: log, claimedAt: -claimPause, gone: map[string]bool{}, named: make(chan struct{}, 1)}
 }
 
 // Epoch implements quota.Streams.
 func (o *poolOwner) Epoch(spool.Stream) (spool.Epoch, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.epoch, o.grants()
+	return o.tenure, o.grants()
 }
 
 // grants reports whether this gateway may grant: its claim is the newest, and the
 // owner before it has ended or its authority has.
 func (o *poolOwner) grants() bool {
-	return o.owns() && o.yieldedTo <= o.epoch && o.clock.Now() >= o.grantsFrom
+	grants := o.owns() && o.yieldedTo <= o.epoch && o.clock.Now() >= o.grantsFrom
+	if grants {
+		o.granted = o.tenure
+	}
+	return grants
 }
 
 func (o *poolOwner) owns() bool {
@@ -130,15 +136,11 @@
 func (o *poolOwner) Inherited(_ spool.Stream, epoch spool.Epoch) json.RawMessage {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	switch {
-	case epoch != o.epoch:
+	if epoch != o.tenure {
 		return nil
-	case o.inherited != nil:
-		return o.inherited
-	default:
-		// The wait for the previous owner is over before the epoch is shown.
-		return o.emptyLevels()
 	}
+	// The wait for the previous owner is over before the epoch is shown.
+	return o.levels(o.inherited)
 }
 
 // OwnerOf implements quota.Streams.
@@ -162,26 +164,21 @@
 		return
 	}
 	previous, known := o.claim, o.epoch != 0
-	if known && record.From == "" && record.Lifetime == previous.Lifetime {
+	if known && record.Lifetime == previous.Lifetime {
 		// The owner repeats its claim; what it waits for stays the same.
 		o.claim, o.epoch = record, epoch
 		return
 	}
-	if record.From != "" && known && record.From != previous.Lifetime {
-		o.log.Warn("late handover is left out", zap.String("to", string(record.Node)), zap.Int64("offset", offset))
-		o.disputed = o.owns()
-		return
-	}
-	o.claim, o.epoch, o.silentSince, o.vacantSince = record, epoch, 0, 0
+	o.claim, o.epoch, o.tenure, o.silentSince, o.vacantSince = record, epoch, epoch, 0, 0
 	o.inherited, o.grantsFrom, o.predecessor = nil, o.clock.Now()+ownerAuthority, previous
-	switch {
-	case record.From != "" && known:
-		o.grant(record.Levels)
-	case record.From == "" && (!known || o.gone[previous.Lifetime] && !previous.Waits):
+	if !known && !record.Waits || known && o.gone[previous.Lifetime] && !previous.Waits {
 		o.grant(nil)
 	}
+	if o.owns() {
+		signal(o.named)
+	}
 	o.log.Info("limit owner changes", zap.String("owner", string(record.Node)), zap.Int64("epoch", int64(epoch)),
-		zap.String("from", record.From), zap.Bool("waits", o.grantsFrom > o.clock.Now()))
+		zap.Bool("waits", o.grantsFrom > o.clock.Now()))
 }
 
 // grant ends the wait for the previous owner, which grants no more. levels are what
@@ -221,14 +218,7 @@
 	if !o.vacant(live) {
 		return
 	}
-	value, err := json.Marshal(o.next())
-	if err != nil {
-		o.log.Error("claim cannot be encoded", zap.Error(err))
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
-	defer cancel()
-	if err := o.store.AppendKeyed(callCtx, spool.TopicMembers, ownerKey, value); err != nil {
+	if err := o.write(ctx, o.next()); err != nil {
 		o.log.Warn("claim was not written", zap.Error(err))
 		return
 	}
@@ -254,11 +244,6 @@
 	now := o.clock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.disputed {
-		// A reader that starts now finds the late record; the claim is written again.
-		o.disputed, o.claimedAt = false, now
-		return true
-	}
 	if now < o.claimedAt+claimPause {
 		return false
 	}
@@ -346,10 +331,11 @@
 func (o *poolOwner) answer(request aliveRequest, handOver func(stream spool.Stream, epoch spool.Epoch) json.RawMessage) aliveReply {
 	reply := aliveReply{Lifetime: o.self.Lifetime}
 	o.mu.Lock()
-	epoch, granted := o.epoch, o.grants() && o.epoch < request.Yield
+	o.grants()
+	epoch := o.granted
 	o.yieldedTo = max(o.yieldedTo, request.Yield)
 	o.mu.Unlock()
-	if granted {
+	if epoch != 0 && epoch < request.Yield {
 		reply.Levels = handOver(spool.ProgramStream(0), epoch)
 	}
 	return reply
@@ -361,13 +347,18 @@
 	o.gone[lifetime] = true
 }
 
-// emptyLevels are the levels of pools whose owner is provably gone: the new owner
-// may grant at once, from nothing.
-func (o *poolOwner) emptyLevels() json.RawMessage {
+// levels are what the pools hold whose owner grants no more. A pool that it did not
+// name holds nothing.
+func (o *poolOwner) levels(inherited json.RawMessage) json.RawMessage {
 	levels := map[spool.AccountID]float64{}
 	for _, id := range o.accounts() {
 		levels[id] = 0
 	}
+	if inherited != nil {
+		if err := json.Unmarshal(inherited, &levels); err != nil {
+			o.log.Warn("levels of the pools cannot be read", zap.Error(err))
+		}
+	}
 	data, err := json.Marshal(levels)
 	if err != nil {
 		// The keys are strings and the values numbers, so this does not happen.
@@ -392,24 +383,43 @@
 	return xxhash.Sum64String(ownerKey + "\x00" + string(node))
 }
 
-// handOver gives the pools to another gateway, so that it can grant at once.
-func (o *poolOwner) handOver(ctx context.Context, successor claimRecord, stop func(stream spool.Stream, epoch spool.Epoch) json.RawMessage) {
-	o.mu.Lock()
-	epoch, grants := o.epoch, o.grants()
-	o.mu.Unlock()
-	if !grants || successor.Lifetime == "" {
-		return
+// handOver names another gateway as the owner, and tries until that is written. This
+// one grants until the other asks it to stop: while the store takes no record, the
+// pools keep their owner.
+func (o *poolOwner) handOver(ctx context.Context, candidates func() []claimRecord) {
+	for o.mayGrant() {
+		next := successor(candidates())
+		if next.Lifetime == "" {
+			return
+		}
+		next.Waits = true
+		err := o.write(ctx, next)
+		if err == nil {
+			o.nudge()
+			return
+		}
+		o.log.Warn("handover was not written", zap.String("to", string(next.Node)), zap.Error(err))
+		if !clock.Pause(ctx, retryPause) {
+			return
+		}
 	}
-	successor.From = o.self.Lifetime
-	successor.Levels = stop(spool.ProgramStream(0), epoch)
-	value, err := json.Marshal(successor)
+}
+
+func (o *poolOwner) mayGrant() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.grants()
+}
+
+// write makes a claim the newest one.
+func (o *poolOwner) write(ctx context.Context, claim claimRecord) error {
+	value, err := json.Marshal(claim)
 	if err != nil {
-		o.log.Error("handover cannot be encoded", zap.Error(err))
-		return
-	}
-	if err := o.store.AppendKeyed(ctx, spool.TopicMembers, ownerKey, value); err != nil {
-		o.log.Warn("handover was not written", zap.Error(err))
+		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	return o.store.AppendKeyed(ctx, spool.TopicMembers, ownerKey, value)
 }
 
 // successor returns the first candidate of the gateways that are given.
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -123,6 +124,8 @@
 func (s *sharedState) divide(ctx context.Context) {
 	var view []spool.NodeID
 	first := true
+	timer := time.NewTimer(memberInterval.Duration())
+	defer timer.Stop()
 	for ctx.Err() == nil {
 		if _, known := s.members.confirmed(); known {
 			members := s.members.within(viewMember)
@@ -135,7 +138,12 @@
 			s.gateway.limits.owner.probe(ctx)
 			s.gateway.limits.owner.claimIfVacant(ctx, s.members.live())
 		}
-		clock.Pause(ctx, memberInterval/2)
+		timer.Reset((memberInterval / 2).Duration())
+		select {
+		case <-timer.C:
+		case <-s.gateway.limits.owner.named:
+		case <-ctx.Done():
+		}
 	}
 }
 
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -20,6 +20,10 @@
 	owner  *limit.Owner
 	// epoch is the claim under which this entry owns the pool; 0 when it does not.
 	epoch spool.Epoch
+	// left is what the pool held when this entry stopped owning it under leftEpoch; 0
+	// for none.
+	left      float64
+	leftEpoch spool.Epoch
 }
 
 // message is an input of the loop.
@@ -185,6 +189,14 @@
 	a.owner.Configure(now, config)
 }
 
+// release ends the ownership of the pool and keeps its level for the next owner.
+func (a *account) release(now clock.Millis) {
+	if level, ok := a.owner.Release(now); ok {
+		a.left, a.leftEpoch = level, a.epoch
+	}
+	a.epoch = 0
+}
+
 // own follows the ownership of the account's pool.
 func (m *Manager) own(now clock.Millis, id spool.AccountID, state *account) {
 	stream := spool.StreamOfAccount(id, m.config.StreamCount)
@@ -192,8 +204,7 @@
 	serves = serves && m.left[stream] != epoch
 	switch {
 	case !serves && state.epoch != 0:
-		state.owner.Release(now)
-		state.epoch = 0
+		state.release(now)
 	case serves && epoch != state.epoch:
 		m.takeOver(now, stream, epoch, id, state.owner)
 		state.epoch = epoch
--- a/internal/quota/handover.go
+++ b/internal/quota/handover.go
@@ -19,8 +19,9 @@
 	answer chan json.RawMessage
 }
 
-// HandOver stops the grants of a stream that this entry is about to release and
-// returns the levels of its pools for the next owner; nil when this entry closes.
+// HandOver stops the grants of a stream that this entry is about to release, or has
+// released, and returns the levels of its pools for the next owner; nil when this
+// entry closes.
 func (m *Manager) HandOver(stream spool.Stream, epoch spool.Epoch) json.RawMessage {
 	question := handover{stream: stream, epoch: epoch, answer: make(chan json.RawMessage, 1)}
 	if !m.post(m.ctx, question) {
@@ -38,11 +39,14 @@
 	m.left[h.stream] = h.epoch
 	kept := levels{}
 	for id, state := range m.accounts {
-		if state.epoch != h.epoch || spool.StreamOfAccount(id, m.config.StreamCount) != h.stream {
+		if spool.StreamOfAccount(id, m.config.StreamCount) != h.stream {
 			continue
 		}
-		if level, ok := state.owner.Release(now); ok {
-			kept[id] = level
+		if state.epoch == h.epoch {
+			state.release(now)
+		}
+		if state.leftEpoch == h.epoch {
+			kept[id] = state.left
 		}
 	}
 	data, err := json.Marshal(kept)
