Begin programs of an account over its rate by what they are expected to need

Cause: an account that sends twice its rate had its tokens dealt by the request. The starts had a rate of their own, with 20 requests to each program, whatever its size.

Ruled out: a share of starts by count, which is what stood here (a program takes 1 to 140 requests).

Change: while an account is short, the owner of its pool decides which programs begin (limit.Starts). Gateways learn that an account is short from a lease that grants less than was asked. Later turns of a program without kept history no longer count as starts, which put them behind all other requests.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -262,15 +262,20 @@
 	return ledger.Total(id)+need > budget && len(ledger.Open(id)) == 0
 }
 
-// known reports whether a turn of the program has run before, here or elsewhere.
-func (s *budgetStore) known(ctx context.Context, id spool.ProgramID) bool {
+// seen reports whether this gateway has heard of a turn of the program.
+func (s *budgetStore) seen(id spool.ProgramID) bool {
 	s.mu.Lock()
 	held := s.programs[id] != nil
 	s.mu.Unlock()
-	ledger := s.ledger(id)
-	if held || ledger.Known(id) {
+	return held || s.ledger(id).Known(id)
+}
+
+// known reports whether a turn of the program has run before, here or elsewhere.
+func (s *budgetStore) known(ctx context.Context, id spool.ProgramID) bool {
+	if s.seen(id) {
 		return true
 	}
+	ledger := s.ledger(id)
 	ctx, cancel := context.WithTimeout(ctx, knownTimeout.Duration())
 	defer cancel()
 	// A read from the next offset on shows whether there is more; an unreachable
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -56,7 +56,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (r.deadline - g.clock.Now()).Duration())
 	defer cancel()
-	if err := g.limits.admit(ctx, r.account, r.class(), func() bool { return r.startsProgram(ctx) }); err != nil {
+	if err := g.limits.admit(ctx, r.account, r.class(), func() (limit.Start, bool) {
+		return startOf(r.call), r.startsProgram(ctx)
+	}); err != nil {
 		over := refuse(reasonOverLimit)
 		over.after = retryAfter(err)
 		r.reject(over)
@@ -69,16 +71,14 @@
 
 // startsProgram reports whether no turn of the program has run.
 func (r *request) startsProgram(ctx context.Context) bool {
-	if r.route.Kind != catalog.Stream || r.call.Program == "" || r.call.Previous != "" {
-		return false
-	}
 	return !r.gateway.budgets.known(ctx, r.call.Program)
 }
 
 // class orders the requests of an account that wait for a token: a program that
 // has begun goes before one that has not.
 func (r *request) class() limit.Class {
-	if r.route.Kind == catalog.Stream && r.call.Previous == "" {
+	first := r.route.Kind == catalog.Stream && r.call.Program != "" && r.call.Previous == ""
+	if first && !r.gateway.budgets.seen(r.call.Program) {
 		return limit.ClassStart
 	}
 	return limit.ClassCall
--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -60,10 +60,11 @@
 	// tolerance is how requests over the limits are counted.
 	tolerance spool.LimitTolerance
 
+	short *shortAccounts
+
 	mu sync.Mutex
 	// limited holds the accounts with a limit.
 	limited map[spool.AccountID]limit.Config
-	starts  startGate
 }
 
 func limitTiming() limit.Timing {
@@ -76,23 +77,25 @@
 }
 
 func newLimiter(settings spool.GatewaySettings, owner *poolOwner, boot clock.Clock, freshFor func() clock.Millis, clients *wire.Clients, t *telemetry.Telemetry) *limiter {
+	short := newShortAccounts(boot)
 	config := quota.Config{
 		Node: settings.Node, StreamCount: 1, Timing: limitTiming(), Lost: owner.lost, Answered: owner.answered,
+		Short: short.note,
 	}
 	l := &limiter{
 		manager: quota.New(config, boot, freshFor, owner, clients, t),
-		owner:   owner, clock: boot, tolerance: settings.LimitTolerance, limited: map[spool.AccountID]limit.Config{}, starts: newStartGate(),
+		owner:   owner, clock: boot, tolerance: settings.LimitTolerance, short: short, limited: map[spool.AccountID]limit.Config{},
 	}
 	owner.accounts = l.accounts
 	return l
 }
 
-// accounts returns the names of all limits, those of starts included.
+// accounts returns the accounts with a limit.
 func (l *limiter) accounts() (ids []spool.AccountID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id := range l.limited {
-		ids = append(ids, id, startsOf(id))
+		ids = append(ids, id)
 	}
 	return ids
 }
@@ -112,7 +115,6 @@
 	for id, config := range next {
 		if l.limited[id] != config {
 			changed[id] = config
-			changed[startsOf(id)] = l.starts.config(config)
 		}
 	}
 	l.limited = next
@@ -135,29 +137,27 @@
 	l.manager.Observe(quota.Version{Members: members, Resumed: resumed, Skipped: skipped})
 }
 
-// admit takes one request of an account. isStart tells whether the request begins
-// a program; it is asked only while the account is short of tokens. admit fails with
-// a *spool.Refusal.
-func (l *limiter) admit(ctx context.Context, id spool.AccountID, class limit.Class, isStart func() bool) error {
-	now := l.clock.Now()
+// admit takes one request of an account. starting returns the program that the
+// request begins, if it does; it is asked only while the account is short of tokens.
+// admit fails with a *spool.Refusal.
+func (l *limiter) admit(ctx context.Context, id spool.AccountID, class limit.Class, starting func() (limit.Start, bool)) error {
 	l.mu.Lock()
 	_, limited := l.limited[id]
-	short := limited && l.starts.short(now, id)
 	l.mu.Unlock()
 	if !limited {
 		return nil
 	}
-	var err error
-	if short && isStart() {
-		err = l.manager.Take(ctx, startsOf(id), limit.ClassStart)
-	}
-	if err == nil {
-		err = l.manager.Take(ctx, id, class)
+	if class == limit.ClassStart && l.short.has(id) {
+		if start, ok := starting(); ok {
+			if err := l.manager.Start(ctx, id, start); err != nil {
+				return errors.WithMessage(err, "program does not begin")
+			}
+		}
+		class = limit.ClassCall
 	}
+	err := l.manager.Take(ctx, id, class)
 	if err != nil {
-		l.mu.Lock()
-		l.starts.refused(l.clock.Now(), id)
-		l.mu.Unlock()
+		l.short.note(id)
 	}
 	return err
 }
--- a/internal/gateway/starts.go
+++ b/internal/gateway/starts.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"sync"
+
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/limit"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -9,42 +11,50 @@
 const (
 	// shortFor is how long an account counts as short of tokens after a refusal.
 	shortFor = 8 * clock.Second
-	// requestsPerProgram is how many requests of the limit a program takes from its
-	// start to its end.
+	// requestsPerProgram is how many requests a program is expected to send whose
+	// budget does not tell.
 	requestsPerProgram = 20.0
-	// minStartBurst is the smallest burst of starts; with less than two tokens the
-	// pool of an account lends none.
-	minStartBurst = 4.0
-	// startsSuffix follows the account in the name of the limit of its starts.
-	startsSuffix = "/starts"
+	// requestsPerTurn are a turn and the calls of tools that follow it.
+	requestsPerTurn = 2.2
+	// budgetMargin is how much larger than the most of all its turns a program's
+	// budget is made by its caller.
+	budgetMargin = 1.5
 )
 
-// startGate limits how many programs of an account begin while the account is
-// short of tokens. A program that is under way needs the tokens that a new one
-// would take: serving all of some programs is worth more to callers than a part of
-// each.
-type startGate struct {
-	// refusedAt is when a request of the account was last refused.
-	refusedAt map[spool.AccountID]clock.Millis
-}
+// shortAccounts are the accounts that have lately sent more than their limits. While
+// an account is short, a program of it begins only when its owner expects to serve it
+// whole. It is safe for concurrent use.
+type shortAccounts struct {
+	clock clock.Clock
 
-func newStartGate() startGate {
-	return startGate{refusedAt: map[spool.AccountID]clock.Millis{}}
+	mu sync.Mutex
+	// at is when an account was last found short.
+	at map[spool.AccountID]clock.Millis
 }
 
-func startsOf(id spool.AccountID) spool.AccountID { return id + startsSuffix }
+func newShortAccounts(source clock.Clock) *shortAccounts {
+	return &shortAccounts{clock: source, at: map[spool.AccountID]clock.Millis{}}
+}
 
-// config returns the limit of starts that goes with the limit of an account.
-func (g startGate) config(account limit.Config) limit.Config {
-	return limit.Config{
-		Rate: account.Rate / requestsPerProgram, Burst: max(minStartBurst, account.Burst/requestsPerProgram),
-		StaticShare: account.StaticShare,
-	}
+func (s *shortAccounts) note(id spool.AccountID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at[id] = s.clock.Now()
 }
 
-func (g startGate) short(now clock.Millis, id spool.AccountID) bool {
-	at, ok := g.refusedAt[id]
-	return ok && now-at < shortFor
+func (s *shortAccounts) has(id spool.AccountID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.at[id]
+	return ok && s.clock.Now()-at < shortFor
 }
 
-func (g startGate) refused(now clock.Millis, id spool.AccountID) { g.refusedAt[id] = now }
+// startOf returns what a program asks for by its first turn.
+func startOf(call spool.GatewayCall) limit.Start {
+	start := limit.Start{Program: call.Program, Requests: requestsPerProgram, FinishIn: call.FinishIn}
+	if call.TokenBudget > 0 && call.MaxOutputTokens > 0 {
+		turns := float64(call.TokenBudget) / float64(call.MaxOutputTokens) / budgetMargin
+		start.Requests = requestsPerTurn * max(1, turns)
+	}
+	return start
+}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -95,6 +95,9 @@
 func (g granted) apply(m *Manager, now clock.Millis) {
 	state := m.account(now, g.account)
 	state.share.Granted(now, g.grant)
+	if short := m.config.Short; short != nil && g.grant.RetryAfter > 0 {
+		short(g.account)
+	}
 	m.advance(now, state, g.account)
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -77,6 +77,9 @@
 	// that did. They must not block.
 	Lost     func(owner spool.NodeID)
 	Answered func(owner spool.NodeID)
+	// Short, unless nil, is told of each account whose owner granted less than was
+	// asked for. It must not block.
+	Short func(id spool.AccountID)
 }
 
 // Manager holds the limits of one entry. It is safe for concurrent use.
@@ -165,6 +168,9 @@
 		wire.MethodLease: wire.Handle(func(ctx context.Context, request wire.LeaseRequest, _ wire.Send) (any, error) {
 			return m.lease(ctx, request)
 		}),
+		wire.MethodStart: wire.Handle(func(ctx context.Context, request wire.StartRequest, _ wire.Send) (any, error) {
+			return m.start(ctx, request)
+		}),
 	}
 }
 
@@ -253,13 +259,19 @@
 		return m.lease(ctx, message)
 	}
 	err = m.clients.Call(ctx, address, wire.MethodLease, message, &reply, nil)
-	if heard := m.config.Answered; err == nil && heard != nil {
-		heard(owner)
+	m.heard(owner, err)
+	return reply, err
+}
+
+// heard passes on whether an owner has answered.
+func (m *Manager) heard(owner spool.NodeID, err error) {
+	told := m.config.Answered
+	if err != nil {
+		told = m.config.Lost
 	}
-	if lost := m.config.Lost; err != nil && lost != nil {
-		lost(owner)
+	if told != nil {
+		told(owner)
 	}
-	return reply, err
 }
 
 func (m *Manager) nextID() string {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -18,6 +18,7 @@
 	MethodPromise        = "journal.promise"
 	MethodRelease        = "journal.release"
 	MethodLease          = "limit.lease"
+	MethodStart          = "limit.start"
 	MethodPull           = "control.pull"
 	MethodControlStatus  = "control.status"
 	MethodRosterPull     = "roster.pull"
@@ -338,6 +339,24 @@
 	RetryAfter clock.Millis `json:"retryAfterMs"`
 }
 
+// StartRequest asks the owner of an account's pool whether a program may begin while
+// the account is short of tokens.
+type StartRequest struct {
+	Account spool.AccountID `json:"account"`
+	Program spool.ProgramID `json:"program"`
+	// Requests is what the program is expected to take of the account's rate.
+	Requests float64 `json:"requests"`
+	// FinishIn is the time in which its caller wants it finished; 0 when not known.
+	FinishIn clock.Millis `json:"finishInMs,omitempty"`
+}
+
+// StartReply answers a StartRequest.
+type StartReply struct {
+	Admitted bool `json:"admitted"`
+	// RetryAfter is when a program that is turned away may find room.
+	RetryAfter clock.Millis `json:"retryAfterMs,omitempty"`
+}
+
 // ForwardRequest carries a caller's operation to the owner of its program. It
 // never contains a key.
 type ForwardRequest struct {
--- a/pkg/limit/owner.go
+++ b/pkg/limit/owner.go
@@ -69,6 +69,8 @@
 	last map[spool.NodeID]uint64
 	// alarmsUntil, on time.least, is the end of the alarm reserve.
 	alarmsUntil clock.Millis
+	// starts is on time.least.
+	starts *Starts
 }
 
 // NewOwner returns the pool of an account that this entry does not own yet.
@@ -78,7 +80,7 @@
 		timing: timing, time: elapsed{maxGap: timing.MaxGap},
 		shape: shape, target: shape,
 		pool: bucket{rate: shape.Rate, limit: shape.Cap},
-		last: map[spool.NodeID]uint64{},
+		last: map[spool.NodeID]uint64{}, starts: NewStarts(config.Rate),
 	}
 }
 
@@ -89,6 +91,16 @@
 	o.target = PoolOf(config, o.timing)
 	o.reshape(smallerPool(o.shape, o.target))
 	o.growAt = o.time.least + o.timing.grow()
+	o.starts.Configure(config.Rate)
+}
+
+// Start decides about a program of an account that is short of tokens.
+func (o *Owner) Start(now clock.Millis, start Start) (admitted bool, retryAfter clock.Millis) {
+	o.advance(now)
+	if !o.serves() {
+		return false, max(minRetry, o.servesAt-o.time.least)
+	}
+	return o.starts.Admit(o.time.least, start, o.pool.level/max(1, o.pool.limit))
 }
 
 // Take starts the ownership of epoch after the claim has become visible. It
