Keep a reserve of each budget for outages, and replace a lost owner within three seconds

And an owner of the limits that was gone without a trace was replaced after 8 to 10 s, since its authority bridged outages by its length alone.

Ruled out: grants without a record (the budget would depend on who dies); grants from the memory of several gateways (all can lose power); a whole budget to one gateway (lost with it); answering kept turns from memory (lost with all power).

Change, reserve: a third of each budget is granted only by spend.Reserve, which the owner of the limits holds while the store is away. A holder that takes over without what the one before knew begins the next generation and may grant half of what that one might, so the sum never exceeds the third, whoever is lost. Generations are unique because claims are appended on the condition that nothing was written since the last read (Store.AppendKeyedAt, with the stand-in's 'at').

Change, succession: the owner grants for 1.5 s after the store has confirmed it. While the store is away it goes on for up to 10 s by promises of all gateways that it answered lately not to take over; a gateway that may not have been asked waits the 10 s. Questions to the owner run beside the loop. A refusal for the store comes before a token is taken.

Found on the way, with a spec: a restarted gateway asked itself for the owner, and then promised itself not to grant.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -39,6 +39,9 @@
 	// endTimeout bounds the tries to write the end of a grant. A lost end leaves the
 	// grant counted whole.
 	endTimeout = 20 * clock.Second
+	// loggedWait bounds the wait for a grant of the log before the reserve is asked. A
+	// store that is slow answers within it.
+	loggedWait = 500 * clock.Millis(1)
 	// knownTimeout bounds the look for records of a program.
 	knownTimeout = 150 * clock.Millis(1)
 	// maxBudgetPartitions keeps the partitions few, so that the records of a gateway
@@ -74,6 +77,8 @@
 	ledgers  []*budgetLedger
 	// askSettle asks the gateway of a lifetime to settle a program.
 	askSettle func(ctx context.Context, lifetime string, id spool.ProgramID) error
+	// reserve grants what the log does not.
+	reserve *reserveClient
 	// sequence numbers the grants of this process.
 	sequence atomic.Uint64
 
@@ -100,9 +105,9 @@
 	reading sync.Mutex
 }
 
-func newBudgetStore(ctx context.Context, store spool.Store, health *storeHealth, system clock.Clock, settings spool.GatewaySettings, lifetime string, askSettle func(ctx context.Context, lifetime string, id spool.ProgramID) error) *budgetStore {
+func newBudgetStore(ctx context.Context, store spool.Store, health *storeHealth, system clock.Clock, settings spool.GatewaySettings, lifetime string, askSettle func(ctx context.Context, lifetime string, id spool.ProgramID) error, reserve *reserveClient) *budgetStore {
 	s := &budgetStore{
-		askSettle: askSettle, ctx: ctx, store: store, health: health, clock: system, lifetime: lifetime, programs: map[spool.ProgramID]*heldProgram{},
+		askSettle: askSettle, reserve: reserve, ctx: ctx, store: store, health: health, clock: system, lifetime: lifetime, programs: map[spool.ProgramID]*heldProgram{},
 	}
 	for i := range min(settings.Partitions, maxBudgetPartitions) {
 		partition := spool.Partition{Topic: spool.TopicBudgets, Index: i}
@@ -125,21 +130,42 @@
 
 // turnBudget is the part of a program's budget that one turn may use.
 type turnBudget struct {
-	store   *budgetStore
+	store *budgetStore
+	id    spool.ProgramID
+	// program holds the grant of the turn; nil when the reserve does.
 	program *heldProgram
 	most    int64
 }
 
-// begin sets the most of a turn aside, durably. It fails with errBudgetSpent or
+// begin sets the most of a turn aside, from a grant of the log or, while the store does
+// not answer, from the reserve. It fails with errBudgetSpent or
 // errBudgetUnknown.
 func (s *budgetStore) begin(ctx context.Context, id spool.ProgramID, most, budget int64) (turn *turnBudget, err error) {
 	defer func() { err = errors.Wrapf(err, "budget of program %q", id) }()
+	turn, err = s.beginLogged(ctx, id, most, budget)
+	if err == nil || errors.Is(err, errBudgetSpent) {
+		return turn, err
+	}
+	granted, reserveErr := s.reserve.take(ctx, id, most, budget)
+	if granted {
+		return &turnBudget{store: s, id: id, most: most}, nil
+	}
+	if reserveErr != nil {
+		err = errors.WithMessage(err, reserveErr.Error())
+	}
+	return nil, err
+}
+
+// beginLogged is begin without the reserve.
+func (s *budgetStore) beginLogged(ctx context.Context, id spool.ProgramID, most, budget int64) (turn *turnBudget, err error) {
+	ctx, cancel := context.WithTimeout(ctx, loggedWait.Duration())
+	defer cancel()
 	for {
 		program := s.program(id)
 		if program.begin(s.clock.Now(), most) {
-			return &turnBudget{store: s, program: program, most: most}, nil
+			return &turnBudget{store: s, id: id, program: program, most: most}, nil
 		}
-		if err := s.extend(ctx, id, program, most, budget); err != nil {
+		if err := s.extend(ctx, id, program, most, spend.Granted(budget)); err != nil {
 			return nil, err
 		}
 	}
@@ -170,6 +196,10 @@
 
 // end counts what a turn has generated.
 func (t *turnBudget) end(used int64) {
+	if t.program == nil {
+		t.store.reserve.giveBack(t.id, t.most-used)
+		return
+	}
 	t.program.mu.Lock()
 	defer t.program.mu.Unlock()
 	t.program.hold.End(t.store.clock.Now(), t.most, used)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,7 @@
 	state   *sharedState
 	turns   *turnStore
 	budgets *budgetStore
+	reserve *reserveClient
 	limits  *limiter
 	health  *storeHealth
 	store   *pathStore
@@ -114,8 +115,9 @@
 	g.clients = wire.NewClients(g.settings.Node, wire.WithSilentAfter(silentPeer, pingPeer))
 	g.store = newPathStore(store, g.health, g.callPeer, g.telemetry)
 	g.turns = newTurnStore(ctx, g.store, g.clock, g.settings, g.askTurns)
-	g.budgets = newBudgetStore(ctx, g.store, g.health, g.clock, g.settings, lifetime, g.askSettle)
 	owner := newPoolOwner(g.settings, lifetime, g.store, boot, g.askAlive, g.telemetry.Logger("limits"))
+	g.reserve = &reserveClient{ctx: ctx, owner: owner, call: g.callAt, log: g.telemetry.Logger("reserve")}
+	g.budgets = newBudgetStore(ctx, g.store, g.health, g.clock, g.settings, lifetime, g.askSettle, g.reserve)
 	owner.nudge = func() { g.state.nudgeAll() }
 	members := newMemberBook(g.settings.Node, boot, owner, g.telemetry.Logger("members"))
 	g.state = newSharedState(g, g.store, lifetime, members, boot)
@@ -155,11 +157,17 @@
 	maps.Copy(handlers, g.state.relayHandlers())
 	maps.Copy(handlers, g.store.handlers())
 	maps.Copy(handlers, g.budgets.handlers())
+	maps.Copy(handlers, g.reserve.handlers())
 	maps.Copy(handlers, g.turns.handlers())
 	g.peers, err = wire.Listen(g.settings.ControlListen, handlers, nil)
 	return err
 }
 
+// callAt calls the gateway at an address.
+func (g *Gateway) callAt(ctx context.Context, address, method string, request, reply any) error {
+	return g.clients.Call(ctx, address, method, request, reply, nil)
+}
+
 // askAlive asks the gateway at an address whether it runs.
 func (g *Gateway) askAlive(ctx context.Context, address string, request aliveRequest) (reply aliveReply, err error) {
 	err = g.clients.Call(ctx, address, methodAlive, request, &reply, nil)
@@ -241,6 +249,7 @@
 		now := g.clock.Now()
 		g.turns.index.Expire(now)
 		g.budgets.expire(now)
+		g.limits.owner.expire()
 		g.client.Sweep()
 		if round%totalsEvery == 0 {
 			g.log.Info("totals", zap.Any("counters", totals(g.telemetry)))
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -45,6 +45,8 @@
 	runs int
 	// events counts the events that were passed to the caller.
 	events int
+	// detail is what lies behind the reason of a refusal, where there is more to say.
+	detail error
 }
 
 // handle answers one request of a caller.
@@ -119,6 +121,9 @@
 		return reasonNoEndpoint
 	}
 	r.body = r.exchange.Body()
+	if r.route.KeepsHistory && r.gateway.health.isAway() {
+		return reasonStoreAway
+	}
 	return ""
 }
 
@@ -152,13 +157,7 @@
 
 // continueLine makes the prompt of a kept turn from the turns before it.
 func (r *request) continueLine(ctx context.Context) spool.Code {
-	if !r.route.KeepsHistory {
-		return ""
-	}
-	if r.gateway.health.isAway() {
-		return reasonStoreAway
-	}
-	if r.call.Previous == "" {
+	if !r.route.KeepsHistory || r.call.Previous == "" {
 		return ""
 	}
 	line, err := r.gateway.turns.line(ctx, r.account, r.call.Previous)
@@ -166,6 +165,7 @@
 	case errors.Is(err, errNoTurn):
 		return reasonNoTurn
 	case err != nil:
+		r.detail = err
 		return reasonTurnUncertain
 	}
 	r.line = line
@@ -183,6 +183,7 @@
 	case errors.Is(err, errBudgetSpent):
 		return nil, reasonBudgetSpent
 	case err != nil:
+		r.detail = err
 		return nil, reasonBudgetUnknown
 	}
 	return budget, ""
@@ -200,7 +201,7 @@
 	r.gateway.telemetry.Refused(refusal.reason)
 	r.gateway.log.Info("request refused", zap.String("request", r.call.Attempt), zap.String("program", string(r.call.Program)),
 		zap.String("account", string(r.account)), zap.Bool("first", r.call.Previous == ""), zap.Int64("timeLeftMs", int64(r.call.TimeLeft)), zap.Int64("finishInMs", int64(r.call.FinishIn)), zap.Int64("mostTokens", r.call.MaxOutputTokens), zap.Int64("tokenBudget", r.call.TokenBudget), zap.String("route", r.routeName()),
-		zap.String("reason", string(refusal.reason)), zap.Int("status", refusal.status), zap.Int64("retryAfterMs", int64(refusal.after)))
+		zap.String("reason", string(refusal.reason)), zap.Int("status", refusal.status), zap.Int64("retryAfterMs", int64(refusal.after)), zap.Error(r.detail))
 	if r.exchange.Started() {
 		r.exchange.Abort()
 		return
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -3,11 +3,9 @@
 import (
 	"sync"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
-	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
 // awayAfter is the time of failed calls without a success after which the store
@@ -33,7 +31,7 @@
 	now := h.clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if err == nil || errors.Is(err, spool.ErrTrimmed) {
+	if isAnswer(err) {
 		if h.away {
 			h.log.Info("store answers again", zap.Int64("awayMs", int64(now-h.failingSince)))
 		}
--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -34,10 +34,6 @@
 	// growAfter is the time from a change to the growth of a part; every gateway that
 	// reaches the store has learned of the change by then.
 	growAfter = 2500 * clock.Millis(1)
-	// ownerAuthority is how long an owner grants after it was confirmed. It bridges
-	// most outages of the store; an owner that is gone without a trace is replaced
-	// only after it.
-	ownerAuthority = 6 * clock.Second
 	// holdForToken bounds the time for which a request waits for a token that is on
 	// its way.
 	holdForToken = 45 * clock.Millis(1)
--- a/internal/gateway/pathstore.go
+++ b/internal/gateway/pathstore.go
@@ -57,6 +57,8 @@
 	Records   [][]byte    `json:"records,omitempty"`
 	Key       string      `json:"key,omitempty"`
 	Value     []byte      `json:"value,omitempty"`
+	// End is the condition of an append to a keyed topic; nil for none.
+	End *int64 `json:"end,omitempty"`
 	// From is the first offset of a read.
 	From int64 `json:"from,omitempty"`
 }
@@ -66,7 +68,9 @@
 	Offset int64 `json:"offset"`
 	// Trimmed says that a read asked for records that are gone; First is the first
 	// one kept.
-	Trimmed bool     `json:"trimmed,omitempty"`
+	Trimmed bool `json:"trimmed,omitempty"`
+	// Moved says that the condition of an append did not hold.
+	Moved   bool     `json:"moved,omitempty"`
 	First   int64    `json:"first"`
 	End     int64    `json:"end"`
 	Records [][]byte `json:"records,omitempty"`
@@ -120,6 +124,20 @@
 	})
 }
 
+// AppendKeyedAt implements spool.Store.
+func (s *pathStore) AppendKeyedAt(ctx context.Context, topic spool.Topic, key string, value []byte, end int64) error {
+	return s.try(ctx, func() error {
+		s.telemetry.Event("storeAppend." + string(topic))
+		return s.direct.AppendKeyedAt(ctx, topic, key, value, end)
+	}, func() error {
+		reply, err := s.ask(ctx, storeRequest{Topic: topic, Key: key, Value: value, End: &end})
+		if err == nil && reply.Moved {
+			return spool.ErrMoved
+		}
+		return err
+	})
+}
+
 // Read implements spool.Store. A read that waits always goes directly.
 func (s *pathStore) Read(ctx context.Context, partition spool.Partition, from int64, wait clock.Millis) (page spool.LogPage, err error) {
 	if wait > 0 {
@@ -179,7 +197,7 @@
 		select {
 		case err := <-results:
 			ended++
-			if err == nil || errors.Is(err, spool.ErrTrimmed) || ended == len(ways) {
+			if isAnswer(err) || ended == len(ways) {
 				s.heard(err)
 				return err
 			}
@@ -212,16 +230,21 @@
 	s.health.note(err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failing = err != nil && !errors.Is(err, spool.ErrTrimmed)
+	s.failing = !isAnswer(err)
 }
 
 // heard notes that the store answered, whatever way the call took.
 func (s *pathStore) heard(err error) {
-	if err == nil || errors.Is(err, spool.ErrTrimmed) {
+	if isAnswer(err) {
 		s.health.note(nil)
 	}
 }
 
+// isAnswer reports whether the store has answered a call, if not with a success.
+func isAnswer(err error) bool {
+	return err == nil || errors.Is(err, spool.ErrTrimmed) || errors.Is(err, spool.ErrMoved)
+}
+
 func (s *pathStore) ask(ctx context.Context, request storeRequest) (reply storeReply, err error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout.Duration())
 	defer cancel()
@@ -250,6 +273,12 @@
 func (s *pathStore) serve(ctx context.Context, request storeRequest) (reply storeReply, err error) {
 	partition := spool.Partition{Topic: request.Topic, Index: request.Partition}
 	switch {
+	case request.Key != "" && request.End != nil:
+		err = s.direct.AppendKeyedAt(ctx, request.Topic, request.Key, request.Value, *request.End)
+		if errors.Is(err, spool.ErrMoved) {
+			return storeReply{Moved: true}, nil
+		}
+		return reply, err
 	case request.Key != "":
 		return reply, s.direct.AppendKeyed(ctx, request.Topic, request.Key, request.Value)
 	case len(request.Records) > 0:
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -26,15 +26,28 @@
 var errNotRead = errors.New("topic has not been read")
 
 type aliveRequest struct {
+	// Address is where the asking gateway answers.
+	Address string `json:"address"`
 	// Yield is the epoch of a claim in whose favour the gateway is to stop granting;
 	// 0 for none.
 	Yield spool.Epoch `json:"yield,omitempty"`
+	// Promise is the epoch of an owner that the store does not confirm and that asks
+	// the gateway neither to claim the pools nor to grant for a time; 0 for none.
+	Promise spool.Epoch `json:"promise,omitempty"`
 }
 
 type aliveReply struct {
 	Lifetime string `json:"lifetime"`
+	Promised bool   `json:"promised,omitempty"`
+	// Unused says that the gateway holds the reserve of budgets and has granted nothing
+	// of it.
+	Unused bool `json:"unused,omitempty"`
 	// Levels are what the pools of a gateway that stopped granting held.
 	Levels json.RawMessage `json:"levels,omitempty"`
+	// Reserve is what a gateway that stopped granting has granted of programs' budgets,
+	// in a generation of the reserve; nil when it held none.
+	Generation int                       `json:"generation,omitempty"`
+	Reserve    map[spool.ProgramID]int64 `json:"reserve"`
 }
 
 type relayRequest struct {
--- /dev/null
+++ b/internal/gateway/reserve.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// methodReserve asks the holder of the reserve for tokens of a program's budget, or
+	// gives some back.
+	methodReserve = "gateway.reserve"
+	// reserveTimeout bounds one such call.
+	reserveTimeout = 300 * clock.Millis(1)
+)
+
+type reserveRequest struct {
+	Program spool.ProgramID `json:"program"`
+	Need    int64           `json:"need,omitempty"`
+	Budget  int64           `json:"budget,omitempty"`
+	// Unused tokens were granted before and are not used any more.
+	Unused int64 `json:"unused,omitempty"`
+}
+
+type reserveReply struct {
+	Granted bool `json:"granted"`
+}
+
+// reserveClient takes tokens of programs' budgets from the reserve, which the owner of
+// the limits' pools holds.
+type reserveClient struct {
+	ctx   context.Context
+	owner *poolOwner
+	call  func(ctx context.Context, address, method string, request, reply any) error
+	log   *zap.Logger
+}
+
+// handlers answers other gateways.
+func (c *reserveClient) handlers() wire.Mux {
+	return wire.Mux{
+		methodReserve: wire.Handle(func(_ context.Context, request reserveRequest, _ wire.Send) (any, error) {
+			return c.answer(request)
+		}),
+	}
+}
+
+func (c *reserveClient) answer(request reserveRequest) (reply reserveReply, err error) {
+	if request.Unused > 0 {
+		return reply, c.owner.returnReserve(request.Program, request.Unused)
+	}
+	reply.Granted, err = c.owner.takeReserve(request.Program, request.Need, request.Budget)
+	return reply, err
+}
+
+// take reports whether the reserve holds need more tokens of a program's budget. It
+// fails while no gateway answers for the reserve.
+func (c *reserveClient) take(ctx context.Context, id spool.ProgramID, need, budget int64) (granted bool, err error) {
+	reply, err := c.ask(ctx, reserveRequest{Program: id, Need: need, Budget: budget})
+	return reply.Granted, err
+}
+
+// giveBack returns tokens that a turn has not used. Where that fails they stay counted.
+func (c *reserveClient) giveBack(id spool.ProgramID, unused int64) {
+	if unused <= 0 || c.owner.returnReserve(id, unused) == nil {
+		return
+	}
+	go func() {
+		if _, err := c.ask(c.ctx, reserveRequest{Program: id, Unused: unused}); err != nil {
+			c.log.Info("tokens of the reserve were not given back", zap.String("program", string(id)),
+				zap.Int64("tokens", unused), zap.Error(err))
+		}
+	}()
+}
+
+func (c *reserveClient) ask(ctx context.Context, request reserveRequest) (reply reserveReply, err error) {
+	defer func() { err = errors.Wrap(err, "ask for the reserve") }()
+	node, address, known := c.owner.OwnerOf(spool.ProgramStream(0))
+	switch {
+	case !known:
+		return reply, errNotOwner
+	case node == c.owner.self.Node:
+		return c.answer(request)
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout.Duration())
+	defer cancel()
+	err = c.call(ctx, address, methodReserve, request, &reply)
+	return reply, err
+}
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -43,6 +43,8 @@
 	leaving atomic.Bool
 	// fleet is the number of gateways.
 	fleet atomic.Int64
+	// asides counts the questions that run beside the loop.
+	asides sync.WaitGroup
 }
 
 func newSharedState(g *Gateway, store spool.Store, lifetime string, members *memberBook, boot clock.Clock) *sharedState {
@@ -56,6 +58,9 @@
 	for _, f := range s.followers {
 		f.store, f.boot, f.log, f.relay, f.stretch = store, boot, g.log, s.relay, s.stretch
 		f.records, f.next, f.nudged = map[string]spool.KeyedRecord{}, -1, make(chan struct{}, 1)
+		if f.topic == spool.TopicMembers {
+			members.owner.position, members.owner.reread = f.position, f.nudge
+		}
 	}
 	return s
 }
@@ -75,6 +80,7 @@
 		s.beat(ctx)
 	}()
 	s.divide(ctx)
+	s.asides.Wait()
 	wg.Wait()
 }
 
@@ -123,6 +129,7 @@
 // owns them.
 func (s *sharedState) divide(ctx context.Context) {
 	var view []spool.NodeID
+	var probing, extending atomic.Bool
 	first := true
 	timer := time.NewTimer(memberInterval.Duration())
 	defer timer.Stop()
@@ -135,18 +142,32 @@
 				s.fleet.Store(int64(len(members)))
 				view, first = members, false
 			}
-			s.gateway.limits.owner.probe(ctx)
+			s.aside(ctx, &extending, s.gateway.limits.owner.extend)
+			s.aside(ctx, &probing, s.gateway.limits.owner.probe)
 			s.gateway.limits.owner.claimIfVacant(ctx, s.members.live())
 		}
 		timer.Reset((memberInterval / 2).Duration())
 		select {
 		case <-timer.C:
-		case <-s.gateway.limits.owner.named:
+		case <-s.gateway.limits.owner.changed:
 		case <-ctx.Done():
 		}
 	}
 }
 
+// aside runs a question to other gateways beside the loop, one at a time.
+func (s *sharedState) aside(ctx context.Context, running *atomic.Bool, ask func(ctx context.Context)) {
+	if !running.CompareAndSwap(false, true) {
+		return
+	}
+	s.asides.Add(1)
+	go func() {
+		defer s.asides.Done()
+		defer running.Store(false)
+		ask(ctx)
+	}()
+}
+
 // operatorSink takes in what operators write.
 type operatorSink struct {
 	gateway *Gateway
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -156,6 +156,15 @@
 	}
 }
 
+// vanish ends the gateway as a loss of power does: other gateways that call it get no
+// answer.
+func (n *node) vanish() {
+	n.stop()
+	listener, err := net.Listen("tcp4", n.settings.ControlListen)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(func() { _ = listener.Close() })
+}
+
 func (n *node) ready() bool {
 	response, err := http.Get("http://" + n.settings.ReadyListen + platform.ReadyPath)
 	if err != nil {
--- a/internal/standin/topics.go
+++ b/internal/standin/topics.go
@@ -65,7 +65,7 @@
 // value drops the key.
 func (t *Topics) Put(topic, key string, value []byte) {
 	record := append([]byte{byte(len(key))}, key...)
-	t.append(topic+"/0", [][]byte{append(record, value...)})
+	t.appendAt(topic+"/0", [][]byte{append(record, value...)}, "")
 }
 
 // Calls returns how many appends and reads have been answered.
@@ -84,18 +84,23 @@
 	p.records = nil
 }
 
-func (t *Topics) append(name string, records [][]byte) (offset, end int64) {
+// appendAt adds records to a partition, unless it does not end at the offset that at
+// names; at is empty for no condition.
+func (t *Topics) appendAt(name string, records [][]byte, at string) (offset, end int64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.appends++
 	p := t.partition(name)
 	offset = p.first + int64(len(p.records))
+	if at != "" && at != strconv.FormatInt(offset, 10) {
+		return 0, offset, false
+	}
 	for _, record := range records {
 		p.add(record)
 	}
 	close(p.grown)
 	p.grown = make(chan struct{})
-	return offset, p.first + int64(len(p.records))
+	return offset, p.first + int64(len(p.records)), true
 }
 
 func (p *topicPartition) add(record []byte) {
@@ -202,7 +207,12 @@
 		records = append(records, rest[4:4+size])
 		rest = rest[4+size:]
 	}
-	offset, end := d.topics.append(name, records)
+	offset, end, ok := d.topics.appendAt(name, records, string(ctx.QueryArgs().Peek("at")))
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
+		reply(ctx, map[string]int64{"end": end})
+		return
+	}
 	reply(ctx, map[string]int64{"offset": offset, "end": end})
 }
 
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -60,6 +60,9 @@
 	Append(ctx context.Context, partition Partition, records [][]byte) (offset int64, err error)
 	// AppendKeyed replaces the record of a key.
 	AppendKeyed(ctx context.Context, topic Topic, key string, value []byte) error
+	// AppendKeyedAt is AppendKeyed on the condition that the topic ends at an offset.
+	// It fails with ErrMoved when the topic does not.
+	AppendKeyedAt(ctx context.Context, topic Topic, key string, value []byte, end int64) error
 	// Read returns records from an offset on and waits for up to wait when there
 	// are none. It fails with ErrTrimmed, and then names the first offset kept.
 	Read(ctx context.Context, partition Partition, from int64, wait clock.Millis) (LogPage, error)
--- a/pkg/spool/platform.go
+++ b/pkg/spool/platform.go
@@ -19,6 +19,8 @@
 	ErrOutcomeUnknown = errors.New("outcome of the append is unknown")
 	// ErrTrimmed means that retention has removed records that were asked for.
 	ErrTrimmed = errors.New("records before the requested offset have been removed")
+	// ErrMoved means that a topic did not end where an append expects it to.
+	ErrMoved = errors.New("topic does not end at the expected offset")
 )
 
 // RecordKind tells how to read the data of a record.
