Split the limits' owner and name the refusals of programs that do not begin

No decision changes.

New spec: an account over its rate begins no program while one that has begun goes on.

--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -61,9 +61,7 @@
 	if err := g.limits.admit(ctx, r.account, r.class(), func() (limit.Start, bool) {
 		return startOf(r.call), r.startsProgram(ctx)
 	}); err != nil {
-		over := refuse(reasonOverLimit)
-		over.after = retryAfter(err)
-		r.reject(over)
+		r.reject(refuseOverLimit(err))
 		return
 	}
 	if reason := r.serve(ctx); reason != "" {
--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -146,7 +146,7 @@
 	if class == limit.ClassStart && l.short.has(id) {
 		if start, ok := starting(); ok {
 			if err := l.manager.Start(ctx, id, start); err != nil {
-				return errors.WithMessage(err, "program does not begin")
+				return startRefused{refusal: err}
 			}
 		}
 		class = limit.ClassCall
@@ -158,13 +158,28 @@
 	return err
 }
 
-// retryAfter returns when a refused request may come back.
-func retryAfter(err error) clock.Millis {
+// errNoStart means that a program may not begin while its account is over its rate.
+var errNoStart = errors.New("program does not begin")
+
+// startRefused is a refusal of a program's start.
+type startRefused struct{ refusal error }
+
+func (e startRefused) Error() string { return errNoStart.Error() + ": " + e.refusal.Error() }
+
+func (e startRefused) Unwrap() []error { return []error{errNoStart, e.refusal} }
+
+// refuseOverLimit returns the answer to a request that admit has refused.
+func refuseOverLimit(err error) refusal {
+	over := refuse(reasonOverLimit)
+	if errors.Is(err, errNoStart) {
+		over = refuse(reasonStartOverLimit)
+	}
+	over.after = retryEndpoint
 	var refusal *spool.Refusal
 	if errors.As(err, &refusal) {
-		return max(retryShort, refusal.RetryAfter)
+		over.after = max(retryShort, refusal.RetryAfter)
 	}
-	return retryEndpoint
+	return over
 }
 
 func logStop(log *zap.Logger, part string, err error) {
--- /dev/null
+++ b/internal/gateway/limits_test.go
@@ -0,0 +1,187 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/standin"
+)
+
+var _ = ginkgo.Describe("An account's limit", func() {
+	// Requests of a caller stay with one gateway, so that the load of an account is
+	// uneven. A static split refused most of it.
+	ginkgo.It("serves a rate below it at one of three gateways", func() {
+		d := newDeployment()
+		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": 60, "burst": 60}}
+		d.publish()
+		d.endpoint("e1", "app", nil)
+		n := d.start("g1")
+		d.start("g2")
+		d.start("g3")
+		n.served("/lookup/a", "key-1")
+		time.Sleep(time.Second)
+		refused := 0
+		for range 120 {
+			if r, _ := n.call("GET", "/lookup/a", "key-1", ""); r.status != http.StatusOK {
+				refused++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		gomega.Expect(refused).To(gomega.BeNumerically("<=", 2))
+	})
+
+	ginkgo.It("is kept over all gateways, also after one of them is killed", func() {
+		const rate, burst = 20, 20
+		d := newDeployment()
+		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": rate, "burst": burst}}
+		d.publish()
+		u := d.endpoint("e1", "app", nil)
+		nodes := []*node{d.start("g1"), d.start("g2"), d.start("g3")}
+		for _, n := range nodes {
+			n.served("/lookup/a", "key-1")
+		}
+		time.Sleep(time.Second)
+		before, end := len(u.Requests()), time.Now().Add(5*time.Second)
+		var refused, silent atomic.Int64
+		var wg sync.WaitGroup
+		for i := range 12 {
+			n := nodes[i%len(nodes)]
+			wg.Add(1)
+			go func() {
+				defer ginkgo.GinkgoRecover()
+				defer wg.Done()
+				for time.Now().Before(end) {
+					r, _ := n.call("GET", "/lookup/a", "key-1", "")
+					if r.status == http.StatusTooManyRequests {
+						refused.Add(1)
+						if r.header.Get("Retry-After") == "" {
+							silent.Add(1)
+						}
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		nodes[0].stop()
+		wg.Wait()
+		served := len(u.Requests()) - before
+		gomega.Expect(refused.Load()).To(gomega.BeNumerically(">", 0))
+		gomega.Expect(silent.Load()).To(gomega.BeZero())
+		gomega.Expect(float64(served)).To(gomega.BeNumerically("<=", (rate*5+burst)*1.1+20))
+		gomega.Expect(served).To(gomega.BeNumerically(">=", rate*5/2))
+	})
+})
+
+var _ = ginkgo.Describe("A program of an account over its rate", func() {
+	// Programs that began while others lacked tokens took theirs, and none was served
+	// whole.
+	ginkgo.It("does not begin, while one that has begun goes on", func() {
+		d := newDeployment()
+		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": 20, "burst": 20}}
+		d.publish()
+		d.endpoint("e1", "app", nil)
+		d.endpoint("m1", "models", speak)
+		n := d.start("g1")
+		turn := func(program string) reply {
+			r, _ := n.call("POST", "/review/", "key-1", "x", func(says *standin.CallerRequest, _ http.Header) {
+				says.Program, says.TokenBudget, says.MostTokens = program, 9000, 50
+			})
+			return r
+		}
+		gomega.Eventually(func() int { return turn("begun").status }, soon, "50ms").Should(gomega.Equal(http.StatusOK))
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+					n.call("GET", "/lookup/a", "key-1", "")
+				}
+			}
+		}()
+		defer wg.Wait()
+		defer close(stop)
+		gomega.Eventually(func() int {
+			r, _ := n.call("GET", "/lookup/a", "key-1", "")
+			return r.status
+		}, soon, "20ms").Should(gomega.Equal(http.StatusTooManyRequests))
+		goneOn := 0
+		for i := range 30 {
+			r := turn(fmt.Sprintf("new-%d", i))
+			gomega.Expect(r.status).To(gomega.Equal(http.StatusTooManyRequests))
+			gomega.Expect(r.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+			if turn("begun").status == http.StatusOK {
+				goneOn++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		gomega.Expect(goneOn).To(gomega.BeNumerically(">", 0))
+	})
+})
+
+var _ = ginkgo.Describe("The owner of the pools", func() {
+	// An owner that lost power left the accounts with their static parts for eight
+	// seconds and more.
+	ginkgo.It("is replaced within seconds when it is gone without a trace", func() {
+		d := newDeployment()
+		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": 60, "burst": 60}}
+		d.publish()
+		d.endpoint("e1", "app", nil)
+		nodes := []*node{d.start("g1"), d.start("g2"), d.start("g3")}
+		for _, n := range nodes {
+			n.served("/lookup/a", "key-1")
+		}
+		time.Sleep(5 * time.Second)
+		nodes[0].vanish()
+		lost := time.Now()
+		inRow := 0
+		for inRow < 40 && time.Since(lost) < soon {
+			inRow++
+			if r, _ := nodes[1].call("GET", "/lookup/a", "key-1", ""); r.status != http.StatusOK {
+				inRow = 0
+			}
+			time.Sleep(25 * time.Millisecond)
+		}
+		gomega.Expect(time.Since(lost)).To(gomega.BeNumerically("<", 6*time.Second))
+	})
+
+	// Each planned restart of the owner refused requests within the rate for half a
+	// second, until another gateway had found the pools vacant.
+	ginkgo.It("hands them over when it stops, and no request within the rate is refused", func() {
+		d := newDeployment()
+		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": 60, "burst": 60}}
+		d.publish()
+		d.endpoint("e1", "app", nil)
+		nodes := []*node{d.start("g1"), d.start("g2"), d.start("g3")}
+		for _, n := range nodes {
+			n.served("/lookup/a", "key-1")
+		}
+		time.Sleep(time.Second)
+		for _, leaving := range nodes[:2] {
+			g := leaving.gateway
+			leaving.gateway = nil
+			stopped := make(chan error, 1)
+			go func() { stopped <- g.Shutdown(background()) }()
+			refused := 0
+			for range 75 {
+				if r, _ := nodes[2].call("GET", "/lookup/a", "key-1", ""); r.status == http.StatusTooManyRequests {
+					refused++
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			gomega.Expect(refused).To(gomega.BeZero())
+			gomega.Eventually(stopped, soon).Should(gomega.Receive(gomega.BeNil()))
+		}
+	})
+})
--- /dev/null
+++ b/internal/gateway/owner_contact.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spend"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// contactEvery is the time between two questions of a gateway to the owner. One that
+	// the owner has answered within contactFor is asked for promises, until contactKept
+	// after its last question.
+	contactEvery = clock.Second
+	contactFor   = 4 * clock.Second
+	contactKept  = 5 * clock.Second
+	// promiseAfter is the time without a confirmation by the store after which an owner
+	// asks for promises.
+	promiseAfter = 600 * clock.Millis(1)
+	// probeInterval is the time without an answer after which the owner is asked,
+	// probeTimeout bounds the question.
+	probeInterval = 300 * clock.Millis(1)
+	probeTimeout  = 400 * clock.Millis(1)
+)
+
+// touched takes in that the owner of an epoch has answered a question sent at a time.
+// While a promise lasts the owner may grant of its reserve at any moment.
+func (o *poolOwner) touched(epoch spool.Epoch, sentAt clock.Millis, unused bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.epoch == epoch && !o.owns() {
+		o.contactAt = sentAt
+		o.unused = unused && sentAt >= o.promisedUntil
+	}
+}
+
+// probe asks the owner whether it runs, unless it has answered lately. The owner
+// itself asks its predecessor to stop granting, while it waits for that.
+func (o *poolOwner) probe(ctx context.Context) {
+	now := o.clock.Now()
+	o.mu.Lock()
+	claim, epoch := o.claim, o.epoch
+	waits := o.owns() && now < o.grantsFrom
+	due := waits || epoch != 0 && !o.owns() && (now-o.answeredAt >= probeInterval || now-o.contactAt >= contactEvery)
+	if waits {
+		claim = o.predecessor
+	}
+	o.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	question := aliveRequest{Address: o.self.Address}
+	if waits {
+		question.Yield = epoch
+	}
+	reply, err := o.ask(ctx, claim.Address, question)
+	ended := err == nil && reply.Lifetime != claim.Lifetime || errors.Is(err, unix.ECONNREFUSED)
+	switch {
+	case ended:
+		// Nothing listens at the address, or another process does.
+		o.markGone(claim.Lifetime)
+	case err != nil:
+		o.silent(claim.Node, now)
+	default:
+		o.answered(claim.Node)
+		o.touched(epoch, now, reply.Unused)
+	}
+	switch {
+	case !waits || claim.Waits || err != nil && !ended:
+	case ended:
+		o.stopWaiting(epoch, aliveReply{})
+	default:
+		o.stopWaiting(epoch, reply)
+	}
+}
+
+// stopWaiting ends the wait for the owner before, which grants no more. left is what
+// it has left, as far as that is known.
+func (o *poolOwner) stopWaiting(epoch spool.Epoch, left aliveReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.epoch != epoch || o.clock.Now() >= o.grantsFrom {
+		return
+	}
+	o.grantsFrom, o.inherited = 0, left.Levels
+	if left.Reserve != nil {
+		o.reserve = spend.NewReserve(o.clock.Now(), left.Generation, left.Reserve)
+	}
+	signal(o.changed)
+}
+
+// promise reports whether this gateway does not grant, and does not claim the pools,
+// for the time of ownerAuthority. It does not while it knows of a newer claim.
+func (o *poolOwner) promise(request aliveRequest) bool {
+	if request.Promise == 0 || request.Promise < o.epoch {
+		return false
+	}
+	o.promisedUntil = max(o.promisedUntil, o.clock.Now()+ownerAuthority)
+	o.unused = false
+	return true
+}
+
+// extend asks the gateways that may claim the pools soon for promises, while the store
+// does not confirm this one's claim. A gateway whose process does not run needs to make
+// none: when it runs again, it waits as one that this owner does not know. An authority
+// that has ended is not extended.
+func (o *poolOwner) extend(ctx context.Context) {
+	now := o.clock.Now()
+	o.mu.Lock()
+	epoch := o.epoch
+	due := o.grants() && now-o.confirmedAt >= promiseAfter && now < o.confirmed()+ownerAuthority
+	addresses := o.inContact(now)
+	o.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	answers := make(chan string, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			reply, err := o.ask(ctx, address, aliveRequest{Promise: epoch})
+			if err == nil && reply.Promised || errors.Is(err, unix.ECONNREFUSED) {
+				address = ""
+			}
+			answers <- address
+		}()
+	}
+	var missing []string
+	for range addresses {
+		if address := <-answers; address != "" {
+			missing = append(missing, address)
+		}
+	}
+	promised := len(missing) == 0
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if promised != o.promised {
+		o.promised = promised
+		o.log.Info("gateways in contact promise not to take the limits over", zap.Int64("epoch", int64(epoch)),
+			zap.Int("asked", len(addresses)), zap.Strings("missing", missing))
+	}
+	if promised && o.epoch == epoch {
+		o.promisedAt = max(o.promisedAt, now)
+	}
+}
+
+// inContact returns the addresses of the gateways that asked lately.
+func (o *poolOwner) inContact(now clock.Millis) (addresses []string) {
+	for address, at := range o.contacts {
+		if now-at > contactKept {
+			delete(o.contacts, address)
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+// answer tells another gateway the lifetime of this one, after it has stopped
+// granting in favour of a newer claim where that is asked.
+func (o *poolOwner) answer(request aliveRequest, handOver func(stream spool.Stream, epoch spool.Epoch) json.RawMessage) aliveReply {
+	reply := aliveReply{Lifetime: o.self.Lifetime}
+	o.mu.Lock()
+	o.grants()
+	if request.Address != "" && request.Address != o.self.Address {
+		o.contacts[request.Address] = o.clock.Now()
+	}
+	reply.Promised = o.promise(request)
+	reply.Unused = o.reserve != nil && o.reserve.Unused()
+	epoch := o.granted
+	o.yieldedTo = max(o.yieldedTo, request.Yield)
+	if epoch < request.Yield {
+		o.release()
+	}
+	if o.left != nil && epoch < request.Yield {
+		reply.Generation, reply.Reserve = o.left.Generation(), o.left.Spent()
+	}
+	o.mu.Unlock()
+	if epoch != 0 && epoch < request.Yield {
+		reply.Levels = handOver(spool.ProgramStream(0), epoch)
+	}
+	return reply
+}
+
+func (o *poolOwner) markGone(lifetime string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.gone[lifetime] = true
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -14,6 +14,7 @@
 	reasonNoRoute         spool.Code = "noRoute"
 	reasonUnknownKey      spool.Code = "unknownKey"
 	reasonOverLimit       spool.Code = "overLimit"
+	reasonStartOverLimit  spool.Code = "startOverLimit"
 	reasonNoTurn          spool.Code = "noTurn"
 	reasonTurnUncertain   spool.Code = "turnUncertain"
 	reasonStoreAway       spool.Code = "storeAway"
@@ -52,6 +53,7 @@
 	reasonNoRoute:         {status: http.StatusNotFound},
 	reasonUnknownKey:      {status: http.StatusUnauthorized},
 	reasonOverLimit:       {status: http.StatusTooManyRequests},
+	reasonStartOverLimit:  {status: http.StatusTooManyRequests},
 	reasonNoTurn:          {status: http.StatusNotFound},
 	reasonTurnUncertain:   {status: http.StatusServiceUnavailable, after: retryStore},
 	reasonStoreAway:       {status: http.StatusServiceUnavailable, after: retryStore},
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -19,6 +19,15 @@
 	reserveTimeout = 300 * clock.Millis(1)
 )
 
+// Errors of the reserve.
+var (
+	// errNotOwner means that this gateway does not hold the reserve.
+	errNotOwner = errors.New("reserve is held by another gateway")
+	// errNoPromise means that the store confirms the owner, or that not all gateways
+	// have promised not to follow it.
+	errNoPromise = errors.New("reserve is not in use")
+)
+
 type reserveRequest struct {
 	Program spool.ProgramID `json:"program"`
 	Need    int64           `json:"need,omitempty"`
@@ -91,3 +100,46 @@
 	err = c.call(ctx, address, methodReserve, request, &reply)
 	return reply, err
 }
+
+// release ends the use of the reserve and keeps it for the next owner.
+func (o *poolOwner) release() {
+	if o.reserve != nil {
+		o.left, o.reserve = o.reserve, nil
+	}
+}
+
+// takeReserve grants tokens of a program's budget from the reserve. It fails with
+// errNotOwner unless this gateway holds the reserve, durably, and with errNoPromise
+// unless every gateway that may follow knows that the reserve is in use.
+func (o *poolOwner) takeReserve(id spool.ProgramID, need, budget int64) (granted bool, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock.Now()
+	switch {
+	case !o.grants() || o.claim.Waits || o.claim.Generation != o.reserve.Generation():
+		return false, errNotOwner
+	case o.promisedAt <= o.confirmedAt || now >= o.confirmed()+ownerAuthority:
+		return false, errNoPromise
+	}
+	return o.reserve.Take(now, id, need, budget), nil
+}
+
+// returnReserve takes tokens back that were granted from the reserve and not used.
+func (o *poolOwner) returnReserve(id spool.ProgramID, tokens int64) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.grants() {
+		return errNotOwner
+	}
+	o.reserve.Return(o.clock.Now(), id, tokens)
+	return nil
+}
+
+// expire forgets programs that have long ended.
+func (o *poolOwner) expire() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.reserve != nil {
+		o.reserve.Expire(o.clock.Now())
+	}
+}
