Offer calls again while a service has no room, and throttle programs before a long line

Cause: when a plain service loses all endpoints but one, its 6 slots and 24 places fill within milliseconds.

Change: a request that every endpoint had no room for is offered again, with pauses of 15 to 60 ms, for 0.4 of its time. pkg/throttle lets fewer programs begin while even the shortest calls of a plain service stand in line for 120 ms, or most offers find no place; less urgent kinds give way first, and a program that has begun is never held back. A request that was not sent at all is no longer taken for one that found no room. New reason overloaded, new counter requestOfferedAgain.

Tests: pkg/throttle in virtual time (a service with few slots left, rank, return, single full answers), two gateway specs.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 
@@ -11,14 +12,22 @@
 
 	"github.com/baobabspool/baobabspool/internal/httpconn"
 	"github.com/baobabspool/baobabspool/pkg/catalog"
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/endpoints"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
 const (
-	// maxTries bounds the endpoints that are asked for one request, those that
-	// refuse it included.
+	// maxTries bounds the endpoints that are asked for one request in a round, those
+	// that refuse it included.
 	maxTries = 5
+	// fullPause is the time after which a request that every endpoint had no room for
+	// is offered again. It doubles with each round up to maxFullPause; a slot is free
+	// within the time of a request.
+	fullPause    = 15 * clock.Millis(1)
+	maxFullPause = 60 * clock.Millis(1)
+	// fullShare is the part of the request's time for which it is offered again.
+	fullShare = 0.4
 	// maxAnswerBytes bounds an answer that is passed on whole.
 	maxAnswerBytes = 32 << 20
 	// eventStream is the content type of a stream of events.
@@ -35,15 +44,48 @@
 	answered verdict = "answered"
 	// notRun: the endpoint has not run the request and never will.
 	notRun verdict = "notRun"
+	// unreached: the request was not sent.
+	unreached verdict = "unreached"
 	// mayHaveRun: the request was sent and no usable answer came.
 	mayHaveRun verdict = "mayHaveRun"
 	// broken: a part of the answer was passed on and the rest will not come.
 	broken verdict = "broken"
 )
 
-// forward sends the request to endpoints until one answers. It returns a reason
-// when no answer has been started.
+// forward sends the request to endpoints until one answers. While all of them are
+// full it is offered to them again: a burst fills the few slots of a plain service for
+// some tens of milliseconds, and a caller comes back once or twice only. It returns a
+// reason when no answer has been started.
 func (r *request) forward(ctx context.Context) spool.Code {
+	giveUpAt := r.offerUntil()
+	for pause := fullPause; ; pause = min(2*pause, maxFullPause) {
+		reason, ended := r.round(ctx)
+		if ended || reason != reasonEndpointsFull || r.gateway.clock.Now()+pause >= giveUpAt {
+			return reason
+		}
+		r.gateway.telemetry.Event("requestOfferedAgain")
+		if !clock.Pause(ctx, jittered(pause)) {
+			return r.failure(ctx, reason)
+		}
+		clear(r.tried)
+	}
+}
+
+// offerUntil returns when a request that finds no room is refused.
+func (r *request) offerUntil() clock.Millis {
+	now := r.gateway.clock.Now()
+	return now + clock.Millis(fullShare*float64(r.deadline-now))
+}
+
+// jittered spreads pauses by half of their length, so that requests that were refused
+// together do not come back together.
+func jittered(pause clock.Millis) clock.Millis {
+	return pause/2 + rand.N(pause/2+1) + pause/4
+}
+
+// round offers the request to endpoints that it has not tried. ended says that there is
+// nothing more to do.
+func (r *request) round(ctx context.Context) (reason spool.Code, ended bool) {
 	last := reasonNoEndpoint
 	for tries := 0; tries < maxTries; tries++ {
 		if ctx.Err() != nil {
@@ -57,23 +99,24 @@
 		r.logTry(ctx, endpoint, tries, result)
 		switch result {
 		case answered:
-			return ""
+			return "", true
 		case broken:
 			r.exchange.Abort()
-			return ""
+			return "", true
+		case unreached:
 		case notRun:
 			last = reasonEndpointsFull
 		case mayHaveRun:
 			r.runs++
 			last = reasonMayHaveRun
 			if !r.repeatable() || r.runs >= r.route.Attempts {
-				return r.failure(ctx, last)
+				return r.failure(ctx, last), true
 			}
 			r.gateway.telemetry.Event("requestRepeated")
 		}
 		r.tried[endpoint.ID()] = true
 	}
-	return r.failure(ctx, last)
+	return r.failure(ctx, last), ctx.Err() != nil
 }
 
 // logTry writes what became of the request at one endpoint.
@@ -151,20 +194,36 @@
 			return attempt == "" || attempt == r.call.Attempt
 		},
 	}
+	sentAt := g.clock.Now()
 	response, err := g.client.Do(ctx, call)
 	if err != nil {
 		g.table.Done(g.clock.Now(), endpoint, failureOf(ctx), 0)
 		if errors.Is(err, httpconn.ErrNotSent) {
-			return notRun
+			return unreached
 		}
 		return mayHaveRun
 	}
 	answer := g.codec.DecodeAnswer(response.StatusCode, response.Header)
 	result, outcome := r.take(ctx, response, answer)
+	r.noteLoad(outcome, sentAt)
 	g.table.Done(g.clock.Now(), endpoint, outcome, answer.ColdFor)
 	return result
 }
 
+// noteLoad takes in what a call says of the room that a plain service has. The time of
+// a stream depends on its length.
+func (r *request) noteLoad(outcome endpoints.Outcome, sentAt clock.Millis) {
+	if r.service.Engine || r.route.Kind == catalog.Stream {
+		return
+	}
+	switch outcome {
+	case endpoints.Full:
+		r.gateway.loads.full(r.service.Name)
+	case endpoints.Answered:
+		r.gateway.loads.answered(r.service.Name, r.gateway.clock.Now()-sentAt)
+	}
+}
+
 // failureOf tells a failure of the endpoint from a request that was taken back.
 func failureOf(ctx context.Context) endpoints.Outcome {
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,7 @@
 	budgets *budgetStore
 	reserve *reserveClient
 	limits  *limiter
+	loads   *serviceLoads
 	health  *storeHealth
 	store   *pathStore
 	choice  *peerChoice
@@ -114,6 +115,7 @@
 	boot, lifetime := clock.Boot(), newLifetime()
 	g.clients = wire.NewClients(g.settings.Node, wire.WithSilentAfter(silentPeer, pingPeer))
 	g.store = newPathStore(store, g.health, g.callPeer, g.telemetry)
+	g.loads = newServiceLoads(g.clock)
 	g.turns = newTurnStore(ctx, g.store, g.clock, g.settings, g.askTurns)
 	owner := newPoolOwner(g.settings, lifetime, g.store, boot, g.askAlive, g.telemetry.Logger("limits"))
 	g.reserve = &reserveClient{ctx: ctx, owner: owner, call: g.callAt, log: g.telemetry.Logger("reserve")}
@@ -329,6 +331,7 @@
 		return
 	}
 	g.catalog.Store(next)
+	g.loads.keep(func(service spool.ServiceName) bool { return next.Service(service) != nil })
 	limits := next.Limits()
 	g.server.SetLimits(httpconn.Limits{
 		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -58,7 +58,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (r.deadline - g.clock.Now()).Duration())
 	defer cancel()
-	if err := g.limits.admit(ctx, r.account, r.class(), func() (limit.Start, bool) {
+	class := r.class()
+	if class == limit.ClassStart && !g.loads.open() && r.startsProgram(ctx) && !g.loads.admit(r.priority) {
+		r.reject(refuse(reasonOverloaded))
+		return
+	}
+	if err := g.limits.admit(ctx, r.account, class, func() (limit.Start, bool) {
 		return startOf(r.call), r.startsProgram(ctx)
 	}); err != nil {
 		r.reject(refuseOverLimit(err))
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -22,6 +22,7 @@
 	reasonBudgetUnknown   spool.Code = "budgetUnknown"
 	reasonNoEndpoint      spool.Code = "noEndpoint"
 	reasonEndpointsFull   spool.Code = "endpointsFull"
+	reasonOverloaded      spool.Code = "overloaded"
 	reasonMayHaveRun      spool.Code = "mayHaveRun"
 	reasonTimeout         spool.Code = "timeout"
 )
@@ -34,9 +35,11 @@
 	retryStore = clock.Second
 	// retryEndpoint is for a service without a usable endpoint.
 	retryEndpoint = 250 * clock.Millis(1)
-	// retryFull is for a service whose endpoints are full; a slot is free within the
-	// time of a request.
-	retryFull = 60 * clock.Millis(1)
+	// retryOverload is for a program that waits for others to end.
+	retryOverload = 500 * clock.Millis(1)
+	// retryFull is for a service whose endpoints stay full for as long as a request is
+	// offered to them.
+	retryFull = 150 * clock.Millis(1)
 )
 
 // refusal is an answer of the gateway's own.
@@ -61,6 +64,7 @@
 	reasonBudgetUnknown:   {status: http.StatusServiceUnavailable, after: retryStore},
 	reasonNoEndpoint:      {status: http.StatusServiceUnavailable, after: retryEndpoint},
 	reasonEndpointsFull:   {status: http.StatusServiceUnavailable, after: retryFull},
+	reasonOverloaded:      {status: http.StatusServiceUnavailable, after: retryOverload},
 	reasonMayHaveRun:      {status: http.StatusBadGateway},
 	reasonTimeout:         {status: http.StatusGatewayTimeout},
 }
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -138,6 +138,45 @@
 		_ = shed
 	})
 
+	// A plain service that had lost all endpoints but one refused calls for which it had a
+	// place some milliseconds later, and each of them failed a program.
+	ginkgo.It("is offered again while all endpoints are full for a moment", func() {
+		var full atomic.Bool
+		u := d.endpoint("e1", "app", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
+			if full.Load() {
+				return u.Shed(conn, request)
+			}
+			u.Whole(conn, request, "done")
+			return true
+		})
+		n := d.start("g1")
+		n.served("/lookup/a", "key-1")
+		full.Store(true)
+		time.AfterFunc(200*time.Millisecond, func() { full.Store(false) })
+		r, _ := n.call("POST", "/charge/case", "key-1", "x")
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		gomega.Expect(counted(u)).To(gomega.BeNumerically(">", 1))
+	})
+
+	ginkgo.It("is refused with a time to come back when the endpoints stay full", func() {
+		var full atomic.Bool
+		d.endpoint("e1", "app", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
+			if full.Load() {
+				return u.Shed(conn, request)
+			}
+			u.Whole(conn, request, "done")
+			return true
+		})
+		n := d.start("g1")
+		n.served("/lookup/a", "key-1")
+		full.Store(true)
+		begun := time.Now()
+		r, _ := n.call("POST", "/charge/case", "key-1", "x", deadline(1000))
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(r.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+		gomega.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 700*time.Millisecond))
+	})
+
 	// A payout that may have run must neither run again nor be called not run.
 	ginkgo.It("is not sent again when it may have run and must run once", func() {
 		cut := func(_ *standin.Upstream, _ io.Writer, _ standin.UpstreamRequest) bool { return false }
