Name the owners that may still grant, and no successor that stops as well

A stopping owner named a successor that was being stopped too, since the record that says so could not be written. The successor stopped while it waited, and after its restart its claim said only that some owner before it might still grant: it waited 10 s for processes that had ended. From 5 to 8 s and from 12 to 16 s the pools had no owner, and 100 to 200 programs a second were refused with the store there.

Ruled out: the promises (all given at 16.6 s) and the reserve.

Change: a claim lists the owners that may still grant, with their addresses; the next one asks each of them and stops waiting when all have answered or ended. A stopping owner asks a gateway whether it stops as well before it names it. Pools and reserve are handed over once, so that a second asker cannot grant the same again.

Tests: four specs of the claim; the older ones name the owners where they said 'waits'.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -142,8 +142,8 @@
 // Vacant reports whether a claim is to be written.
 func (o PoolOwner) Vacant(live ...spool.NodeID) bool { return o.vacant(live) }
 
-// Waits reports whether the next claim says that the owner before may still grant.
-func (o PoolOwner) Waits() bool { return o.next().Waits }
+// Waits reports whether the next claim says that owners before may still grant.
+func (o PoolOwner) Waits() bool { return len(o.next().After) > 0 }
 
 // Tenure returns the epoch of the pools.
 func (o PoolOwner) Tenure() spool.Epoch {
@@ -151,8 +151,11 @@
 	return epoch
 }
 
-// HandOver names another gateway as the owner.
-func (o PoolOwner) HandOver(ctx context.Context, node spool.NodeID, lifetime string) {
+// HandOver names another gateway as the owner, unless it leaves as well.
+func (o PoolOwner) HandOver(ctx context.Context, node spool.NodeID, lifetime string, leaving bool) {
+	o.ask = func(context.Context, string, aliveRequest) (aliveReply, error) {
+		return aliveReply{Lifetime: lifetime, Leaving: leaving}, nil
+	}
 	o.handOver(ctx, func() []claimRecord { return []claimRecord{{Node: node, Lifetime: lifetime}} })
 }
 
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -36,15 +36,23 @@
 	Address string       `json:"address"`
 	// Lifetime tells the processes of a node apart.
 	Lifetime string `json:"lifetime"`
-	// Waits says that the owner before may still grant. The record is written again
-	// without it when that has ended.
-	Waits bool `json:"waits,omitempty"`
+	// After are the owners before that may still grant. The record is written again
+	// without them when they do not.
+	After []ownerRef `json:"after,omitempty"`
 	// Generation is that of the reserve of budgets that this owner holds unless it
 	// inherits one. It exceeds that of the claim before, which the append's condition
 	// ensures, or is the inherited one.
 	Generation int `json:"generation,omitempty"`
 }
 
+// ownerRef names the process of an owner.
+type ownerRef struct {
+	Address  string `json:"address"`
+	Lifetime string `json:"lifetime"`
+}
+
+func (c claimRecord) ref() ownerRef { return ownerRef{Address: c.Address, Lifetime: c.Lifetime} }
+
 // poolOwner follows which gateway owns the pools of the accounts' limits, and
 // claims them for this one when no other does. It is safe for concurrent use.
 type poolOwner struct {
@@ -72,8 +80,8 @@
 	// grantsFrom is when the authority of the previous owner has surely ended; 0 once
 	// it is known to grant no more.
 	grantsFrom clock.Millis
-	// predecessor is the claim before the newest one.
-	predecessor claimRecord
+	// waitsFor holds the owners before that may still grant, by lifetime.
+	waitsFor map[string]ownerRef
 	// yieldedTo is the epoch in whose favour this gateway has stopped granting.
 	yieldedTo spool.Epoch
 	// granted is the newest tenure in which this gateway may have granted; 0 for none.
@@ -200,18 +208,21 @@
 		o.claim, o.epoch = record, epoch
 		return
 	}
-	wait := o.waitAfter(previous)
-	unused := wait == ownerAuthority && o.unused
+	o.waitsFor = map[string]ownerRef{}
+	for _, ref := range record.After {
+		if !o.gone[ref.Lifetime] && ref.Lifetime != o.self.Lifetime {
+			o.waitsFor[ref.Lifetime] = ref
+		}
+	}
+	wait := o.waitTime(previous.Lifetime)
+	unused := o.unused && o.inTouch()
 	o.claim, o.epoch, o.tenure, o.silentSince, o.vacantSince, o.contactAt = record, epoch, epoch, 0, 0, 0
 	o.release()
 	o.unused = false
 	if unused && o.owns() {
 		o.reserve = spend.NewReserve(o.clock.Now(), previous.Generation, nil)
 	}
-	o.inherited, o.grantsFrom, o.predecessor = nil, o.clock.Now()+wait, previous
-	if !known && !record.Waits || known && o.gone[previous.Lifetime] && !previous.Waits {
-		o.grantsFrom = 0
-	}
+	o.inherited, o.grantsFrom = nil, o.clock.Now()+wait
 	if o.owns() {
 		signal(o.changed)
 	}
@@ -219,13 +230,22 @@
 		zap.Bool("waits", o.grantsFrom > o.clock.Now()))
 }
 
-// waitAfter returns how long the owner before may grant from now on. It asks every
-// gateway that it has lately answered for a promise; another one waits longer.
-func (o *poolOwner) waitAfter(previous claimRecord) clock.Millis {
-	if previous.Waits || o.contactAt == 0 || o.clock.Now()-o.contactAt > contactFor {
-		return strangerWait
+// waitTime returns how long the owners before may grant from now on. An owner asks
+// every gateway that it has lately answered for a promise; another one waits longer.
+func (o *poolOwner) waitTime(previous string) clock.Millis {
+	_, last := o.waitsFor[previous]
+	switch {
+	case len(o.waitsFor) == 0:
+		return 0
+	case len(o.waitsFor) == 1 && last && o.inTouch():
+		return ownerAuthority
 	}
-	return ownerAuthority
+	return strangerWait
+}
+
+// inTouch reports whether the owner has lately answered this gateway.
+func (o *poolOwner) inTouch() bool {
+	return o.contactAt != 0 && o.clock.Now()-o.contactAt <= contactFor
 }
 
 // confirm says that a read sent at the given time has been taken in.
--- a/internal/gateway/owner_claims.go
+++ b/internal/gateway/owner_claims.go
@@ -58,12 +58,16 @@
 	record := o.self
 	switch {
 	case o.owns():
-		record.Waits, record.Generation = !o.grants(), o.claim.Generation
-		if !record.Waits {
-			record.Generation = o.reserve.Generation()
+		record.After, record.Generation = o.claim.After, o.claim.Generation
+		if o.grants() {
+			record.After, record.Generation = nil, o.reserve.Generation()
 		}
 	case o.epoch != 0:
-		record.Waits = o.claim.Waits || !o.gone[o.claim.Lifetime]
+		for _, ref := range append([]ownerRef{o.claim.ref()}, o.claim.After...) {
+			if !o.gone[ref.Lifetime] {
+				record.After = append(record.After, ref)
+			}
+		}
 		record.Generation = o.claim.Generation + 1
 	}
 	return record
@@ -81,7 +85,7 @@
 	if o.owns() {
 		// The record must say whether the owner before may still grant, and which
 		// reserve this one holds.
-		if grants := o.grants(); o.claim.Waits == grants || grants && o.claim.Generation != o.reserve.Generation() {
+		if o.grants() && (len(o.claim.After) > 0 || o.claim.Generation != o.reserve.Generation()) {
 			o.claimedAt = now
 			return true
 		}
@@ -133,12 +137,17 @@
 // one grants until the other asks it to stop: while the store takes no record, the
 // pools keep their owner.
 func (o *poolOwner) handOver(ctx context.Context, candidates func() []claimRecord) {
+	avoid := map[string]bool{}
 	for o.mayGrant() {
-		next := successor(candidates())
+		next := successor(candidates(), avoid)
 		if next.Lifetime == "" {
 			return
 		}
-		next.Waits, next.Generation = true, o.generation()+1
+		if o.isLeaving(ctx, next) {
+			avoid[next.Lifetime] = true
+			continue
+		}
+		next.After, next.Generation = []ownerRef{o.self.ref()}, o.generation()+1
 		err := o.write(ctx, next)
 		pause := retryPause
 		switch {
@@ -181,9 +190,22 @@
 	return o.store.AppendKeyedAt(ctx, spool.TopicMembers, ownerKey, value, o.position())
 }
 
-// successor returns the first candidate of the gateways that are given.
-func successor(candidates []claimRecord) (best claimRecord) {
+// isLeaving reports whether a gateway stops as well, or does not answer. Its record
+// does not say so while the store is away.
+func (o *poolOwner) isLeaving(ctx context.Context, candidate claimRecord) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	reply, err := o.ask(ctx, candidate.Address, aliveRequest{})
+	return err != nil || reply.Leaving || reply.Lifetime != candidate.Lifetime
+}
+
+// successor returns the first candidate of the gateways that are given, without those
+// to avoid.
+func successor(candidates []claimRecord, avoid map[string]bool) (best claimRecord) {
 	for _, candidate := range candidates {
+		if avoid[candidate.Lifetime] {
+			continue
+		}
 		if best.Node == "" || candidateScore(candidate.Node) > candidateScore(best.Node) {
 			best = candidate
 		}
--- a/internal/gateway/owner_contact.go
+++ b/internal/gateway/owner_contact.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -41,60 +43,71 @@
 }
 
 // probe asks the owner whether it runs, unless it has answered lately. The owner
-// itself asks its predecessor to stop granting, while it waits for that.
+// itself asks those before it to stop granting, while it waits for them.
 func (o *poolOwner) probe(ctx context.Context) {
 	now := o.clock.Now()
 	o.mu.Lock()
 	claim, epoch := o.claim, o.epoch
-	waits := o.owns() && now < o.grantsFrom
-	due := waits || epoch != 0 && !o.owns() && (now-o.answeredAt >= probeInterval || now-o.contactAt >= contactEvery)
-	if waits {
-		claim = o.predecessor
+	var before []ownerRef
+	if o.owns() && now < o.grantsFrom {
+		before = slices.Collect(maps.Values(o.waitsFor))
 	}
+	due := epoch != 0 && !o.owns() && (now-o.answeredAt >= probeInterval || now-o.contactAt >= contactEvery)
 	o.mu.Unlock()
-	if !due {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
-	question := aliveRequest{Address: o.self.Address}
-	if waits {
-		question.Yield = epoch
+	for _, ref := range before {
+		reply, ended, err := o.question(ctx, ref, aliveRequest{Yield: epoch})
+		if ended || err == nil {
+			o.stopWaiting(epoch, ref.Lifetime, reply)
+		}
 	}
-	reply, err := o.ask(ctx, claim.Address, question)
-	ended := err == nil && reply.Lifetime != claim.Lifetime || errors.Is(err, unix.ECONNREFUSED)
+	if !due {
+		return
+	}
+	reply, ended, err := o.question(ctx, claim.ref(), aliveRequest{})
 	switch {
 	case ended:
-		// Nothing listens at the address, or another process does.
-		o.markGone(claim.Lifetime)
 	case err != nil:
 		o.silent(claim.Node, now)
 	default:
 		o.answered(claim.Node)
 		o.touched(epoch, now, reply.Unused)
 	}
-	switch {
-	case !waits || claim.Waits || err != nil && !ended:
-	case ended:
-		o.stopWaiting(epoch, aliveReply{})
-	default:
-		o.stopWaiting(epoch, reply)
-	}
 }
 
-// stopWaiting ends the wait for the owner before, which grants no more. left is what
-// it has left, as far as that is known.
-func (o *poolOwner) stopWaiting(epoch spool.Epoch, left aliveReply) {
+// question puts a question to an owner. ended says that its process has ended: nothing
+// listens at its address, or another process does.
+func (o *poolOwner) question(ctx context.Context, owner ownerRef, request aliveRequest) (reply aliveReply, ended bool, err error) {
+	request.Address = o.self.Address
+	reply, err = o.ask(ctx, owner.Address, request)
+	ended = err == nil && reply.Lifetime != owner.Lifetime || errors.Is(err, unix.ECONNREFUSED)
+	if ended {
+		o.markGone(owner.Lifetime)
+		return aliveReply{}, true, nil
+	}
+	return reply, false, err
+}
+
+// stopWaiting ends the wait for an owner before, which grants no more. left is what it
+// has left, as far as that is known.
+func (o *poolOwner) stopWaiting(epoch spool.Epoch, lifetime string, left aliveReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.epoch != epoch || o.clock.Now() >= o.grantsFrom {
 		return
 	}
-	o.grantsFrom, o.inherited = 0, left.Levels
+	delete(o.waitsFor, lifetime)
+	if left.Levels != nil {
+		o.inherited = left.Levels
+	}
 	if left.Reserve != nil {
 		o.reserve = spend.NewReserve(o.clock.Now(), left.Generation, left.Reserve)
 	}
-	signal(o.changed)
+	if len(o.waitsFor) == 0 {
+		o.grantsFrom = 0
+		signal(o.changed)
+	}
 }
 
 // promise reports whether this gateway does not grant, and does not claim the pools,
@@ -181,11 +194,17 @@
 	if epoch < request.Yield {
 		o.release()
 	}
+	// What is handed over may be granted by the one that has it, so it is given once.
 	if o.left != nil && epoch < request.Yield {
 		reply.Generation, reply.Reserve = o.left.Generation(), o.left.Spent()
+		o.left = nil
+	}
+	handed := epoch != 0 && epoch < request.Yield
+	if handed {
+		o.granted = 0
 	}
 	o.mu.Unlock()
-	if epoch != 0 && epoch < request.Yield {
+	if handed {
 		reply.Levels = handOver(spool.ProgramStream(0), epoch)
 	}
 	return reply
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -15,9 +15,9 @@
 var _ = ginkgo.Describe("The claim of the pools", func() {
 	const (
 		mine    = `{"node":"me","lifetime":"m"}`
-		mineNow = `{"node":"me","lifetime":"m","waits":true}`
+		mineNow = `{"node":"me","lifetime":"m","after":[{"lifetime":"a1"}]}`
 		theirs  = `{"node":"a","lifetime":"a1"}`
-		waiting = `{"node":"b","lifetime":"b1","waits":true}`
+		waiting = `{"node":"b","lifetime":"b1","after":[{"lifetime":"a1"}]}`
 	)
 	var (
 		time  *clock.Manual
@@ -94,14 +94,14 @@
 		ctx, cancel := context.WithCancel(background())
 		go func() {
 			defer close(stopped)
-			owner.HandOver(ctx, "a", "a1")
+			owner.HandOver(ctx, "a", "a1", false)
 		}()
 		gomega.Eventually(owner.Writes, soon).Should(gomega.BeNumerically(">=", 2))
 		gomega.Expect(owner.Grants()).To(gomega.BeTrue())
 		cancel()
 		gomega.Eventually(stopped, soon).Should(gomega.BeClosed())
 		owner.FailWrites(false)
-		owner.HandOver(background(), "a", "a1")
+		owner.HandOver(background(), "a", "a1", false)
 		gomega.Expect(owner.Grants()).To(gomega.BeTrue(), "until the record is read")
 		owner.Observe(owner.Written(), 1)
 		gomega.Expect(owner.Grants()).To(gomega.BeFalse())
@@ -113,7 +113,7 @@
 		owner.MarkGone("a1")
 		owner.Observe(mine, 1)
 		gomega.Expect(owner.Grants()).To(gomega.BeTrue())
-		owner.Observe(`{"node":"c","lifetime":"c1","waits":true}`, 2)
+		owner.Observe(`{"node":"c","lifetime":"c1","after":[{"lifetime":"m"}]}`, 2)
 		gomega.Expect(owner.Grants()).To(gomega.BeFalse())
 		gomega.Expect(owner.YieldTo(3)).To(gomega.Equal(spool.Epoch(2)), "its pools are handed over when they are asked for")
 	})
@@ -178,7 +178,7 @@
 	// A reserve of a generation that another claim may have named would be granted twice.
 	ginkgo.It("grants of the reserve once its claim names the generation", func() {
 		owner.Observe(`{"node":"a","lifetime":"a1","generation":2}`, 0)
-		owner.Observe(`{"node":"me","lifetime":"m","waits":true,"generation":3}`, 1)
+		owner.Observe(`{"node":"me","lifetime":"m","after":[{"lifetime":"a1"}],"generation":3}`, 1)
 		gomega.Expect(owner.TakeReserve("p", 10, 4800)).To(gomega.BeFalse())
 		owner.ProbeReserve("a1", 2, map[spool.ProgramID]int64{"p": 190})
 		gomega.Expect(owner.Grants()).To(gomega.BeTrue())
@@ -192,13 +192,52 @@
 	ginkgo.It("hands the reserve to the next owner and grants none of it after that", func() {
 		owner.Observe(mine, 0)
 		gomega.Expect(owner.TakeReserve("p", 10, 600)).To(gomega.BeTrue())
-		owner.Observe(`{"node":"b","lifetime":"b1","waits":true,"generation":1}`, 1)
+		owner.Observe(`{"node":"b","lifetime":"b1","after":[{"lifetime":"m"}],"generation":1}`, 1)
 		gomega.Expect(owner.TakeReserve("p", 10, 600)).To(gomega.BeFalse())
 		generation, spent := owner.YieldReserve(2)
 		gomega.Expect(generation).To(gomega.Equal(0))
 		gomega.Expect(spent).To(gomega.Equal(map[spool.ProgramID]int64{"p": 10}))
 	})
 
+	// A waiting owner that was restarted waited for 10 s more, though the owner before it
+	// had ended long ago.
+	ginkgo.It("grants at once when all owners that might still grant have ended", func() {
+		owner.Observe(theirs, 0)
+		owner.Observe(waiting, 1)
+		owner.MarkGone("a1")
+		owner.MarkGone("b1")
+		gomega.Expect(owner.Waits()).To(gomega.BeFalse())
+		owner.Observe(mine, 2)
+		gomega.Expect(owner.Grants()).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("asks every owner that might still grant, and stops waiting when all have ended", func() {
+		owner.Observe(theirs, 0)
+		owner.Observe(waiting, 1)
+		owner.Observe(`{"node":"me","lifetime":"m","after":[{"lifetime":"b1"},{"lifetime":"a1"}]}`, 2)
+		gomega.Expect(owner.Grants()).To(gomega.BeFalse())
+		owner.ProbeAnswered("b1")
+		gomega.Expect(owner.Grants()).To(gomega.BeTrue(), "one has answered, another process is at the address of the other")
+	})
+
+	// Gateways that are stopped together named each other while the store was away.
+	ginkgo.It("does not name a gateway that stops as well", func() {
+		owner.Observe(mine, 0)
+		gomega.Expect(owner.Grants()).To(gomega.BeTrue())
+		owner.HandOver(background(), "a", "a1", true)
+		gomega.Expect(owner.Writes()).To(gomega.BeZero())
+		gomega.Expect(owner.Grants()).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("hands over what it holds once", func() {
+		owner.Observe(mine, 0)
+		gomega.Expect(owner.TakeReserve("p", 10, 600)).To(gomega.BeTrue())
+		_, spent := owner.YieldReserve(2)
+		gomega.Expect(spent).To(gomega.HaveLen(1))
+		_, spent = owner.YieldReserve(3)
+		gomega.Expect(spent).To(gomega.BeNil())
+	})
+
 	ginkgo.It("grants nothing of the reserve while the store confirms it", func() {
 		owner.Observe(mine, 0)
 		gomega.Expect(owner.TakeReserve("p", 10, 600)).To(gomega.BeTrue())
@@ -211,7 +250,7 @@
 	ginkgo.It("goes on with the generation of an owner that used nothing of its reserve", func() {
 		owner.Observe(`{"node":"a","lifetime":"a1","generation":1}`, 0)
 		owner.Touch(true)
-		owner.Observe(`{"node":"me","lifetime":"m","waits":true,"generation":2}`, 1)
+		owner.Observe(`{"node":"me","lifetime":"m","after":[{"lifetime":"a1"}],"generation":2}`, 1)
 		time.Advance(2 * clock.Second)
 		gomega.Expect(owner.Generation()).To(gomega.Equal(1))
 	})
@@ -221,7 +260,7 @@
 		owner.Touch(true)
 		gomega.Expect(owner.Promise(1)).To(gomega.BeTrue())
 		owner.Touch(true)
-		owner.Observe(`{"node":"me","lifetime":"m","waits":true,"generation":2}`, 1)
+		owner.Observe(`{"node":"me","lifetime":"m","after":[{"lifetime":"a1"}],"generation":2}`, 1)
 		time.Advance(2 * clock.Second)
 		gomega.Expect(owner.Generation()).To(gomega.Equal(2))
 	})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -39,6 +39,8 @@
 type aliveReply struct {
 	Lifetime string `json:"lifetime"`
 	Promised bool   `json:"promised,omitempty"`
+	// Leaving says that the gateway stops.
+	Leaving bool `json:"leaving,omitempty"`
 	// Unused says that the gateway holds the reserve of budgets and has granted nothing
 	// of it.
 	Unused bool `json:"unused,omitempty"`
@@ -77,7 +79,9 @@
 func (s *sharedState) relayHandlers() wire.Mux {
 	return wire.Mux{
 		methodAlive: wire.Handle(func(_ context.Context, request aliveRequest, _ wire.Send) (any, error) {
-			return s.gateway.limits.owner.answer(request, s.gateway.limits.manager.HandOver), nil
+			reply := s.gateway.limits.owner.answer(request, s.gateway.limits.manager.HandOver)
+			reply.Leaving = s.leaving.Load()
+			return reply, nil
 		}),
 		methodNudge: wire.Handle(func(context.Context, struct{}, wire.Send) (any, error) {
 			s.nudgeMembers()
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -116,7 +116,7 @@
 	defer o.mu.Unlock()
 	now := o.clock.Now()
 	switch {
-	case !o.grants() || o.claim.Waits || o.claim.Generation != o.reserve.Generation():
+	case !o.grants() || len(o.claim.After) > 0 || o.claim.Generation != o.reserve.Generation():
 		return false, errNotOwner
 	case o.promisedAt <= o.confirmedAt || now >= o.confirmed()+ownerAuthority:
 		return false, errNoPromise
