Replace a lost owner of the limits half a second sooner

Change: the owner's authority is 1 s, suspicion takes 0.5 s, candidates follow each other by 0.1 s, and the claim is looked at every 0.15 s. The owner reads the members' topic at the plain interval in a large fleet too, since its authority depends on it; stretched reads would have left it to promises. Ruled out: a shorter authority still (a read of a slow store takes a quarter of a second). The promise lasts as long as the authority, and what is in contact for longer than both, as before.

--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -20,7 +20,7 @@
 	// ownerAuthority is how long an owner grants after it was confirmed, by the store or
 	// by the promises of all gateways, and how long a gateway that promised does not
 	// grant itself. An owner that is gone without a trace is replaced after it.
-	ownerAuthority = 1500 * clock.Millis(1)
+	ownerAuthority = clock.Second
 	// strangerWait is how long an owner may grant by promises alone, and how long a new
 	// owner waits that the owner before may not have asked for a promise. It bridges
 	// most outages of the store.
--- a/internal/gateway/owner_claims.go
+++ b/internal/gateway/owner_claims.go
@@ -16,9 +16,9 @@
 	// suspectAfter is the time for which an owner does not answer before the first
 	// candidate takes its place. An owner that was only slow hands its pools over when
 	// it is asked.
-	suspectAfter = 600 * clock.Millis(1)
+	suspectAfter = 500 * clock.Millis(1)
 	// candidateDelay is added for each candidate that should have come first.
-	candidateDelay = 250 * clock.Millis(1)
+	candidateDelay = 100 * clock.Millis(1)
 	// claimPause is the time between two claims of this gateway.
 	claimPause = clock.Second
 	// movedPause is the time for a read of the topic, before a handover is written
@@ -172,6 +172,13 @@
 	return o.claim.Generation
 }
 
+// isOwner reports whether the newest claim is this gateway's.
+func (o *poolOwner) isOwner() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.owns()
+}
+
 func (o *poolOwner) mayGrant() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/gateway/owner_contact.go
+++ b/internal/gateway/owner_contact.go
@@ -24,7 +24,7 @@
 	contactKept  = 5 * clock.Second
 	// promiseAfter is the time without a confirmation by the store after which an owner
 	// asks for promises.
-	promiseAfter = 600 * clock.Millis(1)
+	promiseAfter = 550 * clock.Millis(1)
 	// probeInterval is the time without an answer after which the owner is asked,
 	// probeTimeout bounds the question.
 	probeInterval = 300 * clock.Millis(1)
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -22,6 +22,8 @@
 	endpointInterval = 400 * clock.Millis(1)
 	// memberInterval is the time between two reads of the gateways' records.
 	memberInterval = 500 * clock.Millis(1)
+	// claimInterval is the time between two looks at the claim of the limits' pools.
+	claimInterval = 150 * clock.Millis(1)
 	// stretchPer is the number of gateways that adds the interval once more, up to
 	// maxStretch intervals; the longest keeps within the time in which a leaving
 	// endpoint gets no more requests.
@@ -96,8 +98,12 @@
 }
 
 // stretch returns the factor by which the time between two reads grows with the
-// fleet, so that the reads of all gateways stay within what the store answers.
+// fleet, so that the reads of all gateways stay within what the store answers. The
+// owner of the limits' pools reads as often as ever, since it grants by that.
 func (s *sharedState) stretch() clock.Millis {
+	if s.members.owner.isOwner() {
+		return 1
+	}
 	return clock.Millis(min(maxStretch, 1+s.fleet.Load()/stretchPer))
 }
 
@@ -146,7 +152,7 @@
 			s.aside(ctx, &probing, s.gateway.limits.owner.probe)
 			s.gateway.limits.owner.claimIfVacant(ctx, s.members.live())
 		}
-		timer.Reset((memberInterval / 2).Duration())
+		timer.Reset(claimInterval.Duration())
 		select {
 		case <-timer.C:
 		case <-s.gateway.limits.owner.changed:
