Ask the owner of a pool in one place; share the set-up of specs

Change: askOwner serves both requests; newLimitedDeployment and fillable serve the specs. Ruled out: the rows that only share a shape. No decision and no assertion changes.

--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -135,7 +135,8 @@
 
 // admit takes one request of an account. starting returns the program that the
 // request begins, if it does; it is asked only while the account is short of tokens.
-// admit fails with a *spool.Refusal.
+// admit fails with a *spool.Refusal, which comes with errNoStart when the program may
+// not begin.
 func (l *limiter) admit(ctx context.Context, id spool.AccountID, class limit.Class, starting func() (limit.Start, bool)) error {
 	l.mu.Lock()
 	_, limited := l.limited[id]
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -13,13 +13,20 @@
 	"github.com/baobabspool/baobabspool/internal/standin"
 )
 
+// newLimitedDeployment returns a deployment whose account has a rate and a burst of
+// that size.
+func newLimitedDeployment(rate int) *deployment {
+	d := newDeployment()
+	d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": rate, "burst": rate}}
+	d.publish()
+	return d
+}
+
 var _ = ginkgo.Describe("An account's limit", func() {
 	// Requests of a caller stay with one gateway, so that the load of an account is
 	// uneven. A static split refused most of it.
 	ginkgo.It("serves a rate below it at one of three gateways", func() {
-		d := newDeployment()
-		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": 60, "burst": 60}}
-		d.publish()
+		d := newLimitedDeployment(60)
 		d.endpoint("e1", "app", nil)
 		n := d.start("g1")
 		d.start("g2")
@@ -38,9 +45,7 @@
 
 	ginkgo.It("is kept over all gateways, also after one of them is killed", func() {
 		const rate, burst = 20, 20
-		d := newDeployment()
-		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": rate, "burst": burst}}
-		d.publish()
+		d := newLimitedDeployment(rate)
 		u := d.endpoint("e1", "app", nil)
 		nodes := []*node{d.start("g1"), d.start("g2"), d.start("g3")}
 		for _, n := range nodes {
@@ -83,9 +88,7 @@
 	// Programs that began while others lacked tokens took theirs, and none was served
 	// whole.
 	ginkgo.It("does not begin, while one that has begun goes on", func() {
-		d := newDeployment()
-		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": 20, "burst": 20}}
-		d.publish()
+		d := newLimitedDeployment(20)
 		d.endpoint("e1", "app", nil)
 		d.endpoint("m1", "models", speak)
 		n := d.start("g1")
@@ -134,9 +137,7 @@
 	// An owner that lost power left the accounts with their static parts for eight
 	// seconds and more.
 	ginkgo.It("is replaced within seconds when it is gone without a trace", func() {
-		d := newDeployment()
-		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": 60, "burst": 60}}
-		d.publish()
+		d := newLimitedDeployment(60)
 		d.endpoint("e1", "app", nil)
 		nodes := []*node{d.start("g1"), d.start("g2"), d.start("g3")}
 		for _, n := range nodes {
@@ -159,9 +160,7 @@
 	// Each planned restart of the owner refused requests within the rate for half a
 	// second, until another gateway had found the pools vacant.
 	ginkgo.It("hands them over when it stops, and no request within the rate is refused", func() {
-		d := newDeployment()
-		d.config["tenants"] = []map[string]any{{"name": "weavers", "api_keys": []string{"key-1"}, "rate_per_s": 60, "burst": 60}}
-		d.publish()
+		d := newLimitedDeployment(60)
 		d.endpoint("e1", "app", nil)
 		nodes := []*node{d.start("g1"), d.start("g2"), d.start("g3")}
 		for _, n := range nodes {
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -138,17 +138,23 @@
 		_ = shed
 	})
 
-	// A plain service that had lost all endpoints but one refused calls for which it had a
-	// place some milliseconds later, and each of them failed a program.
-	ginkgo.It("is offered again while all endpoints are full for a moment", func() {
-		var full atomic.Bool
-		u := d.endpoint("e1", "app", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
+	// fillable returns an endpoint of the plain service and a switch that fills it.
+	fillable := func() (u *standin.Upstream, full *atomic.Bool) {
+		full = &atomic.Bool{}
+		u = d.endpoint("e1", "app", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
 			if full.Load() {
 				return u.Shed(conn, request)
 			}
 			u.Whole(conn, request, "done")
 			return true
 		})
+		return u, full
+	}
+
+	// A plain service that had lost all endpoints but one refused calls for which it had a
+	// place some milliseconds later, and each of them failed a program.
+	ginkgo.It("is offered again while all endpoints are full for a moment", func() {
+		u, full := fillable()
 		n := d.start("g1")
 		n.served("/lookup/a", "key-1")
 		full.Store(true)
@@ -159,14 +165,7 @@
 	})
 
 	ginkgo.It("is refused with a time to come back when the endpoints stay full", func() {
-		var full atomic.Bool
-		d.endpoint("e1", "app", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
-			if full.Load() {
-				return u.Shed(conn, request)
-			}
-			u.Whole(conn, request, "done")
-			return true
-		})
+		_, full := fillable()
 		n := d.start("g1")
 		n.served("/lookup/a", "key-1")
 		full.Store(true)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -250,15 +250,21 @@
 		Account: request.Account, Node: request.Node, Sequence: request.Sequence,
 		Want: request.Want, Returned: request.Returned, Epoch: request.Epoch, Urgent: request.Urgent,
 	}
-	stream := spool.StreamOfAccount(request.Account, m.config.StreamCount)
+	return askOwner(ctx, m, request.Account, wire.MethodLease, message, m.lease)
+}
+
+// askOwner puts a request to the owner of an account's pool; own answers it when that is
+// this entry.
+func askOwner[Request, Reply any](ctx context.Context, m *Manager, id spool.AccountID, method string, request Request, own func(ctx context.Context, request Request) (Reply, error)) (reply Reply, err error) {
+	stream := spool.StreamOfAccount(id, m.config.StreamCount)
 	owner, address, ok := m.streams.OwnerOf(stream)
 	switch {
 	case !ok:
 		return reply, spool.Refuse(spool.CodeNoOwner, "stream %s has no owner", stream)
 	case owner == m.config.Node:
-		return m.lease(ctx, message)
+		return own(ctx, request)
 	}
-	err = m.clients.Call(ctx, address, wire.MethodLease, message, &reply, nil)
+	err = m.clients.Call(ctx, address, method, request, &reply, nil)
 	m.heard(owner, err)
 	return reply, err
 }
--- a/internal/quota/starts.go
+++ b/internal/quota/starts.go
@@ -27,9 +27,8 @@
 func (m *Manager) Start(ctx context.Context, id spool.AccountID, start limit.Start) error {
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout.Duration())
 	defer cancel()
-	reply, err := m.askStart(ctx, wire.StartRequest{
-		Account: id, Program: start.Program, Requests: start.Requests, FinishIn: start.FinishIn,
-	})
+	request := wire.StartRequest{Account: id, Program: start.Program, Requests: start.Requests, FinishIn: start.FinishIn}
+	reply, err := askOwner(ctx, m, id, wire.MethodStart, request, m.start)
 	if err != nil {
 		m.telemetry.Event("startUnanswered")
 		return m.refuse(id, 0)
@@ -41,20 +40,6 @@
 	return nil
 }
 
-func (m *Manager) askStart(ctx context.Context, request wire.StartRequest) (reply wire.StartReply, err error) {
-	stream := spool.StreamOfAccount(request.Account, m.config.StreamCount)
-	owner, address, ok := m.streams.OwnerOf(stream)
-	switch {
-	case !ok:
-		return reply, spool.Refuse(spool.CodeNoOwner, "stream %s has no owner", stream)
-	case owner == m.config.Node:
-		return m.start(ctx, request)
-	}
-	err = m.clients.Call(ctx, address, wire.MethodStart, request, &reply, nil)
-	m.heard(owner, err)
-	return reply, err
-}
-
 // start answers for the pool that this entry owns.
 func (m *Manager) start(ctx context.Context, request wire.StartRequest) (reply wire.StartReply, err error) {
 	question := startQuestion{
