Count the bytes and the outcomes of calls to the store

Congestion of the reads, an outage of the store and a lack of processor time could not be told apart.

Change: platform.Store passes each call to a spool.StoreObserver; StoreMeter counts, per topic, bytes of answers, bytes and calls in vain by outcome, the calls in flight and a histogram of durations. 'configuration in force' says for how long the gateway had not been confirmed to have the newest version, and records that came from another gateway are logged. No logic changes.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -59,7 +59,11 @@
 			return flags.serve(string(settings.Node), "gateway", validate, func(t *telemetry.Telemetry) (stopper, []zap.Field, error) {
 				systemClock := clock.System()
 				client := httpconn.NewClient(systemClock)
-				store := platform.NewStore(settings.StoreAddress, client)
+				meter, err := telemetry.NewStoreMeter(t)
+				if err != nil {
+					return nil, nil, err
+				}
+				store := platform.NewStore(settings.StoreAddress, client, platform.WithObserver(meter))
 				g, err := gateway.New(settings, store, platform.Codec{}, client, systemClock, t)
 				if err != nil {
 					return nil, nil, err
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -209,6 +209,10 @@
 	if err != nil || reply.Next < next {
 		return
 	}
+	if len(reply.Records) > 0 {
+		f.log.Info("records came from another gateway", zap.String("topic", string(f.topic)), zap.Int("records", len(reply.Records)),
+			zap.Int64("from", next), zap.Int64("next", reply.Next), zap.Int64("ageMs", int64(reply.Age)))
+	}
 	records := make([]spool.KeyedRecord, 0, len(reply.Records))
 	for _, record := range reply.Records {
 		records = append(records, spool.KeyedRecord(record))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -344,8 +344,9 @@
 }
 
 // install puts a configuration in force, unless its version is not higher than that of
-// the configuration in force.
-func (g *Gateway) install(next *catalog.Catalog) {
+// the configuration in force. unconfirmedFor is the time for which this gateway had not
+// been known to have the newest configuration.
+func (g *Gateway) install(next *catalog.Catalog, unconfirmedFor clock.Millis) {
 	known := g.catalog.Load()
 	if known != nil && known.Version() >= next.Version() {
 		return
@@ -358,5 +359,5 @@
 		HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
 	})
 	g.limits.configure(next.Accounts())
-	g.log.Info("configuration in force", zap.Int64("version", next.Version()))
+	g.log.Info("configuration in force", zap.Int64("version", next.Version()), zap.Int64("unconfirmedForMs", int64(unconfirmedFor)))
 }
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -58,7 +58,7 @@
 
 func newSharedState(g *Gateway, store spool.Store, incarnation string, members *memberTable, bootClock clock.Clock) *sharedState {
 	s := &sharedState{gateway: g, store: store, log: g.log, members: members, incarnation: incarnation}
-	s.operator = &operatorSink{gateway: g, log: g.log, evacuated: map[spool.FailureDomain]bool{}}
+	s.operator = &operatorSink{gateway: g, log: g.log, bootClock: bootClock, evacuated: map[spool.FailureDomain]bool{}}
 	s.followers = []*follower{
 		{topic: spool.TopicOperator, pollWait: operatorPollWait, sink: s.operator},
 		{topic: spool.TopicEndpoints, pollInterval: endpointInterval, sink: &endpointSink{gateway: g, log: g.log}},
@@ -192,8 +192,9 @@
 // operatorSink applies the records of the operator topic: configurations and
 // evacuations of failure domains.
 type operatorSink struct {
-	gateway *Gateway
-	log     *zap.Logger
+	gateway   *Gateway
+	log       *zap.Logger
+	bootClock clock.Clock
 
 	mu sync.Mutex
 	// evacuated holds the evacuated failure domains. confirmedAt is when the newest
@@ -221,7 +222,7 @@
 	case err != nil:
 		s.log.Warn("malformed operator record was ignored", zap.String("key", record.Key), zap.Error(err))
 	case change.Catalog != nil:
-		s.gateway.install(change.Catalog)
+		s.gateway.install(change.Catalog, s.unconfirmedFor())
 	case change.EvacuationDomain != "":
 		s.log.Info("evacuation changes", zap.String("failureDomain", string(change.EvacuationDomain)), zap.Bool("evacuated", len(record.Value) > 0))
 		s.setEvacuated(change.EvacuationDomain, len(record.Value) > 0)
@@ -251,6 +252,16 @@
 	s.confirmedAt, s.hasRead = max(s.confirmedAt, sentAt), true
 }
 
+// unconfirmedFor returns the time since the newest read of the operator topic was sent;
+// 0 before the first one.
+func (s *operatorSink) unconfirmedFor() clock.Millis {
+	confirmedAt, hasRead := s.confirmed()
+	if !hasRead {
+		return 0
+	}
+	return s.bootClock.Now() - confirmedAt
+}
+
 // confirmed returns when the newest read of the operator topic was sent, and whether
 // there has been one.
 func (s *operatorSink) confirmed() (clock.Millis, bool) {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -1,6 +1,7 @@
 // Package telemetry provides the logger and the OpenTelemetry counters of a process.
 // There is one counter for each refusal code, each failure that causes retries, each
-// violated invariant and each named event.
+// violated invariant and each named event, and a histogram of durations for each named
+// operation.
 package telemetry
 
 import (
@@ -21,6 +22,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -34,6 +36,7 @@
 	retries    metric.Int64Counter
 	violations metric.Int64Counter
 	events     metric.Int64Counter
+	durations  metric.Int64Histogram
 
 	mu sync.Mutex
 	// totals holds the values of the counters a second time, because OpenTelemetry
@@ -69,6 +72,9 @@
 	sampleEvery = 100
 )
 
+// durationBounds are the upper bounds of the histogram buckets, in milliseconds.
+var durationBounds = []float64{2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000}
+
 // NewLogger returns a logger that writes to standard output. Logging never blocks; lines
 // beyond the buffer of BoundedWriter are dropped. format is "json" or "console". level
 // is the lowest level that is logged, one of zap's level names.
@@ -116,7 +122,8 @@
 			return nil, err
 		}
 	}
-	return t, nil
+	t.durations, err = meter.Int64Histogram("baobabspool_duration", metric.WithUnit("ms"), metric.WithExplicitBucketBoundaries(durationBounds...))
+	return t, err
 }
 
 // Logger returns the logger of one component. Its messages start with part, the name of
@@ -129,23 +136,34 @@
 
 // CountRefusal counts one refused request by its refusal code.
 func (t *Telemetry) CountRefusal(code spool.Code) {
-	t.add(t.refusals, KindRefusal, "code", string(code))
+	t.add(t.refusals, KindRefusal, "code", string(code), 1)
 }
 
 // CountRetry counts one retry by the failure that caused it.
 func (t *Telemetry) CountRetry(failure spool.Failure) {
-	t.add(t.retries, KindRetry, "reason", string(failure))
+	t.add(t.retries, KindRetry, "reason", string(failure), 1)
 }
 
 // CountViolation counts one violation of the named invariant and logs it as an error with
 // the given fields.
 func (t *Telemetry) CountViolation(invariant string, fields ...zap.Field) {
-	t.add(t.violations, KindViolation, "invariant", invariant)
+	t.add(t.violations, KindViolation, "invariant", invariant, 1)
 	t.Logger("invariant").Error("invariant was violated", append(fields, zap.String("invariant", invariant))...)
 }
 
 // CountEvent counts one occurrence of the event with the given name.
-func (t *Telemetry) CountEvent(name string) { t.add(t.events, KindEvent, "event", name) }
+func (t *Telemetry) CountEvent(name string) { t.CountEvents(name, 1) }
+
+// CountEvents counts n occurrences of the event with the given name, or n bytes if the
+// name says so.
+func (t *Telemetry) CountEvents(name string, n int64) {
+	t.add(t.events, KindEvent, "event", name, n)
+}
+
+// RecordDuration adds a duration to the histogram of the operation with the given name.
+func (t *Telemetry) RecordDuration(operation string, duration clock.Millis) {
+	t.durations.Record(context.Background(), int64(duration), metric.WithAttributes(attribute.String("operation", operation)))
+}
 
 // RegisterGauge registers a gauge. read is called at every collection of the metrics and
 // returns the value. If the name is already registered, the first read function stays
@@ -182,12 +200,12 @@
 // format.
 func (t *Telemetry) Handler() fasthttp.RequestHandler { return t.handler }
 
-// add increments a counter and its value in totals. key is the name of the label in
+// add adds n to a counter and to its value in totals. key is the name of the label in
 // OpenTelemetry.
-func (t *Telemetry) add(counter metric.Int64Counter, kind, key, label string) {
-	counter.Add(context.Background(), 1, metric.WithAttributes(attribute.String(key, label)))
+func (t *Telemetry) add(counter metric.Int64Counter, kind, key, label string, n int64) {
+	counter.Add(context.Background(), n, metric.WithAttributes(attribute.String(key, label)))
 	t.mu.Lock()
-	t.totals[Series{Kind: kind, Label: label}]++
+	t.totals[Series{Kind: kind, Label: label}] += n
 	t.mu.Unlock()
 }
 
