--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -38,6 +38,10 @@
 	// eventuallyTimeout bounds waits for conditions that usually hold within a few
 	// hundred milliseconds.
 	eventuallyTimeout = 10 * time.Second
+	// testPartitions is the number of partitions of the turns and of the budgets.
+	testPartitions = 4
+	// configWithin is the time within which a configuration must be in force.
+	configWithin = 2 * time.Second
 )
 
 // deployment is a stand-in of the store with gateways and endpoints, all on the
@@ -134,7 +138,7 @@
 	ginkgo.DeferCleanup(storeServer.Close)
 	n := &node{storeServer: storeServer, settings: spool.GatewaySettings{
 		Node: spool.NodeID(name), FailureDomain: "a", Region: "r", Listen: freeAddress(), ReadyListen: freeAddress(),
-		ControlListen: freeAddress(), StoreAddress: storeServer.Address(), Partitions: 4, MaxAppendBytes: 1 << 20,
+		ControlListen: freeAddress(), StoreAddress: storeServer.Address(), Partitions: testPartitions, MaxAppendBytes: 1 << 20,
 		StopWithin: 4 * clock.Second, FirstStart: true,
 		LimitTolerance: spool.LimitTolerance{Window: 5 * clock.Second, Over: 0.1, Slack: 20},
 	}}
