Share the reads of a partition, and do not read it twice

What callers saw: a turn was answered up to 0.6 s after its deadline while partitions of the history did not answer, and a confirmed configuration came into force nowhere while turns were looked up (CONFIG).

Cause: a caller that looked for a turn queued for the lock of the partition's reader without regard for its own time. A read was tied to the caller that started it: when that one gave up after 200 to 700 ms, the bytes were lost, the next caller read the same partition from the same offset, and after 150 ms each read went out a second time by way of another gateway. The store still sent what nobody waited for, so that reads of the configuration waited behind it.

Ruled out: a configuration lost or held up inside a gateway (0.1 s between the first and the last gateway while reads are healthy).

Change: partitionReader makes one pass over a partition for all who wait; each waits no longer than its own context; a pass goes on without them and keeps what it has read. Budgets use the same reader, and a turn that waits for another turn's grant leaves in time. Reads go to a second path only after a failure; other calls are sent twice because they are slow at most four at a time. The loops that overlapped attempts are one type, hedge.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -102,9 +103,10 @@
 
 // programGrants holds the grants of one program at this gateway.
 type programGrants struct {
-	// requestMu is held while a grant is requested. Concurrent turns wait for it and
-	// then use the new grant, instead of sending their own request.
-	requestMu sync.Mutex
+	// request is held while a grant is requested. Concurrent turns wait for it and then
+	// use the new grant, instead of sending their own request. A turn stops waiting when
+	// its time is over.
+	request *semaphore.Weighted
 	// mu guards hold and closed. closed is set when the grants have been returned;
 	// turns then need a new programGrants.
 	mu     sync.Mutex
@@ -116,23 +118,26 @@
 // partition.
 type budgetLedger struct {
 	*spend.Ledger
-	partition spool.Partition
-	appender  *appender
-	// readMu serializes the reads of the partition, so that records are applied in
-	// order.
-	readMu sync.Mutex
+	appender *appender
+	reader   *partitionReader
 }
 
 func newBudgetStore(ctx context.Context, store spool.Store, health *storeHealth, systemClock clock.Clock, settings spool.GatewaySettings, incarnation string, requestGrantReturn func(ctx context.Context, incarnation string, id spool.ProgramID) error, reserve *reserveClient) *budgetStore {
 	s := &budgetStore{
 		requestGrantReturn: requestGrantReturn, reserve: reserve, ctx: ctx, store: store, health: health, clock: systemClock, incarnation: incarnation, programs: map[spool.ProgramID]*programGrants{},
 	}
+	slots := semaphore.NewWeighted(maxBudgetPartitions)
 	for i := range min(settings.Partitions, maxBudgetPartitions) {
 		partition := spool.Partition{Topic: spool.TopicBudgets, Index: i}
-		s.ledgers = append(s.ledgers, &budgetLedger{
-			Ledger: spend.NewLedger(), partition: partition,
+		ledger := &budgetLedger{
+			Ledger:   spend.NewLedger(),
 			appender: newAppender(ctx, store, partition, settings.MaxAppendBytes, systemClock),
+		}
+		ledger.reader = newPartitionReader(ctx, store, partition, slots, func(page spool.LogPage) {
+			ledger.SkipTo(page.From)
+			ledger.Apply(systemClock.Now(), page.From, page.Records)
 		})
+		s.ledgers = append(s.ledgers, ledger)
 	}
 	go func() {
 		for clock.Pause(ctx, releaseInterval) {
@@ -198,7 +203,7 @@
 	defer s.mu.Unlock()
 	grants := s.programs[id]
 	if grants == nil {
-		grants = &programGrants{}
+		grants = &programGrants{request: semaphore.NewWeighted(1)}
 		s.programs[id] = grants
 	}
 	return grants
@@ -237,8 +242,10 @@
 // unused tokens and requests once more. budget is the part of the program's budget that
 // the log grants.
 func (s *budgetStore) ensureGrant(ctx context.Context, id spool.ProgramID, grants *programGrants, maxTokens, budget int64) error {
-	grants.requestMu.Lock()
-	defer grants.requestMu.Unlock()
+	if err := grants.request.Acquire(ctx, 1); err != nil {
+		return errors.Wrap(errBudgetUnknown, "another turn of the program waits for a grant")
+	}
+	defer grants.request.Release(1)
 	need, closed := grants.shortfall(maxTokens)
 	if need == 0 || closed {
 		return nil
@@ -344,9 +351,8 @@
 	ledger := s.ledgerOf(id)
 	ctx, cancel := context.WithTimeout(ctx, programLookupTimeout.Duration())
 	defer cancel()
-	// The offset after the next one makes catchUp read all new records. Its error is
-	// ignored: a program whose records cannot be read is treated as new.
-	_ = s.catchUp(ctx, ledger, ledger.NextOffset()+1)
+	// The error is ignored: a program whose records cannot be read is treated as new.
+	_ = ledger.reader.catchUp(ctx, func() bool { return ledger.Known(id) })
 	return ledger.Known(id)
 }
 
@@ -357,53 +363,25 @@
 	ledger := s.ledgerOf(record.Program)
 	ledger.Await(record.Grant)
 	defer ledger.CancelAwait(record.Grant)
-	offset, err := ledger.appender.append(ctx, record.Encode())
-	if err != nil {
+	if _, err := ledger.appender.append(ctx, record.Encode()); err != nil {
 		return 0, err
 	}
+	isApplied := func() bool {
+		_, ok := ledger.Granted(record.Grant)
+		return ok
+	}
 	for {
+		// A failed read is repeated, because the request may be granted already.
+		_ = ledger.reader.catchUp(ctx, isApplied)
 		if granted, ok := ledger.Granted(record.Grant); ok {
 			return granted, nil
 		}
-		next := ledger.NextOffset()
-		if err := s.catchUp(ctx, ledger, offset+1); err != nil {
-			return 0, err
-		}
-		if ledger.NextOffset() == next && !clock.Pause(ctx, appendRetryDelay) {
-			// The read has not returned the appended record yet, and ctx has ended
-			// during the pause.
+		if !clock.Pause(ctx, appendRetryDelay) {
 			return 0, context.Cause(ctx)
 		}
 	}
 }
 
-// catchUp reads the ledger's partition up to the offset until, or to the end of the
-// partition if that comes first. It retries failed reads until ctx ends.
-func (s *budgetStore) catchUp(ctx context.Context, ledger *budgetLedger, until int64) error {
-	ledger.readMu.Lock()
-	defer ledger.readMu.Unlock()
-	for ledger.NextOffset() < until {
-		if ctx.Err() != nil {
-			return context.Cause(ctx)
-		}
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
-		page, err := s.store.Read(callCtx, ledger.partition, ledger.NextOffset(), 0)
-		cancel()
-		switch {
-		case errors.Is(err, spool.ErrTrimmed) && page.First > ledger.NextOffset():
-			ledger.SkipTo(page.First)
-		case err != nil:
-			clock.Pause(ctx, appendRetryDelay)
-		default:
-			ledger.Apply(s.clock.Now(), page.From, page.Records)
-			if len(page.Records) == 0 {
-				return nil
-			}
-		}
-	}
-	return nil
-}
-
 // appendAsync queues a record and does not wait for the write. The record is dropped if
 // it cannot be written within grantEndTimeout.
 func (s *budgetStore) appendAsync(record spend.Record) {
@@ -434,10 +412,10 @@
 // run within the time idle or a grant is being requested, it does nothing and closed is
 // false. record supplies the program.
 func (g *programGrants) closeIfIdle(now, idle clock.Millis, record spend.Record) (ends []spend.Record, closed bool) {
-	if !g.requestMu.TryLock() {
+	if !g.request.TryAcquire(1) {
 		return nil, false
 	}
-	defer g.requestMu.Unlock()
+	defer g.request.Release(1)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.hold.Idle(now, idle) {
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -129,7 +129,7 @@
 	sentAt := f.bootClock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, (f.pollWait + storeTimeout).Duration())
 	defer cancel()
-	page, err := f.store.Read(callCtx, spool.Partition{Topic: f.topic}, next, f.pollWait)
+	page, err := f.store.Read(callCtx, spool.ReadRequest{Partition: spool.Partition{Topic: f.topic}, From: next, Wait: f.pollWait})
 	switch {
 	case errors.Is(err, spool.ErrTrimmed), err == nil && page.End < next:
 		f.log.Warn("log was trimmed and is read anew", zap.String("topic", string(f.topic)), zap.Int64("next", next))
--- a/internal/gateway/pathstore.go
+++ b/internal/gateway/pathstore.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -21,6 +21,10 @@
 	// hedgeDelay is how long a call over one path may take before it is also sent over
 	// the other path. The store usually answers within a few milliseconds.
 	hedgeDelay = 150 * clock.Millis(1)
+	// maxHedgedCalls bounds the calls that a gateway sends over the second path only
+	// because the first one is slow. When every call is slow, the store or the network is
+	// overloaded, and second copies would make that worse.
+	maxHedgedCalls = 4
 )
 
 // errNoPeer means that there is no gateway to call: no other gateway is known, or none
@@ -37,6 +41,9 @@
 	callPeer func(ctx context.Context, method string, request, reply any) error
 
 	telemetry *telemetry.Telemetry
+	// hedge runs a small call over both paths. failover does so for a call whose answer
+	// may be large: it uses the second path only after the first one has failed.
+	hedge, failover *hedge
 
 	mu sync.Mutex
 	// directFailing reports whether the last direct call got no answer from the store.
@@ -48,7 +55,10 @@
 var _ spool.Store = (*pathStore)(nil)
 
 func newPathStore(direct spool.Store, health *storeHealth, callPeer func(ctx context.Context, method string, request, reply any) error, t *telemetry.Telemetry) *pathStore {
-	return &pathStore{telemetry: t, direct: direct, health: health, callPeer: callPeer}
+	return &pathStore{
+		telemetry: t, direct: direct, health: health, callPeer: callPeer,
+		hedge: newHedge(hedgeDelay, isAnswer, withMaxHedged(maxHedgedCalls)), failover: newHedge(0, isAnswer),
+	}
 }
 
 // storeRequest is a store call for another gateway: an append to a keyed topic if Key
@@ -62,8 +72,9 @@
 	// End makes the append to a keyed topic conditional: it is the offset at which the
 	// topic must end. nil for no condition.
 	End *int64 `json:"end,omitempty"`
-	// From is the first offset of a read.
-	From int64 `json:"from,omitempty"`
+	// From and MaxBytes are those of a spool.ReadRequest.
+	From     int64 `json:"from,omitempty"`
+	MaxBytes int   `json:"maxBytes,omitempty"`
 }
 
 // storeReply is the result of a storeRequest. First, End and Records are the fields of
@@ -147,24 +158,28 @@
 	})
 }
 
-// Read implements spool.Store. A read with a waiting time uses the direct path only.
-func (s *pathStore) Read(ctx context.Context, partition spool.Partition, from int64, wait clock.Millis) (page spool.LogPage, err error) {
-	if wait > 0 {
-		s.telemetry.CountEvent("storeRead." + string(partition.Topic))
-		page, err = s.direct.Read(ctx, partition, from, wait)
+// Read implements spool.Store. A read with a waiting time uses the direct path only. Other
+// reads are not sent over both paths at the same time: a slow one may be slow because the
+// reads of all gateways use up the store's rate.
+func (s *pathStore) Read(ctx context.Context, request spool.ReadRequest) (page spool.LogPage, err error) {
+	if request.Wait > 0 {
+		s.telemetry.CountEvent("storeRead." + string(request.Partition.Topic))
+		page, err = s.direct.Read(ctx, request)
 		s.recordDirectResult(ctx, err)
 		return page, err
 	}
 	var first firstResult[spool.LogPage]
-	err = s.callHedged(ctx, func() error {
-		s.telemetry.CountEvent("storeRead." + string(partition.Topic))
-		return first.set(s.direct.Read(ctx, partition, from, 0))
+	err = s.callPaths(ctx, s.failover, func() error {
+		s.telemetry.CountEvent("storeRead." + string(request.Partition.Topic))
+		return first.set(s.direct.Read(ctx, request))
 	}, func() error {
-		reply, err := s.callViaPeer(ctx, storeRequest{Topic: partition.Topic, Partition: partition.Index, From: from})
+		reply, err := s.callViaPeer(ctx, storeRequest{
+			Topic: request.Partition.Topic, Partition: request.Partition.Index, From: request.From, MaxBytes: request.MaxBytes,
+		})
 		if err == nil && reply.Trimmed {
 			err = spool.ErrTrimmed
 		}
-		return first.set(spool.LogPage{From: from, First: reply.First, End: reply.End, Records: reply.Records}, err)
+		return first.set(spool.LogPage{From: request.From, First: reply.First, End: reply.End, Records: reply.Records}, err)
 	})
 	return first.get(), err
 }
@@ -183,48 +198,26 @@
 }
 
 // callHedged makes a call over the direct path. If that fails or takes longer than
-// hedgeDelay, it makes the call over the peer path as well. While direct calls fail,
-// the order is reversed. It returns the first answer of the store (see isAnswer), or an
-// error when both paths have failed, or when one has failed and ctx has ended.
+// hedgeDelay, it makes the call over the peer path as well.
 func (s *pathStore) callHedged(ctx context.Context, direct, peer func() error) error {
-	paths := []func() error{func() error {
+	return s.callPaths(ctx, s.hedge, direct, peer)
+}
+
+// callPaths makes a call over both paths, one after another, as order says. While direct
+// calls fail, the peer path comes first. It returns the first answer of the store (see
+// isAnswer), or an error when both paths have failed or ctx has ended.
+func (s *pathStore) callPaths(ctx context.Context, order *hedge, direct, peer func() error) error {
+	attempts := []func() error{func() error {
 		err := direct()
 		s.recordDirectResult(ctx, err)
 		return err
 	}, peer}
 	if s.isDirectFailing() {
-		paths[0], paths[1] = paths[1], paths[0]
-	}
-	results := make(chan error, len(paths))
-	started := 0
-	start := func() {
-		path := paths[started]
-		started++
-		go func() { results <- path() }()
-	}
-	start()
-	hedge := time.NewTimer(hedgeDelay.Duration())
-	defer hedge.Stop()
-	for completed := 0; ; {
-		select {
-		case err := <-results:
-			completed++
-			if isAnswer(err) || completed == len(paths) {
-				s.recordAnswer(err)
-				return err
-			}
-			if started < len(paths) && ctx.Err() == nil {
-				start()
-			}
-			if completed == started {
-				return err
-			}
-		case <-hedge.C:
-			if started < len(paths) {
-				start()
-			}
-		}
+		slices.Reverse(attempts)
 	}
+	err := order.run(ctx, attempts...)
+	s.recordAnswer(err)
+	return err
 }
 
 func (s *pathStore) isDirectFailing() bool {
@@ -304,7 +297,7 @@
 		reply.Offset, err = s.direct.Append(ctx, partition, request.Records)
 		return reply, err
 	}
-	page, err := s.direct.Read(ctx, partition, request.From, 0)
+	page, err := s.direct.Read(ctx, spool.ReadRequest{Partition: partition, From: request.From, MaxBytes: request.MaxBytes})
 	if errors.Is(err, spool.ErrTrimmed) {
 		return storeReply{Trimmed: true, First: page.First}, nil
 	}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/chain"
@@ -36,13 +36,15 @@
 	methodTurns = "gateway.turns"
 	// maxQueriedPeers bounds the number of gateways that are queried for one turn.
 	maxQueriedPeers = 12
+	// maxTurnReads bounds the pages of turns that a gateway reads at the same time. With
+	// maxPageBytes, a VM with the slowest link receives them within half a second.
+	maxTurnReads = 3
 )
 
 // turnStore stores turns in the partitions of a topic. A hash of the identifier selects
 // the home partition of a turn. If that partition cannot be written in time, the turn
 // is written to others. A turn may therefore be in any partition, and in more than one.
 type turnStore struct {
-	store     spool.Store
 	clock     clock.Clock
 	index     *chain.Index
 	appenders []*appender
@@ -52,23 +54,28 @@
 	queryPeers func(ctx context.Context, turn string) [][]byte
 }
 
-// partitionReader is the read position in one partition. Partitions are read only when
-// a turn is looked up that is not in the index.
-type partitionReader struct {
-	mu   sync.Mutex
-	next int64
-}
-
 func newTurnStore(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, queryPeers func(ctx context.Context, turn string) [][]byte) *turnStore {
-	s := &turnStore{store: store, clock: systemClock, index: chain.NewIndex(), queryPeers: queryPeers}
+	s := &turnStore{clock: systemClock, index: chain.NewIndex(), queryPeers: queryPeers}
+	slots := semaphore.NewWeighted(maxTurnReads)
+	apply := func(page spool.LogPage) { s.addRecords(page.Records) }
 	for i := range settings.Partitions {
 		partition := spool.Partition{Topic: spool.TopicTurns, Index: i}
 		s.appenders = append(s.appenders, newAppender(ctx, store, partition, settings.MaxAppendBytes, systemClock))
-		s.readers = append(s.readers, &partitionReader{})
+		s.readers = append(s.readers, newPartitionReader(ctx, store, partition, slots, apply))
 	}
 	return s
 }
 
+// addRecords adds encoded turns to the index. It ignores records that are not turns.
+func (s *turnStore) addRecords(records [][]byte) {
+	now := s.clock.Now()
+	for _, record := range records {
+		if turn, err := chain.Decode(record); err == nil {
+			s.index.Add(now, turn)
+		}
+	}
+}
+
 // homePartition returns the index of the partition that a turn is written to first.
 func (s *turnStore) homePartition(id string) int {
 	return int(xxhash.Sum64String(id) % uint64(len(s.appenders)))
@@ -82,37 +89,20 @@
 	record := turn.Encode()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan error, len(s.appenders))
-	order, started := s.writeOrder(turn.ID), 0
-	start := func() {
-		target := order[started]
-		started++
-		go func() {
+	var attempts []func() error
+	for _, target := range s.writeOrder(turn.ID) {
+		attempts = append(attempts, func() error {
 			_, err := target.append(ctx, record)
-			results <- err
-		}()
+			return err
+		})
 	}
-	start()
-	for {
-		wait, stop := context.WithTimeout(ctx, partitionHedgeDelay.Duration())
-		select {
-		case err := <-results:
-			stop()
-			if err != nil {
-				return err
-			}
-			s.index.Add(s.clock.Now(), turn)
-			return nil
-		case <-wait.Done():
-			stop()
-		}
-		if ctx.Err() != nil {
-			return context.Cause(ctx)
-		}
-		if started < len(order) {
-			start()
-		}
+	// An appender repeats a failed write itself, so that each result is final.
+	isFinal := func(error) bool { return true }
+	if err := newHedge(partitionHedgeDelay, isFinal).run(ctx, attempts...); err != nil {
+		return err
 	}
+	s.index.Add(s.clock.Now(), turn)
+	return nil
 }
 
 // writeOrder returns the partitions in the order in which a turn is written to them:
@@ -154,7 +144,7 @@
 // gateways, then in all partitions. It stops when all turns are in the index.
 func (s *turnStore) findHistory(ctx context.Context, id string, missing []string) (turns []*chain.Turn, err error) {
 	// The first round may find a turn that continues earlier turns. The second round
-	// reads the home partitions of those.
+	// looks for those.
 	for range 2 {
 		if s.readHomePartitions(ctx, missing) != nil {
 			break
@@ -167,28 +157,51 @@
 	if turns, missing = s.index.History(id); len(missing) == 0 {
 		return turns, nil
 	}
-	all := map[int]bool{}
-	for i := range s.readers {
-		all[i] = true
-	}
-	readErr := s.catchUpPartitions(ctx, all, fullReadTimeout)
+	findErr := s.readAllPartitions(ctx, missing)
 	if turns, missing = s.index.History(id); len(missing) == 0 {
 		return turns, nil
 	}
-	if readErr != nil {
-		return nil, errors.Wrap(errTurnUncertain, readErr.Error())
+	if findErr != nil {
+		return nil, errors.Wrap(errTurnUncertain, findErr.Error())
 	}
 	return nil, errNoTurn
 }
 
-// readHomePartitions reads the home partitions of turns to their ends and adds the
-// turns found to the index.
+// readHomePartitions reads the home partitions of turns until these are found.
 func (s *turnStore) readHomePartitions(ctx context.Context, turns []string) error {
 	homes := map[int]bool{}
 	for _, turn := range turns {
 		homes[s.homePartition(turn)] = true
 	}
-	return s.catchUpPartitions(ctx, homes, homeReadTimeout)
+	return s.readPartitions(ctx, homes, turns, homeReadTimeout)
+}
+
+// readAllPartitions reads all partitions until turns are found.
+func (s *turnStore) readAllPartitions(ctx context.Context, turns []string) error {
+	all := map[int]bool{}
+	for i := range s.readers {
+		all[i] = true
+	}
+	return s.readPartitions(ctx, all, turns, fullReadTimeout)
+}
+
+// readPartitions reads the given partitions to their ends or until turns are found,
+// concurrently. It returns the error of one of those that could not be read within
+// timeout; nil if there is none.
+func (s *turnStore) readPartitions(ctx context.Context, partitions map[int]bool, turns []string, timeout clock.Millis) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	found := func() bool { return len(s.index.Turns(turns)) == len(turns) }
+	results := make(chan error, len(partitions))
+	for i := range partitions {
+		go func() { results <- s.readers[i].catchUp(ctx, found) }()
+	}
+	for range partitions {
+		if result := <-results; result != nil {
+			err = result
+		}
+	}
+	return err
 }
 
 // fetchFromPeers asks other gateways for the history of a turn and adds the turns in
@@ -196,11 +209,7 @@
 func (s *turnStore) fetchFromPeers(ctx context.Context, id string) {
 	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout.Duration())
 	defer cancel()
-	for _, record := range s.queryPeers(ctx, id) {
-		if turn, err := chain.Decode(record); err == nil {
-			s.index.Add(s.clock.Now(), turn)
-		}
-	}
+	s.addRecords(s.queryPeers(ctx, id))
 }
 
 type turnsRequest struct {
@@ -223,61 +232,15 @@
 			if len(missing) > 0 {
 				return reply, nil
 			}
-			for _, turn := range turns {
-				reply.Records = append(reply.Records, turn.Encode())
-			}
+			reply.Records = encodeTurns(turns)
 			return reply, nil
 		}),
 	}
 }
 
-// catchUpPartitions reads the given partitions to their ends, concurrently. It returns
-// the error of one of those that could not be read within timeout; nil if there is
-// none.
-func (s *turnStore) catchUpPartitions(ctx context.Context, partitions map[int]bool, timeout clock.Millis) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
-	defer cancel()
-	results := make(chan error, len(partitions))
-	for i := range partitions {
-		go func() { results <- s.readers[i].catchUp(ctx, s, i) }()
-	}
-	var readErr error
-	for range partitions {
-		if err := <-results; err != nil {
-			readErr = err
-		}
-	}
-	return readErr
-}
-
-// catchUp reads a partition up to the end that the last page reports, and adds the
-// turns to the index. It skips records that retention has removed.
-func (r *partitionReader) catchUp(ctx context.Context, s *turnStore, index int) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for {
-		if err := ctx.Err(); err != nil {
-			return err
-		}
-		page, err := s.store.Read(ctx, spool.Partition{Topic: spool.TopicTurns, Index: index}, r.next, 0)
-		if errors.Is(err, spool.ErrTrimmed) && page.First > r.next {
-			r.next = page.First
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		for _, record := range page.Records {
-			if turn, err := chain.Decode(record); err == nil {
-				s.index.Add(s.clock.Now(), turn)
-			}
-		}
-		r.next += int64(len(page.Records))
-		switch {
-		case r.next >= page.End:
-			return nil
-		case len(page.Records) == 0:
-			return errors.Errorf("store returned no record at offset %d, though the partition ends at %d", r.next, page.End)
-		}
+func encodeTurns(turns []*chain.Turn) (records [][]byte) {
+	for _, turn := range turns {
+		records = append(records, turn.Encode())
 	}
+	return records
 }
--- a/pkg/chain/index.go
+++ b/pkg/chain/index.go
@@ -70,6 +70,19 @@
 	return append(history, last), missing
 }
 
+// Turns returns those of the turns with these IDs that are in the index, in the order of
+// the IDs.
+func (x *Index) Turns(ids []string) (turns []*Turn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, id := range ids {
+		if turn := x.turns[id]; turn != nil {
+			turns = append(turns, turn)
+		}
+	}
+	return turns
+}
+
 // Expire removes turns whose retention and retentionMargin have passed since they
 // were added. Turns are removed in the order in which they were added, so a turn
 // with a long retention delays the removal of all turns added after it.
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -34,6 +34,18 @@
 // String formats p as topic/index.
 func (p Partition) String() string { return fmt.Sprintf("%s/%d", p.Topic, p.Index) }
 
+// ReadRequest names the records that a Read returns.
+type ReadRequest struct {
+	Partition Partition
+	// From is the offset of the first record.
+	From int64
+	// Wait is how long the read waits for a record if there is none; 0 for not at all.
+	Wait clock.Millis
+	// MaxBytes bounds the size of the answer, except that one record may be larger; 0
+	// leaves the bound to the store.
+	MaxBytes int
+}
+
 // LogPage is the result of one Read of a partition.
 type LogPage struct {
 	// From is the offset of the first element of Records.
@@ -67,11 +79,10 @@
 	// AppendKeyedAt does the same as AppendKeyed, but only if end is the offset after the
 	// last record of the topic. Otherwise it fails with ErrConditionFailed.
 	AppendKeyedAt(ctx context.Context, topic Topic, key string, value []byte, end int64) error
-	// Read returns the records from offset from on, or an initial part of them. If there
-	// are none, it waits for a record for up to the duration wait. It fails with
-	// ErrTrimmed when retention has removed the record at from; First of the returned page
-	// is set then, too.
-	Read(ctx context.Context, partition Partition, from int64, wait clock.Millis) (LogPage, error)
+	// Read returns the records from an offset on, or an initial part of them. It fails
+	// with ErrTrimmed when retention has removed the record at that offset; First of the
+	// returned page is set then, too.
+	Read(ctx context.Context, request ReadRequest) (LogPage, error)
 	// LatestByKey returns the newest record of each key. end is the offset from which
 	// Read returns every later change.
 	LatestByKey(ctx context.Context, topic Topic) (records []KeyedRecord, end int64, err error)
