Let one gateway read a partition of the history, and answer for the others

What callers saw: after a return of all machines hardly a turn was served until the load ended, 15 s and more (RECOVER, LOST), on grown sites only.

Cause: a gateway without an index answered the question for one turn by reading a whole partition, or all of them, from the store. 32 gateways needed 390 MB at 80 MB a second for the history of 35 s, and gave up reads after 200 to 700 ms; class: congestion collapse, kept up by its own retries. Bytes grew with the square of the fleet.

Change: each partition has a home among the running gateways, chosen by rendezvous hashing (pkg/homes). A gateway asks the home for turns that it does not know; the home reads the rest of its partition, once for all who ask, and says within 100 ms if it is still reading. A second gateway is asked after 150 ms of silence, and the partition is read without homes only when none answers for 300 ms. Which gateway answers is no matter of correctness: each reads to the end after it was asked, so 404 is as certain as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/baobabspool/baobabspool/pkg/catalog"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/endpoints"
+	"github.com/baobabspool/baobabspool/pkg/homes"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -55,6 +56,11 @@
 	store         *pathStore
 	peerPicker    *peerPicker
 	peerClients   *wire.Clients
+	// homes assigns partitions to gateways. lookupClients holds the connections to them.
+	// Every gateway calls every other one there, but rarely, so that the connections are
+	// closed soon: an idle one costs heartbeats.
+	homes         *homes.Table
+	lookupClients *wire.Clients
 	peerServer    *wire.Server
 
 	// catalog is the configuration in force; nil until one has been read. Its version
@@ -83,6 +89,9 @@
 	// notReadyAfter is how long all calls to the store must have failed before a
 	// gateway is not ready. It is well above the duration of one call that times out.
 	notReadyAfter = 1200 * clock.Millis(1)
+	// lookupIdleTimeout is the time without a call after which a connection of
+	// lookupClients is closed. It is not less than the timeout of a call.
+	lookupIdleTimeout = clock.Second
 	// shutdownMargin is the part of GatewaySettings.StopWithin that a shutdown does not
 	// use, so that the process ends before SIGKILL.
 	shutdownMargin = 300 * clock.Millis(1)
@@ -122,12 +131,14 @@
 	g.peerClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(peerSilenceTimeout, peerPingInterval))
 	g.store = newPathStore(store, g.health, g.callPeer, g.telemetry)
 	g.loads = newServiceLoads(g.clock)
-	g.turns = newTurnStore(ctx, g.store, g.clock, g.settings, g.queryTurns)
+	g.homes = homes.NewTable(g.clock)
+	g.lookupClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(peerSilenceTimeout, peerPingInterval), wire.WithClientIdleTimeout(lookupIdleTimeout))
+	g.turns = newTurnStore(ctx, g.store, g.clock, g.settings, g.homes, g.callHome, g.queryTurns, g.telemetry.Logger("turns"))
 	ownership := newPoolOwnership(g.settings, incarnation, g.store, bootClock, g.queryAlive, g.telemetry.Logger("limits"))
 	g.reserve = &reserveClient{ctx: ctx, poolOwnership: ownership, call: g.callGateway, log: g.telemetry.Logger("reserve")}
 	g.budgets = newBudgetStore(ctx, g.store, g.health, g.clock, g.settings, incarnation, g.requestGrantReturn, g.reserve)
 	ownership.pollMembersEverywhere = func() { g.shared.pollMembersEverywhere() }
-	members := newMemberTable(g.settings.Node, bootClock, ownership, g.telemetry.Logger("members"))
+	members := newMemberTable(g.settings.Node, bootClock, ownership, g.homes, g.telemetry.Logger("members"))
 	g.shared = newSharedState(g, g.store, incarnation, members, bootClock)
 	stateAge := func() clock.Millis { return g.shared.age(bootClock.Now()) }
 	g.limits = newLimiter(g.settings, ownership, bootClock, stateAge, g.peerClients, g.telemetry)
@@ -178,6 +189,11 @@
 	return g.peerClients.Call(ctx, address, method, request, reply, nil)
 }
 
+// callHome calls the gateway at an address about a partition of which it is the home.
+func (g *Gateway) callHome(ctx context.Context, address, method string, request, reply any) error {
+	return g.lookupClients.Call(ctx, address, method, request, reply, nil)
+}
+
 // queryAlive sends a methodAlive request to the gateway at an address.
 func (g *Gateway) queryAlive(ctx context.Context, address string, request aliveRequest) (reply aliveReply, err error) {
 	err = g.peerClients.Call(ctx, address, methodAlive, request, &reply, nil)
@@ -212,7 +228,7 @@
 			var reply turnsReply
 			// The error is ignored: a gateway that does not answer contributes no
 			// records.
-			_ = g.peerClients.Call(ctx, address, methodTurns, turnsRequest{Turn: turn}, &reply, nil)
+			_ = g.lookupClients.Call(ctx, address, methodTurns, turnsRequest{Turn: turn}, &reply, nil)
 			results <- reply.Records
 		}()
 	}
@@ -338,6 +354,7 @@
 
 func (g *Gateway) closePeers() {
 	g.peerClients.Close()
+	g.lookupClients.Close()
 	if g.peerServer != nil {
 		logStopError(g.log, "peers", g.peerServer.Close())
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/homes"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -43,8 +44,10 @@
 type memberTable struct {
 	bootClock     clock.Clock
 	poolOwnership *poolOwnership
-	self          spool.NodeID
-	log           *zap.Logger
+	// homes gets the running gateways after each read of the topic.
+	homes *homes.Table
+	self  spool.NodeID
+	log   *zap.Logger
 
 	mu      sync.Mutex
 	members map[spool.NodeID]member
@@ -65,8 +68,8 @@
 
 var _ sink = (*memberTable)(nil)
 
-func newMemberTable(self spool.NodeID, bootClock clock.Clock, ownership *poolOwnership, log *zap.Logger) *memberTable {
-	return &memberTable{bootClock: bootClock, poolOwnership: ownership, self: self, log: log, members: map[spool.NodeID]member{}}
+func newMemberTable(self spool.NodeID, bootClock clock.Clock, ownership *poolOwnership, table *homes.Table, log *zap.Logger) *memberTable {
+	return &memberTable{bootClock: bootClock, poolOwnership: ownership, homes: table, self: self, log: log, members: map[spool.NodeID]member{}}
 }
 
 func (t *memberTable) reset(records []spool.KeyedRecord) {
@@ -104,6 +107,7 @@
 	t.mu.Lock()
 	t.confirmedAt = max(t.confirmedAt, sentAt)
 	t.mu.Unlock()
+	t.homes.SetGateways(t.homeGateways())
 	t.poolOwnership.recordConfirmation(sentAt)
 }
 
@@ -165,6 +169,22 @@
 	return live
 }
 
+// homeGateways returns the gateways that may be homes of partitions: this one, and those
+// that were running at the newest read of the topic. While the topic cannot be read, the
+// gateways stay the same.
+func (t *memberTable) homeGateways() (gateways []homes.Gateway) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	gateways = append(gateways, homes.Gateway{Node: t.self})
+	for id, member := range t.members {
+		isLive := t.confirmedAt-member.seenAt <= memberLiveTimeout
+		if id != t.self && isLive && !member.record.Leaving && member.record.Address != "" {
+			gateways = append(gateways, homes.Gateway{Node: id, Address: member.record.Address})
+		}
+	}
+	return gateways
+}
+
 func (t *memberTable) isLeaving(id spool.NodeID) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -5,11 +5,13 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
 
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/homes"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -26,12 +28,8 @@
 	// partitionHedgeDelay is how long the write of a turn may take in one partition
 	// before the turn is also written to the next one.
 	partitionHedgeDelay = 250 * clock.Millis(1)
-	// homeReadTimeout bounds the read of the home partitions of turns, peerQueryTimeout
-	// bounds the query to other gateways, and fullReadTimeout bounds the read of all
-	// partitions.
-	homeReadTimeout  = 200 * clock.Millis(1)
+	// peerQueryTimeout bounds the query to gateways that may have served the turn.
 	peerQueryTimeout = 150 * clock.Millis(1)
-	fullReadTimeout  = 700 * clock.Millis(1)
 	// methodTurns asks a gateway for a turn and all earlier turns that it continues.
 	methodTurns = "gateway.turns"
 	// maxQueriedPeers bounds the number of gateways that are queried for one turn.
@@ -49,12 +47,13 @@
 	index     *chain.Index
 	appenders []*appender
 	readers   []*partitionReader
+	finder    *turnFinder
 	// queryPeers asks other gateways for a turn and all earlier turns that it
 	// continues. It returns their encoded records; nil if no gateway has all of them.
 	queryPeers func(ctx context.Context, turn string) [][]byte
 }
 
-func newTurnStore(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, queryPeers func(ctx context.Context, turn string) [][]byte) *turnStore {
+func newTurnStore(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, table *homes.Table, callHome homeCaller, queryPeers func(ctx context.Context, turn string) [][]byte, log *zap.Logger) *turnStore {
 	s := &turnStore{clock: systemClock, index: chain.NewIndex(), queryPeers: queryPeers}
 	slots := semaphore.NewWeighted(maxTurnReads)
 	apply := func(page spool.LogPage) { s.addRecords(page.Records) }
@@ -63,6 +62,7 @@
 		s.appenders = append(s.appenders, newAppender(ctx, store, partition, settings.MaxAppendBytes, systemClock))
 		s.readers = append(s.readers, newPartitionReader(ctx, store, partition, slots, apply))
 	}
+	s.finder = newTurnFinder(s, table, callHome, log)
 	return s
 }
 
@@ -146,7 +146,7 @@
 	// The first round may find a turn that continues earlier turns. The second round
 	// looks for those.
 	for range 2 {
-		if s.readHomePartitions(ctx, missing) != nil {
+		if s.finder.findInHomePartitions(ctx, missing) != nil {
 			break
 		}
 		if turns, missing = s.index.History(id); len(missing) == 0 {
@@ -157,7 +157,7 @@
 	if turns, missing = s.index.History(id); len(missing) == 0 {
 		return turns, nil
 	}
-	findErr := s.readAllPartitions(ctx, missing)
+	findErr := s.finder.findInAllPartitions(ctx, missing)
 	if turns, missing = s.index.History(id); len(missing) == 0 {
 		return turns, nil
 	}
@@ -167,43 +167,6 @@
 	return nil, errNoTurn
 }
 
-// readHomePartitions reads the home partitions of turns until these are found.
-func (s *turnStore) readHomePartitions(ctx context.Context, turns []string) error {
-	homes := map[int]bool{}
-	for _, turn := range turns {
-		homes[s.homePartition(turn)] = true
-	}
-	return s.readPartitions(ctx, homes, turns, homeReadTimeout)
-}
-
-// readAllPartitions reads all partitions until turns are found.
-func (s *turnStore) readAllPartitions(ctx context.Context, turns []string) error {
-	all := map[int]bool{}
-	for i := range s.readers {
-		all[i] = true
-	}
-	return s.readPartitions(ctx, all, turns, fullReadTimeout)
-}
-
-// readPartitions reads the given partitions to their ends or until turns are found,
-// concurrently. It returns the error of one of those that could not be read within
-// timeout; nil if there is none.
-func (s *turnStore) readPartitions(ctx context.Context, partitions map[int]bool, turns []string, timeout clock.Millis) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
-	defer cancel()
-	found := func() bool { return len(s.index.Turns(turns)) == len(turns) }
-	results := make(chan error, len(partitions))
-	for i := range partitions {
-		go func() { results <- s.readers[i].catchUp(ctx, found) }()
-	}
-	for range partitions {
-		if result := <-results; result != nil {
-			err = result
-		}
-	}
-	return err
-}
-
 // fetchFromPeers asks other gateways for the history of a turn and adds the turns in
 // their answer to the index.
 func (s *turnStore) fetchFromPeers(ctx context.Context, id string) {
@@ -222,8 +185,8 @@
 	Records [][]byte `json:"records,omitempty"`
 }
 
-// handlers returns the handler of methodTurns. It answers from the index, without a
-// call to the store.
+// handlers returns the handlers of methodTurns, which is answered from the index without
+// a call to the store, and of methodFindTurns.
 func (s *turnStore) handlers() wire.Mux {
 	return wire.Mux{
 		methodTurns: wire.Handle(func(_ context.Context, request turnsRequest, _ wire.Send) (any, error) {
@@ -235,6 +198,9 @@
 			reply.Records = encodeTurns(turns)
 			return reply, nil
 		}),
+		methodFindTurns: wire.Handle(func(ctx context.Context, request findTurnsRequest, _ wire.Send) (any, error) {
+			return s.finder.answer(ctx, request)
+		}),
 	}
 }
 
