Look for the whole history of a turn that was found late

While a partition fails, turns are written to the next one, so a turn may be found only by the search in all partitions. Its record then names the turns before it; those were not in the index, nobody had looked for them, and they were reported as missing. When a gateway read whole partitions itself, it came to know them on the way.

Ruled out: reads that end too early, an outage that counts as an answer ('is not reported as missing while the store rejects all calls' guards against that now).

Change: a round searches for the turns that are wanted in their home partitions, at other gateways and in all partitions; a second round searches in the same way for the turns that the first one has named. 404 needs a complete search for the very turn that is missing.

--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -140,31 +140,38 @@
 	return turns, nil
 }
 
-// findHistory looks for the missing turns in their home partitions, then at other
-// gateways, then in all partitions. It stops when all turns are in the index.
+// findHistory looks for the missing turns until all are in the index. The first round
+// looks for the turn id itself if that is missing. The turn names all turns before it, so
+// that the second round looks for all the others.
 func (s *turnStore) findHistory(ctx context.Context, id string, missing []string) (turns []*chain.Turn, err error) {
-	// The first round may find a turn that continues earlier turns. The second round
-	// looks for those.
 	for range 2 {
-		if s.finder.findInHomePartitions(ctx, missing) != nil {
-			break
-		}
+		wanted := missing
+		searchErr := s.search(ctx, id, wanted)
 		if turns, missing = s.index.History(id); len(missing) == 0 {
 			return turns, nil
 		}
+		if searchErr != nil {
+			return nil, errors.Wrap(errTurnUncertain, searchErr.Error())
+		}
+		if !s.finder.hasAll(wanted) {
+			return nil, errNoTurn
+		}
 	}
-	s.fetchFromPeers(ctx, id)
-	if turns, missing = s.index.History(id); len(missing) == 0 {
-		return turns, nil
-	}
-	findErr := s.finder.findInAllPartitions(ctx, missing)
-	if turns, missing = s.index.History(id); len(missing) == 0 {
-		return turns, nil
+	return nil, errTurnUncertain
+}
+
+// search looks for turns in their home partitions, then at other gateways that may have
+// served the turn id, then in all partitions, until all are in the index. It fails if a
+// turn was not found and some partition could not be read.
+func (s *turnStore) search(ctx context.Context, id string, wanted []string) error {
+	if err := s.finder.findInHomePartitions(ctx, wanted); err == nil && s.finder.hasAll(wanted) {
+		return nil
 	}
-	if findErr != nil {
-		return nil, errors.Wrap(errTurnUncertain, findErr.Error())
+	s.fetchFromPeers(ctx, id)
+	if s.finder.hasAll(wanted) {
+		return nil
 	}
-	return nil, errNoTurn
+	return s.finder.findInAllPartitions(ctx, wanted)
 }
 
 // fetchFromPeers asks other gateways for the history of a turn and adds the turns in
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -1,17 +1,23 @@
 package gateway_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/baobabspool/baobabspool/internal/gateway"
 	"github.com/baobabspool/baobabspool/internal/standin"
+	"github.com/baobabspool/baobabspool/pkg/chain"
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/platform"
 )
 
@@ -145,6 +151,57 @@
 		gomega.Expect(lastBody()).To(gomega.Equal("hello\none\ntwo\nmore\n"))
 	})
 
+	// Guards against a 404 for a turn whose history lies in other partitions than those in
+	// which it is looked for first: while a partition fails, turns are written to the next
+	// one.
+	ginkgo.It("is found with its history when all of it lies in other partitions", func() {
+		nodes := d.startAndKill(4)
+		var earlier []string
+		prompt := ""
+		for i := range 8 {
+			id := fmt.Sprintf("moved-%d", i)
+			turn := &chain.Turn{
+				ID: id, Account: "weavers", History: slices.Clone(earlier), Retention: clock.Minute,
+				Input: []byte(id + "\n"), Output: []byte("one\n"),
+			}
+			d.topics.AppendRecords(fmt.Sprintf("turns/%d", (xxhash.Sum64String(id)+1)%testPartitions), turn.Encode())
+			earlier = append(earlier, id)
+			prompt += id + "\none\n"
+		}
+		launchAll(nodes)
+		for _, n := range nodes {
+			gomega.Eventually(func() int {
+				r, _ := n.call("POST", "/chat/", "key-1", "more\n", withPrevious("moved-7"))
+				gomega.Expect(r.status).NotTo(gomega.Equal(http.StatusNotFound))
+				return r.status
+			}, eventuallyTimeout, "50ms").Should(gomega.Equal(http.StatusOK))
+			gomega.Expect(lastBody()).To(gomega.Equal(prompt + "more\n"))
+		}
+	})
+
+	// Guards against a 404 for a turn that exists while the store rejects all reads: the
+	// caller would take its conversation for lost.
+	ginkgo.It("is not reported as missing while the store rejects all calls", func() {
+		nodes := []*node{d.startGateway("g1"), d.startGateway("g2"), d.startGateway("g3")}
+		serveFirstTurn(nodes[0])
+		time.Sleep(time.Second)
+		for _, n := range nodes {
+			n.storeServer.SetFaults(standin.TopicFaults{Mode: "busy"})
+		}
+		var wg sync.WaitGroup
+		for i := range 60 {
+			wg.Add(1)
+			go func() {
+				defer ginkgo.GinkgoRecover()
+				defer wg.Done()
+				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+				r, _ := nodes[i%3].call("POST", "/chat/", "key-1", "more\n", withPrevious(fmt.Sprintf("unread-%d", i)))
+				gomega.Expect(r.status).To(gomega.Equal(http.StatusServiceUnavailable))
+			}()
+		}
+		wg.Wait()
+	})
+
 	// Guards against refusing a turn at a gateway that cannot reach the store while
 	// other gateways can.
 	ginkgo.It("is stored by way of another gateway when the store refuses this one", func() {
