Let the home of a partition write and read the records of budgets

What callers saw: after a return of all machines 200 requests in two seconds refused with budgetUnknown while the store was up.

Cause: the same as that of the turns, in another place: each gateway folded all records of all budgets, from the first one after a start, and read the partition after each of its requests for a grant. 32 gateways read 33 MB in the first 10 s after a return; the bytes grow with the square of the fleet, the calls with gateways and programs.

Change: a gateway asks the home of the program's partition for a grant; the home writes the record and computes the grant. The end of a grant and the question whether a program has run go there as well. Records that the home has just written are applied without a read, since the append tells that nothing lies between. What a home has not finished after 100 ms it says so, and is asked again; its work is found by the grant's identifier. Any gateway may still write and read itself, as before, because the sizes of grants follow from the log alone: that is how it goes on when no home answers.

--- a/internal/gateway/appender.go
+++ b/internal/gateway/appender.go
@@ -37,6 +37,9 @@
 	partition     spool.Partition
 	maxBatchBytes int
 	clock         clock.Clock
+	// onWritten, unless nil, receives the records of each successful append and the offset
+	// of the first one, before those who wait for them.
+	onWritten func(offset int64, records [][]byte)
 
 	mu sync.Mutex
 	// queue holds the records to be written next. writerRunning reports whether the
@@ -111,25 +114,31 @@
 func (a *appender) append(ctx context.Context, record []byte) (offset int64, err error) {
 	pending := &pendingRecord{ctx: ctx, record: record, done: make(chan struct{})}
 	a.enqueue(pending)
+	return pending.wait(ctx)
+}
+
+// wait returns the offset of the record when it is written.
+func (p *pendingRecord) wait(ctx context.Context) (offset int64, err error) {
 	select {
-	case <-pending.done:
-		return pending.offset, pending.err
+	case <-p.done:
+		return p.offset, p.err
 	case <-ctx.Done():
 		return 0, context.Cause(ctx)
 	}
 }
 
 // appendDeferred queues record to be written with the next record of append, or after
-// maxBatchDelay. It does not wait for the write, and does not report whether it
-// succeeds.
-func (a *appender) appendDeferred(ctx context.Context, record []byte) {
+// maxBatchDelay. It does not wait for the write.
+func (a *appender) appendDeferred(ctx context.Context, record []byte) *pendingRecord {
+	pending := &pendingRecord{ctx: ctx, record: record, done: make(chan struct{})}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.deferred = append(a.deferred, &pendingRecord{ctx: ctx, record: record, done: make(chan struct{})})
+	a.deferred = append(a.deferred, pending)
 	if !a.flushScheduled {
 		a.flushScheduled = true
 		time.AfterFunc(maxBatchDelay.Duration(), a.flushDeferred)
 	}
+	return pending
 }
 
 // flushDeferred starts the write of the deferred records.
@@ -222,6 +231,9 @@
 	if err != nil {
 		return false
 	}
+	if a.onWritten != nil {
+		a.onWritten(offset, records)
+	}
 	for i, pending := range batch {
 		pending.complete(offset+int64(i), nil)
 	}
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -7,7 +7,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
 
@@ -42,19 +41,9 @@
 	// releaseInterval is the time between two searches for grants that have been idle
 	// for grantIdleTimeout.
 	releaseInterval = 250 * clock.Millis(1)
-	// grantEndTimeout bounds the retries of writing the end of a grant. If that record
-	// is lost, the whole grant stays charged to the program.
-	grantEndTimeout = 20 * clock.Second
 	// logGrantTimeout bounds the wait for a grant from the log. After it, the tokens
 	// are requested from the reserve. A slow store answers within it.
 	logGrantTimeout = 500 * clock.Millis(1)
-	// programLookupTimeout bounds the read of the log that looks for records of a
-	// program.
-	programLookupTimeout = 150 * clock.Millis(1)
-	// maxBudgetPartitions bounds the number of partitions for budget records. With at
-	// most 2, more records of a gateway share one append. One partition accepts a few
-	// hundred appends per second.
-	maxBudgetPartitions = 2
 	// grantSeparator separates the incarnation from the sequence number in the
 	// identifier of a grant.
 	grantSeparator = "."
@@ -70,22 +59,20 @@
 
 // handlers returns the wire handlers for calls from other gateways.
 func (s *budgetStore) handlers() wire.Mux {
-	return wire.Mux{
-		methodReturnGrants: wire.Handle(func(ctx context.Context, request grantReturnRequest, _ wire.Send) (any, error) {
-			return struct{}{}, s.returnGrants(ctx, request.Program)
-		}),
-	}
+	handlers := s.log.handlers()
+	handlers[methodReturnGrants] = wire.Handle(func(ctx context.Context, request grantReturnRequest, _ wire.Send) (any, error) {
+		return struct{}{}, s.returnGrants(ctx, request.Program)
+	})
+	return handlers
 }
 
 // budgetStore obtains and returns the grants of the programs whose turns this gateway
-// runs. A hash of the program's identifier selects the partition for its records.
+// runs.
 type budgetStore struct {
-	ctx         context.Context
-	store       spool.Store
 	health      *storeHealth
 	clock       clock.Clock
 	incarnation string
-	ledgers     []*budgetLedger
+	log         *grantLog
 	// requestGrantReturn sends methodReturnGrants to the gateway with the given
 	// incarnation.
 	requestGrantReturn func(ctx context.Context, incarnation string, id spool.ProgramID) error
@@ -114,43 +101,18 @@
 	closed bool
 }
 
-// budgetLedger is the ledger of one partition, with the means to read and write the
-// partition.
-type budgetLedger struct {
-	*spend.Ledger
-	appender *appender
-	reader   *partitionReader
-}
-
-func newBudgetStore(ctx context.Context, store spool.Store, health *storeHealth, systemClock clock.Clock, settings spool.GatewaySettings, incarnation string, requestGrantReturn func(ctx context.Context, incarnation string, id spool.ProgramID) error, reserve *reserveClient) *budgetStore {
+func newBudgetStore(ctx context.Context, log *grantLog, health *storeHealth, systemClock clock.Clock, incarnation string, requestGrantReturn func(ctx context.Context, incarnation string, id spool.ProgramID) error, reserve *reserveClient) *budgetStore {
 	s := &budgetStore{
-		requestGrantReturn: requestGrantReturn, reserve: reserve, ctx: ctx, store: store, health: health, clock: systemClock, incarnation: incarnation, programs: map[spool.ProgramID]*programGrants{},
-	}
-	slots := semaphore.NewWeighted(maxBudgetPartitions)
-	for i := range min(settings.Partitions, maxBudgetPartitions) {
-		partition := spool.Partition{Topic: spool.TopicBudgets, Index: i}
-		ledger := &budgetLedger{
-			Ledger:   spend.NewLedger(),
-			appender: newAppender(ctx, store, partition, settings.MaxAppendBytes, systemClock),
-		}
-		ledger.reader = newPartitionReader(ctx, store, partition, slots, func(page spool.LogPage) {
-			ledger.SkipTo(page.From)
-			ledger.Apply(systemClock.Now(), page.From, page.Records)
-		})
-		s.ledgers = append(s.ledgers, ledger)
+		requestGrantReturn: requestGrantReturn, reserve: reserve, log: log, health: health, clock: systemClock, incarnation: incarnation, programs: map[spool.ProgramID]*programGrants{},
 	}
 	go func() {
 		for clock.Pause(ctx, releaseInterval) {
-			s.releaseIdle(grantIdleTimeout)
+			s.log.end(s.releaseIdle(grantIdleTimeout))
 		}
 	}()
 	return s
 }
 
-func (s *budgetStore) ledgerOf(program spool.ProgramID) *budgetLedger {
-	return s.ledgers[xxhash.Sum64String(string(program))%uint64(len(s.ledgers))]
-}
-
 // turnBudget is the set of tokens that are allocated to one running turn.
 type turnBudget struct {
 	store *budgetStore
@@ -250,40 +212,37 @@
 	if need == 0 || closed {
 		return nil
 	}
-	if s.isSpent(id, need, budget) {
-		return errBudgetSpent
-	}
-	if s.health.isUnavailable() || s.ledgerOf(id).appender.isUnavailable() {
+	if s.health.isUnavailable() {
 		return errors.Wrap(errBudgetUnknown, errPartitionUnavailable.Error())
 	}
 	record := spend.Record{
 		Program: id, Grant: s.newGrantID(),
 		Need: need, Want: max(need, turnsPerGrant*maxTokens), Budget: budget,
 	}
-	granted, err := s.requestGrant(ctx, record)
-	if err == nil && granted < need {
+	result, err := s.log.request(ctx, record)
+	if err == nil && result.Granted < need {
 		var returned bool
-		if returned, err = s.reclaimGrants(ctx, id); returned {
+		if returned, err = s.reclaimGrants(ctx, id, result.OpenGrants); returned {
 			record.Grant = s.newGrantID()
-			granted, err = s.requestGrant(ctx, record)
+			result, err = s.log.request(ctx, record)
 		}
 	}
 	if err != nil {
 		// The store may still execute the request. The end record then returns the
 		// whole grant.
-		s.appendAsync(spend.Record{Program: id, Grant: record.Grant, End: true})
+		s.log.end([]spend.Record{{Program: id, Grant: record.Grant, End: true}})
 		return errors.Wrap(errBudgetUnknown, err.Error())
 	}
-	if granted < need {
+	if result.Granted < need {
 		return errBudgetSpent
 	}
 	grants.mu.Lock()
 	defer grants.mu.Unlock()
 	if grants.closed {
-		s.appendAsync(spend.Record{Program: id, Grant: record.Grant, End: true})
+		s.log.end([]spend.Record{{Program: id, Grant: record.Grant, End: true}})
 		return nil
 	}
-	grants.hold.AddGrant(record.Grant, granted)
+	grants.hold.AddGrant(record.Grant, result.Granted)
 	return nil
 }
 
@@ -293,13 +252,13 @@
 	return s.incarnation + grantSeparator + strconv.FormatUint(s.sequence.Add(1), 36)
 }
 
-// reclaimGrants asks the other gateways that hold grants of a program to return the
+// reclaimGrants asks the other gateways that hold openGrants of a program to return the
 // unused tokens. returned reports whether at least one has done so. If none has, and
 // the address of a holder is unknown but may still become known, it fails with
 // errHolderUnknown.
-func (s *budgetStore) reclaimGrants(ctx context.Context, id spool.ProgramID) (returned bool, err error) {
+func (s *budgetStore) reclaimGrants(ctx context.Context, id spool.ProgramID, openGrants []string) (returned bool, err error) {
 	holders := map[string]bool{}
-	for _, grant := range s.ledgerOf(id).OpenGrants(id) {
+	for _, grant := range openGrants {
 		incarnation, _, _ := strings.Cut(grant, grantSeparator)
 		if incarnation != s.incarnation {
 			holders[incarnation] = true
@@ -324,77 +283,27 @@
 	return false, err
 }
 
-// isSpent reports whether, according to the records read so far, the budget does not
-// cover need tokens and no gateway holds an open grant. Only the end of an open grant
-// lowers the total of a program, so the result does not change back.
-func (s *budgetStore) isSpent(id spool.ProgramID, need, budget int64) bool {
-	ledger := s.ledgerOf(id)
-	return ledger.Total(id)+need > budget && len(ledger.OpenGrants(id)) == 0
-}
-
 // hasSeen reports whether this gateway holds or requests grants of the program or has
 // read a record of it. It does not access the store.
 func (s *budgetStore) hasSeen(id spool.ProgramID) bool {
 	s.mu.Lock()
 	held := s.programs[id] != nil
 	s.mu.Unlock()
-	return held || s.ledgerOf(id).Known(id)
+	return held || s.log.ledgerOf(id).Known(id)
 }
 
 // hasRun reports whether a turn of the program has requested a grant before, at this or
-// another gateway. It reads the log if this gateway knows nothing of the program. It
-// also returns false if that read fails.
+// another gateway. It asks the home of the program's records if this gateway knows
+// nothing of the program. It also returns false if that fails.
 func (s *budgetStore) hasRun(ctx context.Context, id spool.ProgramID) bool {
-	if s.hasSeen(id) {
-		return true
-	}
-	ledger := s.ledgerOf(id)
-	ctx, cancel := context.WithTimeout(ctx, programLookupTimeout.Duration())
-	defer cancel()
-	// The error is ignored: a program whose records cannot be read is treated as new.
-	_ = ledger.reader.catchUp(ctx, func() bool { return ledger.Known(id) })
-	return ledger.Known(id)
-}
-
-// requestGrant appends a grant request and reads the partition until the request has
-// been applied. It returns the size of the grant; 0 if the budget does not cover
-// record.Need.
-func (s *budgetStore) requestGrant(ctx context.Context, record spend.Record) (granted int64, err error) {
-	ledger := s.ledgerOf(record.Program)
-	ledger.Await(record.Grant)
-	defer ledger.CancelAwait(record.Grant)
-	if _, err := ledger.appender.append(ctx, record.Encode()); err != nil {
-		return 0, err
-	}
-	isApplied := func() bool {
-		_, ok := ledger.Granted(record.Grant)
-		return ok
-	}
-	for {
-		// A failed read is repeated, because the request may be granted already.
-		_ = ledger.reader.catchUp(ctx, isApplied)
-		if granted, ok := ledger.Granted(record.Grant); ok {
-			return granted, nil
-		}
-		if !clock.Pause(ctx, appendRetryDelay) {
-			return 0, context.Cause(ctx)
-		}
-	}
-}
-
-// appendAsync queues a record and does not wait for the write. The record is dropped if
-// it cannot be written within grantEndTimeout.
-func (s *budgetStore) appendAsync(record spend.Record) {
-	ctx, cancel := context.WithTimeout(s.ctx, grantEndTimeout.Duration())
-	context.AfterFunc(ctx, cancel)
-	s.ledgerOf(record.Program).appender.appendDeferred(ctx, record.Encode())
+	return s.hasSeen(id) || s.log.knows(ctx, id)
 }
 
-// releaseIdle returns the unused tokens of programs that have run no turn for at least
-// idle, and removes those programs from s.programs. It does not wait for the writes.
-func (s *budgetStore) releaseIdle(idle clock.Millis) {
+// releaseIdle removes the programs that have run no turn for at least idle from
+// s.programs. It returns the records that return their unused tokens, which the caller
+// must write.
+func (s *budgetStore) releaseIdle(idle clock.Millis) (ends []spend.Record) {
 	now := s.clock.Now()
-	var ends []spend.Record
 	s.mu.Lock()
 	for id, grants := range s.programs {
 		if records, closed := grants.closeIfIdle(now, idle, spend.Record{Program: id}); closed {
@@ -403,9 +312,7 @@
 		}
 	}
 	s.mu.Unlock()
-	for _, end := range ends {
-		s.appendAsync(end)
-	}
+	return ends
 }
 
 // closeIfIdle closes the grants and returns the records that end them. If a turn has
@@ -438,27 +345,15 @@
 	grants.mu.Lock()
 	ends := grants.hold.ReturnUnused(spend.Record{Program: id})
 	grants.mu.Unlock()
-	appender := s.ledgerOf(id).appender
-	for _, end := range ends {
-		if _, err := appender.append(ctx, end.Encode()); err != nil {
-			return err
-		}
-	}
-	return nil
+	return s.log.write(ctx, ends)
 }
 
 // flush returns the grants of all programs without a running turn, and waits until the
 // records are durable or ctx ends.
 func (s *budgetStore) flush(ctx context.Context) {
-	s.releaseIdle(0)
-	for _, ledger := range s.ledgers {
-		ledger.appender.drain(ctx)
-	}
+	s.log.endLocally(s.releaseIdle(0))
+	s.log.drain(ctx)
 }
 
 // expire removes the programs without a recent record from the ledgers.
-func (s *budgetStore) expire(now clock.Millis) {
-	for _, ledger := range s.ledgers {
-		ledger.Expire(now)
-	}
-}
+func (s *budgetStore) expire(now clock.Millis) { s.log.expire(now) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,10 +133,12 @@
 	g.loads = newServiceLoads(g.clock)
 	g.homes = homes.NewTable(g.clock)
 	g.lookupClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(peerSilenceTimeout, peerPingInterval), wire.WithClientIdleTimeout(lookupIdleTimeout))
-	g.turns = newTurnStore(ctx, g.store, g.clock, g.settings, g.homes, g.callHome, g.queryTurns, g.telemetry.Logger("turns"))
+	homeClient := newHomeClient(g.homes, g.callHome, g.clock, g.telemetry.Logger("homes"))
+	g.turns = newTurnStore(ctx, g.store, g.clock, g.settings, homeClient, g.queryTurns)
 	ownership := newPoolOwnership(g.settings, incarnation, g.store, bootClock, g.queryAlive, g.telemetry.Logger("limits"))
 	g.reserve = &reserveClient{ctx: ctx, poolOwnership: ownership, call: g.callGateway, log: g.telemetry.Logger("reserve")}
-	g.budgets = newBudgetStore(ctx, g.store, g.health, g.clock, g.settings, incarnation, g.requestGrantReturn, g.reserve)
+	grants := newGrantLog(ctx, g.store, g.clock, g.settings, homeClient)
+	g.budgets = newBudgetStore(ctx, grants, g.health, g.clock, incarnation, g.requestGrantReturn, g.reserve)
 	ownership.pollMembersEverywhere = func() { g.shared.pollMembersEverywhere() }
 	members := newMemberTable(g.settings.Node, bootClock, ownership, g.homes, g.telemetry.Logger("members"))
 	g.shared = newSharedState(g, g.store, incarnation, members, bootClock)
--- /dev/null
+++ b/internal/gateway/homeclient.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/homes"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// homeAnswerTime is the time after which a home answers even if it has no result yet.
+	// homeHedgeDelay is how long it may take before a second gateway is asked as well. So
+	// only a home that is gone makes a second gateway read the partition.
+	homeAnswerTime = 100 * clock.Millis(1)
+	homeHedgeDelay = 150 * clock.Millis(1)
+	// homeRetryTime is how long the homes of a partition are asked again while none of them
+	// answers, with a pause of homeRetryDelay. Gateways that start together need that time
+	// until all of them listen.
+	homeRetryTime  = 300 * clock.Millis(1)
+	homeRetryDelay = 40 * clock.Millis(1)
+)
+
+// homeCaller calls the gateway at an address about a partition of which it is the home.
+type homeCaller func(ctx context.Context, address, method string, request, reply any) error
+
+// remoteCall calls a method of one home.
+type remoteCall func(method string, request, reply any) error
+
+// homeClient runs an operation on a partition at one of the partition's homes. It is safe
+// for concurrent use.
+type homeClient struct {
+	homes *homes.Table
+	call  homeCaller
+	clock clock.Clock
+	log   *zap.Logger
+	// hedge asks a second home when the first one is silent. failover is used where this
+	// gateway is the first one, and asks the second one only when this one fails.
+	hedge, failover *hedge
+}
+
+func newHomeClient(table *homes.Table, call homeCaller, systemClock clock.Clock, log *zap.Logger) *homeClient {
+	isFinal := func(err error) bool { return err == nil }
+	return &homeClient{
+		homes: table, call: call, clock: systemClock, log: log,
+		hedge: newHedge(homeHedgeDelay, isFinal), failover: newHedge(0, isFinal),
+	}
+}
+
+// run runs an operation: local if this gateway is the home, and remote otherwise. If the
+// homes answer that they cannot run it, it fails. It runs local without being the home
+// only if none of the homes answers for homeRetryTime, since all gateways would do so at
+// the same time. local and remote may run more than once and
+// concurrently. remote must call its home at least every homeAnswerTime.
+func (c *homeClient) run(ctx context.Context, partition spool.Partition, local func(ctx context.Context) error, remote func(ctx context.Context, call remoteCall) error) error {
+	c.awaitHomes(ctx)
+	giveUpAt := c.clock.Now() + homeRetryTime
+	for {
+		isHome, err := c.askHomes(ctx, partition, local, remote)
+		if err == nil || isHome || isRefusal(err) || ctx.Err() != nil {
+			return err
+		}
+		if c.clock.Now() >= giveUpAt {
+			c.log.Info("partition is used without its homes", zap.Stringer("partition", partition), zap.Error(err))
+			return local(ctx)
+		}
+		if !clock.Pause(ctx, homeRetryDelay) {
+			return err
+		}
+	}
+}
+
+// askHomes runs an operation at the homes of a partition once. isHome reports that this
+// gateway is one of them.
+func (c *homeClient) askHomes(ctx context.Context, partition spool.Partition, local func(ctx context.Context) error, remote func(ctx context.Context, call remoteCall) error) (isHome bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	candidates := c.homes.Candidates(partition)
+	if len(candidates) == 0 {
+		return false, errNoPeer
+	}
+	var attempts []func() error
+	for _, home := range candidates {
+		if home.Address == "" {
+			isHome = true
+			attempts = append(attempts, func() error { return local(ctx) })
+			continue
+		}
+		attempts = append(attempts, func() error { return remote(ctx, c.callOf(ctx, home)) })
+	}
+	order := c.hedge
+	if candidates[0].Address == "" {
+		order = c.failover
+	}
+	return isHome, order.run(ctx, attempts...)
+}
+
+// callOf returns a function that calls a home and records whether it answers.
+func (c *homeClient) callOf(ctx context.Context, home homes.Gateway) remoteCall {
+	return func(method string, request, reply any) error {
+		sentAt := c.clock.Now()
+		err := c.call(ctx, home.Address, method, request, reply)
+		c.recordResult(home, err, c.clock.Now()-sentAt)
+		return err
+	}
+}
+
+// recordResult records whether a home has answered within homeHedgeDelay. A refusal is an
+// answer. A home that refuses connections fails at once and costs no time, so it is asked
+// again: it may just be starting.
+func (c *homeClient) recordResult(home homes.Gateway, err error, elapsed clock.Millis) {
+	switch {
+	case err == nil || isRefusal(err):
+		c.homes.RecordAnswer(home.Node)
+	case elapsed >= homeHedgeDelay:
+		c.log.Info("home of a partition does not answer", zap.String("home", string(home.Node)), zap.Int64("elapsedMs", int64(elapsed)), zap.Error(err))
+		c.homes.RecordFailure(home.Node)
+	}
+}
+
+// isRefusal reports whether err is an error that another gateway has answered with.
+func isRefusal(err error) bool {
+	var refusal *spool.Refusal
+	return errors.As(err, &refusal)
+}
+
+// awaitHomes waits until the other gateways are known, but not longer than
+// homeHedgeDelay. Without it, each gateway of a deployment that starts would use the
+// partitions itself.
+func (c *homeClient) awaitHomes(ctx context.Context) {
+	timer := time.NewTimer(homeHedgeDelay.Duration())
+	defer timer.Stop()
+	select {
+	case <-c.homes.Known():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/gateway/partitionreader.go
+++ b/internal/gateway/partitionreader.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -25,15 +26,19 @@
 	ctx       context.Context
 	store     spool.Store
 	partition spool.Partition
+	clock     clock.Clock
 	// slots bounds the reads of several readers together.
 	slots *semaphore.Weighted
-	// apply takes the records of the partition, in order and without gaps except for
-	// those that retention has removed.
+	// apply takes the records of the partition, without gaps except for those that
+	// retention has removed. It may get a record twice.
 	apply func(page spool.LogPage)
 
 	mu sync.Mutex
 	// next is the offset after the last record that was applied.
 	next int64
+	// endSeenAt is when next was last seen to be the end of the partition; 0 if it never
+	// was.
+	endSeenAt clock.Millis
 	// current is the pass in progress, queued the one that starts after it; nil for none.
 	current, queued *readPass
 	// pageBytes is the size of the next page. Only the running pass uses it.
@@ -47,8 +52,8 @@
 	err  error
 }
 
-func newPartitionReader(ctx context.Context, store spool.Store, partition spool.Partition, slots *semaphore.Weighted, apply func(page spool.LogPage)) *partitionReader {
-	return &partitionReader{ctx: ctx, store: store, partition: partition, slots: slots, apply: apply, pageBytes: maxPageBytes}
+func newPartitionReader(ctx context.Context, store spool.Store, systemClock clock.Clock, partition spool.Partition, slots *semaphore.Weighted, apply func(page spool.LogPage)) *partitionReader {
+	return &partitionReader{ctx: ctx, store: store, clock: systemClock, partition: partition, slots: slots, apply: apply, pageBytes: maxPageBytes}
 }
 
 // catchUp returns nil when found reports true, or when a pass that started after the
@@ -115,6 +120,35 @@
 	return r.next
 }
 
+// advance moves the position to next, unless it is beyond that already. isEnd reports
+// that the partition ended there.
+func (r *partitionReader) advance(next int64, isEnd bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next = max(r.next, next)
+	if isEnd {
+		r.endSeenAt = r.clock.Now()
+	}
+}
+
+// applyWritten applies records that this gateway has just appended at an offset, without
+// a read, if all records before them were applied.
+func (r *partitionReader) applyWritten(offset int64, records [][]byte) {
+	if r.position() != offset {
+		return
+	}
+	r.apply(spool.LogPage{From: offset, Records: records})
+	r.advance(offset+int64(len(records)), true)
+}
+
+// wasReadWithin reports whether the position was seen to be the end of the partition at
+// most age ago.
+func (r *partitionReader) wasReadWithin(age clock.Millis) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.endSeenAt != 0 && r.clock.Now()-r.endSeenAt <= age
+}
+
 // readToEnd reads pages up to the end that the last one reports.
 func (r *partitionReader) readToEnd() error {
 	for {
@@ -129,9 +163,7 @@
 			r.apply(page)
 			next += int64(len(page.Records))
 		}
-		r.mu.Lock()
-		r.next = next
-		r.mu.Unlock()
+		r.advance(next, err == nil && next >= page.End)
 		switch {
 		case err != nil:
 		case next >= page.End:
--- a/internal/gateway/return_test.go
+++ b/internal/gateway/return_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,8 @@
 	"github.com/baobabspool/baobabspool/internal/standin"
 	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spend"
+	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
 const (
@@ -152,6 +155,34 @@
 		wg.Wait()
 	})
 
+	// Guards against gateways that each read the records of all budgets after a common
+	// start, so that the bytes read grow with the square of the gateways.
+	ginkgo.It("grants budgets again soon, and reads their records about once altogether", func() {
+		const recordBytes, bound = 4 << 10, 3 * storedTurns * (4 << 10)
+		d := newDeployment()
+		d.publish()
+		d.addEndpoint("m1", "models", streamTwoEvents)
+		nodes := d.startAndKill(returningGateways)
+		for i := range storedTurns {
+			program := spool.ProgramID(fmt.Sprintf("stored-%d-%s", i, strings.Repeat("x", recordBytes)))
+			record := spend.Record{Program: program, Grant: fmt.Sprintf("gone.%d", i), Need: 1, Want: 1, Budget: 100}
+			d.topics.AppendRecords(fmt.Sprintf("budgets/%d", i%2), record.Encode())
+		}
+		before := d.topics.ReadBytes()
+		launchAll(nodes)
+		var programs atomic.Int64
+		runTurn := func(n *node) int {
+			r, _ := n.call("POST", "/review/", "key-1", "x", func(caller *standin.CallerRequest, _ http.Header) {
+				caller.Program, caller.TokenBudget, caller.MaxTokens = fmt.Sprintf("new-%d", programs.Add(1)), 1000, 50
+			})
+			return r.status
+		}
+		callAll(nodes, returnTime, runTurn)
+		sent, served := callAll(nodes, 2*time.Second, runTurn)
+		gomega.Expect(served).To(gomega.BeNumerically(">=", sent*9/10), "of %d turns", sent)
+		gomega.Expect(d.topics.ReadBytes() - before).To(gomega.BeNumerically("<", bound))
+	})
+
 	// Guards against a request that waits for the reads of other requests, one after
 	// another, beyond its own deadline.
 	ginkgo.It("answers each turn by its deadline while the history cannot be read", func() {
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -5,13 +5,11 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
 
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
-	"github.com/baobabspool/baobabspool/pkg/homes"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -53,16 +51,16 @@
 	queryPeers func(ctx context.Context, turn string) [][]byte
 }
 
-func newTurnStore(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, table *homes.Table, callHome homeCaller, queryPeers func(ctx context.Context, turn string) [][]byte, log *zap.Logger) *turnStore {
+func newTurnStore(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, homes *homeClient, queryPeers func(ctx context.Context, turn string) [][]byte) *turnStore {
 	s := &turnStore{clock: systemClock, index: chain.NewIndex(), queryPeers: queryPeers}
 	slots := semaphore.NewWeighted(maxTurnReads)
 	apply := func(page spool.LogPage) { s.addRecords(page.Records) }
 	for i := range settings.Partitions {
 		partition := spool.Partition{Topic: spool.TopicTurns, Index: i}
 		s.appenders = append(s.appenders, newAppender(ctx, store, partition, settings.MaxAppendBytes, systemClock))
-		s.readers = append(s.readers, newPartitionReader(ctx, store, partition, slots, apply))
+		s.readers = append(s.readers, newPartitionReader(ctx, store, systemClock, partition, slots, apply))
 	}
-	s.finder = newTurnFinder(s, table, callHome, log)
+	s.finder = &turnFinder{turns: s, homes: homes}
 	return s
 }
 
