Return the unused tokens of a turn before its answer ends

Cause: the tokens that a turn had not used were returned after the end of its answer had been sent. The caller's next turn could be faster: the other gateway asked for the unused tokens, and the turn that had ended still counted with its most.

Change: the tokens are returned before the end of the answer is sent.

Evidence: by reading; the window is too short for a spec that fails every time.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -275,6 +275,7 @@
 	if err != nil {
 		return mayHaveRun, failureOutcome(ctx)
 	}
+	r.endBudget()
 	// The error is ignored: it means that the caller has disconnected, and the request
 	// has run all the same.
 	_ = r.exchange.Respond(response.StatusCode, r.gateway.codec.ResponseHeader(response.Header), body)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -50,6 +50,8 @@
 	// possibleRuns is the number of tries without a complete answer in which the
 	// endpoint may have run the request.
 	possibleRuns int
+	// budget holds the tokens that are allocated to the turn; nil if there are none.
+	budget *turnBudget
 	// eventCount is the number of events that were passed on to the caller.
 	eventCount int
 	// refusalErr is the error that caused a refusal, for the log; nil if there is none.
@@ -163,13 +165,21 @@
 	if r.call.TokenBudget <= 0 || r.call.Program == "" {
 		return r.forward(ctx)
 	}
-	budget, reason := r.beginBudget(ctx)
-	if reason != "" {
+	if r.budget, reason = r.beginBudget(ctx); reason != "" {
 		return reason
 	}
-	reason = r.forward(ctx)
-	budget.endTurn(int64(r.eventCount) * int64(max(1, r.service.EventTokens)))
-	return reason
+	defer r.endBudget()
+	return r.forward(ctx)
+}
+
+// endBudget returns the unused part of the tokens that are allocated to the turn. Later
+// calls have no effect. It is called before the end of the answer is sent: the caller may
+// then send the next turn to another gateway, which asks this one for the tokens.
+func (r *request) endBudget() {
+	if r.budget != nil {
+		r.budget.endTurn(int64(r.eventCount) * int64(max(1, r.service.EventTokens)))
+		r.budget = nil
+	}
 }
 
 // prependHistory puts the earlier turns of the program in front of the request body, if
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,6 +67,7 @@
 			return broken, endpoints.Answered
 		}
 	}
+	r.endBudget()
 	if r.exchange.EndStream(bytes.Clone(rest)) != nil {
 		return broken, endpoints.Answered
 	}
