Use a partition without a home that runs an earlier version

What callers would see: requests refused during an upgrade, with budgetUnknown or turnUncertain, because the home of a partition answers that the method does not exist. Found by reading; it has not occurred.

Cause: an answer of a home was taken for its result, and any error for a refusal.

Change: a gateway that does not know the method counts as one that does not answer.

Before: 'is granted beside gateways that do not know the methods of homes' fails with 503; after: passes.

--- a/internal/gateway/homeclient.go
+++ b/internal/gateway/homeclient.go
@@ -116,16 +116,25 @@
 	switch {
 	case err == nil || isRefusal(err):
 		c.homes.RecordAnswer(home.Node)
-	case elapsed >= homeHedgeDelay:
+	case elapsed >= homeHedgeDelay || isUnknownMethod(err):
 		c.log.Info("home of a partition does not answer", zap.String("home", string(home.Node)), zap.Int64("elapsedMs", int64(elapsed)), zap.Error(err))
 		c.homes.RecordFailure(home.Node)
 	}
 }
 
-// isRefusal reports whether err is an error that another gateway has answered with.
+// isRefusal reports whether err is an error that another gateway has answered with. A
+// gateway that does not know the method is excluded: it runs an earlier version, and is
+// treated as one that does not answer.
 func isRefusal(err error) bool {
 	var refusal *spool.Refusal
-	return errors.As(err, &refusal)
+	return errors.As(err, &refusal) && !isUnknownMethod(err)
+}
+
+// isUnknownMethod reports whether err is the answer of a gateway that does not know the
+// method.
+func isUnknownMethod(err error) bool {
+	var refusal *spool.Refusal
+	return errors.As(err, &refusal) && refusal.Code == spool.CodeBadRequest
 }
 
 // awaitHomes waits until the other gateways are known, but not longer than
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/baobabspool/baobabspool/internal/gateway"
 	"github.com/baobabspool/baobabspool/internal/standin"
+	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/platform"
@@ -278,6 +279,23 @@
 		gomega.Eventually(func() int { return runTurn(c, "p", 300).status }, eventuallyTimeout, "50ms").Should(gomega.Equal(http.StatusPaymentRequired))
 	})
 
+	// Guards against programs that are refused during an upgrade, because the homes of
+	// their records run an earlier version.
+	ginkgo.It("is granted beside gateways that do not know the methods of homes", func() {
+		for i := range 4 {
+			address := freeAddress()
+			server, err := wire.Listen(address, wire.Mux{}, nil)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			ginkgo.DeferCleanup(server.Close)
+			d.topics.Put("keyed.status", fmt.Sprintf("gateway/old-%d", i), fmt.Appendf(nil, `{"failureDomain":"a","address":%q,"lifetime":"old-%d","beat":1}`, address, i))
+		}
+		n := d.startGateway("g1")
+		gomega.Eventually(func() int { return runTurn(n, "warm", 1000).status }, eventuallyTimeout, "50ms").Should(gomega.Equal(http.StatusOK))
+		for i := range 10 {
+			gomega.Expect(runTurn(n, fmt.Sprintf("p-%d", i), 1000).status).To(gomega.Equal(http.StatusOK))
+		}
+	})
+
 	ginkgo.It("never starts a turn that it refuses", func() {
 		n := d.startGateway("g1")
 		gomega.Eventually(func() int { return runTurn(n, "warm", 1000).status }, eventuallyTimeout, "50ms").Should(gomega.Equal(http.StatusOK))
