--- a/internal/gateway/return_test.go
+++ b/internal/gateway/return_test.go
@@ -60,6 +60,14 @@
 	return nodes
 }
 
+// newStoppedDeployment returns a deployment whose gateways have run and were killed.
+func newStoppedDeployment() (d *deployment, nodes []*node) {
+	d = newDeployment()
+	d.publish()
+	d.addEndpoint("m1", "models", streamTwoEvents)
+	return d, d.startAndKill(returningGateways)
+}
+
 // launchAll starts killed gateways at the same time.
 func launchAll(nodes []*node) {
 	var wg sync.WaitGroup
@@ -113,10 +121,7 @@
 	// Their reads filled the store's rate and timed out, so that hardly a request was
 	// served until the load ended.
 	ginkgo.It("serves turns again soon, and reads the history about once altogether", func() {
-		d := newDeployment()
-		d.publish()
-		d.addEndpoint("m1", "models", streamTwoEvents)
-		nodes := d.startAndKill(returningGateways)
+		d, nodes := newStoppedDeployment()
 		ids := d.storeTurns()
 		d.topics.SetReadRate(readRate)
 		before := d.topics.ReadBytes()
@@ -130,10 +135,7 @@
 	// Guards against reads of the history that keep gateways from learning of a
 	// configuration. It was in force at no gateway for seconds.
 	ginkgo.It("puts a configuration in force in time while turns are looked up", func() {
-		d := newDeployment()
-		d.publish()
-		d.addEndpoint("m1", "models", streamTwoEvents)
-		nodes := d.startAndKill(returningGateways)
+		d, nodes := newStoppedDeployment()
 		ids := d.storeTurns()
 		d.topics.SetReadRate(readRate)
 		launchAll(nodes)
@@ -159,10 +161,7 @@
 	// start, so that the bytes read grow with the square of the gateways.
 	ginkgo.It("grants budgets again soon, and reads their records about once altogether", func() {
 		const recordBytes, bound = 4 << 10, 3 * storedTurns * (4 << 10)
-		d := newDeployment()
-		d.publish()
-		d.addEndpoint("m1", "models", streamTwoEvents)
-		nodes := d.startAndKill(returningGateways)
+		d, nodes := newStoppedDeployment()
 		for i := range storedTurns {
 			program := spool.ProgramID(fmt.Sprintf("stored-%d-%s", i, strings.Repeat("x", recordBytes)))
 			record := spend.Record{Program: program, Grant: fmt.Sprintf("gone.%d", i), Need: 1, Want: 1, Budget: 100}
