--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -309,7 +309,7 @@
 			server, err := wire.Listen(address, wire.Mux{}, nil)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			ginkgo.DeferCleanup(server.Close)
-			d.topics.Put("keyed.status", fmt.Sprintf("gateway/old-%d", i), fmt.Appendf(nil, `{"failureDomain":"a","address":%q,"lifetime":"old-%d","beat":1}`, address, i))
+			d.topics.PutGatewayText(fmt.Sprintf("old-%d", i), fmt.Appendf(nil, `{"failureDomain":"a","address":%q,"lifetime":"old-%d","beat":1}`, address, i))
 		}
 		n := d.startGateway("g1")
 		gomega.Eventually(func() int { return runTurn(n, "warm", 1000).status }, eventuallyTimeout, "50ms").Should(gomega.Equal(http.StatusOK))
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -95,3 +95,8 @@
 // PutEndpointText writes arbitrary bytes as the registration record of an endpoint. An
 // empty value deletes the record.
 func (t *Topics) PutEndpointText(id string, value []byte) { t.Put("keyed.servers", id, value) }
+
+// PutGatewayText writes arbitrary bytes as the record of a gateway, under its node name.
+func (t *Topics) PutGatewayText(node string, value []byte) {
+	t.Put("keyed.status", "gateway/"+node, value)
+}
