Remove an unused field of grantLog, and say why ends of grants bypass homeClient

Found when the change was read once more: grantLog kept a clock that nothing read, the reader could not see why endAtHome calls the home itself, and a comment in the appender said more than holds. No behaviour changes; build, vet, format and lint pass.

--- a/internal/gateway/appender.go
+++ b/internal/gateway/appender.go
@@ -189,7 +189,7 @@
 func (a *appender) nextBatch() (batch []*pendingRecord) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	// Deferred records were queued first. They return tokens that the others may need.
+	// Deferred records go first, because they return tokens that the others may need.
 	a.queue = append(a.deferred, a.queue...)
 	a.deferred = nil
 	size := 0
--- a/internal/gateway/grantlog.go
+++ b/internal/gateway/grantlog.go
@@ -104,7 +104,6 @@
 // records.
 type grantLog struct {
 	ctx     context.Context
-	clock   clock.Clock
 	homes   *homeClient
 	ledgers []*budgetLedger
 
@@ -123,7 +122,7 @@
 }
 
 func newGrantLog(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, homes *homeClient) *grantLog {
-	l := &grantLog{ctx: ctx, clock: systemClock, homes: homes, pending: map[string]*pendingGrant{}}
+	l := &grantLog{ctx: ctx, homes: homes, pending: map[string]*pendingGrant{}}
 	slots := semaphore.NewWeighted(maxBudgetPartitions)
 	for i := range min(settings.Partitions, maxBudgetPartitions) {
 		partition := spool.Partition{Topic: spool.TopicBudgets, Index: i}
@@ -325,7 +324,9 @@
 }
 
 // endAtHome lets the home of a partition write records that end grants. It returns false
-// if this gateway is the home or the home has not confirmed that it has written them.
+// if this gateway is the home or the home has not confirmed that it has written them. It
+// does not use homeClient.run, because a home writes such records up to maxBatchDelay
+// later and would be taken for silent.
 func (l *grantLog) endAtHome(ledger *budgetLedger, records []spend.Record) bool {
 	candidates := l.homes.homes.Candidates(ledger.reader.partition)
 	if len(candidates) == 0 || candidates[0].Address == "" {
--- a/internal/gateway/homeclient.go
+++ b/internal/gateway/homeclient.go
@@ -54,8 +54,8 @@
 // run runs an operation: local if this gateway is the home, and remote otherwise. If the
 // homes answer that they cannot run it, it fails. It runs local without being the home
 // only if none of the homes answers for homeRetryTime, since all gateways would do so at
-// the same time. local and remote may run more than once and
-// concurrently. remote must call its home at least every homeAnswerTime.
+// the same time. local and remote may run more than once and concurrently. remote must
+// call its home at least every homeAnswerTime.
 func (c *homeClient) run(ctx context.Context, partition spool.Partition, local func(ctx context.Context) error, remote func(ctx context.Context, call remoteCall) error) error {
 	c.awaitHomes(ctx)
 	giveUpAt := c.clock.Now() + homeRetryTime
