Bound the head of an endpoint's response, and bodies that nobody asked for

Cause: the parser of net/http keeps a head of any size. An endpoint that sent header fields, one line or interim responses without end filled the memory of the gateway until the request's time was over, and a body for another request was read for as long.

Change: a connection of the client bounds what it reads for one head to 1 MB, and a body that belongs to no request to 1 MB. The call then fails as one without a valid response, and the connection is closed.

--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -44,6 +44,17 @@
 	// before the response is read. A larger request is written by another goroutine,
 	// because a peer may respond before it has read the whole request.
 	maxInlineWrite = 16 << 10
+	// maxHeadBytes is the maximum size of the head of a response, with the interim
+	// responses before it. maxSkippedBytes is that of a body that belongs to no request.
+	maxHeadBytes    = 1 << 20
+	maxSkippedBytes = 1 << 20
+)
+
+// errHeadTooLarge means that the head of a response exceeds maxHeadBytes.
+// errSkippedTooLarge means that an unrequested body exceeds maxSkippedBytes.
+var (
+	errHeadTooLarge    = errors.Errorf("response head exceeds %d bytes", maxHeadBytes)
+	errSkippedTooLarge = errors.Errorf("unrequested response exceeds %d bytes", maxSkippedBytes)
 )
 
 // Client sends requests to any number of addresses and reuses idle connections.
@@ -63,12 +74,43 @@
 }
 
 type clientConn struct {
-	conn   net.Conn
+	conn net.Conn
+	// reader reads from conn through input.
 	reader *bufio.Reader
+	input  *headReader
 	// expiresAt is the time after which the idle connection is not reused.
 	expiresAt clock.Millis
 }
 
+// headReader reads from a connection and bounds how much is read while a head is parsed,
+// because the parser of net/http keeps a head of any size in memory.
+type headReader struct {
+	conn net.Conn
+	// inHead is set while a head is parsed. left is then the number of bytes that may
+	// still be read.
+	inHead bool
+	left   int
+}
+
+// Read implements io.Reader. In a head it fails with errHeadTooLarge after maxHeadBytes.
+func (r *headReader) Read(p []byte) (n int, err error) {
+	if !r.inHead {
+		return r.conn.Read(p)
+	}
+	if r.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err = r.conn.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
+// beginHead starts a head.
+func (r *headReader) beginHead() { r.inHead, r.left = true, maxHeadBytes }
+
+// endHead ends the head. The body is not bounded.
+func (r *headReader) endHead() { r.inHead = false }
+
 // Call is one request to an address.
 type Call struct {
 	// Address is the host:port to connect to.
@@ -139,12 +181,19 @@
 }
 
 // readHead reads responses until one belongs to call, and returns it without its body.
-// It skips 1xx responses and those that call.AcceptResponse rejects.
+// It skips 1xx responses and those that call.AcceptResponse rejects. It fails if the head
+// exceeds maxHeadBytes or a skipped body exceeds maxSkippedBytes.
 func (c *clientConn) readHead(call *Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
+	c.input.beginHead()
+	defer c.input.endHead()
 	for {
 		response, err := http.ReadResponse(c.reader, request)
-		if err != nil {
+		switch {
+		case err != nil && c.input.left <= 0:
+			// The parser may take the truncated head for a malformed one.
+			return nil, errHeadTooLarge
+		case err != nil:
 			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
@@ -153,10 +202,21 @@
 		if call.AcceptResponse == nil || call.AcceptResponse(response.Header) {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := c.skipBody(response); err != nil {
 			return nil, err
 		}
+		c.input.beginHead()
+	}
+}
+
+// skipBody reads and discards the body of a response that belongs to no request.
+func (c *clientConn) skipBody(response *http.Response) error {
+	c.input.endHead()
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
+	if err == nil && n > maxSkippedBytes {
+		err = errSkippedTooLarge
 	}
+	return err
 }
 
 // Close releases the response. whole must be true only if the body has been read to the
@@ -238,7 +298,8 @@
 		return nil, err
 	}
 	ConfigureKeepAlive(conn, keepAliveInterval)
-	return &clientConn{conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	input := &headReader{conn: conn}
+	return &clientConn{conn: conn, input: input, reader: bufio.NewReaderSize(input, readBufferSize)}, nil
 }
 
 func (c *Client) popIdle(address string) *clientConn {
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -233,6 +233,28 @@
 		gomega.Expect(readBody(response)).To(gomega.Equal("mine"))
 	})
 
+	// Guards against an endpoint that sends header fields, interim responses or bodies
+	// of other requests without end and fills the memory or the time of its caller.
+	ginkgo.DescribeTable("fails soon on a response whose head does not end", func(opening, repeated string) {
+		address, _ := startUpstream(func(conn net.Conn, reader *bufio.Reader) {
+			_, _ = http.ReadRequest(reader)
+			_, err := io.WriteString(conn, opening)
+			for err == nil {
+				_, err = io.WriteString(conn, repeated)
+			}
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, err := client().Do(ctx, getCall(address, "1"))
+		gomega.Expect(err).To(gomega.MatchError(httpconn.ErrNoResponse))
+		gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("exceeds")))
+	},
+		ginkgo.Entry("of header fields", "HTTP/1.1 200 OK\r\n", "Noise: "+strings.Repeat("x", 4096)+"\r\n"),
+		ginkgo.Entry("of one line", "HTTP/1.1 200 OK\r\nNoise: ", strings.Repeat("x", 4096)),
+		ginkgo.Entry("of interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+		ginkgo.Entry("of a body for another request", "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1024)+"\r\n"),
+	)
+
 	ginkgo.It("does not use a connection with bytes that nobody asked for", func() {
 		address, accepted := startUpstream(func(conn net.Conn, reader *bufio.Reader) {
 			request, err := http.ReadRequest(reader)
