Give the roles of a deployment to VMs that can bear them, and take them from late ones

Cause: the owner of the limit pools, and the homes of partitions, were ranked by a hash of their node's name alone. Nothing took the role away, since the owner is heard and votes for itself.

Change: pkg/candidates ranks the VMs of at least half of the largest processor and link first, and those last whose process runs late (a timer that fires 40 ms late or more, for most of 0.75 s; held for 20 s). Member records carry both. An owner that cannot bear the role hands the pools over to one that can, with their levels. Homes are chosen among the able VMs only; small VMs go on serving their callers.

Roles by size need no setting of a deployment.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/baobabspool/baobabspool/pkg/candidates"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -148,7 +149,27 @@
 
 // ShouldClaim reports whether this gateway should write a claim now, given the live
 // gateways.
-func (o PoolOwner) ShouldClaim(live ...spool.NodeID) bool { return o.shouldClaim(live) }
+func (o PoolOwner) ShouldClaim(live ...spool.NodeID) bool {
+	return o.shouldClaim(candidatesOf(spool.VMSize{}, live...))
+}
+
+// candidatesOf returns gateways on VMs of one size.
+func candidatesOf(size spool.VMSize, nodes ...spool.NodeID) (list []candidates.Candidate) {
+	for _, node := range nodes {
+		list = append(list, candidates.Candidate{Node: node, Size: size})
+	}
+	return list
+}
+
+// StepDown runs stepDown for a gateway on a VM of the given size. The other gateway has
+// another size, and answers with the given incarnation.
+func (o PoolOwner) StepDown(own, otherSize spool.VMSize, other spool.NodeID, incarnation string) {
+	o.queryPeer = func(context.Context, string, aliveRequest) (aliveReply, error) {
+		return aliveReply{Incarnation: incarnation}, nil
+	}
+	live := append(candidatesOf(own, o.self.Node), candidatesOf(otherSize, other)...)
+	o.stepDown(context.Background(), live, func() []claimRecord { return []claimRecord{{Node: other, Incarnation: incarnation}} })
+}
 
 // NamesEarlierOwners reports whether the next claim would name earlier owners that may
 // still grant.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,8 +140,9 @@
 	grants := newGrantLog(ctx, g.store, g.clock, g.settings, homeClient)
 	g.budgets = newBudgetStore(ctx, grants, g.health, g.clock, incarnation, g.requestGrantReturn, g.reserve)
 	ownership.pollMembersEverywhere = func() { g.shared.pollMembersEverywhere() }
-	members := newMemberTable(g.settings.Node, bootClock, ownership, g.homes, g.telemetry.Logger("members"))
-	g.shared = newSharedState(g, g.store, incarnation, members, bootClock)
+	lateness := newLatenessMonitor(bootClock)
+	members := newMemberTable(g.settings, lateness.isLate, bootClock, ownership, g.homes, g.telemetry.Logger("members"))
+	g.shared = newSharedState(g, g.store, incarnation, members, lateness, bootClock)
 	stateAge := func() clock.Millis { return g.shared.age(bootClock.Now()) }
 	g.limits = newLimiter(g.settings, ownership, bootClock, stateAge, g.peerClients, g.telemetry)
 }
@@ -298,7 +299,7 @@
 // down.
 func (g *Gateway) announceLeaving(ctx context.Context) {
 	g.shared.leaving.Store(true)
-	g.limits.poolOwnership.handOver(ctx, g.shared.members.candidates)
+	g.limits.poolOwnership.handOver(ctx, g.shared.members.successors)
 	if err := g.shared.writeMemberRecord(ctx); err != nil {
 		g.log.Warn("member record that announces the shutdown was not written", zap.Error(err))
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/baobabspool/baobabspool/pkg/candidates"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/homes"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -36,6 +37,10 @@
 	Heartbeat int64 `json:"beat"`
 	// Leaving reports whether the gateway is shutting down.
 	Leaving bool `json:"leaving,omitempty"`
+	// Size is that of the gateway's VM; zero in records of earlier versions.
+	Size spool.VMSize `json:"size"`
+	// Late reports that the process has lately run late.
+	Late bool `json:"late,omitempty"`
 }
 
 // memberTable holds the newest record of each gateway of the deployment. It is the sink
@@ -47,6 +52,10 @@
 	// homes gets the running gateways after each read of the topic.
 	homes *homes.Table
 	self  spool.NodeID
+	// selfSize is the size of the VM of this gateway, and isLate reports whether its
+	// process is late.
+	selfSize spool.VMSize
+	isLate   func() bool
 	log   *zap.Logger
 
 	mu      sync.Mutex
@@ -68,8 +77,11 @@
 
 var _ sink = (*memberTable)(nil)
 
-func newMemberTable(self spool.NodeID, bootClock clock.Clock, ownership *poolOwnership, table *homes.Table, log *zap.Logger) *memberTable {
-	return &memberTable{bootClock: bootClock, poolOwnership: ownership, homes: table, self: self, log: log, members: map[spool.NodeID]member{}}
+func newMemberTable(settings spool.GatewaySettings, isLate func() bool, bootClock clock.Clock, ownership *poolOwnership, table *homes.Table, log *zap.Logger) *memberTable {
+	return &memberTable{
+		bootClock: bootClock, poolOwnership: ownership, homes: table, self: settings.Node, selfSize: settings.Size, isLate: isLate,
+		log: log, members: map[spool.NodeID]member{},
+	}
 }
 
 func (t *memberTable) reset(records []spool.KeyedRecord) {
@@ -143,45 +155,61 @@
 	return members
 }
 
-// candidates returns a claim for each other gateway that is running, is not shutting
-// down and has an address.
-func (t *memberTable) candidates() (candidates []claimRecord) {
-	for _, id := range t.liveMembers() {
+// successors returns a claim for each other gateway that is running, is not shutting
+// down and has an address, in the order in which they should own the pools.
+func (t *memberTable) successors() (claims []claimRecord) {
+	for _, candidate := range candidates.Rank(ownerKey, t.liveMembers()) {
 		t.mu.Lock()
-		record := t.members[id].record
+		record := t.members[candidate.Node].record
 		t.mu.Unlock()
-		if id != t.self && record.Address != "" {
-			candidates = append(candidates, claimRecord{Node: id, Address: record.Address, Incarnation: record.Incarnation})
+		if candidate.Node != t.self && record.Address != "" {
+			claims = append(claims, claimRecord{Node: candidate.Node, Address: record.Address, Incarnation: record.Incarnation})
 		}
 	}
-	return candidates
+	return claims
 }
 
 // liveMembers returns the gateways whose newest record was read within
 // memberLiveTimeout and does not say that they are shutting down. The result includes
 // this gateway unless it is shutting down.
-func (t *memberTable) liveMembers() (live []spool.NodeID) {
+func (t *memberTable) liveMembers() (live []candidates.Candidate) {
 	for _, id := range t.seenWithin(memberLiveTimeout) {
 		if !t.isLeaving(id) {
-			live = append(live, id)
+			live = append(live, t.candidate(id))
 		}
 	}
 	return live
 }
 
-// homeGateways returns the gateways that may be homes of partitions: this one, and those
-// that were running at the newest read of the topic. While the topic cannot be read, the
-// gateways stay the same.
-func (t *memberTable) homeGateways() (gateways []homes.Gateway) {
+// candidate returns what is known of a gateway as a candidate for a role.
+func (t *memberTable) candidate(id spool.NodeID) candidates.Candidate {
+	if id == t.self {
+		return candidates.Candidate{Node: id, Size: t.selfSize, Late: t.isLate()}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	gateways = append(gateways, homes.Gateway{Node: t.self})
+	record := t.members[id].record
+	return candidates.Candidate{Node: id, Size: record.Size, Late: record.Late}
+}
+
+// homeGateways returns the gateways that may be homes of partitions: those that can bear
+// it, of this one and those that were running at the newest read of the topic. While the
+// topic cannot be read, the gateways stay the same.
+func (t *memberTable) homeGateways() (gateways []homes.Gateway) {
+	list := []candidates.Candidate{t.candidate(t.self)}
+	addresses := map[spool.NodeID]string{}
+	t.mu.Lock()
 	for id, member := range t.members {
 		isLive := t.confirmedAt-member.seenAt <= memberLiveTimeout
 		if id != t.self && isLive && !member.record.Leaving && member.record.Address != "" {
-			gateways = append(gateways, homes.Gateway{Node: id, Address: member.record.Address})
+			list = append(list, candidates.Candidate{Node: id, Size: member.record.Size, Late: member.record.Late})
+			addresses[id] = member.record.Address
 		}
 	}
+	t.mu.Unlock()
+	for _, candidate := range candidates.Able(list) {
+		gateways = append(gateways, homes.Gateway{Node: candidate.Node, Address: addresses[candidate.Node]})
+	}
 	return gateways
 }
 
--- a/internal/gateway/owner_claims.go
+++ b/internal/gateway/owner_claims.go
@@ -4,10 +4,10 @@
 	"context"
 	"encoding/json"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/baobabspool/baobabspool/pkg/candidates"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -27,12 +27,15 @@
 	// conflictRetryDelay is the delay before a handover that met a conflict is written
 	// again. In the meantime the gateway reads the newer records of the topic.
 	conflictRetryDelay = 15 * clock.Millis(1)
+	// stepDownTimeout bounds one try to hand the pools over to a gateway that can bear
+	// them.
+	stepDownTimeout = clock.Second
 )
 
 // claimIfVacant writes a claim if shouldClaim says so: because the pools have no owner
 // that answers, or because this gateway owns them and its claim must be updated. A
 // failed write is repeated with a later call.
-func (o *poolOwnership) claimIfVacant(ctx context.Context, live []spool.NodeID) {
+func (o *poolOwnership) claimIfVacant(ctx context.Context, live []candidates.Candidate) {
 	if !o.shouldClaim(live) {
 		return
 	}
@@ -81,7 +84,7 @@
 
 // shouldClaim reports whether this gateway should write a claim now, and if so, sets
 // lastClaimAt. live holds the running gateways that are not shutting down.
-func (o *poolOwnership) shouldClaim(live []spool.NodeID) bool {
+func (o *poolOwnership) shouldClaim(live []candidates.Candidate) bool {
 	now := o.bootClock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -124,33 +127,43 @@
 	return true
 }
 
-// rankLocked returns the number of live gateways that are candidates with a higher
-// score than this one. The current owner is not a candidate. The caller holds mu.
-func (o *poolOwnership) rankLocked(live []spool.NodeID) (rank int) {
-	own := candidateScore(o.self.Node)
-	for _, other := range live {
-		if other != o.newestClaim.Node && other != o.self.Node && candidateScore(other) > own {
+// rankLocked returns the number of live gateways that precede this one as candidates. The
+// current owner is not a candidate. The caller holds mu.
+func (o *poolOwnership) rankLocked(live []candidates.Candidate) (rank int) {
+	for _, other := range candidates.Rank(ownerKey, live) {
+		if other.Node == o.self.Node {
+			break
+		}
+		if other.Node != o.newestClaim.Node {
 			rank++
 		}
 	}
 	return rank
 }
 
-// candidateScore returns a hash by which all gateways rank the candidates in the same
-// order, the highest first.
-func candidateScore(node spool.NodeID) uint64 {
-	return xxhash.Sum64String(ownerKey + "\x00" + string(node))
+// stepDown hands the pools over if this gateway owns them and another one of live can bear
+// the role, but this one cannot: its VM is small, or its process runs late. successors is
+// as in handOver. It gives up after stepDownTimeout; a later call tries again.
+func (o *poolOwnership) stepDown(ctx context.Context, live []candidates.Candidate, successors func() []claimRecord) {
+	if !o.canGrant() || candidates.IsAble(live, o.self.Node) {
+		return
+	}
+	o.log.Info("owner of the limits steps down", zap.Int("candidates", len(live)))
+	ctx, cancel := context.WithTimeout(ctx, stepDownTimeout.Duration())
+	defer cancel()
+	o.handOver(ctx, successors)
 }
 
-// handOver writes a claim that names another gateway as the owner. It retries until the
+// handOver writes a claim that names another gateway as the owner, the first one of
+// successors that stays. It retries until the
 // claim is written, this gateway may no longer grant, no candidate is left or ctx ends.
 // It skips candidates that are shutting down or do not answer. This gateway continues
 // to grant until it reads the written claim or the successor asks it to stop, so the
 // pools have an owner even while the store accepts no record.
-func (o *poolOwnership) handOver(ctx context.Context, candidates func() []claimRecord) {
+func (o *poolOwnership) handOver(ctx context.Context, successors func() []claimRecord) {
 	avoid := map[string]bool{}
 	for o.canGrant() {
-		next := pickSuccessor(candidates(), avoid)
+		next := pickSuccessor(successors(), avoid)
 		if next.Incarnation == "" {
 			return
 		}
@@ -222,16 +235,13 @@
 	return err != nil || reply.Leaving || reply.Incarnation != candidate.Incarnation
 }
 
-// pickSuccessor returns the candidate with the highest score whose incarnation is not
-// in avoid; the zero value if there is none.
-func pickSuccessor(candidates []claimRecord, avoid map[string]bool) (best claimRecord) {
-	for _, candidate := range candidates {
-		if avoid[candidate.Incarnation] {
-			continue
-		}
-		if best.Node == "" || candidateScore(candidate.Node) > candidateScore(best.Node) {
-			best = candidate
+// pickSuccessor returns the first candidate whose incarnation is not in avoid; the zero
+// value if there is none.
+func pickSuccessor(successors []claimRecord, avoid map[string]bool) claimRecord {
+	for _, candidate := range successors {
+		if !avoid[candidate.Incarnation] {
+			return candidate
 		}
 	}
-	return best
+	return claimRecord{}
 }
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -237,6 +237,20 @@
 		gomega.Expect(owner.CanGrant()).To(gomega.BeTrue())
 	})
 
+	// Guards against an owner on a small VM that is the busiest process of the deployment:
+	// nothing took the role away from it while it was heard and voted for itself.
+	ginkgo.It("passes from a VM that cannot bear the role to one that can", func() {
+		large, small := spool.VMSize{Cores: 0.8, LinkMbps: 600}, spool.VMSize{Cores: 0.144, LinkMbps: 30}
+		owner.Observe(ownClaim, 0)
+		owner.StepDown(large, small, "a", "a1")
+		gomega.Expect(owner.ClaimWrites()).To(gomega.BeZero())
+		owner.StepDown(small, large, "a", "a1")
+		gomega.Expect(owner.ClaimWrites()).To(gomega.Equal(1))
+		owner.Observe(owner.LastClaim(), 1)
+		gomega.Expect(owner.CanGrant()).To(gomega.BeFalse())
+		gomega.Expect(owner.YieldTo(2)).To(gomega.Equal(spool.Epoch(1)), "its pools are handed over")
+	})
+
 	ginkgo.It("hands the reserve over only once", func() {
 		owner.Observe(ownClaim, 0)
 		gomega.Expect(owner.TakeReserve("p", 10, 600)).To(gomega.BeTrue())
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -42,6 +42,7 @@
 	store       spool.Store
 	log         *zap.Logger
 	members     *memberTable
+	lateness    *latenessMonitor
 	operator    *operatorSink
 	followers   []*follower
 	incarnation string
@@ -56,8 +57,8 @@
 	backgroundQueries sync.WaitGroup
 }
 
-func newSharedState(g *Gateway, store spool.Store, incarnation string, members *memberTable, bootClock clock.Clock) *sharedState {
-	s := &sharedState{gateway: g, store: store, log: g.log, members: members, incarnation: incarnation}
+func newSharedState(g *Gateway, store spool.Store, incarnation string, members *memberTable, lateness *latenessMonitor, bootClock clock.Clock) *sharedState {
+	s := &sharedState{gateway: g, store: store, log: g.log, members: members, lateness: lateness, incarnation: incarnation}
 	s.operator = &operatorSink{gateway: g, log: g.log, bootClock: bootClock, evacuated: map[spool.FailureDomain]bool{}}
 	s.followers = []*follower{
 		{topic: spool.TopicOperator, pollWait: operatorPollWait, sink: s.operator},
@@ -134,6 +135,7 @@
 	record, err := json.Marshal(memberRecord{
 		FailureDomain: s.gateway.settings.FailureDomain, Address: s.gateway.settings.ControlListen,
 		Incarnation: s.incarnation, Heartbeat: s.heartbeats.Add(1), Leaving: s.leaving.Load(),
+		Size: s.gateway.settings.Size, Late: s.lateness.isLate(),
 	})
 	if err != nil {
 		return err
@@ -145,11 +147,11 @@
 
 // runPoolOwnership runs until ctx ends. Once the member topic has been read, it passes
 // membership changes on to the limiter and the endpoint table, probes the owner of the
-// limit pools, requests votes if this gateway is the owner, and claims the pools when
-// they have no owner that answers.
+// limit pools, requests votes if this gateway is the owner, hands the pools over if this
+// gateway cannot bear them, and claims the pools when they have no owner that answers.
 func (s *sharedState) runPoolOwnership(ctx context.Context) {
 	var view []spool.NodeID
-	var probing, requestingVotes atomic.Bool
+	var probing, requestingVotes, steppingDown atomic.Bool
 	first := true
 	timer := time.NewTimer(memberInterval.Duration())
 	defer timer.Stop()
@@ -164,11 +166,16 @@
 			}
 			s.startQuery(ctx, &requestingVotes, s.gateway.limits.poolOwnership.requestVotes)
 			s.startQuery(ctx, &probing, s.gateway.limits.poolOwnership.probe)
+			s.startQuery(ctx, &steppingDown, func(ctx context.Context) {
+				s.gateway.limits.poolOwnership.stepDown(ctx, s.members.liveMembers(), s.members.successors)
+			})
 			s.gateway.limits.poolOwnership.claimIfVacant(ctx, s.members.liveMembers())
 		}
 		timer.Reset(claimInterval.Duration())
+		s.lateness.setTimer(claimInterval)
 		select {
 		case <-timer.C:
+			s.lateness.timerFired()
 		case <-s.gateway.limits.poolOwnership.wake:
 		case <-ctx.Done():
 		}
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -219,6 +219,18 @@
 	FirstPort, LastPort int
 	// MemoryMB is the memory of the process in MB.
 	MemoryMB int64
+	// Size is what the VM offers to the process. A gateway publishes it, so that roles go
+	// to the VMs that can bear them.
+	Size VMSize
+}
+
+// VMSize is the processor and the link that a VM offers to a process. It is zero when
+// unknown.
+type VMSize struct {
+	// Cores is the processor time per second, in cores of one speed.
+	Cores float64 `json:"cores,omitempty"`
+	// LinkMbps is the bandwidth in megabits per second.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
 }
 
 // LimitTolerance bounds by how much an account may exceed its rate limit. The
