Serve small accounts what their rate allows, on any number of gateways

A quarter of each limit is a static part at a few gateways, where no request of such an account arrives, so it is lost as long as the pool has an owner. 2. The burst was raised by a third at most, although the tolerated excess of a small account is several times its burst. 3. Calls that a program makes at the same time come to one gateway. All but the first found a queue of the longest length, 1, and were refused while the answer of the owner was on its way.

Change: limit.Tolerant adds the static part to the pool as far as three quarters of the tolerated excess pay for it, and takes only the rest from the pool; the other half of the used excess is burst. The rate at which new programs start stays that of the account. A queue takes as many requests as the burst holds, until the owner answers that the pool has no more.

--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -18,16 +18,12 @@
 )
 
 const (
-	// staticShare is the fraction of each limit that is split evenly over the gateways,
-	// as their static parts. The owner of the pools leases out the rest. A static part
-	// serves requests while the owner is unavailable. A larger fraction would be left
-	// unused more often, because the requests of an account arrive unevenly at the
-	// gateways.
+	// staticShare is the size of the static parts, which are split evenly over the
+	// gateways, as a fraction of each limit. A static part serves requests while the owner
+	// of the pools is unavailable. As far as limit.Tolerant takes them from the pool, a
+	// larger fraction would be left unused more often, because the requests of an account
+	// arrive unevenly at the gateways.
 	staticShare = 0.25
-	// toleranceShare is the fraction of the tolerated excess (see spool.LimitTolerance)
-	// that is added to the burst of a limit. It compensates for the tokens that are
-	// leased to gateways and therefore missing from the burst of the pool.
-	toleranceShare = 0.5
 	// viewTimeout is the time without a successful read of the operator topic or of the
 	// member topic after which a gateway stops using its static parts.
 	viewTimeout = 20 * clock.Second
@@ -114,7 +110,7 @@
 		if account.Rate <= 0 {
 			continue
 		}
-		next[account.ID] = l.limitConfig(account)
+		next[account.ID] = limit.Tolerant(account.Rate, account.Burst, staticShare, l.tolerance)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -129,16 +125,6 @@
 	}
 }
 
-// limitConfig returns the limit of an account. It raises the burst to compensate for
-// tokens that are leased to gateways: by toleranceShare of the tolerated excess, and by
-// at most a third of the account's burst.
-func (l *limiter) limitConfig(account catalog.Account) limit.Config {
-	seconds := float64(l.tolerance.Window) / float64(clock.Second)
-	tolerated := l.tolerance.Over*(account.Rate*seconds+account.Burst) + l.tolerance.Slack
-	burst := account.Burst + min(account.Burst/3, toleranceShare*tolerated)
-	return limit.Config{Rate: account.Rate, Burst: max(1, burst), StaticShare: staticShare}
-}
-
 // setMembers sets the gateways over which the static parts are split. resumed reports
 // that this gateway may use its static parts at once: it had them before a restart, or
 // no process of the deployment has run before. skipped reports that earlier membership
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -56,7 +56,7 @@
 	// process is late.
 	selfSize spool.VMSize
 	isLate   func() bool
-	log   *zap.Logger
+	log      *zap.Logger
 
 	mu      sync.Mutex
 	members map[spool.NodeID]member
--- a/pkg/limit/fleet.go
+++ b/pkg/limit/fleet.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// tickInterval is the simulated time between two ticks of a Fleet. Each tick
+	// defaultTick is the simulated time between two ticks of a Fleet. Each tick
 	// advances all owners and queues.
-	tickInterval clock.Millis = 50
+	defaultTick clock.Millis = 50
 )
 
 // Fleet simulates several entries with their owners, shares and queues in one
@@ -30,6 +30,8 @@
 	// messages contains the messages in transit, in the order of their delivery.
 	messages []fleetMessage
 	nextTick clock.Millis
+	// tickInterval is the time between two ticks.
+	tickInterval clock.Millis
 	// outcomes contains the outcomes that Advance has not returned yet.
 	outcomes []Outcome
 }
@@ -60,18 +62,31 @@
 	grant     *Grant
 }
 
+// FleetOption changes a Fleet at its creation.
+type FleetOption func(*Fleet)
+
+// WithTick sets the simulated time between two ticks. Queued requests wait for a tick, so
+// a fleet whose requests wait for less than the default needs a shorter one.
+func WithTick(interval clock.Millis) FleetOption {
+	return func(f *Fleet) { f.tickInterval = interval }
+}
+
 // NewFleet returns a fleet of entries with the given IDs. The simulation starts
 // before now, early enough for every bucket to be full at now. messageDelay is the
 // latency of a message between entries. failoverDelay is the time from the
 // departure of an owner until another entry takes over its pools.
-func NewFleet(now clock.Millis, nodes []spool.NodeID, configs map[spool.AccountID]Config, timing Timing, messageDelay, failoverDelay clock.Millis) *Fleet {
+func NewFleet(now clock.Millis, nodes []spool.NodeID, configs map[spool.AccountID]Config, timing Timing, messageDelay, failoverDelay clock.Millis, options ...FleetOption) *Fleet {
 	fleet := &Fleet{
-		timing: timing, messageDelay: messageDelay, failoverDelay: failoverDelay, configs: configs,
+		tickInterval: defaultTick,
+		timing:       timing, messageDelay: messageDelay, failoverDelay: failoverDelay, configs: configs,
 		accounts: slices.Sorted(maps.Keys(configs)),
 		nodes:    map[spool.NodeID]*fleetNode{},
 		pools:    map[spool.AccountID]*fleetPool{},
 		nextTick: now,
 	}
+	for _, option := range options {
+		option(fleet)
+	}
 	start := now - timing.View - timing.Lease - clock.Minute
 	for _, account := range fleet.accounts {
 		fleet.pools[account] = &fleetPool{vacant: true, vacantAt: start - failoverDelay}
@@ -104,7 +119,7 @@
 		}
 		if at == f.nextTick {
 			f.tick(at)
-			f.nextTick += tickInterval
+			f.nextTick += f.tickInterval
 			continue
 		}
 		message := f.messages[0]
@@ -124,6 +139,16 @@
 	return f.nextTick
 }
 
+// Nodes returns the entries that run, sorted.
+func (f *Fleet) Nodes() []spool.NodeID { return slices.Clone(f.liveNodes) }
+
+// Owner returns the entry that owns the pool of an account; false if the pool has no
+// owner.
+func (f *Fleet) Owner(account spool.AccountID) (spool.NodeID, bool) {
+	pool := f.pools[account]
+	return pool.node, !pool.vacant
+}
+
 // Leave stops an entry without a handover of its pools. The next call of Advance
 // returns its queued requests as refused.
 func (f *Fleet) Leave(now clock.Millis, node spool.NodeID) {
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -78,6 +78,9 @@
 	// statically among the entries. It is treated as 0 if that fraction of the
 	// burst is less than one token.
 	StaticShare float64
+	// Added is the fraction of Rate, in [0,1), that lies above the rate of the account; see
+	// Tolerant.
+	Added float64
 }
 
 // Timing holds durations that must be the same at all entries and must not change
--- a/pkg/limit/owner.go
+++ b/pkg/limit/owner.go
@@ -95,7 +95,7 @@
 		timing: timing, elapsed: elapsedBounds{maxGap: timing.MaxGap},
 		limits: limits, targetLimits: limits,
 		bucket:       bucket{rate: limits.Rate, capacity: limits.Cap},
-		lastSequence: map[spool.NodeID]uint64{}, startLimiter: NewStartLimiter(config.Rate),
+		lastSequence: map[spool.NodeID]uint64{}, startLimiter: NewStartLimiter(config.startRate()),
 	}
 }
 
@@ -107,7 +107,7 @@
 	o.targetLimits = PoolOf(config, o.timing)
 	o.setLimits(minPool(o.limits, o.targetLimits))
 	o.growAt = o.elapsed.lower + o.timing.growthDelay()
-	o.startLimiter.SetRate(config.Rate)
+	o.startLimiter.SetRate(config.startRate())
 }
 
 // AdmitStart decides whether a program may start whose account is short of tokens;
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -174,10 +174,16 @@
 }
 
 // maxLength returns the number of requests ahead of a new one at which SubmitAs
-// refuses it, unless it is an alarm: one more than the rate admits within maxWait.
-// The request would be refused after its wait anyway.
+// refuses it, unless it is an alarm: one more than the tokens that can arrive within
+// maxWait. The request would be refused after its wait anyway. These are the refill, and
+// the burst unless the owner has lately answered that the pool has no more tokens. So
+// calls that a program makes at the same time wait together for one answer of the owner.
 func (q *Queue) maxLength() int {
-	return 1 + int(q.share.config.Rate*float64(q.maxWait())/float64(clock.Second))
+	tokens := q.share.config.Rate * float64(q.maxWait()) / float64(clock.Second)
+	if !q.share.isPoolShort() {
+		tokens = max(tokens, q.share.config.Burst)
+	}
+	return 1 + int(tokens)
 }
 
 // drainTime returns the time in which the rate admits all queued requests and one
--- a/pkg/limit/share.go
+++ b/pkg/limit/share.go
@@ -316,6 +316,10 @@
 	return &request
 }
 
+// isPoolShort reports whether the owner has answered that it has no more tokens, and the
+// time for the next request to it has not come.
+func (s *Share) isPoolShort() bool { return s.elapsed.upper < s.nextRequestAt }
+
 // expiringTokens returns the tokens of the oldest lease and the epoch that granted
 // them if at most half of a lease duration is left until it expires; otherwise 0.
 func (s *Share) expiringTokens() (float64, spool.Epoch) {
