Keep a panic to its own request or record, and do not pass on a cut answer

Cause, found while looking for what operators of similar systems saw: a panic in the handling of one request or of one record of a shared topic ended the whole gateway, and a record that every gateway reads would end all of them.

Change: a request that panics is logged with its stack, counted as a violation and answered with 502, since it may have run; a record that panics is ignored like a malformed one.

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -171,6 +172,15 @@
 	f.sink.confirm(sentAt)
 }
 
+// ignorePanickingRecord ends the handling of a record that panicked. It must be deferred.
+// The record is ignored like a malformed one: every gateway reads it, so that it would end
+// all of them.
+func ignorePanickingRecord(log *zap.Logger, record spool.KeyedRecord) {
+	if cause := recover(); cause != nil {
+		log.Error("record was ignored after a panic", zap.String("key", record.Key), zap.Int64("offset", record.Offset), zap.Any("cause", cause), zap.ByteString("stack", debug.Stack()))
+	}
+}
+
 // loadSnapshot reads the newest record of every key from the store and replaces the
 // copy.
 func (f *follower) loadSnapshot(ctx context.Context) error {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,8 +30,8 @@
 	// fullRetryShare is the share of the request's remaining time during which new
 	// rounds are started.
 	fullRetryShare = 0.4
-	// maxAnswerBytes bounds the size of an answer that is not streamed, in bytes. The
-	// rest of a longer answer is dropped.
+	// maxAnswerBytes bounds the size of an answer that is not streamed, in bytes. A longer
+	// answer counts as incomplete.
 	maxAnswerBytes = 32 << 20
 	// eventStream is the content type of an answer that is passed on event by event.
 	eventStream = "text/event-stream"
@@ -40,6 +40,9 @@
 	leastUrgent = 9
 )
 
+// errAnswerTooLarge means that an answer that is not streamed exceeds maxAnswerBytes.
+var errAnswerTooLarge = errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)
+
 // tryResult is the result of sending a request to one endpoint.
 type tryResult string
 
@@ -270,9 +273,13 @@
 // sendBuffered reads the whole answer before it passes any of it on. If the endpoint
 // does not complete the answer, the request can then still be repeated.
 func (r *request) sendBuffered(ctx context.Context, response *httpconn.Response) (tryResult, endpoints.Outcome) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errAnswerTooLarge
+	}
 	response.Close(err == nil)
 	if err != nil {
+		r.refusalErr = err
 		return mayHaveRun, failureOutcome(ctx)
 	}
 	r.endBudget()
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -62,6 +63,7 @@
 // it.
 func (g *Gateway) handle(ctx context.Context, exchange *httpconn.Exchange) {
 	r := &request{gateway: g, exchange: exchange, tried: map[spool.EndpointID]bool{}}
+	defer r.recoverPanic()
 	if reason := r.resolve(); reason != "" {
 		r.reject(refusalFor(reason))
 		return
@@ -84,6 +86,17 @@
 	}
 }
 
+// recoverPanic ends a request whose handling panicked, so that the error of one request
+// does not end the process. The request may have run, so the caller is not told otherwise.
+func (r *request) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	r.gateway.telemetry.CountViolation("noPanic", zap.String("request", r.call.Attempt), zap.Any("cause", cause), zap.ByteString("stack", debug.Stack()))
+	r.reject(refusalFor(reasonInternal))
+}
+
 // startsProgram reports whether no turn of the program is known to have run. It may
 // wait for a read of the log; if that fails, the result is true.
 func (r *request) startsProgram(ctx context.Context) bool {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -97,6 +97,7 @@
 }
 
 func (t *memberTable) apply(record spool.KeyedRecord) {
+	defer ignorePanickingRecord(t.log, record)
 	if record.Key == ownerKey {
 		t.poolOwnership.observeClaim(record.Value, record.Offset)
 		return
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -26,6 +26,7 @@
 	reasonOverloaded      spool.Code = "overloaded"
 	reasonMayHaveRun      spool.Code = "mayHaveRun"
 	reasonTimeout         spool.Code = "timeout"
+	reasonInternal        spool.Code = "internal"
 )
 
 // Delays after which a caller may retry, in milliseconds.
@@ -71,6 +72,7 @@
 	reasonOverloaded:      {status: http.StatusServiceUnavailable, retryAfter: retryOverload},
 	reasonMayHaveRun:      {status: http.StatusBadGateway},
 	reasonTimeout:         {status: http.StatusGatewayTimeout},
+	reasonInternal:        {status: http.StatusBadGateway},
 }
 
 // refusalFor returns the refusal for a reason.
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -224,6 +224,7 @@
 }
 
 func (s *operatorSink) apply(record spool.KeyedRecord) {
+	defer ignorePanickingRecord(s.log, record)
 	change, err := s.gateway.codec.DecodeOperator(record.Key, record.Value)
 	switch {
 	case err != nil:
@@ -306,6 +307,7 @@
 }
 
 func (s *endpointSink) apply(record spool.KeyedRecord) {
+	defer ignorePanickingRecord(s.log, record)
 	now := s.updateStoreState()
 	if len(record.Value) == 0 {
 		s.log.Info("endpoint's record is gone", zap.String("endpoint", record.Key))
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -51,6 +51,8 @@
 	version  int
 	config   map[string]any
 	gateways []*node
+	// codec is used by the gateways that are started next.
+	codec gateway.Codec
 }
 
 // node is one gateway and the listener of the store stand-in that only this gateway
@@ -59,10 +61,11 @@
 	gateway     *gateway.Gateway
 	storeServer *standin.TopicsServer
 	settings    spool.GatewaySettings
+	codec       gateway.Codec
 }
 
 func newDeployment() *deployment {
-	d := &deployment{topics: standin.NewTopics(), version: 1}
+	d := &deployment{topics: standin.NewTopics(), version: 1, codec: platform.Codec{}}
 	d.config = map[string]any{
 		"routes": []map[string]any{
 			{"name": "chat", "host": testHost, "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 3000, "service": "models", "attempts": 1, "keeps_history": true, "retention_s": 60},
@@ -136,7 +139,7 @@
 	storeServer, err := standin.ServeTopics(d.topics, "127.0.0.1:0", "")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(storeServer.Close)
-	n := &node{storeServer: storeServer, settings: spool.GatewaySettings{
+	n := &node{storeServer: storeServer, codec: d.codec, settings: spool.GatewaySettings{
 		Node: spool.NodeID(name), FailureDomain: "a", Region: "r", Listen: freeAddress(), ReadyListen: freeAddress(),
 		ControlListen: freeAddress(), StoreAddress: storeServer.Address(), Partitions: testPartitions, MaxAppendBytes: 1 << 20,
 		StopWithin: 4 * clock.Second, FirstStart: true,
@@ -181,7 +184,7 @@
 	system := clock.System()
 	client := httpconn.NewClient(system)
 	store := platform.NewStore(n.settings.StoreAddress, client)
-	n.gateway, err = gateway.New(n.settings, store, platform.Codec{}, client, system, t)
+	n.gateway, err = gateway.New(n.settings, store, n.codec, client, system, t)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
