Let calls wait for the token that they will get

Cause: an account of a few requests a second has programs that make several calls at the same time. A call that found no token was refused after 45 ms at most, with 300 ms to come back, although its token arrived earlier than that; a caller returns once or twice, and a call that is refused again fails its program.

Change: while the pool is empty, the owner grants a token that arrives within 400 ms, takes it from the pool at once, and tells when it may be used; the queue holds the call until then. Calls whose token would come later are refused at once, as before. New programs of an account over its rate do not wait. Such a grant counts as made at the later time, which lies within the owner's authority, so the bound of the package stays (comment of package limit); levels below 0 are handed over.

The spec of a program that has begun drives the account over its rate with 24 callers, since two in turn now wait for their tokens and never exceed it; its expectations are the same.

--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -35,9 +35,13 @@
 	// static part. Within this delay every gateway that reaches the store has read of
 	// the change and reduced its own part.
 	shareGrowDelay = 2500 * clock.Millis(1)
-	// maxTokenWait bounds how long a request waits for a token that is about to
-	// arrive.
+	// maxTokenWait bounds how long a request waits for an answer of the owner, and for a
+	// token that is about to arrive.
 	maxTokenWait = 45 * clock.Millis(1)
+	// maxTokenDelay bounds how long a call waits for a token that the owner has granted
+	// with a delay. Programs have about that much slack, and a call that is refused twice
+	// fails its program.
+	maxTokenDelay = 400 * clock.Millis(1)
 	// minRetryAfter is the shortest retry delay that is returned with a refusal over
 	// the limit. An earlier retry would find no token, because requests that are
 	// already waiting get each new token at once, and callers retry only once or twice.
@@ -74,6 +78,7 @@
 	timing.View = viewTimeout
 	timing.GrowthDelay = shareGrowDelay
 	timing.MinQueueWait, timing.MaxQueueWait = maxTokenWait, maxTokenWait
+	timing.MaxTokenDelay = maxTokenDelay
 	return timing
 }
 
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -101,18 +101,22 @@
 		gomega.Eventually(func() int { return runTurn("begun").status }, eventuallyTimeout, "50ms").Should(gomega.Equal(http.StatusOK))
 		stop := make(chan struct{})
 		var wg sync.WaitGroup
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(20 * time.Millisecond):
-					n.call("GET", "/lookup/a", "key-1", "")
+		// Calls wait for their tokens, so that a few callers in turn do not exceed the rate.
+		for range 24 {
+			wg.Add(1)
+			go func() {
+				defer ginkgo.GinkgoRecover()
+				defer wg.Done()
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(20 * time.Millisecond):
+						n.call("GET", "/lookup/a", "key-1", "")
+					}
 				}
-			}
-		}()
+			}()
+		}
 		defer wg.Wait()
 		defer close(stop)
 		gomega.Eventually(func() int {
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -96,7 +96,7 @@
 	state := m.currentAccount(now, c.request.Account)
 	c.reply <- state.owner.Lease(now, limit.Request{
 		Account: c.request.Account, Node: c.request.Node, Sequence: c.request.Sequence,
-		Requested: c.request.Requested, Returned: c.request.Returned, Epoch: c.request.Epoch, Urgent: c.request.Urgent,
+		Requested: c.request.Requested, Returned: c.request.Returned, Epoch: c.request.Epoch, Urgent: c.request.Urgent, MaxDelay: c.request.MaxDelay,
 	})
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -240,7 +240,7 @@
 	case grant := <-call.reply:
 		return wire.LeaseReply{
 			Sequence: grant.Sequence, Epoch: grant.Epoch, Granted: grant.Granted,
-			LeaseDuration: grant.LeaseDuration, RetryAfter: grant.RetryAfter,
+			LeaseDuration: grant.LeaseDuration, UsableIn: grant.UsableIn, RetryAfter: grant.RetryAfter,
 		}, nil
 	case <-ctx.Done():
 		return wire.LeaseReply{}, ctx.Err()
@@ -277,7 +277,7 @@
 		}
 		m.enqueue(m.ctx, grantReceived{account: request.Account, grant: limit.Grant{
 			Sequence: reply.Sequence, Epoch: reply.Epoch, Granted: reply.Granted,
-			LeaseDuration: reply.LeaseDuration, RetryAfter: reply.RetryAfter,
+			LeaseDuration: reply.LeaseDuration, UsableIn: reply.UsableIn, RetryAfter: reply.RetryAfter,
 		}})
 	})
 }
@@ -285,7 +285,7 @@
 func (m *Manager) fetchLease(ctx context.Context, request limit.Request) (reply wire.LeaseReply, err error) {
 	leaseRequest := wire.LeaseRequest{
 		Account: request.Account, Node: request.Node, Sequence: request.Sequence,
-		Requested: request.Requested, Returned: request.Returned, Epoch: request.Epoch, Urgent: request.Urgent,
+		Requested: request.Requested, Returned: request.Returned, Epoch: request.Epoch, Urgent: request.Urgent, MaxDelay: request.MaxDelay,
 	}
 	return callOwner(ctx, m, request.Account, wire.MethodLease, leaseRequest, m.serveLease)
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -373,6 +373,8 @@
 	// after such a request, the owner of a pool that is large enough reserves one token
 	// for alarm calls.
 	Urgent bool `json:"urgent,omitempty"`
+	// MaxDelay is how long the sender would wait for a token if the pool has none.
+	MaxDelay clock.Millis `json:"maxDelayMs,omitempty"`
 }
 
 // LeaseReply answers a LeaseRequest.
@@ -385,6 +387,8 @@
 	// after the request was sent.
 	Granted       float64      `json:"granted"`
 	LeaseDuration clock.Millis `json:"leaseForMs"`
+	// UsableIn is the delay after which the tokens may be used.
+	UsableIn clock.Millis `json:"usableInMs,omitempty"`
 	// RetryAfter is the time after which another request may get more tokens; 0 if all
 	// requested tokens were granted.
 	RetryAfter clock.Millis `json:"retryAfterMs"`
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -37,6 +37,13 @@
 // most a quarter of the account's burst. The static portion of the rate stays the
 // same, because rate and burst are divided independently.
 //
+// Delayed tokens. While the pool is empty, an owner may grant a token that it will have
+// soon (Request.MaxDelay). It takes the token from the pool at once, so that the level
+// falls below 0, and the entry may use it when the refill has paid for it. Such a grant
+// counts as made at that later time, which must lie before the end of the owner's
+// authority; the bounds above then hold as they are. A new owner after a release starts
+// with the level below 0.
+//
 // Returned tokens. A pool that granted x tokens and got them back contains no more
 // tokens than if it had never granted them. An owner accepts a return only once
 // (Request.Sequence), and only if it granted the tokens under its current claim
@@ -98,7 +105,7 @@
 	// its static allocation and an owner may grant.
 	View clock.Millis
 	// GrowthDelay is the delay between a change and the growth of an allocation
-	// that the change makes larger; 0 means View + Lease. A shorter delay requires
+	// that the change makes larger; 0 means View + Lease + MaxTokenDelay. A shorter delay requires
 	// that views drop a member only after it has lost the right to use its
 	// allocation. With a shorter delay, a member that has not yet learned of a new
 	// member may admit requests beyond the limits: at most the tokens in its bucket
@@ -114,6 +121,9 @@
 	// keeps a request; see Queue.maxWait.
 	MinQueueWait clock.Millis
 	MaxQueueWait clock.Millis
+	// MaxTokenDelay is how far in the future a token may lie that an owner grants for a
+	// queued call; see Request.MaxDelay. It is 0 if owners grant only what they have.
+	MaxTokenDelay clock.Millis
 }
 
 // DefaultTiming returns the durations that are used if no setting overrides them.
@@ -130,7 +140,7 @@
 	if t.GrowthDelay > 0 {
 		return t.GrowthDelay
 	}
-	return t.View + t.Lease
+	return t.View + t.Lease + t.MaxTokenDelay
 }
 
 // maxLeaseShareOfBurst is the largest fraction of the pool's burst that is kept out
--- a/pkg/limit/owner.go
+++ b/pkg/limit/owner.go
@@ -26,6 +26,9 @@
 	// Urgent is true if Requested contains only the tokens that are missing for
 	// queued alarms.
 	Urgent bool
+	// MaxDelay is how long the sender would wait for a token if the pool has none; 0 for
+	// not at all.
+	MaxDelay clock.Millis
 }
 
 // Grant is the answer to a Request.
@@ -38,8 +41,11 @@
 	// used for LeaseDuration after the request was sent.
 	Granted       float64
 	LeaseDuration clock.Millis
+	// UsableIn is the delay after which the tokens may be used; LeaseDuration is then
+	// longer by the same time. It is 0 if they may be used at once.
+	UsableIn clock.Millis
 	// RetryAfter is the delay after which another request may get more tokens; 0 if
-	// all requested tokens were granted.
+	// all requested tokens were granted, or if one was granted with a delay.
 	RetryAfter clock.Millis
 }
 
@@ -131,7 +137,7 @@
 }
 
 // TakeOverReleased makes this entry the owner like TakeOver, but without the wait
-// and with a pool that starts with level tokens. The previous owner must have
+// and with a pool that starts with level tokens, which may be negative. The previous owner must have
 // stopped granting and recorded this in its release record, together with level,
 // the result of Release. Only the first owner after the release may call it,
 // because a second one would grant the tokens of level again.
@@ -139,7 +145,7 @@
 	o.advance(now)
 	o.epoch, o.owns = epoch, true
 	o.grantsFrom, o.authorityUntil = o.elapsed.lower, o.elapsed.upper
-	o.bucket.level = max(0, min(level, o.bucket.capacity))
+	o.bucket.level = min(level, o.bucket.capacity)
 	clear(o.lastSequence)
 }
 
@@ -183,7 +189,8 @@
 
 // Lease answers a request for tokens. It grants whole tokens, at most half of the
 // usable ones, so that a single entry does not drain the pool; if fewer than two
-// are usable, it may grant one. It first adds returned tokens to the pool if their
+// are usable, it may grant one. If there is none, it may grant one with a delay. It
+// first adds returned tokens to the pool if their
 // epoch is the current one. It grants nothing, and ignores returned tokens, while
 // the owner may not grant and for a request that is repeated or older than another
 // of the same node.
@@ -203,14 +210,34 @@
 		o.bucket.level = min(o.bucket.capacity, o.bucket.level+max(0, request.Returned))
 	}
 	usable := o.usableTokens(request.Urgent)
-	grant.Granted = wholeTokens(min(request.Requested, max(usable/2, min(1, usable))))
+	grant.Granted = wholeTokens(max(0, min(request.Requested, max(usable/2, min(1, usable)))))
+	if delay, ok := o.tokenDelay(usable, request.MaxDelay); ok && grant.Granted == 0 && request.Requested >= 1 {
+		grant.Granted, grant.UsableIn = 1, delay
+		grant.LeaseDuration += delay
+	}
 	o.bucket.level -= grant.Granted
-	if grant.Granted < request.Requested {
-		grant.RetryAfter = o.retryDelay(usable - grant.Granted)
+	if grant.Granted < request.Requested && grant.UsableIn == 0 {
+		grant.RetryAfter = o.retryDelay(usable - grant.Granted + o.delayedTokens(request.MaxDelay))
 	}
 	return grant
 }
 
+// tokenDelay returns the time after which the pool can pay for the next token, for a
+// request that waits for at most maxDelay. ok is false if that takes longer, or if the
+// authority of this owner may end before.
+func (o *Owner) tokenDelay(usable float64, maxDelay clock.Millis) (delay clock.Millis, ok bool) {
+	if maxDelay <= 0 || o.bucket.rate <= 0 {
+		return 0, false
+	}
+	delay = 1 + clock.Millis(math.Ceil((1-usable)/o.bucket.rate*float64(clock.Second)))
+	return delay, delay <= maxDelay && o.elapsed.upper+delay < min(o.authorityUntil, o.freshUntil)
+}
+
+// delayedTokens returns how many tokens arrive at the pool within maxDelay.
+func (o *Owner) delayedTokens(maxDelay clock.Millis) float64 {
+	return o.bucket.rate * float64(maxDelay) / float64(clock.Second)
+}
+
 // usableTokens returns how many of the pool's tokens a request may take. An urgent
 // request may take all of them and puts the alarm reserve into force. While it is
 // in force, other requests cannot take the last alarmReserve tokens, provided that
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -38,7 +38,8 @@
 // Queue is the admission queue of one account at one entry. It admits requests by
 // class, and in the order of arrival within a class. A request that finds no token
 // is queued, unless the queue is full or the request starts a program while the
-// account exceeds its rate. It is refused if it gets no token within maxWait. A
+// account exceeds its rate. It is refused if it gets no token within maxWait, unless the
+// owner has granted one with a delay. A
 // request within the account's rate thus waits for a lease or a refill and is not
 // refused at once.
 type Queue struct {
@@ -106,8 +107,11 @@
 		outcomes = append(outcomes, Outcome{ID: q.queued[0].id, Admitted: true})
 		q.queued = q.queued[1:]
 	}
+	// The first requests wait for the tokens that were granted with a delay.
+	covered, position := int(wholeTokens(s.delayedTokens())), 0
 	q.queued = slices.DeleteFunc(q.queued, func(r queuedRequest) bool {
-		expired := now-r.queuedAt >= q.maxWait()
+		position++
+		expired := now-r.queuedAt >= q.maxWait() && position > covered
 		if expired {
 			outcomes = append(outcomes, Outcome{ID: r.id, RetryAfter: q.drainTime()})
 		}
@@ -122,6 +126,10 @@
 // While alarms are queued, it is the number of alarms; otherwise it is the number
 // of queued requests.
 func (q *Queue) updateShortfall() {
+	q.share.maxDelay = 0
+	if calls := q.insertIndex(ClassCall); calls > 0 {
+		q.share.maxDelay = q.share.timing.MaxTokenDelay
+	}
 	alarms := q.insertIndex(ClassAlarm)
 	q.share.urgentOnly = alarms > 0
 	q.share.shortfall = float64(alarms)
--- a/pkg/limit/share.go
+++ b/pkg/limit/share.go
@@ -27,11 +27,13 @@
 	RetryAfter clock.Millis
 }
 
-// lease is a number of granted tokens that this entry may use until elapsed.upper
-// reaches expiresAt. epoch is the epoch of the owner that granted them.
+// lease is a number of granted tokens that this entry may use from the time at which
+// elapsed.lower reaches usableAt until elapsed.upper reaches expiresAt. epoch is the
+// epoch of the owner that granted them.
 type lease struct {
 	tokens    float64
 	epoch     spool.Epoch
+	usableAt  clock.Millis
 	expiresAt clock.Millis
 }
 
@@ -79,6 +81,8 @@
 	// urgentOnly is true if shortfall contains only the tokens that are missing for
 	// queued alarms.
 	urgentOnly bool
+	// maxDelay is Request.MaxDelay of the next request.
+	maxDelay clock.Millis
 }
 
 // NewShare returns the share of node. It has no tokens. Its static allocation is 0
@@ -156,10 +160,13 @@
 	}
 	s.pending = nil
 	if grant.LeaseDuration > 0 {
-		s.leaseDuration = grant.LeaseDuration
+		s.leaseDuration = grant.LeaseDuration - grant.UsableIn
 	}
 	if grant.Granted > 0 {
-		s.leases = append(s.leases, lease{grant.Granted, grant.Epoch, s.pendingSince + grant.LeaseDuration})
+		s.leases = append(s.leases, lease{
+			tokens: grant.Granted, epoch: grant.Epoch,
+			usableAt: s.elapsed.lower + grant.UsableIn, expiresAt: s.pendingSince + grant.LeaseDuration,
+		})
 		s.dropExpiredLeases()
 	}
 }
@@ -179,7 +186,7 @@
 // allocation and from leases.
 func (s *Share) Available(now clock.Millis) float64 {
 	s.advance(now)
-	return s.leasedTokens() + s.usableStaticTokens()
+	return s.usableLeasedTokens() + s.usableStaticTokens()
 }
 
 // advance applies the passage of time: it refills the static bucket, lets the
@@ -241,6 +248,19 @@
 	return tokens
 }
 
+// usableLeasedTokens returns the leased tokens that may be used now.
+func (s *Share) usableLeasedTokens() (tokens float64) {
+	for _, l := range s.leases {
+		if s.elapsed.lower >= l.usableAt {
+			tokens += l.tokens
+		}
+	}
+	return tokens
+}
+
+// delayedTokens returns the leased tokens that may be used later.
+func (s *Share) delayedTokens() float64 { return s.leasedTokens() - s.usableLeasedTokens() }
+
 func (s *Share) usableStaticTokens() float64 {
 	if s.elapsed.upper >= s.freshUntil {
 		return 0
@@ -255,14 +275,15 @@
 // the pool has no owner.
 func (s *Share) takeTokens(tokens float64) bool {
 	static := s.usableStaticTokens()
-	if static+s.leasedTokens()+roundingTolerance < tokens {
+	leased := s.usableLeasedTokens()
+	if static+leased+roundingTolerance < tokens {
 		return false
 	}
 	fromStatic := 0.0
 	if static-s.allocation.Burst/2 >= tokens/2 {
 		fromStatic = min(static, tokens)
 	}
-	fromStatic = max(fromStatic, min(static, tokens-s.leasedTokens()))
+	fromStatic = max(fromStatic, min(static, tokens-leased))
 	s.staticBucket.level -= fromStatic
 	s.takeLeasedTokens(tokens - fromStatic)
 	return true
@@ -270,6 +291,9 @@
 
 func (s *Share) takeLeasedTokens(tokens float64) {
 	for i := range s.leases {
+		if s.elapsed.lower < s.leases[i].usableAt {
+			continue
+		}
 		used := min(tokens, s.leases[i].tokens)
 		s.leases[i].tokens -= used
 		tokens -= used
@@ -309,7 +333,7 @@
 	s.pending = &Request{
 		Account: s.account, Node: s.node, Sequence: s.sequence,
 		Requested: max(0, math.Ceil(want)), Returned: returned, Epoch: epoch,
-		Urgent: s.urgentOnly,
+		Urgent: s.urgentOnly, MaxDelay: s.maxDelay,
 	}
 	s.pendingSince = s.elapsed.upper
 	request := *s.pending
