Show that a dripping stream ends at its deadline and a slow one is passed on whole

Looked for what operators of similar systems saw: slow but sound streams that are cut, and stalled ones that never end because a byte arrives now and then. It cannot happen here: the deadline of the request ends both kinds, and nothing else ends a stream. The spec passes on the code as it is.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -68,4 +71,44 @@
 		_, taken := callEndless("/review/endless", "models", head, bytes.Repeat([]byte("x"), lineBytes))
 		gomega.Expect(taken).To(gomega.BeNumerically("<=", maxTakenBytes))
 	})
+
+	// Guards against a stalled stream that never ends because a byte arrives now and then,
+	// and against a slow one that is cut although it is sound.
+	ginkgo.It("is ended at the deadline of the request when it only drips, and a slow one is passed on whole", func() {
+		const deadlineMs, events = 1200, 8
+		d := newDeployment()
+		d.publish()
+		ended := make(chan struct{})
+		d.addEndpoint("m1", "models", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
+			head := "HTTP/1.1 200 OK\r\nX-Server-Seal: m1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+			switch request.Target {
+			case "/review/drip":
+				defer close(ended)
+				_, err := io.WriteString(conn, head+"data: ")
+				for err == nil {
+					time.Sleep(50 * time.Millisecond)
+					_, err = io.WriteString(conn, "x")
+				}
+			case "/review/slow":
+				_, _ = io.WriteString(conn, head)
+				for i := range events {
+					time.Sleep(100 * time.Millisecond)
+					_, _ = fmt.Fprintf(conn, "id: %d\ndata: x\n\n", i)
+				}
+			default:
+				return u.AnswerComplete(conn, request, "ok")
+			}
+			return false
+		})
+		n := d.startGateway("g1")
+		n.waitUntilServed("/review/warm", "key-1")
+		startedAt := time.Now()
+		r, _ := n.call("GET", "/review/drip", "key-1", "", withDeadline(deadlineMs))
+		gomega.Expect(time.Since(startedAt)).To(gomega.BeNumerically("<=", (deadlineMs+500)*time.Millisecond))
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusGatewayTimeout), "no whole event has arrived")
+		gomega.Eventually(ended, eventuallyTimeout).Should(gomega.BeClosed())
+		r, _ = n.call("GET", "/review/slow", "key-1", "", withDeadline(deadlineMs))
+		gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(strings.Count(r.body, "data: x")).To(gomega.Equal(events))
+	})
 })
