Do not take an account for short of tokens because its owner may not grant

Cause: an account counted as short for 8 s after any refusal over its limit, also when the owner of the pools did not answer or still waited for its predecessor. New programs of the account were then admitted only as the start limiter allows.

Change: the answer of an owner that may not grant says so, and only an owner that grants makes an account short.

Figures: the new spec of internal/quota fails on the code before (the account was reported as short while the owner waited).

--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -143,8 +143,7 @@
 // (limit.ClassStart) must also pass the check whether the program may begin, and is
 // then treated as limit.ClassCall. startingProgram returns that program; its second
 // result is false if the program has already begun. admit fails with a *spool.Refusal,
-// which is wrapped with errStartRefused if the program may not begin. A refusal for any
-// other reason marks the account as short of tokens.
+// which is wrapped with errStartRefused if the program may not begin.
 func (l *limiter) admit(ctx context.Context, id spool.AccountID, class limit.Class, startingProgram func() (limit.StartRequest, bool)) error {
 	l.mu.Lock()
 	_, limited := l.limitConfigs[id]
@@ -160,11 +159,7 @@
 		}
 		class = limit.ClassCall
 	}
-	err := l.manager.Admit(ctx, id, class)
-	if err != nil {
-		l.shortages.markShort(id)
-	}
-	return err
+	return l.manager.Admit(ctx, id, class)
 }
 
 // errStartRefused means that a program may not begin because its account is short of
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -103,7 +103,7 @@
 func (g grantReceived) apply(m *Manager, now clock.Millis) {
 	state := m.currentAccount(now, g.account)
 	state.share.HandleGrant(now, g.grant)
-	if onShort := m.config.OnShortGrant; onShort != nil && g.grant.RetryAfter > 0 {
+	if onShort := m.config.OnShortGrant; onShort != nil && g.grant.RetryAfter > 0 && !g.grant.Withheld {
 		onShort(g.account)
 	}
 	m.advanceQueue(now, state, g.account)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -98,7 +98,8 @@
 	OnOwnerLost     func(owner spool.NodeID)
 	OnOwnerAnswered func(owner spool.NodeID)
 	// OnShortGrant, unless nil, is called in the loop with the account of each
-	// grant that has fewer tokens than were requested. It must not block.
+	// grant that has fewer tokens than were requested, unless its owner may not grant.
+	// It must not block.
 	OnShortGrant func(id spool.AccountID)
 }
 
@@ -240,7 +241,7 @@
 	case grant := <-call.reply:
 		return wire.LeaseReply{
 			Sequence: grant.Sequence, Epoch: grant.Epoch, Granted: grant.Granted,
-			LeaseDuration: grant.LeaseDuration, UsableIn: grant.UsableIn, RetryAfter: grant.RetryAfter,
+			LeaseDuration: grant.LeaseDuration, UsableIn: grant.UsableIn, RetryAfter: grant.RetryAfter, Withheld: grant.Withheld,
 		}, nil
 	case <-ctx.Done():
 		return wire.LeaseReply{}, ctx.Err()
@@ -277,7 +278,7 @@
 		}
 		m.enqueue(m.ctx, grantReceived{account: request.Account, grant: limit.Grant{
 			Sequence: reply.Sequence, Epoch: reply.Epoch, Granted: reply.Granted,
-			LeaseDuration: reply.LeaseDuration, UsableIn: reply.UsableIn, RetryAfter: reply.RetryAfter,
+			LeaseDuration: reply.LeaseDuration, UsableIn: reply.UsableIn, RetryAfter: reply.RetryAfter, Withheld: reply.Withheld,
 		}})
 	})
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -96,6 +96,8 @@
 	mu       sync.Mutex
 	admitted []clock.Millis
 	refused  int
+	// shortGrants counts the calls of OnShortGrant.
+	shortGrants int
 }
 
 var nodes = []spool.NodeID{"e1", "e2", "e3"}
@@ -108,7 +110,7 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		clients := wire.NewClients(node)
 		v := &view{ownership: c.ownership, node: node}
-		manager := quota.New(quota.Config{Node: node, StreamCount: 1, Timing: limit.DefaultTiming()}, c.clock, fresh, v, clients, t)
+		manager := quota.New(quota.Config{Node: node, StreamCount: 1, Timing: limit.DefaultTiming(), OnShortGrant: c.countShortGrant}, c.clock, fresh, v, clients, t)
 		manager.Observe(quota.Version{Members: nodes, Limits: map[spool.AccountID]limit.Config{account: config}})
 		server, err := wire.Listen("127.0.0.1:0", manager.Handlers(), nil)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -148,6 +150,12 @@
 	running.Wait()
 }
 
+func (c *cluster) countShortGrant(spool.AccountID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shortGrants++
+}
+
 // excess returns by how many tokens the admissions exceeded the limits in the worst
 // interval. Admissions are recorded up to slackMs late because of scheduling; the
 // burst is raised to allow for that.
@@ -213,6 +221,20 @@
 		gomega.Expect(c.refused).To(gomega.BeZero())
 	})
 
+	// Guards against accounts that count as over their rate for seconds after each change of
+	// owner, so that their new programs are refused.
+	ginkgo.It("does not report an account as short while the new owner of its pool may not grant", func() {
+		c := newCluster(limit.Config{Rate: 100, Burst: 40}, alwaysFresh)
+		time.Sleep(2500 * time.Millisecond)
+		c.ownership.setOwner("e2")
+		// The authority of the previous owner lasts for 1.5 s.
+		c.send(time.Second, 50*time.Millisecond)
+		gomega.Expect(c.shortGrants).To(gomega.BeZero())
+		time.Sleep(time.Second)
+		c.send(2*time.Second, time.Millisecond)
+		gomega.Expect(c.shortGrants).NotTo(gomega.BeZero(), "the account exceeds its rate")
+	})
+
 	// Guards against an entry that keeps using its static allocation without
 	// contact to the control stream, and may thus miss that the allocation has
 	// shrunk.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -392,6 +392,8 @@
 	// RetryAfter is the time after which another request may get more tokens; 0 if all
 	// requested tokens were granted.
 	RetryAfter clock.Millis `json:"retryAfterMs"`
+	// Withheld reports that the owner may not grant at present.
+	Withheld bool `json:"withheld,omitempty"`
 }
 
 // StartRequest asks the owner of an account's token pool whether a program may
--- a/pkg/limit/owner.go
+++ b/pkg/limit/owner.go
@@ -47,6 +47,9 @@
 	// RetryAfter is the delay after which another request may get more tokens; 0 if
 	// all requested tokens were granted, or if one was granted with a delay.
 	RetryAfter clock.Millis
+	// Withheld reports that the owner may not grant at present, which says nothing of the
+	// level of the pool.
+	Withheld bool
 }
 
 // minRetryDelay is the shortest RetryAfter, in milliseconds, of a grant that is
@@ -198,7 +201,7 @@
 	o.advance(now)
 	grant := Grant{Sequence: request.Sequence, Epoch: o.epoch, LeaseDuration: o.limits.Lease}
 	if !o.canGrant() {
-		grant.RetryAfter = max(minRetryDelay, o.grantsFrom-o.elapsed.lower)
+		grant.RetryAfter, grant.Withheld = max(minRetryDelay, o.grantsFrom-o.elapsed.lower), true
 		return grant
 	}
 	if request.Sequence <= o.lastSequence[request.Node] {
