--- a/pkg/limit/tolerance_test.go
+++ b/pkg/limit/tolerance_test.go
@@ -21,6 +21,9 @@
 	perSecond float64
 	// largestGroup is the size of the largest group; 0 for 3.
 	largestGroup int
+	// shiftEvery is how often the requests move from one half of the entries to the other;
+	// 0 if they go to all of them.
+	shiftEvery clock.Millis
 	// ownerLeavesAt is when the owner of the pool leaves without a trace; 0 for never.
 	ownerLeavesAt clock.Millis
 	duration      clock.Millis
@@ -122,7 +125,7 @@
 			} else {
 				result.refusedByOneQueue++
 			}
-			if decision, queued := fleet.Submit(now, nodes[random.IntN(len(nodes))], "small", id, limit.ClassCall); !queued {
+			if decision, queued := fleet.Submit(now, l.receiver(now, random, nodes), "small", id, limit.ClassCall); !queued {
 				record(now, id, decision.Admitted)
 			} else {
 				queuedAt[id] = now
@@ -133,6 +136,15 @@
 	return result
 }
 
+// receiver returns the entry at which a request arrives.
+func (l smallAccountLoad) receiver(now clock.Millis, random *rand.Rand, nodes []spool.NodeID) spool.NodeID {
+	if l.shiftEvery == 0 {
+		return nodes[random.IntN(len(nodes))]
+	}
+	half := len(nodes) / 2
+	return nodes[int(now/l.shiftEvery)%2*half+random.IntN(half)]
+}
+
 // mostInWindow returns the largest number of times, which are in order, in a window.
 func mostInWindow(at []clock.Millis, window clock.Millis) (most int) {
 	first := 0
@@ -167,6 +179,19 @@
 		ginkgo.Entry("at 8 gateways", 8), ginkgo.Entry("at 30 gateways", 30),
 		ginkgo.Entry("at 127 gateways", 127), ginkgo.Entry("at 300 gateways", 300))
 
+	// Guards against tokens that stay at the gateways from which the callers of an account
+	// have moved away.
+	ginkgo.DescribeTable("is served after its callers have moved to other gateways", func(accountRate float64) {
+		load := smallAccountLoad{rate: accountRate, burst: accountRate, entries: 126, perSecond: 0.9 * accountRate, shiftEvery: 3 * clock.Second, duration: clock.Minute}
+		result := load.run(limit.Tolerant(accountRate, accountRate, staticShare, pageTolerance))
+		ginkgo.GinkgoWriter.Printf("rate %g: %+v\n", accountRate, result)
+		gomega.Expect(result.refusedWithinRate).To(gomega.BeNumerically("<=", result.sent/1000))
+		gomega.Expect(float64(result.mostInWindow)).To(gomega.BeNumerically("<=", tolerated(accountRate, accountRate)))
+	},
+		ginkgo.Entry("at 6 requests a second", 6.0), ginkgo.Entry("at 25 requests a second", 25.0),
+		ginkgo.Entry("at 60 requests a second", 60.0), ginkgo.Entry("at 130 requests a second", 130.0),
+		ginkgo.Entry("at 300 requests a second", 300.0))
+
 	// Guards against calls that are refused although their token arrives within the slack
 	// of their program: a call that is refused twice fails the program. The account uses
 	// 1/1.6 of its rate on average, in groups of calls of parallel helpers.
