Add a fault soak of real gateway processes, with a short seeded run in the tests

internal/soak runs four gateway processes before stand-ins of the store and of endpoints. Callers keep their connections open.

--- /dev/null
+++ b/internal/soak/callers_test.go
@@ -0,0 +1,227 @@
+package soak_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/baobabspool/baobabspool/internal/standin"
+)
+
+const (
+	testHost = "pool.example"
+	// limitedKey belongs to an account with a limit of accountRate requests a second and
+	// the same burst.
+	limitedKey  = "key-limited"
+	accountRate = 40
+	// quotaWindow and mostInQuotaWindow are the window of the settings and what it holds at
+	// most, with the tolerated excess.
+	quotaWindow       = 5 * time.Second
+	mostInQuotaWindow = (accountRate*5+accountRate)*11/10 + 20
+	requestDeadline   = 1500 * time.Millisecond
+)
+
+func answerOf(attempt string) string { return "answer " + attempt }
+
+func eventsOf(attempt string) []string {
+	return []string{attempt + "/1", attempt + "/2", attempt + "/3"}
+}
+
+// call is what the checker knows of one request of a caller.
+type call struct {
+	kind   string
+	key    string
+	sentAt time.Time
+	// prompt is the body that an endpoint must get.
+	prompt string
+	// notRun is set when the caller was told that the request has not run.
+	notRun bool
+	// runs holds the times at which an endpoint began to run the request.
+	runs []time.Time
+}
+
+// checker collects what callers and endpoints see, and the promises that were broken.
+type checker struct {
+	mu         sync.Mutex
+	calls      map[string]*call
+	violations []string
+	outcomes   map[string]int
+}
+
+func newChecker() *checker { return &checker{calls: map[string]*call{}, outcomes: map[string]int{}} }
+
+func (c *checker) fail(format string, values ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violations = append(c.violations, fmt.Sprintf(format, values...))
+}
+
+func (c *checker) recordRun(attempt, body string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sent := c.calls[attempt]
+	switch {
+	case sent == nil:
+		c.violations = append(c.violations, "an endpoint ran a request that nobody sent: "+attempt)
+		return
+	case sent.prompt != body:
+		c.violations = append(c.violations, fmt.Sprintf("%s got another body: %q instead of %q", attempt, body, sent.prompt))
+	}
+	sent.runs = append(sent.runs, time.Now())
+}
+
+func (c *checker) recordSent(attempt string, sent *call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[attempt] = sent
+}
+
+func (c *checker) recordStatus(attempt string, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sent := c.calls[attempt]
+	c.outcomes[fmt.Sprintf("%s %d", sent.kind, status)]++
+	promises := []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
+	sent.notRun = slices.Contains(promises, status)
+}
+
+// checkRuns checks, after all requests have ended, that none ran too often and that the
+// account's limit was kept.
+func (c *checker) checkRuns() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var limited []*call
+	for attempt, sent := range c.calls {
+		if sent.kind != "lookup" && len(sent.runs) > 1 {
+			c.violations = append(c.violations, fmt.Sprintf("%s %s ran %d times", sent.kind, attempt, len(sent.runs)))
+		}
+		if sent.kind != "lookup" && sent.notRun && len(sent.runs) > 0 {
+			c.violations = append(c.violations, fmt.Sprintf("%s %s ran though its caller was told that it did not", sent.kind, attempt))
+		}
+		if sent.key == limitedKey && len(sent.runs) > 0 {
+			limited = append(limited, sent)
+		}
+	}
+	for _, first := range limited {
+		inWindow := 0
+		for _, sent := range limited {
+			if !sent.sentAt.Before(first.sentAt) && sent.runs[0].Before(first.sentAt.Add(quotaWindow)) {
+				inWindow++
+			}
+		}
+		if inWindow > mostInQuotaWindow {
+			c.violations = append(c.violations, fmt.Sprintf("%d requests of an account in %s, %d are allowed", inWindow, quotaWindow, mostInQuotaWindow))
+			return
+		}
+	}
+}
+
+// caller sends requests to gateways one after another and keeps its connections open.
+type caller struct {
+	checker *checker
+	fronts  []string
+	random  *rand.Rand
+	client  *http.Client
+}
+
+// lastAttempt is the number of the last request of any caller.
+var lastAttempt atomic.Int64
+
+func newCaller(d *deployment, seed uint64) *caller {
+	c := &caller{checker: d.checker, random: rand.New(rand.NewPCG(seed, 2)), client: &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: requestDeadline + time.Second}}
+	for _, g := range d.gateways {
+		c.fronts = append(c.fronts, g.front)
+	}
+	return c
+}
+
+// send sends one request to a gateway and returns the status, the body, and whether the
+// answer is complete.
+func (c *caller) send(front string, sent call, path, body string, request standin.CallerRequest) (status int, answer string, whole bool) {
+	request.Key, request.DeadlineMs = sent.key, int(requestDeadline/time.Millisecond)
+	sent.sentAt = time.Now()
+	c.checker.recordSent(request.Attempt, &sent)
+	r, err := http.NewRequest(http.MethodPost, "http://"+front+path, strings.NewReader(body))
+	if err != nil {
+		return 0, "", false
+	}
+	r.Host, r.Header = testHost, request.Header()
+	response, err := c.client.Do(r)
+	if err != nil {
+		return 0, "", false
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	c.checker.recordStatus(request.Attempt, response.StatusCode)
+	return response.StatusCode, string(text), err == nil
+}
+
+func newAttempt() string { return fmt.Sprintf("attempt-%d", lastAttempt.Add(1)) }
+
+func (c *caller) anyFront() string { return c.fronts[c.random.IntN(len(c.fronts))] }
+
+// callPlain sends a request of a plain service.
+func (c *caller) callPlain(front, kind, key string) (status int) {
+	attempt := newAttempt()
+	status, answer, whole := c.send(front, call{kind: kind, key: key}, "/"+kind+"/", "", standin.CallerRequest{Attempt: attempt})
+	if status == http.StatusOK && whole && answer != answerOf(attempt) {
+		c.checker.fail("%s got an answer that is not its own: %q", attempt, answer)
+	}
+	return status
+}
+
+// chat runs a chain of turns, each at any gateway, until one fails or all are answered.
+func (c *caller) chat(turns int) (answered int) {
+	history, previous := "", ""
+	for range turns {
+		attempt := newAttempt()
+		input := "input of " + attempt + "\n"
+		status, answer, whole := c.send(c.anyFront(), call{kind: "chat", key: "key-1", prompt: history + input}, "/chat/", input, standin.CallerRequest{
+			Attempt: attempt, PreviousTurn: previous, Program: "program", MaxTokens: 100,
+		})
+		switch {
+		case status == http.StatusNotFound:
+			c.checker.fail("turn %s of a chain was lost: %s is not known", previous, attempt)
+			return answered
+		case status != http.StatusOK || !whole:
+			return answered
+		}
+		events := eventsOf(attempt)
+		expected := ""
+		for i, event := range events {
+			expected += fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, event)
+		}
+		if answer != expected {
+			c.checker.fail("%s got another stream: %q", attempt, answer)
+		}
+		history += input + strings.Join(events, "\n") + "\n"
+		previous = attempt
+		answered++
+	}
+	return answered
+}
+
+// run sends requests of all kinds until stop is closed.
+func (c *caller) run(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		switch c.random.IntN(4) {
+		case 0:
+			c.chat(1 + c.random.IntN(4))
+		case 1:
+			c.callPlain(c.anyFront(), "charge", "key-1")
+		default:
+			c.callPlain(c.anyFront(), "lookup", limitedKey)
+		}
+	}
+}
