--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -19,18 +19,23 @@
 func NewExplain(options ...Option) *cobra.Command {
 	o := newOperatorOptions(options)
 	command := &cobra.Command{
-		Use:     "explain PROGRAM",
-		Short:   "Show the state of a program and why its calls went where they did",
-		Example: "  baobabspool explain 01j9... --vms-address 10.0.0.6:9000",
+		Use:   "explain PROGRAM|REQUEST",
+		Short: "Show the state of a program and why its calls went where they did, or why a request failed",
+		Long: `Show the state of a program and why its calls went where they did, as the entry
+that owns it knows. With --logs, tell the story of a program or of a request from the
+logs of gateways, with the cause of each failure; no process needs to run.`,
+		Example: "  baobabspool explain 01j9... --vms-address 10.0.0.6:9000\n  baobabspool explain 7fabc2cab9786166 --logs g1.log,g2.log",
 		Args:    cobra.ExactArgs(1),
 	}
-	return o.nodeCommand(command, func(q *nodeQuery, args []string) error {
+	o.nodeCommand(command, func(q *nodeQuery, args []string) error {
 		reply, err := q.explain(spool.ProgramID(args[0]))
 		if err != nil {
 			return err
 		}
 		return q.printTo(q.out, reply, func(w io.Writer) { printExplanation(w, reply) })
 	})
+	addLogFlags(command)
+	return command
 }
 
 // explain asks all entries, because it does not know which one owns the program, and
--- /dev/null
+++ b/pkg/story/cause.go
@@ -0,0 +1,135 @@
+package story
+
+import "fmt"
+
+// vacancy is the longest time in seconds after a change of owner in which the pools of the
+// limits explain a refusal: the next owner waits for the previous one, and starts empty.
+const vacancy = 1.5
+
+// failureOf returns the failure that a line tells, and its cause as far as the line and the
+// changes of belief before it show. A failed try that is followed by another one is not a
+// failure.
+func failureOf(line Line, context []Line) (failure Failure, failed bool) {
+	failure = Failure{Request: line.Text("request"), Node: line.Node, At: line.At}
+	switch {
+	case line.Message == "request refused":
+		failure.Reason = line.Text("reason")
+		failure.Cause = refusalCause(line, before(line, context))
+	case line.Message == "request not answered" && line.Text("outcome") == "broken":
+		failure.Reason = "broken"
+		failure.Cause = brokenCause(line, before(line, context))
+	case line.Message == "turn was not kept":
+		failure.Reason = "turnNotKept"
+		failure.Cause = "the turn could not be stored in time, so that its answer was cut: " + line.Text("error")
+	default:
+		return failure, false
+	}
+	return failure, true
+}
+
+// evidence finds the last change of belief with a message.
+type evidence []Line
+
+// before returns the changes at the node of a line up to its time.
+func before(line Line, context []Line) (found evidence) {
+	for _, other := range context {
+		if other.Node == line.Node && other.At <= line.At {
+			found = append(found, other)
+		}
+	}
+	return found
+}
+
+func (e evidence) last(message string) (line Line, ok bool) {
+	for i := len(e) - 1; i >= 0; i-- {
+		if e[i].Message == message {
+			return e[i], true
+		}
+	}
+	return line, false
+}
+
+// storeAway returns when the store was lost, if it had not come back.
+func (e evidence) storeAway() (at float64, away bool) {
+	lost, isLost := e.last("store is away")
+	back, isBack := e.last("store answers again")
+	return lost.At, isLost && (!isBack || back.At < lost.At)
+}
+
+func refusalCause(line Line, seen evidence) string {
+	switch line.Text("reason") {
+	case "overLimit", "startOverLimit":
+		return limitCause(line, seen)
+	case "storeAway", "budgetUnknown", "turnUncertain":
+		return storeCause(line, seen)
+	case "badRequest":
+		return "the request has no identifier"
+	case "noConfiguration":
+		return "the gateway had just started and had read no configuration"
+	case "noRoute", "unknownKey":
+		if change, ok := seen.last("configuration in force"); ok {
+			return fmt.Sprintf("version %.0f, in force for %.2f s, has no such route or key", change.Number("version"), line.At-change.At)
+		}
+		return "the configuration in force has no such route or key"
+	case "budgetSpent":
+		return fmt.Sprintf("the budget of %.0f tokens does not hold %.0f more", line.Number("tokenBudget"), line.Number("mostTokens"))
+	case "noTurn":
+		return "every partition of the history was read, and the turn that the request continues is not there"
+	case "noEndpoint":
+		return "no endpoint of the service was ready"
+	case "endpointsFull":
+		return "every endpoint that was asked had no room, for the time that the request may be offered again"
+	case "overloaded":
+		return "the service had a long queue, so that new programs were held back"
+	case "mayHaveRun":
+		return "the request was sent, no complete answer came, and it must not be sent again"
+	case "timeout":
+		return "the time of the caller or of the route was over"
+	case "internal":
+		return "an error in the gateway; the line with noPanic has its stack"
+	}
+	return ""
+}
+
+func limitCause(line Line, seen evidence) string {
+	if change, ok := seen.last("limit owner changes"); ok && line.At-change.At <= vacancy {
+		return fmt.Sprintf("the pools of the limits had changed to %s %.2f s before, and start empty there unless they were handed over", change.Text("owner"), line.At-change.At)
+	}
+	if at, away := seen.storeAway(); away {
+		return fmt.Sprintf("the store had been away for %.2f s, so that the pools of the limits may have had no owner", line.At-at)
+	}
+	if line.Text("reason") == "startOverLimit" {
+		return "the account was over its rate, and the program was new"
+	}
+	return "the account was over its rate, and no token would come within the longest wait"
+}
+
+func storeCause(line Line, seen evidence) string {
+	detail := ""
+	if text := line.Text("error"); text != "" {
+		detail = ": " + text
+	}
+	if at, away := seen.storeAway(); away {
+		return fmt.Sprintf("the store had been away for %.2f s%s", line.At-at, detail)
+	}
+	if home, ok := seen.last("home of a partition does not answer"); ok {
+		return fmt.Sprintf("%s, which reads a partition for the others, did not answer%s", home.Text("home"), detail)
+	}
+	if line.Text("reason") == "storeAway" {
+		return "the store did not answer in any way"
+	}
+	return "the store, or a gateway that answers for it, did not answer in time" + detail
+}
+
+func brokenCause(line Line, seen evidence) string {
+	if line.Number("leftMs") <= 0 {
+		return "its time was over in the middle of the answer"
+	}
+	if line.Text("cause") == "callerLeft" {
+		return "the caller left"
+	}
+	if gone, ok := seen.last("endpoint's record is gone"); ok {
+		return fmt.Sprintf("endpoint %s ended in the middle of the answer; its record went", gone.Text("endpoint"))
+	}
+	return fmt.Sprintf("endpoint %s broke the answer off after %.0f events", line.Text("endpoint"), line.Number("events"))
+}
