Ask for signals before the settings are read

Cause: a process asked for SIGTERM, SIGINT and SIGHUP only when it was ready. A SIGHUP that came while it read its settings or started ended it.

Change: a gateway asks for its signals before it reads the settings, so that a SIGHUP that comes meanwhile is acted on afterwards; entries and agents ask before they start.

Spec: "is not ended by SIGHUP while it reads its settings" (a named pipe holds the start open) fails on the code before.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -49,6 +49,7 @@
 		Example: `  baobabspool gateway --settings-file /etc/baobabspool/settings.toml`,
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			flags.watchSignals()
 			settings, err := platform.LoadSettings(path)
 			if err != nil {
 				return err
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -22,6 +22,19 @@
 	logLevel  string
 	// shutdownMs is the longest wait for calls in flight at shutdown, in milliseconds.
 	shutdownMs int64
+	// signals receives the signals of the process from the call of watchSignals on.
+	signals chan os.Signal
+}
+
+// watchSignals makes the process receive SIGTERM, SIGINT and SIGHUP as messages. A command
+// calls it before it reads settings: a SIGHUP would otherwise end a process that starts,
+// and one that comes while the settings are read must not be missed. Later calls have no
+// effect.
+func (f *processFlags) watchSignals() {
+	if f.signals == nil {
+		f.signals = make(chan os.Signal, 2)
+		signal.Notify(f.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	}
 }
 
 func (f *processFlags) register(command *cobra.Command) {
@@ -62,6 +75,7 @@
 // until a signal stops it. node is the name of the process, and component the name of its
 // logger. start returns the process and its addresses as log fields.
 func (f *processFlags) serve(node, component string, validate func() error, start func(*telemetry.Telemetry) (stopper, []zap.Field, error)) error {
+	f.watchSignals()
 	if err := validate(); err != nil {
 		return err
 	}
@@ -84,8 +98,7 @@
 func (f *processFlags) runUntilSignal(process stopper, logger *zap.Logger) (err error) {
 	defer func() { err = errors.Wrap(err, "shutdown") }()
 	defer func() { _ = logger.Sync() }()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signals := f.signals
 	for received := <-signals; received == syscall.SIGHUP; received = <-signals {
 		reloadSettings(process, logger)
 	}
