Check budgets of programs in the fault soak

Each chain of turns is a program with a budget of six turns and a part of one; the checker counts the tokens that callers are handed, broken answers included, against the budget and one turn.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -25,6 +25,11 @@
 	quotaWindow       = 5 * time.Second
 	mostInQuotaWindow = (accountRate*5+accountRate)*11/10 + 20
 	requestDeadline   = 1500 * time.Millisecond
+	// eventTokens and turnTokens are the tokens of an event and of a turn, and
+	// programTokens is the budget of a program: six turns and a part of one.
+	eventTokens   = 10
+	turnTokens    = 3 * eventTokens
+	programTokens = 6*turnTokens + 7
 )
 
 func answerOf(attempt string) string { return "answer " + attempt }
@@ -176,15 +181,20 @@
 	return status
 }
 
-// chat runs a chain of turns, each at any gateway, until one fails or all are answered.
+// chat runs a chain of turns of one program, each at any gateway, until one fails or all are
+// answered. It checks that the program is handed no more tokens than its budget and one turn.
 func (c *caller) chat(turns int) (answered int) {
-	history, previous := "", ""
+	history, previous, program, handed := "", "", "program-"+newAttempt(), 0
 	for range turns {
 		attempt := newAttempt()
 		input := "input of " + attempt + "\n"
 		status, answer, whole := c.send(c.anyFront(), call{kind: "chat", key: "key-1", prompt: history + input}, "/chat/", input, standin.CallerRequest{
-			Attempt: attempt, PreviousTurn: previous, Program: "program", MaxTokens: 100,
+			Attempt: attempt, PreviousTurn: previous, Program: program, MaxTokens: turnTokens, TokenBudget: programTokens,
 		})
+		handed += eventTokens * strings.Count(answer, "data: ")
+		if handed > programTokens+turnTokens {
+			c.checker.fail("program %s was handed %d tokens of %d", program, handed, programTokens)
+		}
 		switch {
 		case status == http.StatusNotFound:
 			c.checker.fail("turn %s of a chain was lost: %s is not known", previous, attempt)
@@ -217,7 +227,7 @@
 		}
 		switch c.random.IntN(4) {
 		case 0:
-			c.chat(1 + c.random.IntN(4))
+			c.chat(1 + c.random.IntN(10))
 		case 1:
 			c.callPlain(c.anyFront(), "charge", "key-1")
 		default:
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -52,7 +52,7 @@
 	log      *os.File
 
 	// mu is held while signals are sent and the process is replaced.
-	mu      sync.Mutex
+	mu        sync.Mutex
 	command   *exec.Cmd
 	startedAt time.Time
 	// stopping is set while the soak itself ends the process. ended is closed when the
