--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -18,6 +18,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/baobabspool/baobabspool/internal/standin"
+	"github.com/baobabspool/baobabspool/platform"
 )
 
 const (
@@ -174,7 +175,7 @@
 
 func (p *gatewayProcess) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + p.ready + "/baobabspool/readiness")
+	response, err := client.Get("http://" + p.ready + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -257,7 +258,7 @@
 		if draw(30) == 0 {
 			return u.AnswerNotExecuted(conn, request)
 		}
-		attempt := request.Header.Get("X-Attempt-Id")
+		attempt := request.Attempt()
 		d.checker.recordRun(attempt, request.Body)
 		time.Sleep(time.Duration(2+draw(10)) * time.Millisecond)
 		switch {
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -125,7 +125,7 @@
 // further header lines and may contain the body.
 func (u *Upstream) writeHead(conn io.Writer, request UpstreamRequest, status int, more string) {
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\n%s",
-		status, http.StatusText(status), request.Header.Get("X-Attempt-Id"), u.id, more)
+		status, http.StatusText(status), request.Attempt(), u.id, more)
 }
 
 // AnswerComplete responds with status 200, a seal and a complete body. The connection
