Give the processes of the soak addresses that nothing else takes

Cause: two of ten short runs, three at a time, failed with a gateway that was not ready in 10 s. With the output of the process in the report: `bind: address already in use`, in 2 of 18 runs, six at a time. The ports were those of outgoing connections, which another test process took between the choice and the start.

Change: each test process uses its own loopback IP address and ports below those of outgoing connections. A gateway that ends by itself is reported with the end of its output.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,11 +62,18 @@
 	ended    chan struct{}
 }
 
+// firstPort is the first port of gateways. It lies below the ports of outgoing
+// connections, which could take the port of a gateway before it starts again.
+const firstPort = 20_000
+
+// portsUsed is the number of ports that freeAddress has returned.
+var portsUsed atomic.Int64
+
+// freeAddress returns an address that nothing else uses: each test process has its own
+// loopback IP address, and takes each port once.
 func freeAddress() string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff, firstPort+portsUsed.Add(1))
 }
 
 func newGatewayProcess(folder string, index int, topics *standin.Topics) *gatewayProcess {
@@ -173,6 +180,16 @@
 	}
 }
 
+// lastOutput returns the end of what the process has written.
+func (p *gatewayProcess) lastOutput() string {
+	const most = 500
+	text, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-most):])
+}
+
 func (p *gatewayProcess) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + p.ready + platform.ReadyPath)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -170,7 +170,12 @@
 
 func awaitService(d *deployment, c *caller) {
 	for _, g := range d.gateways {
-		gomega.Eventually(g.isReady, restartTimeout, "50ms").Should(gomega.BeTrue(), g.name)
+		gomega.Eventually(func() bool {
+			if state, ended := g.endedByItself(); ended {
+				ginkgo.Fail(fmt.Sprintf("%s ended by itself: %s, and wrote last:\n%s", g.name, state, g.lastOutput()))
+			}
+			return g.isReady()
+		}, restartTimeout, "50ms").Should(gomega.BeTrue(), g.name)
 		gomega.Eventually(func() int { return c.callPlain(g.front, "charge", "key-1") }, restartTimeout, "50ms").Should(gomega.Equal(http.StatusOK), g.name)
 	}
 	gomega.Eventually(func() int { return c.chat(3) }, restartTimeout, "50ms").Should(gomega.Equal(3))
