Do not take a gateway that has just restarted for one that has ended

The record of its new incarnation had not been read, and only the first 2.5 s after the start of the asking gateway were exempt. While the member topic cannot be read, the gap lasts for as long as the outage. Change: an incarnation without a record has ended if a later one of its node has been read, or if a read sent more than a heartbeat after the first call for it finds no record. Until then the answer is 503 (budgetUnknown). This takes the place of the rule for the start of a gateway.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"sync"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/baobabspool/baobabspool/pkg/candidates"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/homes"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -251,3 +253,31 @@
 	}
 	return o.reserve.Spent()[id]
 }
+
+// MemberRecords gives tests access to the memberTable of a gateway, without a gateway
+// and a store.
+type MemberRecords struct{ table *memberTable }
+
+// NewMemberRecords returns the records that a gateway has read; none yet.
+func NewMemberRecords(bootClock clock.Clock) MemberRecords {
+	settings := spool.GatewaySettings{Node: "self"}
+	ownership := NewPoolOwner("self", "self", bootClock).poolOwnership
+	notLate := func() bool { return false }
+	return MemberRecords{newMemberTable(settings, notLate, bootClock, ownership, homes.NewTable(bootClock), zap.NewNop())}
+}
+
+// Read applies a record of a node with an incarnation.
+func (r MemberRecords) Read(node, incarnation string) {
+	value, _ := json.Marshal(memberRecord{Incarnation: incarnation, Address: "address of " + incarnation})
+	r.table.apply(spool.KeyedRecord{Key: memberKeyPrefix + node, Value: value})
+}
+
+// Confirm records that a read of the topic, sent at sentAt, found no newer record.
+func (r MemberRecords) Confirm(sentAt clock.Millis) { r.table.confirm(sentAt) }
+
+// AddressOf returns the address of an incarnation, whether it has ended, and whether its
+// record may not have been read yet.
+func (r MemberRecords) AddressOf(incarnation string) (address string, ended, unknown bool) {
+	address, err := r.table.addressOf(incarnation)
+	return address, errors.Is(err, errNoPeer), errors.Is(err, errHolderUnknown)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -204,15 +204,11 @@
 }
 
 // requestGrantReturn asks the gateway with the given incarnation to return its unused
-// grants of a program. If no address is known for the incarnation, it fails with
-// errHolderUnknown if one may still become known, and with errNoPeer otherwise.
+// grants of a program. It fails like memberTable.addressOf if no address is known.
 func (g *Gateway) requestGrantReturn(ctx context.Context, incarnation string, id spool.ProgramID) error {
-	address, ok := g.shared.members.addressOf(incarnation)
-	switch {
-	case !ok && g.shared.members.mayBeIncomplete():
-		return errHolderUnknown
-	case !ok:
-		return errNoPeer
+	address, err := g.shared.members.addressOf(incarnation)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout.Duration())
 	defer cancel()
--- /dev/null
+++ b/internal/gateway/incarnations.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"github.com/baobabspool/baobabspool/pkg/clock"
+)
+
+// incarnationLog tells incarnations that have ended from those whose records have not
+// been read yet. It is not safe for concurrent use.
+type incarnationLog struct {
+	// ended holds the incarnations that have been replaced by a later one of their node,
+	// and those that were missing for long enough. There are as many as restarts.
+	ended map[string]bool
+	// askedAt holds, for each other incarnation without a record, when it was first asked
+	// for.
+	askedAt map[string]clock.Millis
+}
+
+func newIncarnationLog() incarnationLog {
+	return incarnationLog{ended: map[string]bool{}, askedAt: map[string]clock.Millis{}}
+}
+
+// markEnded records that an incarnation has ended.
+func (l *incarnationLog) markEnded(incarnation string) {
+	l.ended[incarnation] = true
+	delete(l.askedAt, incarnation)
+}
+
+// hasEnded reports whether an incarnation without a record has ended. A gateway writes
+// its record every heartbeatInterval, so a running one is found by a read that is sent that
+// long after the first call for it. confirmedAt is when the newest read was sent.
+func (l *incarnationLog) hasEnded(incarnation string, now, confirmedAt clock.Millis) bool {
+	if l.ended[incarnation] {
+		return true
+	}
+	askedAt, ok := l.askedAt[incarnation]
+	if !ok {
+		l.askedAt[incarnation] = now
+		return false
+	}
+	if confirmedAt-askedAt <= heartbeatInterval {
+		return false
+	}
+	l.markEnded(incarnation)
+	return true
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -60,11 +60,11 @@
 
 	mu      sync.Mutex
 	members map[spool.NodeID]member
+	// incarnations holds those that have no record in members.
+	incarnations incarnationLog
 	// loaded is set by the first reset. selfKnown reports whether the records of that
 	// reset included one of the node of this gateway.
 	loaded, selfKnown bool
-	// loadedAt is when the first reset was applied; 0 before.
-	loadedAt clock.Millis
 	// confirmedAt is when the newest read of the topic was sent.
 	confirmedAt clock.Millis
 }
@@ -80,7 +80,7 @@
 func newMemberTable(settings spool.GatewaySettings, isLate func() bool, bootClock clock.Clock, ownership *poolOwnership, table *homes.Table, log *zap.Logger) *memberTable {
 	return &memberTable{
 		bootClock: bootClock, poolOwnership: ownership, homes: table, self: settings.Node, selfSize: settings.Size, isLate: isLate,
-		log: log, members: map[spool.NodeID]member{},
+		log: log, members: map[spool.NodeID]member{}, incarnations: newIncarnationLog(),
 	}
 }
 
@@ -92,7 +92,7 @@
 	defer t.mu.Unlock()
 	if !t.loaded {
 		_, t.selfKnown = t.members[t.self]
-		t.loaded, t.loadedAt = true, t.bootClock.Now()
+		t.loaded = true
 	}
 }
 
@@ -113,7 +113,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.members[spool.NodeID(name)] = member{record: value, seenAt: t.bootClock.Now()}
+	id := spool.NodeID(name)
+	if previous := t.members[id].record.Incarnation; previous != value.Incarnation {
+		t.incarnations.markEnded(previous)
+	}
+	t.members[id] = member{record: value, seenAt: t.bootClock.Now()}
 }
 
 func (t *memberTable) confirm(sentAt clock.Millis) {
@@ -234,23 +238,23 @@
 	return addresses
 }
 
-// mayBeIncomplete reports whether running gateways may be missing from the table. This
-// is so until this process has read the topic for a heartbeat and a poll interval.
-func (t *memberTable) mayBeIncomplete() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.loaded || t.bootClock.Now()-t.loadedAt < heartbeatInterval+memberInterval
-}
-
 // addressOf returns the address of the gateway whose newest record has the given
-// incarnation. ok is false if there is none or it has no address.
-func (t *memberTable) addressOf(incarnation string) (address string, ok bool) {
+// incarnation. It fails with errNoPeer if that incarnation has ended or has no address,
+// and with errHolderUnknown if its record may not have been read yet.
+func (t *memberTable) addressOf(incarnation string) (address string, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, member := range t.members {
-		if member.record.Incarnation == incarnation {
-			return member.record.Address, member.record.Address != ""
+		if member.record.Incarnation != incarnation {
+			continue
+		}
+		if member.record.Address == "" {
+			return "", errNoPeer
 		}
+		return member.record.Address, nil
+	}
+	if t.incarnations.hasEnded(incarnation, t.bootClock.Now(), t.confirmedAt) {
+		return "", errNoPeer
 	}
-	return "", false
+	return "", errHolderUnknown
 }
