Let turns begin on a part of their tokens while the store is away

Cause: while the store was away, the reserve charged each turn the most that it may generate. Change: a turn begins on a quarter of its limit, gets up to half of what is left, and asks for more before it passes events on that it has no tokens for. The first two generations of the reserve get equal halves, and later ones nothing. The sum of all parts is the third of the budget as before. Requests of earlier versions get what they ask for, all or nothing.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -119,47 +119,17 @@
 	return s
 }
 
-// turnBudget is the set of tokens that are allocated to one running turn.
-type turnBudget struct {
-	store *budgetStore
-	id    spool.ProgramID
-	// grants is where the tokens are allocated; nil if they come from the reserve.
-	grants *programGrants
-	// maxTokens is the largest number of tokens that the turn may generate.
-	maxTokens int64
-}
-
-// beginTurn allocates maxTokens to a turn. It takes them from a grant of the log, or
-// from the reserve if the log provides no grant within logGrantTimeout and does not
-// report the budget as spent. It fails with errBudgetSpent, or with errBudgetUnknown if
-// neither provides the tokens.
-func (s *budgetStore) beginTurn(ctx context.Context, id spool.ProgramID, maxTokens, budget int64) (turn *turnBudget, err error) {
-	defer func() { err = errors.Wrapf(err, "budget of program %q", id) }()
-	turn, err = s.beginTurnWithLogGrant(ctx, id, maxTokens, budget)
-	if err == nil || errors.Is(err, errBudgetSpent) {
-		return turn, err
-	}
-	granted, reserveErr := s.reserve.take(ctx, id, maxTokens, budget)
-	if granted {
-		return &turnBudget{store: s, id: id, maxTokens: maxTokens}, nil
-	}
-	if reserveErr != nil {
-		err = errors.WithMessage(err, reserveErr.Error())
-	}
-	return nil, err
-}
-
-// beginTurnWithLogGrant allocates tokens from the grants of this gateway and requests
+// allocateFromLog allocates tokens to a turn from the grants of this gateway, and requests
 // another grant if they do not suffice.
-func (s *budgetStore) beginTurnWithLogGrant(ctx context.Context, id spool.ProgramID, maxTokens, budget int64) (turn *turnBudget, err error) {
+func (s *budgetStore) allocateFromLog(ctx context.Context, id spool.ProgramID, tokens, budget int64) (grants *programGrants, err error) {
 	ctx, cancel := context.WithTimeout(ctx, logGrantTimeout.Duration())
 	defer cancel()
 	for {
 		grants := s.grantsOf(id)
-		if grants.allocate(s.clock.Now(), maxTokens) {
-			return &turnBudget{store: s, id: id, grants: grants, maxTokens: maxTokens}, nil
+		if grants.allocate(s.clock.Now(), tokens) {
+			return grants, nil
 		}
-		if err := s.ensureGrant(ctx, id, grants, maxTokens, spend.Granted(budget)); err != nil {
+		if err := s.ensureGrant(ctx, id, grants, tokens, spend.Granted(budget)); err != nil {
 			return nil, err
 		}
 	}
@@ -192,18 +162,6 @@
 	return g.hold.Shortfall(maxTokens), g.closed
 }
 
-// endTurn records that the turn has generated used tokens, and releases the rest of its
-// allocation.
-func (t *turnBudget) endTurn(used int64) {
-	if t.grants == nil {
-		t.store.reserve.returnUnused(t.id, t.maxTokens-used)
-		return
-	}
-	t.grants.mu.Lock()
-	defer t.grants.mu.Unlock()
-	t.grants.hold.EndTurn(t.store.clock.Now(), t.maxTokens, used)
-}
-
 // ensureGrant requests another grant from the log, unless a concurrent turn has
 // obtained a sufficient one or the grants were closed; the caller then tries to
 // allocate again. If the request grants too little, it asks other gateways to return
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -190,11 +190,25 @@
 // then send the next turn to another gateway, which asks this one for the tokens.
 func (r *request) endBudget() {
 	if r.budget != nil {
-		r.budget.endTurn(int64(r.eventCount) * int64(max(1, r.service.EventTokens)))
+		r.budget.endTurn(r.tokensOf(r.eventCount))
 		r.budget = nil
 	}
 }
 
+// coverEvents makes sure that the budget of the turn, if it has one, covers a number of
+// events.
+func (r *request) coverEvents(ctx context.Context, count int) error {
+	if r.budget == nil {
+		return nil
+	}
+	return r.budget.cover(ctx, r.tokensOf(count))
+}
+
+// tokensOf returns how many tokens a number of events counts as.
+func (r *request) tokensOf(count int) int64 {
+	return int64(count) * int64(max(1, r.service.EventTokens))
+}
+
 // prependHistory puts the earlier turns of the program in front of the request body, if
 // the route stores turns and the request continues one. It returns the reason for
 // refusing the request; empty if there is none.
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -32,9 +32,11 @@
 
 type reserveRequest struct {
 	Program spool.ProgramID `json:"program"`
-	// Need is the number of requested tokens, all or none of which are granted. Budget
-	// is the whole token budget of the program.
+	// Need is the least number of tokens that is granted, and Want the largest; Want is 0
+	// in requests of earlier versions, which get Need. Budget is the whole token budget of
+	// the program.
 	Need   int64 `json:"need,omitempty"`
+	Want   int64 `json:"want,omitempty"`
 	Budget int64 `json:"budget,omitempty"`
 	// Unused is the number of granted tokens that are returned. If it is positive, the
 	// request returns tokens and Need is ignored.
@@ -43,6 +45,9 @@
 
 type reserveReply struct {
 	Granted bool `json:"granted"`
+	// Tokens is the number of granted tokens. It is 0 in answers of earlier versions,
+	// which grant Need.
+	Tokens int64 `json:"tokens,omitempty"`
 }
 
 // reserveClient obtains tokens of program budgets from the reserve, which the owner of
@@ -69,16 +74,24 @@
 	if request.Unused > 0 {
 		return reply, c.poolOwnership.returnReserve(request.Program, request.Unused)
 	}
-	reply.Granted, err = c.poolOwnership.takeReserve(request.Program, request.Need, request.Budget)
+	reply.Tokens, err = c.poolOwnership.takeReserve(request)
+	reply.Granted = reply.Tokens > 0
 	return reply, err
 }
 
-// take reports whether the reserve granted need tokens of a program's budget; false
-// with a nil error means that the reserve of the program does not cover them. It fails
-// if the holder of the reserve cannot be reached or does not grant at present.
-func (c *reserveClient) take(ctx context.Context, id spool.ProgramID, need, budget int64) (granted bool, err error) {
-	reply, err := c.send(ctx, reserveRequest{Program: id, Need: need, Budget: budget})
-	return reply.Granted, err
+// take requests tokens of a program's budget from the reserve and returns how many it
+// granted; 0 with a nil error means that the reserve of the program does not cover
+// request.Need. It fails if the holder of the reserve cannot be reached or does not grant
+// at present.
+func (c *reserveClient) take(ctx context.Context, request reserveRequest) (granted int64, err error) {
+	reply, err := c.send(ctx, request)
+	if err != nil || !reply.Granted {
+		return 0, err
+	}
+	if reply.Tokens == 0 {
+		return request.Need, nil
+	}
+	return reply.Tokens, nil
 }
 
 // returnUnused returns tokens that a turn was granted and did not generate. It does not
@@ -121,22 +134,22 @@
 	}
 }
 
-// takeReserve grants need tokens of a program's budget from the reserve, or none if the
-// reserve does not cover them. It fails with errNotReserveOwner unless this gateway may
+// takeReserve grants tokens of a program's budget from the reserve and returns how many;
+// 0 if the reserve does not cover request.Need. It fails with errNotReserveOwner unless this gateway may
 // grant and the newest claim names no earlier owners and the generation of its reserve.
 // It fails with errReserveInactive unless all gateways in contact have voted since the
 // last confirmation by the store: they then know that the reserve is in use.
-func (o *poolOwnership) takeReserve(id spool.ProgramID, need, budget int64) (granted bool, err error) {
+func (o *poolOwnership) takeReserve(request reserveRequest) (granted int64, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.bootClock.Now()
 	switch {
 	case !o.prepareToGrantLocked() || len(o.newestClaim.EarlierOwners) > 0 || o.newestClaim.Generation != o.reserve.Generation():
-		return false, errNotReserveOwner
+		return 0, errNotReserveOwner
 	case o.votedAt <= o.confirmedAt || now >= o.authorityStartLocked()+ownerAuthority:
-		return false, errReserveInactive
+		return 0, errReserveInactive
 	}
-	return o.reserve.Take(now, id, need, budget), nil
+	return o.reserve.Take(now, request.Program, request.Need, request.Want, request.Budget), nil
 }
 
 // returnReserve returns tokens to the reserve that were granted and not used. It fails
--- a/pkg/spend/reserve.go
+++ b/pkg/spend/reserve.go
@@ -10,11 +10,20 @@
 	// does not grant. A third of the budget is affordable because callers set
 	// budgets well above the use of their programs.
 	reserveDivisor = 3
-	// maxGeneration is the last generation that may grant anything. Each generation
-	// may grant half as much as the one before it.
-	maxGeneration = 30
+	// reserveGenerations is the number of generations that may grant anything. Each of
+	// them grants an equal part of the reserve. The programs that begin after all
+	// gateways were killed once are thus served like those before.
+	reserveGenerations = 2
+	// firstPart is the part of the tokens that a turn may generate without which it
+	// does not begin on the reserve, as a divisor.
+	firstPart = 4
 )
 
+// FirstNeed returns how many tokens of the reserve a turn needs to begin that generates
+// at most maxGenerated tokens. Most turns generate less than a quarter of their limit. A
+// turn that generates more requests the missing tokens while it runs.
+func FirstNeed(maxGenerated int64) int64 { return (maxGenerated + firstPart - 1) / firstPart }
+
 // Reserved returns the part of a budget, in tokens, that only a Reserve grants.
 func Reserved(budget int64) int64 { return max(0, budget) / reserveDivisor }
 
@@ -22,15 +31,14 @@
 func Granted(budget int64) int64 { return max(0, budget) - Reserved(budget) }
 
 // generationAllowance returns how many tokens of a program's reserve one generation
-// may grant: half of the reserve in generation 0, a quarter in generation 1, and so
-// on. The sum over all generations is at most the reserve. If a holder is lost
-// together with its state, its successor cannot know what it granted, and therefore
-// does without the allowance of that generation.
+// may grant: an equal part in each of the first reserveGenerations, and nothing after
+// them. If a holder is lost together with its state, its successor cannot know what it
+// granted, and therefore does without the allowance of that generation.
 func generationAllowance(budget int64, generation int) int64 {
-	if generation < 0 || generation > maxGeneration {
+	if generation < 0 || generation >= reserveGenerations {
 		return 0
 	}
-	return Reserved(budget) >> (generation + 1)
+	return Reserved(budget) / reserveGenerations
 }
 
 // Reserve grants tokens of programs' budgets without the log, so that programs
@@ -66,17 +74,20 @@
 // Generation returns the generation of the reserve.
 func (r *Reserve) Generation() int { return r.generation }
 
-// Take grants need tokens of a program's budget and returns true. It grants nothing
-// and returns false if need is not positive or exceeds the rest of the generation's
-// allowance.
-func (r *Reserve) Take(now clock.Millis, id spool.ProgramID, need, budget int64) bool {
+// Take grants tokens of a program's budget and returns how many: at least need, and up
+// to want while these are at most half of what is left, so that other turns of the program
+// get theirs. It grants nothing if need is not positive or exceeds the rest of the
+// generation's allowance.
+func (r *Reserve) Take(now clock.Millis, id spool.ProgramID, need, want, budget int64) (granted int64) {
 	entry := r.programs[id]
-	if need <= 0 || entry.spent+need > generationAllowance(budget, r.generation) {
-		return false
+	left := generationAllowance(budget, r.generation) - entry.spent
+	if need <= 0 || need > left {
+		return 0
 	}
-	r.programs[id] = reserveEntry{spent: entry.spent + need, lastAt: now}
+	granted = max(need, min(want, left/2))
+	r.programs[id] = reserveEntry{spent: entry.spent + granted, lastAt: now}
 	r.hasGranted = true
-	return true
+	return granted
 }
 
 // Unused reports whether no token has been granted in this generation. A token that
