Count the silence of an owner from the first call that it left unanswered

Cause: a call to an owner without power fails when its connection has been silent for 0.6 s, and the failure, not the call, began the 0.5 s after which the owner is suspected. Change: the failure of a call carries the time at which it was sent, and the earliest counts, unless the owner has answered since. The next claim comes after the delay for a restarted owner, as before.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -106,6 +106,12 @@
 	return asked
 }
 
+// RecordLost records that the owner left a call unanswered that was sent at sentAt.
+func (o PoolOwner) RecordLost(owner spool.NodeID, sentAt clock.Millis) { o.recordLost(owner, sentAt) }
+
+// RecordAnswer records an answer of the owner.
+func (o PoolOwner) RecordAnswer(owner spool.NodeID) { o.recordAnswer(owner) }
+
 // GrantsUntil returns the end of the present authority.
 func (o PoolOwner) GrantsUntil() clock.Millis {
 	confirmed, _ := o.ConfirmedUntil(spool.ProgramStream(0))
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -322,17 +322,19 @@
 	o.confirmedAt = max(o.confirmedAt, sentAt)
 }
 
-// recordLost records that the owner did not answer a message. It ignores a gateway
-// other than the current owner.
-func (o *poolOwnership) recordLost(owner spool.NodeID) { o.recordSilent(owner, o.bootClock.Now()) }
-
-// recordSilent records that the owner did not answer a query sent at sentAt. It ignores
-// a gateway other than the current owner.
-func (o *poolOwnership) recordSilent(owner spool.NodeID, sentAt clock.Millis) {
+// recordLost records that the owner did not answer a call sent at sentAt. It ignores a
+// gateway other than the current owner. The silence counts from the first such call, or
+// from the last answer if that is later: a call fails only after its timeout, by which
+// time the owner may have been silent for longer than suspectAfter.
+func (o *poolOwnership) recordLost(owner spool.NodeID, sentAt clock.Millis) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if owner == o.newestClaim.Node && o.unansweredSince == 0 {
-		o.unansweredSince = sentAt
+	if owner != o.newestClaim.Node {
+		return
+	}
+	silentSince := max(sentAt, o.answeredAt)
+	if o.unansweredSince == 0 || silentSince < o.unansweredSince {
+		o.unansweredSince = silentSince
 	}
 }
 
--- a/internal/gateway/owner_contact.go
+++ b/internal/gateway/owner_contact.go
@@ -95,7 +95,7 @@
 	switch {
 	case ended:
 	case err != nil:
-		o.recordSilent(claim.Node, now)
+		o.recordLost(claim.Node, now)
 	default:
 		o.recordAnswer(claim.Node)
 		o.recordContact(epoch, now, reply.ReserveUnused)
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -238,6 +238,31 @@
 		gomega.Expect(owner.CanGrant()).To(gomega.BeTrue())
 	})
 
+	// Guards against an owner that is replaced half a second late: its silence counted from
+	// the failure of a call, which comes 0.6 s after the call.
+	ginkgo.It("is vacant once the owner has been silent since the first call that it left unanswered", func() {
+		owner.Observe(otherClaim, 0)
+		sentAt := manualClock.Now()
+		manualClock.Advance(600)
+		owner.RecordLost("a", manualClock.Now())
+		owner.RecordLost("a", sentAt)
+		gomega.Expect(owner.ShouldClaim("me", "a")).To(gomega.BeFalse(), "a restarted owner comes first")
+		manualClock.Advance(150)
+		gomega.Expect(owner.ShouldClaim("me", "a")).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("is not vacant while the owner answers other calls", func() {
+		owner.Observe(otherClaim, 0)
+		sentAt := manualClock.Now()
+		manualClock.Advance(500)
+		owner.RecordAnswer("a")
+		manualClock.Advance(100)
+		owner.RecordLost("a", sentAt)
+		owner.ShouldClaim("me", "a")
+		manualClock.Advance(150)
+		gomega.Expect(owner.ShouldClaim("me", "a")).To(gomega.BeFalse())
+	})
+
 	// Guards against questions to the owner that grow with the fleet: 3 a second of each of
 	// 127 gateways made the owner its busiest process.
 	ginkgo.It("is watched closely by the first candidates only", func() {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -95,7 +95,7 @@
 	// OnOwnerLost, unless nil, is called after each failed call to the owner of a
 	// pool at another entry, and OnOwnerAnswered after each successful one. Neither
 	// may block.
-	OnOwnerLost     func(owner spool.NodeID)
+	OnOwnerLost     func(owner spool.NodeID, sentAt clock.Millis)
 	OnOwnerAnswered func(owner spool.NodeID)
 	// OnShortGrant, unless nil, is called in the loop with the account of each
 	// grant that has fewer tokens than were requested, unless its owner may not grant.
@@ -302,20 +302,20 @@
 	case owner == m.config.Node:
 		return serveLocally(ctx, request)
 	}
+	sentAt := m.clock.Now()
 	err = m.clients.Call(ctx, address, method, request, &reply, nil)
-	m.reportOwner(owner, err)
+	m.reportOwner(owner, sentAt, err)
 	return reply, err
 }
 
-// reportOwner calls OnOwnerAnswered if err, the result of a call to owner, is nil,
-// and OnOwnerLost otherwise.
-func (m *Manager) reportOwner(owner spool.NodeID, err error) {
-	notify := m.config.OnOwnerAnswered
-	if err != nil {
-		notify = m.config.OnOwnerLost
-	}
-	if notify != nil {
-		notify(owner)
+// reportOwner calls OnOwnerAnswered if err, the result of a call to owner that was sent
+// at sentAt, is nil, and OnOwnerLost otherwise.
+func (m *Manager) reportOwner(owner spool.NodeID, sentAt clock.Millis, err error) {
+	switch {
+	case err != nil && m.config.OnOwnerLost != nil:
+		m.config.OnOwnerLost(owner, sentAt)
+	case err == nil && m.config.OnOwnerAnswered != nil:
+		m.config.OnOwnerAnswered(owner)
 	}
 }
 
