Let requests wait for the first owner of the pools and the first configuration

Cause: after a loss of power of all gateways the listeners are open 0.1 s before the configuration has been read, and 0.3 to 0.5 s before the pools have an owner. Change: a request waits up to 0.3 s from the start of the process for the configuration and the endpoints. A queued call waits up to 0.3 s for an owner that says that it will grant within that time, or for the first one that this process hears of. When an owner is lost, or will grant only later, calls are refused after 45 ms as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,12 @@
 	// catalog is the configuration in force; nil until one has been read. Its version
 	// never decreases.
 	catalog atomic.Pointer[catalog.Catalog]
+	// startup is closed, by endStartup, when the first configuration is in force and the
+	// endpoints have been read, and at the latest startupWait after the start. Requests
+	// wait for it.
+	startup       chan struct{}
+	endStartup    func()
+	endpointsRead atomic.Bool
 	// seeds holds the control addresses that are used while no other gateway is known.
 	// stopping is set when a shutdown starts.
 	seeds    atomic.Pointer[[]string]
@@ -76,6 +82,10 @@
 }
 
 const (
+	// startupWait bounds how long a request waits for the first configuration and the
+	// endpoints. They are read some 0.1 s after the listeners are open; a refused caller
+	// comes back later.
+	startupWait = 300 * clock.Millis(1)
 	// maintenanceInterval is the time between two maintenance rounds, which remove
 	// expired state.
 	maintenanceInterval = 2 * time.Second
@@ -107,6 +117,9 @@
 		endpointTable: endpoints.NewTable(settings.FailureDomain), cancel: cancel, peerPicker: newPeerPicker(systemClock),
 		health: newStoreHealth(systemClock, t.Logger("store")),
 	}
+	g.startup = make(chan struct{})
+	g.endStartup = sync.OnceFunc(func() { close(g.startup) })
+	time.AfterFunc(startupWait.Duration(), g.endStartup)
 	g.SetSeeds(settings.Seeds)
 	g.assemble(ctx, store)
 	if err := g.listen(); err != nil {
@@ -359,6 +372,14 @@
 	}
 }
 
+// updateStartup ends the wait of requests if this gateway knows what it needs to serve
+// them.
+func (g *Gateway) updateStartup() {
+	if g.catalog.Load() != nil && g.endpointsRead.Load() {
+		g.endStartup()
+	}
+}
+
 // install puts a configuration in force, unless its version is not higher than that of
 // the configuration in force. unconfirmedFor is the time for which this gateway had not
 // been known to have the newest configuration.
@@ -368,6 +389,7 @@
 		return
 	}
 	g.catalog.Store(next)
+	g.updateStartup()
 	g.loads.retain(func(service spool.ServiceName) bool { return next.Service(service) != nil })
 	limits := next.Limits()
 	g.server.SetLimits(httpconn.Limits{
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -64,6 +64,10 @@
 func (g *Gateway) handle(ctx context.Context, exchange *httpconn.Exchange) {
 	r := &request{gateway: g, exchange: exchange, tried: map[spool.EndpointID]bool{}}
 	defer r.recoverPanic()
+	select {
+	case <-g.startup:
+	case <-ctx.Done():
+	}
 	if reason := r.resolve(); reason != "" {
 		r.reject(refusalFor(reason))
 		return
--- a/internal/gateway/limiter.go
+++ b/internal/gateway/limiter.go
@@ -42,6 +42,10 @@
 	// with a delay. Programs have about that much slack, and a call that is refused twice
 	// fails its program.
 	maxTokenDelay = 400 * clock.Millis(1)
+	// ownerWait bounds how long a request waits for an owner of the pools that is about to
+	// grant. After the loss of all gateways the pools have an owner again 0.3 s after the
+	// processes have started; a refused request comes back later than that.
+	ownerWait = 300 * clock.Millis(1)
 	// minRetryAfter is the shortest retry delay that is returned with a refusal over
 	// the limit. An earlier retry would find no token, because requests that are
 	// already waiting get each new token at once, and callers retry only once or twice.
@@ -78,7 +82,7 @@
 	timing.View = viewTimeout
 	timing.GrowthDelay = shareGrowDelay
 	timing.MinQueueWait, timing.MaxQueueWait = maxTokenWait, maxTokenWait
-	timing.MaxTokenDelay = maxTokenDelay
+	timing.MaxTokenDelay, timing.OwnerWait = maxTokenDelay, ownerWait
 	return timing
 }
 
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -298,6 +298,8 @@
 		s.apply(record)
 	}
 	s.gateway.endpointTable.DropMissing(s.updateStoreState(), ids)
+	s.gateway.endpointsRead.Store(true)
+	s.gateway.updateStartup()
 }
 
 // updateStoreState tells the endpoint table whether the store is unavailable, and
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -124,6 +124,10 @@
 	// MaxTokenDelay is how far in the future a token may lie that an owner grants for a
 	// queued call; see Request.MaxDelay. It is 0 if owners grant only what they have.
 	MaxTokenDelay clock.Millis
+	// OwnerWait is how long a queued request waits for an owner that is about to grant:
+	// one that says so, or one that a share has not heard of since its creation less than
+	// OwnerWait ago. 0 turns the wait off.
+	OwnerWait clock.Millis
 }
 
 // DefaultTiming returns the durations that are used if no setting overrides them.
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -205,6 +205,81 @@
 		gomega.Expect(queued).To(gomega.BeFalse())
 	})
 
+	// Guards against refusing each request in the 0.3 s after the return of all entries, in
+	// which the pools have no owner yet, so that programs lose a try and half a second.
+	ginkgo.Describe("of an account whose owner is about to grant", func() {
+		impatient := timing
+		impatient.MinQueueWait, impatient.MaxQueueWait, impatient.OwnerWait = 45, 45, 300
+		config := limit.Config{Rate: 50, Burst: 50}
+
+		// waitOf submits a call at the time start and returns how long it is queued. answer
+		// returns the answer to a request of the share; nil for none.
+		waitOf := func(start clock.Millis, answer func(now clock.Millis, request limit.Request) *limit.Grant) (admitted bool, waited clock.Millis) {
+			share := limit.NewShare(0, "acme", "a", impatient, config)
+			queue := limit.NewQueue(share)
+			for now := clock.Millis(0); now < start+clock.Second; now += 5 {
+				var decision limit.Decision
+				if now == start {
+					decision, _ = queue.Submit(now, "call")
+				}
+				outcomes, request := queue.Advance(now)
+				if decision.Request != nil {
+					request = decision.Request
+				}
+				if len(outcomes) > 0 {
+					return outcomes[0].Admitted, now - start
+				}
+				if request == nil {
+					continue
+				}
+				if grant := answer(now, *request); grant != nil {
+					grant.Sequence = request.Sequence
+					share.HandleGrant(now, *grant)
+				} else {
+					share.HandleLoss(now, request.Sequence)
+				}
+			}
+			return false, clock.Second
+		}
+
+		ginkgo.It("keeps a request that comes before the first owner", func() {
+			admitted, waited := waitOf(10, func(now clock.Millis, request limit.Request) *limit.Grant {
+				if now < 250 {
+					return nil
+				}
+				return &limit.Grant{Granted: request.Requested, LeaseDuration: 250}
+			})
+			gomega.Expect(admitted).To(gomega.BeTrue())
+			gomega.Expect(waited).To(gomega.BeNumerically("<", 300))
+		})
+
+		ginkgo.It("keeps a request while the owner says that it will grant within the wait", func() {
+			grantsFrom := 2*clock.Second + 200
+			admitted, waited := waitOf(2*clock.Second, func(now clock.Millis, request limit.Request) *limit.Grant {
+				if now < grantsFrom {
+					return &limit.Grant{Withheld: true, RetryAfter: grantsFrom - now, LeaseDuration: 250}
+				}
+				return &limit.Grant{Granted: request.Requested, LeaseDuration: 250}
+			})
+			gomega.Expect(admitted).To(gomega.BeTrue())
+			gomega.Expect(waited).To(gomega.BeNumerically("<", 250))
+		})
+
+		ginkgo.It("refuses a request at once when an owner is lost", func() {
+			admitted, waited := waitOf(2*clock.Second, func(clock.Millis, limit.Request) *limit.Grant { return nil })
+			gomega.Expect(admitted).To(gomega.BeFalse())
+			gomega.Expect(waited).To(gomega.BeNumerically("<=", 50))
+		})
+
+		ginkgo.It("refuses a request at once when the owner will grant only after the wait", func() {
+			admitted, waited := waitOf(2*clock.Second, func(clock.Millis, limit.Request) *limit.Grant {
+				return &limit.Grant{Withheld: true, RetryAfter: 900, LeaseDuration: 250}
+			})
+			gomega.Expect(admitted).To(gomega.BeFalse())
+			gomega.Expect(waited).To(gomega.BeNumerically("<=", 50))
+		})
+	})
+
 	ginkgo.It("admits from the static allocation while the pool has no owner", func() {
 		share := limit.NewShare(0, "acme", "a", timing, limit.Config{Rate: 10, Burst: 40, StaticShare: 0.2})
 		share.SetView(0, []spool.NodeID{"a", "b"})
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -111,7 +111,7 @@
 	covered, position := int(wholeTokens(s.delayedTokens())), 0
 	q.queued = slices.DeleteFunc(q.queued, func(r queuedRequest) bool {
 		position++
-		expired := now-r.queuedAt >= q.maxWait() && position > covered
+		expired := q.isExpired(now-r.queuedAt) && position > covered
 		if expired {
 			outcomes = append(outcomes, Outcome{ID: r.id, RetryAfter: q.drainTime()})
 		}
@@ -122,6 +122,15 @@
 	return outcomes, s.nextRequest()
 }
 
+// isExpired reports whether a request that has waited for this long is refused, unless a
+// token is on its way. While an owner is about to grant, it waits for longer.
+func (q *Queue) isExpired(waited clock.Millis) bool {
+	if q.share.awaitsOwner() {
+		return waited >= max(q.maxWait(), q.share.timing.OwnerWait)
+	}
+	return waited >= q.maxWait()
+}
+
 // updateShortfall sets the number of tokens that the share requests from the pool.
 // While alarms are queued, it is the number of alarms; otherwise it is the number
 // of queued requests.
@@ -146,8 +155,11 @@
 
 // exceedsRate reports whether the queue has been non-empty for longer than maxWait.
 // The queue of a burst drains in less time, so the account then sends above its
-// rate, and starting another program would slow down the running ones.
-func (q *Queue) exceedsRate(now clock.Millis) bool { return now-q.lastEmptyAt > q.maxWait() }
+// rate, and starting another program would slow down the running ones. While an owner is
+// about to grant, the queue says nothing about the rate.
+func (q *Queue) exceedsRate(now clock.Millis) bool {
+	return now-q.lastEmptyAt > q.maxWait() && !q.share.awaitsOwner()
+}
 
 // Remove removes a request, because its caller cancelled it, and reports whether it
 // was still queued.
--- a/pkg/limit/share.go
+++ b/pkg/limit/share.go
@@ -83,6 +83,9 @@
 	urgentOnly bool
 	// maxDelay is Request.MaxDelay of the next request.
 	maxDelay clock.Millis
+	// ownerExpectedBy is the time, on elapsed.upper, by which an owner is expected to
+	// grant that does not grant yet; 0 if none is expected.
+	ownerExpectedBy clock.Millis
 }
 
 // NewShare returns the share of node. It has no tokens. Its static allocation is 0
@@ -95,6 +98,7 @@
 		sequence:      uint64(max(0, now)),
 	}
 	share.advance(now)
+	share.ownerExpectedBy = share.elapsed.upper + timing.OwnerWait
 	return share
 }
 
@@ -159,6 +163,7 @@
 		s.nextRequestAt = s.elapsed.upper + grant.RetryAfter
 	}
 	s.pending = nil
+	s.updateOwnerExpected(grant)
 	if grant.LeaseDuration > 0 {
 		s.leaseDuration = grant.LeaseDuration - grant.UsableIn
 	}
@@ -171,6 +176,18 @@
 	}
 }
 
+// updateOwnerExpected sets ownerExpectedBy from an answer of the owner. The answer to the
+// first request after the owner may grant arrives within Timing.MinQueueWait of that time.
+func (s *Share) updateOwnerExpected(grant Grant) {
+	s.ownerExpectedBy = 0
+	if grant.Withheld && grant.RetryAfter <= s.timing.OwnerWait {
+		s.ownerExpectedBy = s.elapsed.upper + grant.RetryAfter + s.timing.MinQueueWait
+	}
+}
+
+// awaitsOwner reports whether an owner is expected to grant soon that does not grant yet.
+func (s *Share) awaitsOwner() bool { return s.elapsed.upper < s.ownerExpectedBy }
+
 // HandleLoss reports that the request with this sequence has failed or was not
 // answered. If it is the pending one, the next request that is not for alarms is
 // sent minRetryDelay later at the earliest.
