--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -533,6 +533,7 @@
 		n.launch()
 		r, _ := n.call("GET", "/lookup/a", "key-1", "")
 		gomega.Expect(r.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(r.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
 		gomega.Expect(n.isReady()).To(gomega.BeFalse())
 	})
 })
