--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -138,16 +138,18 @@
 	}
 	r.gateway.log.Info(message, zap.String("request", r.call.Attempt), zap.String("program", string(r.call.Program)),
 		zap.String("account", string(r.account)), zap.String("route", r.route.Name), zap.String("endpoint", string(endpoint.ID())),
-		zap.String("outcome", string(result)), zap.String("cause", failureCause(ctx, result)), zap.Int("status", r.exchange.Status()), zap.Int("try", tries+1), zap.Int("runs", r.possibleRuns),
+		zap.String("outcome", string(result)), zap.String("cause", r.failureCause(ctx, result)), zap.Int("status", r.exchange.Status()), zap.Int("try", tries+1), zap.Int("runs", r.possibleRuns),
 		zap.Int("events", r.eventCount), zap.Int64("leftMs", int64(r.deadline-r.gateway.clock.Now())), zap.Int64("version", r.catalog.Version()))
 }
 
 // failureCause returns the log value for the cause of a failed try; empty if the
 // request was answered.
-func failureCause(ctx context.Context, result tryResult) string {
+func (r *request) failureCause(ctx context.Context, result tryResult) string {
 	switch {
 	case result == answered:
 		return ""
+	case r.isCutForBudget:
+		return "budget"
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return "timeout"
 	case ctx.Err() != nil:
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -55,6 +55,9 @@
 	budget *turnBudget
 	// eventCount is the number of events that were passed on to the caller.
 	eventCount int
+	// isCutForBudget is set when the answer is cut off because the budget grants no more
+	// tokens.
+	isCutForBudget bool
 	// refusalErr is the error that caused a refusal, for the log; nil if there is none.
 	refusalErr error
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,6 +30,8 @@
 		if len(whole) > 0 {
 			if err := r.coverEvents(ctx, r.eventCount+events.Count(whole)); err != nil {
 				r.gateway.log.Info("answer is cut off for lack of budget", zap.String("request", r.call.Attempt), zap.Error(err))
+				r.gateway.telemetry.CountEvent("answerCutForBudget")
+				r.isCutForBudget = true
 				response.Close(false)
 				return broken, endpoints.Cancelled
 			}
--- a/pkg/story/cause.go
+++ b/pkg/story/cause.go
@@ -125,8 +125,11 @@
 	if line.Number("leftMs") <= 0 {
 		return "its time was over in the middle of the answer"
 	}
-	if line.Text("cause") == "callerLeft" {
+	switch line.Text("cause") {
+	case "callerLeft":
 		return "the caller left"
+	case "budget":
+		return "the budget granted no more tokens in the middle of the answer, which happens while the store is away"
 	}
 	if gone, ok := seen.last("endpoint's record is gone"); ok {
 		return fmt.Sprintf("endpoint %s ended in the middle of the answer; its record went", gone.Text("endpoint"))
--- a/pkg/story/story_test.go
+++ b/pkg/story/story_test.go
@@ -73,6 +73,16 @@
 		gomega.Expect(story.Of(readLogs(long), "r2").Failures[0].Cause).To(gomega.ContainSubstring("away for 8.10 s"))
 	})
 
+	// Guards against blaming the endpoint for an answer that the gateway has cut off.
+	ginkgo.It("tells that the budget ended in the middle of an answer", func() {
+		told := story.Of(readLogs(`
+ 5.0 g1 {"level":"info","ts":106.0,"msg":"[gateway] answer is cut off for lack of budget","node":"g1","request":"r7"}
+ 5.0 g1 {"level":"info","ts":106.0,"msg":"[gateway] request not answered","node":"g1","request":"r7","program":"p3","endpoint":"e2","outcome":"broken","cause":"budget","leftMs":900,"events":12}
+`), "r7")
+		gomega.Expect(told.Failures).To(gomega.HaveLen(1))
+		gomega.Expect(told.Failures[0].Cause).To(gomega.ContainSubstring("budget granted no more tokens"))
+	})
+
 	ginkgo.It("lists the requests that failed", func() {
 		gomega.Expect(story.FailedRequests(readLogs(logs))).To(gomega.Equal([]string{"r1", "r2", "r3", "r5"}))
 	})
