--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -26,8 +26,9 @@
 }
 
 // hasEnded reports whether an incarnation without a record has ended. A gateway writes
-// its record every heartbeatInterval, so a running one is found by a read that is sent that
-// long after the first call for it. confirmedAt is when the newest read was sent.
+// its record every heartbeatInterval, and a write takes less than memberInterval, so a
+// running one is found by a read that is sent that long after the first call for it.
+// confirmedAt is when the newest read was sent.
 func (l *incarnationLog) hasEnded(incarnation string, now, confirmedAt clock.Millis) bool {
 	if l.ended[incarnation] {
 		return true
@@ -37,7 +38,7 @@
 		l.askedAt[incarnation] = now
 		return false
 	}
-	if confirmedAt-askedAt <= heartbeatInterval {
+	if confirmedAt-askedAt <= heartbeatInterval+memberInterval {
 		return false
 	}
 	l.markEnded(incarnation)
--- a/internal/gateway/owner_contact.go
+++ b/internal/gateway/owner_contact.go
@@ -28,6 +28,10 @@
 	// voteRequestDelay is the age of the last confirmation by the store at which an
 	// owner requests votes.
 	voteRequestDelay = 550 * clock.Millis(1)
+	// voteInterval is the age of the last round in which all gateways in contact voted at
+	// which the owner requests votes again. A round that fails then still leaves time for
+	// another one before the authority ends.
+	voteInterval = 350 * clock.Millis(1)
 	// probeInterval is the age of the owner's last answer at which one of the first
 	// watchers candidates queries it again, so that the loss of an owner is noticed soon
 	// without a query of each gateway. probeTimeout bounds one query.
@@ -162,7 +166,8 @@
 	now := o.bootClock.Now()
 	o.mu.Lock()
 	epoch := o.epoch
-	due := o.prepareToGrantLocked() && now-o.confirmedAt >= voteRequestDelay && now < o.authorityStartLocked()+ownerAuthority
+	due := o.prepareToGrantLocked() && now-o.confirmedAt >= voteRequestDelay && now < o.authorityStartLocked()+ownerAuthority &&
+		(o.votedAt <= o.confirmedAt || now-o.votedAt >= voteInterval)
 	addresses := o.contactsLocked(now)
 	o.mu.Unlock()
 	if !due {
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -159,6 +159,28 @@
 		gomega.Expect(owner.VoteRequests()).To(gomega.BeZero())
 	})
 
+	// Guards against an owner that sends 2,000 vote requests a second to 300 gateways while
+	// the store is away: rounds each 150 ms, although a vote holds for a second.
+	ginkgo.It("requests votes again only when a part of the authority has passed", func() {
+		owner.Observe(ownClaim, 0)
+		owner.Confirm(manualClock.Now())
+		manualClock.Advance(600)
+		owner.RequestVote(true)
+		manualClock.Advance(150)
+		gomega.Expect(owner.VoteRequests()).To(gomega.BeZero())
+		manualClock.Advance(200)
+		gomega.Expect(owner.VoteRequests()).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("requests votes again soon after a gateway did not vote", func() {
+		owner.Observe(ownClaim, 0)
+		owner.Confirm(manualClock.Now())
+		manualClock.Advance(600)
+		owner.RequestVote(false)
+		manualClock.Advance(150)
+		gomega.Expect(owner.VoteRequests()).To(gomega.Equal(1))
+	})
+
 	ginkgo.It("neither claims nor grants while its vote for another owner is valid", func() {
 		owner.Observe(otherClaim, 0)
 		owner.MarkEnded("a1")
