Draw 20 failed requests, and mend two causes that explain told wrongly

Ten budgetSpent were told as 'the budget does not hold' although a third of it is kept for outages and the rest was held by running turns or lost gateways, and one turn whose caller had left was told as a failure of the store. Conclusion: the two specs fail before.

--- a/pkg/story/cause.go
+++ b/pkg/story/cause.go
@@ -1,6 +1,12 @@
 package story
 
-import "fmt"
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/baobabspool/baobabspool/pkg/spend"
+)
 
 // vacancy is the longest time in seconds after a change of owner in which the pools of the
 // limits explain a refusal: the next owner waits for the previous one, and starts empty.
@@ -9,30 +15,38 @@
 // failureOf returns the failure that a line tells, and its cause as far as the line and the
 // changes of belief before it show. A failed try that is followed by another one is not a
 // failure.
-func failureOf(line Line, context []Line) (failure Failure, failed bool) {
+func failureOf(line Line, beliefs []Line) (failure Failure, failed bool) {
 	failure = Failure{Request: line.Text("request"), Node: line.Node, At: line.At}
 	switch {
 	case line.Message == "request refused":
 		failure.Reason = line.Text("reason")
-		failure.Cause = refusalCause(line, before(line, context))
+		failure.Cause = refusalCause(line, before(line, beliefs))
 	case line.Message == "request not answered" && line.Text("outcome") == "broken":
 		failure.Reason = "broken"
-		failure.Cause = brokenCause(line, before(line, context))
+		failure.Cause = brokenCause(line, before(line, beliefs))
 	case line.Message == "turn was not kept":
 		failure.Reason = "turnNotKept"
-		failure.Cause = "the turn could not be stored in time, so that its answer was cut: " + line.Text("error")
+		failure.Cause = notKeptCause(line.Text("error"))
 	default:
 		return failure, false
 	}
 	return failure, true
 }
 
+// notKeptCause returns why a turn was not stored, from the error of its append.
+func notKeptCause(text string) string {
+	if strings.Contains(text, context.Canceled.Error()) {
+		return "the caller left before the turn was stored"
+	}
+	return "the turn could not be stored in time, so that its answer was cut: " + text
+}
+
 // evidence finds the last change of belief with a message.
 type evidence []Line
 
 // before returns the changes at the node of a line up to its time.
-func before(line Line, context []Line) (found evidence) {
-	for _, other := range context {
+func before(line Line, beliefs []Line) (found evidence) {
+	for _, other := range beliefs {
 		if other.Node == line.Node && other.At <= line.At {
 			found = append(found, other)
 		}
@@ -72,7 +86,7 @@
 		}
 		return "the configuration in force has no such route or key"
 	case "budgetSpent":
-		return fmt.Sprintf("the budget of %.0f tokens does not hold %.0f more", line.Number("tokenBudget"), line.Number("mostTokens"))
+		return budgetCause(int64(line.Number("tokenBudget")), int64(line.Number("mostTokens")))
 	case "noTurn":
 		return "every partition of the history was read, and the turn that the request continues is not there"
 	case "noEndpoint":
@@ -91,6 +105,12 @@
 	return ""
 }
 
+// budgetCause returns why a turn that may generate most tokens was refused within a budget.
+func budgetCause(budget, most int64) string {
+	return fmt.Sprintf("of a budget of %d tokens, %d are granted while the store is there, and they do not hold %d more beside what was used, what running turns may still use, and what lost gateways held",
+		budget, spend.Granted(budget), most)
+}
+
 func limitCause(line Line, seen evidence) string {
 	if change, ok := seen.last("limit owner changes"); ok && line.At-change.At <= vacancy {
 		return fmt.Sprintf("the pools of the limits had changed to %s %.2f s before, and start empty there unless they were handed over", change.Text("owner"), line.At-change.At)
--- a/pkg/story/story_test.go
+++ b/pkg/story/story_test.go
@@ -83,6 +83,23 @@
 		gomega.Expect(told.Failures[0].Cause).To(gomega.ContainSubstring("budget granted no more tokens"))
 	})
 
+	// Guards against telling that a budget is spent of which a third is kept for outages.
+	ginkgo.It("tells which part of a budget did not suffice", func() {
+		told := story.Of(readLogs(`
+ 5.0 g1 {"level":"info","ts":106.0,"msg":"[gateway] request refused","node":"g1","request":"r9","reason":"budgetSpent","tokenBudget":900,"mostTokens":300}
+`), "r9")
+		gomega.Expect(told.Failures[0].Cause).To(gomega.ContainSubstring("of a budget of 900 tokens, 600 are granted"))
+	})
+
+	// Guards against blaming the store for a turn whose caller left.
+	ginkgo.It("tells that the caller left before a turn was stored", func() {
+		told := story.Of(readLogs(`
+ 5.0 g1 {"level":"warn","ts":106.0,"msg":"[gateway] turn was not kept","node":"g1","request":"r8","error":"store turn \"r8\": context canceled"}
+`), "r8")
+		gomega.Expect(told.Failures).To(gomega.HaveLen(1))
+		gomega.Expect(told.Failures[0].Cause).To(gomega.ContainSubstring("caller left"))
+	})
+
 	ginkgo.It("lists the requests that failed", func() {
 		gomega.Expect(story.FailedRequests(readLogs(logs))).To(gomega.Equal([]string{"r1", "r2", "r3", "r5"}))
 	})
