--- a/internal/deployment/certificates_test.go
+++ b/internal/deployment/certificates_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/standin"
 )
 
 // authority is a certificate authority. It signs one certificate, which all processes of
@@ -58,7 +60,7 @@
 func (a *authority) issue(until time.Time) {
 	key, cert := newCertificate(&x509.Certificate{
 		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: "process"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: until, IPAddresses: []net.IP{net.ParseIP(loopbackOf(os.Getpid()))},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: until, IPAddresses: []net.IP{net.ParseIP(standin.LoopbackOf(os.Getpid()))},
 		KeyUsage: x509.KeyUsageDigitalSignature,
 	}, a.cert, a.key)
 	secret, err := x509.MarshalECPrivateKey(key)
--- a/internal/deployment/orders_test.go
+++ b/internal/deployment/orders_test.go
@@ -62,7 +62,7 @@
 		// A second agent replaces a paused one.
 		s.signal("m1", syscall.SIGSTOP)
 		s.run("baobabspool", "m1-next", "endpoint", "--node", "m1", "--region", "r", "--failure-domain", "a",
-			"--listen", freeAddress(), "--vms-address", s.addresses["vms"], "--engine-address", s.addresses["engine1"])
+			"--listen", standin.FreeAddress(), "--vms-address", s.addresses["vms"], "--engine-address", s.addresses["engine1"])
 		publisher := operator()
 		_, err = publisher.Publish(ctx, load(publisher.State().Offset(), "4"))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/deployment/processes_test.go
+++ b/internal/deployment/processes_test.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -82,38 +81,6 @@
 	return s
 }
 
-// firstPort and lastPort bound the ports that freeAddress uses.
-const (
-	firstPort = 20_000
-	lastPort  = 29_999
-)
-
-// nextPort is the number of ports that freeAddress has tried.
-var nextPort atomic.Int64
-
-// freeAddress returns an address that no process listens on. Each test process uses its
-// own loopback IP address, because another process could take a free port of 127.0.0.1
-// before the process under test listens on it.
-func freeAddress() string {
-	host := loopbackOf(os.Getpid())
-	for port := firstPort + nextPort.Add(1); port <= lastPort; port = firstPort + nextPort.Add(1) {
-		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
-		if err != nil {
-			continue
-		}
-		gomega.Expect(listener.Close()).To(gomega.Succeed())
-		return listener.Addr().String()
-	}
-	ginkgo.Fail("no port is free at " + host)
-	return ""
-}
-
-// loopbackOf returns the loopback IP address of the test process with the given process
-// identifier.
-func loopbackOf(pid int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
-}
-
 // run starts a new process. It writes the output to a file named after the node.
 func (s *system) run(binary, node string, args ...string) {
 	log, err := os.Create(filepath.Join(s.folder, node+".log"))
@@ -156,7 +123,7 @@
 
 // startStandin starts a stand-in and waits until it accepts connections.
 func (s *system) startStandin(kind, node string) {
-	s.addresses[node], s.controls[node] = freeAddress(), freeAddress()
+	s.addresses[node], s.controls[node] = standin.FreeAddress(), standin.FreeAddress()
 	s.run("standin", node, kind, "--address", s.addresses[node], "--control", s.controls[node])
 	waitForListener(s.addresses[node])
 	waitForListener(s.controls[node])
@@ -176,8 +143,8 @@
 // startEntry adds an entry to the VM list, starts it, waits until it accepts HTTP
 // connections, and adds it to the load balancer.
 func (s *system) startEntry(node string, domain spool.FailureDomain) {
-	s.addresses[node] = freeAddress()
-	httpAddress := freeAddress()
+	s.addresses[node] = standin.FreeAddress()
+	httpAddress := standin.FreeAddress()
 	s.addVM(spool.VM{ID: spool.NodeID(node), Role: spool.RoleEntry, FailureDomain: domain, Address: s.addresses[node]})
 	region := s.network.region(domain)
 	s.run("baobabspool", node, append(s.authority.processFlags("tls", "http-tls"), "entry", "--node", node, "--region", string(region), "--failure-domain", string(domain),
@@ -192,7 +159,7 @@
 // accepts connections. flag is the flag for the address of the stand-in endpoint, which is
 // the node name of that stand-in.
 func (s *system) startAgent(node string, domain spool.FailureDomain, service spool.ServiceName, flag, endpoint string) {
-	s.addresses[node] = freeAddress()
+	s.addresses[node] = standin.FreeAddress()
 	s.addVM(spool.VM{ID: spool.NodeID(node), Role: spool.RoleEndpoint, FailureDomain: domain, Service: service, Address: s.addresses[node]})
 	region := s.network.region(domain)
 	s.run("baobabspool", node, append(s.authority.processFlags("tls"), "endpoint", "--node", node, "--region", string(region), "--failure-domain", string(domain),
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -107,41 +107,14 @@
 	gomega.Expect(d.topics.PutEndpoint(id, entry)).To(gomega.Succeed())
 }
 
-const (
-	// firstPort and portCount define a range of ports below the ephemeral ones. An
-	// outgoing connection therefore cannot take a port between the check that it is
-	// free and its use.
-	firstPort = 20_000
-	portCount = 10_000
-)
-
-// nextPort is the offset from firstPort of the port that is tried next. Test processes
-// start at different offsets, so that they rarely try the same port.
-var nextPort = os.Getpid() * 101 % portCount
-
-// freeAddress returns a loopback address with a free port. It returns an address again
-// only after all ports of the range were tried.
-func freeAddress() string {
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
-		nextPort = (nextPort + 1) % portCount
-		if listener, err := net.Listen("tcp4", address); err == nil {
-			_ = listener.Close()
-			return address
-		}
-	}
-	ginkgo.Fail("no port is free")
-	return ""
-}
-
 // startGateway starts a gateway with the given node name and waits until it is ready.
 func (d *deployment) startGateway(name string) *node {
 	storeServer, err := standin.ServeTopics(d.topics, "127.0.0.1:0", "")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(storeServer.Close)
 	n := &node{storeServer: storeServer, codec: d.codec, settings: spool.GatewaySettings{
-		Node: spool.NodeID(name), FailureDomain: "a", Region: "r", Listen: freeAddress(), ReadyListen: freeAddress(),
-		ControlListen: freeAddress(), StoreAddress: storeServer.Address(), Partitions: testPartitions, MaxAppendBytes: 1 << 20,
+		Node: spool.NodeID(name), FailureDomain: "a", Region: "r", Listen: standin.FreeAddress(), ReadyListen: standin.FreeAddress(),
+		ControlListen: standin.FreeAddress(), StoreAddress: storeServer.Address(), Partitions: testPartitions, MaxAppendBytes: 1 << 20,
 		StopWithin: 4 * clock.Second, FirstStart: true,
 		LimitTolerance: spool.LimitTolerance{Window: 5 * clock.Second, Over: 0.1, Slack: 20},
 	}}
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -330,7 +330,7 @@
 	// their records run an earlier version.
 	ginkgo.It("is granted beside gateways that do not know the methods of homes", func() {
 		for i := range 4 {
-			address := freeAddress()
+			address := standin.FreeAddress()
 			server, err := wire.Listen(address, wire.Mux{}, nil)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			ginkgo.DeferCleanup(server.Close)
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,25 +61,11 @@
 	ended    chan struct{}
 }
 
-// firstPort is the first port of gateways. It lies below the ports of outgoing
-// connections, which could take the port of a gateway before it starts again.
-const firstPort = 20_000
-
-// portsUsed is the number of ports that freeAddress has returned.
-var portsUsed atomic.Int64
-
-// freeAddress returns an address that nothing else uses: each test process has its own
-// loopback IP address, and takes each port once.
-func freeAddress() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff, firstPort+portsUsed.Add(1))
-}
-
 func newGatewayProcess(folder string, index int, topics *standin.Topics) *gatewayProcess {
 	faults, err := standin.ServeTopics(topics, "127.0.0.1:0", "")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(faults.Close)
-	p := &gatewayProcess{name: fmt.Sprintf("g%d", index), front: freeAddress(), ready: freeAddress(), faults: faults, store: newRelay(faults.Address())}
+	p := &gatewayProcess{name: fmt.Sprintf("g%d", index), front: standin.FreeAddress(), ready: standin.FreeAddress(), faults: faults, store: newRelay(faults.Address())}
 	p.settings = filepath.Join(folder, p.name+".toml")
 	p.text = fmt.Sprintf(`node_name = %q
 zone = %q
@@ -107,7 +92,7 @@
 parts = 4
 record_bytes = 262144
 call_bytes = 2097152
-`, p.name, []string{"a", "b"}[index%2], p.front, p.ready, freeAddress(), graceSeconds, p.store.address())
+`, p.name, []string{"a", "b"}[index%2], p.front, p.ready, standin.FreeAddress(), graceSeconds, p.store.address())
 	gomega.Expect(os.WriteFile(p.settings, []byte(p.text), 0o600)).To(gomega.Succeed())
 	p.log, err = os.Create(filepath.Join(folder, p.name+".log"))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
