--- a/pkg/events/events_test.go
+++ b/pkg/events/events_test.go
@@ -67,3 +67,28 @@
 		}
 	})
 }
+
+// FuzzSplitter guards against a stream that is changed or that ends the process: what comes
+// out, with the rest, is what went in, wherever the bytes are split.
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\nda"), 7)
+	f.Add([]byte("\n\n\n\n\n"), 1)
+	f.Add([]byte("data:\ndata\n:\n\nid:\n\n"), 3)
+	f.Add([]byte("\xff\x00\n\ndata: \xfe"), 4)
+	f.Fuzz(func(t *testing.T, stream []byte, at int) {
+		at = max(0, min(at, len(stream)))
+		splitter := events.NewSplitter()
+		var whole []byte
+		for _, part := range [][]byte{stream[:at], stream[at:]} {
+			complete := splitter.Add(part)
+			whole = append(whole, complete...)
+			if events.Count(complete) > bytes.Count(complete, []byte("data:")) {
+				t.Errorf("more events than data fields in %q", complete)
+			}
+			_, _ = events.LastID(complete), events.AppendData(nil, complete)
+		}
+		if got := append(whole, splitter.Rest()...); !bytes.Equal(got, stream) {
+			t.Errorf("%q became %q", stream, got)
+		}
+	})
+}
