--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -372,6 +372,14 @@
 	}
 }
 
+// awaitStartup waits until startup is closed or ctx ends.
+func (g *Gateway) awaitStartup(ctx context.Context) {
+	select {
+	case <-g.startup:
+	case <-ctx.Done():
+	}
+}
+
 // updateStartup ends the wait of requests if this gateway knows what it needs to serve
 // them.
 func (g *Gateway) updateStartup() {
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -67,10 +67,7 @@
 func (g *Gateway) handle(ctx context.Context, exchange *httpconn.Exchange) {
 	r := &request{gateway: g, exchange: exchange, tried: map[spool.EndpointID]bool{}}
 	defer r.recoverPanic()
-	select {
-	case <-g.startup:
-	case <-ctx.Done():
-	}
+	g.awaitStartup(ctx)
 	if reason := r.resolve(); reason != "" {
 		r.reject(refusalFor(reason))
 		return
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -1,12 +1,10 @@
 package gateway
 
-import (
-	"github.com/baobabspool/baobabspool/pkg/clock"
-)
+import "github.com/baobabspool/baobabspool/pkg/clock"
 
-// incarnationLog tells incarnations that have ended from those whose records have not
+// incarnationTracker tells incarnations that have ended from those whose records have not
 // been read yet. It is not safe for concurrent use.
-type incarnationLog struct {
+type incarnationTracker struct {
 	// ended holds the incarnations that have been replaced by a later one of their node,
 	// and those that were missing for long enough. There are as many as restarts.
 	ended map[string]bool
@@ -15,12 +13,12 @@
 	askedAt map[string]clock.Millis
 }
 
-func newIncarnationLog() incarnationLog {
-	return incarnationLog{ended: map[string]bool{}, askedAt: map[string]clock.Millis{}}
+func newIncarnationTracker() incarnationTracker {
+	return incarnationTracker{ended: map[string]bool{}, askedAt: map[string]clock.Millis{}}
 }
 
 // markEnded records that an incarnation has ended.
-func (l *incarnationLog) markEnded(incarnation string) {
+func (l *incarnationTracker) markEnded(incarnation string) {
 	l.ended[incarnation] = true
 	delete(l.askedAt, incarnation)
 }
@@ -29,7 +27,7 @@
 // its record every heartbeatInterval, and a write takes less than memberInterval, so a
 // running one is found by a read that is sent that long after the first call for it.
 // confirmedAt is when the newest read was sent.
-func (l *incarnationLog) hasEnded(incarnation string, now, confirmedAt clock.Millis) bool {
+func (l *incarnationTracker) hasEnded(incarnation string, now, confirmedAt clock.Millis) bool {
 	if l.ended[incarnation] {
 		return true
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -61,7 +61,7 @@
 	mu      sync.Mutex
 	members map[spool.NodeID]member
 	// incarnations holds those that have no record in members.
-	incarnations incarnationLog
+	incarnations incarnationTracker
 	// loaded is set by the first reset. selfKnown reports whether the records of that
 	// reset included one of the node of this gateway.
 	loaded, selfKnown bool
@@ -80,7 +80,7 @@
 func newMemberTable(settings spool.GatewaySettings, isLate func() bool, bootClock clock.Clock, ownership *poolOwnership, table *homes.Table, log *zap.Logger) *memberTable {
 	return &memberTable{
 		bootClock: bootClock, poolOwnership: ownership, homes: table, self: settings.Node, selfSize: settings.Size, isLate: isLate,
-		log: log, members: map[spool.NodeID]member{}, incarnations: newIncarnationLog(),
+		log: log, members: map[spool.NodeID]member{}, incarnations: newIncarnationTracker(),
 	}
 }
 
@@ -114,8 +114,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	id := spool.NodeID(name)
-	if previous := t.members[id].record.Incarnation; previous != value.Incarnation {
-		t.incarnations.markEnded(previous)
+	if previous, known := t.members[id]; known && previous.record.Incarnation != value.Incarnation {
+		t.incarnations.markEnded(previous.record.Incarnation)
 	}
 	t.members[id] = member{record: value, seenAt: t.bootClock.Now()}
 }
--- a/internal/gateway/owner_contact.go
+++ b/internal/gateway/owner_contact.go
@@ -67,9 +67,9 @@
 }
 
 // probe queries the owner unless it has answered recently, and records whether it
-// answered. live is as in claimIfVacant. If this gateway is the owner and waits for earlier owners, it asks those to
-// stop granting instead, and takes over the pool levels and the reserve that they hand
-// over.
+// answered. live is as in claimIfVacant. If this gateway is the owner and waits for
+// earlier owners, it asks those to stop granting instead, and takes over the pool levels
+// and the reserve that they hand over.
 func (o *poolOwnership) probe(ctx context.Context, live func() []candidates.Candidate) {
 	now := o.bootClock.Now()
 	interval := contactInterval
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -135,10 +135,11 @@
 }
 
 // takeReserve grants tokens of a program's budget from the reserve and returns how many;
-// 0 if the reserve does not cover request.Need. It fails with errNotReserveOwner unless this gateway may
-// grant and the newest claim names no earlier owners and the generation of its reserve.
-// It fails with errReserveInactive unless all gateways in contact have voted since the
-// last confirmation by the store: they then know that the reserve is in use.
+// 0 if the reserve does not cover request.Need. It fails with errNotReserveOwner unless
+// this gateway may grant and the newest claim names no earlier owners and the generation
+// of its reserve. It fails with errReserveInactive unless all gateways in contact have
+// voted since the last confirmation by the store: they then know that the reserve is in
+// use.
 func (o *poolOwnership) takeReserve(request reserveRequest) (granted int64, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/gateway/starts.go
+++ b/internal/gateway/starts.go
@@ -26,9 +26,9 @@
 // shortageTracker records when each account was last short of tokens. An account counts
 // as short for shortageDuration after the owner granted this gateway fewer tokens than it
 // requested. An owner that does not answer, or may not grant yet, does not make an account
-// short: its programs would be refused for seconds after each change of owner. While an account is short, a new program may begin only if the
-// owner of the pools expects to serve all of its requests; see limiter.admit. It is
-// safe for concurrent use.
+// short: its programs would be refused for seconds after each change of owner. While an
+// account is short, a new program may begin only if the owner of the pools expects to
+// serve all of its requests; see limiter.admit. It is safe for concurrent use.
 type shortageTracker struct {
 	bootClock clock.Clock
 
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -105,8 +105,8 @@
 	// its static allocation and an owner may grant.
 	View clock.Millis
 	// GrowthDelay is the delay between a change and the growth of an allocation
-	// that the change makes larger; 0 means View + Lease + MaxTokenDelay. A shorter delay requires
-	// that views drop a member only after it has lost the right to use its
+	// that the change makes larger; 0 means View + Lease + MaxTokenDelay. A shorter delay
+	// requires that views drop a member only after it has lost the right to use its
 	// allocation. With a shorter delay, a member that has not yet learned of a new
 	// member may admit requests beyond the limits: at most the tokens in its bucket
 	// that now belong to the new member's allocation.
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -39,9 +39,8 @@
 // class, and in the order of arrival within a class. A request that finds no token
 // is queued, unless the queue is full or the request starts a program while the
 // account exceeds its rate. It is refused if it gets no token within maxWait, unless the
-// owner has granted one with a delay. A
-// request within the account's rate thus waits for a lease or a refill and is not
-// refused at once.
+// owner has granted one with a delay or is about to grant. A request within the account's
+// rate thus waits for a lease or a refill and is not refused at once.
 type Queue struct {
 	share *Share
 	// queued is ordered by class, most urgent first, and within a class by arrival.
