Check the reserve exhaustively on a small budget

Change: TestReserveHoldsExhaustively visits each state that grants, lost or misdirected returns, and holders that are taken for lost and go on can reach.

--- a/pkg/spend/reserve_test.go
+++ b/pkg/spend/reserve_test.go
@@ -137,3 +137,71 @@
 	}
 	return true
 }
+
+// reserveState is what the holders of one program's reserve know, and what its turns hold.
+type reserveState struct {
+	// spent is the state of the holder of each generation. A holder that was taken for lost
+	// may have been paused, and goes on.
+	spent [3]int64
+	// granted is the number of tokens that turns used or may still use, of which returnable
+	// are not used yet.
+	granted, returnable int64
+}
+
+// TestReserveHoldsExhaustively visits every state that two lost holders, grants of all sizes
+// and returned tokens can reach with a small budget, in any order. Returned tokens arrive at
+// any holder, also at one that did not grant them, or are lost on the way. It guards against
+// an order of events in which the holders together grant more than the reserve.
+func TestReserveHoldsExhaustively(t *testing.T) {
+	const (
+		budget    = int64(25)
+		maxTokens = int64(4)
+	)
+	seen := map[reserveState]bool{}
+	pending := []reserveState{{}}
+	for len(pending) > 0 {
+		state := pending[len(pending)-1]
+		pending = pending[:len(pending)-1]
+		if seen[state] {
+			continue
+		}
+		seen[state] = true
+		if state.granted > spend.Reserved(budget) {
+			t.Fatalf("%+v: the reserve of a budget of %d is %d", state, budget, spend.Reserved(budget))
+		}
+		pending = append(pending, nextReserveStates(state, budget, maxTokens)...)
+	}
+	t.Logf("%d states", len(seen))
+}
+
+// nextReserveStates returns the states that one event leads to.
+func nextReserveStates(state reserveState, budget, maxTokens int64) (next []reserveState) {
+	for generation := range state.spent {
+		holder := func() *spend.Reserve {
+			return spend.NewReserve(0, generation, map[spool.ProgramID]int64{"p": state.spent[generation]})
+		}
+		for need := int64(1); need <= maxTokens; need++ {
+			for want := need; want <= maxTokens; want++ {
+				reserve, after := holder(), state
+				granted := reserve.Take(0, "p", need, want, budget)
+				after.granted, after.returnable = state.granted+granted, state.returnable+granted
+				after.spent[generation] = reserve.Spent()["p"]
+				next = append(next, after)
+			}
+		}
+		for unused := int64(1); unused <= state.returnable; unused++ {
+			reserve, after := holder(), state
+			reserve.Return(0, "p", unused)
+			after.granted, after.returnable = state.granted-unused, state.returnable-unused
+			next = append(next, after) // The message is lost.
+			after.spent[generation] = reserve.Spent()["p"]
+			next = append(next, after)
+		}
+	}
+	if state.returnable > 0 {
+		used := state
+		used.returnable--
+		next = append(next, used)
+	}
+	return next
+}
