Correct how many tokens turns use

These were read off a list of counts and are wrong. Conclusion: the choice stays; the middle turns use 4 and 7 events, less than the quarter of the limit with which a turn begins.

--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -421,7 +421,7 @@
 	})
 
 	// Guards against refusing most programs during an outage of the store: turns generate a
-	// fifth of what they may, and the reserve of a small budget does not cover one turn at
+	// quarter to a third of what they may, and the reserve of a small budget does not cover one turn at
 	// its most.
 	ginkgo.Describe("while the store is away", func() {
 		var n *node
--- a/pkg/spend/reserve_test.go
+++ b/pkg/spend/reserve_test.go
@@ -88,7 +88,7 @@
 
 // TestReserveServesPrograms plays the load "programs begin while the store is away": each
 // program has up to nine turns, a budget of 25/16 of the most that these may generate, and
-// turns that generate about a fifth of their limit, as on the users' deployments. It guards
+// turns that generate about a fifth of their limit, as on ndar-spool. It guards
 // against a reserve that refuses most of them because it charges each turn its limit, and
 // that serves them only until the first holder is lost. The target is 0.7 of the programs.
 func TestReserveServesPrograms(t *testing.T) {
