Let the fault soak run programs that are served from the reserve

Cause: the soak's programs kept their history, so that their turns were refused while the store was away, and the reserve of budgets was not under test there. Change: a fifth of the callers' work are programs without history, each with up to 40 turns at any gateway, whose tokens are counted.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -30,6 +30,10 @@
 	eventTokens   = 10
 	turnTokens    = 3 * eventTokens
 	programTokens = 6*turnTokens + 7
+	// reviewMaxTokens is the limit of a turn without history, which generates a quarter of
+	// it, and reviewTokens the budget of its program.
+	reviewMaxTokens = 4 * turnTokens
+	reviewTokens    = 4 * reviewMaxTokens
 )
 
 func answerOf(attempt string) string { return "answer " + attempt }
@@ -217,6 +221,25 @@
 	return answered
 }
 
+// review runs turns of one program without history, each at any gateway, also after some
+// have failed. Such turns are served from the reserve while the store is away. It checks
+// that the program is handed no more tokens than its budget and one turn.
+func (c *caller) review(turns int) {
+	program, handed, timesSpent := "program-"+newAttempt(), 0, 0
+	for turn := 0; turn < turns && timesSpent < 3; turn++ {
+		status, answer, _ := c.send(c.anyFront(), call{kind: "review", key: "key-1", prompt: "x"}, "/review/", "x", standin.CallerRequest{
+			Attempt: newAttempt(), Program: program, MaxTokens: reviewMaxTokens, TokenBudget: reviewTokens,
+		})
+		handed += eventTokens * strings.Count(answer, "data: ")
+		if status == http.StatusPaymentRequired {
+			timesSpent++
+		}
+	}
+	if handed > reviewTokens+reviewMaxTokens {
+		c.checker.fail("program %s was handed %d tokens of %d", program, handed, reviewTokens)
+	}
+}
+
 // run sends requests of all kinds until stop is closed.
 func (c *caller) run(stop <-chan struct{}) {
 	for {
@@ -225,10 +248,12 @@
 			return
 		default:
 		}
-		switch c.random.IntN(4) {
+		switch c.random.IntN(5) {
 		case 0:
 			c.chat(1 + c.random.IntN(10))
 		case 1:
+			c.review(1 + c.random.IntN(40))
+		case 2:
 			c.callPlain(c.anyFront(), "charge", "key-1")
 		default:
 			c.callPlain(c.anyFront(), "lookup", limitedKey)
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -227,6 +227,7 @@
 		"routes": []map[string]any{
 			route("lookup", "idempotent", "app", nil), route("charge", "non_idempotent", "app", nil),
 			route("chat", "streaming", "models", map[string]any{"keeps_history": true, "retention_s": 60, "attempts": 1}),
+			route("review", "streaming", "models", map[string]any{"attempts": 1}),
 		},
 		"services": []map[string]any{{"name": "models", "engine": map[string]any{"event_tokens": 10}}, {"name": "app"}},
 		"tenants": []map[string]any{
