--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -31,6 +31,14 @@
 		owner = gateway.NewPoolOwner("me", "m", manualClock)
 	})
 
+	// ownWithoutStoreFor makes this gateway the owner, and the store then confirm nothing for
+	// a duration.
+	ownWithoutStoreFor := func(duration clock.Millis) {
+		owner.Observe(ownClaim, 0)
+		owner.Confirm(manualClock.Now())
+		manualClock.Advance(duration)
+	}
+
 	ginkgo.It("grants at once when nobody has claimed before", func() {
 		gomega.Expect(owner.ShouldClaim("me")).To(gomega.BeTrue())
 		gomega.Expect(owner.NamesEarlierOwners()).To(gomega.BeFalse())
@@ -139,9 +147,7 @@
 	})
 
 	ginkgo.It("grants no longer than the last unanimous vote allows", func() {
-		owner.Observe(ownClaim, 0)
-		owner.Confirm(manualClock.Now())
-		manualClock.Advance(700)
+		ownWithoutStoreFor(700)
 		owner.RequestVote(true)
 		manualClock.Advance(700)
 		owner.RequestVote(false)
@@ -153,18 +159,14 @@
 	// its own contact.
 	ginkgo.It("does not vote for itself", func() {
 		owner.QueryItself()
-		owner.Observe(ownClaim, 0)
-		owner.Confirm(manualClock.Now())
-		manualClock.Advance(700)
+		ownWithoutStoreFor(700)
 		gomega.Expect(owner.VoteRequests()).To(gomega.BeZero())
 	})
 
 	// Guards against an owner that sends 2,000 vote requests a second to 300 gateways while
 	// the store is away: rounds each 150 ms, although a vote holds for a second.
 	ginkgo.It("requests votes again only when a part of the authority has passed", func() {
-		owner.Observe(ownClaim, 0)
-		owner.Confirm(manualClock.Now())
-		manualClock.Advance(600)
+		ownWithoutStoreFor(600)
 		owner.RequestVote(true)
 		manualClock.Advance(150)
 		gomega.Expect(owner.VoteRequests()).To(gomega.BeZero())
@@ -173,9 +175,7 @@
 	})
 
 	ginkgo.It("requests votes again soon after a gateway did not vote", func() {
-		owner.Observe(ownClaim, 0)
-		owner.Confirm(manualClock.Now())
-		manualClock.Advance(600)
+		ownWithoutStoreFor(600)
 		owner.RequestVote(false)
 		manualClock.Advance(150)
 		gomega.Expect(owner.VoteRequests()).To(gomega.Equal(1))
