Write the order of gateways, candidates and event counts once

Cause: found by reading the whole change. homes.score was the same hash as candidates.score, and both sorts compared it by hand; a member record became a candidate in two places; each chunk of a stream was counted twice; a turn released its tokens by locking another type's mutex. Change: candidates.Compare serves homes and Rank; memberRecord.candidate; one count per chunk; programGrants.release beside allocate. Conclusion: no change of behaviour.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -155,6 +155,13 @@
 	return !g.closed && g.hold.BeginTurn(now, maxTokens)
 }
 
+// release ends the allocation of a turn that has generated used of its maxTokens.
+func (g *programGrants) release(now clock.Millis, maxTokens, used int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hold.EndTurn(now, maxTokens, used)
+}
+
 // shortfall returns how many more tokens a turn needs; 0 if the grants suffice.
 func (g *programGrants) shortfall(maxTokens int64) (tokens int64, closed bool) {
 	g.mu.Lock()
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -18,27 +18,27 @@
 }
 
 // markEnded records that an incarnation has ended.
-func (l *incarnationTracker) markEnded(incarnation string) {
-	l.ended[incarnation] = true
-	delete(l.askedAt, incarnation)
+func (t *incarnationTracker) markEnded(incarnation string) {
+	t.ended[incarnation] = true
+	delete(t.askedAt, incarnation)
 }
 
 // hasEnded reports whether an incarnation without a record has ended. A gateway writes
 // its record every heartbeatInterval, and a write takes less than memberInterval, so a
 // running one is found by a read that is sent that long after the first call for it.
 // confirmedAt is when the newest read was sent.
-func (l *incarnationTracker) hasEnded(incarnation string, now, confirmedAt clock.Millis) bool {
-	if l.ended[incarnation] {
+func (t *incarnationTracker) hasEnded(incarnation string, now, confirmedAt clock.Millis) bool {
+	if t.ended[incarnation] {
 		return true
 	}
-	askedAt, ok := l.askedAt[incarnation]
+	askedAt, ok := t.askedAt[incarnation]
 	if !ok {
-		l.askedAt[incarnation] = now
+		t.askedAt[incarnation] = now
 		return false
 	}
 	if confirmedAt-askedAt <= heartbeatInterval+memberInterval {
 		return false
 	}
-	l.markEnded(incarnation)
+	t.markEnded(incarnation)
 	return true
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -43,6 +43,11 @@
 	Late bool `json:"late,omitempty"`
 }
 
+// candidate returns what the record of a node says of it as a candidate for a role.
+func (r memberRecord) candidate(id spool.NodeID) candidates.Candidate {
+	return candidates.Candidate{Node: id, Size: r.Size, Late: r.Late}
+}
+
 // memberTable holds the newest record of each gateway of the deployment. It is the sink
 // of the member topic, passes claims on to poolOwnership, and is safe for concurrent
 // use.
@@ -193,8 +198,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	record := t.members[id].record
-	return candidates.Candidate{Node: id, Size: record.Size, Late: record.Late}
+	return t.members[id].record.candidate(id)
 }
 
 // homeGateways returns the gateways that may be homes of partitions: those that can bear
@@ -207,7 +211,7 @@
 	for id, member := range t.members {
 		isLive := t.confirmedAt-member.seenAt <= memberLiveTimeout
 		if id != t.self && isLive && !member.record.Leaving && member.record.Address != "" {
-			list = append(list, candidates.Candidate{Node: id, Size: member.record.Size, Late: member.record.Late})
+			list = append(list, member.record.candidate(id))
 			addresses[id] = member.record.Address
 		}
 	}
--- a/internal/gateway/owner_claims.go
+++ b/internal/gateway/owner_claims.go
@@ -159,9 +159,9 @@
 // handOver writes a claim that names another gateway as the owner, the first one of
 // successors that stays. It retries until the claim is written, this gateway may no longer
 // grant, no candidate is left or ctx ends. It skips candidates that are shutting down or do
-// not answer. This gateway continues
-// to grant until it reads the written claim or the successor asks it to stop, so the
-// pools have an owner even while the store accepts no record.
+// not answer. This gateway continues to grant until it reads the written claim or the
+// successor asks it to stop, so the pools have an owner even while the store accepts no
+// record.
 func (o *poolOwnership) handOver(ctx context.Context, successors func() []claimRecord) {
 	avoid := map[string]bool{}
 	for o.canGrant() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,14 +28,15 @@
 		n, err := response.Body.Read(buffer)
 		whole := splitter.Add(buffer[:n])
 		if len(whole) > 0 {
-			if err := r.coverEvents(ctx, r.eventCount+events.Count(whole)); err != nil {
+			count := r.eventCount + events.Count(whole)
+			if err := r.coverEvents(ctx, count); err != nil {
 				r.gateway.log.Info("answer is cut off for lack of budget", zap.String("request", r.call.Attempt), zap.Error(err))
 				r.gateway.telemetry.CountEvent("answerCutForBudget")
 				r.isCutForBudget = true
 				response.Close(false)
 				return broken, endpoints.Cancelled
 			}
-			r.eventCount += events.Count(whole)
+			r.eventCount = count
 			if r.route.KeepsHistory {
 				output = events.AppendData(output, whole)
 			}
--- a/internal/gateway/turnbudget.go
+++ b/internal/gateway/turnbudget.go
@@ -85,10 +85,7 @@
 func (t *turnBudget) endTurn(used int64) {
 	usedOfReserve := min(used, t.fromReserve)
 	t.store.reserve.returnUnused(t.id, t.fromReserve-usedOfReserve)
-	if t.grants == nil {
-		return
+	if t.grants != nil {
+		t.grants.release(t.store.clock.Now(), t.fromLog, used-usedOfReserve)
 	}
-	t.grants.mu.Lock()
-	defer t.grants.mu.Unlock()
-	t.grants.hold.EndTurn(t.store.clock.Now(), t.fromLog, used-usedOfReserve)
 }
--- a/pkg/candidates/candidates.go
+++ b/pkg/candidates/candidates.go
@@ -10,6 +10,7 @@
 package candidates
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,8 +60,7 @@
 }
 
 // Rank returns the candidates in the order in which they should hold a role: those of Able
-// first, and then by a hash of role and node, so that different roles go to different
-// gateways and a gateway that joins or leaves changes the order of no others.
+// first, and then by Compare, so that different roles go to different gateways.
 func Rank(role string, list []Candidate) []Candidate {
 	able := map[spool.NodeID]bool{}
 	for _, c := range Able(list) {
@@ -74,14 +74,16 @@
 			}
 			return 1
 		}
-		if score(role, a.Node) > score(role, b.Node) {
-			return -1
-		}
-		return 1
+		return Compare(role, a.Node, b.Node)
 	})
 	return ranked
 }
 
+// Compare returns a negative number if a precedes b for a role, and a positive one if b
+// precedes a. All gateways compute the same order, and one that joins or leaves changes
+// the order of no others.
+func Compare(role string, a, b spool.NodeID) int { return cmp.Compare(score(role, b), score(role, a)) }
+
 func score(role string, node spool.NodeID) uint64 {
 	return xxhash.Sum64String(role + "\x00" + string(node))
 }
--- a/pkg/homes/homes.go
+++ b/pkg/homes/homes.go
@@ -9,8 +9,7 @@
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/baobabspool/baobabspool/pkg/candidates"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -64,29 +63,18 @@
 
 // Candidates returns the gateways to ask about a partition, the home first. Gateways that
 // have failed within failureBackoff are left out. The result may be empty.
-func (t *Table) Candidates(partition spool.Partition) (candidates []Gateway) {
+func (t *Table) Candidates(partition spool.Partition) (gateways []Gateway) {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, gateway := range t.gateways {
 		if at, failed := t.failedAt[gateway.Node]; !failed || now-at >= failureBackoff {
-			candidates = append(candidates, gateway)
+			gateways = append(gateways, gateway)
 		}
 	}
 	name := partition.String()
-	slices.SortFunc(candidates, func(a, b Gateway) int {
-		if score(name, a.Node) > score(name, b.Node) {
-			return -1
-		}
-		return 1
-	})
-	return candidates[:min(len(candidates), maxCandidates)]
-}
-
-// score ranks the gateways of a partition. All gateways compute the same scores, and a
-// gateway that leaves or joins changes only the homes of its own partitions.
-func score(partition string, node spool.NodeID) uint64 {
-	return xxhash.Sum64String(partition + "\x00" + string(node))
+	slices.SortFunc(gateways, func(a, b Gateway) int { return candidates.Compare(name, a.Node, b.Node) })
+	return gateways[:min(len(gateways), maxCandidates)]
 }
 
 // RecordAnswer records that a gateway has answered.
--- a/pkg/limit/owner.go
+++ b/pkg/limit/owner.go
@@ -140,9 +140,9 @@
 }
 
 // TakeOverReleased makes this entry the owner like TakeOver, but without the wait
-// and with a pool that starts with level tokens, which may be negative. The previous owner must have
-// stopped granting and recorded this in its release record, together with level,
-// the result of Release. Only the first owner after the release may call it,
+// and with a pool that starts with level tokens, which may be negative. The previous
+// owner must have stopped granting and recorded this in its release record, together with
+// level, the result of Release. Only the first owner after the release may call it,
 // because a second one would grant the tokens of level again.
 func (o *Owner) TakeOverReleased(now clock.Millis, epoch spool.Epoch, level float64) {
 	o.advance(now)
@@ -193,8 +193,7 @@
 // Lease answers a request for tokens. It grants whole tokens, at most half of the
 // usable ones, so that a single entry does not drain the pool; if fewer than two
 // are usable, it may grant one. If there is none, it may grant one with a delay. It
-// first adds returned tokens to the pool if their
-// epoch is the current one. It grants nothing, and ignores returned tokens, while
+// first adds returned tokens to the pool if their epoch is the current one. It grants nothing, and ignores returned tokens, while
 // the owner may not grant and for a request that is repeated or older than another
 // of the same node.
 func (o *Owner) Lease(now clock.Millis, request Request) Grant {
