Keep the earlier turns of a chain for as long as its last turn

Cause: a turn left the index when its own retention had passed, also while a later turn of its chain was kept. The home of its partition never reads a record twice, and "read to the end and not found" was answered as 404. Ruled out: records missing from the store, one partition only, differing clocks.

Change: Index.Add retains the turns of the history. A home keeps the places of the turns that it has read, and the asking gateway reads a record that has left the home's index. A missing earlier turn of a kept one is a 503. Records of the history that the store may remove before the new turn are written again with it.

--- a/internal/gateway/partitionreader.go
+++ b/internal/gateway/partitionreader.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -195,3 +196,29 @@
 	}
 	return page, err
 }
+
+// readRecord reads one record, whatever the position is. It fails with spool.ErrTrimmed if
+// the partition no longer has it.
+func (r *partitionReader) readRecord(ctx context.Context, place chain.Location) (record []byte, err error) {
+	if err := r.slots.Acquire(ctx, 1); err != nil {
+		return nil, err
+	}
+	defer r.slots.Release(1)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
+	defer cancel()
+	page, err := r.store.Read(ctx, spool.ReadRequest{Partition: r.partition, From: place.Offset, MaxBytes: pageBytesOf(place)})
+	if err != nil {
+		return nil, err
+	}
+	if len(page.Records) == 0 {
+		return nil, errors.Errorf("store returned no record at offset %d", place.Offset)
+	}
+	return page.Records[0], nil
+}
+
+// pageBytesOf returns the size of a page that contains one record. Stores count pages in
+// kilobytes.
+func pageBytesOf(place chain.Location) int {
+	const kilobyte, pageOverhead = 1 << 10, 64
+	return (place.Bytes + pageOverhead + kilobyte) / kilobyte * kilobyte
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,10 +87,10 @@
 func (r *request) storeTurn(ctx context.Context, output []byte) error {
 	turn := &chain.Turn{
 		ID: r.call.Attempt, Account: r.account, Input: bytes.Clone(r.exchange.Body()), Output: output,
-		EndedAt: r.gateway.clock.Now(), Retention: r.route.Retention,
+		WrittenAt: r.gateway.clock.Now(), Retention: r.route.Retention,
 	}
 	for _, earlier := range r.history {
 		turn.History = append(turn.History, earlier.ID)
 	}
-	return r.gateway.turns.append(ctx, turn)
+	return r.gateway.turns.append(ctx, turn, r.history)
 }
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -51,8 +51,11 @@
 	version  int
 	config   map[string]any
 	gateways []*node
-	// codec is used by the gateways that are started next.
+	// codec and clock are used by the gateways that are started next.
 	codec gateway.Codec
+	clock clock.Clock
+	// logRetention is the retention of the store that they are told; 0 for none.
+	logRetention clock.Millis
 }
 
 // node is one gateway and the listener of the store stand-in that only this gateway
@@ -62,10 +65,11 @@
 	storeServer *standin.TopicsServer
 	settings    spool.GatewaySettings
 	codec       gateway.Codec
+	clock       clock.Clock
 }
 
 func newDeployment() *deployment {
-	d := &deployment{topics: standin.NewTopics(), version: 1, codec: platform.Codec{}}
+	d := &deployment{topics: standin.NewTopics(), version: 1, codec: platform.Codec{}, clock: clock.System()}
 	d.config = map[string]any{
 		"routes": []map[string]any{
 			{"name": "chat", "host": testHost, "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 3000, "service": "models", "attempts": 1, "keeps_history": true, "retention_s": 60},
@@ -112,9 +116,9 @@
 	storeServer, err := standin.ServeTopics(d.topics, "127.0.0.1:0", "")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(storeServer.Close)
-	n := &node{storeServer: storeServer, codec: d.codec, settings: spool.GatewaySettings{
+	n := &node{storeServer: storeServer, codec: d.codec, clock: d.clock, settings: spool.GatewaySettings{
 		Node: spool.NodeID(name), FailureDomain: "a", Region: "r", Listen: standin.FreeAddress(), ReadyListen: standin.FreeAddress(),
-		ControlListen: standin.FreeAddress(), StoreAddress: storeServer.Address(), Partitions: testPartitions, MaxAppendBytes: 1 << 20,
+		ControlListen: standin.FreeAddress(), StoreAddress: storeServer.Address(), Partitions: testPartitions, MaxAppendBytes: 1 << 20, LogRetention: d.logRetention,
 		StopWithin: 4 * clock.Second, FirstStart: true,
 		LimitTolerance: spool.LimitTolerance{Window: 5 * clock.Second, Over: 0.1, Slack: 20},
 	}}
@@ -154,10 +158,9 @@
 func (n *node) launch() {
 	t, err := telemetry.New(n.settings.Node, testLogger())
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	system := clock.System()
-	client := httpconn.NewClient(system)
+	client := httpconn.NewClient(n.clock)
 	store := platform.NewStore(n.settings.StoreAddress, client)
-	n.gateway, err = gateway.New(n.settings, store, n.codec, client, system, t)
+	n.gateway, err = gateway.New(n.settings, store, n.codec, client, n.clock, t)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
--- a/internal/gateway/turnfinder.go
+++ b/internal/gateway/turnfinder.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 )
 
@@ -25,13 +26,21 @@
 
 // findTurnsReply is the answer to a findTurnsRequest.
 type findTurnsReply struct {
-	// Records holds the encoded turns that were found.
+	// Records holds the encoded turns that the home has in its index.
 	Records [][]byte `json:"records,omitempty"`
+	// Located holds the places of further turns, which the home has read earlier.
+	Located []turnLocation `json:"located,omitempty"`
 	// Reading reports that the home is still reading the partition. Otherwise, turns that
-	// are missing from Records were not in it when the request arrived.
+	// are in neither list were not in it when the request arrived.
 	Reading bool `json:"reading,omitempty"`
 }
 
+// turnLocation is the place of a turn in the partition of a findTurnsRequest.
+type turnLocation struct {
+	Turn string `json:"turn"`
+	chain.Location
+}
+
 // turnFinder looks up turns that the index of this gateway does not have. It asks the
 // homes of the partitions, so that a gateway that starts need not read the partitions
 // itself: only the homes do, each its own.
@@ -78,27 +87,44 @@
 	return err
 }
 
-// findIn looks for turns in one partition.
+// findIn looks for turns in one partition and adds them to the index. It reads those
+// from the store of which the home knows only the place.
 func (f *turnFinder) findIn(ctx context.Context, request findTurnsRequest) (err error) {
-	partition := f.turns.readers[request.Partition].partition
-	return f.homes.run(ctx, partition, func(ctx context.Context) error {
-		return f.read(ctx, request)
+	reader := f.turns.readers[request.Partition]
+	var located firstResult[[]turnLocation]
+	err = f.homes.run(ctx, reader.partition, func(ctx context.Context) error {
+		return located.set(f.read(ctx, request))
 	}, func(_ context.Context, call remoteCall) error {
-		return f.ask(call, request)
+		return located.set(f.ask(call, request))
 	})
+	if err != nil {
+		return err
+	}
+	for _, turn := range located.get() {
+		if f.hasAll([]string{turn.Turn}) {
+			continue
+		}
+		record, err := reader.readRecord(ctx, turn.Location)
+		if err != nil {
+			return err
+		}
+		f.turns.addRecords([][]byte{record})
+	}
+	return nil
 }
 
-// ask looks for turns at one home and adds those that it has to the index. It asks again
-// while the home is reading the partition.
-func (f *turnFinder) ask(call remoteCall, request findTurnsRequest) error {
+// ask looks for turns at one home, adds those that it has to the index, and returns the
+// places of the others that it knows. It asks again while the home is reading the
+// partition.
+func (f *turnFinder) ask(call remoteCall, request findTurnsRequest) (located []turnLocation, err error) {
 	for {
 		var reply findTurnsReply
 		if err := call(methodFindTurns, request, &reply); err != nil {
-			return err
+			return nil, err
 		}
 		f.turns.addRecords(reply.Records)
-		if !reply.Reading || f.hasAll(request.Turns) {
-			return nil
+		if !reply.Reading || len(reply.Records)+len(reply.Located) >= len(request.Turns) {
+			return reply.Located, nil
 		}
 	}
 }
@@ -106,13 +132,31 @@
 // hasAll reports whether all turns are in the index.
 func (f *turnFinder) hasAll(ids []string) bool { return len(f.turns.index.Turns(ids)) == len(ids) }
 
-// read reads the rest of a partition unless all turns are in the index.
-func (f *turnFinder) read(ctx context.Context, request findTurnsRequest) error {
-	found := func() bool { return f.hasAll(request.Turns) }
+// read reads the rest of a partition unless all turns are in the index or their places
+// are known. It returns the known places of turns that are not in the index.
+func (f *turnFinder) read(ctx context.Context, request findTurnsRequest) (located []turnLocation, err error) {
+	found := func() bool {
+		located = f.locate(request)
+		return len(located)+len(f.turns.index.Turns(request.Turns)) >= len(request.Turns)
+	}
 	if found() {
-		return nil
+		return located, nil
+	}
+	err = f.turns.readers[request.Partition].catchUp(ctx, found)
+	return f.locate(request), err
+}
+
+// locate returns the known places of those turns that are not in the index.
+func (f *turnFinder) locate(request findTurnsRequest) (located []turnLocation) {
+	for _, id := range request.Turns {
+		if f.hasAll([]string{id}) {
+			continue
+		}
+		if place, ok := f.turns.locations[request.Partition].Find(id); ok {
+			located = append(located, turnLocation{Turn: id, Location: place})
+		}
 	}
-	return f.turns.readers[request.Partition].catchUp(ctx, found)
+	return located
 }
 
 // answer handles methodFindTurns.
@@ -123,9 +167,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, homeAnswerTime.Duration())
 	defer cancel()
-	err = f.read(ctx, request)
+	located, err := f.read(ctx, request)
 	if err != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return reply, err
 	}
-	return findTurnsReply{Records: encodeTurns(f.turns.index.Turns(request.Turns)), Reading: err != nil}, nil
+	return findTurnsReply{Records: encodeTurns(f.turns.index.Turns(request.Turns)), Located: located, Reading: err != nil}, nil
 }
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
 
 	"github.com/baobabspool/baobabspool/internal/wire"
@@ -45,25 +46,41 @@
 	index     *chain.Index
 	appenders []*appender
 	readers   []*partitionReader
+	// locations contains, by partition, the places of the turns that readers have read.
+	locations []*chain.Locations
 	finder    *turnFinder
+	// logRetention is how long the store retains a record; 0 if that is not known.
+	logRetention clock.Millis
 	// queryPeers asks other gateways for a turn and all earlier turns that it
 	// continues. It returns their encoded records; nil if no gateway has all of them.
 	queryPeers func(ctx context.Context, turn string) [][]byte
 }
 
 func newTurnStore(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, homes *homeClient, queryPeers func(ctx context.Context, turn string) [][]byte) *turnStore {
-	s := &turnStore{clock: systemClock, index: chain.NewIndex(), queryPeers: queryPeers}
+	s := &turnStore{clock: systemClock, index: chain.NewIndex(), queryPeers: queryPeers, logRetention: settings.LogRetention}
 	slots := semaphore.NewWeighted(maxTurnReads)
-	apply := func(page spool.LogPage) { s.addRecords(page.Records) }
 	for i := range settings.Partitions {
 		partition := spool.Partition{Topic: spool.TopicTurns, Index: i}
 		s.appenders = append(s.appenders, newAppender(ctx, store, partition, settings.MaxAppendBytes, systemClock))
-		s.readers = append(s.readers, newPartitionReader(ctx, store, systemClock, partition, slots, apply))
+		locations := chain.NewLocations()
+		s.locations = append(s.locations, locations)
+		s.readers = append(s.readers, newPartitionReader(ctx, store, systemClock, partition, slots, func(page spool.LogPage) {
+			s.addRecords(page.Records)
+			locate(locations, page)
+		}))
 	}
 	s.finder = &turnFinder{turns: s, homes: homes}
 	return s
 }
 
+// locate records the places of the turns in a page.
+func locate(locations *chain.Locations, page spool.LogPage) {
+	for i, record := range page.Records {
+		locations.Add(page.From+int64(i), record)
+	}
+	locations.Trim(page.First)
+}
+
 // addRecords adds encoded turns to the index. It ignores records that are not turns.
 func (s *turnStore) addRecords(records [][]byte) {
 	now := s.clock.Now()
@@ -79,11 +96,43 @@
 	return int(xxhash.Sum64String(id) % uint64(len(s.appenders)))
 }
 
-// append writes a turn and returns when it is durable. It starts with the first
-// partition of writeOrder and adds the next one after each partitionHedgeDelay without
-// success. On success, it adds the turn to the index.
-func (s *turnStore) append(ctx context.Context, turn *chain.Turn) (err error) {
+// append writes a turn that continues history and returns when it is durable. Those turns
+// of history that the store may remove before the new one are written again, because a
+// turn is retained together with its chain.
+func (s *turnStore) append(ctx context.Context, turn *chain.Turn, history []*chain.Turn) (err error) {
 	defer func() { err = errors.Wrapf(err, "store turn %q", turn.ID) }()
+	renewals := s.renewalsOf(turn, history)
+	if len(renewals) == 0 {
+		return s.write(ctx, turn)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for _, record := range append(renewals, turn) {
+		group.Go(func() error { return s.write(ctx, record) })
+	}
+	return group.Wait()
+}
+
+// renewalsOf returns copies, to be written with turn, of those turns of its history that
+// the store may remove before it.
+func (s *turnStore) renewalsOf(turn *chain.Turn, history []*chain.Turn) (renewals []*chain.Turn) {
+	if s.logRetention <= 0 {
+		return nil
+	}
+	for _, earlier := range history {
+		if !turn.OutlivesRecord(earlier, s.logRetention) {
+			continue
+		}
+		renewed := *earlier
+		renewed.WrittenAt = turn.WrittenAt
+		renewals = append(renewals, &renewed)
+	}
+	return renewals
+}
+
+// write writes a turn and returns when it is durable. It starts with the first partition
+// of writeOrder and adds the next one after each partitionHedgeDelay without success. On
+// success, it adds the turn to the index.
+func (s *turnStore) write(ctx context.Context, turn *chain.Turn) error {
 	record := turn.Encode()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -121,9 +170,8 @@
 }
 
 // history returns the turn id preceded by all earlier turns that it continues. It fails
-// with errNoTurn if id belongs to another account, or if all partitions were read to
-// their ends and a turn was not found. It fails with errTurnUncertain if a turn was not
-// found and some partition could not be read.
+// with errNoTurn if id belongs to another account or does not exist, and with
+// errTurnUncertain if that is not certain or an earlier turn was not found.
 func (s *turnStore) history(ctx context.Context, account spool.AccountID, id string) (turns []*chain.Turn, err error) {
 	turns, missing := s.index.History(id)
 	if len(missing) > 0 {
@@ -152,12 +200,22 @@
 			return nil, errors.Wrap(errTurnUncertain, searchErr.Error())
 		}
 		if !s.finder.hasAll(wanted) {
-			return nil, errNoTurn
+			return nil, s.notFound(turns)
 		}
 	}
 	return nil, errTurnUncertain
 }
 
+// notFound returns the error of a search that has read all partitions. found contains the
+// turns that it has found, the last one of the chain at its end. A turn that is retained
+// exists even if an earlier one is missing.
+func (s *turnStore) notFound(found []*chain.Turn) error {
+	if len(found) > 0 && found[len(found)-1].IsRetained(s.clock.Now()) {
+		return errors.Wrap(errTurnUncertain, "an earlier turn is missing")
+	}
+	return errNoTurn
+}
+
 // search looks for turns in their home partitions, then at other gateways that may have
 // served the turn id, then in all partitions, until all are in the index. It fails if a
 // turn was not found and some partition could not be read.
--- a/internal/standin/topics.go
+++ b/internal/standin/topics.go
@@ -4,12 +4,18 @@
 	"encoding/base64"
 	"encoding/binary"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
 )
 
+// keyedPrefix begins the names of the topics whose records have keys.
+const keyedPrefix = "keyed."
+
 // TopicFaults are the fault settings of one server of the topic store. Each server
 // listens on its own address, so that callers can see different faults.
 type TopicFaults struct {
@@ -44,6 +50,9 @@
 	readsEndAt time.Time
 	// readBytes is the sum of the sizes of all accepted reads.
 	readBytes int64
+	// retention is how long records without a key are kept, by clock; 0 for no bound.
+	retention clock.Millis
+	clock     clock.Clock
 }
 
 // topicPartition is one partition of a topic. Offsets begin at 0.
@@ -51,6 +60,9 @@
 	// first is the offset of records[0].
 	first   int64
 	records [][]byte
+	// writtenAt contains the times at which records were appended, if the store has a
+	// retention.
+	writtenAt []clock.Millis
 	// newestOffsets holds the offset of the newest record of each key, values the value
 	// of that record. Deleted keys are in neither.
 	newestOffsets map[string]int64
@@ -69,9 +81,28 @@
 		p = &topicPartition{newestOffsets: map[string]int64{}, values: map[string][]byte{}, newData: make(chan struct{})}
 		t.partitions[name] = p
 	}
+	if t.retention > 0 && !strings.HasPrefix(name, keyedPrefix) {
+		p.expire(t.clock.Now() - t.retention)
+	}
 	return p
 }
 
+// expire removes the records that were appended before a time.
+func (p *topicPartition) expire(before clock.Millis) {
+	for len(p.writtenAt) > 0 && p.writtenAt[0] < before {
+		p.records, p.writtenAt = p.records[1:], p.writtenAt[1:]
+		p.first++
+	}
+}
+
+// SetRetention makes the store remove records without a key after a time, by the given
+// clock. It must be called before the first append.
+func (t *Topics) SetRetention(retention clock.Millis, byClock clock.Clock) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.retention, t.clock = retention, byClock
+}
+
 // Put appends a record with a key to partition 0 of a topic, as an operator or an
 // endpoint does. An empty value deletes the key.
 func (t *Topics) Put(topic, key string, value []byte) {
@@ -97,7 +128,7 @@
 	defer t.mu.Unlock()
 	p := t.partition(name)
 	p.first += int64(len(p.records))
-	p.records = nil
+	p.records, p.writtenAt = nil, nil
 }
 
 // appendAt appends records to a partition and returns the offset of the first one and
@@ -114,6 +145,9 @@
 	}
 	for _, record := range records {
 		p.add(record)
+		if t.retention > 0 {
+			p.writtenAt = append(p.writtenAt, t.clock.Now())
+		}
 	}
 	close(p.newData)
 	p.newData = make(chan struct{})
--- a/pkg/chain/chain_test.go
+++ b/pkg/chain/chain_test.go
@@ -75,6 +75,57 @@
 	})
 })
 
+var _ = ginkgo.Describe("Index with a chain of turns", func() {
+	// Guards against the loss of a chain whose first turn is older than its retention.
+	ginkgo.It("keeps a turn for as long as a later turn that continues it", func() {
+		const pause = 40 * clock.Second
+		index := chain.NewIndex()
+		index.Add(0, newTurn("a"))
+		index.Add(0, newTurn("unrelated"))
+		index.Add(pause, newTurn("b", "a"))
+		index.Expire(2 * pause)
+		index.Add(2*pause, newTurn("c", "a", "b"))
+		index.Expire(3 * pause)
+		history, missing := index.History("c")
+		gomega.Expect(missing).To(gomega.BeEmpty())
+		gomega.Expect(history).To(gomega.HaveLen(3))
+		gomega.Expect(index.Turns([]string{"unrelated"})).To(gomega.BeEmpty())
+		index.Expire(4 * pause)
+		gomega.Expect(index.Bytes()).To(gomega.BeZero())
+	})
+
+	ginkgo.It("replaces a turn by a copy that was written later", func() {
+		index := chain.NewIndex()
+		index.Add(0, newTurn("a"))
+		copied := newTurn("a")
+		copied.WrittenAt = 5
+		index.Add(0, copied)
+		history, _ := index.History("a")
+		gomega.Expect(history[0].WrittenAt).To(gomega.Equal(clock.Millis(5)))
+	})
+})
+
+var _ = ginkgo.Describe("Locations", func() {
+	ginkgo.It("returns the last record of a turn until the log has removed it", func() {
+		locations := chain.NewLocations()
+		a, b := newTurn("a").Encode(), newTurn("b").Encode()
+		for offset, record := range [][]byte{a, b, []byte("no turn"), a} {
+			locations.Add(int64(offset), record)
+		}
+		place, ok := locations.Find("a")
+		gomega.Expect(ok).To(gomega.BeTrue())
+		gomega.Expect(place).To(gomega.Equal(chain.Location{Offset: 3, Bytes: len(a)}))
+		locations.Trim(2)
+		_, ok = locations.Find("b")
+		gomega.Expect(ok).To(gomega.BeFalse())
+		_, ok = locations.Find("a")
+		gomega.Expect(ok).To(gomega.BeTrue())
+		locations.Trim(4)
+		_, ok = locations.Find("a")
+		gomega.Expect(ok).To(gomega.BeFalse())
+	})
+})
+
 // TestTurnCodec guards against a field of a turn that encoding and decoding change
 // or lose.
 func TestTurnCodec(t *testing.T) {
@@ -83,7 +134,7 @@
 		original := &chain.Turn{
 			ID: rapid.StringN(1, 20, -1).Draw(t, "id"), Account: spool.AccountID(rapid.String().Draw(t, "account")),
 			History: rapid.SliceOfN(rapid.String(), 1, 5).Draw(t, "line"), Input: text.Draw(t, "input"), Output: text.Draw(t, "output"),
-			EndedAt: clock.Millis(rapid.Int64().Draw(t, "ended")), Retention: clock.Millis(rapid.Int64().Draw(t, "retention")),
+			WrittenAt: clock.Millis(rapid.Int64().Draw(t, "ended")), Retention: clock.Millis(rapid.Int64().Draw(t, "retention")),
 		}
 		decoded, err := chain.Decode(original.Encode())
 		if err != nil || !reflect.DeepEqual(original, decoded) {
--- a/pkg/chain/index.go
+++ b/pkg/chain/index.go
@@ -13,36 +13,55 @@
 // Index contains the turns that one gateway knows, by ID. It is safe for concurrent
 // use.
 type Index struct {
-	mu    sync.Mutex
-	turns map[string]*Turn
-	// arrivals contains the turns in the order in which they were added; Expire
-	// removes them from the front.
-	arrivals []arrival
+	mu      sync.Mutex
+	entries map[string]*entry
+	// expiries contains a time for each turn at which Expire examines it, in the order
+	// in which they were added.
+	expiries []expiry
 	// totalBytes is the sum of Turn.textBytes over all turns.
 	totalBytes int64
 }
 
-// arrival is the ID of a turn and the time at which it was added.
-type arrival struct {
+// entry is a turn in an index.
+type entry struct {
+	turn *Turn
+	// keepUntil is the time until which the turn, or a later turn that continues it, is
+	// retained.
+	keepUntil clock.Millis
+}
+
+// expiry is the time at which Expire examines a turn.
+type expiry struct {
 	id string
 	at clock.Millis
 }
 
 // NewIndex returns an empty index.
-func NewIndex() *Index { return &Index{turns: map[string]*Turn{}} }
+func NewIndex() *Index { return &Index{entries: map[string]*entry{}} }
 
-// Add adds a turn. If the index already contains a turn with this ID, Add does
-// nothing, since a turn does not change after its end. The caller must not change
-// the turn afterwards.
+// Add adds a turn, and retains those earlier turns of its history that are in the index
+// for as long as this one. If the index already contains a turn with this ID, Add only
+// replaces it by one that was written later, since a turn does not change after its end.
+// The caller must not change the turn afterwards.
 func (x *Index) Add(now clock.Millis, turn *Turn) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.turns[turn.ID] != nil {
-		return
+	keepUntil := now + turn.Retention + retentionMargin
+	for _, id := range turn.History {
+		if earlier := x.entries[id]; earlier != nil {
+			earlier.keepUntil = max(earlier.keepUntil, keepUntil)
+		}
+	}
+	known := x.entries[turn.ID]
+	switch {
+	case known == nil:
+		x.entries[turn.ID] = &entry{turn: turn, keepUntil: keepUntil}
+		x.totalBytes += turn.textBytes()
+		x.expiries = append(x.expiries, expiry{id: turn.ID, at: keepUntil})
+	case known.turn.WrittenAt < turn.WrittenAt:
+		x.totalBytes += turn.textBytes() - known.turn.textBytes()
+		known.turn = turn
 	}
-	x.turns[turn.ID] = turn
-	x.totalBytes += turn.textBytes()
-	x.arrivals = append(x.arrivals, arrival{id: turn.ID, at: now})
 }
 
 // textBytes returns the size of the input and the output.
@@ -55,19 +74,19 @@
 func (x *Index) History(id string) (history []*Turn, missing []string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	last := x.turns[id]
+	last := x.entries[id]
 	if last == nil {
 		return nil, []string{id}
 	}
-	for _, earlierID := range last.History {
-		turn := x.turns[earlierID]
-		if turn == nil {
+	for _, earlierID := range last.turn.History {
+		earlier := x.entries[earlierID]
+		if earlier == nil {
 			missing = append(missing, earlierID)
 			continue
 		}
-		history = append(history, turn)
+		history = append(history, earlier.turn)
 	}
-	return append(history, last), missing
+	return append(history, last.turn), missing
 }
 
 // Turns returns those of the turns with these IDs that are in the index, in the order of
@@ -76,28 +95,29 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, id := range ids {
-		if turn := x.turns[id]; turn != nil {
-			turns = append(turns, turn)
+		if known := x.entries[id]; known != nil {
+			turns = append(turns, known.turn)
 		}
 	}
 	return turns
 }
 
-// Expire removes turns whose retention and retentionMargin have passed since they
-// were added. Turns are removed in the order in which they were added, so a turn
-// with a long retention delays the removal of all turns added after it.
+// Expire removes turns that are no longer retained, neither by themselves nor for a later
+// turn. It examines them in the order in which they were added, so a turn with a long
+// retention delays the removal of all turns added after it.
 func (x *Index) Expire(now clock.Millis) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for len(x.arrivals) > 0 {
-		oldest := x.arrivals[0]
-		turn := x.turns[oldest.id]
-		if now < oldest.at+turn.Retention+retentionMargin {
-			return
+	for len(x.expiries) > 0 && x.expiries[0].at <= now {
+		id := x.expiries[0].id
+		x.expiries = x.expiries[1:]
+		known := x.entries[id]
+		if known.keepUntil > now {
+			x.expiries = append(x.expiries, expiry{id: id, at: known.keepUntil})
+			continue
 		}
-		delete(x.turns, oldest.id)
-		x.totalBytes -= turn.textBytes()
-		x.arrivals = x.arrivals[1:]
+		delete(x.entries, id)
+		x.totalBytes -= known.turn.textBytes()
 	}
 }
 
@@ -107,18 +127,3 @@
 	defer x.mu.Unlock()
 	return x.totalBytes
 }
-
-// Prompt returns the prompt of a turn: the input and the output of each turn of
-// history, in order, followed by input.
-func Prompt(history []*Turn, input []byte) []byte {
-	size := len(input)
-	for _, turn := range history {
-		size += len(turn.Input) + len(turn.Output)
-	}
-	prompt := make([]byte, 0, size)
-	for _, turn := range history {
-		prompt = append(prompt, turn.Input...)
-		prompt = append(prompt, turn.Output...)
-	}
-	return append(prompt, input...)
-}
--- a/pkg/chain/turn.go
+++ b/pkg/chain/turn.go
@@ -27,9 +27,9 @@
 	// in which it is part of the prompts of later turns.
 	Input  []byte
 	Output []byte
-	// EndedAt is the time at which the turn ended, by the clock of the gateway that
-	// served it.
-	EndedAt clock.Millis
+	// WrittenAt is the time at which the record was created, by the clock of the gateway
+	// that wrote it: the end of the turn, or later if the turn was written again.
+	WrittenAt clock.Millis
 	// Retention is how long the turn is kept after its end.
 	Retention clock.Millis
 }
@@ -54,10 +54,21 @@
 	}
 	data = appendBytes(data, t.Input)
 	data = appendBytes(data, t.Output)
-	data = binary.AppendVarint(data, int64(t.EndedAt))
+	data = binary.AppendVarint(data, int64(t.WrittenAt))
 	return binary.AppendVarint(data, int64(t.Retention))
 }
 
+// IsRetained reports whether the retention of the turn, by itself, has not passed.
+func (t *Turn) IsRetained(now clock.Millis) bool {
+	return now <= t.WrittenAt+t.Retention+retentionMargin
+}
+
+// OutlivesRecord reports whether a log that retains records for logRetention may remove
+// the record of earlier while t, which continues it and is written now, is retained.
+func (t *Turn) OutlivesRecord(earlier *Turn, logRetention clock.Millis) bool {
+	return t.WrittenAt+t.Retention+retentionMargin > earlier.WrittenAt+logRetention
+}
+
 // appendBytes appends the length of value and value to data.
 func appendBytes(data, value []byte) []byte {
 	data = binary.AppendUvarint(data, uint64(len(value)))
@@ -81,7 +92,7 @@
 	}
 	turn.Input = append([]byte(nil), r.bytes()...)
 	turn.Output = append([]byte(nil), r.bytes()...)
-	turn.EndedAt = clock.Millis(r.varint())
+	turn.WrittenAt = clock.Millis(r.varint())
 	turn.Retention = clock.Millis(r.varint())
 	if r.failed || len(r.rest) > 0 || turn.ID == "" {
 		return nil, ErrBadRecord
@@ -89,6 +100,19 @@
 	return turn, nil
 }
 
+// DecodeID returns the ID of the turn in the result of Encode without decoding the rest.
+// It returns ErrBadRecord if there is none.
+func DecodeID(record []byte) (id string, err error) {
+	if len(record) == 0 || record[0] != recordVersion {
+		return "", ErrBadRecord
+	}
+	r := reader{rest: record[1:]}
+	if id = string(r.bytes()); r.failed || id == "" {
+		return "", ErrBadRecord
+	}
+	return id, nil
+}
+
 // reader reads values from the front of rest. If a value is malformed, it sets
 // failed; this and all later reads return zero values.
 type reader struct {
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -204,6 +204,9 @@
 	Partitions     int
 	MaxRecordBytes int
 	MaxAppendBytes int
+	// LogRetention is how long the store retains a record of a topic that is not
+	// compacted; 0 if that is not known.
+	LogRetention clock.Millis
 	// EndpointHeartbeat is the interval at which endpoints publish their record.
 	EndpointHeartbeat clock.Millis
 	// DrainWithin is the time after which an endpoint that has announced its leaving must
