Take a stream that ends inside an event for one that was cut off

The cut turn was kept, and the next one ran with half of its history.

Cause: a stream without a length ends with its channel, and the kernel ends the channels of a killed process without a reset. sendStream took the end of the channel for the end of the stream whatever incomplete event the splitter held. Ruled out: the framing, since a properly ended chunked stream went the same way.

Change: a stream that ends inside an event was cut off, whatever its framing. The caller's channel closes without the end of the body, or the answer is 502 if no event was complete, and the turn is not kept. An event of more than 4 MB also counts as cut off; its bytes were passed on in pieces.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/baobabspool/baobabspool/internal/httpconn"
@@ -13,12 +14,21 @@
 	"github.com/baobabspool/baobabspool/pkg/events"
 )
 
-// streamBuffer is the size of one read from a stream, in bytes.
-const streamBuffer = 4 << 10
+const (
+	// streamBuffer is the size of one read from a stream, in bytes.
+	streamBuffer = 4 << 10
+	// maxEventBytes is the largest size of an event, in bytes. A stream with a larger one
+	// counts as cut off.
+	maxEventBytes = 4 << 20
+)
+
+// errEventTooLarge means that an event of a stream exceeds maxEventBytes.
+var errEventTooLarge = errors.Errorf("event exceeds %d bytes", maxEventBytes)
 
 // sendStream passes an event stream on to the caller as it arrives, in whole events
 // only. If the stream is cut off, the caller can then resume it after the last event
-// that it received.
+// that it received. A stream that ends inside an event was cut off, also if its framing
+// is complete or it has none.
 func (r *request) sendStream(ctx context.Context, response *httpconn.Response) (tryResult, endpoints.Outcome) {
 	r.exchange.StartStream(response.StatusCode, r.gateway.codec.ResponseHeader(response.Header))
 	splitter := events.NewSplitter()
@@ -45,12 +55,16 @@
 				return broken, endpoints.Cancelled
 			}
 		}
-		if err == io.EOF {
+		if err == nil && len(splitter.Rest()) > maxEventBytes {
+			err = errEventTooLarge
+		}
+		if err == io.EOF && !splitter.InEvent() {
 			response.Close(true)
 			return r.finishStream(ctx, output, splitter.Rest())
 		}
 		if err != nil {
 			response.Close(false)
+			r.refusalErr = err
 			return r.handleBrokenStream(ctx)
 		}
 	}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -170,3 +170,17 @@
 	_, err := io.WriteString(conn, "0\r\n\r\n")
 	return err == nil
 }
+
+// AnswerUnframedStream responds with a stream of the given text that has neither a length
+// nor chunks and ends with its connection.
+func (u *Upstream) AnswerUnframedStream(conn io.Writer, request UpstreamRequest, text string) bool {
+	u.writeHead(conn, request, http.StatusOK, "X-Server-Seal: "+u.id+"\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+text)
+	return false
+}
+
+// AnswerChunkedText responds with a stream of the given text in one chunk, with the final
+// HTTP chunk.
+func (u *Upstream) AnswerChunkedText(conn io.Writer, request UpstreamRequest, text string) bool {
+	u.writeHead(conn, request, http.StatusOK, fmt.Sprintf("X-Server-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", u.id, len(text), text))
+	return true
+}
