Divide a turn that exceeds a record of the store into several records

The turn ran again with each try.

Cause: a turn was one record whatever its size, and record_bytes was used nowhere. The store's permanent rejection was treated as a store that is away: the batch was repeated, went on to the next partitions, and made other kept turns be refused. Ruled out: the time of an append, the bound of the body.

Change: a turn of more than 96 KiB has several records and is durable when all are. An append has at most 512 KiB. ErrRecordsRejected is an answer of the store; a rejected batch is written one record at a time. Gateways pass each other at most 512 KiB of turns, and the places of the others. The stand-in of the store bounds records and appends.

--- a/internal/gateway/appender.go
+++ b/internal/gateway/appender.go
@@ -23,6 +23,9 @@
 	// drainPollInterval is the time between two checks of drain whether all records are
 	// written.
 	drainPollInterval = 5 * clock.Millis(1)
+	// maxAppendBytes bounds the records of one append. A VM with the slowest link sends
+	// that many bytes within half of appendTimeout.
+	maxAppendBytes = 512 << 10
 	// recordOverhead is the number of bytes by which each record increases the size of
 	// an append.
 	recordOverhead = 4
@@ -68,7 +71,7 @@
 }
 
 func newAppender(ctx context.Context, store spool.Store, partition spool.Partition, maxBytes int, systemClock clock.Clock) *appender {
-	return &appender{ctx: ctx, store: store, partition: partition, maxBatchBytes: maxBytes, clock: systemClock}
+	return &appender{ctx: ctx, store: store, partition: partition, maxBatchBytes: min(maxBytes, maxAppendBytes), clock: systemClock}
 }
 
 // errPartitionUnavailable means that all appends to a partition have failed for at
@@ -117,6 +120,22 @@
 	return pending.wait(ctx)
 }
 
+// appendAll writes records, possibly with several appends, and returns when all of them
+// are durable. It fails like append if one of them cannot be written.
+func (a *appender) appendAll(ctx context.Context, records [][]byte) error {
+	var pending []*pendingRecord
+	for _, record := range records {
+		pending = append(pending, &pendingRecord{ctx: ctx, record: record, done: make(chan struct{})})
+	}
+	a.enqueue(pending...)
+	for _, record := range pending {
+		if _, err := record.wait(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // wait returns the offset of the record when it is written.
 func (p *pendingRecord) wait(ctx context.Context) (offset int64, err error) {
 	select {
@@ -161,10 +180,10 @@
 	go a.writeBatches()
 }
 
-func (a *appender) enqueue(pending *pendingRecord) {
+func (a *appender) enqueue(pending ...*pendingRecord) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.queue = append(a.queue, pending)
+	a.queue = append(a.queue, pending...)
 	a.startWriter()
 }
 
@@ -219,7 +238,8 @@
 }
 
 // writeBatch writes a batch with one append and completes its records. It returns false
-// if the append failed.
+// if the append failed and may be repeated. If the store rejects the batch for good, the
+// records are written one by one, so that one of them does not hold up the others.
 func (a *appender) writeBatch(batch []*pendingRecord) bool {
 	records := make([][]byte, len(batch))
 	for i, pending := range batch {
@@ -229,7 +249,10 @@
 	defer cancel()
 	offset, err := a.store.Append(ctx, a.partition, records)
 	a.recordResult(err)
-	if err != nil {
+	switch {
+	case errors.Is(err, spool.ErrRecordsRejected):
+		return a.completeRejected(batch, err)
+	case err != nil:
 		return false
 	}
 	if a.onWritten != nil {
@@ -241,11 +264,30 @@
 	return true
 }
 
+// completeRejected completes the record of a batch that the store rejects with err. It
+// writes the records of a larger batch one by one, and queues those again whose append
+// failed.
+func (a *appender) completeRejected(batch []*pendingRecord, err error) bool {
+	if len(batch) == 1 {
+		batch[0].complete(0, err)
+		return true
+	}
+	var failed []*pendingRecord
+	for _, record := range batch {
+		single := []*pendingRecord{record}
+		if !a.writeBatch(single) {
+			failed = append(failed, record)
+		}
+	}
+	a.requeue(failed)
+	return true
+}
+
 func (a *appender) recordResult(err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case err == nil:
+	case isAnswer(err):
 		a.failingSince = 0
 	case a.failingSince == 0:
 		a.failingSince = a.clock.Now()
--- a/internal/gateway/partitionreader.go
+++ b/internal/gateway/partitionreader.go
@@ -197,6 +197,18 @@
 	return page, err
 }
 
+// readRecords reads records one after another, whatever the position is.
+func (r *partitionReader) readRecords(ctx context.Context, places []chain.Location) (records [][]byte, err error) {
+	for _, place := range places {
+		record, err := r.readRecord(ctx, place)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
 // readRecord reads one record, whatever the position is. It fails with spool.ErrTrimmed if
 // the partition no longer has it.
 func (r *partitionReader) readRecord(ctx context.Context, place chain.Location) (record []byte, err error) {
--- a/internal/gateway/pathstore.go
+++ b/internal/gateway/pathstore.go
@@ -87,10 +87,12 @@
 	Trimmed bool `json:"trimmed,omitempty"`
 	// ConditionFailed reports whether the topic did not end at the offset End of the
 	// request, so that nothing was appended. Its JSON name is kept; see methodRelay.
-	ConditionFailed bool     `json:"moved,omitempty"`
-	First           int64    `json:"first"`
-	End             int64    `json:"end"`
-	Records         [][]byte `json:"records,omitempty"`
+	ConditionFailed bool `json:"moved,omitempty"`
+	// Rejected reports that the store never accepts the records.
+	Rejected bool     `json:"rejected,omitempty"`
+	First    int64    `json:"first"`
+	End      int64    `json:"end"`
+	Records  [][]byte `json:"records,omitempty"`
 }
 
 // Append implements spool.Store. The offset is that of the copy whose path answered
@@ -104,6 +106,9 @@
 		return first.set(offset, err)
 	}, func() error {
 		reply, err := s.callViaPeer(ctx, request)
+		if err == nil && reply.Rejected {
+			err = spool.ErrRecordsRejected
+		}
 		return first.set(reply.Offset, err)
 	})
 	return first.get(), err
@@ -247,9 +252,9 @@
 }
 
 // isAnswer reports whether the result err of a call came from the store: success, or an
-// error that depends on the content of the topic.
+// error that depends on the content of the topic or on the records.
 func isAnswer(err error) bool {
-	return err == nil || errors.Is(err, spool.ErrTrimmed) || errors.Is(err, spool.ErrConditionFailed)
+	return err == nil || errors.Is(err, spool.ErrTrimmed) || errors.Is(err, spool.ErrConditionFailed) || errors.Is(err, spool.ErrRecordsRejected)
 }
 
 // callViaPeer makes a call through another gateway. A failure is reported as
@@ -295,6 +300,9 @@
 		return reply, s.direct.AppendKeyed(ctx, request.Topic, request.Key, request.Value)
 	case len(request.Records) > 0:
 		reply.Offset, err = s.direct.Append(ctx, partition, request.Records)
+		if errors.Is(err, spool.ErrRecordsRejected) {
+			return storeReply{Rejected: true}, nil
+		}
 		return reply, err
 	}
 	page, err := s.direct.Read(ctx, spool.ReadRequest{Partition: partition, From: request.From, MaxBytes: request.MaxBytes})
--- a/internal/gateway/turnfinder.go
+++ b/internal/gateway/turnfinder.go
@@ -14,6 +14,9 @@
 	// fullFindTimeout a search in all partitions.
 	homeFindTimeout = 500 * clock.Millis(1)
 	fullFindTimeout = 700 * clock.Millis(1)
+	// maxTurnsReplyBytes bounds the turns in one answer to another gateway, which can read
+	// larger ones from the store.
+	maxTurnsReplyBytes = 512 << 10
 	// methodFindTurns asks the home of a partition for turns.
 	methodFindTurns = "gateway.findTurns"
 )
@@ -24,6 +27,12 @@
 	Turns     []string `json:"turns"`
 }
 
+// locatedTurns holds turns whose records have to be read from the partition of a reader.
+type locatedTurns struct {
+	reader *partitionReader
+	turns  []turnLocation
+}
+
 // findTurnsReply is the answer to a findTurnsRequest.
 type findTurnsReply struct {
 	// Records holds the encoded turns that the home has in its index.
@@ -38,7 +47,8 @@
 // turnLocation is the place of a turn in the partition of a findTurnsRequest.
 type turnLocation struct {
 	Turn string `json:"turn"`
-	chain.Location
+	// Places contains the places of all records of the turn, in their order.
+	Places []chain.Location `json:"places"`
 }
 
 // turnFinder looks up turns that the index of this gateway does not have. It asks the
@@ -70,45 +80,61 @@
 	return f.find(ctx, searches, fullFindTimeout)
 }
 
-// find makes searches, which maps partitions to turns, concurrently. It returns the error
-// of one that failed; nil if there is none.
+// find makes searches, which maps partitions to turns, concurrently, and adds what it
+// finds to the index. timeout bounds the searches, but not the reads of turns that are not
+// at a home. It returns the error of one search that failed; nil if there is none.
 func (f *turnFinder) find(ctx context.Context, searches map[int][]string, timeout clock.Millis) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	searchCtx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	results := make(chan error, len(searches))
+	type result struct {
+		located locatedTurns
+		err     error
+	}
+	results := make(chan result, len(searches))
 	for partition, ids := range searches {
-		go func() { results <- f.findIn(ctx, findTurnsRequest{Partition: partition, Turns: ids}) }()
+		go func() {
+			located, err := f.findIn(searchCtx, findTurnsRequest{Partition: partition, Turns: ids})
+			results <- result{located: located, err: err}
+		}()
 	}
 	for range searches {
-		if result := <-results; result != nil {
-			err = result
+		result := <-results
+		if result.err == nil {
+			result.err = f.fetch(ctx, result.located)
+		}
+		if result.err != nil {
+			err = result.err
 		}
 	}
 	return err
 }
 
-// findIn looks for turns in one partition and adds them to the index. It reads those
-// from the store of which the home knows only the place.
-func (f *turnFinder) findIn(ctx context.Context, request findTurnsRequest) (err error) {
+// findIn looks for turns in one partition. It adds those to the index that the home has in
+// its own, and returns the places of the others.
+func (f *turnFinder) findIn(ctx context.Context, request findTurnsRequest) (located locatedTurns, err error) {
 	reader := f.turns.readers[request.Partition]
-	var located firstResult[[]turnLocation]
+	var first firstResult[[]turnLocation]
 	err = f.homes.run(ctx, reader.partition, func(ctx context.Context) error {
-		return located.set(f.read(ctx, request))
+		return first.set(f.read(ctx, request))
 	}, func(_ context.Context, call remoteCall) error {
-		return located.set(f.ask(call, request))
+		return first.set(f.ask(call, request))
 	})
-	if err != nil {
-		return err
-	}
-	for _, turn := range located.get() {
+	return locatedTurns{reader: reader, turns: first.get()}, err
+}
+
+// fetch reads turns from the store, unless they are in the index, and adds them to it.
+func (f *turnFinder) fetch(ctx context.Context, located locatedTurns) error {
+	for _, turn := range located.turns {
 		if f.hasAll([]string{turn.Turn}) {
 			continue
 		}
-		record, err := reader.readRecord(ctx, turn.Location)
+		records, err := located.reader.readRecords(ctx, turn.Places)
 		if err != nil {
 			return err
 		}
-		f.turns.addRecords([][]byte{record})
+		if err := f.turns.addTurn(records); err != nil {
+			return errors.Wrapf(err, "turn %q", turn.Turn)
+		}
 	}
 	return nil
 }
@@ -152,8 +178,8 @@
 		if f.hasAll([]string{id}) {
 			continue
 		}
-		if place, ok := f.turns.locations[request.Partition].Find(id); ok {
-			located = append(located, turnLocation{Turn: id, Location: place})
+		if places := f.turns.locations[request.Partition].Find(id); len(places) > 0 {
+			located = append(located, turnLocation{Turn: id, Places: places})
 		}
 	}
 	return located
@@ -171,5 +197,24 @@
 	if err != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return reply, err
 	}
-	return findTurnsReply{Records: encodeTurns(f.turns.index.Turns(request.Turns)), Located: located, Reading: err != nil}, nil
+	reply = f.reply(request, located)
+	reply.Reading = err != nil
+	return reply, nil
+}
+
+// reply returns the turns of the index, up to maxTurnsReplyBytes, and the places of further
+// ones beside located. A turn whose place is not known is returned in any case.
+func (f *turnFinder) reply(request findTurnsRequest, located []turnLocation) findTurnsReply {
+	var turns []*chain.Turn
+	size := int64(0)
+	for _, turn := range f.turns.index.Turns(request.Turns) {
+		places := f.turns.locations[request.Partition].Find(turn.ID)
+		if size+turn.TextBytes() > maxTurnsReplyBytes && len(places) > 0 {
+			located = append(located, turnLocation{Turn: turn.ID, Places: places})
+			continue
+		}
+		size += turn.TextBytes()
+		turns = append(turns, turn)
+	}
+	return findTurnsReply{Records: encodeTurns(turns), Located: located}
 }
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -27,6 +27,11 @@
 	// partitionHedgeDelay is how long the write of a turn may take in one partition
 	// before the turn is also written to the next one.
 	partitionHedgeDelay = 250 * clock.Millis(1)
+	// maxTurnRecordBytes bounds the size of a record of a turn. A longer turn is divided into
+	// records, each of which fits into a page.
+	maxTurnRecordBytes = 96 << 10
+	// slowestLinkBytes is the number of bytes per millisecond that the slowest VM sends.
+	slowestLinkBytes = 3750
 	// peerQueryTimeout bounds the query to gateways that may have served the turn.
 	peerQueryTimeout = 150 * clock.Millis(1)
 	// methodTurns asks a gateway for a turn and all earlier turns that it continues.
@@ -49,6 +54,8 @@
 	// locations contains, by partition, the places of the turns that readers have read.
 	locations []*chain.Locations
 	finder    *turnFinder
+	// recordBytes bounds the size of a record.
+	recordBytes int
 	// logRetention is how long the store retains a record; 0 if that is not known.
 	logRetention clock.Millis
 	// queryPeers asks other gateways for a turn and all earlier turns that it
@@ -57,7 +64,10 @@
 }
 
 func newTurnStore(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, homes *homeClient, queryPeers func(ctx context.Context, turn string) [][]byte) *turnStore {
-	s := &turnStore{clock: systemClock, index: chain.NewIndex(), queryPeers: queryPeers, logRetention: settings.LogRetention}
+	s := &turnStore{clock: systemClock, index: chain.NewIndex(), queryPeers: queryPeers, logRetention: settings.LogRetention, recordBytes: maxTurnRecordBytes}
+	if settings.MaxRecordBytes > 0 {
+		s.recordBytes = min(s.recordBytes, settings.MaxRecordBytes)
+	}
 	slots := semaphore.NewWeighted(maxTurnReads)
 	for i := range settings.Partitions {
 		partition := spool.Partition{Topic: spool.TopicTurns, Index: i}
@@ -81,14 +91,21 @@
 	locations.Trim(page.First)
 }
 
-// addRecords adds encoded turns to the index. It ignores records that are not turns.
+// addRecords adds encoded turns to the index. It ignores records that are not whole turns.
 func (s *turnStore) addRecords(records [][]byte) {
-	now := s.clock.Now()
 	for _, record := range records {
-		if turn, err := chain.Decode(record); err == nil {
-			s.index.Add(now, turn)
-		}
+		// The error is ignored: such a record is not a turn, or a part of one.
+		_ = s.addTurn([][]byte{record})
+	}
+}
+
+// addTurn adds the turn that consists of all of the records to the index.
+func (s *turnStore) addTurn(records [][]byte) error {
+	turn, err := chain.DecodeRecords(records)
+	if err == nil {
+		s.index.Add(s.clock.Now(), turn)
 	}
+	return err
 }
 
 // homePartition returns the index of the partition that a turn is written to first.
@@ -130,22 +147,21 @@
 }
 
 // write writes a turn and returns when it is durable. It starts with the first partition
-// of writeOrder and adds the next one after each partitionHedgeDelay without success. On
-// success, it adds the turn to the index.
+// of writeOrder and adds the next one after each partitionHedgeDelay, plus the time that
+// the turn takes on the slowest link, without success. On success, it adds the turn to the
+// index.
 func (s *turnStore) write(ctx context.Context, turn *chain.Turn) error {
-	record := turn.Encode()
+	records := turn.EncodeRecords(s.recordBytes)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var attempts []func() error
 	for _, target := range s.writeOrder(turn.ID) {
-		attempts = append(attempts, func() error {
-			_, err := target.append(ctx, record)
-			return err
-		})
+		attempts = append(attempts, func() error { return target.appendAll(ctx, records) })
 	}
+	delay := partitionHedgeDelay + clock.Millis(turn.TextBytes()/slowestLinkBytes)
 	// An appender repeats a failed write itself, so that each result is final.
 	isFinal := func(error) bool { return true }
-	if err := newHedge(partitionHedgeDelay, isFinal).run(ctx, attempts...); err != nil {
+	if err := newHedge(delay, isFinal).run(ctx, attempts...); err != nil {
 		return err
 	}
 	s.index.Add(s.clock.Now(), turn)
@@ -244,7 +260,8 @@
 
 type turnsReply struct {
 	// Records holds the encoded turn and all earlier turns that it continues. It is
-	// empty if the answering gateway does not have all of them in its index.
+	// empty if the answering gateway does not have all of them in its index, or they
+	// exceed maxTurnsReplyBytes.
 	Records [][]byte `json:"records,omitempty"`
 }
 
@@ -255,7 +272,7 @@
 		methodTurns: wire.Handle(func(_ context.Context, request turnsRequest, _ wire.Send) (any, error) {
 			var reply turnsReply
 			turns, missing := s.index.History(request.Turn)
-			if len(missing) > 0 {
+			if len(missing) > 0 || textBytes(turns) > maxTurnsReplyBytes {
 				return reply, nil
 			}
 			reply.Records = encodeTurns(turns)
@@ -267,6 +284,14 @@
 	}
 }
 
+// textBytes returns the size of the inputs and outputs of turns, in bytes.
+func textBytes(turns []*chain.Turn) (size int64) {
+	for _, turn := range turns {
+		size += turn.TextBytes()
+	}
+	return size
+}
+
 func encodeTurns(turns []*chain.Turn) (records [][]byte) {
 	for _, turn := range turns {
 		records = append(records, turn.Encode())
--- a/internal/standin/topics.go
+++ b/internal/standin/topics.go
@@ -53,6 +53,11 @@
 	// retention is how long records without a key are kept, by clock; 0 for no bound.
 	retention clock.Millis
 	clock     clock.Clock
+	// maxRecordBytes bounds the size of a record, and maxAppendBytes that of all records of
+	// an append with their lengths; 0 for no bound. rejected counts the appends that exceed
+	// one of them.
+	maxRecordBytes, maxAppendBytes int
+	rejected                       int
 }
 
 // topicPartition is one partition of a topic. Offsets begin at 0.
@@ -131,6 +136,38 @@
 	p.records, p.writtenAt = nil, nil
 }
 
+// SetLimits bounds the size of a record, and of all records of an append with their
+// lengths; 0 removes a bound.
+func (t *Topics) SetLimits(maxRecordBytes, maxAppendBytes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.maxRecordBytes, t.maxAppendBytes = maxRecordBytes, maxAppendBytes
+}
+
+// Rejected returns the number of appends that exceeded a bound of SetLimits.
+func (t *Topics) Rejected() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rejected
+}
+
+// accepts reports whether an append is within the bounds of SetLimits, and counts it
+// otherwise.
+func (t *Topics) accepts(records [][]byte) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	total, ok := 0, true
+	for _, record := range records {
+		total += recordLengthBytes + len(record)
+		ok = ok && (t.maxRecordBytes == 0 || len(record) <= t.maxRecordBytes)
+	}
+	ok = ok && (t.maxAppendBytes == 0 || total <= t.maxAppendBytes)
+	if !ok {
+		t.rejected++
+	}
+	return ok
+}
+
 // appendAt appends records to a partition and returns the offset of the first one and
 // the new end offset. If at is not empty and differs from the end offset, it appends
 // nothing, reports false and returns the current end offset as end.
@@ -253,7 +290,8 @@
 }
 
 // handleAppend appends the records of the body, each after its length as a 4-byte
-// big-endian number. Status 412 means that the partition does not end at the offset "at".
+// big-endian number. Status 413 means that they exceed the bounds of SetLimits, 412 that
+// the partition does not end at the offset "at".
 func (d *TopicsServer) handleAppend(ctx *fasthttp.RequestCtx, name string) {
 	var records [][]byte
 	for rest := ctx.PostBody(); len(rest) >= 4; {
@@ -265,6 +303,10 @@
 		records = append(records, rest[4:4+size])
 		rest = rest[4+size:]
 	}
+	if !d.topics.accepts(records) {
+		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+		return
+	}
 	offset, end, ok := d.topics.appendAt(name, records, string(ctx.QueryArgs().Peek("at")))
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
--- a/pkg/chain/chain_test.go
+++ b/pkg/chain/chain_test.go
@@ -112,17 +112,27 @@
 		for offset, record := range [][]byte{a, b, []byte("no turn"), a} {
 			locations.Add(int64(offset), record)
 		}
-		place, ok := locations.Find("a")
-		gomega.Expect(ok).To(gomega.BeTrue())
-		gomega.Expect(place).To(gomega.Equal(chain.Location{Offset: 3, Bytes: len(a)}))
+		gomega.Expect(locations.Find("a")).To(gomega.Equal([]chain.Location{{Offset: 3, Bytes: len(a)}}))
 		locations.Trim(2)
-		_, ok = locations.Find("b")
-		gomega.Expect(ok).To(gomega.BeFalse())
-		_, ok = locations.Find("a")
-		gomega.Expect(ok).To(gomega.BeTrue())
+		gomega.Expect(locations.Find("b")).To(gomega.BeEmpty())
+		gomega.Expect(locations.Find("a")).NotTo(gomega.BeEmpty())
 		locations.Trim(4)
-		_, ok = locations.Find("a")
-		gomega.Expect(ok).To(gomega.BeFalse())
+		gomega.Expect(locations.Find("a")).To(gomega.BeEmpty())
+	})
+
+	// Guards against a turn of several records that is read while one of them is missing.
+	ginkgo.It("returns a turn of several records only if all are known", func() {
+		locations := chain.NewLocations()
+		records := newTurn("a").EncodeRecords(10)
+		gomega.Expect(len(records)).To(gomega.BeNumerically(">", 2))
+		for i, record := range records[1:] {
+			locations.Add(int64(i), record)
+		}
+		gomega.Expect(locations.Find("a")).To(gomega.BeEmpty())
+		locations.Add(int64(len(records)), records[0])
+		gomega.Expect(locations.Find("a")).To(gomega.HaveLen(len(records)))
+		locations.Trim(1)
+		gomega.Expect(locations.Find("a")).To(gomega.BeEmpty())
 	})
 })
 
@@ -143,9 +153,35 @@
 	})
 }
 
+// TestRecords guards against a turn that is changed or lost when it is divided into
+// records, and against one that is put together from wrong records.
+func TestRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		original := newTurn("a", "b", "c")
+		original.Input = rapid.SliceOfN(rapid.Byte(), 1, 500).Draw(t, "input")
+		records := original.EncodeRecords(rapid.IntRange(1, 600).Draw(t, "max"))
+		decoded, err := chain.DecodeRecords(records)
+		if err != nil || !reflect.DeepEqual(original, decoded) {
+			t.Fatalf("%+v became %+v, %v", original, decoded, err)
+		}
+		if len(records) < 2 {
+			return
+		}
+		for _, wrong := range [][][]byte{records[1:], records[:len(records)-1], append(records[1:], records[0])} {
+			if _, err := chain.DecodeRecords(wrong); err == nil {
+				t.Fatalf("a turn was decoded from %d of %d records", len(wrong), len(records))
+			}
+		}
+	})
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(newTurn("b", "a").Encode())
+	f.Add(newTurn("b", "a").EncodeRecords(10)[1])
 	f.Fuzz(func(t *testing.T, data []byte) {
+		locations := chain.NewLocations()
+		locations.Add(0, data)
+		_, _ = chain.DecodeRecords([][]byte{data})
 		decoded, err := chain.Decode(data)
 		if err == nil && decoded.ID == "" {
 			t.Fatal("a turn without an ID was decoded")
--- a/pkg/chain/index.go
+++ b/pkg/chain/index.go
@@ -18,7 +18,7 @@
 	// expiries contains a time for each turn at which Expire examines it, in the order
 	// in which they were added.
 	expiries []expiry
-	// totalBytes is the sum of Turn.textBytes over all turns.
+	// totalBytes is the sum of Turn.TextBytes over all turns.
 	totalBytes int64
 }
 
@@ -56,16 +56,16 @@
 	switch {
 	case known == nil:
 		x.entries[turn.ID] = &entry{turn: turn, keepUntil: keepUntil}
-		x.totalBytes += turn.textBytes()
+		x.totalBytes += turn.TextBytes()
 		x.expiries = append(x.expiries, expiry{id: turn.ID, at: keepUntil})
 	case known.turn.WrittenAt < turn.WrittenAt:
-		x.totalBytes += turn.textBytes() - known.turn.textBytes()
+		x.totalBytes += turn.TextBytes() - known.turn.TextBytes()
 		known.turn = turn
 	}
 }
 
-// textBytes returns the size of the input and the output.
-func (t *Turn) textBytes() int64 { return int64(len(t.Input) + len(t.Output)) }
+// TextBytes returns the size of the input and the output, in bytes.
+func (t *Turn) TextBytes() int64 { return int64(len(t.Input) + len(t.Output)) }
 
 // History returns the history of a new turn that continues the turn with this ID:
 // that turn preceded by its own history, oldest first. missing contains the IDs of
@@ -117,7 +117,7 @@
 			continue
 		}
 		delete(x.entries, id)
-		x.totalBytes -= known.turn.textBytes()
+		x.totalBytes -= known.turn.TextBytes()
 	}
 }
 
--- a/pkg/chain/turn.go
+++ b/pkg/chain/turn.go
@@ -100,19 +100,6 @@
 	return turn, nil
 }
 
-// DecodeID returns the ID of the turn in the result of Encode without decoding the rest.
-// It returns ErrBadRecord if there is none.
-func DecodeID(record []byte) (id string, err error) {
-	if len(record) == 0 || record[0] != recordVersion {
-		return "", ErrBadRecord
-	}
-	r := reader{rest: record[1:]}
-	if id = string(r.bytes()); r.failed || id == "" {
-		return "", ErrBadRecord
-	}
-	return id, nil
-}
-
 // reader reads values from the front of rest. If a value is malformed, it sets
 // failed; this and all later reads return zero values.
 type reader struct {
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -71,7 +71,7 @@
 // when an append may have taken effect or may still take effect.
 type Store interface {
 	// Append atomically adds records to the end of a partition and returns the
-	// offset of the first one.
+	// offset of the first one. It fails with ErrRecordsRejected if the log never accepts them.
 	Append(ctx context.Context, partition Partition, records [][]byte) (offset int64, err error)
 	// AppendKeyed appends a record that replaces the earlier records of its key. An empty
 	// value deletes the key.
--- a/pkg/spool/platform.go
+++ b/pkg/spool/platform.go
@@ -22,6 +22,9 @@
 	// ErrConditionFailed means that a topic does not end at the offset that a
 	// conditional append expects.
 	ErrConditionFailed = errors.New("topic does not end at the expected offset")
+	// ErrRecordsRejected means that the log will never accept these records, for example because
+	// one is too large. Nothing was appended.
+	ErrRecordsRejected = errors.New("log does not accept the records")
 )
 
 // RecordKind identifies the type of the data of a record.
