Bound the memory of all requests together

A server that sends bytes without end to 48 requests at once brought a gateway process to 289 MB (one event), 1,116 MB (events of a kept turn), 2,454 MB (plain answer), 140 MB (head); 48 turns of 3.9 MB to 1,071 MB. The smallest VM has 112 MB, so that the process and the requests of all its callers end.

Cause: each buffer had a bound, their sum had none; the output of a kept turn and the index of turns had none at all, and an idle connection kept the body of its last request.

Change: pkg/buffers, one pool for the buffers of all requests, a sixth of the memory, of which the first 64 KiB of a request take nothing. A body that finds it empty is refused at once with 503. Plain answers of more than 256 KiB are passed on as they arrive. Events of at most 1 MiB, heads of 64 KiB, prompts of 8 MiB. Prompts are sent without a copy. The index holds an eighth of the memory. The runtime's limit follows memory_mb.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -58,6 +58,7 @@
 				return errors.Wrap(multierr.Combine(settings.Validate()...), "settings")
 			}
 			return flags.serve(string(settings.Node), "gateway", validate, func(t *telemetry.Telemetry) (stopper, []zap.Field, error) {
+				gateway.LimitMemory(settings.MemoryMB)
 				systemClock := clock.System()
 				client := httpconn.NewClient(systemClock)
 				meter, err := telemetry.NewStoreMeter(t)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,9 +30,6 @@
 	// fullRetryShare is the share of the request's remaining time during which new
 	// rounds are started.
 	fullRetryShare = 0.4
-	// maxAnswerBytes bounds the size of an answer that is not streamed, in bytes. A longer
-	// answer counts as incomplete.
-	maxAnswerBytes = 32 << 20
 	// eventStream is the content type of an answer that is passed on event by event.
 	eventStream = "text/event-stream"
 	// leastUrgent is the urgency level of the least urgent requests. Endpoints know the
@@ -40,9 +37,6 @@
 	leastUrgent = 9
 )
 
-// errAnswerTooLarge means that an answer that is not streamed exceeds maxAnswerBytes.
-var errAnswerTooLarge = errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)
-
 // tryResult is the result of sending a request to one endpoint.
 type tryResult string
 
@@ -195,7 +189,7 @@
 	g := r.gateway
 	send := spool.EndpointSend{
 		Endpoint: endpoint.ID(), Account: r.account, TimeLeft: max(1, r.deadline-g.clock.Now()),
-		Urgency: -1, BodyBytes: len(r.body),
+		Urgency: -1, BodyBytes: r.bodyBytes(),
 	}
 	if r.service.Engine {
 		send.Urgency = min(leastUrgent, max(0, r.priority))
@@ -268,25 +262,6 @@
 	case success && strings.HasPrefix(response.Header.Get("Content-Type"), eventStream):
 		return r.sendStream(ctx, response)
 	default:
-		return r.sendBuffered(ctx, response)
-	}
-}
-
-// sendBuffered reads the whole answer before it passes any of it on. If the endpoint
-// does not complete the answer, the request can then still be repeated.
-func (r *request) sendBuffered(ctx context.Context, response *httpconn.Response) (tryResult, endpoints.Outcome) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLarge
-	}
-	response.Close(err == nil)
-	if err != nil {
-		r.refusalErr = err
-		return mayHaveRun, failureOutcome(ctx)
+		return r.sendPlain(ctx, response)
 	}
-	r.endBudget()
-	// The error is ignored: it means that the caller has disconnected, and the request
-	// has run all the same.
-	_ = r.exchange.Respond(response.StatusCode, r.gateway.codec.ResponseHeader(response.Header), body)
-	return answered, endpoints.Answered
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	"github.com/baobabspool/baobabspool/internal/httpconn"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/buffers"
 	"github.com/baobabspool/baobabspool/pkg/catalog"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/endpoints"
@@ -165,7 +167,9 @@
 	if err := g.listenPeers(); err != nil {
 		return err
 	}
-	if g.server, err = httpconn.NewServer(g.settings.Listen, g.handle); err != nil {
+	pool := buffers.New(newMemoryShares(g.settings.MemoryMB).bufferBytes())
+	g.server, err = httpconn.NewServer(g.settings.Listen, g.handle, httpconn.WithBuffers(pool), httpconn.WithRejected(g.countRejected))
+	if err != nil {
 		g.closePeers()
 		return err
 	}
@@ -179,6 +183,15 @@
 	return err
 }
 
+// countRejected counts a request that the server has rejected.
+func (g *Gateway) countRejected(status int) {
+	reason := reasonBadRequest
+	if status == http.StatusServiceUnavailable {
+		reason = reasonBuffersFull
+	}
+	g.telemetry.CountRefusal(reason)
+}
+
 // newIncarnation returns a random name of 16 hexadecimal digits for this run of the
 // process.
 func newIncarnation() string { return strings.ReplaceAll(uuid.NewString(), "-", "")[:16] }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -19,6 +19,10 @@
 // the timeout of a route.
 const defaultTimeout = 30 * clock.Second
 
+// maxPromptBytes bounds the size of a prompt with its history. Each VM can keep that much
+// in its index.
+const maxPromptBytes = 8 << 20
+
 // budgetWait bounds the wait for tokens of the program's budget. A slow store answers
 // within it. If it does not, a refusal that the caller can retry is better than a
 // longer wait.
@@ -39,9 +43,9 @@
 	service  *catalog.Service
 	// deadline is when the complete answer is due.
 	deadline clock.Millis
-	// body is the body that is sent to the endpoint. It may begin with the history of
-	// the turn.
-	body []byte
+	// body contains the parts of the body that is sent to the endpoint. They may begin with
+	// the history of the turn.
+	body [][]byte
 	// history holds the earlier turns that this turn continues, if the route stores
 	// turns.
 	history []*chain.Turn
@@ -55,6 +59,8 @@
 	budget *turnBudget
 	// eventCount is the number of events that were passed on to the caller.
 	eventCount int
+	// streamBytes is the size of the buffers that are reserved for the stream.
+	streamBytes int64
 	// isCutForBudget is set when the answer is cut off because the budget grants no more
 	// tokens.
 	isCutForBudget bool
@@ -153,7 +159,7 @@
 	if r.service = r.catalog.Service(r.route.Target(identity)); r.service == nil {
 		return reasonNoEndpoint
 	}
-	r.body = r.exchange.Body()
+	r.body = [][]byte{r.exchange.Body()}
 	if r.route.KeepsHistory && r.gateway.health.isUnavailable() {
 		return reasonStoreAway
 	}
@@ -176,6 +182,9 @@
 // serve answers the request. It returns the reason for refusing it, or an empty string
 // if an answer was passed on, completely or in part.
 func (r *request) serve(ctx context.Context) (reason spool.Code) {
+	if reason := r.reserveRecord(); reason != "" {
+		return reason
+	}
 	if reason := r.prependHistory(ctx); reason != "" {
 		return reason
 	}
@@ -228,11 +237,36 @@
 		r.refusalErr = err
 		return reasonTurnUncertain
 	}
+	if textBytes(turns)+int64(len(r.exchange.Body())) > maxPromptBytes {
+		return reasonPromptTooLarge
+	}
 	r.history = turns
 	r.body = chain.Prompt(turns, r.exchange.Body())
 	return ""
 }
 
+// bodyBytes returns the size of the body that is sent to the endpoint.
+func (r *request) bodyBytes() (size int) {
+	for _, part := range r.body {
+		size += len(part)
+	}
+	return size
+}
+
+// reserveRecord reserves the buffers of the records of a turn, so that a turn that cannot
+// be kept does not run. It returns the reason for refusing the request; empty if there is
+// none.
+func (r *request) reserveRecord() spool.Code {
+	if !r.route.KeepsHistory {
+		return ""
+	}
+	if err := r.exchange.Buffers().Reserve(int64(len(r.exchange.Body()))); err != nil {
+		r.refusalErr = err
+		return reasonBuffersFull
+	}
+	return ""
+}
+
 // beginBudget allocates tokens of the program's budget to the turn. If it cannot, it
 // returns the reason for refusing the request.
 func (r *request) beginBudget(ctx context.Context) (*turnBudget, spool.Code) {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -27,6 +27,8 @@
 	reasonMayHaveRun      spool.Code = "mayHaveRun"
 	reasonTimeout         spool.Code = "timeout"
 	reasonInternal        spool.Code = "internal"
+	reasonBuffersFull     spool.Code = "buffersFull"
+	reasonPromptTooLarge  spool.Code = "promptTooLarge"
 )
 
 // Delays after which a caller may retry, in milliseconds.
@@ -41,6 +43,8 @@
 	retryEndpoint = 250 * clock.Millis(1)
 	// retryOverload is for a program that may not begin while a service is overloaded.
 	retryOverload = 500 * clock.Millis(1)
+	// retryBuffers is for a gateway whose buffers are all in use.
+	retryBuffers = 500 * clock.Millis(1)
 	// retryFull is for a service whose endpoints were full in every round of a request.
 	retryFull = 150 * clock.Millis(1)
 )
@@ -73,6 +77,8 @@
 	reasonMayHaveRun:      {status: http.StatusBadGateway},
 	reasonTimeout:         {status: http.StatusGatewayTimeout},
 	reasonInternal:        {status: http.StatusBadGateway},
+	reasonBuffersFull:     {status: http.StatusServiceUnavailable, retryAfter: retryBuffers},
+	reasonPromptTooLarge:  {status: http.StatusRequestEntityTooLarge},
 }
 
 // refusalFor returns the refusal for a reason.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -19,7 +19,13 @@
 	streamBuffer = 4 << 10
 	// maxEventBytes is the largest size of an event, in bytes. A stream with a larger one
 	// counts as cut off.
-	maxEventBytes = 4 << 20
+	maxEventBytes = 1 << 20
+	// eventCopies is how often an event of a stream is in memory at most: in the splitter,
+	// complete, and in the buffer of the answer.
+	eventCopies = 3
+	// outputCopies is how often the output of a turn is in memory at most: with the spare
+	// capacity of its buffer, encoded and in records.
+	outputCopies = 4
 )
 
 // errEventTooLarge means that an event of a stream exceeds maxEventBytes.
@@ -55,8 +61,8 @@
 				return broken, endpoints.Cancelled
 			}
 		}
-		if err == nil && len(splitter.Rest()) > maxEventBytes {
-			err = errEventTooLarge
+		if err == nil {
+			err = r.reserveStream(len(splitter.Rest()), len(output))
 		}
 		if err == io.EOF && !splitter.InEvent() {
 			response.Close(true)
@@ -70,6 +76,23 @@
 	}
 }
 
+// reserveStream reserves the buffers for an incomplete event and the output of a turn. It
+// fails if the event is too large or the buffers of all requests are in use.
+func (r *request) reserveStream(eventBytes, outputBytes int) error {
+	if eventBytes > maxEventBytes {
+		return errEventTooLarge
+	}
+	needed := int64(eventCopies*eventBytes + outputCopies*outputBytes)
+	if needed <= r.streamBytes {
+		return nil
+	}
+	if err := r.exchange.Buffers().Reserve(needed - r.streamBytes); err != nil {
+		return err
+	}
+	r.streamBytes = needed
+	return nil
+}
+
 // handleBrokenStream returns the result of a stream that the endpoint did not complete:
 // mayHaveRun if nothing was sent to the caller, and broken otherwise.
 func (r *request) handleBrokenStream(ctx context.Context) (tryResult, endpoints.Outcome) {
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -64,7 +64,8 @@
 }
 
 func newTurnStore(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, homes *homeClient, queryPeers func(ctx context.Context, turn string) [][]byte) *turnStore {
-	s := &turnStore{clock: systemClock, index: chain.NewIndex(), queryPeers: queryPeers, logRetention: settings.LogRetention, recordBytes: maxTurnRecordBytes}
+	memory := newMemoryShares(settings.MemoryMB)
+	s := &turnStore{clock: systemClock, index: chain.NewIndex(memory.indexBytes()), queryPeers: queryPeers, logRetention: settings.LogRetention, recordBytes: maxTurnRecordBytes}
 	if settings.MaxRecordBytes > 0 {
 		s.recordBytes = min(s.recordBytes, settings.MaxRecordBytes)
 	}
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,7 +47,7 @@
 	maxInlineWrite = 16 << 10
 	// maxHeadBytes is the maximum size of the head of a response, with the interim
 	// responses before it. maxSkippedBytes is that of a body that belongs to no request.
-	maxHeadBytes    = 1 << 20
+	maxHeadBytes    = 64 << 10
 	maxSkippedBytes = 1 << 20
 )
 
@@ -118,10 +119,10 @@
 	// Method is the HTTP method.
 	Method string
 	// Head is the request line and the header fields, including the empty line at
-	// their end. Do may overwrite the unused capacity of the slice.
+	// their end.
 	Head []byte
-	// Body is sent after Head. It may be empty.
-	Body []byte
+	// Body is sent after Head, its parts one after another. It may be empty.
+	Body [][]byte
 	// AcceptResponse reports whether a response with the given header belongs to this
 	// request. Other responses are read and discarded. If AcceptResponse is nil, every
 	// response is accepted.
@@ -130,6 +131,14 @@
 	NewConnection bool
 }
 
+// bodyBytes returns the size of the body, in bytes.
+func (c *Call) bodyBytes() (size int) {
+	for _, part := range c.Body {
+		size += len(part)
+	}
+	return size
+}
+
 // Response is a response whose body has not been read. The caller of Do must call
 // Close.
 type Response struct {
@@ -167,14 +176,14 @@
 
 func (c *clientConn) write(call *Call) chan error {
 	result := make(chan error, 1)
-	if len(call.Head)+len(call.Body) <= maxInlineWrite {
-		_, err := c.conn.Write(append(call.Head, call.Body...))
+	if len(call.Head)+call.bodyBytes() <= maxInlineWrite {
+		_, err := c.conn.Write(slices.Concat(append([][]byte{call.Head}, call.Body...)...))
 		result <- err
 		return result
 	}
 	go func() {
-		buffers := net.Buffers{call.Head, call.Body}
-		_, err := buffers.WriteTo(c.conn)
+		parts := append(net.Buffers{call.Head}, call.Body...)
+		_, err := parts.WriteTo(c.conn)
 		result <- err
 	}()
 	return result
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/baobabspool/baobabspool/pkg/buffers"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 )
 
@@ -25,6 +26,8 @@
 	request     *http.Request
 	body        []byte
 	idleTimeout clock.Millis
+	// buffers counts the buffers of the request, until the handler returns.
+	buffers *buffers.Account
 	// closeAfterResponse is set if the server must close the connection after this
 	// response.
 	closeAfterResponse bool
@@ -45,6 +48,10 @@
 // Body returns the complete body of the request.
 func (e *Exchange) Body() []byte { return e.body }
 
+// Buffers returns the account of the request's buffers, which contains its body. The
+// handler adds what it needs to answer the request.
+func (e *Exchange) Buffers() *buffers.Account { return e.buffers }
+
 // Started reports whether a part of the response may have been sent. After that, the
 // response cannot be replaced by another one. StartStream alone sends nothing.
 func (e *Exchange) Started() bool { return e.started }
@@ -183,6 +190,13 @@
 	return false
 }
 
+// releaseBuffers lets go of the buffers of a request that has ended. Its connection may
+// stay idle for long.
+func (e *Exchange) releaseBuffers() {
+	e.body, e.buffer = nil, nil
+	e.buffers.Release()
+}
+
 // closeWrite shuts down the connection's write side after a complete response. It sets
 // a read deadline, so that the goroutine that waits for data from the caller returns and
 // closes the connection.
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -292,8 +292,8 @@
 		c := client()
 		for _, id := range []string{"1", "2"} {
 			long := getCall(address, id)
-			long.Method, long.Body = http.MethodPost, make([]byte, 8<<20)
-			long.Head = fmt.Appendf(nil, "POST /%s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", id, len(long.Body))
+			long.Method, long.Body = http.MethodPost, [][]byte{make([]byte, 8<<20)}
+			long.Head = fmt.Appendf(nil, "POST /%s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", id, len(long.Body[0]))
 			response, err := c.Do(context.Background(), long)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			gomega.Expect(readBody(response)).To(gomega.Equal("early"))
--- a/internal/httpconn/server.go
+++ b/internal/httpconn/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/baobabspool/baobabspool/pkg/buffers"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 )
 
@@ -43,10 +45,16 @@
 	readBufferSize = 4 << 10
 	// bodyTimeout bounds the time for reading a body, from the end of the headers.
 	bodyTimeout = 10 * time.Second
+	// retryBuffers is the delay after which a caller may repeat a request for whose body the
+	// buffers were exhausted.
+	retryBuffers = 500 * clock.Millis(1)
 	// lingerTimeout bounds the time for which the server still reads from a connection
 	// after its last response, before it closes the connection. If it closed the
 	// connection with unread data, the caller could lose the response.
 	lingerTimeout = 200 * time.Millisecond
+	// discardTimeout bounds the time for which the server reads the rest of a rejected
+	// request.
+	discardTimeout = time.Second
 	// keepAliveInterval is the time without traffic after which a TCP keep-alive probe
 	// is sent, and the interval between further probes. With userTimeout, an idle
 	// connection whose peer has disappeared without a reset fails after about 4 s.
@@ -62,6 +70,11 @@
 	listener net.Listener
 	handler  Handler
 	limits   atomic.Pointer[Limits]
+	// buffers bounds the bodies of all requests together.
+	buffers *buffers.Pool
+	// rejected, unless nil, receives the status of each request that the server itself
+	// rejects.
+	rejected func(status int)
 	// draining makes each response close its connection. It is never reset.
 	draining atomic.Bool
 	// closesConnections makes each response close its connection, like draining. It is
@@ -77,15 +90,33 @@
 	wg sync.WaitGroup
 }
 
+// ServerOption changes a Server during NewServer.
+type ServerOption func(*Server)
+
+// WithBuffers makes requests take the buffers of their bodies from a pool. A request for
+// whose body it has not enough bytes is rejected. The default is an unbounded pool.
+func WithBuffers(pool *buffers.Pool) ServerOption {
+	return func(s *Server) { s.buffers = pool }
+}
+
+// WithRejected passes the status of each request that the server itself rejects to
+// observe.
+func WithRejected(observe func(status int)) ServerOption {
+	return func(s *Server) { s.rejected = observe }
+}
+
 // NewServer starts a server that listens on address, a host:port with IPv4, and passes
 // each request to handler.
-func NewServer(address string, handler Handler) (server *Server, err error) {
+func NewServer(address string, handler Handler, options ...ServerOption) (server *Server, err error) {
 	defer func() { err = errors.Wrapf(err, "listen on %s", address) }()
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	server = &Server{listener: listener, handler: handler, conns: map[*serverConn]struct{}{}}
+	server = &Server{listener: listener, handler: handler, conns: map[*serverConn]struct{}{}, buffers: buffers.New(math.MaxInt64)}
+	for _, option := range options {
+		option(server)
+	}
 	limits := DefaultLimits()
 	server.limits.Store(&limits)
 	server.wg.Add(1)
@@ -295,12 +326,12 @@
 // returns when the handler has returned and either the first byte of the next request
 // has arrived or the connection has ended.
 func (c *serverConn) serveRequest(limits Limits) (keep bool) {
-	request, body, status := c.readRequest(limits)
-	exchange := &Exchange{conn: c.conn, request: request, body: body, server: c.server, idleTimeout: limits.IdleTimeout}
+	account := c.server.buffers.NewAccount()
+	defer account.Release()
+	request, body, status := c.readRequest(limits, account)
+	exchange := &Exchange{conn: c.conn, request: request, body: body, server: c.server, idleTimeout: limits.IdleTimeout, buffers: account}
 	if status != 0 {
-		exchange.closeAfterResponse = true
-		exchange.Reject(status, 0)
-		c.discardRemaining()
+		c.reject(exchange, status, limits)
 		return false
 	}
 	exchange.closeAfterResponse = request.Close || !request.ProtoAtLeast(1, 1)
@@ -311,7 +342,9 @@
 	go func() {
 		defer close(done)
 		c.server.handler(ctx, exchange)
-		if exchange.finish() {
+		isOpen := exchange.finish()
+		exchange.releaseBuffers()
+		if isOpen {
 			_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout.Duration()))
 			c.endRequest()
 		}
@@ -326,10 +359,25 @@
 	return err == nil && !exchange.closeAfterResponse
 }
 
+// reject answers a request that the server does not pass to the handler, and ends the
+// connection.
+func (c *serverConn) reject(exchange *Exchange, status int, limits Limits) {
+	if c.server.rejected != nil {
+		c.server.rejected(status)
+	}
+	retryAfter := clock.Millis(0)
+	if status == http.StatusServiceUnavailable {
+		retryAfter = retryBuffers
+	}
+	exchange.closeAfterResponse = true
+	exchange.Reject(status, retryAfter)
+	c.discardRemaining(limits)
+}
+
 // readRequest reads one request with its body. If the request is invalid, exceeds the
 // limits or arrives too slowly, status is the HTTP status of the rejection; otherwise
 // status is 0.
-func (c *serverConn) readRequest(limits Limits) (request *http.Request, body []byte, status int) {
+func (c *serverConn) readRequest(limits Limits, account *buffers.Account) (request *http.Request, body []byte, status int) {
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout.Duration()))
 	c.input.remaining, c.input.enabled = limits.MaxHeaderBytes+readBufferSize, true
 	request, err := http.ReadRequest(c.reader)
@@ -347,16 +395,25 @@
 		return request, nil, 0
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err = io.ReadAll(io.LimitReader(request.Body, limits.MaxBodyBytes+1))
-	switch {
-	case err != nil:
-		return nil, nil, http.StatusBadRequest
-	case int64(len(body)) > limits.MaxBodyBytes:
-		return nil, nil, http.StatusRequestEntityTooLarge
+	body, err = account.ReadAll(request.Body, request.ContentLength, limits.MaxBodyBytes)
+	if err != nil {
+		return nil, nil, bodyRejectionStatus(err)
 	}
 	return request, body, 0
 }
 
+// bodyRejectionStatus returns the status for a body that cannot be read.
+func bodyRejectionStatus(err error) int {
+	switch {
+	case errors.Is(err, buffers.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, buffers.ErrExhausted):
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusBadRequest
+	}
+}
+
 func rejectionStatus(err error) int {
 	var timeout net.Error
 	switch {
@@ -370,12 +427,12 @@
 }
 
 // discardRemaining reads and discards the rest of a rejected request, for up to
-// lingerTimeout and 64 KiB. Closing the connection with unread bytes would reset it, and
-// the caller could lose the response.
-func (c *serverConn) discardRemaining() {
+// discardTimeout and the size of the largest body. Closing the connection with unread bytes
+// would reset it, and the caller could lose the response.
+func (c *serverConn) discardRemaining(limits Limits) {
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.conn, readBufferSize<<4))
+	_ = c.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.conn, limits.MaxBodyBytes+readBufferSize))
 }
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -23,6 +23,8 @@
 const (
 	gatewayCount = 4
 	graceSeconds = 6
+	// gatewayMemoryMB is the memory of the smallest VM.
+	gatewayMemoryMB = 112
 	// restartTimeout bounds the time until a gateway is ready after its start.
 	restartTimeout = 10 * time.Second
 	// runtimeStart is the time after which a process has asked for its signals.
@@ -79,7 +81,7 @@
 cpu_share = 0.8
 cores = 1
 link_mbps = 600.0
-memory_mb = 256
+memory_mb = %d
 [bounds]
 drain_ms = 2000
 grace_s = %d
@@ -92,7 +94,7 @@
 parts = 4
 record_bytes = 262144
 call_bytes = 2097152
-`, p.name, []string{"a", "b"}[index%2], p.front, p.ready, standin.FreeAddress(), graceSeconds, p.store.address())
+`, p.name, []string{"a", "b"}[index%2], p.front, p.ready, standin.FreeAddress(), gatewayMemoryMB, graceSeconds, p.store.address())
 	gomega.Expect(os.WriteFile(p.settings, []byte(p.text), 0o600)).To(gomega.Succeed())
 	p.log, err = os.Create(filepath.Join(folder, p.name+".log"))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/pkg/chain/chain_test.go
+++ b/pkg/chain/chain_test.go
@@ -1,6 +1,7 @@
 package chain_test
 
 import (
+	"bytes"
 	"reflect"
 	"testing"
 
@@ -21,6 +22,9 @@
 	ginkgo.RunSpecs(t, "chain")
 }
 
+// maxIndexBytes is more than the turns of a spec have.
+const maxIndexBytes = 1 << 20
+
 func newTurn(id string, history ...string) *chain.Turn {
 	return &chain.Turn{
 		ID: id, Account: "weavers", History: history, Input: []byte("in " + id + "\n"), Output: []byte("out " + id + "\n"),
@@ -30,20 +34,20 @@
 
 var _ = ginkgo.Describe("Index", func() {
 	ginkgo.It("returns the history of a turn, oldest first", func() {
-		index := chain.NewIndex()
+		index := chain.NewIndex(maxIndexBytes)
 		for _, t := range []*chain.Turn{newTurn("a"), newTurn("b", "a"), newTurn("c", "a", "b"), newTurn("x")} {
 			index.Add(0, t)
 		}
 		history, missing := index.History("c")
 		gomega.Expect(missing).To(gomega.BeEmpty())
-		gomega.Expect(string(chain.Prompt(history, []byte("next")))).To(gomega.Equal(
+		gomega.Expect(string(bytes.Join(chain.Prompt(history, []byte("next")), nil))).To(gomega.Equal(
 			"in a\nout a\nin b\nout b\nin c\nout c\nnext"))
 	})
 
 	// Guards against a prompt that lacks one of the earlier turns and thus
 	// misrepresents the conversation.
 	ginkgo.It("reports the turns that are missing", func() {
-		index := chain.NewIndex()
+		index := chain.NewIndex(maxIndexBytes)
 		index.Add(0, newTurn("c", "a", "b"))
 		index.Add(0, newTurn("a"))
 		_, missing := index.History("c")
@@ -53,7 +57,7 @@
 	})
 
 	ginkgo.It("keeps the first copy of a turn", func() {
-		index := chain.NewIndex()
+		index := chain.NewIndex(maxIndexBytes)
 		index.Add(0, newTurn("a"))
 		other := newTurn("a")
 		other.Output = []byte("forged")
@@ -63,7 +67,7 @@
 	})
 
 	ginkgo.It("keeps a turn for its retention and drops it afterwards", func() {
-		index := chain.NewIndex()
+		index := chain.NewIndex(maxIndexBytes)
 		index.Add(0, newTurn("a"))
 		index.Expire(clock.Minute)
 		_, missing := index.History("a")
@@ -79,7 +83,7 @@
 	// Guards against the loss of a chain whose first turn is older than its retention.
 	ginkgo.It("keeps a turn for as long as a later turn that continues it", func() {
 		const pause = 40 * clock.Second
-		index := chain.NewIndex()
+		index := chain.NewIndex(maxIndexBytes)
 		index.Add(0, newTurn("a"))
 		index.Add(0, newTurn("unrelated"))
 		index.Add(pause, newTurn("b", "a"))
@@ -94,8 +98,20 @@
 		gomega.Expect(index.Bytes()).To(gomega.BeZero())
 	})
 
+	// Guards against an index whose turns take all memory of the process.
+	ginkgo.It("removes the oldest turns beyond its bound", func() {
+		a, b, c := newTurn("a"), newTurn("b"), newTurn("c")
+		index := chain.NewIndex(a.TextBytes() + b.TextBytes())
+		for _, turn := range []*chain.Turn{a, b, c} {
+			index.Add(0, turn)
+		}
+		gomega.Expect(index.Turns([]string{"a", "b", "c"})).To(gomega.Equal([]*chain.Turn{b, c}))
+		index.Expire(2 * clock.Minute)
+		gomega.Expect(index.Bytes()).To(gomega.BeZero())
+	})
+
 	ginkgo.It("replaces a turn by a copy that was written later", func() {
-		index := chain.NewIndex()
+		index := chain.NewIndex(maxIndexBytes)
 		index.Add(0, newTurn("a"))
 		copied := newTurn("a")
 		copied.WrittenAt = 5
--- a/pkg/chain/index.go
+++ b/pkg/chain/index.go
@@ -18,8 +18,9 @@
 	// expiries contains a time for each turn at which Expire examines it, in the order
 	// in which they were added.
 	expiries []expiry
-	// totalBytes is the sum of Turn.TextBytes over all turns.
-	totalBytes int64
+	// totalBytes is the sum of Turn.TextBytes over all turns. It exceeds maxBytes only by
+	// the turn that was added last.
+	totalBytes, maxBytes int64
 }
 
 // entry is a turn in an index.
@@ -36,13 +37,16 @@
 	at clock.Millis
 }
 
-// NewIndex returns an empty index.
-func NewIndex() *Index { return &Index{entries: map[string]*entry{}} }
+// NewIndex returns an empty index for turns of maxBytes altogether.
+func NewIndex(maxBytes int64) *Index {
+	return &Index{entries: map[string]*entry{}, maxBytes: maxBytes}
+}
 
 // Add adds a turn, and retains those earlier turns of its history that are in the index
 // for as long as this one. If the index already contains a turn with this ID, Add only
 // replaces it by one that was written later, since a turn does not change after its end.
-// The caller must not change the turn afterwards.
+// If the turns exceed the bound of the index, Add removes those that have been in it for
+// longest. The caller must not change the turn afterwards.
 func (x *Index) Add(now clock.Millis, turn *Turn) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -62,6 +66,17 @@
 		x.totalBytes += turn.TextBytes() - known.turn.TextBytes()
 		known.turn = turn
 	}
+	for x.totalBytes > x.maxBytes && len(x.expiries) > 1 {
+		x.removeFirstLocked()
+	}
+}
+
+// removeFirstLocked removes the turn that Expire examines next. The caller holds mu.
+func (x *Index) removeFirstLocked() {
+	id := x.expiries[0].id
+	x.expiries = x.expiries[1:]
+	x.totalBytes -= x.entries[id].turn.TextBytes()
+	delete(x.entries, id)
 }
 
 // TextBytes returns the size of the input and the output, in bytes.
@@ -110,14 +125,11 @@
 	defer x.mu.Unlock()
 	for len(x.expiries) > 0 && x.expiries[0].at <= now {
 		id := x.expiries[0].id
-		x.expiries = x.expiries[1:]
-		known := x.entries[id]
-		if known.keepUntil > now {
-			x.expiries = append(x.expiries, expiry{id: id, at: known.keepUntil})
+		if keepUntil := x.entries[id].keepUntil; keepUntil > now {
+			x.expiries = append(x.expiries[1:], expiry{id: id, at: keepUntil})
 			continue
 		}
-		delete(x.entries, id)
-		x.totalBytes -= known.turn.TextBytes()
+		x.removeFirstLocked()
 	}
 }
 
--- a/pkg/chain/prompt.go
+++ b/pkg/chain/prompt.go
@@ -1,16 +1,10 @@
 package chain
 
-// Prompt returns the prompt of a turn: the input and the output of each turn of
-// history, in order, followed by input.
-func Prompt(history []*Turn, input []byte) []byte {
-	size := len(input)
+// Prompt returns the parts of the prompt of a turn: the input and the output of each turn
+// of history, in order, followed by input. The parts are shared with the turns.
+func Prompt(history []*Turn, input []byte) (parts [][]byte) {
 	for _, turn := range history {
-		size += len(turn.Input) + len(turn.Output)
+		parts = append(parts, turn.Input, turn.Output)
 	}
-	prompt := make([]byte, 0, size)
-	for _, turn := range history {
-		prompt = append(prompt, turn.Input...)
-		prompt = append(prompt, turn.Output...)
-	}
-	return append(prompt, input...)
+	return append(parts, input)
 }
