End the requests of a gateway before its stop does

A request that came late in a planned stop was passed on and cut without an answer at the end of the grace, also one that must not be repeated.

Cause: the stop bounded when connections are accepted, not when a request is passed on. A body could arrive up to 10 s after its head, a request could last longer than the grace, and with a grace of less than 3 s requests were taken until the end.

Change: a request that is complete after the time for which requests are taken (3 s, or 0.4 of the grace if that is less) gets 503, not run. Requests that still run 0.5 s before the end get 504, which promises nothing.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,11 @@
 	// stopping is set when a shutdown starts.
 	seeds    atomic.Pointer[[]string]
 	stopping atomic.Bool
+	// refusing is set when a shutdown no longer takes requests. requestsEnd ends, by
+	// endRequests, shortly before the end of a shutdown; requests that still run end then.
+	refusing    atomic.Bool
+	requestsEnd context.Context
+	endRequests context.CancelFunc
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -94,10 +99,12 @@
 	// roundsPerTotals is the number of maintenance rounds after which a log line with
 	// all counters is written.
 	roundsPerTotals = 5
-	// drainDuration is the time for which a gateway still accepts requests after its
+	// maxDrainDuration is the time for which a gateway still accepts requests after its
 	// shutdown has started. The balancer checks readiness once a second and removes a
-	// process after two failed checks, so this time is sufficient.
-	drainDuration = 3 * time.Second
+	// process after two failed checks, so this time is sufficient. drainShare bounds it to
+	// a share of GatewaySettings.StopWithin, so that the last requests can end.
+	maxDrainDuration = 3 * clock.Second
+	drainShare       = 0.4
 	// notReadyAfter is how long all calls to the store must have failed before a
 	// gateway is not ready. It is well above the duration of one call that times out.
 	notReadyAfter = 1200 * clock.Millis(1)
@@ -107,6 +114,9 @@
 	// shutdownMargin is the part of GatewaySettings.StopWithin that a shutdown does not
 	// use, so that the process ends before SIGKILL.
 	shutdownMargin = 300 * clock.Millis(1)
+	// answerMargin is the time before the end of a shutdown at which the requests that
+	// still run are answered without a result.
+	answerMargin = 200 * clock.Millis(1)
 )
 
 // New starts a gateway. It returns when the listeners are open; the gateway is not
@@ -119,6 +129,7 @@
 		endpointTable: endpoints.NewTable(settings.FailureDomain), cancel: cancel, peerPicker: newPeerPicker(systemClock),
 		health: newStoreHealth(systemClock, t.Logger("store")),
 	}
+	g.requestsEnd, g.endRequests = context.WithCancel(context.Background())
 	g.startup = make(chan struct{})
 	g.endStartup = sync.OnceFunc(func() { close(g.startup) })
 	time.AfterFunc(startupWait.Duration(), g.endStartup)
@@ -338,11 +349,15 @@
 
 // Shutdown stops the gateway within GatewaySettings.StopWithin. The gateway is not
 // ready from the start, accepts requests for another drainDuration, and then waits for
-// the requests in flight. Afterwards it returns the idle budget grants.
+// the requests in flight. Requests that last longer are answered without a result.
+// Afterwards it returns the idle budget grants.
 func (g *Gateway) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrap(err, "stop gateway") }()
-	ctx, cancel := context.WithTimeout(ctx, (g.settings.StopWithin - shutdownMargin).Duration())
+	stopTime := g.settings.StopWithin - shutdownMargin
+	ctx, cancel := context.WithTimeout(ctx, stopTime.Duration())
 	defer cancel()
+	endTimer := time.AfterFunc((stopTime - answerMargin).Duration(), g.endRequests)
+	defer endTimer.Stop()
 	g.stopping.Store(true)
 	g.server.Drain()
 	handoverCtx, cancelHandover := context.WithCancel(ctx)
@@ -352,7 +367,8 @@
 		defer g.wg.Done()
 		g.announceLeaving(handoverCtx)
 	}()
-	clock.Pause(ctx, clock.FromDuration(drainDuration))
+	clock.Pause(ctx, g.drainDuration())
+	g.refusing.Store(true)
 	g.server.Stop(ctx)
 	cancelHandover()
 	g.budgets.flush(ctx)
@@ -363,6 +379,11 @@
 	return g.readyServer.stop()
 }
 
+// drainDuration returns the time for which a shutdown still takes requests.
+func (g *Gateway) drainDuration() clock.Millis {
+	return min(maxDrainDuration, clock.Millis(drainShare*float64(g.settings.StopWithin)))
+}
+
 // Kill stops the gateway at once. It does not wait for requests, hands nothing over and
 // returns no grants.
 func (g *Gateway) Kill() {
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -73,13 +73,20 @@
 func (g *Gateway) handle(ctx context.Context, exchange *httpconn.Exchange) {
 	r := &request{gateway: g, exchange: exchange, tried: map[spool.EndpointID]bool{}}
 	defer r.recoverPanic()
+	if g.refusing.Load() {
+		r.reject(refusalFor(reasonStopping))
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(g.requestsEnd, cancel)()
 	g.awaitStartup(ctx)
 	if reason := r.resolve(); reason != "" {
 		r.reject(refusalFor(reason))
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, (r.deadline - g.clock.Now()).Duration())
-	defer cancel()
+	ctx, cancelTimeout := context.WithTimeout(ctx, (r.deadline - g.clock.Now()).Duration())
+	defer cancelTimeout()
 	class := r.limitClass()
 	if class == limit.ClassStart && !g.loads.isOpen() && r.startsProgram(ctx) && !g.loads.admit(r.priority) {
 		r.reject(refusalFor(reasonOverloaded))
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -28,6 +28,7 @@
 	reasonTimeout         spool.Code = "timeout"
 	reasonInternal        spool.Code = "internal"
 	reasonBuffersFull     spool.Code = "buffersFull"
+	reasonStopping        spool.Code = "stopping"
 	reasonPromptTooLarge  spool.Code = "promptTooLarge"
 )
 
@@ -45,6 +46,8 @@
 	retryOverload = 500 * clock.Millis(1)
 	// retryBuffers is for a gateway whose buffers are all in use.
 	retryBuffers = 500 * clock.Millis(1)
+	// retryStopping is for a gateway that is shutting down. Another one takes the request.
+	retryStopping = 50 * clock.Millis(1)
 	// retryFull is for a service whose endpoints were full in every round of a request.
 	retryFull = 150 * clock.Millis(1)
 )
@@ -78,6 +81,7 @@
 	reasonTimeout:         {status: http.StatusGatewayTimeout},
 	reasonInternal:        {status: http.StatusBadGateway},
 	reasonBuffersFull:     {status: http.StatusServiceUnavailable, retryAfter: retryBuffers},
+	reasonStopping:        {status: http.StatusServiceUnavailable, retryAfter: retryStopping},
 	reasonPromptTooLarge:  {status: http.StatusRequestEntityTooLarge},
 }
 
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -56,6 +56,8 @@
 	clock clock.Clock
 	// logRetention is the retention of the store that they are told; 0 for none.
 	logRetention clock.Millis
+	// stopWithin is the time in which they stop.
+	stopWithin clock.Millis
 }
 
 // node is one gateway and the listener of the store stand-in that only this gateway
@@ -69,7 +71,7 @@
 }
 
 func newDeployment() *deployment {
-	d := &deployment{topics: standin.NewTopics(), version: 1, codec: platform.Codec{}, clock: clock.System()}
+	d := &deployment{topics: standin.NewTopics(), version: 1, codec: platform.Codec{}, clock: clock.System(), stopWithin: 4 * clock.Second}
 	d.config = map[string]any{
 		"routes": []map[string]any{
 			{"name": "chat", "host": testHost, "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 3000, "service": "models", "attempts": 1, "keeps_history": true, "retention_s": 60},
@@ -119,7 +121,7 @@
 	n := &node{storeServer: storeServer, codec: d.codec, clock: d.clock, settings: spool.GatewaySettings{
 		Node: spool.NodeID(name), FailureDomain: "a", Region: "r", Listen: standin.FreeAddress(), ReadyListen: standin.FreeAddress(),
 		ControlListen: standin.FreeAddress(), StoreAddress: storeServer.Address(), Partitions: testPartitions, MaxAppendBytes: 1 << 20, LogRetention: d.logRetention,
-		StopWithin: 4 * clock.Second, FirstStart: true,
+		StopWithin: d.stopWithin, FirstStart: true,
 		LimitTolerance: spool.LimitTolerance{Window: 5 * clock.Second, Over: 0.1, Slack: 20},
 	}}
 	n.launch()
