Check the ranges of what an endpoint record says

None of 20 odd entries ended a gateway or its reading of the list.

Cause: the record was checked for its form, not for its range.

A refused record drops the endpoint until its next one ("It names no server to use; the others hold"). A record of an earlier start does not replace one of a later.

FuzzDecodeEndpoint: 6 s without a finding.

--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -280,6 +281,10 @@
 	return s.confirmedAt, s.hasRead
 }
 
+// maxClockDifference bounds how far the clock of an endpoint may be ahead of that of this
+// VM. It is long, because a clock that is wrong by hours must not end all service.
+const maxClockDifference = 24 * 60 * clock.Minute
+
 // endpointSink applies the records of the endpoint topic to the endpoint table.
 type endpointSink struct {
 	gateway *Gateway
@@ -318,9 +323,11 @@
 		s.gateway.endpointTable.Drop(now, spool.EndpointID(record.Key))
 		return
 	}
-	endpoint, err := s.gateway.codec.DecodeEndpoint(record.Key, record.Value)
+	endpoint, err := s.decode(now, record)
 	if err != nil {
-		s.log.Warn("malformed endpoint record was ignored", zap.Error(err))
+		// The record takes the place of earlier ones and names no endpoint.
+		s.log.Warn("malformed endpoint record, the endpoint is not used", zap.Error(err))
+		s.gateway.endpointTable.Drop(now, spool.EndpointID(record.Key))
 		return
 	}
 	if s.gateway.endpointTable.Put(now, endpoint) {
@@ -329,4 +336,14 @@
 	}
 }
 
+// decode decodes a record. It fails if the endpoint claims to have started in the future,
+// since its later records would be taken for earlier ones.
+func (s *endpointSink) decode(now clock.Millis, record spool.KeyedRecord) (endpoint spool.EndpointRecord, err error) {
+	endpoint, err = s.gateway.codec.DecodeEndpoint(record.Key, record.Value)
+	if err == nil && endpoint.StartedAt > now+maxClockDifference {
+		err = errors.Errorf("endpoint %q starts %d ms in the future", record.Key, endpoint.StartedAt-now)
+	}
+	return endpoint, err
+}
+
 func (s *endpointSink) confirm(clock.Millis) { s.updateStoreState() }
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -110,8 +110,8 @@
 }
 
 // Put adds or updates an endpoint from its record. A record of another instance
-// replaces the known one. A record of the same instance is ignored if its Sequence
-// is lower than the known one. changed is true if the endpoint or the instance is
+// replaces the known one, unless it has started earlier. A record of the same instance
+// is ignored if its Sequence is lower than the known one. changed is true if the endpoint or the instance is
 // new, if its draining state has changed, or if it had been marked for removal.
 func (t *Table) Put(now clock.Millis, record spool.EndpointRecord) (changed bool) {
 	t.mu.Lock()
@@ -128,6 +128,9 @@
 		return changed
 	}
 	if known != nil {
+		if record.StartedAt != 0 && record.StartedAt < known.record.StartedAt {
+			return false
+		}
 		t.remove(known)
 	}
 	endpoint := &Endpoint{id: record.ID, address: record.Address, domain: record.FailureDomain, record: record}
