Send no more requests to an endpoint whose answer says that it leaves

Gateways ignored the header.

Change: the header in any answer (success, refusal, failure, interim, a late copy) marks that start of the endpoint. Picking, affinity and repeats respect the mark; records do not undo it, also when one disappears and comes back; a record of a later start does. An answer of another instance at the address marks nothing. While no other endpoint is left, the leaving one gets requests for half of drain_ms, since it still serves. Gateways do not tell each other: the rule counts per machine, and each one hears it with its first answer. Connection: close alone changes nothing beyond the connection; servers send it at other times as well. The header goes on to the caller.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -204,6 +204,7 @@
 			attempt := g.codec.DecodeResponse(0, header).Attempt
 			return attempt == "" || attempt == r.call.Attempt
 		},
+		OnHead: func(status int, header http.Header) { r.observeHead(endpoint, g.codec.DecodeResponse(status, header)) },
 	}
 	sentAt := g.clock.Now()
 	response, err := g.client.Do(ctx, call)
@@ -221,6 +222,18 @@
 	return result
 }
 
+// observeHead records what any answer of an endpoint says about the endpoint itself. An
+// answer of another instance at the same address says nothing about it.
+func (r *request) observeHead(endpoint *endpoints.Endpoint, answer spool.EndpointAnswer) {
+	if !answer.Leaving || answer.Misdirected || answer.Instance != "" && answer.Instance != endpoint.ID() {
+		return
+	}
+	if r.gateway.endpointTable.MarkLeaving(r.gateway.clock.Now(), endpoint) {
+		r.gateway.telemetry.CountEvent("endpointLeaving")
+		r.gateway.log.Info("endpoint says that it leaves", zap.String("endpoint", string(endpoint.ID())), zap.String("request", r.call.Attempt))
+	}
+}
+
 // recordLoad updates the load of a plain service from the outcome of a call. Calls that
 // stream are ignored, because their duration depends on the length of the stream.
 func (r *request) recordLoad(outcome endpoints.Outcome, sentAt clock.Millis) {
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -58,6 +58,8 @@
 	logRetention clock.Millis
 	// stopWithin is the time in which they stop.
 	stopWithin clock.Millis
+	// drainWithin is the time after which endpoints that leave must get no requests.
+	drainWithin clock.Millis
 }
 
 // node is one gateway and the listener of the store stand-in that only this gateway
@@ -121,7 +123,7 @@
 	n := &node{storeServer: storeServer, codec: d.codec, clock: d.clock, settings: spool.GatewaySettings{
 		Node: spool.NodeID(name), FailureDomain: "a", Region: "r", Listen: standin.FreeAddress(), ReadyListen: standin.FreeAddress(),
 		ControlListen: standin.FreeAddress(), StoreAddress: storeServer.Address(), Partitions: testPartitions, MaxAppendBytes: 1 << 20, LogRetention: d.logRetention,
-		StopWithin: d.stopWithin, FirstStart: true,
+		StopWithin: d.stopWithin, DrainWithin: d.drainWithin, FirstStart: true,
 		LimitTolerance: spool.LimitTolerance{Window: 5 * clock.Second, Over: 0.1, Slack: 20},
 	}}
 	n.launch()
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -127,6 +127,9 @@
 	// request. Other responses are read and discarded. If AcceptResponse is nil, every
 	// response is accepted.
 	AcceptResponse func(header http.Header) bool
+	// OnHead, unless nil, receives the status and the header of each response that arrives:
+	// interim ones and those that AcceptResponse rejects, too.
+	OnHead func(status int, header http.Header)
 	// NewConnection makes Do open a new connection instead of reusing an idle one.
 	NewConnection bool
 }
@@ -205,6 +208,9 @@
 		case err != nil:
 			return nil, err
 		}
+		if call.OnHead != nil {
+			call.OnHead(response.StatusCode, response.Header)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -34,6 +34,8 @@
 	// failedWrites counts the streamed responses that ended because an event could not
 	// be written.
 	failedWrites int
+	// isLeaving makes each answer say that the endpoint leaves.
+	isLeaving bool
 }
 
 // NewUpstream starts an endpoint with the given identifier on a free loopback port.
@@ -124,8 +126,21 @@
 // writeHead writes the status line and the headers of a response. more contains
 // further header lines and may contain the body.
 func (u *Upstream) writeHead(conn io.Writer, request UpstreamRequest, status int, more string) {
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\n%s",
-		status, http.StatusText(status), request.Attempt(), u.id, more)
+	u.mu.Lock()
+	leaving := ""
+	if u.isLeaving {
+		leaving = "Server-Leaving: 1\r\n"
+	}
+	u.mu.Unlock()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\n%s%s",
+		status, http.StatusText(status), request.Attempt(), u.id, leaving, more)
+}
+
+// SetLeaving sets whether each answer says that the endpoint leaves.
+func (u *Upstream) SetLeaving(leaving bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.isLeaving = leaving
 }
 
 // AnswerComplete responds with status 200, a seal and a complete body. The connection
--- a/pkg/endpoints/endpoints_test.go
+++ b/pkg/endpoints/endpoints_test.go
@@ -184,3 +184,47 @@
 		}
 	})
 }
+
+var _ = ginkgo.Describe("An endpoint that says that it leaves", func() {
+	const drainWithin = 2 * clock.Second
+	newLeaving := func(options ...endpoints.Option) (t *endpoints.Table, other spool.EndpointRecord) {
+		t = endpoints.NewTable("home", options...)
+		t.Put(0, newRecord("h1", "home"))
+		leaving := t.Pick(0, wantModels)
+		gomega.Expect(t.MarkLeaving(100, leaving)).To(gomega.BeTrue())
+		gomega.Expect(t.MarkLeaving(100, leaving)).To(gomega.BeFalse())
+		return t, newRecord("f1", "far")
+	}
+
+	// Guards against requests to an endpoint that has said that it leaves while its record
+	// still says that it is ready, or comes back after it had disappeared.
+	ginkgo.It("gets no requests until a later start, whatever its records say", func() {
+		t, _ := newLeaving()
+		gomega.Expect(t.Pick(100, wantModels)).To(gomega.BeNil())
+		gomega.Expect(t.Count("models")).To(gomega.BeZero())
+		ready := newRecord("h1", "home")
+		ready.Sequence = 9
+		t.Put(200, ready)
+		gomega.Expect(t.Pick(200, wantModels)).To(gomega.BeNil())
+		t.Drop(300, "h1")
+		t.Put(400, ready)
+		gomega.Expect(t.Pick(400, wantModels)).To(gomega.BeNil())
+		restarted := newRecord("h1", "home")
+		restarted.StartedAt = 2
+		t.Put(500, restarted)
+		gomega.Expect(t.Pick(500, wantModels)).NotTo(gomega.BeNil())
+	})
+
+	ginkgo.It("gets requests for half of its time if there is no other", func() {
+		t, other := newLeaving(endpoints.WithDrainWithin(drainWithin))
+		gomega.Expect(t.Pick(101, wantModels).ID()).To(gomega.Equal(spool.EndpointID("h1")))
+		gomega.Expect(t.Pick(100+drainWithin/2, wantModels)).To(gomega.BeNil())
+		t.Put(101, other)
+		for _, key := range []string{"", "program"} {
+			for range 20 {
+				want := endpoints.PickRequest{Service: "models", AffinityKey: key}
+				gomega.Expect(t.Pick(101, want).ID()).To(gomega.Equal(spool.EndpointID("f1")))
+			}
+		}
+	})
+})
--- a/pkg/endpoints/pick.go
+++ b/pkg/endpoints/pick.go
@@ -21,6 +21,8 @@
 	// fullCost is added for fullDuration after an endpoint has refused a request
 	// because it had no capacity.
 	fullCost = 2.0
+	// leavingCost is added for an endpoint that leaves. Each other one goes before it.
+	leavingCost = 100.0
 	// backoffCost is added for an endpoint in backoff after a failure. It is so
 	// high that such an endpoint is picked only if no other one is left.
 	backoffCost = 10.0
@@ -98,6 +100,9 @@
 	if endpoint.record.Draining || endpoint.isReplaced || t.evacuated[endpoint.record.FailureDomain] || want.Tried[endpoint.record.ID] {
 		return false
 	}
+	if endpoint.leavingSince != 0 && !t.isLastResort(now, endpoint) {
+		return false
+	}
 	if now >= endpoint.coldUntil || want.ColdPerSecond <= 0 {
 		return true
 	}
@@ -106,7 +111,7 @@
 
 // preferred returns the endpoint that affinityGain makes cheaper for a request, or
 // nil if AffinityKey is empty. It is the endpoint with the highest rendezvous score
-// among those that may get the request and are neither in backoff nor cold, first
+// among those that may get the request and are not in backoff, cold or leaving, first
 // among those of the gateway's own failure domain. All gateways of a failure domain
 // thus choose the same endpoint without communication, as long as they agree on the
 // state of the endpoints.
@@ -117,7 +122,7 @@
 	var bestScore uint64
 	preferredIsHome := false
 	for _, endpoint := range t.byService[want.Service] {
-		if !t.canServe(now, endpoint, want) || now < endpoint.backoffUntil || now < endpoint.coldUntil {
+		if !t.canServe(now, endpoint, want) || now < endpoint.backoffUntil || now < endpoint.coldUntil || endpoint.leavingSince != 0 {
 			continue
 		}
 		isHome := endpoint.record.FailureDomain == t.homeDomain
@@ -143,6 +148,9 @@
 	if now < endpoint.coldUntil {
 		cost += coldCost
 	}
+	if endpoint.leavingSince != 0 {
+		cost += leavingCost
+	}
 	hash := xxhash.Sum64String(want.Salt + "\x00" + string(endpoint.record.ID))
 	return cost + tieBreakCost*float64(hash%1024)/1024
 }
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -54,6 +54,9 @@
 	// of the store.
 	removeAt     clock.Millis
 	coldRequests coldWindow
+	// leavingSince is when an answer of this instance first said that it leaves; 0 if none
+	// did. Records of the same instance do not change it.
+	leavingSince clock.Millis
 }
 
 // ID returns the ID of the endpoint, which is the same for all its instances.
@@ -81,16 +84,35 @@
 	// gatewayCount is the number of gateways, at least 1. Each may send an equal
 	// part of the request rate of a cold endpoint.
 	gatewayCount int
+	// departures contains the instances that said that they leave, also those whose records
+	// have disappeared: a record may come back.
+	departures map[spool.EndpointID]departure
+	// drainWithin is the time after which an instance that leaves must get no requests; 0
+	// if it must get none from the start.
+	drainWithin clock.Millis
+}
+
+// Option changes a Table during NewTable.
+type Option func(*Table)
+
+// WithDrainWithin sets the time after which an endpoint that leaves must get no requests.
+// Within half of that time, it gets those for which there is no other endpoint.
+func WithDrainWithin(duration clock.Millis) Option {
+	return func(t *Table) { t.drainWithin = duration }
 }
 
 // NewTable returns an empty table for a gateway that runs in the failure domain
 // home.
-func NewTable(home spool.FailureDomain) *Table {
-	return &Table{
+func NewTable(home spool.FailureDomain, options ...Option) *Table {
+	t := &Table{
 		byID: map[spool.EndpointID]*Endpoint{}, byService: map[spool.ServiceName][]*Endpoint{},
 		evacuated: map[spool.FailureDomain]bool{}, homeDomain: home, gatewayCount: 1,
-		storeRecoveredAt: -recordGrace,
+		storeRecoveredAt: -recordGrace, departures: map[spool.EndpointID]departure{},
+	}
+	for _, option := range options {
+		option(t)
 	}
+	return t
 }
 
 // SetGatewayCount sets the number of gateways, this one included, that share the
@@ -135,6 +157,7 @@
 	}
 	endpoint := &Endpoint{id: record.ID, address: record.Address, domain: record.FailureDomain, record: record}
 	endpoint.extendCold(now, record.ColdFor)
+	endpoint.leavingSince = t.departureOf(record)
 	t.byID[record.ID] = endpoint
 	t.byService[record.Service] = append(t.byService[record.Service], endpoint)
 	return true
@@ -219,14 +242,14 @@
 	}
 }
 
-// Count returns the number of endpoints of a service that are neither draining nor
+// Count returns the number of endpoints of a service that are neither draining, leaving nor
 // in an evacuated failure domain. It includes those that are cold, full, in backoff
 // or replaced.
 func (t *Table) Count(service spool.ServiceName) (count int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, endpoint := range t.byService[service] {
-		if !endpoint.record.Draining && !t.evacuated[endpoint.record.FailureDomain] {
+		if !endpoint.record.Draining && endpoint.leavingSince == 0 && !t.evacuated[endpoint.record.FailureDomain] {
 			count++
 		}
 	}
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -176,8 +176,11 @@
 	Misdirected bool
 	// ColdFor is the time for which the endpoint remains in cold start; 0 when not given.
 	ColdFor clock.Millis
-	// Leaving reports that the endpoint closes the connection after the answer.
+	// Leaving reports that the endpoint will end soon and must not get new requests.
 	Leaving bool
+	// Instance identifies the incarnation of the endpoint that answered; empty if the
+	// answer does not name it.
+	Instance EndpointID
 }
 
 // ErrBadRecord means that a record on the log cannot be decoded or has invalid
