Do not offer a request again on the connection that has refused it

Cause: an answer is matched by the identifier of the request, which all offers of a request share.

Change: httpconn.Call has an Identity; a connection on which a call was refused is not used for another call of the same identity, only for others.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -199,7 +199,7 @@
 	}
 	call := &httpconn.Call{
 		Address: endpoint.Address(), Method: r.call.Method,
-		Head: g.codec.EncodeRequest(r.exchange.Request(), send), Body: r.body,
+		Head: g.codec.EncodeRequest(r.exchange.Request(), send), Body: r.body, Identity: r.call.Attempt,
 		AcceptResponse: func(header http.Header) bool {
 			attempt := g.codec.DecodeResponse(0, header).Attempt
 			return attempt == "" || attempt == r.call.Attempt
@@ -263,6 +263,7 @@
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	switch {
 	case answer.NotRun:
+		response.MarkRefused()
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
 		response.Close(err == nil)
 		if answer.Misdirected {
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -22,7 +22,7 @@
 		"a refusal": func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
 			return u.AnswerNotExecuted(conn, request)
 		},
-		"a failure": func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
+		"a failure": func(_ *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 500 Error\r\nX-Attempt-Id: %s\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n", request.Attempt())
 			return true
 		},
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -41,6 +41,8 @@
 	// maxIdlePerAddress is the maximum number of idle connections to one address.
 	// Further connections are closed after their response.
 	maxIdlePerAddress = 32
+	// maxRefused is the number of refused calls that a connection remembers.
+	maxRefused = 16
 	// maxInlineWrite is the size in bytes up to which a request is written completely
 	// before the response is read. A larger request is written by another goroutine,
 	// because a peer may respond before it has read the whole request.
@@ -81,6 +83,9 @@
 	input  *headReader
 	// expiresAt is the time after which the idle connection is not reused.
 	expiresAt clock.Millis
+	// refused contains the last identities of calls that were refused on the connection, at
+	// most maxRefused.
+	refused []string
 }
 
 // headReader reads from a connection and bounds how much is read while a head is parsed,
@@ -130,6 +135,10 @@
 	// OnHead, unless nil, receives the status and the header of each response that arrives:
 	// interim ones and those that AcceptResponse rejects, too.
 	OnHead func(status int, header http.Header)
+	// Identity is the same for all calls that offer one request. A connection on which one
+	// of them was refused is not used for another, whose response could not be told from a
+	// late copy of the refusal; see Response.MarkRefused. It may be empty.
+	Identity string
 	// NewConnection makes Do open a new connection instead of reusing an idle one.
 	NewConnection bool
 }
@@ -146,9 +155,10 @@
 // Close.
 type Response struct {
 	*http.Response
-	client  *Client
-	conn    *clientConn
-	address string
+	client *Client
+	conn   *clientConn
+	// address and identity are those of the call.
+	address, identity string
 	// writeResult receives one value when the request has been written: the error of
 	// the write, or nil.
 	writeResult chan error
@@ -174,7 +184,7 @@
 		_ = conn.conn.Close()
 		return nil, errors.Wrap(ErrNoResponse, err.Error())
 	}
-	return &Response{Response: httpResponse, client: c, conn: conn, address: call.Address, writeResult: writeResult, stopWatch: stopWatch}, nil
+	return &Response{Response: httpResponse, client: c, conn: conn, address: call.Address, identity: call.Identity, writeResult: writeResult, stopWatch: stopWatch}, nil
 }
 
 func (c *clientConn) write(call *Call) chan error {
@@ -234,6 +244,18 @@
 	return err
 }
 
+// MarkRefused records that the peer has refused the request, so that another call with the
+// same identity uses another connection. It must be called before Close.
+func (r *Response) MarkRefused() {
+	if r.identity == "" {
+		return
+	}
+	r.conn.refused = append(r.conn.refused, r.identity)
+	if len(r.conn.refused) > maxRefused {
+		r.conn.refused = r.conn.refused[1:]
+	}
+}
+
 // Close releases the response. whole must be true only if the body has been read to the
 // end. The connection is then kept for reuse, unless ctx has ended, the peer closes the
 // connection, the request was not written completely or unexpected data has arrived.
@@ -297,7 +319,7 @@
 
 func (c *Client) acquire(ctx context.Context, call *Call) (*clientConn, error) {
 	for !call.NewConnection {
-		conn := c.popIdle(call.Address)
+		conn := c.popIdle(call)
 		if conn == nil {
 			break
 		}
@@ -317,17 +339,19 @@
 	return &clientConn{conn: conn, input: input, reader: bufio.NewReaderSize(input, readBufferSize)}, nil
 }
 
-func (c *Client) popIdle(address string) *clientConn {
+// popIdle removes the most recently used idle connection on which no call with the same
+// identity was refused, and returns it; nil if there is none.
+func (c *Client) popIdle(call *Call) *clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
+	list := c.idle[call.Address]
+	for i, conn := range slices.Backward(list) {
+		if call.Identity == "" || !slices.Contains(conn.refused, call.Identity) {
+			c.idle[call.Address] = slices.Delete(list, i, i+1)
+			return conn
+		}
 	}
-	last := list[len(list)-1]
-	list[len(list)-1] = nil
-	c.idle[address] = list[:len(list)-1]
-	return last
+	return nil
 }
 
 // CloseIdle closes the idle connections to an address.
