--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -79,7 +79,9 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer context.AfterFunc(g.requestsEnd, cancel)()
+	// The end of a shutdown cancels the requests that still run.
+	stopWatching := context.AfterFunc(g.requestsEnd, cancel)
+	defer stopWatching()
 	g.awaitStartup(ctx)
 	if reason := r.resolve(); reason != "" {
 		r.reject(refusalFor(reason))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -123,7 +123,7 @@
 // it is durable.
 func (r *request) storeTurn(ctx context.Context, output []byte) error {
 	turn := &chain.Turn{
-		ID: r.call.Attempt, Account: r.account, Input: bytes.Clone(r.exchange.Body()), Output: output,
+		ID: r.call.Attempt, Account: r.account, Input: r.exchange.Body(), Output: output,
 		WrittenAt: r.gateway.clock.Now(), Retention: r.route.Retention,
 	}
 	for _, earlier := range r.history {
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -45,7 +45,8 @@
 // Body of the request must not be read.
 func (e *Exchange) Request() *http.Request { return e.request }
 
-// Body returns the complete body of the request.
+// Body returns the complete body of the request. The server does not use its memory for
+// anything else, also after the end of the request.
 func (e *Exchange) Body() []byte { return e.body }
 
 // Buffers returns the account of the request's buffers, which contains its body. The
