--- a/pkg/story/cause.go
+++ b/pkg/story/cause.go
@@ -70,16 +70,28 @@
 	return lost.At, isLost && (!isBack || back.At < lost.At)
 }
 
+// fixedCauses contains the causes of those reasons that say everything by themselves.
+var fixedCauses = map[string]string{
+	"badRequest":      "the request has no identifier",
+	"noConfiguration": "the gateway had just started and had read no configuration",
+	"noTurn":          "every partition of the history was read, and the turn that the request continues is not there",
+	"noEndpoint":      "no endpoint of the service was ready",
+	"endpointsFull":   "every endpoint that was asked had no room, for the time that the request may be offered again",
+	"overloaded":      "the service had a long queue, so that new programs were held back",
+	"mayHaveRun":      "the request was sent, no complete answer came, and it must not be sent again",
+	"timeout":         "the time of the caller or of the route was over",
+	"internal":        "an error in the gateway; the line with noPanic has its stack",
+	"buffersFull":     "the buffers of all requests were in use, and this one needed more than its free part",
+	"stopping":        "the gateway was shutting down and took no requests any more",
+	"promptTooLarge":  "the prompt with its history was larger than a gateway keeps",
+}
+
 func refusalCause(line Line, seen evidence) string {
-	switch line.Text("reason") {
+	switch reason := line.Text("reason"); reason {
 	case "overLimit", "startOverLimit":
 		return limitCause(line, seen)
 	case "storeAway", "budgetUnknown", "turnUncertain":
 		return storeCause(line, seen)
-	case "badRequest":
-		return "the request has no identifier"
-	case "noConfiguration":
-		return "the gateway had just started and had read no configuration"
 	case "noRoute", "unknownKey":
 		if change, ok := seen.last("configuration in force"); ok {
 			return fmt.Sprintf("version %.0f, in force for %.2f s, has no such route or key", change.Number("version"), line.At-change.At)
@@ -87,22 +99,9 @@
 		return "the configuration in force has no such route or key"
 	case "budgetSpent":
 		return budgetCause(int64(line.Number("tokenBudget")), int64(line.Number("mostTokens")))
-	case "noTurn":
-		return "every partition of the history was read, and the turn that the request continues is not there"
-	case "noEndpoint":
-		return "no endpoint of the service was ready"
-	case "endpointsFull":
-		return "every endpoint that was asked had no room, for the time that the request may be offered again"
-	case "overloaded":
-		return "the service had a long queue, so that new programs were held back"
-	case "mayHaveRun":
-		return "the request was sent, no complete answer came, and it must not be sent again"
-	case "timeout":
-		return "the time of the caller or of the route was over"
-	case "internal":
-		return "an error in the gateway; the line with noPanic has its stack"
+	default:
+		return fixedCauses[reason]
 	}
-	return ""
 }
 
 // budgetCause returns why a turn that may generate most tokens was refused within a budget.
