Accept connections of other processes again after an error

Cause: an error of Accept, for example without free descriptors, ended the acceptance of connections from other processes for the rest of the process (read by the review). Change: wire.Server tries again after 5 ms until it is closed; gateways log the error.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,7 +220,9 @@
 	maps.Copy(handlers, g.budgets.handlers())
 	maps.Copy(handlers, g.reserve.handlers())
 	maps.Copy(handlers, g.turns.handlers())
-	g.peerServer, err = wire.Listen(g.settings.ControlListen, handlers, nil)
+	g.peerServer, err = wire.Listen(g.settings.ControlListen, handlers, nil, wire.WithAcceptError(func(err error) {
+		g.log.Warn("connection of another gateway was not accepted", zap.Error(err))
+	}))
 	return err
 }
 
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -93,6 +93,8 @@
 	// drained is closed when inFlight drops to 0. It is created by the first WaitIdle
 	// that has to wait, and nil before that and after it was closed.
 	drained chan struct{}
+	// acceptFailed receives the errors of accepting connections.
+	acceptFailed func(error)
 }
 
 // ServerOption configures a Server.
@@ -104,6 +106,15 @@
 	return func(s *Server) { s.idleTimeout = timeout }
 }
 
+// acceptRetryDelay is the pause after a failure to accept a connection. It gives
+// connections the time to end when the process has no free file descriptors.
+const acceptRetryDelay = 5 * time.Millisecond
+
+// WithAcceptError passes the errors of accepting connections to observe.
+func WithAcceptError(observe func(error)) ServerOption {
+	return func(s *Server) { s.acceptFailed = observe }
+}
+
 // Listen starts a server on address. Port 0 selects a free port. A nil tlsConfig
 // selects plain TCP.
 func Listen(address string, mux Mux, tlsConfig *tls.Config, options ...ServerOption) (server *Server, err error) {
@@ -115,6 +126,11 @@
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
+	return Serve(listener, mux, options...), nil
+}
+
+// Serve starts a server on a listener, which the server closes when it is closed.
+func Serve(listener net.Listener, mux Mux, options ...ServerOption) (server *Server) {
 	ctx, cancel := context.WithCancel(context.Background())
 	server = &Server{
 		listener:    listener,
@@ -123,20 +139,31 @@
 		cancel:      cancel,
 		idleTimeout: defaultServerIdleTimeout,
 		conns:       map[*jsonrpc2.Conn]struct{}{},
+
+		acceptFailed: func(error) {},
 	}
 	for _, option := range options {
 		option(server)
 	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			server.serve(conn, mux)
+	go func() { server.accept(mux) }()
+	return server
+}
+
+// accept accepts connections until the server is closed. Other errors are passed to
+// acceptFailed, and it tries again.
+func (s *Server) accept(mux Mux) {
+	for {
+		conn, err := s.listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			s.acceptFailed(err)
+			time.Sleep(acceptRetryDelay)
+		default:
+			s.serve(conn, mux)
 		}
-	}()
-	return server, nil
+	}
 }
 
 // Address returns the host:port that the server listens on.
