--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -150,7 +150,7 @@
 		return reasonNoRoute
 	}
 	account := r.catalog.AccountOf(call.Key)
-	if account == nil && !r.route.Public {
+	if account == nil && r.catalog.KeysRequired() && !r.route.Public {
 		return reasonUnknownKey
 	}
 	r.priority = r.route.Priority
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -123,6 +123,9 @@
 	Services []Service
 	Accounts []Account
 	Limits   Limits
+	// KeysRequired reports whether a request needs the key of an account, unless its route
+	// is public.
+	KeysRequired bool
 }
 
 // Change is the decoded form of one operator record. At most one field is set; none
@@ -204,6 +207,10 @@
 // Version returns the version number of the configuration.
 func (c *Catalog) Version() int64 { return c.contents.Version }
 
+// KeysRequired reports whether a request needs the key of an account, unless its route is
+// public.
+func (c *Catalog) KeysRequired() bool { return c.contents.KeysRequired }
+
 // Limits returns the bounds of the HTTP requests of callers.
 func (c *Catalog) Limits() Limits { return c.contents.Limits }
 
