Keep the used tokens of a program for longer than the store's records

A program that ran for longer than the store retains records was handed 660 tokens of a budget of 300, with its gateway started again each 200 s.

A gateway that reads a partition of budgets anew finds only the records of the store's retention; the ends of earlier grants were gone. Ruled out: the ledger's own expiry, which is ten minutes after the last record.

Change: with a request for a grant, the home writes those ends of the program's earlier grants again that are older than a quarter of the retention. Programs that are done write nothing.

--- a/internal/gateway/grantlog.go
+++ b/internal/gateway/grantlog.go
@@ -32,6 +32,10 @@
 	grantEndTimeout = 20 * clock.Second
 	// remoteEndTimeout bounds the call that lets a home write the ends of grants.
 	remoteEndTimeout = clock.Second
+	// renewalsPerRetention is how often the end of a grant is written within the time for
+	// which the store retains a record. More than 2, because a gateway that reads the record
+	// anew does not know its age.
+	renewalsPerRetention = 4
 	// ledgerFreshness is the age of the newest read of a partition up to which its home
 	// tells from memory whether a program is known.
 	ledgerFreshness = clock.Second
@@ -104,8 +108,11 @@
 // records.
 type grantLog struct {
 	ctx     context.Context
+	clock   clock.Clock
 	homes   *homeClient
 	ledgers []*budgetLedger
+	// logRetention is how long the store retains a record; 0 if that is not known.
+	logRetention clock.Millis
 
 	mu sync.Mutex
 	// pending holds the requests that this gateway works on as a home, and their results
@@ -122,7 +129,7 @@
 }
 
 func newGrantLog(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, homes *homeClient) *grantLog {
-	l := &grantLog{ctx: ctx, homes: homes, pending: map[string]*pendingGrant{}}
+	l := &grantLog{ctx: ctx, clock: systemClock, homes: homes, logRetention: settings.LogRetention, pending: map[string]*pendingGrant{}}
 	slots := semaphore.NewWeighted(maxBudgetPartitions)
 	for i := range min(settings.Partitions, maxBudgetPartitions) {
 		partition := spool.Partition{Topic: spool.TopicBudgets, Index: i}
@@ -161,7 +168,8 @@
 }
 
 // requestLocally writes a request and applies the partition up to it. It writes nothing
-// if the records that it knows show that the budget does not cover the request.
+// if the records that it knows show that the budget does not cover the request. With the
+// request, it writes the ends of earlier grants again that the store may remove.
 func (l *grantLog) requestLocally(ctx context.Context, record spend.Record) (result grantResult, err error) {
 	ledger := l.ledgerOf(record.Program)
 	if ledger.isSpent(record) {
@@ -172,7 +180,7 @@
 	}
 	ledger.Await(record.Grant)
 	defer ledger.CancelAwait(record.Grant)
-	if _, err := ledger.appender.append(ctx, record.Encode()); err != nil {
+	if err := ledger.appender.appendAll(ctx, append(l.renewals(ledger, record.Program), record.Encode())); err != nil {
 		return grantResult{}, err
 	}
 	isApplied := func() bool {
@@ -192,6 +200,17 @@
 	return grantResult{Granted: granted, Spent: ledger.isSpent(record), OpenGrants: ledger.OpenGrants(record.Program)}, nil
 }
 
+// renewals returns the encoded ends of grants of a program that have to be written again.
+func (l *grantLog) renewals(ledger *budgetLedger, program spool.ProgramID) (records [][]byte) {
+	if l.logRetention <= 0 {
+		return nil
+	}
+	for _, end := range ledger.Renewals(l.clock.Now(), program, l.logRetention/renewalsPerRetention) {
+		records = append(records, end.Encode())
+	}
+	return records
+}
+
 // isSpent reports whether, according to the records read so far, the budget does not
 // cover the tokens that record needs and no gateway holds an open grant. Only the end of
 // an open grant lowers the total of a program, so the result does not change back.
--- a/internal/gateway/retention_test.go
+++ b/internal/gateway/retention_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/baobabspool/baobabspool/internal/standin"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 )
 
@@ -93,3 +95,43 @@
 		sendTurn(n, last)
 	})
 })
+
+var _ = ginkgo.Describe("A program that runs for longer than the store retains records", func() {
+	// Guards against tokens that are handed out twice, because a gateway that reads the
+	// records of a budget anew finds only the newest ones.
+	ginkgo.It("gets no more than its budget, also if its gateway starts again", func() {
+		const (
+			logRetention             = 150 * clock.Second
+			pause                    = 40 * clock.Second
+			budget, turnMost, rounds = 300, 20, 40
+			roundsPerStart           = 5
+		)
+		d := newDeployment()
+		skipper := &skippingClock{system: clock.System()}
+		d.clock, d.logRetention = skipper, logRetention
+		d.topics.SetRetention(logRetention, skipper)
+		d.publish()
+		d.addEndpoint("m1", "models", streamTwoEvents)
+		n := d.startGateway("g1")
+		handed, served := 0, 0
+		for round := range rounds {
+			if round%roundsPerStart == 0 {
+				n.kill()
+				n.launch()
+			}
+			n.waitUntilServed("/review/warm", "key-1")
+			r, _ := n.call("POST", "/review/", "key-1", "x", func(caller *standin.CallerRequest, _ http.Header) {
+				caller.Program, caller.TokenBudget, caller.MaxTokens = "long", budget, turnMost
+			})
+			handed += 10 * strings.Count(r.body, "data: ")
+			if r.status == http.StatusOK {
+				served++
+			}
+			// The gateway returns what the turn has not used.
+			time.Sleep(time.Second)
+			skipper.skip(pause)
+		}
+		gomega.Expect(served*int(pause)).To(gomega.BeNumerically(">", int(logRetention)), "the program outlives its first records")
+		gomega.Expect(handed).To(gomega.BeNumerically("<=", budget+turnMost))
+	})
+})
--- a/pkg/spend/ledger.go
+++ b/pkg/spend/ledger.go
@@ -23,6 +23,8 @@
 	grants map[string]int64
 	// openGrants contains the grants that are larger than 0 and have no end record.
 	openGrants map[string]bool
+	// endedAt contains, by grant, when its newest end record was applied.
+	endedAt map[string]clock.Millis
 	// total is the sum of the values of grants, in tokens.
 	total        int64
 	lastRecordAt clock.Millis
@@ -90,7 +92,7 @@
 func (l *Ledger) applyRecord(now clock.Millis, record Record) {
 	p := l.programs[record.Program]
 	if p == nil {
-		p = &programSpending{grants: map[string]int64{}, openGrants: map[string]bool{}}
+		p = &programSpending{grants: map[string]int64{}, openGrants: map[string]bool{}, endedAt: map[string]clock.Millis{}}
 		l.programs[record.Program] = p
 	}
 	p.lastRecordAt = now
@@ -98,6 +100,7 @@
 	if record.End {
 		delete(p.openGrants, record.Grant)
 		p.grants[record.Grant] = record.Used
+		p.endedAt[record.Grant] = now
 		p.total += record.Used - previous
 		return
 	}
@@ -143,6 +146,24 @@
 	return grants
 }
 
+// Renewals returns copies of those end records of a program that were applied more than age
+// ago. Written to the log again, they keep the used tokens charged after the log has
+// removed the first copies.
+func (l *Ledger) Renewals(now clock.Millis, id spool.ProgramID, age clock.Millis) (records []Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.programs[id]
+	if p == nil {
+		return nil
+	}
+	for grant, endedAt := range p.endedAt {
+		if used := p.grants[grant]; used > 0 && now-endedAt > age {
+			records = append(records, Record{Program: id, Grant: grant, End: true, Used: used})
+		}
+	}
+	return records
+}
+
 // Await lets Granted return the size of a grant. Call it before the request for the
 // grant is appended to the log, and CancelAwait when the size is no longer needed.
 func (l *Ledger) Await(grant string) {
--- a/pkg/spend/spend_test.go
+++ b/pkg/spend/spend_test.go
@@ -13,6 +13,28 @@
 	"github.com/baobabspool/baobabspool/pkg/spend"
 )
 
+var _ = ginkgo.Describe("Ledger of a program that runs for long", func() {
+	// Guards against used tokens that a new reader does not know, because the log has removed
+	// their records.
+	ginkgo.It("returns the ends of grants that have to be written again", func() {
+		ledger := spend.NewLedger()
+		request := spend.Record{Program: "p", Grant: "g", Need: 10, Want: 10, Budget: 100}
+		end := spend.Record{Program: "p", Grant: "g", End: true, Used: 7}
+		ledger.Apply(0, 0, [][]byte{request.Encode()})
+		gomega.Expect(ledger.Renewals(100, "p", 50)).To(gomega.BeEmpty(), "the grant is open")
+		ledger.Apply(10, 1, [][]byte{end.Encode()})
+		gomega.Expect(ledger.Renewals(60, "p", 50)).To(gomega.BeEmpty())
+		gomega.Expect(ledger.Renewals(61, "p", 50)).To(gomega.Equal([]spend.Record{end}))
+		ledger.Apply(61, 2, [][]byte{end.Encode()})
+		gomega.Expect(ledger.Renewals(62, "p", 50)).To(gomega.BeEmpty())
+		gomega.Expect(ledger.Total("p")).To(gomega.Equal(int64(7)))
+		reader := spend.NewLedger()
+		reader.SkipTo(2)
+		reader.Apply(0, 2, [][]byte{end.Encode()})
+		gomega.Expect(reader.Total("p")).To(gomega.Equal(int64(7)))
+	})
+})
+
 func TestMain(m *testing.M) { fixedseed.Main(m, map[string]string{"rapid.checks": "300"}) }
 
 func TestSpend(t *testing.T) {
