Let endpoints of the soak leave by their answers

Cause: the soak did not know Server-Leaving. The checker knows per gateway when it first passed such an answer on; a request that was sent more than 2 s later and reaches the endpoint breaks a promise. A start or a pause of the gateway begins anew.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -47,6 +47,8 @@
 	kind   string
 	key    string
 	sentAt time.Time
+	// front is the address of the gateway that the request was sent to.
+	front string
 	// prompt is the body that an endpoint must get.
 	prompt string
 	// notRun is set when the caller was told that the request has not run.
@@ -61,9 +63,12 @@
 	calls      map[string]*call
 	violations []string
 	outcomes   map[string]int
+	departures *departures
 }
 
-func newChecker() *checker { return &checker{calls: map[string]*call{}, outcomes: map[string]int{}} }
+func newChecker() *checker {
+	return &checker{calls: map[string]*call{}, outcomes: map[string]int{}, departures: newDepartures()}
+}
 
 func (c *checker) fail(format string, values ...any) {
 	c.mu.Lock()
@@ -71,7 +76,7 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, values...))
 }
 
-func (c *checker) recordRun(attempt, body string) {
+func (c *checker) recordRun(attempt, body, endpoint string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sent := c.calls[attempt]
@@ -82,6 +87,9 @@
 	case sent.prompt != body:
 		c.violations = append(c.violations, fmt.Sprintf("%s got another body: %q instead of %q", attempt, body, sent.prompt))
 	}
+	if c.departures.isLate(sent, endpoint) {
+		c.violations = append(c.violations, fmt.Sprintf("%s reached %s too long after the gateway had heard that it leaves", attempt, endpoint))
+	}
 	sent.runs = append(sent.runs, time.Now())
 }
 
@@ -154,7 +162,7 @@
 // answer is complete.
 func (c *caller) send(front string, sent call, path, body string, request standin.CallerRequest) (status int, answer string, whole bool) {
 	request.Key, request.DeadlineMs = sent.key, int(requestDeadline/time.Millisecond)
-	sent.sentAt = time.Now()
+	sent.sentAt, sent.front = time.Now(), front
 	c.checker.recordSent(request.Attempt, &sent)
 	r, err := http.NewRequest(http.MethodPost, "http://"+front+path, strings.NewReader(body))
 	if err != nil {
@@ -166,6 +174,9 @@
 		return 0, "", false
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.Header.Get("Server-Leaving") != "" {
+		c.checker.departures.record(front, response.Header.Get("X-Instance-Id"), sent.sentAt)
+	}
 	text, err := io.ReadAll(response.Body)
 	c.checker.recordStatus(request.Attempt, response.StatusCode)
 	return response.StatusCode, string(text), err == nil
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -85,7 +85,7 @@
 			Service: service, Address: u.Address(), Zone: "a", Version: "v1", Slots: 4, State: "ready", Sequence: 1, Born: 1,
 		})).To(gomega.Succeed())
 	}
-	p := newGatewayProcess(newFolder(0), 0, d.topics)
+	p := newGatewayProcess(newFolder(0), 0, d.topics, d.checker.departures)
 	d.gateways = []*gatewayProcess{p}
 	gomega.Eventually(func() int { return callOnce(p, "lookup", "warm", 1000) }, restartTimeout, "50ms").Should(gomega.Equal(http.StatusOK))
 	return d, p
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -52,6 +52,8 @@
 	store    *relay
 	faults   *standin.TopicsServer
 	log      *os.File
+	// departures is told that the process starts or pauses.
+	departures *departures
 
 	// mu is held while signals are sent and the process is replaced.
 	mu        sync.Mutex
@@ -63,11 +65,11 @@
 	ended    chan struct{}
 }
 
-func newGatewayProcess(folder string, index int, topics *standin.Topics) *gatewayProcess {
+func newGatewayProcess(folder string, index int, topics *standin.Topics, departures *departures) *gatewayProcess {
 	faults, err := standin.ServeTopics(topics, "127.0.0.1:0", "")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(faults.Close)
-	p := &gatewayProcess{name: fmt.Sprintf("g%d", index), front: standin.FreeAddress(), ready: standin.FreeAddress(), faults: faults, store: newRelay(faults.Address())}
+	p := &gatewayProcess{name: fmt.Sprintf("g%d", index), front: standin.FreeAddress(), ready: standin.FreeAddress(), faults: faults, store: newRelay(faults.Address()), departures: departures}
 	p.settings = filepath.Join(folder, p.name+".toml")
 	p.text = fmt.Sprintf(`node_name = %q
 zone = %q
@@ -114,6 +116,7 @@
 	gomega.Expect(command.Start()).To(gomega.Succeed())
 	ended := make(chan struct{})
 	p.command, p.startedAt, p.stopping, p.ended = command, time.Now(), false, ended
+	p.departures.forgetGateway(p.front)
 	go func() {
 		_ = command.Wait()
 		close(ended)
@@ -189,11 +192,10 @@
 
 // deployment is the system under test with its stand-ins.
 type deployment struct {
-	topics   *standin.Topics
-	gateways []*gatewayProcess
-	// endpointRelays are the ways to the endpoints.
-	endpointRelays []*relay
-	checker        *checker
+	topics    *standin.Topics
+	gateways  []*gatewayProcess
+	endpoints []*endpoint
+	checker   *checker
 
 	mu      sync.Mutex
 	version int
@@ -207,7 +209,7 @@
 		d.addEndpoint(fmt.Sprintf("e%d", i), service, rand.New(rand.NewPCG(random.Uint64(), 1)))
 	}
 	for i := range gatewayCount {
-		d.gateways = append(d.gateways, newGatewayProcess(folder, i, d.topics))
+		d.gateways = append(d.gateways, newGatewayProcess(folder, i, d.topics, d.checker.departures))
 	}
 	return d
 }
@@ -264,7 +266,7 @@
 			return u.AnswerNotExecuted(conn, request)
 		}
 		attempt := request.Attempt()
-		d.checker.recordRun(attempt, request.Body)
+		d.checker.recordRun(attempt, request.Body, id)
 		time.Sleep(time.Duration(2+draw(10)) * time.Millisecond)
 		switch {
 		case service == "models":
@@ -274,7 +276,40 @@
 		}
 		return u.AnswerComplete(conn, request, answerOf(attempt))
 	})
-	r := newRelay(u.Address())
-	d.endpointRelays = append(d.endpointRelays, r)
-	gomega.Expect(d.topics.PutEndpoint(id, standin.EndpointEntry{Service: service, Address: r.address(), Zone: "a", Version: "v1", Slots: 8, State: "ready", Sequence: 1, Born: 1})).To(gomega.Succeed())
+	e := &endpoint{id: id, service: service, upstream: u, relay: newRelay(u.Address())}
+	d.endpoints = append(d.endpoints, e)
+	e.announce(d.topics)
+}
+
+// endpoint is an endpoint with the relay that gateways reach it by.
+type endpoint struct {
+	id, service string
+	upstream    *standin.Upstream
+	relay       *relay
+
+	mu sync.Mutex
+	// starts is the number of its starts, and isLeaving whether the last one leaves.
+	starts    int
+	isLeaving bool
+}
+
+// announce writes the record of the next start of the endpoint.
+func (e *endpoint) announce(topics *standin.Topics) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.starts++
+	_ = topics.PutEndpoint(e.id, standin.EndpointEntry{Service: e.service, Address: e.relay.address(), Zone: "a", Version: "v1", Slots: 8, State: "ready", Sequence: 1, Born: e.starts})
+}
+
+// setLeaving sets whether the answers of the endpoint say that it leaves. It reports false
+// if they say so already.
+func (e *endpoint) setLeaving(leaving bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if leaving && e.isLeaving {
+		return false
+	}
+	e.isLeaving = leaving
+	e.upstream.SetLeaving(leaving)
+	return true
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -70,11 +70,12 @@
 // inject starts one fault.
 func (i *injector) inject() {
 	d, duration := i.deployment, i.between(200, 2000)
-	switch i.random.IntN(9) {
+	switch i.random.IntN(10) {
 	case 0:
 		i.onGateway(func(g *gatewayProcess) {
 			g.signal(syscall.SIGSTOP)
 			time.Sleep(duration)
+			d.checker.departures.forgetGateway(g.front)
 			g.signal(syscall.SIGCONT)
 		})
 	case 1:
@@ -105,17 +106,33 @@
 			}
 		})
 	case 6:
-		r := d.endpointRelays[i.random.IntN(len(d.endpointRelays))]
+		r := d.endpoints[i.random.IntN(len(d.endpoints))].relay
 		mode := []relayMode{slow, oneWay, silent}[i.random.IntN(3)]
 		i.withFault(duration, func(on bool) { setRelayFault(r, on, mode) })
 	case 7:
-		d.endpointRelays[i.random.IntN(len(d.endpointRelays))].reset()
+		d.endpoints[i.random.IntN(len(d.endpoints))].relay.reset()
 		d.gateways[i.random.IntN(gatewayCount)].store.reset()
 	case 8:
 		d.publish()
+	case 9:
+		i.leave(d.endpoints[i.random.IntN(len(d.endpoints))], drainTime+duration)
 	}
 }
 
+// leave lets the answers of an endpoint say that it leaves, while its record says that it
+// is ready, and starts it again after duration.
+func (i *injector) leave(e *endpoint, duration time.Duration) {
+	if !e.setLeaving(true) {
+		return
+	}
+	i.running.Go(func() {
+		time.Sleep(duration)
+		e.setLeaving(false)
+		i.deployment.checker.departures.forgetEndpoint(e.id)
+		e.announce(i.deployment.topics)
+	})
+}
+
 // withFault switches a fault on and, after duration, off.
 func (i *injector) withFault(duration time.Duration, set func(on bool)) {
 	set(true)
