--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -14,6 +14,7 @@
 	"github.com/baobabspool/baobabspool/pkg/catalog"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/endpoints"
+	"github.com/baobabspool/baobabspool/pkg/load"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -206,10 +207,10 @@
 		},
 		OnHead: func(status int, header http.Header) { r.observeHead(endpoint, g.codec.DecodeResponse(status, header)) },
 	}
-	sentAt := g.clock.Now()
+	r.sentAt, r.sample = g.clock.Now(), load.Sample{}
 	response, err := g.client.Do(ctx, call)
 	if err != nil {
-		g.endpointTable.Done(g.clock.Now(), endpoint, failureOutcome(ctx), 0)
+		g.endpointTable.Done(g.clock.Now(), endpoint, r.resultOf(failureOutcome(ctx), 0))
 		if errors.Is(err, httpconn.ErrNotSent) {
 			return unreached
 		}
@@ -217,11 +218,29 @@
 	}
 	answer := g.codec.DecodeResponse(response.StatusCode, response.Header)
 	result, outcome := r.handleAnswer(ctx, response, answer)
-	r.recordLoad(outcome, sentAt)
-	g.endpointTable.Done(g.clock.Now(), endpoint, outcome, answer.ColdFor)
+	r.recordLoad(outcome)
+	g.endpointTable.Done(g.clock.Now(), endpoint, r.resultOf(outcome, answer.ColdFor))
 	return result
 }
 
+// resultOf returns what the request has shown of the endpoint that it was sent to last.
+func (r *request) resultOf(outcome endpoints.Outcome, coldFor clock.Millis) endpoints.Result {
+	sample := r.sample
+	switch outcome {
+	case endpoints.Answered:
+		if sample.Outcome == load.Good && sample.Events == 0 {
+			sample.Took = r.gateway.clock.Now() - r.sentAt
+		}
+	case endpoints.Full:
+		sample.Outcome = load.Rejected
+	case endpoints.Failed:
+		sample.Outcome = load.Failed
+	case endpoints.Misdirected, endpoints.Cancelled:
+		sample.Outcome = load.Ignored
+	}
+	return endpoints.Result{Outcome: outcome, ColdFor: coldFor, Sample: sample}
+}
+
 // observeHead records what any answer of an endpoint says about the endpoint itself. An
 // answer of another instance at the same address says nothing about it.
 func (r *request) observeHead(endpoint *endpoints.Endpoint, answer spool.EndpointAnswer) {
@@ -236,7 +255,7 @@
 
 // recordLoad updates the load of a plain service from the outcome of a call. Calls that
 // stream are ignored, because their duration depends on the length of the stream.
-func (r *request) recordLoad(outcome endpoints.Outcome, sentAt clock.Millis) {
+func (r *request) recordLoad(outcome endpoints.Outcome) {
 	if r.service.Engine || r.route.Kind == catalog.Stream {
 		return
 	}
@@ -244,7 +263,7 @@
 	case endpoints.Full:
 		r.gateway.loads.recordFull(r.service.Name)
 	case endpoints.Answered:
-		r.gateway.loads.recordAnswer(r.service.Name, r.gateway.clock.Now()-sentAt)
+		r.gateway.loads.recordAnswer(r.service.Name, r.gateway.clock.Now()-r.sentAt)
 	}
 }
 
@@ -261,6 +280,9 @@
 // the request did not run, and a successful one without the endpoint's seal.
 func (r *request) handleAnswer(ctx context.Context, response *httpconn.Response, answer spool.EndpointAnswer) (tryResult, endpoints.Outcome) {
 	success := response.StatusCode >= 200 && response.StatusCode < 300
+	if response.StatusCode >= http.StatusInternalServerError {
+		r.sample.Outcome = load.Failed
+	}
 	switch {
 	case answer.NotRun:
 		response.MarkRefused()
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -12,6 +12,7 @@
 	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/limit"
+	"github.com/baobabspool/baobabspool/pkg/load"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -57,6 +58,10 @@
 	possibleRuns int
 	// budget holds the tokens that are allocated to the turn; nil if there are none.
 	budget *turnBudget
+	// sentAt is when the request was last sent to an endpoint, and sample what its answer has
+	// shown of the endpoint so far.
+	sentAt clock.Millis
+	sample load.Sample
 	// eventCount is the number of events that were passed on to the caller.
 	eventCount int
 	// streamBytes is the size of the buffers that are reserved for the stream.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,7 +44,9 @@
 		n, err := response.Body.Read(buffer)
 		whole := splitter.Add(buffer[:n])
 		if len(whole) > 0 {
-			count := r.eventCount + events.Count(whole)
+			received := events.Count(whole)
+			r.recordEvents(received)
+			count := r.eventCount + received
 			if err := r.coverEvents(ctx, count); err != nil {
 				r.gateway.log.Info("answer is cut off for lack of budget", zap.String("request", r.call.Attempt), zap.Error(err))
 				r.gateway.telemetry.CountEvent("answerCutForBudget")
@@ -76,6 +78,18 @@
 	}
 }
 
+// recordEvents records the arrival of events in the sample of the endpoint.
+func (r *request) recordEvents(count int) {
+	if count == 0 {
+		return
+	}
+	r.sample.LastEvent = r.gateway.clock.Now() - r.sentAt
+	if r.sample.Events == 0 {
+		r.sample.FirstEvent = r.sample.LastEvent
+	}
+	r.sample.Events += count
+}
+
 // reserveStream reserves the buffers for an incomplete event and the output of a turn. It
 // fails if the event is too large or the buffers of all requests are in use.
 func (r *request) reserveStream(eventBytes, outputBytes int) error {
--- a/pkg/endpoints/endpoints_test.go
+++ b/pkg/endpoints/endpoints_test.go
@@ -53,10 +53,10 @@
 		t := newTable()
 		for range 20 {
 			e := t.Pick(0, endpoints.PickRequest{Service: "models", AffinityKey: "p"})
-			t.Done(0, e, endpoints.Answered, 0)
+			t.Done(0, e, endpoints.Result{Outcome: endpoints.Answered})
 			again := t.Pick(0, endpoints.PickRequest{Service: "models", AffinityKey: "p", Salt: "x"})
 			gomega.Expect(again.ID()).To(gomega.Equal(e.ID()))
-			t.Done(0, again, endpoints.Answered, 0)
+			t.Done(0, again, endpoints.Result{Outcome: endpoints.Answered})
 		}
 	})
 
@@ -68,7 +68,7 @@
 		t.SetEvacuated(map[spool.FailureDomain]bool{"far": true})
 		e := t.Pick(0, wantModels)
 		gomega.Expect(e.ID()).To(gomega.Equal(spool.EndpointID("h2")))
-		t.Done(0, e, endpoints.Misdirected, 0)
+		t.Done(0, e, endpoints.Result{Outcome: endpoints.Misdirected})
 		gomega.Expect(t.Pick(0, wantModels)).To(gomega.BeNil())
 		t.SetEvacuated(nil)
 		gomega.Expect(t.Pick(0, endpoints.PickRequest{Service: "models", Tried: map[spool.EndpointID]bool{"f1": true}})).To(gomega.BeNil())
@@ -101,7 +101,7 @@
 		t := endpoints.NewTable("home")
 		t.Put(0, newRecord("h1", "home"))
 		t.Put(0, newRecord("f1", "far"))
-		t.Done(0, t.Pick(0, wantModels), endpoints.Failed, 0)
+		t.Done(0, t.Pick(0, wantModels), endpoints.Result{Outcome: endpoints.Failed})
 		gomega.Expect(t.Pick(1, wantModels).ID()).To(gomega.Equal(spool.EndpointID("f1")))
 		gomega.Expect(t.Pick(clock.Second, wantModels).ID()).To(gomega.Equal(spool.EndpointID("h1")))
 	})
@@ -109,7 +109,7 @@
 	ginkgo.It("uses an endpoint in backoff if there is no other", func() {
 		t := endpoints.NewTable("home")
 		t.Put(0, newRecord("h1", "home"))
-		t.Done(0, t.Pick(0, wantModels), endpoints.Failed, 0)
+		t.Done(0, t.Pick(0, wantModels), endpoints.Result{Outcome: endpoints.Failed})
 		gomega.Expect(t.Pick(1, wantModels)).NotTo(gomega.BeNil())
 	})
 })
@@ -170,7 +170,7 @@
 			if e == nil || now >= 10*clock.Second {
 				continue
 			}
-			table.Done(now, e, endpoints.Answered, 0)
+			table.Done(now, e, endpoints.Result{Outcome: endpoints.Answered})
 			sent = append(sent, now)
 			inWindow := 0
 			for _, at := range sent {
--- a/pkg/endpoints/pick.go
+++ b/pkg/endpoints/pick.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/load"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -81,6 +82,9 @@
 		best.coldRequests.add(now)
 	}
 	best.inFlight++
+	if t.observer != nil {
+		t.observer.Started(now, best.service, best.Instance())
+	}
 	return best
 }
 
@@ -173,16 +177,27 @@
 	Cancelled
 )
 
+// Result is what a request has shown of its endpoint.
+type Result struct {
+	Outcome Outcome
+	// ColdFor is the remaining cold time that the endpoint reported; 0 if it reported none.
+	ColdFor clock.Millis
+	// Sample is the timing of the request for the observer.
+	Sample load.Sample
+}
+
 // Done ends a request for which Pick returned endpoint, and updates the state of
-// the endpoint by its outcome. A failure starts or extends the backoff, an answer
-// ends it. coldFor is the remaining cold time that the endpoint reported; 0 if it
-// reported none.
-func (t *Table) Done(now clock.Millis, endpoint *Endpoint, outcome Outcome, coldFor clock.Millis) {
+// the endpoint by its result. A failure starts or extends the backoff, an answer
+// ends it.
+func (t *Table) Done(now clock.Millis, endpoint *Endpoint, result Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	endpoint.inFlight--
-	endpoint.extendCold(now, coldFor)
-	switch outcome {
+	endpoint.extendCold(now, result.ColdFor)
+	if t.observer != nil {
+		t.observer.Ended(now, endpoint.service, endpoint.Instance(), result.Sample)
+	}
+	switch result.Outcome {
 	case Answered:
 		endpoint.failures = 0
 		endpoint.backoffUntil = 0
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/load"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -25,12 +26,15 @@
 )
 
 // Endpoint is one instance of an endpoint; an endpoint that restarts becomes a new
-// instance. The lock of the table protects the fields after domain.
+// instance. The lock of the table protects the fields after startedAt.
 type Endpoint struct {
-	// id, address and domain never change, so they may be read without the lock.
-	id      spool.EndpointID
-	address string
-	domain  spool.FailureDomain
+	// id, address, domain, service and startedAt never change, so they may be read without
+	// the lock.
+	id        spool.EndpointID
+	address   string
+	domain    spool.FailureDomain
+	service   spool.ServiceName
+	startedAt clock.Millis
 	// record is the newest record of this instance.
 	record spool.EndpointRecord
 	// inFlight is the number of requests of this gateway that Pick has assigned to
@@ -65,6 +69,11 @@
 // Address returns the host:port of the endpoint.
 func (e *Endpoint) Address() string { return e.address }
 
+// Instance returns the instance of the endpoint.
+func (e *Endpoint) Instance() load.Instance {
+	return load.Instance{ID: e.id, StartedAt: e.startedAt}
+}
+
 // FailureDomain returns the failure domain in which the endpoint runs.
 func (e *Endpoint) FailureDomain() spool.FailureDomain { return e.domain }
 
@@ -90,6 +99,8 @@
 	// drainWithin is the time after which an instance that leaves must get no requests; 0
 	// if it must get none from the start.
 	drainWithin clock.Millis
+	// observer is told of each request that Pick assigns and Done ends; nil for none.
+	observer load.Observer
 }
 
 // Option changes a Table during NewTable.
@@ -101,6 +112,11 @@
 	return func(t *Table) { t.drainWithin = duration }
 }
 
+// WithObserver sets the observer of the requests.
+func WithObserver(observer load.Observer) Option {
+	return func(t *Table) { t.observer = observer }
+}
+
 // NewTable returns an empty table for a gateway that runs in the failure domain
 // home.
 func NewTable(home spool.FailureDomain, options ...Option) *Table {
@@ -155,7 +171,10 @@
 		}
 		t.remove(known)
 	}
-	endpoint := &Endpoint{id: record.ID, address: record.Address, domain: record.FailureDomain, record: record}
+	endpoint := &Endpoint{
+		id: record.ID, address: record.Address, domain: record.FailureDomain, service: record.Service,
+		startedAt: record.StartedAt, record: record,
+	}
 	endpoint.extendCold(now, record.ColdFor)
 	endpoint.leavingSince = t.departureOf(record)
 	t.byID[record.ID] = endpoint
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -225,11 +225,39 @@
 	FirstPort, LastPort int
 	// MemoryMB is the memory of the process in MB.
 	MemoryMB int64
+	// Balancing and Rollout turn parts of the gateway on.
+	Balancing BalancingSettings
+	Rollout   RolloutSettings
 	// Size is what the VM offers to the process. A gateway publishes it, so that roles go
 	// to the VMs that can bear them.
 	Size VMSize
 }
 
+// BalancingSettings says how requests are distributed over endpoints that differ.
+type BalancingSettings struct {
+	// Enabled turns the shared load view and the choice by expected finish on.
+	Enabled bool
+	// CrossingMillisPerKB is the price of traffic between failure domains: a request leaves
+	// its domain only if it is expected to finish that much earlier for each KB that crosses.
+	CrossingMillisPerKB float64
+	// MaxReceiveLoad is the part of the slots of a failure domain up to which requests of
+	// other domains are sent to it.
+	MaxReceiveLoad float64
+}
+
+// RolloutSettings says how much traffic a version under trial may get.
+type RolloutSettings struct {
+	// Enabled turns roll-outs on.
+	Enabled bool
+	// ExposeShare and ExposeSlack bound the requests to a version under trial: this share of
+	// all requests to the service since the order, and this number more.
+	ExposeShare float64
+	ExposeSlack int
+	// RollbackWithin is the time after which a version that has shown to be bad gets no
+	// requests.
+	RollbackWithin clock.Millis
+}
+
 // VMSize is the processor and the link that a VM offers to a process. It is zero when
 // unknown.
 type VMSize struct {
