--- a/internal/gateway/largeturn_test.go
+++ b/internal/gateway/largeturn_test.go
@@ -73,7 +73,46 @@
 		}, eventuallyTimeout, "200ms").Should(gomega.Equal(http.StatusOK))
 		gomega.Expect(lastBody() == input+"one\ntwo\nmore\none\ntwo\nend\n").To(gomega.BeTrue())
 		gomega.Expect(d.topics.Rejected()).To(gomega.BeZero())
-	}, ginkgo.Entry("of 300 kB", 300<<10), ginkgo.Entry("of 3.9 MB", 3900<<10))
+	}, ginkgo.Entry("one byte below a record", maxRecordBytes-1), ginkgo.Entry("as large as a record", maxRecordBytes),
+		ginkgo.Entry("one byte above a record", maxRecordBytes+1), ginkgo.Entry("of 300 kB", 300<<10), ginkgo.Entry("of 3.9 MB", 3900<<10),
+		ginkgo.Entry("as large as a body may be", 4<<20))
+
+	// Guards against a turn that is lost, or stored in part, because the store goes away
+	// between two of its records.
+	ginkgo.It("is answered whole when the store is away for a second in the middle of its records", func() {
+		n := d.startGateway("g1")
+		n.waitUntilServed("/review/warm", "key-1")
+		input := strings.Repeat("x", 4<<20-1) + "\n"
+		stop := make(chan struct{})
+		appendsBefore, _ := d.topics.Calls()
+		watching := make(chan struct{})
+		go func() {
+			defer close(watching)
+			for {
+				if appends, _ := d.topics.Calls(); appends >= appendsBefore+2 {
+					n.storeServer.SetFaults(standin.TopicFaults{Mode: "busy"})
+					time.Sleep(time.Second)
+					n.storeServer.SetFaults(standin.TopicFaults{})
+					return
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Millisecond):
+				}
+			}
+		}()
+		r, id := n.call("POST", "/chat/", "key-1", input)
+		close(stop)
+		<-watching
+		gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		gomega.Eventually(func() int {
+			r, _ := n.call("POST", "/chat/", "key-1", "more\n", withPrevious(id))
+			return r.status
+		}, eventuallyTimeout, "100ms").Should(gomega.Equal(http.StatusOK))
+		gomega.Expect(lastBody() == input+"one\ntwo\nmore\n").To(gomega.BeTrue())
+	})
 
 	// Guards against a record that the store rejects for good and that holds up the others,
 	// or makes the store count as away.
