--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"strings"
 	"sync"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/baobabspool/baobabspool/pkg/candidates"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -89,6 +92,24 @@
 	o.requestVotes(context.Background())
 }
 
+// RequestVotes lets voting and refusing other gateways be in contact and requests their
+// votes. The refusing ones refuse the connection.
+func (o PoolOwner) RequestVotes(voting, refusing int) {
+	o.queryPeer = func(_ context.Context, address string, _ aliveRequest) (aliveReply, error) {
+		if strings.HasPrefix(address, "refusing") {
+			return aliveReply{}, errors.Wrap(unix.ECONNREFUSED, "connect")
+		}
+		return aliveReply{Voted: true}, nil
+	}
+	for i := range voting {
+		o.handleQuery(aliveRequest{Address: fmt.Sprintf("voting-%d", i)}, nil)
+	}
+	for i := range refusing {
+		o.handleQuery(aliveRequest{Address: fmt.Sprintf("refusing-%d", i)}, nil)
+	}
+	o.requestVotes(context.Background())
+}
+
 // QueryItself makes this gateway answer a query that carries its own address.
 func (o PoolOwner) QueryItself() { o.handleQuery(aliveRequest{Address: o.self.Address}, nil) }
 
--- a/internal/gateway/owner_contact.go
+++ b/internal/gateway/owner_contact.go
@@ -160,8 +160,10 @@
 // confirmed the claim of this gateway for voteRequestDelay. Without the votes, those
 // gateways might soon claim the pools. A gateway whose process has ended needs no vote:
 // after a restart it is not in contact with this owner and waits for maxVotedAuthority
-// before it grants. If the authority of this gateway has already ended, it requests no
-// votes.
+// before it grants. A refused connection shows that only while fewer than half of the
+// gateways refuse: a gateway that is cut off from the others is refused by all of them,
+// and their processes may claim the pools meanwhile. If the authority of this gateway has
+// already ended, it requests no votes.
 func (o *poolOwnership) requestVotes(ctx context.Context) {
 	now := o.bootClock.Now()
 	o.mu.Lock()
@@ -175,22 +177,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
-	answers := make(chan string, len(addresses))
+	answers := make(chan voteAnswer, len(addresses))
 	for _, address := range addresses {
 		go func() {
 			reply, err := o.queryPeer(ctx, address, aliveRequest{VoteEpoch: epoch})
-			if err == nil && reply.Voted || errors.Is(err, unix.ECONNREFUSED) {
-				address = ""
-			}
-			answers <- address
+			answers <- voteAnswer{address: address, voted: err == nil && reply.Voted, refused: errors.Is(err, unix.ECONNREFUSED)}
 		}()
 	}
-	var missing []string
+	var missing, refused []string
 	for range addresses {
-		if address := <-answers; address != "" {
-			missing = append(missing, address)
+		switch answer := <-answers; {
+		case answer.refused:
+			refused = append(refused, answer.address)
+		case !answer.voted:
+			missing = append(missing, answer.address)
 		}
 	}
+	if 2*len(refused) >= len(addresses) {
+		missing = append(missing, refused...)
+	}
 	allVoted := len(missing) == 0
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -204,6 +209,14 @@
 	}
 }
 
+// voteAnswer is the answer of the gateway at an address to a request for its vote.
+type voteAnswer struct {
+	address string
+	voted   bool
+	// refused reports that the address refused the connection.
+	refused bool
+}
+
 // contactsLocked returns the addresses of the gateways that queried this one at most
 // contactRetention ago, and removes the other addresses from contacts. The caller holds
 // mu.
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -154,6 +154,17 @@
 		gomega.Expect(owner.GrantsUntil()).To(gomega.Equal(1700 + clock.Second))
 	})
 
+	// Guards against two owners after a cut that resets connections: the owner that is cut off
+	// took the refused connections of living gateways for their votes, and granted for seconds
+	// beside the owner that those gateways had claimed.
+	ginkgo.DescribeTable("takes refused connections for ended processes only while fewer than half refuse", func(voting, refusing int, grants bool) {
+		ownWithoutStoreFor(900)
+		owner.RequestVotes(voting, refusing)
+		manualClock.Advance(clock.Second / 2)
+		gomega.Expect(owner.GrantsUntil() > manualClock.Now()).To(gomega.Equal(grants))
+	}, ginkgo.Entry("one of four", 3, 1, true), ginkgo.Entry("three of eight", 5, 3, true), ginkgo.Entry("half", 2, 2, false),
+		ginkgo.Entry("another zone's majority", 3, 9, false), ginkgo.Entry("all", 0, 4, false), ginkgo.Entry("the only one", 0, 1, false))
+
 	// Guards against a gateway that votes for itself and thereby stops its own grants.
 	// A restarted gateway queried the earlier owner at its own address and so became
 	// its own contact.
