--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -62,6 +62,14 @@
 // MarkEnded records that the process of an incarnation has ended.
 func (o PoolOwner) MarkEnded(incarnation string) { o.markEnded(incarnation) }
 
+// ProbeRefused lets the owner refuse the connection of the next probe.
+func (o PoolOwner) ProbeRefused() {
+	o.queryPeer = func(context.Context, string, aliveRequest) (aliveReply, error) {
+		return aliveReply{}, errors.Wrap(unix.ECONNREFUSED, "connect")
+	}
+	o.probe(context.Background(), noCandidates)
+}
+
 // ProbeAnswered runs probe. Every queried gateway answers with the given incarnation.
 func (o PoolOwner) ProbeAnswered(incarnation string) {
 	o.queryPeer = func(context.Context, string, aliveRequest) (aliveReply, error) {
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -135,9 +135,12 @@
 	// answeredAt is when the last answer of the owner arrived; 0 for none.
 	answeredAt clock.Millis
 	// endedIncarnations holds the incarnations of owners whose process has certainly
-	// ended: their address refused a connection, another process answered there, or
-	// their node is this one.
+	// ended: another process answered at their address, or their node is this one.
 	endedIncarnations map[string]bool
+	// refusing is the incarnation of the owner whose address refused a connection since its
+	// last answer; empty for none. The pools can be claimed at once then, but the owner may
+	// be cut off and still grant.
+	refusing string
 	// rank is the number of candidates that precede this gateway, computed at rankedAt; 0
 	// before the first computation.
 	rank     int
@@ -344,7 +347,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if owner == o.newestClaim.Node {
-		o.unansweredSince, o.answeredAt = 0, o.bootClock.Now()
+		o.unansweredSince, o.answeredAt, o.refusing = 0, o.bootClock.Now(), ""
 	}
 }
 
--- a/internal/gateway/owner_claims.go
+++ b/internal/gateway/owner_claims.go
@@ -104,7 +104,7 @@
 	restarted := o.newestClaim.Node == o.self.Node
 	unresponsive := o.unansweredSince != 0 && now-o.unansweredSince >= suspectAfter
 	switch {
-	case o.epoch == 0, restarted, unresponsive, o.endedIncarnations[o.newestClaim.Incarnation]:
+	case o.epoch == 0, restarted, unresponsive, o.refusing == o.newestClaim.Incarnation, o.endedIncarnations[o.newestClaim.Incarnation]:
 		if o.vacantSince == 0 {
 			o.vacantSince = now
 		}
--- a/internal/gateway/owner_contact.go
+++ b/internal/gateway/owner_contact.go
@@ -107,12 +107,16 @@
 }
 
 // sendQuery queries an owner. ended reports that the process of the owner has ended,
-// because the address refuses connections or another process answers there. sendQuery
-// records that, and err is then nil.
+// because another process answers at its address. sendQuery records that, and err is then
+// nil. It also records whether the address refuses connections: the process has ended
+// then, or it is cut off and grants until its authority ends.
 func (o *poolOwnership) sendQuery(ctx context.Context, owner ownerRef, request aliveRequest) (reply aliveReply, ended bool, err error) {
 	request.Address = o.self.Address
 	reply, err = o.queryPeer(ctx, owner.Address, request)
-	ended = err == nil && reply.Incarnation != owner.Incarnation || errors.Is(err, unix.ECONNREFUSED)
+	if errors.Is(err, unix.ECONNREFUSED) {
+		o.markRefusing(owner.Incarnation)
+	}
+	ended = err == nil && reply.Incarnation != owner.Incarnation
 	if ended {
 		o.markEnded(owner.Incarnation)
 		return aliveReply{}, true, nil
@@ -267,6 +271,13 @@
 	return reply
 }
 
+// markRefusing records that the address of an owner refuses connections.
+func (o *poolOwnership) markRefusing(incarnation string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refusing = incarnation
+}
+
 // markEnded records that the process of an incarnation has ended, so that nobody waits
 // for it.
 func (o *poolOwnership) markEnded(incarnation string) {
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -67,6 +67,24 @@
 		gomega.Expect(owner.CanGrant()).To(gomega.BeTrue())
 	})
 
+	// Guards against two owners after a cut that resets connections: a refused connection was
+	// taken for the end of the owner's process, which granted on while it was cut off.
+	ginkgo.It("is claimed at once from an owner that refuses connections, and granted when its authority has ended", func() {
+		owner.Observe(otherClaim, 0)
+		owner.RecordContact(false)
+		manualClock.Advance(clock.Second)
+		owner.ProbeRefused()
+		gomega.Expect(owner.ShouldClaim("me")).To(gomega.BeFalse(), "the node of the owner may restart")
+		manualClock.Advance(clock.Second / 4)
+		gomega.Expect(owner.ShouldClaim("me")).To(gomega.BeTrue())
+		gomega.Expect(owner.NamesEarlierOwners()).To(gomega.BeTrue())
+		owner.Observe(ownWaitingClaim, 1)
+		owner.ProbeRefused()
+		gomega.Expect(owner.CanGrant()).To(gomega.BeFalse())
+		manualClock.Advance(clock.Second)
+		gomega.Expect(owner.CanGrant()).To(gomega.BeTrue())
+	})
+
 	ginkgo.It("waits when the previous owner has ended while it was waiting itself", func() {
 		owner.Observe(otherClaim, 0)
 		owner.Observe(otherWaitingClaim, 1)
