--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/endpoints"
 	"github.com/baobabspool/baobabspool/pkg/homes"
+	"github.com/baobabspool/baobabspool/pkg/load"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -64,6 +65,14 @@
 	homes         *homes.Table
 	lookupClients *wire.Clients
 	peerServer    *wire.Server
+	// loadTracker records the requests at endpoints and the starts of programs, and loadView
+	// adds what other gateways have recorded. Both stay empty unless
+	// GatewaySettings.Balancing is enabled. loadClients holds the connections to collectors.
+	loadTracker  *load.Tracker
+	loadView     load.View
+	loadNews     <-chan struct{}
+	loadExchange *loadExchange
+	loadClients  *wire.Clients
 
 	// catalog is the configuration in force; nil until one has been read. Its version
 	// never decreases.
@@ -126,9 +135,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		settings: settings, codec: codec, client: client, clock: systemClock, telemetry: t, log: t.Logger("gateway"),
-		endpointTable: endpoints.NewTable(settings.FailureDomain, endpoints.WithDrainWithin(settings.DrainWithin)), cancel: cancel, peerPicker: newPeerPicker(systemClock),
-		health: newStoreHealth(systemClock, t.Logger("store")),
+		cancel: cancel, peerPicker: newPeerPicker(systemClock), health: newStoreHealth(systemClock, t.Logger("store")),
 	}
+	g.loadTracker, g.loadNews = newLoadTracker()
+	g.endpointTable = g.newEndpointTable()
 	g.requestsEnd, g.endRequests = context.WithCancel(context.Background())
 	g.startup = make(chan struct{})
 	g.endStartup = sync.OnceFunc(func() { close(g.startup) })
@@ -140,6 +150,9 @@
 		return nil, err
 	}
 	g.wg.Add(2)
+	if settings.Balancing.Enabled {
+		g.wg.Go(func() { g.loadExchange.run(ctx) })
+	}
 	go func() {
 		defer g.wg.Done()
 		g.shared.run(ctx)
@@ -151,6 +164,16 @@
 	return g, nil
 }
 
+// newEndpointTable returns the table of endpoints, which tells loadTracker of the requests
+// if GatewaySettings.Balancing is enabled.
+func (g *Gateway) newEndpointTable() *endpoints.Table {
+	options := []endpoints.Option{endpoints.WithDrainWithin(g.settings.DrainWithin)}
+	if g.settings.Balancing.Enabled {
+		options = append(options, endpoints.WithObserver(g.loadTracker))
+	}
+	return endpoints.NewTable(g.settings.FailureDomain, options...)
+}
+
 // assemble creates the components of the gateway and connects them.
 func (g *Gateway) assemble(ctx context.Context, store spool.Store) {
 	bootClock, incarnation := clock.Boot(), newIncarnation()
@@ -171,6 +194,10 @@
 	g.shared = newSharedState(g, g.store, incarnation, members, lateness, bootClock)
 	stateAge := func() clock.Millis { return g.shared.age(bootClock.Now()) }
 	g.limits = newLimiter(g.settings, ownership, bootClock, stateAge, g.peerClients, g.telemetry)
+	g.loadClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(loadSilenceTimeout, loadPingInterval), wire.WithClientIdleTimeout(loadIdleTimeout))
+	view := load.NewMerged(g.loadTracker, g.endpointTable.Slots)
+	g.loadView = view
+	g.loadExchange = newLoadExchange(g, view, bootClock)
 }
 
 // listen opens the listeners for other gateways, for callers and for the balancer.
@@ -220,6 +247,7 @@
 	maps.Copy(handlers, g.budgets.handlers())
 	maps.Copy(handlers, g.reserve.handlers())
 	maps.Copy(handlers, g.turns.handlers())
+	maps.Copy(handlers, g.loadExchange.handlers())
 	g.peerServer, err = wire.Listen(g.settings.ControlListen, handlers, nil, wire.WithAcceptError(func(err error) {
 		g.log.Warn("connection of another gateway was not accepted", zap.Error(err))
 	}))
@@ -236,6 +264,11 @@
 	return g.lookupClients.Call(ctx, address, method, request, reply, nil)
 }
 
+// callCollector calls the gateway at an address that collects load reports.
+func (g *Gateway) callCollector(ctx context.Context, address, method string, request, reply any) error {
+	return g.loadClients.Call(ctx, address, method, request, reply, nil)
+}
+
 // queryAlive sends a methodAlive request to the gateway at an address.
 func (g *Gateway) queryAlive(ctx context.Context, address string, request aliveRequest) (reply aliveReply, err error) {
 	err = g.peerClients.Call(ctx, address, methodAlive, request, &reply, nil)
@@ -373,6 +406,9 @@
 	g.refusing.Store(true)
 	g.server.Stop(ctx)
 	cancelHandover()
+	if g.settings.Balancing.Enabled {
+		g.loadExchange.leave(ctx)
+	}
 	g.budgets.flush(ctx)
 	g.cancel()
 	g.limits.manager.Close()
@@ -403,6 +439,7 @@
 func (g *Gateway) closePeers() {
 	g.peerClients.Close()
 	g.lookupClients.Close()
+	g.loadClients.Close()
 	if g.peerServer != nil {
 		logStopError(g.log, "peers", g.peerServer.Close())
 	}
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -274,3 +274,16 @@
 	}
 	return count
 }
+
+// Slots returns the number of requests that the endpoints which Count counts can run at
+// once.
+func (t *Table) Slots(service spool.ServiceName) (slots int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, endpoint := range t.byService[service] {
+		if !endpoint.record.Draining && endpoint.leavingSince == 0 && !t.evacuated[endpoint.record.FailureDomain] {
+			slots += endpoint.record.Slots
+		}
+	}
+	return slots
+}
--- /dev/null
+++ b/pkg/load/collector.go
@@ -0,0 +1,439 @@
+package load
+
+import (
+	"encoding/binary"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+)
+
+const (
+	// reportLifetime is how long a report counts after its arrival.
+	reportLifetime = clock.Second
+	// instanceLifetime is how long what a gateway has said of an instance is kept when the
+	// gateway does not mention the instance again and has no request there.
+	instanceLifetime = 15 * clock.Second
+	// rebuildInterval is the time between two complete sums over all gateways. In between,
+	// sums follow the reports and older samples keep their weight.
+	rebuildInterval = 100 * clock.Millis(1)
+	// minRows is the number of indices below which a collector never assigns new ones.
+	minRows = 1024
+)
+
+// ErrOutdated is the error of a report that arrives after a later one of the same gateway.
+var ErrOutdated = errors.New("a later report has arrived")
+
+// Collector merges the reports of all gateways of a deployment and answers each with what
+// the others know. It is safe for concurrent use.
+type Collector struct {
+	mu sync.Mutex
+	// id identifies the collector and its indices.
+	id uint64
+	// rows holds what is known of each instance and service. A row never moves while id
+	// stays the same.
+	rows    []row
+	indices map[key]int
+	// gateways holds the gateways whose last report is younger than reportLifetime, by
+	// sender.
+	gateways  map[uint64]*reporter
+	rebuiltAt clock.Millis
+}
+
+// row is an instance or a service.
+type row struct {
+	key key
+	// service is the index of an instance's service; -1 for a service.
+	service int
+	// total sums up what the gateways know; services use serviceTotal.
+	total        contribution
+	serviceTotal serviceCounts
+	medians      medians
+}
+
+// contribution is what one gateway, or all, add to the sums of an instance.
+type contribution struct {
+	inFlight           int
+	event, first, call weighted
+	good, failed, late float64
+	idle               float64
+}
+
+// weighted is the sum of samples and of their weights.
+type weighted struct{ sum, weight float64 }
+
+func (w weighted) mean() float64 {
+	if w.weight < minWeight {
+		return 0
+	}
+	return w.sum / w.weight
+}
+
+func (w weighted) plus(other weighted, sign float64) weighted {
+	return weighted{sum: max(0, w.sum+sign*other.sum), weight: max(0, w.weight+sign*other.weight)}
+}
+
+// plus adds other times sign, which is 1 or -1, except for idle, of which it keeps the
+// lesser one.
+func (c contribution) plus(other contribution, sign float64) contribution {
+	return contribution{
+		inFlight: max(0, c.inFlight+int(sign)*other.inFlight),
+		event:    c.event.plus(other.event, sign), first: c.first.plus(other.first, sign), call: c.call.plus(other.call, sign),
+		good: max(0, c.good+sign*other.good), failed: max(0, c.failed+sign*other.failed), late: max(0, c.late+sign*other.late),
+		idle: lesser(c.idle, other.idle),
+	}
+}
+
+func (c serviceCounts) plus(other serviceCounts, sign float64) serviceCounts {
+	return serviceCounts{
+		inFlight: max(0, c.inFlight+int(sign)*other.inFlight),
+		ended:    max(0, c.ended+sign*other.ended), rejected: max(0, c.rejected+sign*other.rejected),
+		began: max(0, c.began+sign*other.began), offered: max(0, c.offered+sign*other.offered),
+	}
+}
+
+// reporter is a gateway that reports.
+type reporter struct {
+	// sequence is the number of the newest report, and heardAt its arrival.
+	sequence  uint64
+	heardAt   clock.Millis
+	instances map[int]*heldInstance
+	services  map[int]*heldService
+	// replies is the number of the last reply, and sent what the gateway knows by it.
+	replies      uint64
+	sent         []othersEntry
+	sentServices map[int]othersService
+}
+
+// heldInstance is what a gateway has last said of an instance, and what of it is in the
+// sums.
+type heldInstance struct {
+	said    instanceReport
+	saidAt  clock.Millis
+	counted contribution
+}
+
+type heldService struct {
+	said    serviceCounts
+	saidAt  clock.Millis
+	counted serviceCounts
+}
+
+// NewCollector returns a collector without reports. id should differ from that of all other
+// collectors; random bits will do.
+func NewCollector(id uint64) *Collector {
+	c := &Collector{id: id>>32 | 1}
+	c.reset()
+	return c
+}
+
+// reset forgets everything. The gateways then report in full.
+func (c *Collector) reset() {
+	c.id++
+	c.rows, c.indices, c.gateways = nil, map[key]int{}, map[uint64]*reporter{}
+}
+
+// Exchange takes a report that arrives at now and returns the reply. It fails with
+// ErrMalformed or ErrOutdated.
+func (c *Collector) Exchange(now clock.Millis, message []byte) (reply []byte, err error) {
+	defer func() { err = errors.Wrap(err, "exchange load") }()
+	r, err := decodeReport(message)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rebuild(now)
+	if len(c.rows)+2*len(r.instances)+len(r.services) > maxKeys {
+		c.reset()
+	}
+	if r.flags&flagLeaving != 0 {
+		c.remove(r.sender)
+		return replyHeader{collector: c.id}.append(nil), nil
+	}
+	gateway := c.gateways[r.sender]
+	if gateway != nil && r.sequence <= gateway.sequence {
+		return nil, ErrOutdated
+	}
+	if !c.canApply(&r, gateway) {
+		return replyHeader{flags: flagReportAll, collector: c.id}.append(nil), nil
+	}
+	if gateway == nil || r.flags&flagFull != 0 {
+		c.remove(r.sender)
+		gateway = &reporter{instances: map[int]*heldInstance{}, services: map[int]*heldService{}, sentServices: map[int]othersService{}}
+		c.gateways[r.sender] = gateway
+	}
+	gateway.sequence, gateway.heardAt = r.sequence, now
+	c.apply(now, gateway, &r)
+	return c.reply(gateway, &r), nil
+}
+
+// canApply reports whether a report can be understood: it is full and names all by their
+// keys, or it is based on what the collector knows.
+func (c *Collector) canApply(r *report, gateway *reporter) bool {
+	isFull := r.flags&flagFull != 0
+	if !isFull && (gateway == nil || r.collector != c.id || gateway.sequence < r.base) || r.known > len(c.rows) {
+		return false
+	}
+	limit := len(c.rows)
+	if r.collector != c.id {
+		limit = 0
+	}
+	for i := range r.instances {
+		if index := r.instances[i].index; index >= limit || index >= 0 && c.rows[index].service < 0 {
+			return false
+		}
+	}
+	for i := range r.services {
+		if index := r.services[i].index; index >= limit || index >= 0 && c.rows[index].service >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// apply replaces what a gateway has said.
+func (c *Collector) apply(now clock.Millis, gateway *reporter, r *report) {
+	for i := range r.services {
+		said := &r.services[i]
+		index, ok := said.index, true
+		if index < 0 {
+			index, ok = c.indexOf(said.key, -1)
+		}
+		if !ok {
+			continue
+		}
+		held := gateway.services[index]
+		if held == nil {
+			held = &heldService{}
+			gateway.services[index] = held
+		}
+		total := &c.rows[index].serviceTotal
+		*total = total.plus(held.counted, -1).plus(said.serviceCounts, 1)
+		*held = heldService{said: said.serviceCounts, saidAt: now, counted: said.serviceCounts}
+	}
+	for i := range r.instances {
+		said := &r.instances[i]
+		index, ok := said.index, true
+		if index < 0 {
+			index, ok = c.instanceIndex(said)
+		}
+		if !ok {
+			continue
+		}
+		held := gateway.instances[index]
+		if held == nil {
+			held = &heldInstance{}
+			gateway.instances[index] = held
+		}
+		counted := said.contribution(0)
+		total := &c.rows[index].total
+		*total = total.plus(held.counted, -1).plus(counted, 1)
+		*held = heldInstance{said: *said, saidAt: now, counted: counted}
+	}
+}
+
+func (c *Collector) instanceIndex(said *instanceReport) (index int, ok bool) {
+	service, ok := c.indexOf(said.service, -1)
+	if !ok {
+		return 0, false
+	}
+	return c.indexOf(said.key, service)
+}
+
+// indexOf returns the index of an instance, or of a service if service is -1. It fails if
+// the key is known as one of the other kind.
+func (c *Collector) indexOf(k key, service int) (index int, ok bool) {
+	index, ok = c.indices[k]
+	if ok {
+		return index, (c.rows[index].service < 0) == (service < 0)
+	}
+	index = len(c.rows)
+	c.rows = append(c.rows, row{key: k, service: service})
+	c.indices[k] = index
+	return index, true
+}
+
+// contribution returns what the report adds to the sums after the time elapsed since its
+// arrival.
+func (r *instanceReport) contribution(elapsed clock.Millis) contribution {
+	speed, counts := decay(elapsed, speedHalfLife), decay(elapsed, countHalfLife)
+	sum := func(r reading) weighted {
+		return weighted{sum: r.mean * r.weight * speed, weight: r.weight * speed}
+	}
+	return contribution{
+		inFlight: r.inFlight, event: sum(r.event), first: sum(r.first), call: sum(r.call),
+		good: r.good * counts, failed: r.failed * counts, late: r.late * counts, idle: r.idle,
+	}
+}
+
+func (c serviceCounts) after(elapsed clock.Millis) serviceCounts {
+	factor := decay(elapsed, countHalfLife)
+	c.ended, c.rejected, c.began, c.offered = c.ended*factor, c.rejected*factor, c.began*factor, c.offered*factor
+	return c
+}
+
+// remove forgets a gateway.
+func (c *Collector) remove(sender uint64) {
+	gateway := c.gateways[sender]
+	if gateway == nil {
+		return
+	}
+	for index, held := range gateway.instances {
+		c.rows[index].total = c.rows[index].total.plus(held.counted, -1)
+	}
+	for index, held := range gateway.services {
+		c.rows[index].serviceTotal = c.rows[index].serviceTotal.plus(held.counted, -1)
+	}
+	delete(c.gateways, sender)
+}
+
+// rebuild removes what has expired and computes all sums anew, if rebuildInterval has
+// passed since the last time.
+func (c *Collector) rebuild(now clock.Millis) {
+	if now-c.rebuiltAt < rebuildInterval && now >= c.rebuiltAt {
+		return
+	}
+	c.rebuiltAt = now
+	for i := range c.rows {
+		c.rows[i].total, c.rows[i].serviceTotal = contribution{}, serviceCounts{}
+	}
+	used := map[int]struct{}{}
+	for sender, gateway := range c.gateways {
+		if now-gateway.heardAt > reportLifetime {
+			delete(c.gateways, sender)
+			continue
+		}
+		for index, held := range gateway.instances {
+			if held.said.inFlight == 0 && now-held.saidAt > instanceLifetime {
+				delete(gateway.instances, index)
+				continue
+			}
+			held.counted = held.said.contribution(now - held.saidAt)
+			c.rows[index].total = c.rows[index].total.plus(held.counted, 1)
+			used[index] = struct{}{}
+		}
+		for index, held := range gateway.services {
+			held.counted = held.said.after(now - held.saidAt)
+			c.rows[index].serviceTotal = c.rows[index].serviceTotal.plus(held.counted, 1)
+			used[index] = struct{}{}
+		}
+	}
+	if len(c.rows) >= minRows && len(c.rows) > 4*len(used) {
+		c.reset()
+		return
+	}
+	c.computeMedians()
+}
+
+// computeMedians computes the medians of each service over its instances.
+func (c *Collector) computeMedians() {
+	type speeds struct{ event, first, call []float64 }
+	byService := map[int]*speeds{}
+	for i := range c.rows {
+		r := &c.rows[i]
+		if r.service < 0 {
+			r.medians = medians{}
+			continue
+		}
+		s := byService[r.service]
+		if s == nil {
+			s = &speeds{}
+			byService[r.service] = s
+		}
+		s.event = appendKnown(s.event, r.total.event.mean())
+		s.first = appendKnown(s.first, r.total.first.mean())
+		s.call = appendKnown(s.call, r.total.call.mean())
+	}
+	for index, s := range byService {
+		c.rows[index].medians = medians{event: median(s.event), first: median(s.first), call: median(s.call)}
+	}
+}
+
+// reply returns what the other gateways know, as far as the gateway does not know it from
+// the reply that its report names.
+func (c *Collector) reply(gateway *reporter, r *report) []byte {
+	header := replyHeader{collector: c.id, sequence: gateway.replies + 1}
+	if r.collector == c.id && r.reply == gateway.replies && r.reply > 0 {
+		header.flags |= flagDelta
+	} else {
+		clear(gateway.sent)
+		clear(gateway.sentServices)
+	}
+	gateway.replies++
+	message := header.append(make([]byte, 0, 512))
+	known := r.known
+	if r.collector != c.id {
+		known = 0
+	}
+	message = binary.AppendUvarint(message, uint64(known))
+	message = binary.AppendUvarint(message, uint64(len(c.rows)-known))
+	for _, added := range c.rows[known:] {
+		message = appendKey(message, added.key)
+	}
+	message = c.appendInstances(message, gateway)
+	return c.appendServices(message, gateway)
+}
+
+func (c *Collector) appendInstances(message []byte, gateway *reporter) []byte {
+	for len(gateway.sent) < len(c.rows) {
+		gateway.sent = append(gateway.sent, othersEntry{})
+	}
+	var entries []byte
+	count, next := 0, 0
+	for index := range c.rows {
+		row := &c.rows[index]
+		if row.service < 0 {
+			continue
+		}
+		total := row.total
+		if held := gateway.instances[index]; held != nil {
+			total = total.plus(held.counted, -1)
+		}
+		entry := total.encode()
+		fields, changed := entry.changes(gateway.sent[index])
+		if !changed {
+			continue
+		}
+		gateway.sent[index].apply(entry, fields)
+		entries = entry.append(entries, fields, index-next)
+		count, next = count+1, index+1
+	}
+	message = binary.AppendUvarint(message, uint64(count))
+	return append(message, entries...)
+}
+
+func (c contribution) encode() othersEntry {
+	return othersEntry{
+		inFlight: uint16(min(maxOthersInFlight, c.inFlight)), event: encodeMillis(c.event.mean()), first: encodeMillis(c.first.mean()),
+		idle: encodeMillis(c.idle), call: encodeMillis(c.call.mean()), tallies: packTallies(c.good, c.failed, c.late),
+	}
+}
+
+func (c *Collector) appendServices(message []byte, gateway *reporter) []byte {
+	var entries []byte
+	count := 0
+	for index := range c.rows {
+		row := &c.rows[index]
+		if row.service >= 0 {
+			continue
+		}
+		total := row.serviceTotal
+		if held := gateway.services[index]; held != nil {
+			total = total.plus(held.counted, -1)
+		}
+		service := othersService{
+			inFlight: uint32(min(maxOthersServiceInFlight, total.inFlight)),
+			ended:    encodeCount(total.ended), rejected: encodeCount(total.rejected), began: encodeCount(total.began), offered: encodeCount(total.offered),
+			medianEvent: encodeMillis(row.medians.event), medianFirst: encodeMillis(row.medians.first), medianCall: encodeMillis(row.medians.call),
+		}
+		if service != gateway.sentServices[index] {
+			gateway.sentServices[index] = service
+			entries = service.append(entries, index)
+			count++
+		}
+	}
+	message = binary.AppendUvarint(message, uint64(count))
+	return append(message, entries...)
+}
--- /dev/null
+++ b/pkg/load/export_test.go
@@ -0,0 +1,15 @@
+package load
+
+import "github.com/baobabspool/baobabspool/pkg/spool"
+
+// FalseReport returns a full report that claims as much as the format holds.
+func FalseReport(sender uint64, instance Instance, service spool.ServiceName) []byte {
+	fast := reading{mean: minMillis, weight: 1e9}
+	r := report{flags: flagFull, sender: sender, sequence: 1}
+	r.instances = []instanceReport{{
+		index: -1, key: instanceKey(instance), service: serviceKey(service), inFlight: 1 << 29, event: fast, first: fast, call: fast,
+		idle: minMillis, good: 1e9, failed: 1e9, late: 1e9,
+	}}
+	r.services = []serviceReport{{index: -1, key: serviceKey(service), serviceCounts: serviceCounts{inFlight: 1 << 29, ended: 1e9, rejected: 1e9, began: 1e9, offered: 1e9}}}
+	return r.encode()
+}
--- a/pkg/load/load.go
+++ b/pkg/load/load.go
@@ -61,6 +61,9 @@
 	// FirstEventMillis is the time to the first event of a stream, and CallMillis the time
 	// of an answer that is not streamed. They include the wait for a slot.
 	FirstEventMillis, CallMillis float64
+	// IdleFirstEventMillis is the time to the first event without a wait for a slot: the
+	// least one of the last seconds.
+	IdleFirstEventMillis float64
 	// Good, Failed and Late are the numbers of requests that ended in the last seconds, with
 	// older ones counted less. Late ones are Good ones that took much longer than at other
 	// instances.
