--- a/pkg/endpoints/pick.go
+++ b/pkg/endpoints/pick.go
@@ -98,9 +98,15 @@
 	}
 }
 
-// canServe reports whether an endpoint may get the request. A cold endpoint may get
-// at most this gateway's part of ColdPerSecond.
+// canServe reports whether an endpoint may get the request, and is in use or the last
+// resort; see isInUse.
 func (t *Table) canServe(now clock.Millis, endpoint *Endpoint, want PickRequest) bool {
+	return t.mayServe(now, endpoint, want) && t.isInUse(now, endpoint, want)
+}
+
+// mayServe reports whether an endpoint may get the request, whatever its results. A cold
+// endpoint may get at most this gateway's part of ColdPerSecond.
+func (t *Table) mayServe(now clock.Millis, endpoint *Endpoint, want PickRequest) bool {
 	if endpoint.record.Draining || endpoint.isReplaced || t.evacuated[endpoint.record.FailureDomain] || want.Tried[endpoint.record.ID] {
 		return false
 	}
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/load"
+	"github.com/baobabspool/baobabspool/pkg/outlier"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -101,6 +102,8 @@
 	drainWithin clock.Millis
 	// observer is told of each request that Pick assigns and Done ends; nil for none.
 	observer load.Observer
+	// outliers takes endpoints out of use; nil for none.
+	outliers *outlier.Detector
 }
 
 // Option changes a Table during NewTable.
--- /dev/null
+++ b/pkg/outlier/service.go
@@ -0,0 +1,112 @@
+package outlier
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/load"
+	"github.com/baobabspool/baobabspool/pkg/spool"
+)
+
+const (
+	// minPeers is the least number of instances with a known time for a median.
+	minPeers = 3
+	// commonFailedShare is the median of the failed shares from which failures are no sign of
+	// a single instance: the cause lies elsewhere, such as a cut link or bad requests.
+	commonFailedShare = 0.2
+)
+
+// service is what the detector knows of the instances of a service.
+type service struct {
+	name      spool.ServiceName
+	instances map[load.Instance]*instance
+	// members are the instances of the last judgement.
+	members  []*instance
+	judgedAt clock.Millis
+	// isJudged is set after the first judgement.
+	isJudged bool
+	// eventMillis and callMillis are the medians of the members; 0 if unknown.
+	eventMillis, callMillis float64
+	// failsInCommon is set while at least half of the members fail.
+	failsInCommon bool
+}
+
+func newService(name spool.ServiceName) *service {
+	return &service{name: name, instances: map[load.Instance]*instance{}}
+}
+
+func (s *service) isDue(now clock.Millis) bool {
+	return !s.isJudged || now >= s.judgedAt+judgeInterval
+}
+
+func (s *service) instance(now clock.Millis, id load.Instance) *instance {
+	i := s.instances[id]
+	if i == nil {
+		i = &instance{id: id, seenAt: now}
+		s.instances[id] = i
+	}
+	return i
+}
+
+func (s *service) updateMedians() {
+	s.isJudged = true
+	var events, calls []float64
+	for _, i := range s.members {
+		eventMillis, callMillis := i.times()
+		if eventMillis > 0 {
+			events = append(events, eventMillis)
+		}
+		if callMillis > 0 {
+			calls = append(calls, callMillis)
+		}
+	}
+	s.eventMillis, s.callMillis = medianOf(events), medianOf(calls)
+}
+
+// medianOf returns the median of the values, the higher one of two, and 0 if there are fewer
+// than minPeers. It changes the order of the values.
+func medianOf(values []float64) float64 {
+	if len(values) < minPeers {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+func (s *service) updateCommonFailures(now clock.Millis) {
+	var shares []float64
+	for _, i := range s.members {
+		if share, isKnown := i.failedShare(now); isKnown {
+			shares = append(shares, share)
+		}
+	}
+	s.failsInCommon = medianOf(shares) >= commonFailedShare
+}
+
+// causeAgainst returns why an instance in use should be ejected; empty if it should not.
+func (s *service) causeAgainst(now clock.Millis, i *instance) Cause {
+	switch {
+	case i.isFailing(now) && !s.failsInCommon:
+		return CauseFailures
+	case i.isLate(now):
+		return CauseLateness
+	default:
+		return ""
+	}
+}
+
+// compareSeverity orders candidates by what speaks against them.
+func (s *service) compareSeverity(now clock.Millis, a, b *instance) int {
+	aShare, _ := a.failedShare(now)
+	bShare, _ := b.failedShare(now)
+	return cmp.Or(compareCauses(s.causeAgainst(now, a), s.causeAgainst(now, b)), cmp.Compare(aShare, bShare), cmp.Compare(a.ratio, b.ratio))
+}
+
+func (s *service) forgetOld(now clock.Millis) {
+	for id, i := range s.instances {
+		if now-i.seenAt > stateRetention && i.inFlight == 0 {
+			delete(s.instances, id)
+		}
+	}
+}
