--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -178,7 +178,10 @@
 	want := endpoints.PickRequest{
 		Service: r.service.Name, Salt: r.call.Attempt, Tried: r.tried, ColdPerSecond: r.service.ColdPerSecond,
 	}
-	if r.service.Engine {
+	switch {
+	case r.gateway.settings.Balancing.Enabled && r.route.Sticky && r.call.AffinityKey != "":
+		want.AffinityKey, want.IsObject = r.call.AffinityKey, true
+	case r.service.Engine:
 		want.AffinityKey = string(r.call.Program)
 	}
 	return r.gateway.endpointTable.Pick(r.gateway.clock.Now(), want)
--- a/internal/gateway/outliers.go
+++ b/internal/gateway/outliers.go
@@ -17,7 +17,7 @@
 	options := []endpoints.Option{endpoints.WithDrainWithin(settings.DrainWithin)}
 	if settings.Balancing.Enabled {
 		detector := newOutlierDetector(settings, view, t)
-		options = append(options, endpoints.WithOutliers(detector),
+		options = append(options, endpoints.WithOutliers(detector), endpoints.WithSpreadAffinity(view),
 			endpoints.WithObserver(append(load.Observers{detector}, observers...)))
 	}
 	return endpoints.NewTable(settings.FailureDomain, options...)
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -43,6 +43,9 @@
 	return header
 }
 
+// ObjectCookies returns the Cookie header of a request about an object.
+func ObjectCookies(object string) string { return "a=b; X-Affinity-Key=" + object }
+
 // ForgedHeaders returns headers that only a gateway may set. Tests send them in requests
 // of a caller and check that the gateway drops them.
 func ForgedHeaders() http.Header {
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -68,6 +68,9 @@
 	// GapGoal is the longest pause between two events of an answer that is still on
 	// time.
 	GapGoal clock.Millis
+	// Sticky is true if requests about one object should go to endpoints that have handled
+	// it recently.
+	Sticky bool
 }
 
 // Service is a group of endpoints that serve the same requests.
--- a/pkg/endpoints/pick.go
+++ b/pkg/endpoints/pick.go
@@ -41,6 +41,9 @@
 	// AffinityKey is the same for requests that share the beginning of their prompts;
 	// empty if no endpoint is to be preferred.
 	AffinityKey string
+	// IsObject is true if AffinityKey names an object, which several endpoints may handle. A
+	// program's prompt is in the cache of one endpoint only.
+	IsObject bool
 	// Salt differs from request to request. It determines the pseudorandom term of
 	// the cost.
 	Salt string
@@ -129,10 +132,13 @@
 	if want.AffinityKey == "" {
 		return nil
 	}
+	if want.IsObject && t.spreadsAffinity {
+		return t.spreadPreferred(now, want)
+	}
 	var bestScore uint64
 	preferredIsHome := false
 	for _, endpoint := range t.byService[want.Service] {
-		if !t.canServe(now, endpoint, want) || now < endpoint.backoffUntil || now < endpoint.coldUntil || endpoint.leavingSince != 0 {
+		if !t.mayBePreferred(now, endpoint, want) {
 			continue
 		}
 		isHome := endpoint.record.FailureDomain == t.homeDomain
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -104,6 +104,9 @@
 	observer load.Observer
 	// outliers takes endpoints out of use; nil for none.
 	outliers *outlier.Detector
+	// spreadsAffinity and affinityView are set by WithSpreadAffinity.
+	spreadsAffinity bool
+	affinityView    load.View
 }
 
 // Option changes a Table during NewTable.
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -143,6 +143,9 @@
 	// ResumeAfter identifies the last event that the caller received before its event
 	// stream broke; empty when the caller does not resume a stream.
 	ResumeAfter string
+	// AffinityKey is the same for requests about the same object; empty if the caller named
+	// none.
+	AffinityKey string
 }
 
 // EndpointSend holds the values that a gateway adds to a request to an endpoint.
