--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,13 +138,15 @@
 		cancel: cancel, peerPicker: newPeerPicker(systemClock), health: newStoreHealth(systemClock, t.Logger("store")),
 	}
 	g.loadTracker, g.loadNews = newLoadTracker()
-	g.endpointTable = g.newEndpointTable()
+	view := load.NewMerged(g.loadTracker, func(service spool.ServiceName) int { return g.endpointTable.Slots(service) })
+	g.loadView = view
+	g.endpointTable = newEndpointTable(settings, view, t, g.loadTracker)
 	g.requestsEnd, g.endRequests = context.WithCancel(context.Background())
 	g.startup = make(chan struct{})
 	g.endStartup = sync.OnceFunc(func() { close(g.startup) })
 	time.AfterFunc(startupWait.Duration(), g.endStartup)
 	g.SetSeeds(settings.Seeds)
-	g.assemble(ctx, store)
+	g.assemble(ctx, store, view)
 	if err := g.listen(); err != nil {
 		cancel()
 		return nil, err
@@ -164,18 +166,8 @@
 	return g, nil
 }
 
-// newEndpointTable returns the table of endpoints, which tells loadTracker of the requests
-// if GatewaySettings.Balancing is enabled.
-func (g *Gateway) newEndpointTable() *endpoints.Table {
-	options := []endpoints.Option{endpoints.WithDrainWithin(g.settings.DrainWithin)}
-	if g.settings.Balancing.Enabled {
-		options = append(options, endpoints.WithObserver(g.loadTracker))
-	}
-	return endpoints.NewTable(g.settings.FailureDomain, options...)
-}
-
 // assemble creates the components of the gateway and connects them.
-func (g *Gateway) assemble(ctx context.Context, store spool.Store) {
+func (g *Gateway) assemble(ctx context.Context, store spool.Store, view *load.Merged) {
 	bootClock, incarnation := clock.Boot(), newIncarnation()
 	g.peerClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(peerSilenceTimeout, peerPingInterval))
 	g.store = newPathStore(store, g.health, g.callPeer, g.telemetry)
@@ -195,8 +187,6 @@
 	stateAge := func() clock.Millis { return g.shared.age(bootClock.Now()) }
 	g.limits = newLimiter(g.settings, ownership, bootClock, stateAge, g.peerClients, g.telemetry)
 	g.loadClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(loadSilenceTimeout, loadPingInterval), wire.WithClientIdleTimeout(loadIdleTimeout))
-	view := load.NewMerged(g.loadTracker, g.endpointTable.Slots)
-	g.loadView = view
 	g.loadExchange = newLoadExchange(g, view, bootClock)
 }
 
