--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -19,18 +19,6 @@
 )
 
 const (
-	// maxTriesPerRound bounds the number of endpoints to which one request is sent in a
-	// round, including endpoints that refuse it.
-	maxTriesPerRound = 5
-	// fullRetryDelay is the delay before the second round, after all endpoints tried in
-	// the first one were full. The delay doubles with each round, up to
-	// maxFullRetryDelay. A slot usually becomes free within the duration of one
-	// request.
-	fullRetryDelay    = 15 * clock.Millis(1)
-	maxFullRetryDelay = 60 * clock.Millis(1)
-	// fullRetryShare is the share of the request's remaining time during which new
-	// rounds are started.
-	fullRetryShare = 0.4
 	// eventStream is the content type of an answer that is passed on event by event.
 	eventStream = "text/event-stream"
 	// leastUrgent is the urgency level of the least urgent requests. Endpoints know the
@@ -61,9 +49,14 @@
 // reason for refusing the request, or an empty string if an answer was passed on,
 // completely or in part.
 func (r *request) forward(ctx context.Context) spool.Code {
-	giveUpAt := r.fullRetryDeadline()
-	for pause := fullRetryDelay; ; pause = min(2*pause, maxFullRetryDelay) {
-		reason, ended := r.tryRound(ctx)
+	offering := r.gateway.engineLoads.offering(r)
+	start := r.gateway.clock.Now()
+	giveUpAt := start + clock.Millis(offering.TimeShare*float64(r.deadline-start))
+	for pause := offering.Pause; ; pause = min(2*pause, offering.MaxPause) {
+		if offering.TimeShare == 0 {
+			return r.failureReason(ctx, reasonTooLate)
+		}
+		reason, ended := r.tryRound(ctx, offering.Tries)
 		if ended || reason != reasonEndpointsFull || r.gateway.clock.Now()+pause >= giveUpAt {
 			return reason
 		}
@@ -72,28 +65,22 @@
 			return r.failureReason(ctx, reason)
 		}
 		clear(r.tried)
+		offering = r.gateway.engineLoads.offering(r)
 	}
 }
 
-// fullRetryDeadline returns the time after which no new round is started for a request
-// that found every endpoint full.
-func (r *request) fullRetryDeadline() clock.Millis {
-	now := r.gateway.clock.Now()
-	return now + clock.Millis(fullRetryShare*float64(r.deadline-now))
-}
-
 // withJitter returns a random duration between 0.75 and 1.25 times pause, so that
 // requests that were refused together do not retry together.
 func withJitter(pause clock.Millis) clock.Millis {
 	return pause/2 + rand.N(pause/2+1) + pause/4
 }
 
-// tryRound sends the request to endpoints that it was not sent to in this round, until
-// one answers. ended reports that the result is final: the request was answered, may
+// tryRound sends the request to endpoints that it was not sent to in this round, at most
+// maxTries, until one answers. ended reports that the result is final: the request was answered, may
 // have run and must not be repeated, or ctx has ended.
-func (r *request) tryRound(ctx context.Context) (reason spool.Code, ended bool) {
+func (r *request) tryRound(ctx context.Context, maxTries int) (reason spool.Code, ended bool) {
 	lastReason := reasonNoEndpoint
-	for tries := 0; tries < maxTriesPerRound; tries++ {
+	for tries := 0; tries < maxTries; tries++ {
 		if ctx.Err() != nil {
 			break
 		}
@@ -192,7 +179,10 @@
 		Endpoint: endpoint.ID(), Account: r.account, TimeLeft: max(1, r.deadline-g.clock.Now()),
 		Urgency: -1, BodyBytes: r.body.Bytes(),
 	}
-	if r.service.Engine {
+	switch {
+	case g.engineLoads.appliesTo(r):
+		send.Urgency = g.engineLoads.urgency(r)
+	case r.service.Engine:
 		send.Urgency = min(leastUrgent, max(0, r.priority))
 	}
 	if r.route.Resumable {
@@ -253,9 +243,19 @@
 	}
 }
 
-// recordLoad updates the load of a plain service from the outcome of a call. Calls that
-// stream are ignored, because their duration depends on the length of the stream.
+// recordLoad updates the load of a service from the outcome of a call. Calls of plain
+// services that stream are ignored, because their duration depends on the length of the
+// stream.
 func (r *request) recordLoad(outcome endpoints.Outcome) {
+	if r.gateway.engineLoads.appliesTo(r) {
+		switch outcome {
+		case endpoints.Full:
+			r.gateway.engineLoads.recordFull(r.service.Name)
+		case endpoints.Answered:
+			r.gateway.engineLoads.recordAnswer(r.service.Name)
+		}
+		return
+	}
 	if r.service.Engine || r.route.Kind == catalog.Stream {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/endpoints"
 	"github.com/baobabspool/baobabspool/pkg/homes"
+	"github.com/baobabspool/baobabspool/pkg/load"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -54,6 +55,7 @@
 	reserve       *reserveClient
 	limits        *limiter
 	loads         *serviceLoads
+	engineLoads   *engineLoads
 	health        *storeHealth
 	store         *pathStore
 	peerPicker    *peerPicker
@@ -65,6 +67,11 @@
 	lookupClients *wire.Clients
 	peerServer    *wire.Server
 
+	// loadView is what all gateways know of the load, and loadTracker counts programs for
+	// it. Both are nil if loads are not exchanged.
+	loadView    load.View
+	loadTracker programObserver
+
 	// catalog is the configuration in force; nil until one has been read. Its version
 	// never decreases.
 	catalog atomic.Pointer[catalog.Catalog]
@@ -157,6 +164,7 @@
 	g.peerClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(peerSilenceTimeout, peerPingInterval))
 	g.store = newPathStore(store, g.health, g.callPeer, g.telemetry)
 	g.loads = newServiceLoads(g.clock)
+	g.engineLoads = newEngineLoads(g.settings.Balancing, g.clock, func() load.View { return g.loadView }, g.telemetry.Logger("admission"))
 	g.homes = homes.NewTable(g.clock)
 	g.lookupClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(peerSilenceTimeout, peerPingInterval), wire.WithClientIdleTimeout(lookupIdleTimeout))
 	homeClient := newHomeClient(g.homes, g.callHome, g.clock, g.telemetry.Logger("homes"))
@@ -434,7 +442,9 @@
 	}
 	g.catalog.Store(next)
 	g.updateStartup()
-	g.loads.retain(func(service spool.ServiceName) bool { return next.Service(service) != nil })
+	isConfigured := func(service spool.ServiceName) bool { return next.Service(service) != nil }
+	g.loads.retain(isConfigured)
+	g.engineLoads.retain(isConfigured)
 	limits := next.Limits()
 	g.server.SetLimits(httpconn.Limits{
 		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -56,6 +56,8 @@
 	// possibleRuns is the number of tries without a complete answer in which the
 	// endpoint may have run the request.
 	possibleRuns int
+	// hasBegun is set if a turn of the program is known to have run.
+	hasBegun bool
 	// budget holds the tokens that are allocated to the turn; nil if there are none.
 	budget *turnBudget
 	// sentAt is when the request was last sent to an endpoint, and sample what its answer has
@@ -99,15 +101,59 @@
 		r.reject(refusalFor(reasonOverloaded))
 		return
 	}
+	if refusal, ok := r.admitToEngine(ctx, class); !ok {
+		r.reject(refusal)
+		return
+	}
 	if err := g.limits.admit(ctx, r.account, class, func() (limit.StartRequest, bool) {
 		return programStart(r.call), r.startsProgram(ctx)
 	}); err != nil {
 		r.reject(overLimitRefusal(err))
 		return
 	}
+	if class == limit.ClassStart && g.loadTracker != nil {
+		g.loadTracker.ProgramBegan(g.clock.Now(), r.service.Name)
+	}
 	if reason := r.serve(ctx); reason != "" {
-		r.reject(refusalFor(reason))
+		r.reject(r.refusalFor(reason))
+	}
+}
+
+// admitToEngine decides whether the program of a first turn may begin while engines are
+// overloaded. ok is false if it is refused. Only a program that would be refused is looked
+// up, since a wrong refusal of a later turn ends its program.
+func (r *request) admitToEngine(ctx context.Context, class limit.Class) (refused refusal, ok bool) {
+	g := r.gateway
+	r.hasBegun = class != limit.ClassStart && r.call.Program != ""
+	if class != limit.ClassStart {
+		return refusal{}, true
+	}
+	if g.loadTracker != nil {
+		g.loadTracker.ProgramOffered(g.clock.Now(), r.service.Name)
+	}
+	if !g.engineLoads.appliesTo(r) {
+		return refusal{}, true
+	}
+	admitted, retryAfter := g.engineLoads.admit(r)
+	if admitted {
+		return refusal{}, true
+	}
+	if !r.startsProgram(ctx) {
+		r.hasBegun = true
+		return refusal{}, true
+	}
+	refused = refusalFor(reasonEnginesBusy)
+	refused.retryAfter = retryAfter
+	return refused, false
+}
+
+// refusalFor returns the refusal for a reason, with the retry time that fits the load.
+func (r *request) refusalFor(reason spool.Code) refusal {
+	refused := refusalFor(reason)
+	if reason == reasonTooLate || reason == reasonEndpointsFull && r.gateway.engineLoads.appliesTo(r) {
+		refused.retryAfter = r.gateway.engineLoads.retryAfter(r.service.Name)
 	}
+	return refused
 }
 
 // recoverPanic ends a request whose handling panicked, so that the error of one request
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -25,6 +25,8 @@
 	reasonNoEndpoint      spool.Code = "noEndpoint"
 	reasonEndpointsFull   spool.Code = "endpointsFull"
 	reasonOverloaded      spool.Code = "overloaded"
+	reasonEnginesBusy     spool.Code = "enginesBusy"
+	reasonTooLate         spool.Code = "tooLate"
 	reasonMayHaveRun      spool.Code = "mayHaveRun"
 	reasonTimeout         spool.Code = "timeout"
 	reasonInternal        spool.Code = "internal"
@@ -43,7 +45,8 @@
 	retryStore = clock.Second
 	// retryEndpoint is for a service without an endpoint that can be used.
 	retryEndpoint = 250 * clock.Millis(1)
-	// retryOverload is for a program that may not begin while a service is overloaded.
+	// retryOverload is for a program that may not begin while a service is overloaded. At
+	// engines, package admission computes the delay from the overload.
 	retryOverload = 500 * clock.Millis(1)
 	// retryStopping is for a gateway that is shutting down. Another one takes the request.
 	retryStopping = 50 * clock.Millis(1)
@@ -76,6 +79,8 @@
 	reasonNoEndpoint:      {status: http.StatusServiceUnavailable, retryAfter: retryEndpoint},
 	reasonEndpointsFull:   {status: http.StatusServiceUnavailable, retryAfter: retryFull},
 	reasonOverloaded:      {status: http.StatusServiceUnavailable, retryAfter: retryOverload},
+	reasonEnginesBusy:     {status: http.StatusServiceUnavailable, retryAfter: retryOverload},
+	reasonTooLate:         {status: http.StatusServiceUnavailable, retryAfter: retryOverload},
 	reasonMayHaveRun:      {status: http.StatusBadGateway},
 	reasonTimeout:         {status: http.StatusGatewayTimeout},
 	reasonInternal:        {status: http.StatusBadGateway},
--- /dev/null
+++ b/pkg/admission/offering.go
@@ -0,0 +1,90 @@
+package admission
+
+import "github.com/baobabspool/baobabspool/pkg/clock"
+
+const (
+	// fullRejected is the part of the requests that must be rejected for the service to
+	// count as full.
+	fullRejected = 0.1
+	// shedLoad is the load above which requests of overdue programs are refused. They would
+	// fill the queues in which programs wait that can still finish in time.
+	shedLoad = 1.75
+	// Rounds in which a request is offered to the endpoints of a service. A rejected offer
+	// costs a connection or the time of a slot at the endpoint, so there are fewer while
+	// the service is full, with longer pauses.
+	triesPerRound = 5
+	triesWhenFull = 2
+	pause         = 15 * clock.Millis(1)
+	maxPause      = 60 * clock.Millis(1)
+	pauseWhenFull = 40 * clock.Millis(1)
+	// maxPauseWhenFull is the longest pause while the service is full: in about this time
+	// half of the slots become free.
+	maxPauseWhenFull = 160 * clock.Millis(1)
+	// New programs are offered again for newShare of their time, so that a caller that is
+	// refused has the time to return. A turn of a program that has begun is offered for
+	// begunShare of its time, because a refused turn ends its program.
+	newShare   = 0.4
+	begunShare = 0.8
+)
+
+// Offering says how a request is offered again that found every endpoint full.
+type Offering struct {
+	// Tries bounds the number of endpoints in a round.
+	Tries int
+	// Pause is the time before the second round. It doubles with each further round, up to
+	// MaxPause.
+	Pause, MaxPause clock.Millis
+	// TimeShare is the part of the request's time during which rounds begin. It is 0 if
+	// the request cannot be answered in time and should be refused at once.
+	TimeShare float64
+}
+
+// DefaultOffering returns how a request is offered to endpoints of which nothing is known.
+func DefaultOffering() Offering {
+	return Offering{Tries: triesPerRound, Pause: pause, MaxPause: maxPause, TimeShare: newShare}
+}
+
+// Offering returns how a request is offered to endpoints at present.
+func (c *Controller) Offering(now clock.Millis, request Request) Offering {
+	c.advance(now)
+	o := DefaultOffering()
+	if request.Begun && !request.Overdue {
+		o.TimeShare = begunShare
+	}
+	if c.isHopeless(request) {
+		o.TimeShare = 0
+	}
+	if !c.isFull(now) {
+		return o
+	}
+	o.Tries, o.Pause, o.MaxPause = triesWhenFull, pauseWhenFull, maxPauseWhenFull
+	if c.viewKnown && c.cannotFinish(request) {
+		o.TimeShare = 0
+	}
+	return o
+}
+
+// isHopeless reports whether the program of a request will be late for certain, while
+// others wait that can still finish in time.
+func (c *Controller) isHopeless(request Request) bool {
+	if !c.viewKnown || c.estimate.load() <= shedLoad {
+		return false
+	}
+	turn := clock.Millis(c.estimate.load() * float64(c.estimate.turnTime()))
+	return request.Overdue || request.FinishIn > 0 && request.FinishIn < turn
+}
+
+// isFull reports whether endpoints reject a part of the requests for lack of room.
+func (c *Controller) isFull(now clock.Millis) bool {
+	if c.viewKnown {
+		return c.estimate.rejectedShare() > fullRejected
+	}
+	return !c.fallback.Unlimited(now)
+}
+
+// cannotFinish reports whether the time of a request is too short for the wait in a
+// queue. It assumes half of the mean wait, since waits differ between endpoints and urgent
+// requests overtake others.
+func (c *Controller) cannotFinish(request Request) bool {
+	return request.TimeLeft < c.estimate.turnTime()+c.estimate.queueTime()/2
+}
--- a/pkg/story/cause.go
+++ b/pkg/story/cause.go
@@ -78,6 +78,8 @@
 	"noEndpoint":      "no endpoint of the service was ready",
 	"endpointsFull":   "every endpoint that was asked had no room, for the time that the request may be offered again",
 	"overloaded":      "the service had a long queue, so that new programs were held back",
+	"enginesBusy":     "the programs under way and the new ones needed more than the engines can serve, so that a part of the new ones was held back",
+	"tooLate":         "the engines had long queues, and the program was late or could not be finished in its time",
 	"mayHaveRun":      "the request was sent, no complete answer came, and it must not be sent again",
 	"timeout":         "the time of the caller or of the route was over",
 	"internal":        "an error in the gateway; the line with noPanic has its stack",
