--- a/internal/gateway/engineload.go
+++ b/internal/gateway/engineload.go
@@ -20,14 +20,6 @@
 	finishMemory = clock.Minute
 )
 
-// programObserver counts programs for the load that gateways exchange.
-type programObserver interface {
-	// ProgramOffered records that a program asked to begin at a service.
-	ProgramOffered(now clock.Millis, service spool.ServiceName)
-	// ProgramBegan records that a program was allowed to begin.
-	ProgramBegan(now clock.Millis, service spool.ServiceName)
-}
-
 // engineLoads decides which programs may begin at engines, the urgency of their requests,
 // and how often requests are offered to full engines. Nothing of it applies unless balancing
 // is on. It is safe for concurrent use.
@@ -35,8 +27,8 @@
 	enabled bool
 	clock   clock.Clock
 	log     *zap.Logger
-	// view returns the load that gateways exchange; nil if there is none.
-	view    func() load.View
+	// view is the load that gateways exchange.
+	view    load.View
 	options []admission.Option
 
 	mu      sync.Mutex
@@ -63,7 +55,7 @@
 // none did.
 type finishUse struct{ stated, missing clock.Millis }
 
-func newEngineLoads(settings spool.BalancingSettings, systemClock clock.Clock, view func() load.View, log *zap.Logger, options ...admission.Option) *engineLoads {
+func newEngineLoads(settings spool.BalancingSettings, systemClock clock.Clock, view load.View, log *zap.Logger, options ...admission.Option) *engineLoads {
 	return &engineLoads{
 		enabled: settings.Enabled, clock: systemClock, view: view, log: log, options: options,
 		engines: map[spool.ServiceName]*engineLoad{}, finishes: map[finishKey]finishUse{},
@@ -79,10 +71,7 @@
 	e := l.engines[service]
 	if e == nil {
 		e = &engineLoad{Controller: admission.New(l.clock.Now(), func(now clock.Millis) load.ServiceStats {
-			if view := l.view(); view != nil {
-				return view.Service(now, service)
-			}
-			return load.ServiceStats{}
+			return l.view.Service(now, service)
 		}, l.options...)}
 		l.engines[service] = e
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,11 +75,6 @@
 	loadExchange *loadExchange
 	loadClients  *wire.Clients
 
-	// loadView is what all gateways know of the load, and loadTracker counts programs for
-	// it. Both are nil if loads are not exchanged.
-	loadView    load.View
-	loadTracker programObserver
-
 	// catalog is the configuration in force; nil until one has been read. Its version
 	// never decreases.
 	catalog atomic.Pointer[catalog.Catalog]
@@ -178,7 +173,7 @@
 	g.peerClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(peerSilenceTimeout, peerPingInterval))
 	g.store = newPathStore(store, g.health, g.callPeer, g.telemetry)
 	g.loads = newServiceLoads(g.clock)
-	g.engineLoads = newEngineLoads(g.settings.Balancing, g.clock, func() load.View { return g.loadView }, g.telemetry.Logger("admission"))
+	g.engineLoads = newEngineLoads(g.settings.Balancing, g.clock, g.loadView, g.telemetry.Logger("admission"))
 	g.homes = homes.NewTable(g.clock)
 	g.lookupClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(peerSilenceTimeout, peerPingInterval), wire.WithClientIdleTimeout(lookupIdleTimeout))
 	homeClient := newHomeClient(g.homes, g.callHome, g.clock, g.telemetry.Logger("homes"))
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -111,7 +111,7 @@
 		r.reject(overLimitRefusal(err))
 		return
 	}
-	if class == limit.ClassStart && g.loadTracker != nil {
+	if class == limit.ClassStart && g.engineLoads.appliesTo(r) {
 		g.loadTracker.ProgramBegan(g.clock.Now(), r.service.Name)
 	}
 	if reason := r.serve(ctx); reason != "" {
@@ -128,12 +128,10 @@
 	if class != limit.ClassStart {
 		return refusal{}, true
 	}
-	if g.loadTracker != nil {
-		g.loadTracker.ProgramOffered(g.clock.Now(), r.service.Name)
-	}
 	if !g.engineLoads.appliesTo(r) {
 		return refusal{}, true
 	}
+	g.loadTracker.ProgramOffered(g.clock.Now(), r.service.Name)
 	admitted, retryAfter := g.engineLoads.admit(r)
 	if admitted {
 		return refusal{}, true
