--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -177,6 +177,7 @@
 func (r *request) pickEndpoint() *endpoints.Endpoint {
 	want := endpoints.PickRequest{
 		Service: r.service.Name, Salt: r.call.Attempt, Tried: r.tried, ColdPerSecond: r.service.ColdPerSecond,
+		IsRepeatable: r.isRepeatable() && r.possibleRuns+1 < r.route.Attempts,
 	}
 	switch {
 	case r.gateway.settings.Balancing.Enabled && r.route.Sticky && r.call.AffinityKey != "":
--- a/internal/gateway/outliers.go
+++ b/internal/gateway/outliers.go
@@ -43,7 +43,7 @@
 	return outlier.New(view, outlier.WithSeed(string(settings.Node)), outlier.WithReport(func(event outlier.Event) {
 		t.CountEvent(outlierEvents[event.Kind][event.Cause])
 		log.Info("endpoint "+string(event.Kind), zap.String("endpoint", string(event.Instance.ID)), zap.Int64("startedAt", int64(event.Instance.StartedAt)),
-			zap.String("service", string(event.Service)), zap.String("cause", string(event.Cause)), zap.Int64("untilMs", int64(event.Until)),
+			zap.String("service", string(event.Service)), zap.String("cause", string(event.Cause)), zap.Int64("forMs", int64(max(0, event.Until-event.At))),
 			zap.Int("level", event.Level), zap.Float64("ownScore", event.OwnScore), zap.Float64("sharedScore", event.SharedScore), zap.Float64("ratio", event.Ratio))
 	}))
 }
--- a/pkg/endpoints/outliers.go
+++ b/pkg/endpoints/outliers.go
@@ -19,11 +19,11 @@
 		return true
 	}
 	t.judgeOutliers(now, endpoint)
-	if t.outliers.Allows(now, endpoint.service, endpoint.Instance()) {
+	if t.outliers.Allows(now, endpoint.service, endpoint.Instance(), want.IsRepeatable) {
 		return true
 	}
 	for _, other := range t.byService[want.Service] {
-		if t.mayServe(now, other, want) && t.outliers.Allows(now, other.service, other.Instance()) {
+		if t.mayServe(now, other, want) && t.outliers.Allows(now, other.service, other.Instance(), want.IsRepeatable) {
 			return false
 		}
 	}
@@ -41,7 +41,7 @@
 	var members []outlier.Member
 	for _, other := range t.byService[endpoint.service] {
 		if other.leavingSince == 0 && t.mayServe(now, other, PickRequest{Service: endpoint.service}) {
-			members = append(members, outlier.Member{Instance: other.Instance(), Slots: other.record.Slots})
+			members = append(members, outlier.Member{Instance: other.Instance(), Slots: other.record.Slots, Domain: other.domain})
 		}
 	}
 	t.outliers.Judge(now, endpoint.service, members)
--- a/pkg/endpoints/pick.go
+++ b/pkg/endpoints/pick.go
@@ -44,6 +44,8 @@
 	// IsObject is true if AffinityKey names an object, which several endpoints may handle. A
 	// program's prompt is in the cache of one endpoint only.
 	IsObject bool
+	// IsRepeatable is true if the request may run at another endpoint if this one fails.
+	IsRepeatable bool
 	// Salt differs from request to request. It determines the pseudorandom term of
 	// the cost.
 	Salt string
--- a/pkg/outlier/detector.go
+++ b/pkg/outlier/detector.go
@@ -43,6 +43,8 @@
 	Instance load.Instance
 	// Slots is the number of requests that the instance runs at once.
 	Slots int
+	// Domain is the failure domain in which the instance runs.
+	Domain spool.FailureDomain
 }
 
 // Detector judges the instances of all services from the results of the requests of its
@@ -81,7 +83,8 @@
 	return func(d *Detector) { d.viewWindow = window }
 }
 
-// New returns a detector without history. view may be nil.
+// New returns a detector without history. view may be nil. It is called under the lock of the
+// detector, which endpoints.Table calls under its own, so that it must call neither.
 func New(view load.View, options ...Option) *Detector {
 	d := &Detector{
 		view: view, viewWindow: defaultViewWindow, report: func(Event) {}, gateways: 1,
@@ -120,12 +123,17 @@
 		return
 	}
 	i.own.record(now, sample)
+	if sample.Outcome == load.Failed {
+		i.isTrusted = false
+	}
+	s.isUrgent = s.isUrgent || i.state == InUse && sample.Outcome == load.Failed && s.isFailing(now, i)
 	if i.stateAt(now) == Probation {
 		d.recordProbe(now, s, i, sample)
 	}
 }
 
-// Due reports whether the service should be judged: judgeInterval has passed.
+// Due reports whether the service should be judged: judgeInterval has passed, or own results
+// suffice for an ejection.
 func (d *Detector) Due(now clock.Millis, name spool.ServiceName) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -141,11 +149,11 @@
 	if !s.isDue(now) {
 		return
 	}
-	s.judgedAt = now
+	s.judgedAt, s.isUrgent = now, false
 	s.members = s.members[:0]
 	for _, member := range members {
 		i := s.instance(now, member.Instance)
-		i.seenAt, i.slots = now, max(1, member.Slots)
+		i.seenAt, i.slots, i.domain = now, max(1, member.Slots), member.Domain
 		i.observe(now, d.stats(now, member.Instance), d.viewWindow)
 		s.members = append(s.members, i)
 	}
@@ -159,8 +167,9 @@
 	s.forgetOld(now)
 }
 
-// Allows reports whether an instance may get a request now.
-func (d *Detector) Allows(now clock.Millis, name spool.ServiceName, id load.Instance) bool {
+// Allows reports whether an instance may get a request now. isRepeatable says whether the
+// request may run at another endpoint if it fails; on probation, others wait for repeatDelay.
+func (d *Detector) Allows(now clock.Millis, name spool.ServiceName, id load.Instance, isRepeatable bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	i := d.service(name).instances[id]
@@ -171,7 +180,7 @@
 	case Ejected:
 		return false
 	case Probation:
-		return i.inFlight == 0 && now >= i.nextProbe
+		return i.inFlight == 0 && (now >= i.nextProbe+repeatDelay || isRepeatable && now >= i.nextProbe)
 	default:
 		return true
 	}
@@ -237,6 +246,7 @@
 			held = held[1:]
 			free++
 		}
+		i.isShared = cause == CauseFailures && i.own.score.value < maxScore
 		d.eject(now, s, i, cause)
 		free--
 	}
--- a/pkg/outlier/event.go
+++ b/pkg/outlier/event.go
@@ -47,8 +47,9 @@
 	Service  spool.ServiceName
 	Instance load.Instance
 	Cause    Cause
-	// Until is the end of the ejection, and Level the number of ejections before it that
-	// made it longer.
+	// At is the time of the change. Until is the end of the ejection, and Level the number
+	// of ejections before it that made it longer.
+	At    clock.Millis
 	Until clock.Millis
 	Level int
 	// OwnScore and SharedScore are the scores of failures from the own requests and from
--- a/pkg/outlier/evidence.go
+++ b/pkg/outlier/evidence.go
@@ -116,10 +116,10 @@
 type sharedResults struct {
 	score score
 	stats load.Stats
-	at    clock.Millis
-	// isKnown is set when stats holds a first observation, against which later ones are
-	// compared.
-	isKnown bool
+	// good and failed are the counters of the last statistics with results, observed at the
+	// time at. Later ones are compared with them.
+	good, failed float64
+	at           clock.Millis
 }
 
 // observe compares the statistics of a view with the last ones and returns how many results
@@ -127,21 +127,17 @@
 // into account. Statistics without results change nothing: a view that was empty for a
 // while would otherwise show old results as new ones.
 func (r *sharedResults) observe(now clock.Millis, stats load.Stats, window clock.Millis) (good, failed float64) {
-	stats = clamp(stats)
-	if r.isKnown && stats == r.stats || stats.Good+stats.Failed == 0 {
+	r.stats = clamp(stats)
+	if r.stats.Good == r.good && r.stats.Failed == r.failed || r.stats.Good+r.stats.Failed == 0 {
 		return 0, 0
 	}
-	if r.isKnown {
-		weight := decay(now-r.at, window)
-		good = max(0, stats.Good-r.stats.Good*weight)
-		failed = max(0, stats.Failed-r.stats.Failed*weight)
-	} else {
-		good, failed = stats.Good, stats.Failed
-	}
+	weight := decay(now-r.at, window)
+	good = max(0, r.stats.Good-r.good*weight)
+	failed = max(0, r.stats.Failed-r.failed*weight)
 	if failed < minNewFailures {
 		failed = 0
 	}
-	r.stats, r.at, r.isKnown = stats, now, true
+	r.good, r.failed, r.at = r.stats.Good, r.stats.Failed, now
 	r.score.add(now, good, failed)
 	return good, failed
 }
--- a/pkg/outlier/instance.go
+++ b/pkg/outlier/instance.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/load"
+	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
 const (
@@ -22,8 +23,9 @@
 
 // instance is what the detector knows of one instance.
 type instance struct {
-	id    load.Instance
-	slots int
+	id     load.Instance
+	slots  int
+	domain spool.FailureDomain
 	// inFlight is the number of requests of this gateway.
 	inFlight int
 	// seenAt is when the instance was a member last, or had a result.
@@ -43,20 +45,30 @@
 	// state changes from Ejected to Probation when until is reached; use stateAt.
 	state State
 	cause Cause
-	until clock.Millis
+	// ejectedAt and until are the begin and the end of the ejection.
+	ejectedAt, until clock.Millis
 	// level is the number of ejections that lengthen the next one, and returnedAt the time
 	// from which it decreases.
 	level      int
 	returnedAt clock.Millis
 	// nextProbe is the earliest time of the next request on probation.
 	nextProbe clock.Millis
-	// goodProbes is the number of own good results on probation. sharedProbes and
-	// sharedFailures are the numbers of good and failed results in the view since then.
-	goodProbes                   int
-	sharedProbes, sharedFailures float64
+	// isShared is true if the ejection rests on the results of other gateways.
+	isShared bool
+	// goodProbes is the number of own good results on probation.
+	goodProbes int
+	// sharedProbes is the number of good results in the view since the last failure there,
+	// from firstEjection after the ejection on. hasSharedFailure is set if there was a
+	// failure in the view on probation.
+	sharedProbes     float64
+	hasSharedFailure bool
 	// extensions is the number of ejections in a row that rest on the results of other
 	// gateways only.
 	extensions int
+	// isTrusted is set after a return by own good results, until an own failure or until the
+	// view has shown no failure for trustTime. Failures of other gateways do not count then.
+	isTrusted       bool
+	sharedFailureAt clock.Millis
 }
 
 func (i *instance) stateAt(now clock.Millis) State {
@@ -74,9 +86,14 @@
 	if i.lateSince != 0 {
 		i.answersLate += newAnswers
 	}
-	if i.stateAt(now) == Probation {
+	if failed > 0 {
+		i.sharedFailureAt, i.sharedProbes = now, 0
+		i.hasSharedFailure = i.hasSharedFailure || i.stateAt(now) == Probation
+	} else if i.state != InUse && now >= i.ejectedAt+firstEjection {
 		i.sharedProbes += good
-		i.sharedFailures += failed
+	}
+	if now-max(i.sharedFailureAt, i.returnedAt) > trustTime {
+		i.isTrusted = false
 	}
 }
 
@@ -131,12 +148,6 @@
 	return i.ownRatio >= lateFactor || !i.own.contradicts(now)
 }
 
-// isFailing reports whether own results, or those of all gateways, show that the instance
-// fails. Recent own results outweigh those of other gateways.
-func (i *instance) isFailing(now clock.Millis) bool {
-	return i.own.score.value >= maxScore || i.shared.score.value >= maxScore && !i.own.contradicts(now)
-}
-
 // failedShare returns the share of the recent results that are failures. isKnown is false
 // if there are too few.
 func (i *instance) failedShare(now clock.Millis) (share float64, isKnown bool) {
--- a/pkg/outlier/probation.go
+++ b/pkg/outlier/probation.go
@@ -15,9 +15,21 @@
 	// calmTime is the time in use after which a next ejection is shorter by half.
 	calmTime = 10 * clock.Second
 	// probesToReturn is the number of own good results, and sharedProbesToReturn that of good
-	// results of all gateways without a failure, that end the probation.
-	probesToReturn       = 3
-	sharedProbesToReturn = 4.0
+	// results of all gateways without a failure, that end the probation. sharedProbesToShorten
+	// is the number of the latter that end an ejection early, if they took steadyTime: at a
+	// failing share of 0.43, so many in a row have a probability of 0.004, and endpoints that
+	// flap fail again within 2 s.
+	probesToReturn        = 3
+	sharedProbesToReturn  = 4.0
+	sharedProbesToShorten = 10.0
+	steadyTime            = 3 * clock.Second
+	// trustTime is the time without failures in the view after which earlier ones no longer
+	// delay the end of a probation, and own good results on probation no longer outweigh the
+	// results of other gateways.
+	trustTime = 10 * clock.Second
+	// repeatDelay is how long an instance on probation waits for a request that can be
+	// repeated elsewhere before it gets another one.
+	repeatDelay = clock.Second
 	// probationLimit ends a probation in which there was no failure. If the choice of an
 	// endpoint avoids the instance, it gets no requests that could end it.
 	probationLimit = 10 * clock.Second
@@ -37,16 +49,26 @@
 
 // advance begins and ends the probation of an instance.
 func (d *Detector) advance(now clock.Millis, s *service, i *instance) {
+	if i.state == InUse {
+		return
+	}
+	isCommon := s.commonDomains[i.domain]
+	isRecovered := i.cause == CauseFailures || i.ratio < lateFactor
+	if i.cause == CauseFailures && i.isShared && isCommon || isRecovered && i.sharedProbes >= sharedProbesToShorten && now >= i.sharedFailureAt+steadyTime {
+		d.release(now, s, i, KindReturned)
+		return
+	}
 	if i.stateAt(now) != Probation {
 		return
 	}
 	i.state = Probation
 	switch {
-	case i.sharedFailures > 0 && i.goodProbes == 0 && i.extensions < maxExtensions:
+	case i.hasSharedFailure && !isCommon && i.goodProbes == 0 && i.extensions < maxExtensions:
 		i.extensions++
+		i.isShared = true
 		d.eject(now, s, i, i.cause)
-	case i.sharedFailures > 0:
-	case i.sharedProbes >= sharedProbesToReturn && (i.cause == CauseFailures || i.ratio < lateFactor),
+	case i.hasSharedFailure && now < i.sharedFailureAt+trustTime:
+	case isRecovered && i.sharedProbes >= sharedProbesToReturn,
 		i.inFlight == 0 && now >= i.until+probationLimit:
 		d.release(now, s, i, KindReturned)
 	}
@@ -57,14 +79,18 @@
 	eventMillis, callMillis := timesOf(sample)
 	isLate := ratioOf(eventMillis, s.eventMillis) >= lateFactor || ratioOf(callMillis/i.queueFactor(), s.callMillis) >= lateFactor
 	if sample.Outcome == load.Failed || i.cause == CauseLateness && isLate {
-		i.extensions = 0
-		d.eject(now, s, i, i.cause)
+		i.extensions, i.isShared = 0, false
+		cause := i.cause
+		if sample.Outcome == load.Failed {
+			cause = CauseFailures
+		}
+		d.eject(now, s, i, cause)
 		return
 	}
 	i.goodProbes++
 	if i.goodProbes >= probesToReturn {
-		i.own.good = max(i.own.good, 2*vetoResults)
 		d.release(now, s, i, KindReturned)
+		i.isTrusted = true
 	}
 }
 
@@ -78,18 +104,18 @@
 	if spread > 0 {
 		spread = clock.Millis(xxhash.Sum64String(string(i.id.ID)+d.seed) % uint64(spread))
 	}
-	i.state, i.cause, i.until = Ejected, cause, now+duration+spread
-	d.report(i.event(KindEjected, s))
+	i.state, i.cause, i.ejectedAt, i.until = Ejected, cause, now, now+duration+spread
+	d.report(i.event(now, KindEjected, s))
 	i.level = min(i.level+1, 8)
 	i.nextProbe = i.until
 	i.own.score.value, i.shared.score.value = 0, 0
 	i.lateSince, i.answersLate = 0, 0
-	i.goodProbes, i.sharedProbes, i.sharedFailures = 0, 0, 0
+	i.goodProbes, i.sharedProbes, i.hasSharedFailure, i.isTrusted = 0, 0, false, false
 }
 
 // release puts an instance in use again.
 func (d *Detector) release(now clock.Millis, s *service, i *instance, kind Kind) {
-	d.report(i.event(kind, s))
+	d.report(i.event(now, kind, s))
 	i.state, i.cause, i.until, i.extensions = InUse, "", 0, 0
 	i.returnedAt = now
 	i.own.score.value, i.shared.score.value = 0, 0
@@ -97,9 +123,9 @@
 	i.lateSince, i.answersLate = 0, 0
 }
 
-func (i *instance) event(kind Kind, s *service) Event {
+func (i *instance) event(now clock.Millis, kind Kind, s *service) Event {
 	return Event{
-		Kind: kind, Service: s.name, Instance: i.id, Cause: i.cause, Until: i.until, Level: i.level,
+		Kind: kind, Service: s.name, Instance: i.id, Cause: i.cause, At: now, Until: i.until, Level: i.level,
 		OwnScore: i.own.score.value, SharedScore: i.shared.score.value, Ratio: i.ratio,
 	}
 }
--- a/pkg/outlier/service.go
+++ b/pkg/outlier/service.go
@@ -15,6 +15,10 @@
 	// commonFailedShare is the median of the failed shares from which failures are no sign of
 	// a single instance: the cause lies elsewhere, such as a cut link or bad requests.
 	commonFailedShare = 0.2
+	// suspectScore is the score of failures from which an instance counts as failing when
+	// its failure domain is judged. It is below maxScore, because the first instance of a
+	// domain reaches that before the others do.
+	suspectScore = 0.9
 )
 
 // service is what the detector knows of the instances of a service.
@@ -24,20 +28,23 @@
 	// members are the instances of the last judgement.
 	members  []*instance
 	judgedAt clock.Millis
-	// isJudged is set after the first judgement.
-	isJudged bool
+	// isUrgent is set before the first judgement, and when own results suffice for an
+	// ejection.
+	isUrgent bool
 	// eventMillis and callMillis are the medians of the members; 0 if unknown.
 	eventMillis, callMillis float64
-	// failsInCommon is set while at least half of the members fail.
+	// failsInCommon is set while at least half of the members fail. commonDomains contains
+	// the failure domains in which, by the results of all gateways, at least half do.
 	failsInCommon bool
+	commonDomains map[spool.FailureDomain]bool
 }
 
 func newService(name spool.ServiceName) *service {
-	return &service{name: name, instances: map[load.Instance]*instance{}}
+	return &service{name: name, instances: map[load.Instance]*instance{}, commonDomains: map[spool.FailureDomain]bool{}, isUrgent: true}
 }
 
 func (s *service) isDue(now clock.Millis) bool {
-	return !s.isJudged || now >= s.judgedAt+judgeInterval
+	return s.isUrgent || now >= s.judgedAt+judgeInterval
 }
 
 func (s *service) instance(now clock.Millis, id load.Instance) *instance {
@@ -50,7 +57,6 @@
 }
 
 func (s *service) updateMedians() {
-	s.isJudged = true
 	var events, calls []float64
 	for _, i := range s.members {
 		eventMillis, callMillis := i.times()
@@ -82,12 +88,33 @@
 		}
 	}
 	s.failsInCommon = medianOf(shares) >= commonFailedShare
+	suspects, total := map[spool.FailureDomain]int{}, map[spool.FailureDomain]int{}
+	for _, i := range s.members {
+		total[i.domain]++
+		if i.shared.score.value >= suspectScore || i.state != InUse && i.cause == CauseFailures {
+			suspects[i.domain]++
+		}
+	}
+	clear(s.commonDomains)
+	for domain, count := range suspects {
+		s.commonDomains[domain] = total[domain] >= minPeers && 2*count >= total[domain]
+	}
+}
+
+// isFailing reports whether own results, or those of all gateways, show that an instance
+// fails. The latter do not count while its failure domain fails in common, which is the case
+// for gateways beyond a cut link, and while own results contradict them.
+func (s *service) isFailing(now clock.Millis, i *instance) bool {
+	if i.own.score.value >= maxScore {
+		return true
+	}
+	return i.shared.score.value >= maxScore && !s.commonDomains[i.domain] && !i.isTrusted && !i.own.contradicts(now)
 }
 
 // causeAgainst returns why an instance in use should be ejected; empty if it should not.
 func (s *service) causeAgainst(now clock.Millis, i *instance) Cause {
 	switch {
-	case i.isFailing(now) && !s.failsInCommon:
+	case s.isFailing(now, i) && !s.failsInCommon:
 		return CauseFailures
 	case i.isLate(now):
 		return CauseLateness
