--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -36,9 +36,14 @@
 	return nil
 }
 
+// priorityUrgencyVariable is the environment variable with the default of
+// --priority-urgency.
+const priorityUrgencyVariable = "BAOBABSPOOL_PRIORITY_URGENCY"
+
 func newGateway() *cobra.Command {
 	var flags processFlags
 	path := os.Getenv(platform.SettingsVariable)
+	priorityUrgency := os.Getenv(priorityUrgencyVariable) == "true"
 	command := &cobra.Command{
 		Use:   "gateway",
 		Short: "Run a gateway, the process that callers of a platform deployment talk to",
@@ -54,6 +59,7 @@
 			if err != nil {
 				return err
 			}
+			settings.Balancing.PriorityUrgency = priorityUrgency
 			validate := func() error {
 				return errors.Wrap(multierr.Combine(settings.Validate()...), "settings")
 			}
@@ -75,6 +81,7 @@
 		},
 	}
 	command.Flags().StringVar(&path, "settings-file", path, "path of the platform's settings file; the default is in "+platform.SettingsVariable)
+	command.Flags().BoolVar(&priorityUrgency, "priority-urgency", priorityUrgency, "derive the urgency at engines from the priority alone and not from the slack of programs; the default is in "+priorityUrgencyVariable)
 	flags.register(command)
 	return command
 }
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -11,6 +11,7 @@
 	"github.com/baobabspool/baobabspool/pkg/candidates"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/homes"
+	"github.com/baobabspool/baobabspool/pkg/load"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
@@ -287,3 +288,7 @@
 	address, err := r.table.addressOf(incarnation)
 	return address, errors.Is(err, errNoPeer), errors.Is(err, errHolderUnknown)
 }
+
+// SetLoadView replaces the load that the gateways exchange. It must be called before the
+// first request.
+func SetLoadView(g *Gateway, view load.View) { g.loadView = view }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/baobabspool/baobabspool/internal/httpconn"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
+	"github.com/baobabspool/baobabspool/pkg/admission"
 	"github.com/baobabspool/baobabspool/pkg/buffers"
 	"github.com/baobabspool/baobabspool/pkg/catalog"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -164,7 +165,8 @@
 	g.peerClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(peerSilenceTimeout, peerPingInterval))
 	g.store = newPathStore(store, g.health, g.callPeer, g.telemetry)
 	g.loads = newServiceLoads(g.clock)
-	g.engineLoads = newEngineLoads(g.settings.Balancing, g.clock, func() load.View { return g.loadView }, g.telemetry.Logger("admission"))
+	g.engineLoads = newEngineLoads(g.settings.Balancing, g.clock, func() load.View { return g.loadView }, g.telemetry.Logger("admission"),
+		admission.WithSlackUrgency(!g.settings.Balancing.PriorityUrgency))
 	g.homes = homes.NewTable(g.clock)
 	g.lookupClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(peerSilenceTimeout, peerPingInterval), wire.WithClientIdleTimeout(lookupIdleTimeout))
 	homeClient := newHomeClient(g.homes, g.callHome, g.clock, g.telemetry.Logger("homes"))
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -55,8 +55,10 @@
 			f.rate = usualStarts
 			f.runUntil(begin + length + 13*second)
 			during, after := f.finished(begin, begin+length+2*second, nil), f.finished(begin+length+2*second, begin+length+8*second, nil)
-			ginkgo.GinkgoWriter.Printf("burst %.1f for %v: %.3f finished, %.3f from 2 s after, %d refused, %d rejected\n", factor, length, during, after, f.refused, f.rejected)
-			gomega.Expect(during).To(gomega.BeNumerically(">", 0.8))
+			inTime := f.finishedWithin(1, begin, begin+length+2*second, nil)
+			ginkgo.GinkgoWriter.Printf("burst %.1f for %v: %.3f in time, %.3f finished, %.3f from 2 s after, %d refused, %d rejected\n", factor, length, inTime, during, after, f.refused, f.rejected)
+			gomega.Expect(inTime).To(gomega.BeNumerically(">", 0.65))
+			gomega.Expect(during).To(gomega.BeNumerically(">", 0.85))
 			gomega.Expect(after).To(gomega.BeNumerically(">", 0.99))
 			gomega.Expect(f.share(begin + length + 3*second)).To(gomega.BeNumerically(">", 0.8))
 			gomega.Expect(f.signChanges(begin, begin+length+8*second, 0.1)).To(gomega.BeNumerically("<=", 1))
--- a/pkg/admission/estimate.go
+++ b/pkg/admission/estimate.go
@@ -33,6 +33,10 @@
 	needMemoryLimited = 120 * clock.Second
 	// offeredMemory is the time within which the offered rate follows the observations.
 	offeredMemory = 700 * clock.Millis(1)
+	// overloadRejected is the part of the requests that must be rejected to count as an
+	// overload while there seem to be free slots. It is high, because a few slow endpoints
+	// are full while others have room.
+	overloadRejected = 0.3
 	// maxStep bounds the time for which one observation counts, so that the first one
 	// after a pause doesn't replace what was known before.
 	maxStep = 500 * clock.Millis(1)
@@ -103,9 +107,15 @@
 func (e *estimate) capacity() float64 { return e.slotRate * float64(e.stats.Slots) }
 
 // load returns the requests in flight as a part of the slots. It exceeds 1 while
-// requests wait in the queues of the endpoints.
+// requests wait in the queues of the endpoints. Many rejections show a high load also if
+// the slots are overestimated, for example because endpoints have died and their records
+// have not expired.
 func (e *estimate) load() float64 {
-	return float64(e.stats.InFlight) / float64(max(1, e.stats.Slots))
+	load := float64(e.stats.InFlight) / float64(max(1, e.stats.Slots))
+	if rejected := e.rejectedShare(); rejected > overloadRejected {
+		load = max(load, 1+2*rejected)
+	}
+	return load
 }
 
 // rejectedShare returns the part of the requests that endpoints refused for lack of
--- a/pkg/admission/fleet_test.go
+++ b/pkg/admission/fleet_test.go
@@ -229,13 +229,18 @@
 // finished returns the part of the programs first offered in a time that were completed
 // within twice their goal, of those that match.
 func (f *simFleet) finished(from, to clock.Millis, match func(p *simProgram) bool) float64 {
+	return f.finishedWithin(2, from, to, match)
+}
+
+// finishedWithin does the same for a number of goals.
+func (f *simFleet) finishedWithin(goals, from, to clock.Millis, match func(p *simProgram) bool) float64 {
 	total, good := 0.0, 0.0
 	for _, p := range f.programs {
 		if p.offeredAt < from || p.offeredAt >= to || match != nil && !match(p) {
 			continue
 		}
 		total++
-		if p.endedAt > 0 && p.endedAt-p.offeredAt <= 2*p.goal {
+		if p.endedAt > 0 && p.endedAt-p.offeredAt <= goals*p.goal {
 			good++
 		}
 	}
--- a/pkg/admission/offering.go
+++ b/pkg/admission/offering.go
@@ -14,20 +14,23 @@
 	// In trials with programs of 4 to 9 turns, fewer finished with 2 and 3 turn times.
 	hopelessLoad  = 1.5
 	hopelessTurns = 4
-	// Rounds in which a request is offered to the endpoints of a service. A rejected offer
-	// costs a connection or the time of a slot at the endpoint, so there are fewer while
-	// the service is full, with longer pauses.
+	// triesPerRound bounds the number of endpoints to which one request is sent in a round,
+	// including endpoints that refuse it. pause is the delay before the second round, after
+	// all endpoints tried in the first one were full; it doubles with each round, up to
+	// maxPause. A slot usually becomes free within the duration of one request.
 	triesPerRound = 5
-	triesWhenFull = 2
 	pause         = 15 * clock.Millis(1)
 	maxPause      = 60 * clock.Millis(1)
-	pauseWhenFull = 40 * clock.Millis(1)
-	// maxPauseWhenFull is the longest pause while the service is full: in about this time
-	// half of the slots become free.
+	// The same while the service is full. A rejected offer costs a connection or the time of
+	// a slot at the endpoint, so there are fewer, with longer pauses. In the longest one
+	// about half of the slots become free.
+	triesWhenFull    = 2
+	pauseWhenFull    = 40 * clock.Millis(1)
 	maxPauseWhenFull = 160 * clock.Millis(1)
-	// New programs are offered again for newShare of their time, so that a caller that is
-	// refused has the time to return. A turn of a program that has begun is offered for
-	// begunShare of its time, because a refused turn ends its program.
+	// newShare and begunShare are the shares of a request's remaining time during which new
+	// rounds are started, for requests in general and for turns of programs that have
+	// begun: those are offered for longer, because a refused turn ends its program. A
+	// caller that is refused early has the time to return.
 	newShare   = 0.4
 	begunShare = 0.8
 )
@@ -73,13 +76,18 @@
 // can still finish in time. Just above shedLoad only a part of the programs is given up, so
 // that a chance peak of the load does not end them all.
 func (c *Controller) isHopeless(request Request) bool {
-	if !c.viewKnown || c.estimate.load() <= shedLoad+c.random() {
+	if !c.isAbove(shedLoad + c.random()) {
 		return false
 	}
 	queues := max(0, c.estimate.load()-hopelessLoad)
 	return request.Overdue || request.FinishIn > 0 && request.FinishIn < clock.Millis(queues*hopelessTurns*float64(c.estimate.turnTime()))
 }
 
+// isAbove reports whether the load is known from all gateways and above a value.
+func (c *Controller) isAbove(value float64) bool {
+	return c.viewKnown && c.estimate.load() > value
+}
+
 // isFull reports whether endpoints reject a part of the requests for lack of room.
 func (c *Controller) isFull(now clock.Millis) bool {
 	if c.viewKnown {
--- a/pkg/admission/urgency.go
+++ b/pkg/admission/urgency.go
@@ -48,7 +48,7 @@
 	turn := c.estimate.turnTime()
 	isTight := request.FinishIn > 0 && request.FinishIn < tightTurns*turn
 	switch {
-	case request.Overdue || request.TimeLeft < turn/2 || isTight && c.estimate.load() > shedLoad:
+	case request.Overdue || request.TimeLeft < turn/2 || isTight && c.isAbove(shedLoad):
 		return levelLast
 	case request.Begun && isTight:
 		return levelTight
