--- a/internal/gateway/engineload.go
+++ b/internal/gateway/engineload.go
@@ -86,7 +86,7 @@
 	now := l.clock.Now()
 	l.recordFinish(now, r)
 	e := l.engineFor(r.service.Name)
-	admitted = e.Admit(now, admission.Offer{Rank: r.priority, Account: r.account})
+	admitted = e.Admit(now, admission.Offer{Rank: r.priority, Account: r.account, Requests: expectedTurns(r.call)})
 	l.logLimit(now, r.service.Name, e)
 	if !admitted {
 		retryAfter = e.RetryAfter(now)
@@ -111,7 +111,7 @@
 		message = "program starts are no longer limited"
 	}
 	l.log.Info(message, zap.String("service", string(service)), zap.Float64("share", evidence.Share), zap.Float64("load", evidence.Load), zap.Int("slots", evidence.Slots),
-		zap.Float64("requestsPerSecond", evidence.Capacity), zap.Float64("requestsPerProgram", evidence.Need), zap.Float64("offeredPerSecond", evidence.Offered), zap.Bool("ofAllGateways", evidence.ByView))
+		zap.Float64("requestsPerSecond", evidence.Capacity), zap.Float64("requestsPerProgram", evidence.Need), zap.Float64("requestsOfferedPerSecond", evidence.Offered), zap.Bool("ofAllGateways", evidence.ByView))
 }
 
 // recordFinish records whether the first turn of a program states the time to finish. The
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -112,7 +112,7 @@
 		return
 	}
 	if class == limit.ClassStart && g.engineLoads.appliesTo(r) {
-		g.loadTracker.ProgramBegan(g.clock.Now(), r.service.Name)
+		g.loadTracker.ProgramBegan(g.clock.Now(), r.service.Name, expectedTurns(r.call))
 	}
 	if reason := r.serve(ctx); reason != "" {
 		r.reject(r.refusalFor(reason))
@@ -131,7 +131,7 @@
 	if !g.engineLoads.appliesTo(r) {
 		return refusal{}, true
 	}
-	g.loadTracker.ProgramOffered(g.clock.Now(), r.service.Name)
+	g.loadTracker.ProgramOffered(g.clock.Now(), r.service.Name, expectedTurns(r.call))
 	admitted, retryAfter := g.engineLoads.admit(r)
 	if admitted {
 		return refusal{}, true
--- a/internal/gateway/starts.go
+++ b/internal/gateway/starts.go
@@ -60,10 +60,14 @@
 // programStart returns the number of requests that a program is expected to send,
 // estimated from the token budget and the output limit of its first turn.
 func programStart(call spool.GatewayCall) limit.StartRequest {
-	start := limit.StartRequest{Program: call.Program, Requests: requestsPerProgram, FinishIn: call.FinishIn}
-	if call.TokenBudget > 0 && call.MaxOutputTokens > 0 {
-		turns := float64(call.TokenBudget) / float64(call.MaxOutputTokens) / budgetMargin
-		start.Requests = requestsPerTurn * max(1, turns)
+	return limit.StartRequest{Program: call.Program, Requests: requestsPerTurn * expectedTurns(call), FinishIn: call.FinishIn}
+}
+
+// expectedTurns returns the number of turns that a program is expected to have, estimated as
+// for programStart.
+func expectedTurns(call spool.GatewayCall) float64 {
+	if call.TokenBudget <= 0 || call.MaxOutputTokens <= 0 {
+		return requestsPerProgram / requestsPerTurn
 	}
-	return start
+	return max(1, float64(call.TokenBudget)/float64(call.MaxOutputTokens)/budgetMargin)
 }
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -15,6 +15,8 @@
 	// limitedLoad is the load above which starts may be limited. Below it there are free
 	// slots.
 	limitedLoad = 1.0
+	// plannedFrom is the load from which the load counts that programs will cause.
+	plannedFrom = 0.7
 	// targetLoad is the load at which programs begin at the rate at which the capacity
 	// lets others end. A short queue keeps all slots in use although the requests are not
 	// spread evenly over the endpoints.
@@ -156,15 +158,23 @@
 // need the capacity.
 func (c *Controller) targetShare() float64 {
 	e := &c.estimate
-	if e.offered <= 0 || e.load() <= limitedLoad && c.share >= wholeShare {
+	if e.offered <= 0 || c.share >= wholeShare && !c.isSaturating() {
 		return 1
 	}
 	factor := max(minFactor, 1+loadGain*(targetLoad-e.load()))
 	if free := limitedLoad - e.load(); free > 0 {
 		// Programs that fill the free slots within fillTime, by their first turns.
-		factor += free * e.need() / e.slotRate / fillTime.Duration().Seconds()
+		factor += free * c.mix.meanRequests() / e.slotRate / fillTime.Duration().Seconds()
 	}
-	return min(1, factor*e.capacity()/e.need()/e.offered)
+	return min(1, factor*e.capacity()/e.ratio()/e.offered)
+}
+
+// isSaturating reports whether the slots are all taken, or will be by the programs that
+// began lately. A program sends most of its requests seconds after it begins, so that a
+// burst shows in the load only when too many have begun.
+func (c *Controller) isSaturating() bool {
+	e := &c.estimate
+	return e.load() > limitedLoad || e.load() > plannedFrom && e.plannedLoad() > targetLoad
 }
 
 // RetryAfter returns the time after which a program that was refused may ask again. It
@@ -188,7 +198,7 @@
 func (c *Controller) Evidence(now clock.Millis) Evidence {
 	share, e := c.Share(now), &c.estimate
 	return Evidence{
-		Share: share, Capacity: e.capacity(), Need: e.need(), Offered: e.offered, Load: e.load(),
+		Share: share, Capacity: e.capacity(), Need: c.mix.meanRequests() * e.ratio(), Offered: e.offered, Load: e.load(),
 		Slots: e.stats.Slots, ByView: c.viewKnown,
 	}
 }
--- a/pkg/admission/estimate.go
+++ b/pkg/admission/estimate.go
@@ -22,17 +22,23 @@
 	// minObservedLoad is the part of the slots that must be in use for the slot rate to be
 	// observed. With fewer, a few requests that have just begun change the result.
 	minObservedLoad = 0.1
-	// The need of a program is assumed to be initialNeed requests, with the weight of
-	// initialStarts programs, before any was observed. Programs have 4 to 9 turns.
-	initialNeed   = 6.0
-	initialStarts = 10.0
-	// needMemory is the time within which the need follows the observations, and
+	// initialNeed is the number of requests that a program is assumed to send if it does not
+	// say it. Programs have 4 to 9 turns.
+	initialNeed = 6.0
+	// The programs are assumed to send as many requests as expected, with the weight of
+	// initialRequests, before any was observed. The ratio stays within minRatio and maxRatio.
+	initialRequests = 60.0
+	minRatio        = 0.4
+	maxRatio        = 2.5
+	// needMemory is the time within which the ratio follows the observations, and
 	// needMemoryLimited that while starts are limited: the requests of programs that began
-	// before are then answered beside few starts, which looks like a higher need.
+	// before are then answered beside few starts, which looks like a higher ratio.
 	needMemory        = 20 * clock.Second
 	needMemoryLimited = 120 * clock.Second
 	// offeredMemory is the time within which the offered rate follows the observations.
-	offeredMemory = 700 * clock.Millis(1)
+	offeredMemory = 200 * clock.Millis(1)
+	// begunMemory is the time within which programs send most of their requests.
+	begunMemory = clock.Second
 	// overloadRejected is the part of the requests that must be rejected to count as an
 	// overload while there seem to be free slots. It is high, because a few slow endpoints
 	// are full while others have room.
@@ -46,11 +52,12 @@
 type estimate struct {
 	// slotRate is the number of requests that a slot serves per second; above 0.
 	slotRate float64
-	// requests and starts are sums with exponential decay; starts is above 0, and their
-	// ratio is the need of a program.
-	requests, starts float64
-	// offered is the rate at which programs ask to begin, per second.
-	offered float64
+	// requests and expected are sums with exponential decay: the requests that were answered,
+	// and those that the programs that began were expected to send; expected is above 0.
+	requests, expected float64
+	// offered and begun are the rates at which programs ask to begin and begin, in requests
+	// that they are expected to send, per second.
+	offered, begun float64
 	// stats is the newest observation.
 	stats load.ServiceStats
 	// observedAt is the time of the newest observation; 0 if there is none.
@@ -58,7 +65,7 @@
 }
 
 func newEstimate() estimate {
-	return estimate{slotRate: initialSlotRate, requests: initialNeed * initialStarts, starts: initialStarts}
+	return estimate{slotRate: initialSlotRate, requests: initialRequests, expected: initialRequests}
 }
 
 // observe includes an observation. limited tells whether starts were limited.
@@ -67,7 +74,7 @@
 	isFirst := e.observedAt == 0
 	e.observedAt, e.stats = now, stats
 	if isFirst {
-		e.offered = stats.OfferedPerSecond
+		e.offered, e.begun = stats.OfferedPerSecond, stats.StartsPerSecond
 		return
 	}
 	busy := min(stats.InFlight, stats.Slots)
@@ -81,6 +88,7 @@
 		e.slotRate = max(1e-3, e.slotRate+weight(step, memory)*(rate-e.slotRate))
 	}
 	e.offered += weight(step, offeredMemory) * (stats.OfferedPerSecond - e.offered)
+	e.begun += weight(step, begunMemory) * (stats.StartsPerSecond - e.begun)
 	memory := needMemory
 	if limited {
 		memory = needMemoryLimited
@@ -90,7 +98,7 @@
 	fresh := weight(step, memory)
 	if stats.StartsPerSecond > 0 {
 		e.requests += fresh * (stats.EndedPerSecond*needMemory.Duration().Seconds() - e.requests)
-		e.starts = max(1e-3, e.starts+fresh*(stats.StartsPerSecond*needMemory.Duration().Seconds()-e.starts))
+		e.expected = max(1e-3, e.expected+fresh*(stats.StartsPerSecond*needMemory.Duration().Seconds()-e.expected))
 	}
 }
 
@@ -100,8 +108,11 @@
 	return 1 - math.Exp(-float64(step)/float64(memory))
 }
 
-// need returns the mean number of requests of a program.
-func (e *estimate) need() float64 { return max(1, e.requests/e.starts) }
+// ratio returns how many requests programs send for each one that is expected of them.
+func (e *estimate) ratio() float64 { return min(maxRatio, max(minRatio, e.requests/e.expected)) }
+
+// plannedLoad returns the load that the programs that began lately will cause.
+func (e *estimate) plannedLoad() float64 { return e.begun * e.ratio() / max(1, e.capacity()) }
 
 // capacity returns the number of requests per second that the service can answer.
 func (e *estimate) capacity() float64 { return e.slotRate * float64(e.stats.Slots) }
--- a/pkg/admission/mix.go
+++ b/pkg/admission/mix.go
@@ -41,18 +41,23 @@
 	Rank int
 	// Account is the client account; empty if there is none.
 	Account spool.AccountID
+	// Requests is how many requests the program is expected to send to the service; at
+	// least 1.
+	Requests float64
 }
 
 // mix divides a share among ranks and accounts by the offers of the recent past.
 type mix struct {
-	// weights holds the weights of the latest offers, in [0,1], and next the index that
-	// is replaced next.
-	weights []float64
-	next    int
+	// offers holds the latest offers, and next the index that is replaced next.
+	offers []weightedOffer
+	next   int
 	// accounts holds the offers of each account.
 	accounts map[spool.AccountID]*accountOffers
 }
 
+// weightedOffer is an offer with its weight, in [0,1].
+type weightedOffer struct{ weight, requests float64 }
+
 // accountOffers counts the offers of an account, with exponential decay.
 type accountOffers struct {
 	recent, usual float64
@@ -64,11 +69,12 @@
 // add counts an offer and returns its weight.
 func (m *mix) add(now clock.Millis, offer Offer) float64 {
 	value := math.Pow(rankWeight, float64(min(maxRank, max(0, offer.Rank)))) * m.accountWeight(now, offer.Account)
-	if len(m.weights) < mixSize {
-		m.weights = append(m.weights, value)
+	added := weightedOffer{weight: value, requests: max(1, offer.Requests)}
+	if len(m.offers) < mixSize {
+		m.offers = append(m.offers, added)
 		return value
 	}
-	m.weights[m.next] = value
+	m.offers[m.next] = added
 	m.next = (m.next + 1) % mixSize
 	return value
 }
@@ -110,17 +116,31 @@
 	}
 }
 
+// meanRequests returns the mean number of requests of the latest offers; initialNeed if
+// there are none.
+func (m *mix) meanRequests() float64 {
+	if len(m.offers) == 0 {
+		return initialNeed
+	}
+	sum := 0.0
+	for _, other := range m.offers {
+		sum += other.requests
+	}
+	return sum / float64(len(m.offers))
+}
+
 // shareOf returns the part of the offers of a weight that may begin, so that over the
-// latest offers the mean is share. It is proportional to the weight, at most 1 and at least
+// latest offers the part of the requests is share. It is proportional to the weight, at most 1 and at least
 // floorShare of the mean.
 func (m *mix) shareOf(value, share float64) float64 {
 	floor := floorShare * share
 	part := func(value, scale float64) float64 { return min(1, max(floor, scale*value)) }
+	total := m.meanRequests() * float64(len(m.offers))
 	mean := func(scale float64) (sum float64) {
-		for _, other := range m.weights {
-			sum += part(other, scale)
+		for _, other := range m.offers {
+			sum += part(other.weight, scale) * other.requests
 		}
-		return sum / float64(len(m.weights))
+		return sum / total
 	}
 	low, high := 0.0, 1.0
 	for mean(high) < share && high < 1e6 {
--- a/pkg/admission/urgency.go
+++ b/pkg/admission/urgency.go
@@ -10,13 +10,12 @@
 	// levelTight is for programs that have begun and have little slack, levelBegun for the
 	// others that have begun.
 	levelTight = 1
-	levelBegun = 3
-	// levelNew is for new programs of priority 0, levelNewLow for those of other
-	// priorities. The priority does not count for programs that have begun: they were
-	// chosen by it, and a program that waits in every turn fails after its first turns
-	// were served in vain.
-	levelNew    = 5
-	levelNewLow = 7
+	levelBegun = 2
+	// levelNew is for new programs.
+	levelNew = 5
+	// lowPriority is added for programs of other priorities than 0. Programs of priority 0
+	// that have begun thus come before all others, and before new ones of their priority.
+	lowPriority = 2
 	// levelLast is for requests that will be late in any case.
 	levelLast = 9
 )
@@ -47,16 +46,18 @@
 	c.advance(now)
 	turn := c.estimate.turnTime()
 	isTight := request.FinishIn > 0 && request.FinishIn < tightTurns*turn
+	extra := 0
+	if request.Priority > 0 {
+		extra = lowPriority
+	}
 	switch {
 	case request.Overdue || request.TimeLeft < turn/2 || isTight && c.isAbove(shedLoad):
 		return levelLast
 	case request.Begun && isTight:
-		return levelTight
+		return levelTight + extra
 	case request.Begun:
-		return levelBegun
-	case request.Priority <= 0:
-		return levelNew
+		return levelBegun + extra
 	default:
-		return levelNewLow
+		return levelNew + extra
 	}
 }
--- a/pkg/load/average.go
+++ b/pkg/load/average.go
@@ -18,9 +18,11 @@
 	// countHalfLife is the time in which a counted event counts half. Its mean lifetime is
 	// 2 s.
 	countHalfLife = 1386 * clock.Millis(1)
-	// countLifetime is the mean lifetime of a counted event, in seconds: a steady rate is
-	// the count divided by it.
-	countLifetime = 2.0
+	// rateHalfLife is the same for the rates of a service. It is shorter, since a burst must
+	// show before the programs that begin in it fill the queues. rateLifetime is the mean
+	// lifetime in seconds: a steady rate is the count divided by it.
+	rateHalfLife = 693 * clock.Millis(1)
+	rateLifetime = 1.0
 	// minWeight is the weight below which a recent speed is treated as unknown. A single
 	// sample reaches it after 600 ms.
 	minWeight = 0.25
@@ -88,6 +90,19 @@
 
 func (c *count) valueAt(now clock.Millis) float64 { return c.value * decay(now-c.at, countHalfLife) }
 
+// rate is a count from which the rate of events is computed.
+type rate struct {
+	value float64
+	at    clock.Millis
+}
+
+func (r *rate) add(now clock.Millis, amount float64) {
+	r.value = r.valueAt(now) + amount
+	r.at = max(now, r.at)
+}
+
+func (r *rate) valueAt(now clock.Millis) float64 { return r.value * decay(now-r.at, rateHalfLife) }
+
 // minimum is the least value of the last 5 to 10 s.
 type minimum struct {
 	current, previous float64
--- a/pkg/load/collector.go
+++ b/pkg/load/collector.go
@@ -269,7 +269,7 @@
 }
 
 func (c serviceCounts) after(elapsed clock.Millis) serviceCounts {
-	factor := decay(elapsed, countHalfLife)
+	factor := decay(elapsed, rateHalfLife)
 	c.ended, c.rejected, c.began, c.offered = c.ended*factor, c.rejected*factor, c.began*factor, c.offered*factor
 	return c
 }
--- a/pkg/load/load.go
+++ b/pkg/load/load.go
@@ -79,7 +79,7 @@
 	// and refused for lack of capacity.
 	EndedPerSecond, RejectedPerSecond float64
 	// StartsPerSecond and OfferedPerSecond are the rates at which programs began, and asked
-	// to begin.
+	// to begin, in requests that they are expected to send.
 	StartsPerSecond, OfferedPerSecond float64
 }
 
--- a/pkg/load/merged.go
+++ b/pkg/load/merged.go
@@ -165,9 +165,9 @@
 	return ServiceStats{
 		InFlight:          own.inFlight + int(entry.inFlight),
 		Slots:             m.slots(service),
-		EndedPerSecond:    (own.ended + decodeCount(entry.ended)) / countLifetime,
-		RejectedPerSecond: (own.rejected + decodeCount(entry.rejected)) / countLifetime,
-		StartsPerSecond:   (own.began + decodeCount(entry.began)) / countLifetime,
-		OfferedPerSecond:  (own.offered + decodeCount(entry.offered)) / countLifetime,
+		EndedPerSecond:    (own.ended + decodeCount(entry.ended)) / rateLifetime,
+		RejectedPerSecond: (own.rejected + decodeCount(entry.rejected)) / rateLifetime,
+		StartsPerSecond:   (own.began + decodeCount(entry.began)) / rateLifetime,
+		OfferedPerSecond:  (own.offered + decodeCount(entry.offered)) / rateLifetime,
 	}
 }
--- a/pkg/load/tracker.go
+++ b/pkg/load/tracker.go
@@ -70,7 +70,7 @@
 type serviceState struct {
 	key                             key
 	inFlight                        int
-	ended, rejected, began, offered count
+	ended, rejected, began, offered rate
 	medians                         medians
 	mediansAt                       clock.Millis
 	changedAt                       clock.Millis
@@ -115,7 +115,7 @@
 	state.service.inFlight = max(0, state.service.inFlight-1)
 	switch sample.Outcome {
 	case Good:
-		state.service.ended.add(now)
+		state.service.ended.add(now, 1)
 		state.good.add(now)
 		if t.isLate(now, state, sample) {
 			state.late.add(now)
@@ -123,7 +123,7 @@
 		}
 		state.addSpeeds(now, sample)
 	case Rejected:
-		state.service.rejected.add(now)
+		state.service.rejected.add(now, 1)
 	case Failed:
 		state.failed.add(now)
 		t.notifyOthers()
@@ -138,17 +138,18 @@
 }
 
 // ProgramOffered records that a program asked to begin with a request to a service.
-func (t *Tracker) ProgramOffered(now clock.Millis, service spool.ServiceName) {
+// requests is how many requests it is expected to send to it.
+func (t *Tracker) ProgramOffered(now clock.Millis, service spool.ServiceName, requests float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.service(now, service).offered.add(now)
+	t.service(now, service).offered.add(now, requests)
 }
 
-// ProgramBegan records that a program was admitted.
-func (t *Tracker) ProgramBegan(now clock.Millis, service spool.ServiceName) {
+// ProgramBegan records that such a program was admitted.
+func (t *Tracker) ProgramBegan(now clock.Millis, service spool.ServiceName, requests float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.service(now, service).began.add(now)
+	t.service(now, service).began.add(now, requests)
 }
 
 // instance returns the state of an instance, which is about to change. The caller holds mu.
