--- a/pkg/admission/fleet_test.go
+++ b/pkg/admission/fleet_test.go
@@ -66,7 +66,7 @@
 	loads    []float64
 	refused  int
 	rejected int
-	// adds programs per tick until 1 is reached.
+	// arrivals is the time in milliseconds until the next program arrives.
 	arrivals float64
 }
 
@@ -104,7 +104,10 @@
 func (f *simFleet) count(kind int) { f.counts[len(f.counts)-1][kind]++ }
 
 func (f *simFleet) arrive() {
-	for f.arrivals += f.rate * float64(tick) / 1000 * 2 * f.random.Float64(); f.arrivals >= 1; f.arrivals-- {
+	if f.rate == 0 {
+		return
+	}
+	for f.arrivals -= float64(tick); f.arrivals < 0; f.arrivals += f.random.ExpFloat64() * 1000 / f.rate {
 		turns := 4 + f.random.IntN(6)
 		account, rank := f.account()
 		p := &simProgram{account: account, rank: rank, turns: turns, offeredAt: f.now, nextAt: f.now, goal: clock.Millis(1.3*float64(turns)*(meanTurn+100)) + 300}
