--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"math"
 	"os"
 
 	"github.com/pkg/errors"
@@ -8,10 +9,13 @@
 	"go.uber.org/multierr"
 	"go.uber.org/zap"
 
+	"github.com/baobabspool/baobabspool/internal/config"
 	"github.com/baobabspool/baobabspool/internal/gateway"
 	"github.com/baobabspool/baobabspool/internal/httpconn"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/spill"
+	"github.com/baobabspool/baobabspool/pkg/spool"
 	"github.com/baobabspool/baobabspool/platform"
 )
 
@@ -38,6 +42,7 @@
 
 func newGateway() *cobra.Command {
 	var flags processFlags
+	var balancing spool.BalancingSettings
 	path := os.Getenv(platform.SettingsVariable)
 	command := &cobra.Command{
 		Use:   "gateway",
@@ -54,8 +59,9 @@
 			if err != nil {
 				return err
 			}
+			settings.Balancing.CrossingMillisPerKB, settings.Balancing.MaxReceiveLoad = balancing.CrossingMillisPerKB, balancing.MaxReceiveLoad
 			validate := func() error {
-				return errors.Wrap(multierr.Combine(settings.Validate()...), "settings")
+				return multierr.Append(errors.Wrap(multierr.Combine(settings.Validate()...), "settings"), validateBalancing(balancing))
 			}
 			return flags.serve(string(settings.Node), "gateway", validate, func(t *telemetry.Telemetry) (stopper, []zap.Field, error) {
 				gateway.LimitMemory(settings.MemoryMB)
@@ -75,6 +81,26 @@
 		},
 	}
 	command.Flags().StringVar(&path, "settings-file", path, "path of the platform's settings file; the default is in "+platform.SettingsVariable)
+	command.Flags().Float64Var(&balancing.CrossingMillisPerKB, millisPerKBFlag, spill.DefaultMillisPerKB, "price of a request that leaves the failure domain, in milliseconds per KB; used if the settings file turns balancing on")
+	command.Flags().Float64Var(&balancing.MaxReceiveLoad, maxReceiveLoadFlag, spill.DefaultMaxReceiveLoad, "part of the slots of other failure domains, from 0 to 1, up to which requests are sent there; 0 keeps requests at home while an endpoint there can be used")
 	flags.register(command)
 	return command
 }
+
+// Flags of BalancingSettings.
+const (
+	millisPerKBFlag    = "crossing-millis-per-kb"
+	maxReceiveLoadFlag = "max-receive-load"
+)
+
+// validateBalancing returns an error for each value that is out of range.
+func validateBalancing(settings spool.BalancingSettings) error {
+	var problems config.Problems
+	if price := settings.CrossingMillisPerKB; !(price >= 0) || math.IsInf(price, 0) {
+		problems.Add("--"+millisPerKBFlag, "is %g, it must be a number of at least 0", price)
+	}
+	if load := settings.MaxReceiveLoad; !(load >= 0 && load <= 1) {
+		problems.Add("--"+maxReceiveLoadFlag, "is %g, it must be between 0 and 1", load)
+	}
+	return problems.Err()
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -181,7 +181,12 @@
 	if r.service.Engine {
 		want.AffinityKey = string(r.call.Program)
 	}
-	return r.gateway.endpointTable.Pick(r.gateway.clock.Now(), want)
+	r.describe(&want)
+	endpoint := r.gateway.endpointTable.Pick(r.gateway.clock.Now(), want)
+	if endpoint != nil {
+		r.countCrossing(endpoint)
+	}
+	return endpoint
 }
 
 // tryEndpoint sends the request to one endpoint, passes a usable answer on to the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,7 +126,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		settings: settings, codec: codec, client: client, clock: systemClock, telemetry: t, log: t.Logger("gateway"),
-		endpointTable: endpoints.NewTable(settings.FailureDomain, endpoints.WithDrainWithin(settings.DrainWithin)), cancel: cancel, peerPicker: newPeerPicker(systemClock),
+		endpointTable: endpoints.NewTable(settings.FailureDomain, tableOptions(settings)...), cancel: cancel, peerPicker: newPeerPicker(systemClock),
 		health: newStoreHealth(systemClock, t.Logger("store")),
 	}
 	g.requestsEnd, g.endRequests = context.WithCancel(context.Background())
@@ -324,6 +324,7 @@
 		g.limits.poolOwnership.expireReserve()
 		g.client.CloseExpired()
 		if round%roundsPerTotals == 0 {
+			g.logSpillShares()
 			g.log.Info("totals", zap.Any("counters", totals(g.telemetry)))
 		}
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -57,6 +57,8 @@
 	// homes gets the running gateways after each read of the topic.
 	homes *homes.Table
 	self  spool.NodeID
+	// selfDomain is the failure domain of this gateway.
+	selfDomain spool.FailureDomain
 	// selfSize is the size of the VM of this gateway, and isLate reports whether its
 	// process is late.
 	selfSize spool.VMSize
@@ -84,8 +86,8 @@
 
 func newMemberTable(settings spool.GatewaySettings, isLate func() bool, bootClock clock.Clock, ownership *poolOwnership, table *homes.Table, log *zap.Logger) *memberTable {
 	return &memberTable{
-		bootClock: bootClock, poolOwnership: ownership, homes: table, self: settings.Node, selfSize: settings.Size, isLate: isLate,
-		log: log, members: map[spool.NodeID]member{}, incarnations: newIncarnationTracker(),
+		bootClock: bootClock, poolOwnership: ownership, homes: table, self: settings.Node, selfDomain: settings.FailureDomain, selfSize: settings.Size,
+		isLate: isLate, log: log, members: map[spool.NodeID]member{}, incarnations: newIncarnationTracker(),
 	}
 }
 
@@ -165,6 +167,22 @@
 	return members
 }
 
+// domainPosition returns the position of this gateway among the given ones that are in its
+// failure domain, and their number.
+func (t *memberTable) domainPosition(nodes []spool.NodeID) (position, count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range nodes {
+		if id == t.self {
+			position = count
+		}
+		if id == t.self || t.members[id].record.FailureDomain == t.selfDomain {
+			count++
+		}
+	}
+	return position, count
+}
+
 // successors returns a claim for each other gateway that is running, is not shutting
 // down and has an address, in the order in which they should own the pools.
 func (t *memberTable) successors() (claims []claimRecord) {
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -162,6 +162,7 @@
 			if first || !slices.Equal(view, members) {
 				s.gateway.limits.setMembers(members, first && (s.members.isResumed() || s.gateway.settings.FirstStart), false)
 				s.gateway.endpointTable.SetGatewayCount(len(members))
+				s.gateway.endpointTable.SetPosition(s.members.domainPosition(members))
 				s.gatewayCount.Store(int64(len(members)))
 				view, first = members, false
 			}
--- a/pkg/endpoints/pick.go
+++ b/pkg/endpoints/pick.go
@@ -1,48 +1,19 @@
 package endpoints
 
 import (
-	"math"
-
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/load"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// The cost of an endpoint is the fraction of its slots that requests of this gateway
-// occupy, plus or minus the following terms. The endpoint with the lowest cost is
-// picked.
-const (
-	// otherDomainCost is added for an endpoint in another failure domain.
-	otherDomainCost = 0.10
-	// affinityGain is subtracted for the endpoint that is expected to have the
-	// program's prompt in its cache; see preferred.
-	affinityGain = 0.20
-	// fullCost is added for fullDuration after an endpoint has refused a request
-	// because it had no capacity.
-	fullCost = 2.0
-	// leavingCost is added for an endpoint that leaves. Each other one goes before it.
-	leavingCost = 100.0
-	// backoffCost is added for an endpoint in backoff after a failure. It is so
-	// high that such an endpoint is picked only if no other one is left.
-	backoffCost = 10.0
-	// coldCost is added for a cold endpoint, which can serve only a low rate of
-	// requests.
-	coldCost = 4.0
-	// tieBreakCost is the upper bound of a pseudorandom term that spreads requests
-	// over endpoints that are equal otherwise.
-	tieBreakCost = 0.01
-)
-
 // PickRequest describes the request for which an endpoint is picked.
 type PickRequest struct {
 	Service spool.ServiceName
 	// AffinityKey is the same for requests that share the beginning of their prompts;
 	// empty if no endpoint is to be preferred.
 	AffinityKey string
-	// Salt differs from request to request. It determines the pseudorandom term of
-	// the cost.
+	// Salt differs from request to request. It determines the pseudorandom part of the
+	// choice.
 	Salt string
 	// Tried contains the endpoints that must not be picked, because the request has
 	// already been sent to them.
@@ -50,9 +21,17 @@
 	// ColdPerSecond is the number of requests per second that a cold endpoint of
 	// the service can serve in total, from all gateways; 0 for no limit.
 	ColdPerSecond float64
+	// IsStream says that the answer is a stream of events. Events is the number of events
+	// that are expected; 0 if unknown.
+	IsStream bool
+	Events   float64
+	// Bytes is the size of the request, and PromptTokens the length of its prompt; 0 if
+	// unknown.
+	Bytes        int
+	PromptTokens int64
 }
 
-// Pick returns the endpoint with the lowest cost for a request, or nil if no
+// Pick returns the endpoint that the policy chooses for a request, or nil if no
 // endpoint can get it. The request occupies a slot of the endpoint until the caller
 // calls Done. Pick also removes the endpoints of the service that Drop has marked
 // and whose removeAt has passed; none while the store is unavailable.
@@ -60,21 +39,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeExpired(now, want.Service)
-	preferred := t.preferred(now, want)
-	var best *Endpoint
-	bestCost := math.Inf(1)
-	for _, endpoint := range t.byService[want.Service] {
-		if !t.canServe(now, endpoint, want) {
-			continue
-		}
-		cost := t.cost(now, endpoint, want)
-		if endpoint == preferred {
-			cost -= affinityGain
-		}
-		if cost < bestCost {
-			best, bestCost = endpoint, cost
-		}
-	}
+	best := t.policy.Choose(now, want, Candidates{table: t, now: now, want: want})
 	if best == nil {
 		return nil
 	}
@@ -91,6 +56,9 @@
 // removeExpired removes the endpoints of a service whose removeAt has passed; none
 // while the store is unavailable.
 func (t *Table) removeExpired(now clock.Millis, service spool.ServiceName) {
+	if t.markedCount == 0 {
+		return
+	}
 	for _, endpoint := range t.byService[service] {
 		if endpoint.removeAt != 0 && now >= endpoint.removeAt && !t.storeUnavailable {
 			t.remove(endpoint)
@@ -113,52 +81,6 @@
 	return endpoint.coldRequests.allows(now, want.ColdPerSecond/float64(t.gatewayCount))
 }
 
-// preferred returns the endpoint that affinityGain makes cheaper for a request, or
-// nil if AffinityKey is empty. It is the endpoint with the highest rendezvous score
-// among those that may get the request and are not in backoff, cold or leaving, first
-// among those of the gateway's own failure domain. All gateways of a failure domain
-// thus choose the same endpoint without communication, as long as they agree on the
-// state of the endpoints.
-func (t *Table) preferred(now clock.Millis, want PickRequest) (preferred *Endpoint) {
-	if want.AffinityKey == "" {
-		return nil
-	}
-	var bestScore uint64
-	preferredIsHome := false
-	for _, endpoint := range t.byService[want.Service] {
-		if !t.canServe(now, endpoint, want) || now < endpoint.backoffUntil || now < endpoint.coldUntil || endpoint.leavingSince != 0 {
-			continue
-		}
-		isHome := endpoint.record.FailureDomain == t.homeDomain
-		score := xxhash.Sum64String(want.AffinityKey + "\x00" + string(endpoint.record.ID))
-		if preferred == nil || isHome && !preferredIsHome || isHome == preferredIsHome && score > bestScore {
-			preferred, bestScore, preferredIsHome = endpoint, score, isHome
-		}
-	}
-	return preferred
-}
-
-func (t *Table) cost(now clock.Millis, endpoint *Endpoint, want PickRequest) float64 {
-	cost := float64(endpoint.inFlight) / float64(max(1, endpoint.record.Slots))
-	if endpoint.record.FailureDomain != t.homeDomain {
-		cost += otherDomainCost
-	}
-	if now < endpoint.fullUntil {
-		cost += fullCost
-	}
-	if now < endpoint.backoffUntil {
-		cost += backoffCost
-	}
-	if now < endpoint.coldUntil {
-		cost += coldCost
-	}
-	if endpoint.leavingSince != 0 {
-		cost += leavingCost
-	}
-	hash := xxhash.Sum64String(want.Salt + "\x00" + string(endpoint.record.ID))
-	return cost + tieBreakCost*float64(hash%1024)/1024
-}
-
 // Outcome is the result of a request at an endpoint.
 type Outcome int
 
@@ -194,6 +116,7 @@
 	defer t.mu.Unlock()
 	endpoint.inFlight--
 	endpoint.extendCold(now, result.ColdFor)
+	t.policy.Ended(now, endpoint, result)
 	if t.observer != nil {
 		t.observer.Ended(now, endpoint.service, endpoint.Instance(), result.Sample)
 	}
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/load"
 	"github.com/baobabspool/baobabspool/pkg/spool"
@@ -35,6 +37,8 @@
 	domain    spool.FailureDomain
 	service   spool.ServiceName
 	startedAt clock.Millis
+	// point is the hash of id by which a ring is ordered; it never changes.
+	point uint64
 	// record is the newest record of this instance.
 	record spool.EndpointRecord
 	// inFlight is the number of requests of this gateway that Pick has assigned to
@@ -61,6 +65,8 @@
 	// leavingSince is when an answer of this instance first said that it leaves; 0 if none
 	// did. Records of the same instance do not change it.
 	leavingSince clock.Millis
+	// estimate belongs to the policy expectedFinish.
+	estimate estimate
 }
 
 // ID returns the ID of the endpoint, which is the same for all its instances.
@@ -84,6 +90,13 @@
 	byID map[spool.EndpointID]*Endpoint
 	// byService contains the endpoints of byID, by the service of their record.
 	byService map[spool.ServiceName][]*Endpoint
+	// rings contains the endpoints of byService in another order.
+	rings map[spool.ServiceName]ring
+	// markedCount is the number of endpoints whose removeAt is set.
+	markedCount int
+	// policy chooses the endpoints. view is what is known of them; nil if nothing is.
+	policy Policy
+	view   load.View
 	// evacuated contains the failure domains whose endpoints get no requests.
 	evacuated  map[spool.FailureDomain]bool
 	homeDomain spool.FailureDomain
@@ -93,6 +106,9 @@
 	// gatewayCount is the number of gateways, at least 1. Each may send an equal
 	// part of the request rate of a cold endpoint.
 	gatewayCount int
+	// position is the position of this gateway among the domainGateways gateways of its
+	// failure domain; domainGateways is 0 as long as that is unknown.
+	position, domainGateways int
 	// departures contains the instances that said that they leave, also those whose records
 	// have disappeared: a record may come back.
 	departures map[spool.EndpointID]departure
@@ -122,6 +138,7 @@
 func NewTable(home spool.FailureDomain, options ...Option) *Table {
 	t := &Table{
 		byID: map[spool.EndpointID]*Endpoint{}, byService: map[spool.ServiceName][]*Endpoint{},
+		rings: map[spool.ServiceName]ring{}, policy: occupancy{},
 		evacuated: map[spool.FailureDomain]bool{}, homeDomain: home, gatewayCount: 1,
 		storeRecoveredAt: -recordGrace, departures: map[spool.EndpointID]departure{},
 	}
@@ -139,6 +156,18 @@
 	t.gatewayCount = max(1, count)
 }
 
+// SetPosition sets the position of this gateway, from 0, in an order of the gateways of its
+// failure domain on which they agree, and their number. Policies use it to spread them over
+// the endpoints. A position that is out of range is treated as unknown.
+func (t *Table) SetPosition(position, count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.position, t.domainGateways = position, count
+	if position < 0 || position >= count {
+		t.position, t.domainGateways = 0, 0
+	}
+}
+
 // SetEvacuated replaces the set of failure domains whose endpoints get no requests.
 // The caller must not change the map afterwards.
 func (t *Table) SetEvacuated(domains map[spool.FailureDomain]bool) {
@@ -161,6 +190,9 @@
 		}
 		changed = known.record.Draining != record.Draining || known.removeAt != 0
 		known.record = record
+		if known.removeAt != 0 {
+			t.markedCount--
+		}
 		known.removeAt = 0
 		known.extendCold(now, record.ColdFor)
 		return changed
@@ -173,12 +205,13 @@
 	}
 	endpoint := &Endpoint{
 		id: record.ID, address: record.Address, domain: record.FailureDomain, service: record.Service,
-		startedAt: record.StartedAt, record: record,
+		startedAt: record.StartedAt, record: record, point: xxhash.Sum64String(string(record.ID)),
 	}
 	endpoint.extendCold(now, record.ColdFor)
 	endpoint.leavingSince = t.departureOf(record)
 	t.byID[record.ID] = endpoint
 	t.byService[record.Service] = append(t.byService[record.Service], endpoint)
+	t.rings[record.Service] = t.rings[record.Service].insert(endpoint, record.FailureDomain == t.homeDomain)
 	return true
 }
 
@@ -201,6 +234,7 @@
 	}
 	if graceEnd := t.storeRecoveredAt + recordGrace; t.storeUnavailable || now < graceEnd {
 		endpoint.removeAt = max(graceEnd, now+1)
+		t.markedCount++
 		return
 	}
 	t.remove(endpoint)
@@ -251,6 +285,10 @@
 		}
 	}
 	t.byService[endpoint.record.Service] = kept
+	t.rings[endpoint.service] = t.rings[endpoint.service].remove(endpoint)
+	if endpoint.removeAt != 0 {
+		t.markedCount--
+	}
 }
 
 // extendCold makes the endpoint cold for coldFor from now, unless it is already
--- /dev/null
+++ b/pkg/spill/spill.go
@@ -0,0 +1,102 @@
+// Package spill decides which share of the requests of a gateway may leave its failure
+// domain. It takes the time as an argument and does no input or output.
+package spill
+
+import (
+	"math"
+
+	"github.com/baobabspool/baobabspool/pkg/clock"
+)
+
+// The defaults of the settings.
+const (
+	// DefaultMillisPerKB is the price of traffic between failure domains.
+	DefaultMillisPerKB = 0.1
+	// DefaultMaxReceiveLoad leaves one slot of six in a receiving domain to its own callers.
+	DefaultMaxReceiveLoad = 0.85
+)
+
+const (
+	// fullGain is the gain at which all requests may leave, as a part of the finish at home.
+	fullGain = 1.0
+	// minGain is the gain below which no request leaves, as a part of the finish at home.
+	// Differences of this size are noise.
+	minGain = 0.1
+	// riseTime and fallTime are the time constants of the share. The share falls faster than
+	// it rises, since a late return fills the other domain for nothing. Both are longer than
+	// the time after which a gateway sees the effect of a change, some 0.6 s.
+	riseTime = 1000 * clock.Millis(1)
+	fallTime = 700 * clock.Millis(1)
+	// receiveMargin is the part of the slots below the bound over which the share decreases.
+	receiveMargin = 0.15
+	// maxStep bounds the time that one update accounts for.
+	maxStep = 500 * clock.Millis(1)
+)
+
+// Observation is what a gateway sees of the endpoints of one service.
+type Observation struct {
+	// Home and Away are the milliseconds after which a request is expected to finish in the
+	// own domain and in others, network latency included.
+	Home, Away float64
+	// Price is the price of a request that leaves, in milliseconds.
+	Price float64
+	// HomeUsable and AwayUsable say whether there is an endpoint that can be used at once.
+	HomeUsable, AwayUsable bool
+	// ReceiveLoad is the part of the slots in use in the other domains.
+	ReceiveLoad float64
+}
+
+// Controller sets the share for one service. It is not safe for concurrent use.
+type Controller struct {
+	// share is between 0 and 1.
+	share          float64
+	maxReceiveLoad float64
+	updatedAt      clock.Millis
+	isStarted      bool
+}
+
+// New returns a controller with the share 0. Requests leave as long as the load of the
+// other domains is below maxReceiveLoad.
+func New(maxReceiveLoad float64) *Controller {
+	return &Controller{maxReceiveLoad: maxReceiveLoad}
+}
+
+// Share returns the share of the requests that may leave, from 0 to 1.
+func (c *Controller) Share() float64 { return c.share }
+
+// Update changes the share by an observation and returns it. The share moves smoothly,
+// except that it is 0 at once without a usable endpoint elsewhere and 1 at once without one
+// at home.
+func (c *Controller) Update(now clock.Millis, seen Observation) float64 {
+	elapsed := min(maxStep, max(0, now-c.updatedAt))
+	if !c.isStarted {
+		elapsed, c.isStarted = 0, true
+	}
+	c.updatedAt = now
+	switch {
+	case !seen.AwayUsable:
+		c.share = 0
+	case !seen.HomeUsable:
+		c.share = 1
+	default:
+		target := c.target(seen)
+		constant := riseTime
+		if target < c.share {
+			constant = fallTime
+		}
+		c.share += (target - c.share) * (1 - math.Exp(-float64(elapsed)/float64(constant)))
+	}
+	return c.share
+}
+
+// target returns the share towards which an observation moves the controller.
+func (c *Controller) target(seen Observation) float64 {
+	if seen.Home <= 0 {
+		return 0
+	}
+	gain := (seen.Home - seen.Away - seen.Price) / seen.Home
+	room := clamp((c.maxReceiveLoad - seen.ReceiveLoad) / receiveMargin)
+	return clamp((gain-minGain)/(fullGain-minGain)) * room
+}
+
+func clamp(value float64) float64 { return max(0, min(1, value)) }
