--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -351,6 +351,7 @@
 		g.limits.poolOwnership.expireReserve()
 		g.client.CloseExpired()
 		if round%roundsPerTotals == 0 {
+			g.logSpillShares()
 			g.log.Info("totals", zap.Any("counters", totals(g.telemetry)))
 		}
 	}
--- a/internal/gateway/outliers.go
+++ b/internal/gateway/outliers.go
@@ -10,14 +10,15 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// newEndpointTable returns an empty table. Unless balancing is off, outliers are taken out of
-// use; view, which may be nil, contributes what all gateways know of the endpoints, and
-// observers are told of each request.
+// newEndpointTable returns an empty table. Unless balancing is off, requests go where they are
+// expected to finish first, and outliers are taken out of use; view, which may be nil,
+// contributes what all gateways know of the endpoints, and observers are told of each request.
 func newEndpointTable(settings spool.GatewaySettings, view load.View, t *telemetry.Telemetry, observers ...load.Observer) *endpoints.Table {
 	options := []endpoints.Option{endpoints.WithDrainWithin(settings.DrainWithin)}
 	if settings.Balancing.Enabled {
 		detector := newOutlierDetector(settings, view, t)
-		options = append(options, endpoints.WithOutliers(detector), endpoints.WithSpreadAffinity(view),
+		options = append(options, endpoints.WithPolicy(newExpectedFinishPolicy(settings)), endpoints.WithView(view),
+			endpoints.WithOutliers(detector), endpoints.WithSpreadAffinity(),
 			endpoints.WithObserver(append(load.Observers{detector}, observers...)))
 	}
 	return endpoints.NewTable(settings.FailureDomain, options...)
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -15,8 +15,11 @@
 	// limitedLoad is the load above which starts may be limited. Below it there are free
 	// slots.
 	limitedLoad = 1.0
-	// plannedFrom is the load from which the load counts that programs will cause.
-	plannedFrom = 0.7
+	// plannedFrom is the load from which the load counts that programs will cause, and
+	// plannedLimit the least such load that limits starts. Chance peaks of the arrivals
+	// reach 1.9 times their mean.
+	plannedFrom  = 0.85
+	plannedLimit = 2.0
 	// targetLoad is the load at which programs begin at the rate at which the capacity
 	// lets others end. A short queue keeps all slots in use although the requests are not
 	// spread evenly over the endpoints.
@@ -174,7 +177,7 @@
 // burst shows in the load only when too many have begun.
 func (c *Controller) isSaturating() bool {
 	e := &c.estimate
-	return e.load() > limitedLoad || e.load() > plannedFrom && e.plannedLoad() > targetLoad
+	return e.load() > limitedLoad || e.load() > plannedFrom && e.plannedLoad() > plannedLimit
 }
 
 // RetryAfter returns the time after which a program that was refused may ask again. It
--- a/pkg/admission/estimate.go
+++ b/pkg/admission/estimate.go
@@ -36,9 +36,9 @@
 	needMemory        = 20 * clock.Second
 	needMemoryLimited = 120 * clock.Second
 	// offeredMemory is the time within which the offered rate follows the observations.
-	offeredMemory = 200 * clock.Millis(1)
+	offeredMemory = 700 * clock.Millis(1)
 	// begunMemory is the time within which programs send most of their requests.
-	begunMemory = clock.Second
+	begunMemory = 2 * clock.Second
 	// overloadRejected is the part of the requests that must be rejected to count as an
 	// overload while there seem to be free slots. It is high, because a few slow endpoints
 	// are full while others have room.
--- a/pkg/endpoints/affinity.go
+++ b/pkg/endpoints/affinity.go
@@ -3,14 +3,13 @@
 import (
 	"github.com/baobabspool/baobabspool/pkg/affinity"
 	"github.com/baobabspool/baobabspool/pkg/clock"
-	"github.com/baobabspool/baobabspool/pkg/load"
 )
 
 // WithSpreadAffinity lets requests with PickRequest.IsObject prefer one of a few endpoints, by
-// their load, instead of always the same one. view, which may be nil, contributes the requests
-// of other gateways.
-func WithSpreadAffinity(view load.View) Option {
-	return func(t *Table) { t.spreadsAffinity, t.affinityView = true, view }
+// their load, instead of always the same one. The view of WithView contributes the requests of
+// other gateways.
+func WithSpreadAffinity() Option {
+	return func(t *Table) { t.spreadsAffinity = true }
 }
 
 // mayBePreferred reports whether affinity may prefer an endpoint. The caller holds mu.
@@ -28,8 +27,8 @@
 			continue
 		}
 		inFlight := endpoint.inFlight
-		if t.affinityView != nil {
-			inFlight += max(0, t.affinityView.Instance(now, endpoint.Instance()).InFlight)
+		if t.view != nil {
+			inFlight += max(0, t.view.Instance(now, endpoint.Instance()).InFlight)
 		}
 		candidate := affinity.Candidate{ID: endpoint.id, Load: float64(inFlight) / float64(max(1, endpoint.record.Slots))}
 		if endpoint.domain == t.homeDomain {
--- a/pkg/endpoints/affinity_test.go
+++ b/pkg/endpoints/affinity_test.go
@@ -33,7 +33,7 @@
 	)
 	ginkgo.BeforeEach(func() {
 		view, detector = fixedView{}, outlier.New(nil)
-		t = endpoints.NewTable("home", endpoints.WithSpreadAffinity(view), endpoints.WithOutliers(detector), endpoints.WithObserver(detector))
+		t = endpoints.NewTable("home", endpoints.WithSpreadAffinity(), endpoints.WithView(view), endpoints.WithOutliers(detector), endpoints.WithObserver(detector))
 		for n := range size {
 			t.Put(0, newRecord(fmt.Sprintf("h%d", n), "home"))
 			t.Put(0, newRecord(fmt.Sprintf("f%d", n), "far"))
