--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -321,3 +321,13 @@
 // SetLoadView replaces the load that the gateways exchange. It must be called before the
 // first request.
 func SetLoadView(g *Gateway, view load.View) { g.loadView = view }
+
+// LoadViewOf returns what a gateway knows of endpoints.
+func LoadViewOf(g *Gateway) load.View { return g.loadView }
+
+// CollectorOf returns the collector that last answered a gateway; empty if none has.
+func CollectorOf(g *Gateway) string {
+	g.loadExchange.mu.Lock()
+	defer g.loadExchange.mu.Unlock()
+	return string(g.loadExchange.current)
+}
