--- a/pkg/endpoints/expectedfinish.go
+++ b/pkg/endpoints/expectedfinish.go
@@ -69,6 +69,7 @@
 	millisPerKB    float64
 	maxReceiveLoad float64
 	wayMillis      float64
+	home           spool.FailureDomain
 	services       map[spool.ServiceName]*serviceState
 }
 
@@ -97,9 +98,10 @@
 
 // Choose implements Policy.
 func (p *expectedFinish) Choose(now clock.Millis, want PickRequest, candidates Candidates) *Endpoint {
+	p.home = candidates.table.homeDomain
 	state := p.services[want.Service]
 	if state == nil {
-		state = &serviceState{spill: spill.New(p.maxReceiveLoad), events: nominalEvents}
+		state = &serviceState{spill: spill.New(p.maxReceiveLoad), events: nominalEvents, crossings: map[spool.FailureDomain]crossing{}}
 		p.services[want.Service] = state
 	}
 	state.refresh(now, p, want, candidates)
@@ -181,7 +183,7 @@
 			index = int(random % uint64(window.size))
 		}
 		endpoint := window.at(index)
-		if endpoint.penalty(now) > 0 || !candidates.CanServe(endpoint) {
+		if endpoint.penalty(now) > 0 || !state.isOpen(now, endpoint.domain) || !candidates.CanServe(endpoint) {
 			continue
 		}
 		found++
@@ -202,7 +204,10 @@
 		finish, _ := p.finish(now, endpoint, want, state, candidates)
 		rank := endpoint.penalty(now)
 		if !candidates.IsHome(endpoint) && !state.receives(p.maxReceiveLoad) {
-			rank += fullCost
+			rank += 1.5 * fullCost
+		}
+		if !state.isOpen(now, endpoint.domain) {
+			rank += backoffCost
 		}
 		// Expected finishes are far below an hour, so that the rank goes first.
 		best.offer(endpoint, finish+rank*float64(clock.Hour))
@@ -260,11 +265,17 @@
 }
 
 // Ended implements Policy.
-func (p *expectedFinish) Ended(_ clock.Millis, endpoint *Endpoint, result Result) {
+func (p *expectedFinish) Ended(now clock.Millis, endpoint *Endpoint, result Result) {
 	state := p.services[endpoint.service]
-	if state != nil && result.Sample.Outcome == load.Good && result.Sample.Events > 0 {
+	if state == nil {
+		return
+	}
+	if result.Sample.Outcome == load.Good && result.Sample.Events > 0 {
 		state.events += eventsWeight * (float64(result.Sample.Events) - state.events)
 	}
+	if endpoint.domain != p.home && (result.Outcome == Answered || result.Outcome == Failed) {
+		state.record(now, endpoint.domain, result.Outcome == Failed)
+	}
 }
 
 // spillShares implements spiller.
--- a/pkg/endpoints/model_test.go
+++ b/pkg/endpoints/model_test.go
@@ -30,7 +30,7 @@
 	waiting            []*job
 	stats, known       load.Stats
 	countedAt, slowEnd float64
-	isSlow, isCut      bool
+	isSlow             bool
 }
 
 // job is a request; finished is called with its end.
@@ -74,8 +74,10 @@
 	policy              string
 	waiting             []*job
 	// ended is called with each request that has ended, offers counts attempts.
-	ended  func(j *job, finish float64)
-	offers int
+	ended           func(j *job, finish float64)
+	offers, crossed int
+	// isCut says that requests do not reach other failure domains.
+	isCut bool
 	// slowShare is the part of the time in which a station is 2.5 times slower.
 	slowShare float64
 }
@@ -217,15 +219,19 @@
 	}
 	s := m.byID[picked.ID()]
 	m.offers++
+	if s.record.FailureDomain != j.home {
+		m.crossed++
+	}
 	j.sent, j.hasLeft = m.now, s.record.FailureDomain != j.home
 	m.own[j.gateway][picked.ID()]++
 	j.finish = func(result endpoints.Result) {
 		m.own[j.gateway][picked.ID()]--
 		m.tables[j.gateway].Done(clock.Millis(m.now), picked, result)
 	}
-	if s.isCut || len(s.waiting) >= queue {
+	failed := m.isCut && j.hasLeft
+	if failed || len(s.waiting) >= queue {
 		outcome := endpoints.Full
-		if s.isCut {
+		if failed {
 			outcome = endpoints.Failed
 		}
 		j.finish(endpoints.Result{Outcome: outcome, Sample: load.Sample{Outcome: load.Failed}})
--- a/pkg/endpoints/policy.go
+++ b/pkg/endpoints/policy.go
@@ -58,6 +58,9 @@
 	return endpoint.domain == c.table.homeDomain
 }
 
+// InFlight returns the number of requests of this gateway at the endpoint.
+func (c Candidates) InFlight(endpoint *Endpoint) int { return endpoint.inFlight }
+
 // Position returns the position of this gateway among those of its failure domain, and their
 // number. position is -1, and count that of all gateways, as long as it is unknown.
 func (c Candidates) Position() (position, count int) {
--- a/pkg/endpoints/servicestate.go
+++ b/pkg/endpoints/servicestate.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spill"
+	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
 const (
@@ -28,6 +29,8 @@
 	spill     *spill.Controller
 	// receiveLoad is the part of the slots of other domains that is in use.
 	receiveLoad float64
+	// crossings contains the other failure domains to which requests have been sent.
+	crossings   map[spool.FailureDomain]crossing
 	refreshedAt clock.Millis
 	isRefreshed bool
 	// passes is the number of passes. It makes each pass sample other endpoints.
@@ -93,10 +96,14 @@
 // observe returns the finish that a request can expect among the usable endpoints of list,
 // the part of their slots in use, and whether there is any.
 func (s *serviceState) observe(now clock.Millis, p *expectedFinish, want PickRequest, candidates Candidates, list []*Endpoint) (finish, busy float64, usable bool) {
+	// The deviations of this gateway's requests vary too much for the spill controller.
+	followers := s.followers
+	s.followers = 0
+	defer func() { s.followers = followers }()
 	finishes := make([]float64, 0, len(list))
 	inFlight, slots := 0, 0
 	for _, endpoint := range list {
-		if now < endpoint.backoffUntil || now < endpoint.coldUntil || endpoint.leavingSince != 0 || !candidates.CanServe(endpoint) {
+		if now < endpoint.backoffUntil || now < endpoint.coldUntil || endpoint.leavingSince != 0 || !s.isOpen(now, endpoint.domain) || !candidates.CanServe(endpoint) {
 			continue
 		}
 		expected, _ := p.finish(now, endpoint, want, s, candidates)
--- a/pkg/spill/spill.go
+++ b/pkg/spill/spill.go
@@ -22,11 +22,13 @@
 	// minGain is the gain below which no request leaves, as a part of the finish at home.
 	// Differences of this size are noise.
 	minGain = 0.1
-	// riseTime and fallTime are the time constants of the share. The share falls faster than
-	// it rises, since a late return fills the other domain for nothing. Both are longer than
-	// the time after which a gateway sees the effect of a change, some 0.6 s.
-	riseTime = 1000 * clock.Millis(1)
-	fallTime = 700 * clock.Millis(1)
+	// shareTime is the time constant of the share. It is longer than the time after which a
+	// gateway sees the effect of a change, some 0.6 s. Shorter ones flapped in the test with a
+	// period of 60 s.
+	shareTime = 1500 * clock.Millis(1)
+	// gainTime is the time constant of the moving average of the gain. A single observation
+	// varies by several tens of percent.
+	gainTime = 600 * clock.Millis(1)
 	// receiveMargin is the part of the slots below the bound over which the share decreases.
 	receiveMargin = 0.15
 	// maxStep bounds the time that one update accounts for.
@@ -51,8 +53,10 @@
 	// share is between 0 and 1.
 	share          float64
 	maxReceiveLoad float64
-	updatedAt      clock.Millis
-	isStarted      bool
+	// gain is the moving average of the part of the finish at home that leaving saves.
+	gain      float64
+	updatedAt clock.Millis
+	isStarted bool
 }
 
 // New returns a controller with the share 0. Requests leave as long as the load of the
@@ -75,28 +79,29 @@
 	c.updatedAt = now
 	switch {
 	case !seen.AwayUsable:
-		c.share = 0
+		c.share, c.gain = 0, 0
 	case !seen.HomeUsable:
 		c.share = 1
 	default:
-		target := c.target(seen)
-		constant := riseTime
-		if target < c.share {
-			constant = fallTime
-		}
-		c.share += (target - c.share) * (1 - math.Exp(-float64(elapsed)/float64(constant)))
+		c.share += (c.target(seen, elapsed) - c.share) * approach(elapsed, shareTime)
 	}
 	return c.share
 }
 
 // target returns the share towards which an observation moves the controller.
-func (c *Controller) target(seen Observation) float64 {
+func (c *Controller) target(seen Observation, elapsed clock.Millis) float64 {
 	if seen.Home <= 0 {
 		return 0
 	}
-	gain := (seen.Home - seen.Away - seen.Price) / seen.Home
+	gain := max(-1, (seen.Home-seen.Away-seen.Price)/seen.Home)
+	c.gain += (gain - c.gain) * approach(elapsed, gainTime)
 	room := clamp((c.maxReceiveLoad - seen.ReceiveLoad) / receiveMargin)
-	return clamp((gain-minGain)/(fullGain-minGain)) * room
+	return clamp((c.gain-minGain)/(fullGain-minGain)) * room
+}
+
+// approach returns the part of the way to a new value that a moving average goes.
+func approach(elapsed, constant clock.Millis) float64 {
+	return 1 - math.Exp(-float64(elapsed)/float64(constant))
 }
 
 func clamp(value float64) float64 { return max(0, min(1, value)) }
