--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -84,6 +84,7 @@
 	command.Flags().Float64Var(&balancing.CrossingMillisPerKB, millisPerKBFlag, spill.DefaultMillisPerKB, "price of a request that leaves the failure domain, in milliseconds per KB; used if the settings file turns balancing on")
 	command.Flags().Float64Var(&balancing.MaxReceiveLoad, maxReceiveLoadFlag, spill.DefaultMaxReceiveLoad, "part of the slots of other failure domains, from 0 to 1, up to which requests are sent there; 0 keeps requests at home while an endpoint there can be used")
 	flags.register(command)
+	config.BindEnvironment(command)
 	return command
 }
 
--- a/pkg/endpoints/expectedfinish.go
+++ b/pkg/endpoints/expectedfinish.go
@@ -124,7 +124,7 @@
 	}
 	random = nextRandom(random)
 	leaves := float64(random>>11)/(1<<53) < state.spill.Share()
-	if best.endpoint == nil || leaves && state.receives(p.maxReceiveLoad) {
+	if (best.endpoint == nil || leaves) && state.receives(p.maxReceiveLoad) {
 		p.draw(now, random, whole(candidates.Other()), p.candidates+1, strangerShare, want, state, candidates, &best)
 	}
 	if best.endpoint == nil {
