--- a/pkg/endpoints/crossing.go
+++ b/pkg/endpoints/crossing.go
@@ -14,25 +14,41 @@
 	// maxFailing is the failing part above which no request goes to a failure domain. It is
 	// above the part that one bad endpoint among several causes.
 	maxFailing = 0.6
+	// trialFailing is the failing part above which one request at a time goes to a failure
+	// domain. A request into a cut link may take long to fail.
+	trialFailing = 0.3
 	// failingTime is the time constant with which failures are forgotten, so that the way
 	// is tried again.
-	failingTime = 3 * clock.Second
+	failingTime = 6 * clock.Second
 )
 
 // crossing is what this gateway has seen of the way to another failure domain.
 type crossing struct {
+	// failing is the failing part of the last requests at the time at.
 	failing float64
 	at      clock.Millis
+	// inFlight is the number of requests of this gateway there.
+	inFlight int
 }
 
-// record adds the result of a request to a failure domain.
-func (s *serviceState) record(now clock.Millis, domain spool.FailureDomain, failed bool) {
+// begin records that a request was sent to a failure domain.
+func (s *serviceState) begin(domain spool.FailureDomain) {
 	known := s.crossings[domain]
-	known.failing = known.failingAt(now) * (1 - failureWeight)
-	if failed {
-		known.failing += failureWeight
+	known.inFlight++
+	s.crossings[domain] = known
+}
+
+// end records the end of a request that was sent to a failure domain.
+func (s *serviceState) end(now clock.Millis, domain spool.FailureDomain, outcome Outcome) {
+	known := s.crossings[domain]
+	known.inFlight--
+	if outcome == Answered || outcome == Failed {
+		known.failing = known.failingAt(now) * (1 - failureWeight)
+		if outcome == Failed {
+			known.failing += failureWeight
+		}
+		known.at = now
 	}
-	known.at = now
 	s.crossings[domain] = known
 }
 
@@ -42,6 +58,7 @@
 
 // isOpen reports whether requests may go to a failure domain. The own domain is always open.
 func (s *serviceState) isOpen(now clock.Millis, domain spool.FailureDomain) bool {
-	known, ok := s.crossings[domain]
-	return !ok || known.failingAt(now) < maxFailing
+	known := s.crossings[domain]
+	failing := known.failingAt(now)
+	return failing < trialFailing || failing < maxFailing && known.inFlight == 0
 }
--- a/pkg/endpoints/estimate.go
+++ b/pkg/endpoints/estimate.go
@@ -28,6 +28,9 @@
 	// ownTime is the time constant of the average of the own requests. It is close to the
 	// mean age of what is known of others, so that the two belong to the same time.
 	ownTime = 300 * clock.Millis(1)
+	// newFor is how long an endpoint counts as new: what others have sent to it is not known
+	// before the second exchange.
+	newFor = 1500 * clock.Millis(1)
 	// queueFactor bounds the measured time of an endpoint with free slots, as a multiple of
 	// its time without a queue: the queue that was measured is gone.
 	queueFactor = 3.0
@@ -45,10 +48,16 @@
 	// ownAverage is a moving average of the requests of this gateway at the endpoint.
 	ownAverage float64
 	updatedAt  clock.Millis
+	// knownSince is the time of the first update.
+	knownSince clock.Millis
+	isKnown    bool
 }
 
 // update follows the measured times of stats and the requests of this gateway.
 func (e *estimate) update(now clock.Millis, stats load.Stats, own int) {
+	if !e.isKnown {
+		e.isKnown, e.knownSince = true, now
+	}
 	elapsed := float64(max(0, now-e.updatedAt))
 	if elapsed == 0 && e.updatedAt != 0 {
 		return
@@ -138,8 +147,15 @@
 // known late. The gateways that use the endpoint most decide as this one does, so the
 // deviation of the own requests from their average counts for them, too: without that, all of
 // them send to the endpoint that was empty at the last exchange.
-func (e *estimate) inFlight(own, others int, followers float64) float64 {
-	return max(float64(own), float64(own+others)+followers*(float64(own)-e.ownAverage))
+func (e *estimate) inFlight(own int, others, followers float64) float64 {
+	return max(float64(own), float64(own)+others+followers*(float64(own)-e.ownAverage))
+}
+
+// assumedOthers returns the requests of other gateways at an endpoint. Of a new one, these are
+// at first as many as usual, so that not all gateways send to it at once.
+func (e *estimate) assumedOthers(now clock.Millis, others int, usual float64) float64 {
+	age := min(1, float64(now-e.knownSince)/float64(newFor))
+	return max(float64(others), usual*(1-age))
 }
 
 // waitMillis returns the expected wait for a slot at an endpoint with the given requests in
--- a/pkg/endpoints/expectedfinish.go
+++ b/pkg/endpoints/expectedfinish.go
@@ -128,7 +128,10 @@
 		p.draw(now, random, whole(candidates.Other()), p.candidates+1, strangerShare, want, state, candidates, &best)
 	}
 	if best.endpoint == nil {
-		return p.scan(now, want, state, candidates)
+		best.endpoint = p.scan(now, want, state, candidates)
+	}
+	if best.endpoint != nil && best.endpoint.domain != p.home {
+		state.begin(best.endpoint.domain)
 	}
 	return best.endpoint
 }
@@ -257,7 +260,8 @@
 func (s *serviceState) finish(now clock.Millis, endpoint *Endpoint, want PickRequest, stats load.Stats) (finish float64, waits bool) {
 	endpoint.estimate.update(now, stats, endpoint.inFlight)
 	slots := max(1, endpoint.record.Slots)
-	inFlight := endpoint.estimate.inFlight(endpoint.inFlight, stats.InFlight, s.followers)
+	others := endpoint.estimate.assumedOthers(now, stats.InFlight, s.homeLoad*float64(slots))
+	inFlight := endpoint.estimate.inFlight(endpoint.inFlight, others, s.followers)
 	waits = inFlight >= float64(slots)
 	service := s.serviceMillis(want, s.speedsOf(endpoint, stats, waits))
 	busy := min(1, inFlight/float64(slots))
@@ -273,8 +277,8 @@
 	if result.Sample.Outcome == load.Good && result.Sample.Events > 0 {
 		state.events += eventsWeight * (float64(result.Sample.Events) - state.events)
 	}
-	if endpoint.domain != p.home && (result.Outcome == Answered || result.Outcome == Failed) {
-		state.record(now, endpoint.domain, result.Outcome == Failed)
+	if endpoint.domain != p.home {
+		state.end(now, endpoint.domain, result.Outcome)
 	}
 }
 
--- a/pkg/endpoints/servicestate.go
+++ b/pkg/endpoints/servicestate.go
@@ -27,6 +27,8 @@
 	// followers is the number of gateways that are expected to decide as this one does.
 	followers float64
 	spill     *spill.Controller
+	// homeLoad is the part of the slots of the own domain that is in use.
+	homeLoad float64
 	// receiveLoad is the part of the slots of other domains that is in use.
 	receiveLoad float64
 	// crossings contains the other failure domains to which requests have been sent.
@@ -52,7 +54,7 @@
 	s.updateUsual(now, candidates, home, other)
 	typical := PickRequest{Service: want.Service, IsStream: want.IsStream, Bytes: int(s.bytes)}
 	seen := spill.Observation{Price: p.price(typical)}
-	seen.Home, _, seen.HomeUsable = s.observe(now, p, typical, candidates, home)
+	seen.Home, s.homeLoad, seen.HomeUsable = s.observe(now, p, typical, candidates, home)
 	seen.Away, seen.ReceiveLoad, seen.AwayUsable = s.observe(now, p, typical, candidates, other)
 	seen.Away -= seen.Price
 	s.receiveLoad = seen.ReceiveLoad
