--- a/pkg/endpoints/expectedfinish.go
+++ b/pkg/endpoints/expectedfinish.go
@@ -69,6 +69,7 @@
 	millisPerKB    float64
 	maxReceiveLoad float64
 	wayMillis      float64
+	home           spool.FailureDomain
 	services       map[spool.ServiceName]*serviceState
 }
 
@@ -97,9 +98,10 @@
 
 // Choose implements Policy.
 func (p *expectedFinish) Choose(now clock.Millis, want PickRequest, candidates Candidates) *Endpoint {
+	p.home = candidates.table.homeDomain
 	state := p.services[want.Service]
 	if state == nil {
-		state = &serviceState{spill: spill.New(p.maxReceiveLoad), events: nominalEvents}
+		state = &serviceState{spill: spill.New(p.maxReceiveLoad), events: nominalEvents, crossings: map[spool.FailureDomain]crossing{}}
 		p.services[want.Service] = state
 	}
 	state.refresh(now, p, want, candidates)
@@ -122,11 +124,14 @@
 	}
 	random = nextRandom(random)
 	leaves := float64(random>>11)/(1<<53) < state.spill.Share()
-	if best.endpoint == nil || leaves && state.receives(p.maxReceiveLoad) {
+	if (best.endpoint == nil || leaves) && state.receives(p.maxReceiveLoad) {
 		p.draw(now, random, whole(candidates.Other()), p.candidates+1, strangerShare, want, state, candidates, &best)
 	}
 	if best.endpoint == nil {
-		return p.scan(now, want, state, candidates)
+		best.endpoint = p.scan(now, want, state, candidates)
+	}
+	if best.endpoint != nil && best.endpoint.domain != p.home {
+		state.begin(best.endpoint.domain)
 	}
 	return best.endpoint
 }
@@ -181,7 +186,7 @@
 			index = int(random % uint64(window.size))
 		}
 		endpoint := window.at(index)
-		if endpoint.penalty(now) > 0 || !candidates.CanServe(endpoint) {
+		if endpoint.penalty(now) > 0 || !state.isOpen(now, endpoint.domain) || !candidates.CanServe(endpoint) {
 			continue
 		}
 		found++
@@ -202,7 +207,10 @@
 		finish, _ := p.finish(now, endpoint, want, state, candidates)
 		rank := endpoint.penalty(now)
 		if !candidates.IsHome(endpoint) && !state.receives(p.maxReceiveLoad) {
-			rank += fullCost
+			rank += 1.5 * fullCost
+		}
+		if !state.isOpen(now, endpoint.domain) {
+			rank += backoffCost
 		}
 		// Expected finishes are far below an hour, so that the rank goes first.
 		best.offer(endpoint, finish+rank*float64(clock.Hour))
@@ -255,7 +263,8 @@
 func (s *serviceState) finish(now clock.Millis, endpoint *Endpoint, want PickRequest, stats load.Stats) (finish float64, waits bool) {
 	endpoint.estimate.update(now, stats, endpoint.inFlight)
 	slots := max(1, endpoint.record.Slots)
-	inFlight := endpoint.estimate.inFlight(endpoint.inFlight, stats.InFlight, s.followers)
+	others := endpoint.estimate.assumedOthers(now, stats.InFlight, s.homeLoad*float64(slots))
+	inFlight := endpoint.estimate.inFlight(endpoint.inFlight, others, s.followers)
 	waits = inFlight >= float64(slots)
 	service := s.serviceMillis(want, s.speedsOf(endpoint, stats, waits))
 	busy := min(1, inFlight/float64(slots))
@@ -263,11 +272,17 @@
 }
 
 // Ended implements Policy.
-func (p *expectedFinish) Ended(_ clock.Millis, endpoint *Endpoint, result Result) {
+func (p *expectedFinish) Ended(now clock.Millis, endpoint *Endpoint, result Result) {
 	state := p.services[endpoint.service]
-	if state != nil && result.Sample.Outcome == load.Good && result.Sample.Events > 0 {
+	if state == nil {
+		return
+	}
+	if result.Sample.Outcome == load.Good && result.Sample.Events > 0 {
 		state.events += eventsWeight * (float64(result.Sample.Events) - state.events)
 	}
+	if endpoint.domain != p.home {
+		state.end(now, endpoint.domain, result.Outcome)
+	}
 }
 
 // spillShares implements spiller.
--- a/pkg/endpoints/servicestate.go
+++ b/pkg/endpoints/servicestate.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spill"
+	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
 const (
@@ -26,8 +27,12 @@
 	// followers is the number of gateways that are expected to decide as this one does.
 	followers float64
 	spill     *spill.Controller
+	// homeLoad is the part of the slots of the own domain that is in use.
+	homeLoad float64
 	// receiveLoad is the part of the slots of other domains that is in use.
 	receiveLoad float64
+	// crossings contains the other failure domains to which requests have been sent.
+	crossings   map[spool.FailureDomain]crossing
 	refreshedAt clock.Millis
 	isRefreshed bool
 	// passes is the number of passes. It makes each pass sample other endpoints.
@@ -49,7 +54,7 @@
 	s.updateUsual(now, candidates, home, other)
 	typical := PickRequest{Service: want.Service, IsStream: want.IsStream, Bytes: int(s.bytes)}
 	seen := spill.Observation{Price: p.price(typical)}
-	seen.Home, _, seen.HomeUsable = s.observe(now, p, typical, candidates, home)
+	seen.Home, s.homeLoad, seen.HomeUsable = s.observe(now, p, typical, candidates, home)
 	seen.Away, seen.ReceiveLoad, seen.AwayUsable = s.observe(now, p, typical, candidates, other)
 	seen.Away -= seen.Price
 	s.receiveLoad = seen.ReceiveLoad
@@ -93,10 +98,14 @@
 // observe returns the finish that a request can expect among the usable endpoints of list,
 // the part of their slots in use, and whether there is any.
 func (s *serviceState) observe(now clock.Millis, p *expectedFinish, want PickRequest, candidates Candidates, list []*Endpoint) (finish, busy float64, usable bool) {
+	// The deviations of this gateway's requests vary too much for the spill controller.
+	followers := s.followers
+	s.followers = 0
+	defer func() { s.followers = followers }()
 	finishes := make([]float64, 0, len(list))
 	inFlight, slots := 0, 0
 	for _, endpoint := range list {
-		if now < endpoint.backoffUntil || now < endpoint.coldUntil || endpoint.leavingSince != 0 || !candidates.CanServe(endpoint) {
+		if now < endpoint.backoffUntil || now < endpoint.coldUntil || endpoint.leavingSince != 0 || !s.isOpen(now, endpoint.domain) || !candidates.CanServe(endpoint) {
 			continue
 		}
 		expected, _ := p.finish(now, endpoint, want, s, candidates)
