--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,7 +175,7 @@
 	g.store = newPathStore(store, g.health, g.callPeer, g.telemetry)
 	g.loads = newServiceLoads(g.clock)
 	g.engineLoads = newEngineLoads(g.settings.Balancing, g.clock, g.loadView, g.telemetry.Logger("admission"),
-		admission.WithSlackUrgency(!g.settings.Balancing.PriorityUrgency))
+		admission.WithSlackUrgency(g.settings.Balancing.SlackUrgency))
 	g.homes = homes.NewTable(g.clock)
 	g.lookupClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(peerSilenceTimeout, peerPingInterval), wire.WithClientIdleTimeout(lookupIdleTimeout))
 	homeClient := newHomeClient(g.homes, g.callHome, g.clock, g.telemetry.Logger("homes"))
--- a/pkg/endpoints/affinity_test.go
+++ b/pkg/endpoints/affinity_test.go
@@ -13,14 +13,14 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// fixedView is a view with the given requests of other gateways in flight.
-type fixedView map[spool.EndpointID]int
+// inFlightView is a view with the given requests of other gateways in flight.
+type inFlightView map[spool.EndpointID]int
 
-func (v fixedView) Instance(_ clock.Millis, id load.Instance) load.Stats {
+func (v inFlightView) Instance(_ clock.Millis, id load.Instance) load.Stats {
 	return load.Stats{InFlight: v[id.ID]}
 }
 
-func (v fixedView) Service(clock.Millis, spool.ServiceName) load.ServiceStats {
+func (v inFlightView) Service(clock.Millis, spool.ServiceName) load.ServiceStats {
 	return load.ServiceStats{}
 }
 
@@ -29,10 +29,10 @@
 	var (
 		t        *endpoints.Table
 		detector *outlier.Detector
-		view     fixedView
+		view     inFlightView
 	)
 	ginkgo.BeforeEach(func() {
-		view, detector = fixedView{}, outlier.New(nil)
+		view, detector = inFlightView{}, outlier.New(nil)
 		t = endpoints.NewTable("home", endpoints.WithSpreadAffinity(), endpoints.WithView(view), endpoints.WithOutliers(detector), endpoints.WithObserver(detector))
 		for n := range size {
 			t.Put(0, newRecord(fmt.Sprintf("h%d", n), "home"))
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -246,9 +246,9 @@
 	// MaxReceiveLoad is the part of the slots of a failure domain up to which requests of
 	// other domains are sent to it.
 	MaxReceiveLoad float64
-	// PriorityUrgency lets the urgency of a request at an engine be its priority alone, as
-	// when balancing is off. Otherwise it also follows from the slack of its program.
-	PriorityUrgency bool
+	// SlackUrgency derives the urgency of a request at engines from the slack of its program
+	// and from whether it has begun, and not from the priority alone.
+	SlackUrgency bool
 }
 
 // RolloutSettings says how much traffic a version under trial may get.
