--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -101,16 +101,18 @@
 		r.reject(refusalFor(reasonOverloaded))
 		return
 	}
-	if refusal, ok := r.admitToEngine(ctx, class); !ok {
-		r.reject(refusal)
-		return
-	}
 	if err := g.limits.admit(ctx, r.account, class, func() (limit.StartRequest, bool) {
 		return programStart(r.call), r.startsProgram(ctx)
 	}); err != nil {
 		r.reject(overLimitRefusal(err))
 		return
 	}
+	// The limits come first: an account that exceeds its rate must not take the place of
+	// programs of others at the engines.
+	if refusal, ok := r.admitToEngine(ctx, class); !ok {
+		r.reject(refusal)
+		return
+	}
 	if class == limit.ClassStart && g.engineLoads.appliesTo(r) {
 		g.loadTracker.ProgramBegan(g.clock.Now(), r.service.Name, expectedTurns(r.call))
 	}
