--- a/internal/gateway/outliers.go
+++ b/internal/gateway/outliers.go
@@ -17,7 +17,7 @@
 	options := []endpoints.Option{endpoints.WithDrainWithin(settings.DrainWithin)}
 	if settings.Balancing.Enabled {
 		detector := newOutlierDetector(settings, view, t)
-		options = append(options, endpoints.WithPolicy(newExpectedFinishPolicy(settings)), endpoints.WithView(view),
+		options = append(options, endpoints.WithPolicy(newBalancingPolicy(settings)), endpoints.WithView(view),
 			endpoints.WithOutliers(detector), endpoints.WithSpreadAffinity(),
 			endpoints.WithObserver(append(load.Observers{detector}, observers...)))
 	}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -9,9 +9,9 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// newExpectedFinishPolicy returns the policy of the endpoint table while balancing is on.
-func newExpectedFinishPolicy(settings spool.GatewaySettings) endpoints.Policy {
-	policy, err := endpoints.Policies.New(endpoints.PolicyExpectedFinish, xxhash.Sum64String(string(settings.Node)), spool.Options{
+// newBalancingPolicy returns the policy of the endpoint table while balancing is on.
+func newBalancingPolicy(settings spool.GatewaySettings) endpoints.Policy {
+	policy, err := endpoints.Policies.New(endpoints.PolicySpeedAware, xxhash.Sum64String(string(settings.Node)), spool.Options{
 		endpoints.OptionMillisPerKB:    settings.Balancing.CrossingMillisPerKB,
 		endpoints.OptionMaxReceiveLoad: settings.Balancing.MaxReceiveLoad,
 	})
--- a/pkg/endpoints/estimate.go
+++ b/pkg/endpoints/estimate.go
@@ -31,6 +31,9 @@
 	// newFor is how long an endpoint counts as new: what others have sent to it is not known
 	// before the second exchange.
 	newFor = 1500 * clock.Millis(1)
+	// eventTime is the time constant of the average speed. It is longer than the slow phases
+	// of 600 ms that endpoints have at times.
+	eventTime = 1500 * clock.Millis(1)
 	// queueFactor bounds the measured time of an endpoint with free slots, as a multiple of
 	// its time without a queue: the queue that was measured is gone.
 	queueFactor = 3.0
@@ -47,7 +50,9 @@
 	firstFloor, callFloor float64
 	// ownAverage is a moving average of the requests of this gateway at the endpoint.
 	ownAverage float64
-	updatedAt  clock.Millis
+	// eventAverage is a moving average of the time between two events; 0 if it is unknown.
+	eventAverage float64
+	updatedAt    clock.Millis
 	// knownSince is the time of the first update.
 	knownSince clock.Millis
 	isKnown    bool
@@ -65,6 +70,13 @@
 	part := 1 - math.Exp(-elapsed/float64(floorTime))
 	e.ownAverage += (float64(own) - e.ownAverage) * (1 - math.Exp(-elapsed/float64(ownTime)))
 	e.updatedAt = now
+	switch {
+	case stats.EventMillis <= 0:
+	case e.eventAverage <= 0:
+		e.eventAverage = stats.EventMillis
+	default:
+		e.eventAverage += (stats.EventMillis - e.eventAverage) * (1 - math.Exp(-elapsed/float64(eventTime)))
+	}
 	e.firstFloor = followLow(e.firstFloor, stats.FirstEventMillis, part)
 	e.callFloor = followLow(e.callFloor, stats.CallMillis, part)
 }
--- a/pkg/endpoints/expectedfinish.go
+++ b/pkg/endpoints/expectedfinish.go
@@ -45,17 +45,12 @@
 	// that cannot be used.
 	drawsPerCandidate = 2
 	// promptTokensPerMilli is the speed at which engines process prompts, and
-	// maxPrefillShare bounds the gain of a cached prompt as a part of the usual time of an
-	// answer, so that it does not outweigh an endpoint of twice the speed.
+	// maxPrefillShare bounds the gain of a cached prompt as a part of the finish, so that it
+	// outweighs neither a queue nor an endpoint of twice the speed.
 	promptTokensPerMilli = 120.0
 	defaultPromptTokens  = 2000
-	maxPrefillShare      = 0.8
-	// maxOwners is the number of owners of a key that are tried for one that is not slow. An
-	// owner is slow from slowOwner times the usual time of an answer on.
-	maxOwners       = 3
-	slowOwner       = 1.5
-	nextOwnerSuffix = "\x00"
-	bytesPerKB      = 1024.0
+	maxPrefillShare      = 0.25
+	bytesPerKB           = 1024.0
 )
 
 func init() {
@@ -103,26 +98,27 @@
 
 // Choose implements Policy.
 func (p *expectedFinish) Choose(now clock.Millis, want PickRequest, candidates Candidates) *Endpoint {
-	p.home = candidates.table.homeDomain
-	state := p.services[want.Service]
-	if state == nil {
-		state = &serviceState{spill: spill.New(p.maxReceiveLoad), events: nominalEvents, crossings: map[spool.FailureDomain]crossing{}}
-		p.services[want.Service] = state
-	}
-	state.refresh(now, p, want, candidates)
-	state.typicalMillis = state.serviceMillis(want, state.usual)
+	state := p.stateFor(now, want, candidates)
 	random := xxhash.Sum64String(want.Salt) ^ p.seed
 	var best choice
 	home := candidates.Home()
 	focus := p.focusOf(home, candidates, state)
 	random = p.draw(now, random, focus, p.focus, 0, want, state, candidates, &best)
 	random = p.draw(now, random, whole(home), p.candidates, strangerShare, want, state, candidates, &best)
-	p.offerPreferred(now, home, want, state, candidates, &best)
+	if preferred := p.preferred(now, want, home, candidates); preferred != nil {
+		finish, waits := p.finish(now, preferred, want, state, candidates)
+		if !waits {
+			finish -= prefillGain(want, finish)
+		}
+		if !focus.contains(preferred) {
+			finish += strangerShare * state.typicalMillis
+		}
+		best.offer(preferred, finish)
+	}
 	random = nextRandom(random)
 	leaves := float64(random>>11)/(1<<53) < state.spill.Share()
 	if (best.endpoint == nil || leaves) && state.receives(p.maxReceiveLoad) {
 		p.draw(now, random, whole(candidates.Other()), p.candidates+1, strangerShare, want, state, candidates, &best)
-		p.offerPreferred(now, candidates.Other(), want, state, candidates, &best)
 	}
 	if best.endpoint == nil {
 		best.endpoint = p.scan(now, want, state, candidates)
@@ -133,6 +129,19 @@
 	return best.endpoint
 }
 
+// stateFor returns the state of the service of a request, up to date.
+func (p *expectedFinish) stateFor(now clock.Millis, want PickRequest, candidates Candidates) *serviceState {
+	p.home = candidates.table.homeDomain
+	state := p.services[want.Service]
+	if state == nil {
+		state = &serviceState{spill: spill.New(p.maxReceiveLoad), events: nominalEvents, crossings: map[spool.FailureDomain]crossing{}}
+		p.services[want.Service] = state
+	}
+	state.refresh(now, p, want, candidates)
+	state.typicalMillis = state.serviceMillis(want, state.usual)
+	return state
+}
+
 // focusWindow is the part of the endpoints at home that a gateway uses most: size of them from
 // start on, in the order of the ring.
 type focusWindow struct {
@@ -187,7 +196,7 @@
 			continue
 		}
 		found++
-		finish := p.finish(now, endpoint, want, state, candidates)
+		finish, _ := p.finish(now, endpoint, want, state, candidates)
 		best.offer(endpoint, finish+stranger*state.typicalMillis)
 	}
 	return random
@@ -201,7 +210,7 @@
 		if !candidates.CanServe(endpoint) {
 			continue
 		}
-		finish := p.finish(now, endpoint, want, state, candidates)
+		finish, _ := p.finish(now, endpoint, want, state, candidates)
 		rank := endpoint.penalty(now)
 		if !candidates.IsHome(endpoint) && !state.receives(p.maxReceiveLoad) {
 			rank += 1.5 * fullCost
@@ -215,59 +224,40 @@
 	return best.endpoint
 }
 
-// offerPreferred offers the endpoint of a list that is expected to have the prompt in its
-// cache. It needs not be in the focus: few gateways send it the requests of one program.
-func (p *expectedFinish) offerPreferred(now clock.Millis, list []*Endpoint, want PickRequest, state *serviceState, candidates Candidates, best *choice) {
-	preferred := p.preferred(now, list, want, state, candidates)
-	if preferred == nil {
-		return
-	}
-	finish := p.finish(now, preferred, want, state, candidates)
-	best.offer(preferred, finish-prefillGain(preferred, want, state.typicalMillis))
-}
-
-// preferred returns the endpoint of a list that is expected to have the prompt in its cache;
-// nil if there is none that can be used at once. It is the first owner of the key that is not
-// slow: programs of a slow owner would otherwise have no endpoint in common for their turns.
-func (p *expectedFinish) preferred(now clock.Millis, list []*Endpoint, want PickRequest, state *serviceState, candidates Candidates) *Endpoint {
+// preferred returns the endpoint of the own domain that is expected to have the prompt in its
+// cache; nil if there is none that can be used at once.
+func (p *expectedFinish) preferred(now clock.Millis, want PickRequest, home []*Endpoint, candidates Candidates) *Endpoint {
 	if want.AffinityKey == "" {
 		return nil
 	}
 	if candidates.spreadsObject() {
 		return candidates.table.spreadPreferred(now, want)
 	}
-	key := want.AffinityKey
-	for range maxOwners {
-		endpoint := owner(list, key)
-		if endpoint == nil {
-			return nil
-		}
-		service := state.serviceMillis(want, state.speedsOf(endpoint, candidates.Stats(endpoint), false))
-		if endpoint.penalty(now) == 0 && service <= slowOwner*state.typicalMillis && candidates.CanServe(endpoint) {
-			return endpoint
-		}
-		key += nextOwnerSuffix
+	endpoint := owner(home, want.AffinityKey)
+	if endpoint == nil || endpoint.penalty(now) > 0 || !candidates.CanServe(endpoint) {
+		return nil
 	}
-	return nil
+	return endpoint
 }
 
-// prefillGain returns the milliseconds that a cached prompt saves, at most a part of the usual
-// time of an answer. All slots of the endpoint stand still while a prompt is read, so that a
-// cached prompt saves the time of each. The gain also counts at an endpoint with a queue: when
-// all have one, prompts that are read again everywhere would halve what the service can answer.
-func prefillGain(endpoint *Endpoint, want PickRequest, typicalMillis float64) float64 {
-	tokens := max(want.PromptTokens, defaultPromptTokens)
-	return min(float64(tokens)/promptTokensPerMilli*float64(endpoint.record.Slots), maxPrefillShare*typicalMillis)
+// prefillGain returns the milliseconds that a cached prompt saves.
+func prefillGain(want PickRequest, finish float64) float64 {
+	tokens := want.PromptTokens
+	if tokens <= 0 {
+		tokens = defaultPromptTokens
+	}
+	return min(float64(tokens)/promptTokensPerMilli, maxPrefillShare*finish)
 }
 
-// finish returns the milliseconds after which an endpoint is expected to have answered.
-func (p *expectedFinish) finish(now clock.Millis, endpoint *Endpoint, want PickRequest, state *serviceState, candidates Candidates) float64 {
+// finish returns the milliseconds after which an endpoint is expected to have answered, and
+// whether the request is expected to wait there.
+func (p *expectedFinish) finish(now clock.Millis, endpoint *Endpoint, want PickRequest, state *serviceState, candidates Candidates) (finish float64, waits bool) {
 	stats := candidates.Stats(endpoint)
-	finish := state.finish(now, endpoint, want, stats)
+	finish, waits = state.finish(now, endpoint, want, stats)
 	if !candidates.IsHome(endpoint) {
 		finish += p.wayMillis + p.price(want)
 	}
-	return finish
+	return finish, waits
 }
 
 // price returns the price of a request that leaves the failure domain.
@@ -276,15 +266,15 @@
 }
 
 // finish returns the expected finish of a request at an endpoint, without the network.
-func (s *serviceState) finish(now clock.Millis, endpoint *Endpoint, want PickRequest, stats load.Stats) float64 {
+func (s *serviceState) finish(now clock.Millis, endpoint *Endpoint, want PickRequest, stats load.Stats) (finish float64, waits bool) {
 	endpoint.estimate.update(now, stats, endpoint.inFlight)
 	slots := max(1, endpoint.record.Slots)
 	others := endpoint.estimate.assumedOthers(now, stats.InFlight, s.homeLoad*float64(slots))
 	inFlight := endpoint.estimate.inFlight(endpoint.inFlight, others, s.followers)
-	waits := inFlight >= float64(slots)
+	waits = inFlight >= float64(slots)
 	service := s.serviceMillis(want, s.speedsOf(endpoint, stats, waits))
 	busy := min(1, inFlight/float64(slots))
-	return waitMillis(inFlight, slots, service) + service*(1+occupationLoss*busy)
+	return waitMillis(inFlight, slots, service) + service*(1+occupationLoss*busy), waits
 }
 
 // Ended implements Policy.
--- a/pkg/endpoints/policy.go
+++ b/pkg/endpoints/policy.go
@@ -14,6 +14,9 @@
 	// PolicyExpectedFinish picks the endpoint at which the request is expected to finish
 	// first, by what is known of the endpoints from all gateways.
 	PolicyExpectedFinish = "expectedFinish"
+	// PolicySpeedAware picks like PolicyOccupancy, but avoids endpoints that are slower than
+	// others while those have room, and leaves the failure domain only when that pays.
+	PolicySpeedAware = "speedAware"
 )
 
 // Policies holds the constructors of the policies. Policies register in an init function.
--- a/pkg/endpoints/servicestate.go
+++ b/pkg/endpoints/servicestate.go
@@ -108,7 +108,7 @@
 		if now < endpoint.backoffUntil || now < endpoint.coldUntil || endpoint.leavingSince != 0 || !s.isOpen(now, endpoint.domain) || !candidates.CanServe(endpoint) {
 			continue
 		}
-		expected := p.finish(now, endpoint, want, s, candidates)
+		expected, _ := p.finish(now, endpoint, want, s, candidates)
 		finishes = append(finishes, expected)
 		inFlight += min(endpoint.record.Slots, endpoint.inFlight+candidates.Stats(endpoint).InFlight)
 		slots += max(1, endpoint.record.Slots)
