--- a/pkg/endpoints/outliers.go
+++ b/pkg/endpoints/outliers.go
@@ -39,10 +39,17 @@
 	}
 	t.outliers.SetGatewayCount(t.gatewayCount)
 	var members []outlier.Member
+	inFlight, slots := 0, 0
 	for _, other := range t.byService[endpoint.service] {
 		if other.leavingSince == 0 && t.mayServe(now, other, PickRequest{Service: endpoint.service}) {
 			members = append(members, outlier.Member{Instance: other.Instance(), Slots: other.record.Slots, Domain: other.domain})
+			inFlight += other.inFlight
+			if t.view != nil {
+				inFlight += t.view.Instance(now, other.Instance()).InFlight
+			}
+			slots += max(1, other.record.Slots)
 		}
 	}
+	t.outliers.SetLoad(endpoint.service, float64(inFlight)/float64(max(1, slots)))
 	t.outliers.Judge(now, endpoint.service, members)
 }
--- a/pkg/outlier/detector.go
+++ b/pkg/outlier/detector.go
@@ -16,6 +16,10 @@
 	// MaxEjectedShare bounds the instances of a service that are ejected or on probation. It
 	// is rounded down, so that services with up to three endpoints keep all of them.
 	MaxEjectedShare = 0.3
+	// usableLoad is the part of the slots up to which the other instances may be loaded by an
+	// ejection. An instance that fails a part of its requests answers the others, which is
+	// better than a queue in which all requests are late.
+	usableLoad = 0.8
 	// judgeInterval is the least time between two judgements of a service.
 	judgeInterval = 100 * clock.Millis(1)
 	// defaultViewWindow is the time in which a result counts 1/e in the counters of a
@@ -103,6 +107,13 @@
 	d.gateways = max(1, count)
 }
 
+// SetLoad sets the part of the slots of a service that is in use; 0, if it is never called.
+func (d *Detector) SetLoad(name spool.ServiceName, load float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.service(name).load = load
+}
+
 // Started implements load.Observer.
 func (d *Detector) Started(now clock.Millis, name spool.ServiceName, id load.Instance) {
 	d.mu.Lock()
@@ -217,7 +228,7 @@
 	return d.view.Instance(now, id)
 }
 
-// ejectWorst ejects the worst candidates, as far as MaxEjectedShare allows. Instances that
+// ejectWorst ejects the worst candidates, as far as maxEjected allows. Instances that
 // fail displace those that are only late.
 func (d *Detector) ejectWorst(now clock.Millis, s *service) {
 	var candidates, held []*instance
@@ -229,7 +240,7 @@
 			candidates = append(candidates, i)
 		}
 	}
-	free := int(MaxEjectedShare*float64(len(s.members))) - len(held)
+	free := s.maxEjected() - len(held)
 	slices.SortStableFunc(candidates, func(a, b *instance) int { return s.compareSeverity(now, b, a) })
 	slices.SortStableFunc(held, func(a, b *instance) int { return compareCauses(a.cause, b.cause) })
 	for ; free < 0 && len(held) > 0; free++ {
--- a/pkg/outlier/outlier_test.go
+++ b/pkg/outlier/outlier_test.go
@@ -83,6 +83,26 @@
 		gomega.Expect(d.Allows(200, service, f.members[1].Instance, true)).To(gomega.BeFalse())
 	})
 
+	// Guards against a service that loses a part of its slots to ejections just when it has too
+	// few: all programs were late on a day on which some endpoints failed a part of their
+	// requests during a burst.
+	ginkgo.It("is ejected only while the others have room for its requests", func() {
+		d := outlier.New(nil)
+		f := newFleet(10)
+		inUse := func(load float64, now clock.Millis) bool {
+			d.SetLoad(service, load)
+			d.Judge(now, service, f.members)
+			return d.Allows(now, service, f.members[1].Instance, true)
+		}
+		gomega.Expect(inUse(0.9, 0)).To(gomega.BeTrue())
+		for range 3 {
+			d.Ended(10, service, f.members[1].Instance, load.Sample{Outcome: load.Failed})
+		}
+		gomega.Expect(inUse(0.9, 200)).To(gomega.BeTrue())
+		gomega.Expect(inUse(0.5, 400)).To(gomega.BeFalse())
+		gomega.Expect(inUse(0.9, 600)).To(gomega.BeTrue())
+	})
+
 	// Guards against an endpoint that is down and up by turns and comes back each time.
 	ginkgo.DescribeTable("and recovers by turns is ejected for longer and longer", func(period clock.Millis) {
 		f := newFleet(10)
--- a/pkg/outlier/service.go
+++ b/pkg/outlier/service.go
@@ -26,7 +26,9 @@
 	name      spool.ServiceName
 	instances map[load.Instance]*instance
 	// members are the instances of the last judgement.
-	members  []*instance
+	members []*instance
+	// load is the part of their slots that is in use.
+	load     float64
 	judgedAt clock.Millis
 	// isUrgent is set before the first judgement, and when own results suffice for an
 	// ejection.
@@ -137,3 +139,10 @@
 		}
 	}
 }
+
+// maxEjected returns the number of members that may be ejected or on probation: at most
+// MaxEjectedShare, and only as many as leave the others at usableLoad.
+func (s *service) maxEjected() int {
+	spare := max(0, 1-s.load/usableLoad)
+	return int(min(MaxEjectedShare, spare) * float64(len(s.members)))
+}
