--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,7 +181,7 @@
 			settings: g.settings, incarnation: incarnation, bootClock: bootClock, clock: g.clock, poolOwnership: ownership,
 			endpoints: g.endpointTable, store: g.store, codec: g.codec, telemetry: g.telemetry, log: g.telemetry.Logger("rollout"),
 			call: g.callGateway, liveMembers: func() []spool.NodeID { return members.seenWithin(memberLiveTimeout) },
-			pollMembers: func() { ownership.pollMembers() }, services: map[spool.ServiceName]*serviceRollout{},
+			pollMembers: func() { ownership.pollMembers() }, onReported: g.updateStartup, services: map[spool.ServiceName]*serviceRollout{},
 		}
 		members.rollouts, members.onConfirmed = g.rollouts, g.updateStartup
 	}
@@ -314,14 +314,14 @@
 func (g *Gateway) Address() string { return g.server.Address() }
 
 // isReady reports whether the balancer should send new connections to this gateway: it
-// has a configuration, is not shutting down, and has not been without contact to the
+// has a configuration and the phases of rollouts, is not shutting down, and has not been without contact to the
 // store, directly or through another gateway, for longer than notReadyAfter. While it
 // has been without contact for longer, isReady also makes the server close callers'
 // connections after each answer, so that the callers reconnect to other gateways.
 func (g *Gateway) isReady() bool {
 	storeLost := g.health.failingFor() > notReadyAfter
 	g.server.SetCloseConnections(storeLost)
-	return g.catalog.Load() != nil && !g.stopping.Load() && !storeLost
+	return g.catalog.Load() != nil && !g.stopping.Load() && !storeLost && g.rollouts.isReady()
 }
 
 // runMaintenance removes expired state every maintenanceInterval until ctx ends.
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -73,6 +73,8 @@
 	call        func(ctx context.Context, address, method string, request, reply any) error
 	liveMembers func() []spool.NodeID
 	pollMembers func()
+	// onReported is called after each report.
+	onReported func()
 
 	mu       sync.Mutex
 	services map[spool.ServiceName]*serviceRollout
@@ -192,18 +194,17 @@
 	}
 }
 
-// isReady reports whether this gateway knows the phases of all rollouts that are ordered.
+// isReady reports whether this gateway knows the phases of all rollouts that are ordered,
+// and has tried to report to their controllers.
 func (t *rolloutTable) isReady() bool {
 	if t == nil {
 		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.hasMembers {
-		return true
-	}
+	now := t.bootClock.Now()
 	for _, s := range t.services {
-		if s.order != nil {
+		if s.order != nil && (!t.hasMembers || s.holder.IsPaused(now)) {
 			return false
 		}
 	}
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -105,12 +105,19 @@
 
 var _ = ginkgo.Describe("A rollout", func() {
 	// Guards against a completion before all gateways have stopped sending to old endpoints,
-	// which then stop at once, and against a good version that is not completed.
+	// which then stop at once, against a good version that is not completed, and against a
+	// gateway that has started during the rollout and refuses requests.
 	ginkgo.It("of a good version is completed, and no request fails", func() {
 		f := newRolloutTraffic()
 		orderedAt := time.Now()
 		f.order(10, nil)
 		gomega.Eventually(func() string { return f.d.topics.RolloutStatus("app") }, "2s", "20ms").Should(gomega.Equal(`{"state":"active","to":"v2"}`))
+		time.Sleep(2 * time.Second)
+		late := f.d.startGateway("late")
+		for range 20 {
+			r, _ := late.call("GET", "/lookup/a", "key-1", "")
+			gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		}
 		gomega.Eventually(func() string { return f.d.topics.RolloutStatus("app") }, "10s", "5ms").Should(gomega.Equal(`{"state":"completed","to":"v2"}`))
 		atEnd, took := requestsOf(f.old), time.Since(orderedAt)
 		for _, u := range f.old {
@@ -122,6 +129,25 @@
 		gomega.Expect(f.failed.Load()).To(gomega.BeZero())
 	})
 
+	// Guards against a version that goes on to get requests after the operator has withdrawn
+	// its order, or without a grant while another version is under trial.
+	ginkgo.It("that is replaced and then withdrawn leaves no requests to versions that were not completed", func() {
+		f := newRolloutTraffic()
+		f.order(30, nil)
+		gomega.Eventually(func() int { return requestsOf(f.new) }, "6s", "20ms").Should(gomega.BeNumerically(">", 0))
+		f.d.topics.PutRollout("app", "v3", 30)
+		gomega.Eventually(func() string { return f.d.topics.RolloutStatus("app") }, "3s", "20ms").Should(gomega.Equal(`{"state":"active","to":"v3"}`))
+		time.Sleep(300 * time.Millisecond)
+		atChange := requestsOf(f.new)
+		time.Sleep(2 * time.Second)
+		gomega.Expect(requestsOf(f.new)).To(gomega.Equal(atChange))
+		f.d.topics.WithdrawRollout("app")
+		gomega.Eventually(func() string { return f.d.topics.RolloutStatus("app") }, "3s", "20ms").Should(gomega.Equal(`{"state":"rolled_back","to":"v3"}`))
+		time.Sleep(2 * time.Second)
+		gomega.Expect(requestsOf(f.new)).To(gomega.Equal(atChange))
+		gomega.Expect(f.failed.Load()).To(gomega.BeZero())
+	})
+
 	// Guards against a bad version that is completed, or gets more requests than the bound
 	// permits, also when the gateway that controls the rollout disappears.
 	ginkgo.It("of a version that fails later is rolled back within the bounds, also without its controller", func() {
--- a/internal/gateway/rolloutreport.go
+++ b/internal/gateway/rolloutreport.go
@@ -66,7 +66,11 @@
 // startReportLocked sends a report if one is due. The caller holds mu.
 func (t *rolloutTable) startReportLocked(ctx context.Context, s *serviceRollout) {
 	now := t.bootClock.Now()
-	if s.order == nil || s.isAsking || now-s.askedAt < rollout.AskInterval-rolloutTick/2 || s.holder.Phase().IsFinal() {
+	if s.order == nil || s.isAsking || s.holder.Phase().IsFinal() {
+		return
+	}
+	isDue := now-s.askedAt >= rollout.AskInterval-rolloutTick/2 || s.holder.IsPaused(now)
+	if !isDue {
 		return
 	}
 	s.isAsking, s.askedAt = true, now
@@ -75,18 +79,25 @@
 	go func() {
 		defer t.calls.Done()
 		reply, err := t.send(ctx, report)
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		s.isAsking = false
-		switch {
-		case err == nil:
-			holder.Apply(now, report.Sequence, reply)
-		case t.hasMembers:
-			holder.ReportFailed(now)
-		}
+		t.endReport(s, holder, report.Sequence, now, reply, err)
+		t.onReported()
 	}()
 }
 
+// endReport takes in the result of a report that was sent at sentAt.
+func (t *rolloutTable) endReport(s *serviceRollout, holder *rollout.Holder, sequence int64, sentAt clock.Millis, reply rollout.Reply, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.isAsking = false
+	switch {
+	case err == nil:
+		holder.Apply(sentAt, sequence, reply)
+	case t.hasMembers:
+		// Before the first read of the member topic, the phase may be a later one.
+		holder.ReportFailed(sentAt)
+	}
+}
+
 // reportLocked returns the next report. The caller holds mu.
 func (t *rolloutTable) reportLocked(s *serviceRollout, now clock.Millis) rollout.Report {
 	report := s.holder.Report(now)
--- a/pkg/rollout/config.go
+++ b/pkg/rollout/config.go
@@ -41,12 +41,16 @@
 
 	// Parts of the duration of an order. Until loadFrom at most earlyShare of the budget is
 	// granted; then the rest is granted so fast that endpoints of the new version are loaded
-	// like old ones. The version is accepted between decideFrom and decideBy, and rolled
-	// back if the evidence is not sufficient by then.
-	loadFrom   = 0.52
-	earlyShare = 0.6
-	decideFrom = 0.70
-	decideBy   = 0.82
+	// like old ones. The version is accepted from shiftTime before the end on, but between
+	// earliestDecision and latestDecision, and rolled back if the evidence is not sufficient
+	// decideFor later. A shift takes some 2.2 s, and a late decision notices more versions
+	// that become bad late.
+	loadFrom         = 0.52
+	earlyShare       = 0.6
+	shiftTime        = 5 * clock.Second
+	earliestDecision = 0.70
+	latestDecision   = 0.80
+	decideFor        = 0.10
 	// loadFactor is the load of a new endpoint in relation to the mean of the old ones. It
 	// is below 1, so that a full service does not make the new version slow.
 	loadFactor = 0.9
@@ -81,6 +85,11 @@
 	Offset int64
 }
 
+// decideFrom returns the part of the duration from which on the version may be accepted.
+func (o Order) decideFrom() float64 {
+	return min(latestDecision, max(earliestDecision, 1-float64(shiftTime)/float64(max(1, o.Duration))))
+}
+
 // Phase is the state of a rollout. Phases follow each other in the order of the constants;
 // Completed and RolledBack are final.
 type Phase string
--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -186,7 +186,7 @@
 	if c.surroundings.New == 0 {
 		return 0, 0
 	}
-	end := decideFrom
+	end := c.order.decideFrom()
 	if c.age(now) < loadFrom {
 		end = loadFrom
 	}
@@ -241,7 +241,7 @@
 
 func (c *Controller) tickTrial(now clock.Millis) {
 	age := c.age(now)
-	if age < decideFrom {
+	if age < c.order.decideFrom() {
 		return
 	}
 	missing := c.judge.missing()
@@ -251,7 +251,7 @@
 	if c.surroundings.Cold > c.surroundings.New {
 		missing = "most endpoints are cold"
 	}
-	isLate := age >= decideBy && now-c.ownedAt >= clock.Second
+	isLate := age >= c.order.decideFrom()+decideFor && now-c.ownedAt >= clock.Second
 	switch {
 	case missing == "" && age < 1:
 		c.decide(Shifting, "evidence is sufficient")
--- a/pkg/rollout/holder.go
+++ b/pkg/rollout/holder.go
@@ -133,7 +133,7 @@
 		return AccessNone
 	case h.phase == Shifting:
 		return AccessNew
-	case now-h.triedAt > stallLimit:
+	case h.IsPaused(now):
 		return AccessNone
 	case mayUseGrant && now < h.expiresAt && h.sent+h.reserved(route) < h.ceiling:
 		return AccessGranted
@@ -150,6 +150,12 @@
 	return 1
 }
 
+// IsPaused reports whether the gateway must report before it sends anything, because it has
+// just started or was paused.
+func (h *Holder) IsPaused(now clock.Millis) bool {
+	return h.phase == Trial && now-h.triedAt > stallLimit
+}
+
 // GiveBack ends a request that Choose allowed and that was not sent.
 func (h *Holder) GiveBack(access Access) {
 	switch access {
