--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -173,7 +173,7 @@
 		want.AffinityKey = string(r.call.Program)
 	}
 	r.describe(&want)
-	endpoint := r.gateway.endpointTable.Pick(r.gateway.clock.Now(), want)
+	endpoint := r.pick(want)
 	if endpoint != nil {
 		r.countCrossing(endpoint)
 	}
@@ -209,8 +209,9 @@
 	r.sentAt, r.sample = g.clock.Now(), load.Sample{}
 	response, err := g.client.Do(ctx, call)
 	if err != nil {
-		g.endpointTable.Done(g.clock.Now(), endpoint, r.resultOf(failureOutcome(ctx), 0))
-		if errors.Is(err, httpconn.ErrNotSent) {
+		wasSent := !errors.Is(err, httpconn.ErrNotSent)
+		r.endTry(endpoint, r.resultOf(failureOutcome(ctx), 0), wasSent)
+		if !wasSent {
 			return unreached
 		}
 		return mayHaveRun
@@ -218,7 +219,7 @@
 	answer := g.codec.DecodeResponse(response.StatusCode, response.Header)
 	result, outcome := r.handleAnswer(ctx, response, answer)
 	r.recordLoad(outcome)
-	g.endpointTable.Done(g.clock.Now(), endpoint, r.resultOf(outcome, answer.ColdFor))
+	r.endTry(endpoint, r.resultOf(outcome, answer.ColdFor), true)
 	return result
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,10 +57,12 @@
 	limits        *limiter
 	loads         *serviceLoads
 	engineLoads   *engineLoads
-	health        *storeHealth
-	store         *pathStore
-	peerPicker    *peerPicker
-	peerClients   *wire.Clients
+	// rollouts is nil if rollouts are off.
+	rollouts    *rolloutTable
+	health      *storeHealth
+	store       *pathStore
+	peerPicker  *peerPicker
+	peerClients *wire.Clients
 	// homes assigns partitions to gateways. lookupClients holds the connections to them.
 	// Every gateway calls every other one there, but rarely, so that the connections are
 	// closed soon: an idle one costs heartbeats.
@@ -153,7 +155,11 @@
 		cancel()
 		return nil, err
 	}
-	g.wg.Add(2)
+	g.wg.Add(3)
+	go func() {
+		defer g.wg.Done()
+		g.rollouts.run(ctx)
+	}()
 	if settings.Balancing.Enabled {
 		g.wg.Go(func() { g.loadExchange.run(ctx) })
 	}
@@ -189,6 +195,15 @@
 	members := newMemberTable(g.settings, lateness.isLate, bootClock, ownership, g.homes, g.telemetry.Logger("members"))
 	g.shared = newSharedState(g, g.store, incarnation, members, lateness, bootClock)
 	stateAge := func() clock.Millis { return g.shared.age(bootClock.Now()) }
+	if g.settings.Rollout.Enabled {
+		g.rollouts = &rolloutTable{
+			settings: g.settings, incarnation: incarnation, bootClock: bootClock, clock: g.clock, poolOwnership: ownership,
+			endpoints: g.endpointTable, store: g.store, codec: g.codec, telemetry: g.telemetry, log: g.telemetry.Logger("rollout"),
+			call: g.callGateway, liveMembers: func() []spool.NodeID { return members.seenWithin(memberLiveTimeout) },
+			pollMembers: func() { ownership.pollMembers() }, onReported: g.updateStartup, services: map[spool.ServiceName]*serviceRollout{},
+		}
+		members.rollouts, members.onConfirmed = g.rollouts, g.updateStartup
+	}
 	g.limits = newLimiter(g.settings, ownership, bootClock, stateAge, g.peerClients, g.telemetry)
 	g.loadClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(loadSilenceTimeout, loadPingInterval), wire.WithClientIdleTimeout(loadIdleTimeout))
 	g.loadExchange = newLoadExchange(g, view, bootClock)
@@ -242,6 +257,7 @@
 	maps.Copy(handlers, g.reserve.handlers())
 	maps.Copy(handlers, g.turns.handlers())
 	maps.Copy(handlers, g.loadExchange.handlers())
+	maps.Copy(handlers, g.rollouts.handlers())
 	g.peerServer, err = wire.Listen(g.settings.ControlListen, handlers, nil, wire.WithAcceptError(func(err error) {
 		g.log.Warn("connection of another gateway was not accepted", zap.Error(err))
 	}))
@@ -325,14 +341,14 @@
 func (g *Gateway) Address() string { return g.server.Address() }
 
 // isReady reports whether the balancer should send new connections to this gateway: it
-// has a configuration, is not shutting down, and has not been without contact to the
+// has a configuration and the phases of rollouts, is not shutting down, and has not been without contact to the
 // store, directly or through another gateway, for longer than notReadyAfter. While it
 // has been without contact for longer, isReady also makes the server close callers'
 // connections after each answer, so that the callers reconnect to other gateways.
 func (g *Gateway) isReady() bool {
 	storeLost := g.health.failingFor() > notReadyAfter
 	g.server.SetCloseConnections(storeLost)
-	return g.catalog.Load() != nil && !g.stopping.Load() && !storeLost
+	return g.catalog.Load() != nil && !g.stopping.Load() && !storeLost && g.rollouts.isReady()
 }
 
 // runMaintenance removes expired state every maintenanceInterval until ctx ends.
@@ -451,7 +467,7 @@
 // updateStartup ends the wait of requests if this gateway knows what it needs to serve
 // them.
 func (g *Gateway) updateStartup() {
-	if g.catalog.Load() != nil && g.endpointsRead.Load() {
+	if g.catalog.Load() != nil && g.endpointsRead.Load() && g.rollouts.isReady() {
 		g.endStartup()
 	}
 }
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -62,6 +62,8 @@
 	drainWithin clock.Millis
 	// balancing is whether the gateways that are started next share their load.
 	balancing bool
+	// rollout are the bounds of rollouts.
+	rollout spool.RolloutSettings
 }
 
 // node is one gateway and the listener of the store stand-in that only this gateway
@@ -127,6 +129,7 @@
 		ControlListen: standin.FreeAddress(), StoreAddress: storeServer.Address(), Partitions: testPartitions, MaxAppendBytes: 1 << 20, LogRetention: d.logRetention,
 		StopWithin: d.stopWithin, DrainWithin: d.drainWithin, FirstStart: true,
 		Balancing:      spool.BalancingSettings{Enabled: d.balancing},
+		Rollout:        d.rollout,
 		LimitTolerance: spool.LimitTolerance{Window: 5 * clock.Second, Over: 0.1, Slack: 20},
 	}}
 	n.launch()
--- a/pkg/endpoints/pick.go
+++ b/pkg/endpoints/pick.go
@@ -34,6 +34,9 @@
 	// unknown.
 	Bytes        int
 	PromptTokens int64
+	// Allows reports whether an endpoint may be picked; nil if each may. It is called with
+	// the table locked, so it must not call the table.
+	Allows func(endpoint *Endpoint) bool
 }
 
 // Pick returns the endpoint that the policy chooses for a request, or nil if no
@@ -83,6 +86,9 @@
 	if endpoint.record.Draining || endpoint.isReplaced || t.evacuated[endpoint.record.FailureDomain] || want.Tried[endpoint.record.ID] {
 		return false
 	}
+	if want.Allows != nil && !want.Allows(endpoint) {
+		return false
+	}
 	if endpoint.leavingSince != 0 && !t.isLastResort(now, endpoint) {
 		return false
 	}
