--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -15,11 +15,6 @@
 	// limitedLoad is the load above which starts may be limited. Below it there are free
 	// slots.
 	limitedLoad = 1.0
-	// plannedFrom is the load from which the load counts that programs will cause, and
-	// plannedLimit the least such load that limits starts. Chance peaks of the arrivals
-	// reach 1.9 times their mean.
-	plannedFrom  = 0.85
-	plannedLimit = 2.0
 	// targetLoad is the load at which programs begin at the rate at which the capacity
 	// lets others end. A short queue keeps all slots in use although the requests are not
 	// spread evenly over the endpoints.
@@ -39,9 +34,10 @@
 	shareMemory = 200 * clock.Millis(1)
 	// observeInterval is the shortest time between two queries of the load.
 	observeInterval = 20 * clock.Millis(1)
-	// wholeShare is the share above which all programs begin. The moving average of the
+	// wholeShare is the share above which all programs begin. Chance peaks of the arrivals
+	// lower the share a little also at 0.9 of the slots, and the moving average of the
 	// share reaches 1 only after seconds.
-	wholeShare = 0.99
+	wholeShare = 0.92
 	// Delays after which a refused program may retry: retryBase plus retryPerExcess for
 	// each refused program per admitted one, up to maxRetry. Callers wait for a third of
 	// their time at most, which is typically 1 s.
@@ -161,7 +157,7 @@
 // need the capacity.
 func (c *Controller) targetShare() float64 {
 	e := &c.estimate
-	if e.offered <= 0 || c.share >= wholeShare && !c.isSaturating() {
+	if e.offered <= 0 || c.share >= wholeShare && e.load() <= limitedLoad {
 		return 1
 	}
 	factor := max(minFactor, 1+loadGain*(targetLoad-e.load()))
@@ -172,14 +168,6 @@
 	return min(1, factor*e.capacity()/e.ratio()/e.offered)
 }
 
-// isSaturating reports whether the slots are all taken, or will be by the programs that
-// began lately. A program sends most of its requests seconds after it begins, so that a
-// burst shows in the load only when too many have begun.
-func (c *Controller) isSaturating() bool {
-	e := &c.estimate
-	return e.load() > limitedLoad || e.load() > plannedFrom && e.plannedLoad() > plannedLimit
-}
-
 // RetryAfter returns the time after which a program that was refused may ask again. It
 // grows with the excess of the programs offered and is random, so that programs that were
 // refused together don't return together.
--- a/pkg/admission/estimate.go
+++ b/pkg/admission/estimate.go
@@ -25,9 +25,11 @@
 	// initialNeed is the number of requests that a program is assumed to send if it does not
 	// say it. Programs have 4 to 9 turns.
 	initialNeed = 6.0
-	// The programs are assumed to send as many requests as expected, with the weight of
-	// initialRequests, before any was observed. The ratio stays within minRatio and maxRatio.
+	// The programs are assumed to send initialRatio times as many requests as expected, with
+	// the weight of initialRequests, before any was observed: a higher ratio would refuse
+	// programs for which there is room. The ratio stays within minRatio and maxRatio.
 	initialRequests = 60.0
+	initialRatio    = 0.9
 	minRatio        = 0.4
 	maxRatio        = 2.5
 	// needMemory is the time within which the ratio follows the observations, and
@@ -37,8 +39,6 @@
 	needMemoryLimited = 120 * clock.Second
 	// offeredMemory is the time within which the offered rate follows the observations.
 	offeredMemory = 700 * clock.Millis(1)
-	// begunMemory is the time within which programs send most of their requests.
-	begunMemory = 2 * clock.Second
 	// overloadRejected is the part of the requests that must be rejected to count as an
 	// overload while there seem to be free slots. It is high, because a few slow endpoints
 	// are full while others have room.
@@ -55,9 +55,9 @@
 	// requests and expected are sums with exponential decay: the requests that were answered,
 	// and those that the programs that began were expected to send; expected is above 0.
 	requests, expected float64
-	// offered and begun are the rates at which programs ask to begin and begin, in requests
-	// that they are expected to send, per second.
-	offered, begun float64
+	// offered is the rate at which programs ask to begin, in requests that they are expected
+	// to send, per second.
+	offered float64
 	// stats is the newest observation.
 	stats load.ServiceStats
 	// observedAt is the time of the newest observation; 0 if there is none.
@@ -65,7 +65,7 @@
 }
 
 func newEstimate() estimate {
-	return estimate{slotRate: initialSlotRate, requests: initialRequests, expected: initialRequests}
+	return estimate{slotRate: initialSlotRate, requests: initialRatio * initialRequests, expected: initialRequests}
 }
 
 // observe includes an observation. limited tells whether starts were limited.
@@ -74,7 +74,7 @@
 	isFirst := e.observedAt == 0
 	e.observedAt, e.stats = now, stats
 	if isFirst {
-		e.offered, e.begun = stats.OfferedPerSecond, stats.StartsPerSecond
+		e.offered = stats.OfferedPerSecond
 		return
 	}
 	busy := min(stats.InFlight, stats.Slots)
@@ -88,7 +88,6 @@
 		e.slotRate = max(1e-3, e.slotRate+weight(step, memory)*(rate-e.slotRate))
 	}
 	e.offered += weight(step, offeredMemory) * (stats.OfferedPerSecond - e.offered)
-	e.begun += weight(step, begunMemory) * (stats.StartsPerSecond - e.begun)
 	memory := needMemory
 	if limited {
 		memory = needMemoryLimited
@@ -111,9 +110,6 @@
 // ratio returns how many requests programs send for each one that is expected of them.
 func (e *estimate) ratio() float64 { return min(maxRatio, max(minRatio, e.requests/e.expected)) }
 
-// plannedLoad returns the load that the programs that began lately will cause.
-func (e *estimate) plannedLoad() float64 { return e.begun * e.ratio() / max(1, e.capacity()) }
-
 // capacity returns the number of requests per second that the service can answer.
 func (e *estimate) capacity() float64 { return e.slotRate * float64(e.stats.Slots) }
 
