--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -35,9 +35,9 @@
 	// observeInterval is the shortest time between two queries of the load.
 	observeInterval = 20 * clock.Millis(1)
 	// wholeShare is the share above which all programs begin. Chance peaks of the arrivals
-	// lower the share a little also at 0.9 of the slots, and the moving average of the
+	// lower the share to 0.95 also at 0.9 of the slots, and the moving average of the
 	// share reaches 1 only after seconds.
-	wholeShare = 0.92
+	wholeShare = 0.95
 	// Delays after which a refused program may retry: retryBase plus retryPerExcess for
 	// each refused program per admitted one, up to maxRetry. Callers wait for a third of
 	// their time at most, which is typically 1 s.
