--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -36,6 +36,7 @@
 		NewOrder(),
 		NewStatus(),
 		NewExplain(),
+		NewWhere(),
 		NewReport(),
 		NewCheck(),
 		newDemo(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -258,6 +258,7 @@
 	maps.Copy(handlers, g.turns.handlers())
 	maps.Copy(handlers, g.loadExchange.handlers())
 	maps.Copy(handlers, g.rollouts.handlers())
+	maps.Copy(handlers, g.whereHandlers())
 	g.peerServer, err = wire.Listen(g.settings.ControlListen, handlers, nil, wire.WithAcceptError(func(err error) {
 		g.log.Warn("connection of another gateway was not accepted", zap.Error(err))
 	}))
