--- a/pkg/endpoints/affinity_test.go
+++ b/pkg/endpoints/affinity_test.go
@@ -13,26 +13,15 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// inFlightView is a view with the given requests of other gateways in flight.
-type inFlightView map[spool.EndpointID]int
-
-func (v inFlightView) Instance(_ clock.Millis, id load.Instance) load.Stats {
-	return load.Stats{InFlight: v[id.ID]}
-}
-
-func (v inFlightView) Service(clock.Millis, spool.ServiceName) load.ServiceStats {
-	return load.ServiceStats{}
-}
-
 var _ = ginkgo.Describe("A table with spread affinity", func() {
 	const size = 8
 	var (
 		t        *endpoints.Table
 		detector *outlier.Detector
-		view     inFlightView
+		view     fixedView
 	)
 	ginkgo.BeforeEach(func() {
-		view, detector = inFlightView{}, outlier.New(nil)
+		view, detector = fixedView{}, outlier.New(nil)
 		t = endpoints.NewTable("home", endpoints.WithSpreadAffinity(), endpoints.WithView(view), endpoints.WithOutliers(detector), endpoints.WithObserver(detector))
 		for n := range size {
 			t.Put(0, newRecord(fmt.Sprintf("h%d", n), "home"))
@@ -75,7 +64,7 @@
 			e := t.Pick(0, want("hot"))
 			t.Done(0, e, endpoints.Result{Outcome: endpoints.Answered})
 			order = append(order, e.ID())
-			view[e.ID()] = 4
+			view[e.ID()] = load.Stats{InFlight: 4}
 		}
 		gomega.Expect(order[0]).NotTo(gomega.Equal(order[1]))
 		gomega.Expect(order[2]).NotTo(gomega.BeElementOf(order[:2]))
