--- a/internal/gateway/engineload_test.go
+++ b/internal/gateway/engineload_test.go
@@ -50,15 +50,12 @@
 	// runTurn runs a turn of a program that states its finish unless it is empty, and
 	// returns its answer and its urgency at the engine; empty if it was not sent.
 	runTurn := func(program, finish string) (r callerReply, urgency string) {
-		r, attempt := n.call("POST", "/review/", "key-1", "x", func(caller *standin.CallerRequest, header http.Header) {
-			caller.Program, caller.TokenBudget, caller.MaxTokens = program, 10_000, 50
-			if finish != "" {
-				header.Set("X-Finish-Ms", finish)
-			}
+		r, attempt := n.call("POST", "/review/", "key-1", "x", func(caller *standin.CallerRequest, _ http.Header) {
+			caller.Program, caller.TokenBudget, caller.MaxTokens, caller.FinishMs = program, 10_000, 50, finish
 		})
 		for _, request := range u.Requests() {
 			if request.Attempt() == attempt {
-				urgency = request.Header.Get("X-Urgency-Level")
+				urgency = request.Urgency()
 			}
 		}
 		return r, urgency
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -23,6 +23,9 @@
 	// tokens of this turn.
 	TokenBudget int
 	MaxTokens   int
+	// FinishMs is the time within which the program should be finished, in milliseconds; empty
+	// if the caller does not state it.
+	FinishMs string
 }
 
 // Header returns the headers of the request.
@@ -39,6 +42,7 @@
 	set("X-Previous-Turn", r.PreviousTurn, r.PreviousTurn != "")
 	set("X-Program-Id", r.Program, r.Program != "")
 	set("X-Token-Budget", strconv.Itoa(r.TokenBudget), r.TokenBudget > 0)
+	set("X-Finish-Ms", r.FinishMs, r.FinishMs != "")
 	set("X-Token-Count", fmt.Sprintf("1,%d", r.MaxTokens), r.MaxTokens > 0)
 	return header
 }
@@ -58,6 +62,9 @@
 // Attempt returns the identifier of a request that an upstream received.
 func (r UpstreamRequest) Attempt() string { return r.Header.Get("X-Attempt-Id") }
 
+// Urgency returns the urgency level of the request; empty if it has none.
+func (r UpstreamRequest) Urgency() string { return r.Header.Get("X-Urgency-Level") }
+
 // Account returns the account that the gateway put into the request.
 func (r UpstreamRequest) Account() string { return r.Header.Get("X-Tenant") }
 
