--- a/pkg/endpoints/occupancy.go
+++ b/pkg/endpoints/occupancy.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		isHome := candidates.IsHome(endpoint)
-		score := xxhash.Sum64String(want.AffinityKey + "\x00" + string(endpoint.record.ID))
+		score := affinityScore(want.AffinityKey, endpoint)
 		if preferred == nil || isHome && !preferredIsHome || isHome == preferredIsHome && score > bestScore {
 			preferred, bestScore, preferredIsHome = endpoint, score, isHome
 		}
@@ -93,6 +93,11 @@
 	return preferred
 }
 
+// affinityScore returns the rendezvous score of an endpoint for a key.
+func affinityScore(key string, endpoint *Endpoint) uint64 {
+	return xxhash.Sum64String(key + "\x00" + string(endpoint.record.ID))
+}
+
 func occupancyCost(now clock.Millis, endpoint *Endpoint, want PickRequest, candidates Candidates) float64 {
 	cost := float64(endpoint.inFlight) / float64(max(1, endpoint.record.Slots))
 	if !candidates.IsHome(endpoint) {
--- a/pkg/endpoints/speedaware.go
+++ b/pkg/endpoints/speedaware.go
@@ -28,9 +28,6 @@
 	fastLoadTime = clock.Second
 	// fastQuantile is the part of the endpoints that is surely fast.
 	fastQuantile = 0.25
-	// maxOwners is the number of owners of a key that are tried for one that is not slow.
-	maxOwners       = 3
-	nextOwnerSuffix = "\x00"
 )
 
 // speedAware picks the endpoint with the lowest cost, which is that of occupancy and a cost
@@ -95,27 +92,26 @@
 }
 
 // preferredFast returns the endpoint of a list that is expected to have the prompt of a
-// request in its cache; nil if there is none. It is the first owner of the key that is not
-// slow, so that the turns of a program have an endpoint in common also if the first is.
-func preferredFast(now clock.Millis, list []*Endpoint, want PickRequest, candidates Candidates, classes *speedClasses) *Endpoint {
+// request in its cache; nil if there is none. It is the one with the highest rendezvous score
+// of those that are not slow. Rendezvous hashing divides the programs evenly; the owners on a
+// ring had up to 1.45 times the mean load.
+func preferredFast(now clock.Millis, list []*Endpoint, want PickRequest, candidates Candidates, classes *speedClasses) (preferred *Endpoint) {
 	if want.AffinityKey == "" {
 		return nil
 	}
 	if candidates.spreadsObject() {
 		return candidates.table.spreadPreferred(now, want)
 	}
-	key := want.AffinityKey
-	for range maxOwners {
-		endpoint := owner(list, key)
-		if endpoint == nil {
-			return nil
+	var bestScore uint64
+	for _, endpoint := range list {
+		if classes.cost(endpoint) > 0 || !candidates.table.mayBePreferred(now, endpoint, want) {
+			continue
 		}
-		if classes.cost(endpoint) == 0 && candidates.table.mayBePreferred(now, endpoint, want) {
-			return endpoint
+		if score := affinityScore(want.AffinityKey, endpoint); preferred == nil || score > bestScore {
+			preferred, bestScore = endpoint, score
 		}
-		key += nextOwnerSuffix
 	}
-	return nil
+	return preferred
 }
 
 // update computes the speed and the load of the fast endpoints, at most every
--- a/pkg/spill/spill.go
+++ b/pkg/spill/spill.go
@@ -12,8 +12,9 @@
 const (
 	// DefaultMillisPerKB is the price of traffic between failure domains.
 	DefaultMillisPerKB = 0.1
-	// DefaultMaxReceiveLoad leaves one slot of six in a receiving domain to its own callers.
-	DefaultMaxReceiveLoad = 0.85
+	// DefaultMaxReceiveLoad lets requests leave while a receiving domain has free slots, so
+	// that they do not make its own callers wait. The share falls before, from 0.85 on.
+	DefaultMaxReceiveLoad = 1.0
 )
 
 const (
