--- a/pkg/endpoints/choice_test.go
+++ b/pkg/endpoints/choice_test.go
@@ -123,7 +123,7 @@
 })
 
 func BenchmarkPick(b *testing.B) {
-	for _, policy := range []string{endpoints.PolicyOccupancy, endpoints.PolicyExpectedFinish} {
+	for _, policy := range []string{endpoints.PolicyOccupancy, endpoints.PolicySpeedAware, endpoints.PolicyExpectedFinish} {
 		for _, count := range []int{50, 500, 11000} {
 			b.Run(fmt.Sprintf("%s/%d", policy, count), func(b *testing.B) {
 				view := fixedView{}
