--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -76,8 +76,8 @@
 }
 
 // tryRound sends the request to endpoints that it was not sent to in this round, at most
-// maxTries, until one answers. ended reports that the result is final: the request was answered, may
-// have run and must not be repeated, or ctx has ended.
+// maxTries, until one answers. ended reports that the result is final: the request was
+// answered, may have run and must not be repeated, or ctx has ended.
 func (r *request) tryRound(ctx context.Context, maxTries int) (reason spool.Code, ended bool) {
 	lastReason := reasonNoEndpoint
 	for tries := 0; tries < maxTries; tries++ {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -342,10 +342,11 @@
 func (g *Gateway) Address() string { return g.server.Address() }
 
 // isReady reports whether the balancer should send new connections to this gateway: it
-// has a configuration and the phases of rollouts, is not shutting down, and has not been without contact to the
-// store, directly or through another gateway, for longer than notReadyAfter. While it
-// has been without contact for longer, isReady also makes the server close callers'
-// connections after each answer, so that the callers reconnect to other gateways.
+// has a configuration and the phases of rollouts, is not shutting down, and has not been
+// without contact to the store, directly or through another gateway, for longer than
+// notReadyAfter. While it has been without contact for longer, isReady also makes the
+// server close callers' connections after each answer, so that the callers reconnect to
+// other gateways.
 func (g *Gateway) isReady() bool {
 	storeLost := g.health.failingFor() > notReadyAfter
 	g.server.SetCloseConnections(storeLost)
--- a/pkg/admission/mix.go
+++ b/pkg/admission/mix.go
@@ -130,8 +130,8 @@
 }
 
 // shareOf returns the part of the offers of a weight that may begin, so that over the
-// latest offers the part of the requests is share. It is proportional to the weight, at most 1 and at least
-// floorShare of the mean.
+// latest offers the part of the requests is share. It is proportional to the weight, at most
+// 1 and at least floorShare of the mean.
 func (m *mix) shareOf(value, share float64) float64 {
 	floor := floorShare * share
 	part := func(value, scale float64) float64 { return min(1, max(floor, scale*value)) }
