--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -1,8 +1,10 @@
 package cli
 
 import (
+	"fmt"
 	"math"
 	"os"
+	"slices"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -14,6 +16,7 @@
 	"github.com/baobabspool/baobabspool/internal/httpconn"
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/pkg/clock"
+	"github.com/baobabspool/baobabspool/pkg/endpoints"
 	"github.com/baobabspool/baobabspool/pkg/spill"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 	"github.com/baobabspool/baobabspool/platform"
@@ -65,7 +68,7 @@
 				return err
 			}
 			settings.Balancing.SlackUrgency = slackUrgency
-			settings.Balancing.CrossingMillisPerKB, settings.Balancing.MaxReceiveLoad = balancing.CrossingMillisPerKB, balancing.MaxReceiveLoad
+			settings.Balancing.CrossingMillisPerKB, settings.Balancing.MaxReceiveLoad, settings.Balancing.Policy = balancing.CrossingMillisPerKB, balancing.MaxReceiveLoad, balancing.Policy
 			validate := func() error {
 				return multierr.Append(errors.Wrap(multierr.Combine(settings.Validate()...), "settings"), validateBalancing(balancing))
 			}
@@ -88,6 +91,7 @@
 	}
 	command.Flags().StringVar(&path, "settings-file", path, "path of the platform's settings file; the default is in "+platform.SettingsVariable)
 	command.Flags().BoolVar(&slackUrgency, "slack-urgency", slackUrgency, "derive the urgency at engines from the slack of programs and not from the priority alone; the default is in "+slackUrgencyVariable)
+	command.Flags().StringVar(&balancing.Policy, policyFlag, endpoints.PolicyOccupancy, fmt.Sprintf("policy that picks endpoints if the settings file turns balancing on, one of %v", endpoints.Policies.Names()))
 	command.Flags().Float64Var(&balancing.CrossingMillisPerKB, millisPerKBFlag, spill.DefaultMillisPerKB, "price of a request that leaves the failure domain, in milliseconds per KB; used if the settings file turns balancing on")
 	command.Flags().Float64Var(&balancing.MaxReceiveLoad, maxReceiveLoadFlag, spill.DefaultMaxReceiveLoad, "part of the slots of other failure domains, from 0 to 1, up to which requests are sent there; 0 keeps requests at home while an endpoint there can be used")
 	flags.register(command)
@@ -97,6 +101,7 @@
 
 // Flags of BalancingSettings.
 const (
+	policyFlag         = "endpoint-policy"
 	millisPerKBFlag    = "crossing-millis-per-kb"
 	maxReceiveLoadFlag = "max-receive-load"
 )
@@ -104,6 +109,9 @@
 // validateBalancing returns an error for each value that is out of range.
 func validateBalancing(settings spool.BalancingSettings) error {
 	var problems config.Problems
+	if !slices.Contains(endpoints.Policies.Names(), settings.Policy) {
+		problems.Add("--"+policyFlag, "is %q, it must be one of %v", settings.Policy, endpoints.Policies.Names())
+	}
 	if price := settings.CrossingMillisPerKB; !(price >= 0) || math.IsInf(price, 0) {
 		problems.Add("--"+millisPerKBFlag, "is %g, it must be a number of at least 0", price)
 	}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -11,12 +11,16 @@
 
 // newBalancingPolicy returns the policy of the endpoint table while balancing is on.
 func newBalancingPolicy(settings spool.GatewaySettings) endpoints.Policy {
-	policy, err := endpoints.Policies.New(endpoints.PolicySpeedAware, xxhash.Sum64String(string(settings.Node)), spool.Options{
+	name := settings.Balancing.Policy
+	if name == "" {
+		name = endpoints.PolicyOccupancy
+	}
+	policy, err := endpoints.Policies.New(name, xxhash.Sum64String(string(settings.Node)), spool.Options{
 		endpoints.OptionMillisPerKB:    settings.Balancing.CrossingMillisPerKB,
 		endpoints.OptionMaxReceiveLoad: settings.Balancing.MaxReceiveLoad,
 	})
 	if err != nil {
-		// Package endpoints registers the policy itself.
+		// The name is checked before the start, and package endpoints registers the policies.
 		panic(err)
 	}
 	return policy
--- a/pkg/endpoints/speedaware.go
+++ b/pkg/endpoints/speedaware.go
@@ -33,7 +33,9 @@
 // speedAware picks the endpoint with the lowest cost, which is that of occupancy and a cost
 // for slow endpoints. What is known of the requests of other gateways is older than a request
 // takes, so it is used for averages only: which endpoints are slow, how loaded the fast ones
-// are together, and which share of the requests leaves the failure domain.
+// are together, and which share of the requests leaves the failure domain. Calls that are not
+// streams are short and small, and a plain service may have one or two endpoints in a domain,
+// so that they go to all domains as with occupancy.
 type speedAware struct {
 	*expectedFinish
 	classes map[spool.ServiceName]*speedClasses
@@ -65,8 +67,8 @@
 	home := candidates.Home()
 	p.offerAll(now, home, want, candidates, classes, &best)
 	random := nextRandom(xxhash.Sum64String(want.Salt) ^ p.seed)
-	leaves := float64(random>>11)/(1<<53) < state.spill.Share()
-	if best.endpoint == nil || best.finish >= fullCost || leaves && state.receives(p.maxReceiveLoad) {
+	leaves := float64(random>>11)/(1<<53) < state.spill.Share() && state.receives(p.maxReceiveLoad)
+	if best.endpoint == nil || best.finish >= fullCost || leaves || !want.IsStream {
 		p.offerAll(now, candidates.Other(), want, candidates, classes, &best)
 	}
 	if best.endpoint != nil && best.endpoint.domain != p.home {
--- a/pkg/spool/gateway.go
+++ b/pkg/spool/gateway.go
@@ -265,6 +265,8 @@
 	// MaxReceiveLoad is the part of the slots of a failure domain up to which requests of
 	// other domains are sent to it.
 	MaxReceiveLoad float64
+	// Policy is the name of the policy that picks endpoints; empty for the default.
+	Policy string
 	// SlackUrgency derives the urgency of a request at engines from the slack of its program
 	// and from whether it has begun, and not from the priority alone.
 	SlackUrgency bool
