--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -43,15 +43,10 @@
 	return nil
 }
 
-// slackUrgencyVariable is the environment variable with the default of
-// --slack-urgency.
-const slackUrgencyVariable = "BAOBABSPOOL_SLACK_URGENCY"
-
 func newGateway() *cobra.Command {
 	var flags processFlags
 	var balancing spool.BalancingSettings
 	path := os.Getenv(platform.SettingsVariable)
-	slackUrgency := os.Getenv(slackUrgencyVariable) == "true"
 	command := &cobra.Command{
 		Use:   "gateway",
 		Short: "Run a gateway, the process that callers of a platform deployment talk to",
@@ -67,8 +62,8 @@
 			if err != nil {
 				return err
 			}
-			settings.Balancing.SlackUrgency = slackUrgency
-			settings.Balancing.CrossingMillisPerKB, settings.Balancing.MaxReceiveLoad, settings.Balancing.Policy = balancing.CrossingMillisPerKB, balancing.MaxReceiveLoad, balancing.Policy
+			balancing.Enabled = settings.Balancing.Enabled
+			settings.Balancing = balancing
 			validate := func() error {
 				return multierr.Append(errors.Wrap(multierr.Combine(settings.Validate()...), "settings"), validateBalancing(balancing))
 			}
@@ -90,7 +85,7 @@
 		},
 	}
 	command.Flags().StringVar(&path, "settings-file", path, "path of the platform's settings file; the default is in "+platform.SettingsVariable)
-	command.Flags().BoolVar(&slackUrgency, "slack-urgency", slackUrgency, "derive the urgency at engines from the slack of programs and not from the priority alone; the default is in "+slackUrgencyVariable)
+	command.Flags().BoolVar(&balancing.SlackUrgency, "slack-urgency", false, "derive the urgency at engines from the slack of programs and not from the priority alone")
 	command.Flags().StringVar(&balancing.Policy, policyFlag, endpoints.PolicyOccupancy, fmt.Sprintf("policy that picks endpoints if the settings file turns balancing on, one of %v", endpoints.Policies.Names()))
 	command.Flags().Float64Var(&balancing.CrossingMillisPerKB, millisPerKBFlag, spill.DefaultMillisPerKB, "price of a request that leaves the failure domain, in milliseconds per KB; used if the settings file turns balancing on")
 	command.Flags().Float64Var(&balancing.MaxReceiveLoad, maxReceiveLoadFlag, spill.DefaultMaxReceiveLoad, "part of the slots of other failure domains, from 0 to 1, up to which requests are sent there; 0 keeps requests at home while an endpoint there can be used")
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -129,10 +129,7 @@
 func (r *request) admitToEngine(ctx context.Context, class limit.Class) (refused refusal, ok bool) {
 	g := r.gateway
 	r.hasBegun = class != limit.ClassStart && r.call.Program != ""
-	if class != limit.ClassStart {
-		return refusal{}, true
-	}
-	if !g.engineLoads.appliesTo(r) {
+	if class != limit.ClassStart || !g.engineLoads.appliesTo(r) {
 		return refusal{}, true
 	}
 	g.loadTracker.ProgramOffered(g.clock.Now(), r.service.Name, expectedTurns(r.call))
--- a/pkg/endpoints/speedaware.go
+++ b/pkg/endpoints/speedaware.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -170,9 +171,9 @@
 
 // quantile returns the value below which a part of the values lies; 0 if there are none.
 func quantile(values []float64, part float64) float64 {
-	median(values)
 	if len(values) == 0 {
 		return 0
 	}
+	slices.Sort(values)
 	return values[int(part*float64(len(values)))]
 }
