--- a/review/_second/rig/rig.go
+++ b/review/_second/rig/rig.go
@@ -328,33 +328,22 @@
 	return server.Address(), nil
 }
 
-// relay forwards connections to an address. Mute makes all open ones silent for good,
-// without a reset; new ones work.
+// relay forwards connections to an address, with the time that the store takes for an
+// answer.
 type relay struct {
 	listener net.Listener
 	target   string
-	mu       sync.Mutex
-	open     map[*channel]bool
 }
 
 // storeDelay is how long the store takes for an answer.
 const storeDelay = 4 * time.Millisecond
 
-// channel is one forwarded connection.
-type channel struct {
-	near, far net.Conn
-	// delay is the time that the other side takes for an answer.
-	delay time.Duration
-	mu    sync.Mutex
-	mute  bool
-}
-
 func newRelay(target string) (*relay, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &relay{listener: listener, target: target, open: map[*channel]bool{}}
+	p := &relay{listener: listener, target: target}
 	go func() {
 		for {
 			near, err := listener.Accept()
@@ -375,63 +364,33 @@
 		_ = near.Close()
 		return
 	}
-	c := &channel{near: near, far: far, delay: storeDelay / 2}
-	p.mu.Lock()
-	p.open[c] = true
-	p.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Add(2)
-	go func() { defer wg.Done(); c.pump(far, near) }()
-	go func() { defer wg.Done(); c.pump(near, far) }()
+	wg.Go(func() { pump(far, near) })
+	wg.Go(func() { pump(near, far) })
 	wg.Wait()
-	p.mu.Lock()
-	delete(p.open, c)
-	p.mu.Unlock()
 	_ = near.Close()
 	_ = far.Close()
 }
 
-func (c *channel) isMute() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.mute
-}
-
-// pump copies from one side to the other until one of them ends. What comes after the
-// channel was muted is lost, also its end.
-func (c *channel) pump(to, from net.Conn) {
+// pump copies from one side to the other until one of them ends, each part half of
+// storeDelay later.
+func pump(to, from net.Conn) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		mute := c.isMute()
-		if n > 0 && !mute {
-			time.Sleep(c.delay)
+		if n > 0 {
+			time.Sleep(storeDelay / 2)
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
 		}
 		if err != nil {
-			if !mute {
-				_ = to.Close()
-			}
+			_ = to.Close()
 			return
 		}
 	}
 }
 
-// muteAll makes all open channels silent and returns how many there are.
-func (p *relay) muteAll() (count int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.open {
-		c.mu.Lock()
-		c.mute = true
-		c.mu.Unlock()
-		count++
-	}
-	return count
-}
-
 // server is a server of a service.
 type server struct {
 	r        *rig
