--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/rig ./review/_second/rig
+go build -o target/review-2/rig ./review/second/testdata/rig
