Reject an answer whose status code is none of HTTP

Callers saw: a server in trouble answered with status 000; the caller got the body of that answer as an answer of its own, with status 200 if the body looked like a response, or waited for the route's timeout. Codes from 600 to 999 were passed on.

Cause: the client left the status line to the parser of net/http, which takes any three characters that are a number: 000, 099, +20, 999. A code below 200 was then skipped as an interim response, without its body. 101 was skipped as well, though nothing asked for another protocol.

Change: ResponseReader reads the lines of a head before the parser does, checks the status line (HTTP/1, 100 to 599, not 101) and bounds the head, which the reader below the connection did before. Such a response is no response: the connection is closed, and the request may have run (502, or another try where the route allows it).

--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -47,18 +46,12 @@
 	// before the response is read. A larger request is written by another goroutine,
 	// because a peer may respond before it has read the whole request.
 	maxInlineWrite = 16 << 10
-	// maxHeadBytes is the maximum size of the head of a response, with the interim
-	// responses before it. maxSkippedBytes is that of a body that belongs to no request.
-	maxHeadBytes    = 64 << 10
+	// maxSkippedBytes is the maximum size of a body that belongs to no request.
 	maxSkippedBytes = 1 << 20
 )
 
-// errHeadTooLarge means that the head of a response exceeds maxHeadBytes.
 // errSkippedTooLarge means that an unrequested body exceeds maxSkippedBytes.
-var (
-	errHeadTooLarge    = errors.Errorf("response head exceeds %d bytes", maxHeadBytes)
-	errSkippedTooLarge = errors.Errorf("unrequested response exceeds %d bytes", maxSkippedBytes)
-)
+var errSkippedTooLarge = errors.Errorf("unrequested response exceeds %d bytes", maxSkippedBytes)
 
 // Client sends requests to any number of addresses and reuses idle connections.
 // It is safe for concurrent use.
@@ -77,10 +70,8 @@
 }
 
 type clientConn struct {
-	conn net.Conn
-	// reader reads from conn through input.
-	reader *bufio.Reader
-	input  *headReader
+	conn      net.Conn
+	responses *ResponseReader
 	// expiresAt is the time after which the idle connection is not reused.
 	expiresAt clock.Millis
 	// refused contains the last identities of calls that were refused on the connection, at
@@ -88,35 +79,6 @@
 	refused []string
 }
 
-// headReader reads from a connection and bounds how much is read while a head is parsed,
-// because the parser of net/http keeps a head of any size in memory.
-type headReader struct {
-	conn net.Conn
-	// inHead is set while a head is parsed. left is then the number of bytes that may
-	// still be read.
-	inHead bool
-	left   int
-}
-
-// Read implements io.Reader. In a head it fails with errHeadTooLarge after maxHeadBytes.
-func (r *headReader) Read(p []byte) (n int, err error) {
-	if !r.inHead {
-		return r.conn.Read(p)
-	}
-	if r.left <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err = r.conn.Read(p[:min(len(p), r.left)])
-	r.left -= n
-	return n, err
-}
-
-// beginHead starts a head.
-func (r *headReader) beginHead() { r.inHead, r.left = true, maxHeadBytes }
-
-// endHead ends the head. The body is not bounded.
-func (r *headReader) endHead() { r.inHead = false }
-
 // Call is one request to an address.
 type Call struct {
 	// Address is the host:port to connect to.
@@ -206,40 +168,25 @@
 }
 
 // readHead reads responses until one belongs to call, and returns it without its body.
-// It skips 1xx responses and those that call.AcceptResponse rejects. It fails if the head
-// exceeds maxHeadBytes or a skipped body exceeds maxSkippedBytes.
+// It skips 1xx responses and those that call.AcceptResponse rejects. It fails if a head is
+// malformed, or if a skipped body exceeds maxSkippedBytes.
 func (c *clientConn) readHead(call *Call) (*http.Response, error) {
-	request := &http.Request{Method: call.Method}
-	c.input.beginHead()
-	defer c.input.endHead()
 	for {
-		response, err := http.ReadResponse(c.reader, request)
-		switch {
-		case err != nil && c.input.left <= 0:
-			// The parser may take the truncated head for a malformed one.
-			return nil, errHeadTooLarge
-		case err != nil:
+		response, err := c.responses.Next(call.Method, call.OnHead)
+		if err != nil {
 			return nil, err
 		}
-		if call.OnHead != nil {
-			call.OnHead(response.StatusCode, response.Header)
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if call.AcceptResponse == nil || call.AcceptResponse(response.Header) {
 			return response, nil
 		}
-		if err := c.skipBody(response); err != nil {
+		if err := skipBody(response); err != nil {
 			return nil, err
 		}
-		c.input.beginHead()
 	}
 }
 
 // skipBody reads and discards the body of a response that belongs to no request.
-func (c *clientConn) skipBody(response *http.Response) error {
-	c.input.endHead()
+func skipBody(response *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
 	if err == nil && n > maxSkippedBytes {
 		err = errSkippedTooLarge
@@ -277,7 +224,7 @@
 		// The peer has responded although the request has not been written completely.
 		keep = false
 	}
-	if !keep || r.conn.reader.Buffered() > 0 {
+	if !keep || r.conn.responses.Buffered() > 0 {
 		_ = r.conn.conn.Close()
 		return
 	}
@@ -338,8 +285,7 @@
 		return nil, err
 	}
 	ConfigureKeepAlive(conn, keepAliveInterval)
-	input := &headReader{conn: conn}
-	return &clientConn{conn: conn, input: input, reader: bufio.NewReaderSize(input, readBufferSize)}, nil
+	return &clientConn{conn: conn, responses: NewResponseReader(conn)}, nil
 }
 
 // popIdle removes the most recently used idle connection on which no call with the same
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -157,6 +157,15 @@
 	return false
 }
 
+// AnswerRawHead responds with a status and further header lines that need not be valid, the
+// endpoint's seal and, after the head, a complete response with the given body. The
+// connection stays open.
+func (u *Upstream) AnswerRawHead(conn io.Writer, request UpstreamRequest, status, lines, body string) bool {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Odd\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\nX-Server-Seal: %s\r\n%s\r\n",
+		status, request.Attempt(), u.id, u.id, lines)
+	return u.AnswerComplete(conn, request, body)
+}
+
 // AnswerNotExecuted responds with status 503 and a header that states that the request
 // was not executed. The connection stays open.
 func (u *Upstream) AnswerNotExecuted(conn io.Writer, request UpstreamRequest) bool {
