Reject an answer whose head has an invalid field name or line end

Callers saw: a server in trouble answered with a head in which the name of a field held a blank or a control byte. Where the body had no end, the request waited for the route's timeout.

Cause: the parser of net/http takes blanks in names, joins a line that begins with a blank or a tab to the one before, and takes a lone line feed for the end of a line. Its own client and server check the names themselves; this client uses the parser alone.

Change: ResponseReader checks each line of a head before the parser reads it: the name is a token, and the line ends with CR LF. Such a response is no response (502, or another try). RFC 9112 lets a gateway reject continued lines.

--- a/internal/gateway/brokenhead_test.go
+++ b/internal/gateway/brokenhead_test.go
@@ -62,4 +62,28 @@
 		ginkgo.Entry("with a sign", "+20"),
 		ginkgo.Entry("a change of the protocol that was not asked for", "101"),
 	)
+
+	// Guards against a line that the caller gets although it is no field, and against a body
+	// that is not the endpoint's, because a field that frames the body is not recognized or the
+	// head seems to end before it.
+	ginkgo.DescribeTable("does not reach the caller if the name of a field is not valid", func(line string) {
+		expectBadGateway(newNode("200", "Content-Length: 2\r\n"+line+"\r\n"))
+		expectBadGateway(newNode("200", line+"\r\n"))
+	},
+		ginkgo.Entry("with a blank inside", "X-Od d: 1"),
+		ginkgo.Entry("with a blank before the colon", "X-Odd : 1"),
+		ginkgo.Entry("with a blank at its begin", " X-Odd: 1"),
+		ginkgo.Entry("with a tab at its begin", "\tX-Odd: 1"),
+		ginkgo.Entry("with a tab inside", "X-Od\td: 1"),
+		ginkgo.Entry("with a NUL", "X-Od\x00d: 1"),
+		ginkgo.Entry("with another control byte", "X-Od\x01d: 1"),
+		ginkgo.Entry("with a DEL at its end", "X-Odd\x7f: 1"),
+		ginkgo.Entry("with a line feed at its begin", "\nX-Odd: 1"),
+		ginkgo.Entry("with a line feed inside", "X-Od\nd: 1"),
+		ginkgo.Entry("with a carriage return at its begin", "\rX-Odd: 1"),
+		ginkgo.Entry("with a carriage return at its end", "X-Odd\r: 1"),
+		ginkgo.Entry("of the length of the body, with a blank before the colon", "Content-Length : 9"),
+		ginkgo.Entry("of the chunks of the body, with a blank before the colon", "Transfer-Encoding : chunked"),
+		ginkgo.Entry("of the chunks of the body, with a blank at its begin", " Transfer-Encoding: chunked"),
+	)
 })
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -209,6 +209,7 @@
 	r.sentAt, r.sample = g.clock.Now(), load.Sample{}
 	response, err := g.client.Do(ctx, call)
 	if err != nil {
+		r.refusalErr = err
 		wasSent := !errors.Is(err, httpconn.ErrNotSent)
 		r.endTry(endpoint, r.resultOf(failureOutcome(ctx), 0), wasSent)
 		if !wasSent {
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -21,6 +22,8 @@
 	// minStatus and maxStatus bound the status codes of HTTP.
 	minStatus = 100
 	maxStatus = 599
+	// maxQuotedBytes is the number of bytes of an invalid field that an error quotes.
+	maxQuotedBytes = 80
 	// statusDigits is the number of digits of a status code.
 	statusDigits = 3
 )
@@ -29,16 +32,17 @@
 var (
 	errHeadTooLarge       = errors.Errorf("response head exceeds %d bytes", maxHeadBytes)
 	errInvalidStatusLine  = errors.New("response has an invalid status line")
+	errInvalidField       = errors.New("response has an invalid header field")
 	errUnexpectedProtocol = errors.New("response changes the protocol without a request to do so")
 )
 
-// endOfHead is the line that ends a head.
-var endOfHead = []byte("\r\n")
+// lineEnd ends each line of a head. A line that has nothing else ends the head.
+var lineEnd = []byte("\r\n")
 
 // ResponseReader reads the responses of one connection with the parser of net/http. It
 // checks each head before the parser reads it, because the parser accepts status codes
-// that HTTP does not have, and keeps a head of any size in memory. It is not safe for
-// concurrent use.
+// that HTTP does not have and field names with blanks, and keeps a head of any size in
+// memory. It is not safe for concurrent use.
 type ResponseReader struct {
 	// reader reads from input. Bodies are read from it, too.
 	reader *bufio.Reader
@@ -102,13 +106,16 @@
 			return nil, err
 		}
 		line := head[lineStart:]
-		if lineStart == 0 {
-			if err := checkStatusLine(line); err != nil {
-				return nil, err
-			}
-		}
-		if bytes.Equal(line, endOfHead) {
+		switch {
+		case lineStart == 0:
+			err = checkStatusLine(line)
+		case bytes.Equal(line, lineEnd):
 			return head, nil
+		default:
+			err = checkField(line)
+		}
+		if err != nil {
+			return nil, err
 		}
 		lineStart = len(head)
 	}
@@ -140,6 +147,18 @@
 	return nil
 }
 
+// checkField fails unless line has a valid field name and ends with lineEnd. The parser
+// checks the value. A line that continues the one before is rejected, and so is a lone line
+// feed: in a name it would end the line or the whole head, and what follows would be read
+// as the body.
+func checkField(line []byte) error {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if !httpguts.ValidHeaderFieldName(string(name)) || !bytes.HasSuffix(line, lineEnd) {
+		return errors.Wrapf(errInvalidField, "%.*q", maxQuotedBytes, line)
+	}
+	return nil
+}
+
 // pushbackReader reads pending bytes before those of source.
 type pushbackReader struct {
 	source  io.Reader
