Test that an answer whose head is cut off is no answer

Callers of other systems saw: a server stopped in the middle of its answer's head and closed; they got a 200 with an empty or short body, framed as whole.

Cause: none here. A head that ends before its empty line fails, at each byte.

Change: the test only. It cuts a head at each of its bytes.

--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -255,6 +255,20 @@
 		ginkgo.Entry("of a body for another request", "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1024)+"\r\n"),
 	)
 
+	// Guards against an answer whose head is cut off and that the caller gets as a complete
+	// answer, with an empty or short body.
+	ginkgo.It("fails on a response whose head is cut off anywhere", func() {
+		head := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 12\r\nSeal: s\r\n\r\n"
+		for end := range len(head) {
+			address, _ := startUpstream(func(conn net.Conn, reader *bufio.Reader) {
+				_, _ = http.ReadRequest(reader)
+				_, _ = io.WriteString(conn, head[:end])
+			})
+			_, err := client().Do(context.Background(), getCall(address, "1"))
+			gomega.Expect(err).To(gomega.MatchError(httpconn.ErrNoResponse), "%q", head[:end])
+		}
+	})
+
 	ginkgo.It("does not use a connection with bytes that nobody asked for", func() {
 		address, accepted := startUpstream(func(conn net.Conn, reader *bufio.Reader) {
 			request, err := http.ReadRequest(reader)
