Read the answers of engines, services and the log with checked heads

Callers saw, or would see: an engine, a plain service or the log that answers with status 000, or below 200, counts as one that has answered with success; a head with a blank in the name of a field is taken as it is, also if it refuses the call, after which the call runs elsewhere.

Cause: the adapters read heads with fasthttp. It reports status 200 for a response with status 000, and the adapters took every status below 300 for a success. It accepts blanks in names, and lone line feeds.

Change: the adapters read responses with httpconn.ResponseReader, like the gateway. A broken head is an error after which the call may have run. The reader frames bodies itself, so that the adapters' own framing goes, and a connection on which more bytes arrived than one response is not used again.

--- a/internal/adapters/service.go
+++ b/internal/adapters/service.go
@@ -50,20 +50,16 @@
 	defer func() { _ = c.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
-	if err := writeRequest(c, request); err != nil {
+	response, err := c.exchange(request)
+	if err != nil {
 		return result, contextCause(ctx, err)
 	}
-	if err := response.ReadLimitBody(c.reader, maxBodyBytes); err != nil {
+	body, err := readBody(response)
+	if err != nil {
 		return result, contextCause(ctx, err)
 	}
-	if string(response.Header.Peek(HeaderCorrelation)) != call.Correlation {
+	if response.Header.Get(HeaderCorrelation) != call.Correlation {
 		return result, ErrCorrelationMismatch
 	}
-	return spool.ServiceResult{
-		Correlation: call.Correlation,
-		Status:      response.StatusCode(),
-		Body:        append([]byte(nil), response.Body()...),
-	}, nil
+	return spool.ServiceResult{Correlation: call.Correlation, Status: response.StatusCode, Body: body}, nil
 }
--- a/internal/adapters/transport.go
+++ b/internal/adapters/transport.go
@@ -10,12 +10,13 @@
 	"encoding/json"
 	"io"
 	"net"
-	"net/http/httputil"
+	"net/http"
 	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/baobabspool/baobabspool/internal/httpconn"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
@@ -32,12 +33,19 @@
 	// maxBodyBytes is the maximum size in bytes of a response body that is read into
 	// memory as a whole, and of one line of an event stream.
 	maxBodyBytes = 64 << 20
+	// maxErrorBytes is the maximum size in bytes of the body that is read of a response with
+	// an error status to a request for a stream.
+	maxErrorBytes = 4 << 10
 )
 
+// errBodyTooLarge means that a response body exceeds maxBodyBytes.
+var errBodyTooLarge = errors.Errorf("response body exceeds %d bytes", maxBodyBytes)
+
 // statusError is the error for a response with an HTTP status that is not a success.
 type statusError struct {
 	status int
-	// body is the body of the response. For an event stream, it is cut off after 4 KiB.
+	// body is the body of the response. For an event stream, it is cut off after
+	// maxErrorBytes.
 	body string
 }
 
@@ -63,8 +71,19 @@
 // conn is a connection with buffered input and output.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	writer *bufio.Writer
+	responses *httpconn.ResponseReader
+	writer    *bufio.Writer
+}
+
+// exchange sends request and returns the response. Its body has not been read.
+func (c *conn) exchange(request *fasthttp.Request) (*http.Response, error) {
+	if err := request.Write(c.writer); err != nil {
+		return nil, err
+	}
+	if err := c.writer.Flush(); err != nil {
+		return nil, err
+	}
+	return c.responses.Next(string(request.Header.Method()), nil)
 }
 
 // transport sends HTTP requests to one address, a host:port. Unlike the client of
@@ -89,7 +108,7 @@
 	if err != nil {
 		return nil, errors.Wrap(spool.ErrNotSent, err.Error())
 	}
-	return &conn{Conn: netConn, reader: bufio.NewReader(netConn), writer: bufio.NewWriter(netConn)}, nil
+	return &conn{Conn: netConn, responses: httpconn.NewResponseReader(netConn), writer: bufio.NewWriter(netConn)}, nil
 }
 
 func (t *transport) popIdle() *conn {
@@ -199,32 +218,32 @@
 func (t *transport) roundTrip(ctx context.Context, c *conn, request *fasthttp.Request) (body []byte, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
-	if err = writeRequest(c, request); err == nil {
-		err = response.ReadLimitBody(c.reader, maxBodyBytes)
+	response, err := c.exchange(request)
+	if err == nil {
+		body, err = readBody(response)
 	}
 	if err != nil {
 		_ = c.Close()
 		return nil, err
 	}
-	body = append([]byte(nil), response.Body()...)
-	if !stop() || response.ConnectionClose() {
+	if !stop() || response.Close || c.responses.Buffered() > 0 {
 		_ = c.Close()
 	} else {
 		t.putIdle(c)
 	}
-	if response.StatusCode() >= fasthttp.StatusMultipleChoices {
-		return body, &statusError{status: response.StatusCode(), body: string(body)}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return body, &statusError{status: response.StatusCode, body: string(body)}
 	}
 	return body, nil
 }
 
-func writeRequest(c *conn, request *fasthttp.Request) error {
-	if err := request.Write(c.writer); err != nil {
-		return err
+// readBody reads the body of a response. It fails if the body exceeds maxBodyBytes.
+func readBody(response *http.Response) (body []byte, err error) {
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
+	if err == nil && len(body) > maxBodyBytes {
+		err = errBodyTooLarge
 	}
-	return c.writer.Flush()
+	return body, err
 }
 
 func decodeResponse(body []byte, err error, result any) error {
@@ -252,26 +271,15 @@
 	defer stop()
 	request := t.newRequest(fasthttp.MethodPost, path, encoded)
 	defer fasthttp.ReleaseRequest(request)
-	if err := writeRequest(c, request); err != nil {
-		return err
-	}
-	header := fasthttp.ResponseHeader{}
-	if err := header.Read(c.reader); err != nil {
+	response, err := c.exchange(request)
+	if err != nil {
 		return contextCause(ctx, err)
 	}
-	stream := bodyReader(c, &header)
-	if header.StatusCode() != fasthttp.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(stream, 4096))
-		return &statusError{status: header.StatusCode(), body: string(text)}
-	}
-	return contextCause(ctx, readEvents(stream, onEvent))
-}
-
-func bodyReader(c *conn, header *fasthttp.ResponseHeader) io.Reader {
-	if length := header.ContentLength(); length >= 0 {
-		return io.LimitReader(c.reader, int64(length))
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+		return &statusError{status: response.StatusCode, body: string(text)}
 	}
-	return httputil.NewChunkedReader(c.reader)
+	return contextCause(ctx, readEvents(response.Body, onEvent))
 }
 
 // contextCause returns the cause of ctx instead of err if ctx has ended, because the
