Keep the connection after an answer that replaces a stream without events

Callers saw: the first endpoint broke a stream off inside its first event, the next one answered with an error. The caller got that answer whole, and a head that says that the connection stays open; then the gateway closed the connection, so that a request which the caller sent on it was lost.

Cause: Exchange.StartStream only prepares the head. Respond wrote the other answer in its place, but the exchange still counted as a stream without an end, and finish aborts those.

Change: Respond ends the prepared stream.

Evidence: 'is replaced by the error as a whole answer if the caller has got nothing' failed before (unexpected EOF instead of the second answer).

'stays as it is once the caller has got an event' passes on the code of before, too.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -71,12 +71,13 @@
 	_ = e.Respond(status, header, nil)
 }
 
-// Respond writes a complete response, without the body if the method is HEAD. It fails
-// if the response has been started.
+// Respond writes a complete response, without the body if the method is HEAD. It replaces a
+// stream that StartStream has prepared. It fails if the response has been started.
 func (e *Exchange) Respond(status int, header http.Header, body []byte) error {
 	if e.started {
 		return errors.New("response has already been started")
 	}
+	e.streaming = false
 	e.appendHead(status, header)
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		e.buffer = append(e.buffer, "Content-Length: "...)
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -150,6 +150,13 @@
 	return true
 }
 
+// AnswerFailure responds with the given status, a seal and a complete body. It does not say
+// that the request was not executed. The connection stays open.
+func (u *Upstream) AnswerFailure(conn io.Writer, request UpstreamRequest, status int, body string) bool {
+	u.writeHead(conn, request, status, fmt.Sprintf("X-Server-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", u.id, len(body), body))
+	return true
+}
+
 // AnswerTruncated responds with status 200, a seal and a body that is one byte shorter
 // than its Content-Length, and has the connection closed.
 func (u *Upstream) AnswerTruncated(conn io.Writer, request UpstreamRequest, body string) bool {
