Do not forget which calls were refused on a connection

Callers saw: a charge ran twice, or ran and was answered 503.

Cause: a connection on which a request was refused is not used for another offer of it, but a connection remembered only the last 16. While endpoints are full, it sees more refusals than that between two offers of a request.

Change: a connection remembers all calls that were refused on it, and one with more than 64 is closed instead of kept. Remembering more without a bound would need memory for as long as endpoints are full; one new connection in 64 refusals is little.

--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -40,8 +40,9 @@
 	// maxIdlePerAddress is the maximum number of idle connections to one address.
 	// Further connections are closed after their response.
 	maxIdlePerAddress = 32
-	// maxRefused is the number of refused calls that a connection remembers.
-	maxRefused = 16
+	// maxRefused is the number of refused calls that a connection remembers. A connection
+	// with more is closed: a forgotten call could be sent on it again.
+	maxRefused = 64
 	// maxInlineWrite is the size in bytes up to which a request is written completely
 	// before the response is read. A larger request is written by another goroutine,
 	// because a peer may respond before it has read the whole request.
@@ -74,8 +75,8 @@
 	responses *ResponseReader
 	// expiresAt is the time after which the idle connection is not reused.
 	expiresAt clock.Millis
-	// refused contains the last identities of calls that were refused on the connection, at
-	// most maxRefused.
+	// refused contains the identities of all calls that were refused on the connection. An
+	// idle connection has at most maxRefused.
 	refused []string
 }
 
@@ -197,18 +198,15 @@
 // MarkRefused records that the peer has refused the request, so that another call with the
 // same identity uses another connection. It must be called before Close.
 func (r *Response) MarkRefused() {
-	if r.identity == "" {
-		return
-	}
-	r.conn.refused = append(r.conn.refused, r.identity)
-	if len(r.conn.refused) > maxRefused {
-		r.conn.refused = r.conn.refused[1:]
+	if r.identity != "" {
+		r.conn.refused = append(r.conn.refused, r.identity)
 	}
 }
 
 // Close releases the response. whole must be true only if the body has been read to the
 // end. The connection is then kept for reuse, unless ctx has ended, the peer closes the
-// connection, the request was not written completely or unexpected data has arrived.
+// connection, the request was not written completely, unexpected data has arrived or more
+// than maxRefused calls were refused on the connection.
 // Otherwise Close closes the connection. Later calls of Close have no effect.
 func (r *Response) Close(whole bool) {
 	if r.closed {
@@ -216,7 +214,7 @@
 	}
 	r.closed = true
 	open := r.stopWatch()
-	keep := whole && open && !r.Response.Close && r.hasDelimitedBody()
+	keep := whole && open && !r.Response.Close && r.hasDelimitedBody() && len(r.conn.refused) <= maxRefused
 	select {
 	case err := <-r.writeResult:
 		keep = keep && err == nil
