Do not take an answer that names no request on a connection that was used before

Callers saw, or would see: a faulty server writes an earlier refusal once more on a kept connection, without the identifier of its request. The request that is running there counts as one that has not run; it runs once more at the next offer (TWICE), or its caller is told 'not run' (REFUSED). An earlier success or failure is passed on as its answer (MIXED).

Cause: an answer without an identifier was accepted as the answer to any request. On a connection that was used before, it may be another copy of an earlier answer.

Change: such an answer is not passed on; the request may have run (502, or another try), and the connection is closed. On a new connection there is no earlier request, and the answer is taken as before. Endpoints name the request in their answers, so that a sound one is not affected. The check stands with the one for the seal in checkAnswer; handleAnswer moves beside it, to answer.go. The event answerDiscarded counts both.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -4,12 +4,16 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 
 	"github.com/baobabspool/baobabspool/internal/httpconn"
 	"github.com/baobabspool/baobabspool/pkg/buffers"
 	"github.com/baobabspool/baobabspool/pkg/endpoints"
+	"github.com/baobabspool/baobabspool/pkg/load"
+	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
 const (
@@ -23,8 +27,63 @@
 	relayBuffer = 16 << 10
 )
 
-// errAnswerTooLarge means that an answer that is not streamed exceeds maxAnswerBytes.
-var errAnswerTooLarge = errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)
+// Errors of an answer that is not passed on. The endpoint may have run the request.
+var (
+	// errAnswerTooLarge means that an answer that is not streamed exceeds maxAnswerBytes.
+	errAnswerTooLarge = errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)
+	// errAnswerUnsealed means that a success lacks the endpoint's seal.
+	errAnswerUnsealed = errors.New("answer has no seal")
+	// errAnswerUnidentified means that an answer names no request, and that its connection
+	// has had an earlier request, of which it may be another answer.
+	errAnswerUnidentified = errors.New("answer names no request on a connection that was used before")
+)
+
+// handleAnswer passes an answer on to the caller. It discards an answer that says that
+// the request did not run, and one that must not be passed on.
+func (r *request) handleAnswer(ctx context.Context, response *httpconn.Response, answer spool.EndpointAnswer) (tryResult, endpoints.Outcome) {
+	if response.StatusCode >= http.StatusInternalServerError {
+		r.sample.Outcome = load.Failed
+	}
+	if err := checkAnswer(response, answer); err != nil {
+		response.Close(false)
+		r.gateway.telemetry.CountEvent("answerDiscarded")
+		r.refusalErr = err
+		return mayHaveRun, endpoints.Failed
+	}
+	switch {
+	case answer.NotRun:
+		return notRun, discardRefusal(response, answer)
+	case isSuccess(response.StatusCode) && strings.HasPrefix(response.Header.Get("Content-Type"), eventStream):
+		return r.sendStream(ctx, response)
+	default:
+		return r.sendPlain(ctx, response)
+	}
+}
+
+// checkAnswer returns why an answer must not be passed on or taken for a refusal; nil if it
+// may be.
+func checkAnswer(response *httpconn.Response, answer spool.EndpointAnswer) error {
+	switch {
+	case answer.Attempt == "" && response.ConnectionReused():
+		return errAnswerUnidentified
+	case isSuccess(response.StatusCode) && !answer.NotRun && !answer.Sealed:
+		return errAnswerUnsealed
+	}
+	return nil
+}
+
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
+// discardRefusal reads and discards the answer of an endpoint that has not run the request.
+func discardRefusal(response *httpconn.Response, answer spool.EndpointAnswer) endpoints.Outcome {
+	response.MarkRefused()
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
+	response.Close(err == nil)
+	if answer.Misdirected {
+		return endpoints.Misdirected
+	}
+	return endpoints.Full
+}
 
 // sendPlain passes an answer on that is not streamed. It reads an answer of up to
 // maxBufferedAnswer whole first, so that the request can be repeated if the endpoint does
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -286,29 +284,3 @@
 	}
 	return endpoints.Failed
 }
-
-// handleAnswer passes an answer on to the caller. It discards an answer that says that
-// the request did not run, and a successful one without the endpoint's seal.
-func (r *request) handleAnswer(ctx context.Context, response *httpconn.Response, answer spool.EndpointAnswer) (tryResult, endpoints.Outcome) {
-	success := response.StatusCode >= 200 && response.StatusCode < 300
-	if response.StatusCode >= http.StatusInternalServerError {
-		r.sample.Outcome = load.Failed
-	}
-	switch {
-	case answer.NotRun:
-		response.MarkRefused()
-		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
-		response.Close(err == nil)
-		if answer.Misdirected {
-			return notRun, endpoints.Misdirected
-		}
-		return notRun, endpoints.Full
-	case success && !answer.Sealed:
-		response.Close(false)
-		return mayHaveRun, endpoints.Failed
-	case success && strings.HasPrefix(response.Header.Get("Content-Type"), eventStream):
-		return r.sendStream(ctx, response)
-	default:
-		return r.sendPlain(ctx, response)
-	}
-}
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -73,6 +73,8 @@
 type clientConn struct {
 	conn      net.Conn
 	responses *ResponseReader
+	// reused is set when the connection is taken for a call after its first one.
+	reused bool
 	// expiresAt is the time after which the idle connection is not reused.
 	expiresAt clock.Millis
 	// refused contains the identities of all calls that were refused on the connection. An
@@ -195,6 +197,10 @@
 	return err
 }
 
+// ConnectionReused reports whether an earlier call was sent on the connection. A response
+// that names no request may then be another copy of the response to that call.
+func (r *Response) ConnectionReused() bool { return r.conn.reused }
+
 // MarkRefused records that the peer has refused the request, so that another call with the
 // same identity uses another connection. It must be called before Close.
 func (r *Response) MarkRefused() {
@@ -273,6 +279,7 @@
 		}
 		if c.clock.Now() < conn.expiresAt && isOpenAndEmpty(conn.conn) {
 			_ = conn.conn.SetDeadline(time.Time{})
+			conn.reused = true
 			return conn, nil
 		}
 		_ = conn.conn.Close()
