Do not pass a promise on that an endpoint has not made

Callers saw, or would see: a server answered 503, 429 or 408 without the header that says that it did not run the request. The caller of a request that must run once got that status, which promises that the request has not run, and would send it again (REFUSED, TWICE).

Cause: an answer without that header was passed on whatever its status.

Idempotent requests and resumable streams get it unchanged as before.

Evidence: 'does not reach the caller of a request that must run once unless the endpoint says so' failed before for 408, 429 and 503.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -33,6 +33,9 @@
 	errAnswerTooLarge = errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)
 	// errAnswerUnsealed means that a success lacks the endpoint's seal.
 	errAnswerUnsealed = errors.New("answer has no seal")
+	// errPromiseUnmarked means that an endpoint answered with a status that promises that the
+	// request has not run and never will, without the header that states it.
+	errPromiseUnmarked = errors.New("status promises that the request did not run, and the answer does not state it")
 	// errAnswerUnidentified means that an answer names no request, and that its connection
 	// has had an earlier request, of which it may be another answer.
 	errAnswerUnidentified = errors.New("answer names no request on a connection that was used before")
@@ -44,7 +47,7 @@
 	if response.StatusCode >= http.StatusInternalServerError {
 		r.sample.Outcome = load.Failed
 	}
-	if err := checkAnswer(response, answer); err != nil {
+	if err := r.checkAnswer(response, answer); err != nil {
 		response.Close(false)
 		r.gateway.telemetry.CountEvent("answerDiscarded")
 		r.refusalErr = err
@@ -62,18 +65,33 @@
 
 // checkAnswer returns why an answer must not be passed on or taken for a refusal; nil if it
 // may be.
-func checkAnswer(response *httpconn.Response, answer spool.EndpointAnswer) error {
+func (r *request) checkAnswer(response *httpconn.Response, answer spool.EndpointAnswer) error {
 	switch {
 	case answer.Attempt == "" && response.ConnectionReused():
 		return errAnswerUnidentified
-	case isSuccess(response.StatusCode) && !answer.NotRun && !answer.Sealed:
+	case answer.NotRun:
+		return nil
+	case isSuccess(response.StatusCode) && !answer.Sealed:
 		return errAnswerUnsealed
+	case promisesNotRun(response.StatusCode) && !r.isRepeatable():
+		return errPromiseUnmarked
 	}
 	return nil
 }
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
+// promisesNotRun reports whether callers take a status for the promise that their request
+// has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // discardRefusal reads and discards the answer of an endpoint that has not run the request.
 func discardRefusal(response *httpconn.Response, answer spool.EndpointAnswer) endpoints.Outcome {
 	response.MarkRefused()
