Reject a request with a blank in the name of a header field

Callers saw nothing: a request with the field 'X-Hold : 1' or 'Content-Length : 4' was passed on with that line. A server that reads the name without its blank takes a field that only the gateway may set, or another length than the gateway; the next request of the connection could then be smuggled.

Cause: the same as for answers: the parser of net/http accepts blanks in names, and its own server, which is not used here, checks them. Found while looking for other uses of the parser.

Change: the server of the gateway answers such a request with 400.

Evidence: 'is rejected when the name of a field holds a blank' failed before in all four entries (200, and the endpoint had run the request).

--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -77,6 +77,20 @@
 		ginkgo.Entry("huge body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n", http.StatusRequestEntityTooLarge),
 	)
 
+	// Guards against request smuggling, and against fields that only the gateway may set: an
+	// endpoint could read a name without its blanks.
+	ginkgo.DescribeTable("is rejected when the name of a field holds a blank", func(line string) {
+		before := len(u.Requests())
+		response, _ := n.sendRaw("POST /charge/x HTTP/1.1\r\n" + rawHeaders(standin.CallerRequest{Attempt: newAttempt(), Key: "key-1"}) + line + "\r\nContent-Length: 0\r\n\r\n")
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusBadRequest))
+		gomega.Expect(u.Requests()).To(gomega.HaveLen(before))
+	},
+		ginkgo.Entry("inside", "X-Od d: 1"),
+		ginkgo.Entry("before the colon", "X-Hold : 1"),
+		ginkgo.Entry("before the colon of the length", "Content-Length : 4"),
+		ginkgo.Entry("before the colon of the chunks", "Transfer-Encoding : chunked"),
+	)
+
 	// Guards against request smuggling: the body of a GET must not be parsed as the
 	// next request.
 	ginkgo.It("carries what looks like a second request as its body", func() {
--- a/internal/httpconn/server.go
+++ b/internal/httpconn/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/baobabspool/baobabspool/pkg/buffers"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -385,6 +386,9 @@
 	if err != nil {
 		return nil, nil, rejectionStatus(err)
 	}
+	if !hasValidNames(request.Header) {
+		return nil, nil, http.StatusBadRequest
+	}
 	if expect := request.Header.Get("Expect"); expect != "" {
 		_, _ = c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
@@ -402,6 +406,17 @@
 	return request, body, 0
 }
 
+// hasValidNames reports whether all field names of a header are valid. The parser accepts
+// names with blanks, of which the next server could read another field.
+func hasValidNames(header http.Header) bool {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+	}
+	return true
+}
+
 // bodyRejectionStatus returns the status for a body that cannot be read.
 func bodyRejectionStatus(err error) int {
 	switch {
