Write no chunks in a response that has no body

Callers saw, or would see: the marks of chunks ('0' and an empty line) after the head of an answer to HEAD, or of one with status 204, if the endpoint's answer was an event stream. On a kept connection these bytes stand where the next answer is due. Found while looking for other ways in which an answer could be framed wrongly.

Cause: Exchange.StartStream framed each response in chunks; only Respond knew of responses without a body.

Change: StartStream announces no chunks where the method or the status allows no body, and chunks are dropped there.

Evidence: 'writes no chunks in a response without a body' failed before in both entries (malformed HTTP response "5").

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -35,6 +35,8 @@
 	started bool
 	// streaming is set between StartStream and EndStream.
 	streaming bool
+	// bodiless is set by StartStream if the response has no body. Chunks are then dropped.
+	bodiless bool
 	// buffer contains the part of the response that flush writes next.
 	buffer []byte
 	// status is the HTTP status of the response; 0 before Respond or StartStream.
@@ -79,26 +81,40 @@
 	}
 	e.streaming = false
 	e.appendHead(status, header)
-	if status != http.StatusNoContent && status != http.StatusNotModified {
+	if allowsBody(status) {
 		e.buffer = append(e.buffer, "Content-Length: "...)
 		e.buffer = strconv.AppendInt(e.buffer, int64(len(body)), 10)
 		e.buffer = append(e.buffer, "\r\n"...)
 	}
 	e.buffer = append(e.buffer, "\r\n"...)
-	if e.request == nil || e.request.Method != http.MethodHead {
+	if !e.isHead() {
 		e.buffer = append(e.buffer, body...)
 	}
 	return e.flush()
 }
 
-// StartStream prepares a response with a chunked body. The head is written
-// together with the first chunk, or by Flush.
+// StartStream prepares a response with a chunked body, or without a body if the method is
+// HEAD or the status allows none. The head is written together with the first chunk, or by
+// Flush.
 func (e *Exchange) StartStream(status int, header http.Header) {
 	e.appendHead(status, header)
-	e.buffer = append(e.buffer, "Transfer-Encoding: chunked\r\n\r\n"...)
+	e.bodiless = e.isHead() || !allowsBody(status)
+	if !e.bodiless {
+		e.buffer = append(e.buffer, "Transfer-Encoding: chunked\r\n"...)
+	}
+	e.buffer = append(e.buffer, "\r\n"...)
 	e.streaming = true
 }
 
+// isHead reports whether the method is HEAD. It is false for a request that could not be
+// read.
+func (e *Exchange) isHead() bool { return e.request != nil && e.request.Method == http.MethodHead }
+
+// allowsBody reports whether a response with the given final status may have a body.
+func allowsBody(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // Flush writes the head of a stream without waiting for its first chunk.
 func (e *Exchange) Flush() error { return e.flush() }
 
@@ -118,7 +134,9 @@
 	if len(data) > 0 {
 		e.appendChunk(data)
 	}
-	e.buffer = append(e.buffer, "0\r\n\r\n"...)
+	if !e.bodiless {
+		e.buffer = append(e.buffer, "0\r\n\r\n"...)
+	}
 	e.streaming = false
 	return e.flush()
 }
@@ -131,6 +149,9 @@
 }
 
 func (e *Exchange) appendChunk(data []byte) {
+	if e.bodiless {
+		return
+	}
 	e.buffer = strconv.AppendInt(e.buffer, int64(len(data)), 16)
 	e.buffer = append(e.buffer, "\r\n"...)
 	e.buffer = append(e.buffer, data...)
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -114,6 +114,26 @@
 		gomega.Expect(err).To(gomega.HaveOccurred())
 	})
 
+	// Guards against bytes of a body after a response that has none. The caller would take them
+	// for the next response of the connection.
+	ginkgo.DescribeTable("writes no chunks in a response without a body", func(method string, status int) {
+		c := dial(startServer(func(_ context.Context, exchange *httpconn.Exchange) {
+			exchange.StartStream(status, nil)
+			_ = exchange.WriteChunk([]byte("event"))
+			_ = exchange.EndStream([]byte("rest"))
+		}).Address())
+		for range 2 {
+			c.send(method + " /a HTTP/1.1\r\nHost: h\r\n\r\n")
+			response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(response.StatusCode).To(gomega.Equal(status))
+			gomega.Expect(io.ReadAll(response.Body)).To(gomega.BeEmpty())
+		}
+	},
+		ginkgo.Entry("to a HEAD request", http.MethodHead, http.StatusOK),
+		ginkgo.Entry("with status 204", http.MethodGet, http.StatusNoContent),
+	)
+
 	// Guards against a Drain after which the server closes an open connection without
 	// answering its next request, although an earlier response has announced that the
 	// connection stays open. Also guards against a Stop that never returns because of
