Break answers of endpoints in the fault soak

Cause: the soak had faults of processes, connections and the store, and endpoints that refuse, leave or cut a body; none whose head was broken, and none that wrote a refusal once more.

Whatever is broken carries a mark, and callers check that none of it reaches them.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -179,6 +179,9 @@
 	}
 	text, err := io.ReadAll(response.Body)
 	c.checker.recordStatus(request.Attempt, response.StatusCode)
+	if response.StatusCode > 599 || strings.Contains(fmt.Sprint(response.Header, string(text)), brokenMark) {
+		c.checker.fail("%s got a broken answer: status %d, %v, %q", request.Attempt, response.StatusCode, response.Header, text)
+	}
 	return response.StatusCode, string(text), err == nil
 }
 
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -263,12 +263,17 @@
 	}
 	u.SetAnswer(func(conn io.Writer, request standin.UpstreamRequest) bool {
 		if draw(30) == 0 {
+			if draw(repeatedShare) == 0 {
+				repeatRefusal(u, conn, request, time.Duration(5+draw(100))*time.Millisecond, draw(2) == 0)
+			}
 			return u.AnswerNotExecuted(conn, request)
 		}
 		attempt := request.Attempt()
 		d.checker.recordRun(attempt, request.Body, id)
 		time.Sleep(time.Duration(2+draw(10)) * time.Millisecond)
 		switch {
+		case draw(brokenShare) == 0:
+			return brokenAnswers[draw(len(brokenAnswers))](u, conn, request)
 		case service == "models":
 			return u.AnswerStream(conn, request, 5*time.Millisecond, -1, eventsOf(attempt)...)
 		case draw(50) == 0:
