Count invalid answers of endpoints, and say in the log what was invalid

Cause: an answer with a broken head looked like a closed connection to an operator: the client had one error for both, and nothing counted either.

Change: ErrInvalidResponse, which is an ErrNoResponse, for a head that has arrived and is invalid; the event answerInvalid counts them, and the line of the refusal quotes the line of the head.

Evidence: 'tells an invalid response from none', seven entries.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -208,6 +208,9 @@
 	response, err := g.client.Do(ctx, call)
 	if err != nil {
 		r.refusalErr = err
+		if errors.Is(err, httpconn.ErrInvalidResponse) {
+			g.telemetry.CountEvent("answerInvalid")
+		}
 		wasSent := !errors.Is(err, httpconn.ErrNotSent)
 		r.endTry(endpoint, r.resultOf(failureOutcome(ctx), 0), wasSent)
 		if !wasSent {
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -24,6 +24,8 @@
 	// ErrNoResponse means that no valid response arrived. The peer may have received
 	// the request.
 	ErrNoResponse = errors.New("no valid response")
+	// ErrInvalidResponse is an ErrNoResponse: a response arrived whose head is invalid.
+	ErrInvalidResponse = errors.WithMessage(ErrNoResponse, "peer sent an invalid response")
 )
 
 const (
@@ -138,7 +140,7 @@
 
 // Do sends call and waits for the head of the response. It sends the request at most
 // once. When ctx ends before the response has been closed, the connection is closed.
-// Errors wrap ErrNotSent or ErrNoResponse.
+// Errors wrap ErrNotSent, ErrNoResponse or ErrInvalidResponse.
 func (c *Client) Do(ctx context.Context, call *Call) (response *Response, err error) {
 	conn, err := c.acquire(ctx, call)
 	if err != nil {
@@ -150,7 +152,11 @@
 	if err != nil {
 		stopWatch()
 		_ = conn.conn.Close()
-		return nil, errors.Wrap(ErrNoResponse, err.Error())
+		cause := ErrNoResponse
+		if errors.Is(err, errInvalidHead) {
+			cause = ErrInvalidResponse
+		}
+		return nil, errors.Wrap(cause, err.Error())
 	}
 	return &Response{Response: httpResponse, client: c, conn: conn, address: call.Address, identity: call.Identity, writeResult: writeResult, stopWatch: stopWatch}, nil
 }
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -289,6 +289,26 @@
 		}
 	})
 
+	// Guards against an operator who cannot tell an endpoint that sends invalid responses from
+	// one that closes its connections.
+	ginkgo.DescribeTable("tells an invalid response from none", func(head string, invalid bool) {
+		address, _ := startUpstream(func(conn net.Conn, reader *bufio.Reader) {
+			_, _ = http.ReadRequest(reader)
+			_, _ = io.WriteString(conn, head)
+		})
+		_, err := client().Do(context.Background(), getCall(address, "1"))
+		gomega.Expect(err).To(gomega.MatchError(httpconn.ErrNoResponse))
+		gomega.Expect(errors.Is(err, httpconn.ErrInvalidResponse)).To(gomega.Equal(invalid), "%v", err)
+	},
+		ginkgo.Entry("with an invalid status", "HTTP/1.1 000 Odd\r\n\r\n", true),
+		ginkgo.Entry("of another major version", "HTTP/2.0 200 OK\r\n\r\n", true),
+		ginkgo.Entry("with an invalid field name", "HTTP/1.1 200 OK\r\nOd d: 1\r\n\r\n", true),
+		ginkgo.Entry("with an invalid field value", "HTTP/1.1 200 OK\r\nOdd: \x01\r\n\r\n", true),
+		ginkgo.Entry("with an invalid length", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", true),
+		ginkgo.Entry("that is cut off", "HTTP/1.1 200 OK\r\nOdd", false),
+		ginkgo.Entry("that is empty", "", false),
+	)
+
 	ginkgo.It("does not use a connection with bytes that nobody asked for", func() {
 		address, accepted := startUpstream(func(conn net.Conn, reader *bufio.Reader) {
 			request, err := http.ReadRequest(reader)
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -28,12 +28,14 @@
 	statusDigits = 3
 )
 
-// Errors of a head that is not the head of a valid response.
+// errInvalidHead means that the head of a response is not valid. The other errors wrap it
+// and tell why.
 var (
-	errHeadTooLarge       = errors.Errorf("response head exceeds %d bytes", maxHeadBytes)
-	errInvalidStatusLine  = errors.New("response has an invalid status line")
-	errInvalidField       = errors.New("response has an invalid header field")
-	errUnexpectedProtocol = errors.New("response changes the protocol without a request to do so")
+	errInvalidHead        = errors.New("invalid response head")
+	errHeadTooLarge       = errors.WithMessagef(errInvalidHead, "head exceeds %d bytes", maxHeadBytes)
+	errInvalidStatusLine  = errors.WithMessage(errInvalidHead, "invalid status line")
+	errInvalidField       = errors.WithMessage(errInvalidHead, "invalid header field")
+	errUnexpectedProtocol = errors.WithMessage(errInvalidHead, "change of the protocol without a request for it")
 )
 
 // lineEnd ends each line of a head. A line that has nothing else ends the head.
@@ -59,9 +61,9 @@
 // interim responses. onHead, unless nil, receives the status and the header of each
 // response, interim ones included. The body of the response before must have been read.
 //
-// It fails with io.ErrUnexpectedEOF if the connection ends before the head does, and with
-// another error if the head is malformed or exceeds 64 KiB. The connection must then be
-// closed.
+// It fails with io.ErrUnexpectedEOF if the connection ends before the head does, with an
+// error that says so if the head is invalid or exceeds 64 KiB, and with the error of the
+// connection otherwise. The connection must then be closed.
 func (r *ResponseReader) Next(method string, onHead func(status int, header http.Header)) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	for left := maxHeadBytes; ; {
@@ -73,7 +75,8 @@
 		r.unread(head)
 		response, err := http.ReadResponse(r.reader, request)
 		if err != nil {
-			return nil, err
+			// The whole head has arrived, so that the error is one of the head.
+			return nil, errors.WithMessage(errInvalidHead, err.Error())
 		}
 		if onHead != nil {
 			onHead(response.StatusCode, response.Header)
