Serve an endpoint that names no request in its answers

Change: a connection is closed after an answer that names no request.

Evidence: 'cannot come from an endpoint that names no request at all' failed before (502 instead of 200 for the second request).

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -53,6 +53,10 @@
 		r.refusalErr = err
 		return mayHaveRun, endpoints.Failed
 	}
+	if answer.Attempt == "" {
+		// The answer to a further request on the connection could not be told from a copy.
+		response.MarkLast()
+	}
 	switch {
 	case answer.NotRun:
 		return notRun, discardRefusal(response, answer)
--- a/internal/gateway/unidentified_test.go
+++ b/internal/gateway/unidentified_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -64,18 +65,27 @@
 		ginkgo.Entry("a failure", http.StatusInternalServerError, "X-Server-Seal: e1\r\n"),
 	)
 
-	// Guards against a refusal that counts as one that may have run, although nothing else was
-	// ever asked on its connection.
-	ginkgo.It("is taken for the answer on a new connection", func() {
-		n := newNode(func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest, _ bool) bool {
+	// Guards against an endpoint that never names the request and of whose answers every second
+	// one is discarded.
+	ginkgo.It("cannot come from an endpoint that names no request at all", func() {
+		var reused atomic.Bool
+		n := newNode(func(_ *standin.Upstream, conn io.Writer, request standin.UpstreamRequest, repeated bool) bool {
+			if repeated {
+				reused.Store(true)
+			}
 			if strings.Contains(request.Target, "case") {
 				_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
-				return false
+				return true
 			}
-			u.AnswerComplete(conn, request, "own")
-			return false
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Server-Seal: e1\r\nContent-Length: 3\r\n\r\nown")
+			return true
 		})
+		for range 5 {
+			r, _ := n.call("POST", "/charge/x", "key-1", "x")
+			gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+		}
 		r, _ := n.call("POST", "/charge/case", "key-1", "x", withDeadline(500))
 		gomega.Expect(r.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(reused.Load()).To(gomega.BeFalse())
 	})
 })
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -136,6 +136,8 @@
 	// has already ended and the connection is closed.
 	stopWatch func() bool
 	closed    bool
+	// last is set if no other call may use the connection.
+	last bool
 }
 
 // Do sends call and waits for the head of the response. It sends the request at most
@@ -207,6 +209,9 @@
 // that names no request may then be another copy of the response to that call.
 func (r *Response) ConnectionReused() bool { return r.conn.reused }
 
+// MarkLast makes Close close the connection instead of keeping it for reuse.
+func (r *Response) MarkLast() { r.last = true }
+
 // MarkRefused records that the peer has refused the request, so that another call with the
 // same identity uses another connection. It must be called before Close.
 func (r *Response) MarkRefused() {
@@ -217,8 +222,8 @@
 
 // Close releases the response. whole must be true only if the body has been read to the
 // end. The connection is then kept for reuse, unless ctx has ended, the peer closes the
-// connection, the request was not written completely, unexpected data has arrived or more
-// than maxRefused calls were refused on the connection.
+// connection, the request was not written completely, unexpected data has arrived, more
+// than maxRefused calls were refused on the connection or MarkLast was called.
 // Otherwise Close closes the connection. Later calls of Close have no effect.
 func (r *Response) Close(whole bool) {
 	if r.closed {
@@ -226,7 +231,7 @@
 	}
 	r.closed = true
 	open := r.stopWatch()
-	keep := whole && open && !r.Response.Close && r.hasDelimitedBody() && len(r.conn.refused) <= maxRefused
+	keep := whole && open && r.isReusable()
 	select {
 	case err := <-r.writeResult:
 		keep = keep && err == nil
@@ -241,7 +246,12 @@
 	r.client.putIdle(r.address, r.conn, r.Header)
 }
 
-func (r *Response) hasDelimitedBody() bool {
+// isReusable reports whether the connection may be used for another call once the body has
+// been read.
+func (r *Response) isReusable() bool {
+	if r.last || r.Response.Close || len(r.conn.refused) > maxRefused {
+		return false
+	}
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
