--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -121,25 +121,6 @@
 	return size
 }
 
-// Response is a response whose body has not been read. The caller of Do must call
-// Close.
-type Response struct {
-	*http.Response
-	client *Client
-	conn   *clientConn
-	// address and identity are those of the call.
-	address, identity string
-	// writeResult receives one value when the request has been written: the error of
-	// the write, or nil.
-	writeResult chan error
-	// stopWatch ends the observation of the context. It returns false if the context
-	// has already ended and the connection is closed.
-	stopWatch func() bool
-	closed    bool
-	// last is set if no other call may use the connection.
-	last bool
-}
-
 // Do sends call and waits for the head of the response. It sends the request at most
 // once. When ctx ends before the response has been closed, the connection is closed.
 // Errors wrap ErrNotSent, ErrNoResponse or ErrInvalidResponse.
@@ -205,60 +186,6 @@
 	return err
 }
 
-// ConnectionReused reports whether an earlier call was sent on the connection. A response
-// that names no request may then be another copy of the response to that call.
-func (r *Response) ConnectionReused() bool { return r.conn.reused }
-
-// MarkLast makes Close close the connection instead of keeping it for reuse.
-func (r *Response) MarkLast() { r.last = true }
-
-// MarkRefused records that the peer has refused the request, so that another call with the
-// same identity uses another connection. It must be called before Close.
-func (r *Response) MarkRefused() {
-	if r.identity != "" {
-		r.conn.refused = append(r.conn.refused, r.identity)
-	}
-}
-
-// Close releases the response. whole must be true only if the body has been read to the
-// end. The connection is then kept for reuse, unless ctx has ended, the peer closes the
-// connection, the request was not written completely, unexpected data has arrived, more
-// than maxRefused calls were refused on the connection or MarkLast was called.
-// Otherwise Close closes the connection. Later calls of Close have no effect.
-func (r *Response) Close(whole bool) {
-	if r.closed {
-		return
-	}
-	r.closed = true
-	open := r.stopWatch()
-	keep := whole && open && r.isReusable()
-	select {
-	case err := <-r.writeResult:
-		keep = keep && err == nil
-	default:
-		// The peer has responded although the request has not been written completely.
-		keep = false
-	}
-	if !keep || r.conn.responses.Buffered() > 0 {
-		_ = r.conn.conn.Close()
-		return
-	}
-	r.client.putIdle(r.address, r.conn, r.Header)
-}
-
-// isReusable reports whether the connection may be used for another call once the body has
-// been read.
-func (r *Response) isReusable() bool {
-	if r.last || r.Response.Close || len(r.conn.refused) > maxRefused {
-		return false
-	}
-	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-}
-
-// SetReadDeadline sets the time after which reading the body fails. The zero time means
-// no deadline.
-func (r *Response) SetReadDeadline(at time.Time) { _ = r.conn.conn.SetReadDeadline(at) }
-
 func (c *Client) putIdle(address string, conn *clientConn, header http.Header) {
 	idleTime := maxIdleTime
 	if peerTimeout, ok := parseKeepAliveTimeout(header.Get("Keep-Alive")); ok {
