Fuzz the heads of answers for invalid statuses and names

Cause: the fuzz target of the client looked for crashes and hangs only.

An idle connection keeps no memory of its last head.

--- a/internal/httpconn/fuzz_test.go
+++ b/internal/httpconn/fuzz_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,8 +61,8 @@
 	})
 }
 
-// FuzzClient guards against bytes of an endpoint that end the process, or that keep a call
-// beyond its time.
+// FuzzClient guards against bytes of an endpoint that end the process, that keep a call
+// beyond its time, or that are taken for a response although they are not valid.
 func FuzzClient(f *testing.F) {
 	for _, seed := range []string{
 		"", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
@@ -70,6 +71,7 @@
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=99999999999999999999\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 999\r\n\r\n", "HTTP/2 200\r\n\r\n", "\xff\x00\r\n\r\n", "HTTP/1.1 200 OK\r\nX",
+		"HTTP/1.1 000 Odd\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\n\r\n", "HTTP/1.1 200 OK\r\n\nA: b\r\n\r\n",
 	} {
 		f.Add([]byte(seed))
 	}
@@ -92,6 +94,14 @@
 		defer cancel()
 		response, err := client.Do(ctx, &httpconn.Call{Address: listener.Addr().String(), Method: http.MethodGet, Head: []byte(getRequest("/a")), NewConnection: true})
 		if err == nil {
+			if response.StatusCode < 200 || response.StatusCode > 599 {
+				t.Fatalf("status %d", response.StatusCode)
+			}
+			for name := range response.Header {
+				if strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r > '~' || r == ':' }) {
+					t.Fatalf("field name %q", name)
+				}
+			}
 			_, err = io.Copy(io.Discard, response.Body)
 			response.Close(err == nil)
 		}
--- a/internal/httpconn/responsereader.go
+++ b/internal/httpconn/responsereader.go
@@ -174,6 +174,9 @@
 		return p.source.Read(buffer)
 	}
 	n = copy(buffer, p.pending)
-	p.pending = p.pending[n:]
+	if p.pending = p.pending[n:]; len(p.pending) == 0 {
+		// An idle connection needs no memory for the last head.
+		p.pending = nil
+	}
 	return n, nil
 }
