Require CR LF after the status line of an answer, too

Cause: the check of line ends began with the second line of a head.

Change: a status line that ends with a line feed alone is invalid like any other such line.

Evidence: the entry 'with a line feed alone after the status' failed before.

--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -301,6 +301,7 @@
 		gomega.Expect(errors.Is(err, httpconn.ErrInvalidResponse)).To(gomega.Equal(invalid), "%v", err)
 	},
 		ginkgo.Entry("with an invalid status", "HTTP/1.1 000 Odd\r\n\r\n", true),
+		ginkgo.Entry("with a line feed alone after the status", "HTTP/1.1 200 OK\nId: 1\r\nContent-Length: 0\r\n\r\n", true),
 		ginkgo.Entry("of another major version", "HTTP/2.0 200 OK\r\n\r\n", true),
 		ginkgo.Entry("with an invalid field name", "HTTP/1.1 200 OK\r\nOd d: 1\r\n\r\n", true),
 		ginkgo.Entry("with an invalid field value", "HTTP/1.1 200 OK\r\nOdd: \x01\r\n\r\n", true),
--- a/internal/httpconn/responsereader.go
+++ b/internal/httpconn/responsereader.go
@@ -133,13 +133,14 @@
 }
 
 // checkStatusLine fails unless line is the first line of an HTTP/1 response whose status
-// code is in the range of HTTP.
+// code is in the range of HTTP, and ends with lineEnd.
 func checkStatusLine(line []byte) error {
-	version, rest, _ := strings.Cut(string(line), " ")
-	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 {
+	text, ended := strings.CutSuffix(string(line), string(lineEnd))
+	version, rest, _ := strings.Cut(text, " ")
+	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 || !ended {
 		return errInvalidStatusLine
 	}
-	code, _, _ := strings.Cut(strings.TrimRight(rest, "\r\n"), " ")
+	code, _, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(code, 10, 0)
 	switch {
 	case err != nil || len(code) != statusDigits || status < minStatus || status > maxStatus:
