Let the stand-ins of endless answers name the request

Cause: three specs of an endpoint that sends bytes without end wrote heads without the identifier of the request, which endpoints must send, on a connection that had been used before.

Change: the stand-ins send the identifier. The checks and bounds stay as they are.

Evidence: all three pass; the refusals of the log say 'head exceeds' and 'event exceeds' again.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -29,9 +29,10 @@
 		lineBytes = 64 << 10
 	)
 
-	// callEndless calls an endpoint that sends head and then repeats line, and returns the
-	// answer and how many bytes the gateway took.
-	callEndless := func(path, service, head string, line []byte) (r callerReply, taken int64) {
+	// callEndless calls an endpoint that sends the head of an answer to the request, which ends
+	// with more, and then repeats line. It returns the answer and how many bytes the gateway
+	// took.
+	callEndless := func(path, service, more string, line []byte) (r callerReply, taken int64) {
 		d := newDeployment()
 		d.publish()
 		var written atomic.Int64
@@ -41,7 +42,7 @@
 				return u.AnswerComplete(conn, request, "ok")
 			}
 			defer close(ended)
-			_, err := io.WriteString(conn, head)
+			_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s", request.Attempt(), more)
 			for err == nil && written.Load() < sentBytes {
 				var n int
 				n, err = conn.Write(line)
@@ -61,14 +62,14 @@
 
 	ginkgo.It("is cut off in the head of its answer", func() {
 		line := append([]byte("X-Noise: "), bytes.Repeat([]byte("x"), lineBytes)...)
-		r, taken := callEndless("/open/endless", "app", "HTTP/1.1 200 OK\r\n", append(line, "\r\n"...))
+		r, taken := callEndless("/open/endless", "app", "", append(line, "\r\n"...))
 		gomega.Expect(taken).To(gomega.BeNumerically("<=", maxTakenBytes))
 		gomega.Expect(r.status).To(gomega.BeNumerically(">=", http.StatusInternalServerError))
 	})
 
 	ginkgo.It("is cut off in one event of its stream", func() {
-		head := "HTTP/1.1 200 OK\r\nX-Server-Seal: m1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\ndata: "
-		_, taken := callEndless("/review/endless", "models", head, bytes.Repeat([]byte("x"), lineBytes))
+		more := "X-Server-Seal: m1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\ndata: "
+		_, taken := callEndless("/review/endless", "models", more, bytes.Repeat([]byte("x"), lineBytes))
 		gomega.Expect(taken).To(gomega.BeNumerically("<=", maxTakenBytes))
 	})
 
@@ -80,7 +81,7 @@
 		d.publish()
 		ended := make(chan struct{})
 		d.addEndpoint("m1", "models", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
-			head := "HTTP/1.1 200 OK\r\nX-Server-Seal: m1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+			head := "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.Attempt() + "\r\nX-Server-Seal: m1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 			switch request.Target {
 			case "/review/drip":
 				defer close(ended)
