--- a/internal/adapters/brokenhead_test.go
+++ b/internal/adapters/brokenhead_test.go
@@ -60,9 +60,9 @@
 		ginkgo.Entry("with a status above the most", headOf("HTTP/1.1 600 Odd", "")),
 		ginkgo.Entry("with a blank in the name of a field", headOf("HTTP/1.1 200 OK", "X-Od d: 1\r\n")),
 		ginkgo.Entry("with a blank before the colon of a field", headOf("HTTP/1.1 200 OK", "X-Odd : 1\r\n")),
-		ginkgo.Entry("with a blank at the begin of a field", headOf("HTTP/1.1 200 OK", " X-Odd: 1\r\n")),
+		ginkgo.Entry("with a blank at the start of a field", headOf("HTTP/1.1 200 OK", " X-Odd: 1\r\n")),
 		ginkgo.Entry("with a control byte in the name of a field", headOf("HTTP/1.1 200 OK", "X-Od\x01d: 1\r\n")),
-		ginkgo.Entry("with a line feed at the begin of a field", headOf("HTTP/1.1 200 OK", "\nX-Odd: 1\r\n")),
+		ginkgo.Entry("with a line feed at the start of a field", headOf("HTTP/1.1 200 OK", "\nX-Odd: 1\r\n")),
 		ginkgo.Entry("that refuses the call", headOf("HTTP/1.1 503 Busy", "X-Od d: 1\r\n")),
 	)
 
--- a/internal/gateway/brokenstream_test.go
+++ b/internal/gateway/brokenstream_test.go
@@ -20,7 +20,7 @@
 
 	// newNode starts a gateway before two endpoints. The first one that gets a request answers
 	// it with the beginning of a stream, and the next one with an error.
-	newNode := func(beginning string) (n *node, endpoints []*standin.Upstream) {
+	newNode := func(beginning string) *node {
 		d := newDeployment()
 		d.publish()
 		var mu sync.Mutex
@@ -40,16 +40,16 @@
 			}
 		}
 		for _, id := range []string{"m1", "m2"} {
-			endpoints = append(endpoints, d.addEndpoint(id, "models", answer))
+			d.addEndpoint(id, "models", answer)
 		}
-		n = d.startGateway("g1")
+		n := d.startGateway("g1")
 		n.waitUntilServed("/review/warm", "key-1")
-		return n, endpoints
+		return n
 	}
 
 	// Guards against the text of an error in the middle of a stream.
 	ginkgo.It("stays as it is once the caller has got an event", func() {
-		n, _ := newNode("id: 1\ndata: one\n\nid: 2\nda")
+		n := newNode("id: 1\ndata: one\n\nid: 2\nda")
 		r, _ := n.call("POST", "/review/case", "key-1", "x")
 		gomega.Expect(r.err).To(gomega.HaveOccurred(), "the stream must not look complete")
 		gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
@@ -59,7 +59,7 @@
 	// Guards against an answer that has the framing of the stream that was not begun, or whose
 	// connection is closed although its head says that it stays open.
 	ginkgo.It("is replaced by the error as a whole answer if the caller has got nothing", func() {
-		n, _ := newNode("id: 1\nda")
+		n := newNode("id: 1\nda")
 		conn, err := net.Dial("tcp4", n.settings.Listen)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		ginkgo.DeferCleanup(func() { _ = conn.Close() })
--- a/internal/gateway/unidentified_test.go
+++ b/internal/gateway/unidentified_test.go
@@ -14,7 +14,7 @@
 	"github.com/baobabspool/baobabspool/internal/standin"
 )
 
-var _ = ginkgo.Describe("An answer that may belong to an earlier request", func() {
+var _ = ginkgo.Describe("An answer that names no request", func() {
 	// newNode starts a gateway before one endpoint of the plain service, which calls answer for
 	// each request. repeated reports whether the request came on a connection that was used
 	// before.
@@ -38,7 +38,7 @@
 	// Guards against an earlier refusal that an endpoint writes once more, without the
 	// identifier of its request: it would say that a request has not run which the endpoint is
 	// running, and another offer would run it once more.
-	ginkgo.DescribeTable("and does not name its request is not taken for the answer", func(status int, lines string) {
+	ginkgo.DescribeTable("is not taken for the answer on a connection that was used before", func(status int, lines string) {
 		var mu sync.Mutex
 		runs := map[string]int{}
 		n := newNode(func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest, repeated bool) bool {
@@ -67,7 +67,7 @@
 
 	// Guards against an endpoint that never names the request and of whose answers every second
 	// one is discarded.
-	ginkgo.It("cannot come from an endpoint that names no request at all", func() {
+	ginkgo.It("is taken for the answer on a new connection, which is not used again", func() {
 		var reused atomic.Bool
 		n := newNode(func(_ *standin.Upstream, conn io.Writer, request standin.UpstreamRequest, repeated bool) bool {
 			if repeated {
