Let one stand-in answer serve all statuses

Change: AnswerStatus takes the status, and AnswerComplete calls it. What is written does not change.

--- a/internal/gateway/brokenstream_test.go
+++ b/internal/gateway/brokenstream_test.go
@@ -36,7 +36,7 @@
 			case isFirst:
 				return u.AnswerUnframedStream(conn, request, beginning)
 			default:
-				return u.AnswerFailure(conn, request, http.StatusInternalServerError, failure)
+				return u.AnswerStatus(conn, request, http.StatusInternalServerError, failure)
 			}
 		}
 		for _, id := range []string{"m1", "m2"} {
--- a/internal/gateway/promise_test.go
+++ b/internal/gateway/promise_test.go
@@ -19,7 +19,7 @@
 		d.publish()
 		u := d.addEndpoint("e1", "app", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
 			if strings.Contains(request.Target, "case") {
-				return u.AnswerFailure(conn, request, status, "busy")
+				return u.AnswerStatus(conn, request, status, "busy")
 			}
 			return u.AnswerComplete(conn, request, "ok")
 		})
--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -35,7 +35,7 @@
 		return false
 	},
 	func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
-		return u.AnswerFailure(conn, request, http.StatusServiceUnavailable, "busy")
+		return u.AnswerStatus(conn, request, http.StatusServiceUnavailable, "busy")
 	},
 }
 
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -146,13 +146,12 @@
 // AnswerComplete responds with status 200, a seal and a complete body. The connection
 // stays open.
 func (u *Upstream) AnswerComplete(conn io.Writer, request UpstreamRequest, body string) bool {
-	u.writeHead(conn, request, http.StatusOK, fmt.Sprintf("X-Server-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", u.id, len(body), body))
-	return true
+	return u.AnswerStatus(conn, request, http.StatusOK, body)
 }
 
-// AnswerFailure responds with the given status, a seal and a complete body. It does not say
-// that the request was not executed. The connection stays open.
-func (u *Upstream) AnswerFailure(conn io.Writer, request UpstreamRequest, status int, body string) bool {
+// AnswerStatus responds with the given status, a seal and a complete body. It does not say
+// that the request was not executed, whatever the status. The connection stays open.
+func (u *Upstream) AnswerStatus(conn io.Writer, request UpstreamRequest, status int, body string) bool {
 	u.writeHead(conn, request, status, fmt.Sprintf("X-Server-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", u.id, len(body), body))
 	return true
 }
