Do not take an answer for complete whose connection was reset

What callers saw: an endpoint answered an upload of 3 MB at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the gateway still wrote the upload. The caller got the part as a complete answer.

Cause: such a body ends with its connection, and the client took each end that a read saw for one that the peer had made. The kernel reports a reset to one call only. If the goroutine that writes the request gets it, the read of the body sees the end of the stream, as after an orderly close. The error of the write was looked at only to decide whether the connection can be used again. A connection that times out (TCP_USER_TIMEOUT) is reported once in the same way.

Change: the write of a request is a type of its own, and a body without framing asks it, when a read has seen the end, whether the connection has failed. A write that still goes on is stopped, so that a peer that ends its answer and does not read the rest of the upload is not waited for. A write that fails with EPIPE does not count: the kernel returns it only if the peer had ended its side in order before the reset.

Why this works: the write's call is the only other one that can take the error of the connection, and its result is known before the end of the body is passed on.

--- /dev/null
+++ b/internal/gateway/resetanswer_test.go
@@ -0,0 +1,101 @@
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/internal/standin"
+)
+
+var _ = ginkgo.Describe("An endpoint that answers an upload at once, without a length", func() {
+	const (
+		// uploadBytes is more than the buffers of both sockets hold.
+		uploadBytes = 3 << 20
+		// answers is the number of answers of each kind. Whether the read or the write of the
+		// gateway notices a reset first is up to chance.
+		answers   = 50
+		partEvent = "id: 1\ndata: one\n\n"
+		partBody  = "part"
+		// settleTime is the time in which the gateway notices the end of a connection.
+		settleTime = 5 * time.Millisecond
+	)
+	upload := strings.Repeat("x", uploadBytes)
+
+	// newNode starts a gateway before an endpoint of each service. They answer uploads before
+	// they read them, and then end the connection with end.
+	newNode := func(end func(conn *net.TCPConn, rest io.Reader)) (n *node, app *standin.Upstream) {
+		d := newDeployment()
+		d.publish()
+		answerEarly := func(u *standin.Upstream, contentType, text string) {
+			u.SetEarlyAnswer(uploadBytes, func(conn *net.TCPConn, request standin.UpstreamRequest, rest io.Reader) {
+				u.AnswerUnframed(conn, request, contentType, text)
+				end(conn, rest)
+			})
+		}
+		answerEarly(d.addEndpoint("m1", "models", streamTwoEvents), "text/event-stream", partEvent)
+		app = d.addEndpoint("e1", "app", nil)
+		answerEarly(app, "text/plain", partBody)
+		n = d.startGateway("g1")
+		n.waitUntilServed("/review/warm", "key-1")
+		n.waitUntilServed("/charge/warm", "key-1")
+		return n, app
+	}
+
+	// Guards against a part of an answer that a caller gets as the whole one, and against a
+	// request that is sent again although it may have run.
+	ginkgo.DescribeTable("has not completed the answer when the connection is reset", func(end func(conn *net.TCPConn, rest io.Reader)) {
+		n, app := newNode(end)
+		before := len(app.Requests())
+		for range answers {
+			r, _ := n.call("POST", "/charge/case", "key-1", upload)
+			gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(r.status).To(gomega.Equal(http.StatusBadGateway))
+			gomega.Expect(r.body).NotTo(gomega.ContainSubstring(partBody))
+			gomega.Expect(standin.Seal(r.header)).To(gomega.BeEmpty())
+		}
+		gomega.Expect(app.Requests()).To(gomega.HaveLen(before + answers))
+		for range answers {
+			r, _ := n.call("POST", "/chat/case", "key-1", upload)
+			if r.err == nil {
+				gomega.Expect(r.status).To(gomega.Equal(http.StatusBadGateway), "the stream must not look complete")
+			}
+			gomega.Expect(r.body).To(gomega.Or(gomega.BeEmpty(), gomega.Equal(partEvent)))
+		}
+	},
+		ginkgo.Entry("at once", func(conn *net.TCPConn, _ io.Reader) { standin.Reset(conn) }),
+		ginkgo.Entry("while it reads", func(conn *net.TCPConn, rest io.Reader) {
+			_, _ = io.CopyN(io.Discard, rest, uploadBytes/8)
+			standin.Reset(conn)
+		}),
+		ginkgo.Entry("because it closes the connection", func(conn *net.TCPConn, _ io.Reader) { _ = conn.Close() }),
+	)
+
+	// Guards against a complete answer that is taken for a broken one.
+	ginkgo.DescribeTable("has completed the answer when it ends the connection in order", func(end func(conn *net.TCPConn, rest io.Reader)) {
+		n, _ := newNode(end)
+		for range answers / 5 {
+			for path, body := range map[string]string{"/charge/case": partBody, "/chat/case": partEvent} {
+				r, _ := n.call("POST", path, "key-1", upload)
+				gomega.Expect(r.err).NotTo(gomega.HaveOccurred(), path)
+				gomega.Expect(r.status).To(gomega.Equal(http.StatusOK), path)
+				gomega.Expect(r.body).To(gomega.Equal(body), path)
+			}
+		}
+	},
+		ginkgo.Entry("and reads the rest of the upload", func(conn *net.TCPConn, rest io.Reader) {
+			_ = conn.CloseWrite()
+			_, _ = io.Copy(io.Discard, rest)
+		}),
+		ginkgo.Entry("and resets it later", func(conn *net.TCPConn, _ io.Reader) {
+			_ = conn.CloseWrite()
+			time.Sleep(settleTime)
+			standin.Reset(conn)
+		}),
+	)
+})
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -45,10 +45,6 @@
 	// maxRefused is the number of refused calls that a connection remembers. A connection
 	// with more is closed: a forgotten call could be sent on it again.
 	maxRefused = 64
-	// maxInlineWrite is the size in bytes up to which a request is written completely
-	// before the response is read. A larger request is written by another goroutine,
-	// because a peer may respond before it has read the whole request.
-	maxInlineWrite = 16 << 10
 	// maxSkippedBytes is the maximum size of a body that belongs to no request.
 	maxSkippedBytes = 1 << 20
 )
@@ -130,7 +126,7 @@
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	stopWatch := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
-	writeResult := conn.write(call)
+	write := newRequestWrite(conn.conn, call)
 	httpResponse, err := conn.readHead(call)
 	if err != nil {
 		stopWatch()
@@ -141,22 +137,10 @@
 		}
 		return nil, errors.Wrap(cause, err.Error())
 	}
-	return &Response{Response: httpResponse, client: c, conn: conn, address: call.Address, identity: call.Identity, writeResult: writeResult, stopWatch: stopWatch}, nil
-}
-
-func (c *clientConn) write(call *Call) chan error {
-	result := make(chan error, 1)
-	if len(call.Head)+call.Body.Bytes() <= maxInlineWrite {
-		_, err := c.conn.Write(slices.Concat(append([][]byte{call.Head}, call.Body...)...))
-		result <- err
-		return result
+	if hasUnframedBody(httpResponse) {
+		httpResponse.Body = &unframedBody{ReadCloser: httpResponse.Body, write: write}
 	}
-	go func() {
-		parts := append(net.Buffers{call.Head}, call.Body...)
-		_, err := parts.WriteTo(c.conn)
-		result <- err
-	}()
-	return result
+	return &Response{Response: httpResponse, client: c, conn: conn, address: call.Address, identity: call.Identity, write: write, stopWatch: stopWatch}, nil
 }
 
 // readHead reads responses until one belongs to call, and returns it without its body.
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -1,10 +1,36 @@
 package httpconn
 
 import (
+	"io"
 	"net/http"
 	"time"
 )
 
+// hasUnframedBody reports whether the body of a response has neither a length nor chunks, so
+// that it ends with the connection.
+func hasUnframedBody(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// unframedBody is a body that ends with its connection.
+type unframedBody struct {
+	io.ReadCloser
+	write *requestWrite
+}
+
+// Read implements io.Reader. It returns io.EOF only if the peer has ended the connection in
+// order, and another error if the connection has failed.
+func (b *unframedBody) Read(buffer []byte) (n int, err error) {
+	n, err = b.ReadCloser.Read(buffer)
+	if err != io.EOF {
+		return n, err
+	}
+	if failure := b.write.connectionFailure(); failure != nil {
+		return n, failure
+	}
+	return n, io.EOF
+}
+
 // Response is a response whose body has not been read. The caller of Do must call
 // Close.
 type Response struct {
@@ -13,9 +39,8 @@
 	conn   *clientConn
 	// address and identity are those of the call.
 	address, identity string
-	// writeResult receives one value when the request has been written: the error of
-	// the write, or nil.
-	writeResult chan error
+	// write is the write of the request.
+	write *requestWrite
 	// stopWatch ends the observation of the context. It returns false if the context
 	// has already ended and the connection is closed.
 	stopWatch func() bool
@@ -50,14 +75,8 @@
 	}
 	r.closed = true
 	open := r.stopWatch()
-	keep := whole && open && r.isReusable()
-	select {
-	case err := <-r.writeResult:
-		keep = keep && err == nil
-	default:
-		// The peer has responded although the request has not been written completely.
-		keep = false
-	}
+	// The peer may respond although the request has not been written completely.
+	keep := whole && open && r.isReusable() && r.write.hasSucceeded()
 	if !keep || r.conn.responses.Buffered() > 0 {
 		_ = r.conn.conn.Close()
 		return
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -19,6 +19,10 @@
 	Body   string
 }
 
+func newUpstreamRequest(request *http.Request, body string) UpstreamRequest {
+	return UpstreamRequest{Method: request.Method, Target: request.RequestURI, Header: request.Header, Body: body}
+}
+
 // Upstream simulates an endpoint behind a gateway. It implements the published protocol
 // of endpoints. It writes responses to raw connections, so that tests can also make it
 // violate the protocol.
@@ -36,6 +40,9 @@
 	failedWrites int
 	// isLeaving makes each answer say that the endpoint leaves.
 	isLeaving bool
+	// earlyAnswer, unless nil, answers requests whose body has at least earlyMinBytes.
+	earlyAnswer   EarlyAnswer
+	earlyMinBytes int64
 }
 
 // NewUpstream starts an endpoint with the given identifier on a free loopback port.
@@ -108,11 +115,14 @@
 		if err != nil {
 			return
 		}
+		if u.answerEarly(conn, request) {
+			return
+		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
 		}
-		received := UpstreamRequest{Method: request.Method, Target: request.RequestURI, Header: request.Header, Body: string(body)}
+		received := newUpstreamRequest(request, string(body))
 		u.mu.Lock()
 		u.requests = append(u.requests, received)
 		answer := u.answer
@@ -204,7 +214,7 @@
 // AnswerUnframedStream responds with a stream of the given text that has neither a length
 // nor chunks and ends with its connection.
 func (u *Upstream) AnswerUnframedStream(conn io.Writer, request UpstreamRequest, text string) bool {
-	u.writeHead(conn, request, http.StatusOK, "X-Server-Seal: "+u.id+"\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+text)
+	u.AnswerUnframed(conn, request, "text/event-stream", text)
 	return false
 }
 
