Let the soak send uploads that endpoints answer at once and without a length

Cause: the soak sent no request that is longer than the buffers of a connection, so that it could not find answers that are cut off while the request is written.

Change: one plain request or turn without history in twenty is an upload of 3 MB. Endpoints answer one half of them with a part of the answer and reset all their connections within a millisecond, and the other half whole, each time without a length. Answers of turns without history are compared, too. A relay resets both sides of its connections.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -42,6 +42,15 @@
 	return []string{attempt + "/1", attempt + "/2", attempt + "/3"}
 }
 
+// streamOf returns the complete stream that answers a request.
+func streamOf(attempt string) string {
+	var stream strings.Builder
+	for i, event := range eventsOf(attempt) {
+		fmt.Fprintf(&stream, "id: %d\ndata: %s\n\n", i+1, event)
+	}
+	return stream.String()
+}
+
 // call is what the checker knows of one request of a caller.
 type call struct {
 	kind   string
@@ -76,16 +85,23 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, values...))
 }
 
-func (c *checker) recordRun(attempt, body, endpoint string) {
+// checkBody checks that an endpoint got the body that was due.
+func (c *checker) checkBody(attempt, body string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if sent := c.calls[attempt]; sent != nil && sent.prompt != body {
+		c.violations = append(c.violations, fmt.Sprintf("%s got another body: %.200q instead of %.200q", attempt, body, sent.prompt))
+	}
+}
+
+// recordRun records that an endpoint begins to run a request.
+func (c *checker) recordRun(attempt, endpoint string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sent := c.calls[attempt]
-	switch {
-	case sent == nil:
+	if sent == nil {
 		c.violations = append(c.violations, "an endpoint ran a request that nobody sent: "+attempt)
 		return
-	case sent.prompt != body:
-		c.violations = append(c.violations, fmt.Sprintf("%s got another body: %q instead of %q", attempt, body, sent.prompt))
 	}
 	if c.departures.isLate(sent, endpoint) {
 		c.violations = append(c.violations, fmt.Sprintf("%s reached %s too long after the gateway had heard that it leaves", attempt, endpoint))
@@ -185,14 +201,23 @@
 	return response.StatusCode, string(text), err == nil
 }
 
+// plainBody draws the body of a request without history: rest, or one upload in
+// uploadShare.
+func (c *caller) plainBody(rest string) string {
+	if c.random.IntN(uploadShare) == 0 {
+		return upload
+	}
+	return rest
+}
+
 func newAttempt() string { return fmt.Sprintf("attempt-%d", lastAttempt.Add(1)) }
 
 func (c *caller) anyFront() string { return c.fronts[c.random.IntN(len(c.fronts))] }
 
 // callPlain sends a request of a plain service.
 func (c *caller) callPlain(front, kind, key string) (status int) {
-	attempt := newAttempt()
-	status, answer, whole := c.send(front, call{kind: kind, key: key}, "/"+kind+"/", "", standin.CallerRequest{Attempt: attempt})
+	attempt, body := newAttempt(), c.plainBody("")
+	status, answer, whole := c.send(front, call{kind: kind, key: key, prompt: body}, "/"+kind+"/", body, standin.CallerRequest{Attempt: attempt})
 	if status == http.StatusOK && whole && answer != answerOf(attempt) {
 		c.checker.fail("%s got an answer that is not its own: %q", attempt, answer)
 	}
@@ -220,15 +245,10 @@
 		case status != http.StatusOK || !whole:
 			return answered
 		}
-		events := eventsOf(attempt)
-		expected := ""
-		for i, event := range events {
-			expected += fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, event)
-		}
-		if answer != expected {
+		if answer != streamOf(attempt) {
 			c.checker.fail("%s got another stream: %q", attempt, answer)
 		}
-		history += input + strings.Join(events, "\n") + "\n"
+		history += input + strings.Join(eventsOf(attempt), "\n") + "\n"
 		previous = attempt
 		answered++
 	}
@@ -241,9 +261,13 @@
 func (c *caller) review(turns int) {
 	program, handed, timesSpent := "program-"+newAttempt(), 0, 0
 	for turn := 0; turn < turns && timesSpent < 3; turn++ {
-		status, answer, _ := c.send(c.anyFront(), call{kind: "review", key: "key-1", prompt: "x"}, "/review/", "x", standin.CallerRequest{
-			Attempt: newAttempt(), Program: program, MaxTokens: reviewMaxTokens, TokenBudget: reviewTokens,
+		attempt, body := newAttempt(), c.plainBody("x")
+		status, answer, whole := c.send(c.anyFront(), call{kind: "review", key: "key-1", prompt: body}, "/review/", body, standin.CallerRequest{
+			Attempt: attempt, Program: program, MaxTokens: reviewMaxTokens, TokenBudget: reviewTokens,
 		})
+		if status == http.StatusOK && whole && answer != streamOf(attempt) {
+			c.checker.fail("%s got another stream: %q", attempt, answer)
+		}
 		handed += eventTokens * strings.Count(answer, "data: ")
 		if status == http.StatusPaymentRequired {
 			timesSpent++
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -269,7 +269,8 @@
 			return u.AnswerNotExecuted(conn, request)
 		}
 		attempt := request.Attempt()
-		d.checker.recordRun(attempt, request.Body, id)
+		d.checker.checkBody(attempt, request.Body)
+		d.checker.recordRun(attempt, id)
 		time.Sleep(time.Duration(2+draw(10)) * time.Millisecond)
 		switch {
 		case draw(brokenShare) == 0:
@@ -282,6 +283,7 @@
 		return u.AnswerComplete(conn, request, answerOf(attempt))
 	})
 	e := &endpoint{id: id, service: service, upstream: u, relay: newRelay(u.Address())}
+	e.answerUploads(d.checker, draw)
 	d.endpoints = append(d.endpoints, e)
 	e.announce(d.topics)
 }
--- a/internal/soak/relay_test.go
+++ b/internal/soak/relay_test.go
@@ -109,12 +109,15 @@
 	r.mode = mode
 }
 
-// reset closes all connections with a reset.
+// reset closes all connections with a reset. Once one side of a connection is closed, copy
+// closes the other one.
 func (r *relay) reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for conn := range r.conns {
 		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	for conn := range r.conns {
 		_ = conn.Close()
 	}
 }
