Keep the idle connections of the client in a type of their own

Cause: client.go held the calls, the write of a request and the pool of idle connections, and a constant told where its value came from.

Change: idleconns.go takes, returns and closes idle connections. No behaviour changes.

Measured: internal/httpconn (also with the race detector), internal/gateway and platform pass.

--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -5,10 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
-	"strconv"
-	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,19 +25,9 @@
 )
 
 const (
-	// dialTimeout bounds the time for opening a connection. It is chosen for peers in
-	// the same region, where this takes a few milliseconds.
+	// dialTimeout bounds the time for opening a connection. To a peer in the same region,
+	// this takes a few milliseconds.
 	dialTimeout = 400 * time.Millisecond
-	// maxIdleTime is the idle time after which the client does not reuse a connection.
-	// A shorter timeout in the peer's Keep-Alive header, minus keepAliveMargin, takes
-	// precedence.
-	maxIdleTime = 4 * clock.Second
-	// keepAliveMargin is subtracted from the timeout in the peer's Keep-Alive header,
-	// so that the connection is not reused just before the peer closes it.
-	keepAliveMargin = 500 * clock.Millis(1)
-	// maxIdlePerAddress is the maximum number of idle connections to one address.
-	// Further connections are closed after their response.
-	maxIdlePerAddress = 32
 	// maxRefused is the number of refused calls that a connection remembers. A connection
 	// with more is closed: a forgotten call could be sent on it again.
 	maxRefused = 64
@@ -55,17 +41,13 @@
 // Client sends requests to any number of addresses and reuses idle connections.
 // It is safe for concurrent use.
 type Client struct {
-	clock clock.Clock
-	mu    sync.Mutex
-	// idle maps an address to its idle connections, the most recently used one
-	// last.
-	idle map[string][]*clientConn
+	idle *idleConns
 }
 
 // NewClient returns a client without connections. It reads the time from system, to
 // decide which idle connections have expired.
 func NewClient(system clock.Clock) *Client {
-	return &Client{clock: system, idle: map[string][]*clientConn{}}
+	return &Client{idle: newIdleConns(system)}
 }
 
 type clientConn struct {
@@ -170,46 +152,13 @@
 	return err
 }
 
-func (c *Client) putIdle(address string, conn *clientConn, header http.Header) {
-	idleTime := maxIdleTime
-	if peerTimeout, ok := parseKeepAliveTimeout(header.Get("Keep-Alive")); ok {
-		idleTime = min(idleTime, peerTimeout-keepAliveMargin)
-	}
-	conn.expiresAt = c.clock.Now() + idleTime
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[address]
-	if len(list) >= maxIdlePerAddress || idleTime <= 0 {
-		_ = conn.conn.Close()
-		return
-	}
-	c.idle[address] = append(list, conn)
-}
-
-func parseKeepAliveTimeout(value string) (timeout clock.Millis, ok bool) {
-	for part := range strings.SplitSeq(value, ",") {
-		name, text, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if name != "timeout" {
-			continue
-		}
-		seconds, err := strconv.Atoi(text)
-		return clock.Millis(seconds) * clock.Second, err == nil
-	}
-	return 0, false
-}
-
+// acquire returns an idle connection, or a new one if there is none.
 func (c *Client) acquire(ctx context.Context, call *Call) (*clientConn, error) {
-	for !call.NewConnection {
-		conn := c.popIdle(call)
-		if conn == nil {
-			break
-		}
-		if c.clock.Now() < conn.expiresAt && isOpenAndEmpty(conn.conn) {
-			_ = conn.conn.SetDeadline(time.Time{})
+	if !call.NewConnection {
+		if conn := c.idle.take(call); conn != nil {
 			conn.reused = true
 			return conn, nil
 		}
-		_ = conn.conn.Close()
 	}
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp4", call.Address)
@@ -220,54 +169,9 @@
 	return &clientConn{conn: conn, responses: NewResponseReader(conn)}, nil
 }
 
-// popIdle removes the most recently used idle connection on which no call with the same
-// identity was refused, and returns it; nil if there is none.
-func (c *Client) popIdle(call *Call) *clientConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[call.Address]
-	for i, conn := range slices.Backward(list) {
-		if call.Identity == "" || !slices.Contains(conn.refused, call.Identity) {
-			c.idle[call.Address] = slices.Delete(list, i, i+1)
-			return conn
-		}
-	}
-	return nil
-}
-
 // CloseIdle closes the idle connections to an address.
-func (c *Client) CloseIdle(address string) {
-	c.mu.Lock()
-	list := c.idle[address]
-	delete(c.idle, address)
-	c.mu.Unlock()
-	for _, conn := range list {
-		_ = conn.conn.Close()
-	}
-}
+func (c *Client) CloseIdle(address string) { c.idle.closeAll(address) }
 
 // CloseExpired closes the idle connections that are too old to be reused. The client
 // does not do this by itself, so the caller must call CloseExpired regularly.
-func (c *Client) CloseExpired() {
-	now := c.clock.Now()
-	var expired []*clientConn
-	c.mu.Lock()
-	for address, list := range c.idle {
-		kept := list[:0]
-		for _, conn := range list {
-			if now < conn.expiresAt {
-				kept = append(kept, conn)
-				continue
-			}
-			expired = append(expired, conn)
-		}
-		c.idle[address] = kept
-		if len(kept) == 0 {
-			delete(c.idle, address)
-		}
-	}
-	c.mu.Unlock()
-	for _, conn := range expired {
-		_ = conn.conn.Close()
-	}
-}
+func (c *Client) CloseExpired() { c.idle.closeExpired() }
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -81,7 +81,7 @@
 		_ = r.conn.conn.Close()
 		return
 	}
-	r.client.putIdle(r.address, r.conn, r.Header)
+	r.client.idle.put(r.address, r.conn, r.Header)
 }
 
 // isReusable reports whether the connection may be used for another call once the body has
