Show that a body whose connection times out is not complete

Cause: the kernel reports a connection that it gives up (TCP_USER_TIMEOUT, 3 s) to one call only, like a reset, so that the same fault took the part of an answer of a peer that had fallen silent for the whole one.

Change: a spec in which the peer takes no data; the client is as mended before.

Measured: the spec fails if the client does not ask the write for its result (a planted fault), and passes here.

--- a/internal/httpconn/reset_test.go
+++ b/internal/httpconn/reset_test.go
@@ -24,6 +24,9 @@
 		responseBody = "body"
 		// settleTime is the time in which both sides notice the end of a connection.
 		settleTime = 50 * time.Millisecond
+		// silentTime is the time in which the kernel gives up a connection whose peer takes no
+		// data.
+		silentTime = 4 * time.Second
 		// promptly is the time within which a response is read that has ended.
 		promptly = time.Second
 	)
@@ -61,18 +64,19 @@
 
 	// Guards against a part of a response that passes for the whole one. The kernel reports a
 	// reset once. If the write of the request gets it, the read sees the end of the response.
-	ginkgo.DescribeTable("is incomplete if the connection is reset", func(requestBytes int, end func(*net.TCPConn, io.Reader)) {
+	ginkgo.DescribeTable("is incomplete if the connection fails", func(requestBytes int, end func(*net.TCPConn, io.Reader)) {
 		body, err := respond(http.MethodPost, requestBytes, closingHead+responseBody, end)
 		gomega.Expect(err).To(gomega.HaveOccurred())
 		gomega.Expect(body).To(gomega.Equal(responseBody))
 	},
-		ginkgo.Entry("during the write", uploadBytes, reset),
-		ginkgo.Entry("during the write, because bytes of the request are unread", uploadBytes, closeUnread),
-		ginkgo.Entry("during the write, after a part of the request was read", uploadBytes, func(conn *net.TCPConn, rest io.Reader) {
+		ginkgo.Entry("with a reset during the write", uploadBytes, reset),
+		ginkgo.Entry("with a reset during the write, because bytes of the request are unread", uploadBytes, closeUnread),
+		ginkgo.Entry("with a reset during the write, after a part of the request was read", uploadBytes, func(conn *net.TCPConn, rest io.Reader) {
 			_, _ = io.CopyN(io.Discard, rest, uploadBytes/4)
 			reset(conn, rest)
 		}),
-		ginkgo.Entry("after the write", 1, reset),
+		ginkgo.Entry("with a reset after the write", 1, reset),
+		ginkgo.Entry("with a timeout, because the peer has fallen silent", uploadBytes, func(*net.TCPConn, io.Reader) { time.Sleep(silentTime) }),
 	)
 
 	// Guards against a complete response that is taken for a broken one, or read only once the
