Call a body that ends with its connection close-delimited

Cause: read as a whole, the name 'unframed' was not the term of RFC 9112, and two comments left open what holds.

No behaviour changes.

--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -119,8 +119,8 @@
 		}
 		return nil, errors.Wrap(cause, err.Error())
 	}
-	if hasUnframedBody(httpResponse) {
-		httpResponse.Body = &unframedBody{ReadCloser: httpResponse.Body, write: write}
+	if isCloseDelimited(httpResponse) {
+		httpResponse.Body = &closeDelimitedBody{ReadCloser: httpResponse.Body, write: write}
 	}
 	return &Response{Response: httpResponse, client: c, conn: conn, address: call.Address, identity: call.Identity, write: write, stopWatch: stopWatch}, nil
 }
@@ -152,7 +152,7 @@
 	return err
 }
 
-// acquire returns an idle connection, or a new one if there is none.
+// acquire returns an idle connection, or a new one if there is none or call requires it.
 func (c *Client) acquire(ctx context.Context, call *Call) (*clientConn, error) {
 	if !call.NewConnection {
 		if conn := c.idle.take(call); conn != nil {
--- a/internal/httpconn/requestwrite.go
+++ b/internal/httpconn/requestwrite.go
@@ -22,7 +22,7 @@
 // requestWrite is the write of one request, which may go on while the response is read.
 type requestWrite struct {
 	conn net.Conn
-	// ended is closed after err has been set.
+	// ended is closed when the write has ended. err is set before and does not change after.
 	ended chan struct{}
 	err   error
 }
@@ -53,8 +53,8 @@
 	}
 }
 
-// stop ends the write if it still goes on, with os.ErrDeadlineExceeded, and returns its
-// error. The connection must not be used for another request.
+// stop ends the write if it still goes on, by a deadline in the past, and returns its error.
+// The connection must not be used for another request.
 func (w *requestWrite) stop() error {
 	_ = w.conn.SetWriteDeadline(time.Unix(0, 0))
 	<-w.ended
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -6,21 +6,22 @@
 	"time"
 )
 
-// hasUnframedBody reports whether the body of a response has neither a length nor chunks, so
-// that it ends with the connection.
-func hasUnframedBody(response *http.Response) bool {
+// isCloseDelimited reports whether a response has a body with neither a length nor chunks, so
+// that it ends with the connection (RFC 9112, section 6.3).
+func isCloseDelimited(response *http.Response) bool {
 	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
-// unframedBody is a body that ends with its connection.
-type unframedBody struct {
+// closeDelimitedBody is a body that ends with its connection.
+type closeDelimitedBody struct {
 	io.ReadCloser
+	// write is the write of the request on the same connection.
 	write *requestWrite
 }
 
 // Read implements io.Reader. It returns io.EOF only if the peer has ended the connection in
 // order, and another error if the connection has failed.
-func (b *unframedBody) Read(buffer []byte) (n int, err error) {
+func (b *closeDelimitedBody) Read(buffer []byte) (n int, err error) {
 	n, err = b.ReadCloser.Read(buffer)
 	if err != io.EOF {
 		return n, err
