Ask in one place whether the head of a response tells where its body ends

Cause: the check for a body that ends with its connection and the one for a connection that can be used again held the same condition, once negated.

Change: isFramed serves both. No behaviour changes.

Measured: internal/httpconn passes.

--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -6,10 +6,16 @@
 	"time"
 )
 
-// isCloseDelimited reports whether a response has a body with neither a length nor chunks, so
-// that it ends with the connection (RFC 9112, section 6.3).
+// isFramed reports whether the head of a response tells where its body ends, by a length or
+// by chunks.
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// isCloseDelimited reports whether a response has a body that ends with the connection
+// (RFC 9112, section 6.3).
 func isCloseDelimited(response *http.Response) bool {
-	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return response.Body != http.NoBody && !isFramed(response)
 }
 
 // closeDelimitedBody is a body that ends with its connection.
@@ -88,10 +94,7 @@
 // isReusable reports whether the connection may be used for another call once the body has
 // been read.
 func (r *Response) isReusable() bool {
-	if r.last || r.Response.Close || len(r.conn.refused) > maxRefused {
-		return false
-	}
-	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+	return isFramed(r.Response) && !r.Response.Close && !r.last && len(r.conn.refused) <= maxRefused
 }
 
 // SetReadDeadline sets the time after which reading the body fails. The zero time means
