--- a/internal/gateway/resetanswer_test.go
+++ b/internal/gateway/resetanswer_test.go
@@ -47,8 +47,8 @@
 		return n, app
 	}
 
-	// Guards against a part of an answer that a caller gets as the whole one, and against a
-	// request that is sent again although it may have run.
+	// Guards against a part of an answer that a caller gets as the whole one, against a request
+	// that is sent again although it may have run, and against a cut turn that is kept.
 	ginkgo.DescribeTable("has not completed the answer when the connection is reset", func(end func(conn *net.TCPConn, rest io.Reader)) {
 		n, app := newNode(end)
 		before := len(app.Requests())
@@ -61,11 +61,13 @@
 		}
 		gomega.Expect(app.Requests()).To(gomega.HaveLen(before + answers))
 		for range answers {
-			r, _ := n.call("POST", "/chat/case", "key-1", upload)
+			r, turn := n.call("POST", "/chat/case", "key-1", upload)
 			if r.err == nil {
 				gomega.Expect(r.status).To(gomega.Equal(http.StatusBadGateway), "the stream must not look complete")
 			}
 			gomega.Expect(r.body).To(gomega.Or(gomega.BeEmpty(), gomega.Equal(partEvent)))
+			r, _ = n.call("POST", "/chat/case", "key-1", "more\n", withPrevious(turn))
+			gomega.Expect(r.status).To(gomega.Equal(http.StatusNotFound), "the turn must not be kept")
 		}
 	},
 		ginkgo.Entry("at once", func(conn *net.TCPConn, _ io.Reader) { standin.Reset(conn) }),
