Count the runs of a request before the stand-in writes any byte of an answer

Cause: the test. Its stand-in wrote the answer without an identifier first and counted the run after it. The gateway answers 502 as soon as it has read that answer, so that the check could come before the count.

Change: the run is counted before anything is written. All checks and bounds are as before; a request that is offered once more is now always counted before its caller is answered.

--- a/internal/gateway/unidentified_test.go
+++ b/internal/gateway/unidentified_test.go
@@ -42,12 +42,13 @@
 		var mu sync.Mutex
 		runs := map[string]int{}
 		n := newNode(func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest, repeated bool) bool {
-			if repeated {
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Odd\r\n%sContent-Length: 7\r\n\r\nanother", status, lines)
-			}
+			// The gateway may answer as soon as the first byte has been written.
 			mu.Lock()
 			runs[request.Attempt()]++
 			mu.Unlock()
+			if repeated {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Odd\r\n%sContent-Length: 7\r\n\r\nanother", status, lines)
+			}
 			return u.AnswerComplete(conn, request, "own")
 		})
 		for range 10 {
