--- a/internal/httpconn/earlyresponse_test.go
+++ b/internal/httpconn/earlyresponse_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,7 +10,6 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
-	"golang.org/x/sys/unix"
 
 	"github.com/baobabspool/baobabspool/internal/httpconn"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -38,13 +36,6 @@
 		silenceLimit = 8 * time.Second
 	)
 
-	uploadCall := func(address string) *httpconn.Call {
-		call := getCall(address, "1")
-		call.Method, call.Body = http.MethodPost, [][]byte{make([]byte, uploadBytes)}
-		call.Head = fmt.Appendf(nil, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", uploadBytes)
-		return call
-	}
-
 	// readSlowly reads until the connection ends. The client always has something to send then.
 	readSlowly := func(reader io.Reader) {
 		for {
@@ -66,7 +57,7 @@
 			_ = conn.(*net.TCPConn).CloseWrite()
 			_, _ = io.Copy(io.Discard, reader)
 		})
-		response, err := httpconn.NewClient(clock.System()).Do(context.Background(), uploadCall(address))
+		response, err := httpconn.NewClient(clock.System()).Do(context.Background(), uploadCall(address, http.MethodPost, uploadBytes))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(readBody(response)).To(gomega.Equal("onetwo"))
 	},
@@ -91,7 +82,7 @@
 			}
 			_, _ = io.WriteString(conn, "two")
 		})
-		response, err := httpconn.NewClient(clock.System()).Do(context.Background(), uploadCall(address))
+		response, err := httpconn.NewClient(clock.System()).Do(context.Background(), uploadCall(address, http.MethodPost, uploadBytes))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(readBody(response)).To(gomega.Equal("onetwo"))
 	})
@@ -109,7 +100,7 @@
 			time.Sleep(2 * silenceLimit)
 		})
 		client := httpconn.NewClient(clock.System())
-		response, err := client.Do(context.Background(), uploadCall(address))
+		response, err := client.Do(context.Background(), uploadCall(address, http.MethodPost, uploadBytes))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(readBody(response)).To(gomega.Equal("onetwo"))
 		begun := time.Now()
@@ -121,31 +112,3 @@
 		gomega.Expect(accepted.Load()).To(gomega.Equal(int64(1)))
 	})
 })
-
-// fallSilent makes the kernel drop each segment that arrives for conn, so that none is
-// acknowledged.
-func fallSilent(conn *net.TCPConn) {
-	dropAll := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
-	program := &unix.SockFprog{Len: uint16(len(dropAll)), Filter: &dropAll[0]}
-	controlSocket(conn, func(fd int) error {
-		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, program)
-	})
-}
-
-// endSilence undoes fallSilent.
-func endSilence(conn *net.TCPConn) {
-	controlSocket(conn, func(fd int) error {
-		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-	})
-}
-
-// controlSocket calls control with the file descriptor of conn.
-func controlSocket(conn *net.TCPConn, control func(fd int) error) {
-	defer ginkgo.GinkgoRecover()
-	raw, err := conn.SyscallConn()
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	var result error
-	err = raw.Control(func(fd uintptr) { result = control(int(fd)) })
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	gomega.Expect(result).NotTo(gomega.HaveOccurred())
-}
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -209,6 +209,14 @@
 	}
 }
 
+// uploadCall returns a call with the identifier 1 and a body of bodyBytes.
+func uploadCall(address, method string, bodyBytes int) *httpconn.Call {
+	call := getCall(address, "1")
+	call.Method, call.Body = method, [][]byte{make([]byte, bodyBytes)}
+	call.Head = fmt.Appendf(nil, "%s /1 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", method, bodyBytes)
+	return call
+}
+
 func responseText(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
--- a/internal/httpconn/reset_test.go
+++ b/internal/httpconn/reset_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -44,10 +43,7 @@
 			close(ended)
 			<-finished
 		})
-		call := getCall(address, "1")
-		call.Method, call.Body = method, [][]byte{make([]byte, requestBytes)}
-		call.Head = fmt.Appendf(nil, "%s /1 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", method, requestBytes)
-		response, err := httpconn.NewClient(clock.System()).Do(context.Background(), call)
+		response, err := httpconn.NewClient(clock.System()).Do(context.Background(), uploadCall(address, method, requestBytes))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		<-ended
 		time.Sleep(settleTime)
