--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/baobabspool/baobabspool/internal/standin"
@@ -47,10 +48,22 @@
 }
 
 // repeatRefusal writes a refusal of a request once more after a delay, with or without the
-// identifier of the request.
-func repeatRefusal(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest, delay time.Duration, named bool) {
+// identifier of the request, and not within an answer that is sent in parts.
+func (e *endpoint) repeatRefusal(conn io.Writer, request standin.UpstreamRequest, delay time.Duration, named bool) {
 	if !named {
 		request.Header = http.Header{}
 	}
-	time.AfterFunc(delay, func() { u.AnswerNotExecuted(conn, request) })
+	time.AfterFunc(delay, func() {
+		lock := e.writeLock(conn)
+		lock.Lock()
+		defer lock.Unlock()
+		e.upstream.AnswerNotExecuted(conn, request)
+	})
+}
+
+// writeLock returns the mutex that is held while a late refusal or an answer in parts is
+// written to conn.
+func (e *endpoint) writeLock(conn io.Writer) *sync.Mutex {
+	lock, _ := e.writeLocks.LoadOrStore(conn, new(sync.Mutex))
+	return lock.(*sync.Mutex)
 }
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -261,10 +261,11 @@
 		defer mu.Unlock()
 		return random.IntN(n)
 	}
+	e := &endpoint{id: id, service: service, upstream: u, relay: newRelay(u.Address())}
 	u.SetAnswer(func(conn io.Writer, request standin.UpstreamRequest) bool {
 		if draw(30) == 0 {
 			if draw(repeatedShare) == 0 {
-				repeatRefusal(u, conn, request, time.Duration(5+draw(100))*time.Millisecond, draw(2) == 0)
+				e.repeatRefusal(conn, request, time.Duration(5+draw(100))*time.Millisecond, draw(2) == 0)
 			}
 			return u.AnswerNotExecuted(conn, request)
 		}
@@ -282,7 +283,6 @@
 		}
 		return u.AnswerComplete(conn, request, answerOf(attempt))
 	})
-	e := &endpoint{id: id, service: service, upstream: u, relay: newRelay(u.Address())}
 	e.answerUploads(d.checker, draw)
 	d.endpoints = append(d.endpoints, e)
 	e.announce(d.topics)
@@ -293,6 +293,8 @@
 	id, service string
 	upstream    *standin.Upstream
 	relay       *relay
+	// writeLocks contains a *sync.Mutex for each connection; see writeLock.
+	writeLocks sync.Map
 
 	mu sync.Mutex
 	// starts is the number of its starts, and isLeaving whether the last one leaves.
--- a/internal/soak/relay_test.go
+++ b/internal/soak/relay_test.go
@@ -1,12 +1,15 @@
 package soak_test
 
 import (
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
 )
 
 // relayMode is what a relay does with the bytes that it receives.
@@ -25,7 +28,7 @@
 const slowDelay = 40 * time.Millisecond
 
 // relay forwards connections to a server and can misbehave. Pieces that it has dropped
-// never arrive, so that their connection must not be used again.
+// never arrive, so that their connection carries nothing more and ends with a reset.
 type relay struct {
 	listener net.Listener
 	server   string
@@ -66,9 +69,10 @@
 	r.mu.Lock()
 	r.conns[client], r.conns[server] = true, true
 	r.mu.Unlock()
+	forwarded := &link{relay: r, client: client, server: server}
 	var copies sync.WaitGroup
-	copies.Go(func() { r.copy(server, client, false) })
-	copies.Go(func() { r.copy(client, server, true) })
+	copies.Go(func() { forwarded.copy(server, client, false) })
+	copies.Go(func() { forwarded.copy(client, server, true) })
 	copies.Wait()
 	r.mu.Lock()
 	delete(r.conns, client)
@@ -76,41 +80,68 @@
 	r.mu.Unlock()
 }
 
-// copy forwards what from sends until a side ends or something was dropped, and then
-// closes both. answers tells that from is the server.
-func (r *relay) copy(to, from net.Conn, answers bool) {
-	defer func() { _, _ = to.Close(), from.Close() }()
+// link is a connection of a client with the connection to the server that it is forwarded to.
+type link struct {
+	relay          *relay
+	client, server net.Conn
+	// failed is set once a piece was dropped or a side was reset. An orderly end would then
+	// make a part of an answer look whole.
+	failed atomic.Bool
+}
+
+// copy forwards what from sends until a side ends, and then closes both. answers tells that
+// from is the server.
+func (l *link) copy(to, from net.Conn, answers bool) {
+	defer l.close()
 	buffer := make([]byte, 16<<10)
 	dropped := false
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
+			if err != io.EOF && !errors.Is(err, net.ErrClosed) {
+				l.failed.Store(true)
+			}
 			return
 		}
-		r.mu.Lock()
-		mode := r.mode
-		r.mu.Unlock()
+		mode := l.relay.currentMode()
 		if mode == slow {
 			time.Sleep(slowDelay)
 		}
 		dropped = dropped || mode == silent || mode == oneWay && answers
 		if dropped {
+			l.failed.Store(true)
 			continue
 		}
 		if _, err := to.Write(buffer[:n]); err != nil {
+			l.failed.Store(true)
 			return
 		}
 	}
 }
 
+// close ends both connections, with a reset if the link has failed.
+func (l *link) close() {
+	for _, conn := range []net.Conn{l.client, l.server} {
+		if l.failed.Load() {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+func (r *relay) currentMode() relayMode {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mode
+}
+
 func (r *relay) setMode(mode relayMode) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.mode = mode
 }
 
-// reset closes all connections with a reset. Once one side of a connection is closed, copy
-// closes the other one.
+// reset closes all connections with a reset.
 func (r *relay) reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
