Split the answer to an upload of the soak by what it does

Cause: one closure of forty lines chose, wrote and checked the answers.

Change: readUpload and uploadAnswer; the draws and checks are the same.

--- a/internal/soak/uploads_test.go
+++ b/internal/soak/uploads_test.go
@@ -18,6 +18,8 @@
 	resetWithin = time.Millisecond
 	// readWithin is the time after which an endpoint that has begun its answer reads the upload.
 	readWithin = 400 * time.Millisecond
+	// eventEnd ends each event of a stream.
+	eventEnd = "\n\n"
 )
 
 var upload = strings.Repeat("x", uploadBytes)
@@ -30,45 +32,56 @@
 		lock := e.writeLock(conn)
 		lock.Lock()
 		defer lock.Unlock()
-		attempt := request.Attempt()
-		contentType, answer := "text/plain", answerOf(attempt)
-		if e.service == "models" {
-			contentType, answer = "text/event-stream", streamOf(attempt)
-		}
-		begin := func(text string) { e.upstream.AnswerUnframed(conn, request, contentType, text) }
-		readUpload := func() error {
-			body, err := io.ReadAll(rest)
-			if err == nil {
-				checker.checkBody(attempt, string(body))
-			}
-			return err
-		}
-		part := firstPart(answer)
-		checker.recordRun(attempt, e.id)
+		checker.recordRun(request.Attempt(), e.id)
+		answer := newUploadAnswer(e, request, conn)
 		switch draw(3) {
 		case 0:
-			begin(part)
+			answer.begin(answer.firstPart)
 			time.Sleep(time.Duration(draw(int(resetWithin))))
 			e.relay.reset()
 		case 1:
-			begin(part)
+			answer.begin(answer.firstPart)
 			time.Sleep(time.Duration(draw(int(readWithin))))
-			if readUpload() == nil {
-				_, _ = io.WriteString(conn, answer[len(part):])
+			if readUpload(checker, request, rest) {
+				_, _ = io.WriteString(conn, answer.secondPart)
 			}
 		default:
-			if readUpload() == nil {
-				begin(answer)
+			if readUpload(checker, request, rest) {
+				answer.begin(answer.firstPart + answer.secondPart)
 			}
 		}
 	})
 }
 
-// firstPart returns the first event of a stream, and the first half of another answer.
-func firstPart(answer string) string {
-	event, _, isStream := strings.Cut(answer, "\n\n")
-	if isStream {
-		return event + "\n\n"
+// readUpload reads the rest of an upload and checks it. It reports false if the connection
+// ends before.
+func readUpload(checker *checker, request standin.UpstreamRequest, rest io.Reader) bool {
+	body, err := io.ReadAll(rest)
+	if err != nil {
+		return false
+	}
+	checker.checkBody(request.Attempt(), string(body))
+	return true
+}
+
+// uploadAnswer is the answer to an upload, in two parts.
+type uploadAnswer struct {
+	firstPart, secondPart string
+	// begin writes the head of the answer and the given part of its body.
+	begin func(part string)
+}
+
+// newUploadAnswer returns the answer of e to request, a stream if e is an engine. The first
+// part of a stream is its first event, that of another answer is its first half.
+func newUploadAnswer(e *endpoint, request standin.UpstreamRequest, conn io.Writer) *uploadAnswer {
+	contentType, answer := "text/plain", answerOf(request.Attempt())
+	end := len(answer) / 2
+	if e.service == "models" {
+		contentType, answer = "text/event-stream", streamOf(request.Attempt())
+		end = strings.Index(answer, eventEnd) + len(eventEnd)
+	}
+	return &uploadAnswer{
+		firstPart: answer[:end], secondPart: answer[end:],
+		begin: func(part string) { e.upstream.AnswerUnframed(conn, request, contentType, part) },
 	}
-	return answer[:len(answer)/2]
 }
