--- a/internal/soak/relay_test.go
+++ b/internal/soak/relay_test.go
@@ -10,6 +10,8 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
+
+	"github.com/baobabspool/baobabspool/internal/standin"
 )
 
 // relayMode is what a relay does with the bytes that it receives.
@@ -123,7 +125,8 @@
 func (l *link) close() {
 	for _, conn := range []net.Conn{l.client, l.server} {
 		if l.failed.Load() {
-			_ = conn.(*net.TCPConn).SetLinger(0)
+			standin.Reset(conn.(*net.TCPConn))
+			continue
 		}
 		_ = conn.Close()
 	}
