Ask for the send state of large requests only

Change: only a request that is written by another goroutine is asked about. The size is compared in one place, isWrittenInline.

Measured: internal/httpconn and the gateway's specs of early answers pass.

--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -123,7 +123,8 @@
 		httpResponse.Body = &closeDelimitedBody{ReadCloser: httpResponse.Body, write: write}
 	}
 	response = &Response{Response: httpResponse, client: c, conn: conn, address: call.Address, identity: call.Identity, write: write, stopWatch: stopWatch}
-	if !write.isAcknowledged() {
+	// The peer's kernel takes a small request whether the peer reads it or not.
+	if !call.isWrittenInline() && !write.isAcknowledged() {
 		response.peer = newPeerWatch(write)
 	}
 	return response, nil
--- a/internal/httpconn/requestwrite.go
+++ b/internal/httpconn/requestwrite.go
@@ -27,10 +27,14 @@
 	err   error
 }
 
+// isWrittenInline reports whether the request is written completely before the response is
+// read.
+func (c *Call) isWrittenInline() bool { return len(c.Head)+c.Body.Bytes() <= maxInlineWrite }
+
 // newRequestWrite starts to write the request of call to conn.
 func newRequestWrite(conn net.Conn, call *Call) *requestWrite {
 	w := &requestWrite{conn: conn, ended: make(chan struct{})}
-	if len(call.Head)+call.Body.Bytes() <= maxInlineWrite {
+	if call.isWrittenInline() {
 		defer close(w.ended)
 		_, w.err = conn.Write(slices.Concat(append([][]byte{call.Head}, call.Body...)...))
 		return w
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -48,8 +48,8 @@
 	address, identity string
 	// write is the write of the request.
 	write *requestWrite
-	// peer notices if the peer falls silent. It is nil if the peer had acknowledged the whole
-	// request when the response arrived.
+	// peer notices if the peer falls silent. It is nil if the request was written inline or the
+	// peer had acknowledged all of it when the response arrived.
 	peer *peerWatch
 	// stopWatch ends the observation of the context. It returns false if the context
 	// has already ended and the connection is closed.
