Keep the turns that a lookup has found until it has ended

A 404 ends its program.

Cause: a lookup passed what it had found on through the index only. The index holds an eighth of the memory and evicts the oldest turns. While the histories that requests load together exceed it, they evict each other's turns before the requests use them. A turn that had been read and was gone again counted as one that no partition contains.

The same holds for a home that finds a turn in its index and no longer has it when it answers another gateway; its reply then said that the partition does not contain the turn.

Change: a turnSearch collects the turns of one lookup, at the gateway of the request and at a home that answers another gateway. The index is only a cache. The event turnEvicted counts the turns that leave the index for lack of room.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,7 +185,7 @@
 	g.homes = homes.NewTable(g.clock)
 	g.lookupClients = wire.NewClients(g.settings.Node, wire.WithHeartbeat(peerSilenceTimeout, peerPingInterval), wire.WithClientIdleTimeout(lookupIdleTimeout))
 	homeClient := newHomeClient(g.homes, g.callHome, g.clock, g.telemetry.Logger("homes"))
-	g.turns = newTurnStore(ctx, g.store, g.clock, g.settings, homeClient, g.queryTurns)
+	g.turns = newTurnStore(ctx, g.store, g.clock, g.settings, g.telemetry, homeClient, g.queryTurns)
 	ownership := newPoolOwnership(g.settings, incarnation, g.store, bootClock, g.queryAlive, g.telemetry.Logger("limits"))
 	g.reserve = &reserveClient{ctx: ctx, poolOwnership: ownership, call: g.callGateway, log: g.telemetry.Logger("reserve")}
 	grants := newGrantLog(ctx, g.store, g.clock, g.settings, homeClient)
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -64,6 +64,8 @@
 	balancing bool
 	// rollout are the bounds of rollouts.
 	rollout spool.RolloutSettings
+	// memoryMB is the memory of the gateways that are started next; 0 if it is not known.
+	memoryMB int64
 }
 
 // node is one gateway and the listener of the store stand-in that only this gateway
@@ -130,6 +132,7 @@
 		StopWithin: d.stopWithin, DrainWithin: d.drainWithin, FirstStart: true,
 		Balancing:      spool.BalancingSettings{Enabled: d.balancing},
 		Rollout:        d.rollout,
+		MemoryMB:       d.memoryMB,
 		LimitTolerance: spool.LimitTolerance{Window: 5 * clock.Second, Over: 0.1, Slack: 20},
 	}}
 	n.launch()
--- /dev/null
+++ b/internal/gateway/turneviction_test.go
@@ -0,0 +1,91 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/baobabspool/baobabspool/pkg/chain"
+	"github.com/baobabspool/baobabspool/pkg/clock"
+)
+
+const (
+	// longChains chains of longChainTurns turns of longTurnBytes each, 43 MB altogether,
+	// exceed the index of a gateway of smallMemoryMB.
+	longChains     = 24
+	longChainTurns = 7
+	longTurnBytes  = 256 << 10
+	smallMemoryMB  = 154
+	// longChainsReadRate is the bytes per second of all reads.
+	longChainsReadRate = 80e6
+	// storedRecordBytes is the size of the records in which their turns are stored.
+	storedRecordBytes = 96 << 10
+)
+
+// storeLongChains writes longChains chains of turns to the partitions in which gateways
+// look for them first. It returns the IDs of their last turns.
+func (d *deployment) storeLongChains() (ids []string) {
+	for i := range longChains {
+		var earlier []string
+		for n := range longChainTurns {
+			turn := &chain.Turn{
+				ID: fmt.Sprintf("long-%d-%d", i, n), Account: "weavers", History: earlier, Retention: clock.Minute,
+				Input: []byte(strings.Repeat("x", longTurnBytes)), Output: []byte("one\n"), WrittenAt: clock.System().Now(),
+			}
+			home := xxhash.Sum64String(turn.ID) % testPartitions
+			d.topics.AppendRecords(fmt.Sprintf("turns/%d", home), turn.EncodeRecords(storedRecordBytes)...)
+			earlier = append(earlier[:n:n], turn.ID)
+		}
+		ids = append(ids, earlier[longChainTurns-1])
+	}
+	return ids
+}
+
+// continueAtOnce sends one turn that continues each of the turns, the next one to the next
+// gateway, at the same time. It returns how many were answered with each status.
+func continueAtOnce(nodes []*node, ids []string) map[int]int {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	statuses := map[int]int{}
+	for i, id := range ids {
+		wg.Go(func() {
+			defer ginkgo.GinkgoRecover()
+			r, _ := nodes[i%len(nodes)].call("POST", "/chat/", "key-1", "more\n", withPrevious(id))
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[r.status]++
+		})
+	}
+	wg.Wait()
+	return statuses
+}
+
+var _ = ginkgo.Describe("Turns whose histories exceed the index", func() {
+	// Guards against a 404 for a kept turn that leaves the index again, evicted by the
+	// histories of other requests, before the request that has loaded it uses it.
+	ginkgo.It("are never reported as missing", func() {
+		d := newDeployment()
+		d.memoryMB = smallMemoryMB
+		d.publish()
+		d.addEndpoint("m1", "models", streamTwoEvents)
+		nodes := d.startAndKill(1)
+		ids := d.storeLongChains()
+		d.topics.SetReadRate(longChainsReadRate)
+		launchAll(nodes)
+		for _, n := range nodes {
+			n.waitUntilServed("/review/warm", "key-1")
+		}
+		served := 0
+		for range 4 {
+			statuses := continueAtOnce(nodes, ids)
+			gomega.Expect(statuses).NotTo(gomega.HaveKey(http.StatusNotFound))
+			served += statuses[http.StatusOK]
+		}
+		gomega.Expect(served).To(gomega.BeNumerically(">", 0))
+	})
+})
--- a/internal/gateway/turnfinder.go
+++ b/internal/gateway/turnfinder.go
@@ -51,7 +51,7 @@
 	Places []chain.Location `json:"places"`
 }
 
-// turnFinder looks up turns that the index of this gateway does not have. It asks the
+// turnFinder finds turns that the index of this gateway does not have. It asks the
 // homes of the partitions, so that a gateway that starts need not read the partitions
 // itself: only the homes do, each its own.
 type turnFinder struct {
@@ -61,121 +61,132 @@
 
 // findInHomePartitions looks for turns in their home partitions. It returns nil if each
 // of those was read to its end or all turns in it were found.
-func (f *turnFinder) findInHomePartitions(ctx context.Context, ids []string) error {
-	searches := map[int][]string{}
+func (f *turnFinder) findInHomePartitions(ctx context.Context, search *turnSearch, ids []string) error {
+	partitions := map[int][]string{}
 	for _, id := range ids {
 		home := f.turns.homePartition(id)
-		searches[home] = append(searches[home], id)
+		partitions[home] = append(partitions[home], id)
 	}
-	return f.find(ctx, searches, homeFindTimeout)
+	return f.find(ctx, search, partitions, homeFindTimeout)
 }
 
 // findInAllPartitions looks for turns in every partition. It returns nil if each of them
 // was read to its end or all turns were found in it.
-func (f *turnFinder) findInAllPartitions(ctx context.Context, ids []string) error {
-	searches := map[int][]string{}
+func (f *turnFinder) findInAllPartitions(ctx context.Context, search *turnSearch, ids []string) error {
+	partitions := map[int][]string{}
 	for i := range f.turns.readers {
-		searches[i] = ids
+		partitions[i] = ids
 	}
-	return f.find(ctx, searches, fullFindTimeout)
+	return f.find(ctx, search, partitions, fullFindTimeout)
 }
 
-// find makes searches, which maps partitions to turns, concurrently, and adds what it
-// finds to the index. timeout bounds the searches, but not the reads of turns that are not
-// at a home. It returns the error of one search that failed; nil if there is none.
-func (f *turnFinder) find(ctx context.Context, searches map[int][]string, timeout clock.Millis) (err error) {
-	searchCtx, cancel := context.WithTimeout(ctx, timeout.Duration())
+// find looks for turns in partitions, which maps each partition to the turns to look for,
+// and adds what it finds to the search. timeout bounds the time until their places are
+// known, but not the reads of turns that no home has sent. It returns the error of one
+// partition that failed; nil if there is none.
+func (f *turnFinder) find(ctx context.Context, search *turnSearch, partitions map[int][]string, timeout clock.Millis) error {
+	located, err := f.locateAll(ctx, search, partitions, timeout)
+	for _, turns := range located {
+		if fetchErr := f.fetch(ctx, search, turns); fetchErr != nil {
+			err = fetchErr
+		}
+	}
+	return err
+}
+
+// locateAll looks for turns in partitions concurrently. It adds those to the search that
+// the homes have in their indexes, and returns the places of the others.
+func (f *turnFinder) locateAll(ctx context.Context, search *turnSearch, partitions map[int][]string, timeout clock.Millis) (located []locatedTurns, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	type result struct {
 		located locatedTurns
 		err     error
 	}
-	results := make(chan result, len(searches))
-	for partition, ids := range searches {
+	results := make(chan result, len(partitions))
+	for partition, ids := range partitions {
 		go func() {
-			located, err := f.findIn(searchCtx, findTurnsRequest{Partition: partition, Turns: ids})
+			located, err := f.findIn(ctx, search, findTurnsRequest{Partition: partition, Turns: ids})
 			results <- result{located: located, err: err}
 		}()
 	}
-	for range searches {
+	for range partitions {
 		result := <-results
-		if result.err == nil {
-			result.err = f.fetch(ctx, result.located)
-		}
 		if result.err != nil {
 			err = result.err
+			continue
 		}
+		located = append(located, result.located)
 	}
-	return err
+	return located, err
 }
 
-// findIn looks for turns in one partition. It adds those to the index that the home has in
-// its own, and returns the places of the others.
-func (f *turnFinder) findIn(ctx context.Context, request findTurnsRequest) (located locatedTurns, err error) {
+// findIn looks for turns in one partition. It adds those to the search that the home has
+// in its index, and returns the places of the others.
+func (f *turnFinder) findIn(ctx context.Context, search *turnSearch, request findTurnsRequest) (located locatedTurns, err error) {
 	reader := f.turns.readers[request.Partition]
 	var first firstResult[[]turnLocation]
 	err = f.homes.run(ctx, reader.partition, func(ctx context.Context) error {
-		return first.set(f.read(ctx, request))
+		return first.set(f.read(ctx, search, request))
 	}, func(_ context.Context, call remoteCall) error {
-		return first.set(f.ask(call, request))
+		return first.set(f.ask(call, search, request))
 	})
 	return locatedTurns{reader: reader, turns: first.get()}, err
 }
 
-// fetch reads turns from the store, unless they are in the index, and adds them to it.
-func (f *turnFinder) fetch(ctx context.Context, located locatedTurns) error {
-	for _, turn := range located.turns {
-		if f.hasAll([]string{turn.Turn}) {
+// fetch reads turns from the store, unless they have been found meanwhile, and adds them to
+// the search and the index.
+func (f *turnFinder) fetch(ctx context.Context, search *turnSearch, located locatedTurns) error {
+	for _, place := range located.turns {
+		if search.hasAll([]string{place.Turn}) {
 			continue
 		}
-		records, err := located.reader.readRecords(ctx, turn.Places)
+		records, err := located.reader.readRecords(ctx, place.Places)
 		if err != nil {
 			return err
 		}
-		if err := f.turns.addTurn(records); err != nil {
-			return errors.Wrapf(err, "turn %q", turn.Turn)
+		turn, err := f.turns.addTurn(records)
+		if err != nil {
+			return errors.Wrapf(err, "turn %q", place.Turn)
 		}
+		search.add(turn)
 	}
 	return nil
 }
 
-// ask looks for turns at one home, adds those that it has to the index, and returns the
+// ask looks for turns at one home, adds those that it sends to the search, and returns the
 // places of the others that it knows. It asks again while the home is reading the
 // partition.
-func (f *turnFinder) ask(call remoteCall, request findTurnsRequest) (located []turnLocation, err error) {
+func (f *turnFinder) ask(call remoteCall, search *turnSearch, request findTurnsRequest) (located []turnLocation, err error) {
 	for {
 		var reply findTurnsReply
 		if err := call(methodFindTurns, request, &reply); err != nil {
 			return nil, err
 		}
-		f.turns.addRecords(reply.Records)
+		for _, turn := range f.turns.addRecords(reply.Records) {
+			search.add(turn)
+		}
 		if !reply.Reading || len(reply.Records)+len(reply.Located) >= len(request.Turns) {
 			return reply.Located, nil
 		}
 	}
 }
 
-// hasAll reports whether all turns are in the index.
-func (f *turnFinder) hasAll(ids []string) bool { return len(f.turns.index.Turns(ids)) == len(ids) }
-
-// read reads the rest of a partition unless all turns are in the index or their places
-// are known. It returns the known places of turns that are not in the index.
-func (f *turnFinder) read(ctx context.Context, request findTurnsRequest) (located []turnLocation, err error) {
+// read reads the rest of a partition unless the search has all turns or their places are
+// known. It returns the known places of turns that the search does not have.
+func (f *turnFinder) read(ctx context.Context, search *turnSearch, request findTurnsRequest) (located []turnLocation, err error) {
 	found := func() bool {
-		return len(f.locate(request))+len(f.turns.index.Turns(request.Turns)) >= len(request.Turns)
+		return len(f.locate(search, request)) >= len(search.missing(request.Turns))
 	}
 	if !found() {
 		err = f.turns.readers[request.Partition].catchUp(ctx, found)
 	}
-	return f.locate(request), err
+	return f.locate(search, request), err
 }
 
-// locate returns the known places of those turns that are not in the index.
-func (f *turnFinder) locate(request findTurnsRequest) (located []turnLocation) {
-	for _, id := range request.Turns {
-		if f.hasAll([]string{id}) {
-			continue
-		}
+// locate returns the known places of those turns that the search does not have.
+func (f *turnFinder) locate(search *turnSearch, request findTurnsRequest) (located []turnLocation) {
+	for _, id := range search.missing(request.Turns) {
 		if places := f.turns.locations[request.Partition].Find(id); len(places) > 0 {
 			located = append(located, turnLocation{Turn: id, Places: places})
 		}
@@ -191,21 +202,22 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, homeAnswerTime.Duration())
 	defer cancel()
-	located, err := f.read(ctx, request)
+	search := newTurnSearch(f.turns.index)
+	located, err := f.read(ctx, search, request)
 	if err != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return reply, err
 	}
-	reply = f.reply(request, located)
+	reply = f.reply(search, request, located)
 	reply.Reading = err != nil
 	return reply, nil
 }
 
-// reply returns the turns of the index, up to maxTurnsReplyBytes, and the places of further
+// reply returns the turns of the search, up to maxTurnsReplyBytes, and the places of further
 // ones beside located. A turn whose place is not known is returned in any case.
-func (f *turnFinder) reply(request findTurnsRequest, located []turnLocation) findTurnsReply {
+func (f *turnFinder) reply(search *turnSearch, request findTurnsRequest, located []turnLocation) findTurnsReply {
 	var turns []*chain.Turn
 	size := int64(0)
-	for _, turn := range f.turns.index.Turns(request.Turns) {
+	for _, turn := range search.turns(request.Turns) {
 		places := f.turns.locations[request.Partition].Find(turn.ID)
 		if size+turn.TextBytes() > maxTurnsReplyBytes && len(places) > 0 {
 			located = append(located, turnLocation{Turn: turn.ID, Places: places})
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -48,6 +49,7 @@
 // is written to others. A turn may therefore be in any partition, and in more than one.
 type turnStore struct {
 	clock     clock.Clock
+	telemetry *telemetry.Telemetry
 	index     *chain.Index
 	appenders []*appender
 	readers   []*partitionReader
@@ -63,9 +65,9 @@
 	queryPeers func(ctx context.Context, turn string) [][]byte
 }
 
-func newTurnStore(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, homes *homeClient, queryPeers func(ctx context.Context, turn string) [][]byte) *turnStore {
+func newTurnStore(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, t *telemetry.Telemetry, homes *homeClient, queryPeers func(ctx context.Context, turn string) [][]byte) *turnStore {
 	memory := newMemoryShares(settings.MemoryMB)
-	s := &turnStore{clock: systemClock, index: chain.NewIndex(memory.indexBytes()), queryPeers: queryPeers, logRetention: settings.LogRetention, recordBytes: maxTurnRecordBytes}
+	s := &turnStore{clock: systemClock, telemetry: t, index: chain.NewIndex(memory.indexBytes()), queryPeers: queryPeers, logRetention: settings.LogRetention, recordBytes: maxTurnRecordBytes}
 	if settings.MaxRecordBytes > 0 {
 		s.recordBytes = min(s.recordBytes, settings.MaxRecordBytes)
 	}
@@ -92,21 +94,32 @@
 	locations.Trim(page.First)
 }
 
-// addRecords adds encoded turns to the index. It ignores records that are not whole turns.
-func (s *turnStore) addRecords(records [][]byte) {
+// addRecords adds encoded turns to the index and returns them. It ignores records that are
+// not whole turns.
+func (s *turnStore) addRecords(records [][]byte) (turns []*chain.Turn) {
 	for _, record := range records {
 		// The error is ignored: such a record is not a turn, or a part of one.
-		_ = s.addTurn([][]byte{record})
+		if turn, err := s.addTurn([][]byte{record}); err == nil {
+			turns = append(turns, turn)
+		}
 	}
+	return turns
 }
 
-// addTurn adds the turn that consists of all of the records to the index.
-func (s *turnStore) addTurn(records [][]byte) error {
-	turn, err := chain.DecodeRecords(records)
+// addTurn adds the turn that consists of all of the records to the index and returns it.
+func (s *turnStore) addTurn(records [][]byte) (turn *chain.Turn, err error) {
+	turn, err = chain.DecodeRecords(records)
 	if err == nil {
-		s.index.Add(s.clock.Now(), turn)
+		s.addToIndex(turn)
+	}
+	return turn, err
+}
+
+// addToIndex adds a turn to the index and counts those that leave it for lack of room.
+func (s *turnStore) addToIndex(turn *chain.Turn) {
+	if evicted := s.index.Add(s.clock.Now(), turn); evicted > 0 {
+		s.telemetry.CountEvents("turnEvicted", int64(evicted))
 	}
-	return err
 }
 
 // homePartition returns the index of the partition that a turn is written to first.
@@ -165,7 +178,7 @@
 	if err := newHedge(delay, isFinal).run(ctx, attempts...); err != nil {
 		return err
 	}
-	s.index.Add(s.clock.Now(), turn)
+	s.addToIndex(turn)
 	return nil
 }
 
@@ -186,75 +199,6 @@
 	return append(order, failing...)
 }
 
-// history returns the turn id preceded by all earlier turns that it continues. It fails
-// with errNoTurn if id belongs to another account or does not exist, and with
-// errTurnUncertain if that is not certain or an earlier turn was not found.
-func (s *turnStore) history(ctx context.Context, account spool.AccountID, id string) (turns []*chain.Turn, err error) {
-	turns, missing := s.index.History(id)
-	if len(missing) > 0 {
-		turns, err = s.findHistory(ctx, id, missing)
-	}
-	if err != nil {
-		return nil, err
-	}
-	if turns[len(turns)-1].Account != account {
-		return nil, errNoTurn
-	}
-	return turns, nil
-}
-
-// findHistory looks for the missing turns until all are in the index. The first round
-// looks for the turn id itself if that is missing. The turn names all turns before it, so
-// that the second round looks for all the others.
-func (s *turnStore) findHistory(ctx context.Context, id string, missing []string) (turns []*chain.Turn, err error) {
-	for range 2 {
-		wanted := missing
-		searchErr := s.search(ctx, id, wanted)
-		if turns, missing = s.index.History(id); len(missing) == 0 {
-			return turns, nil
-		}
-		if searchErr != nil {
-			return nil, errors.Wrap(errTurnUncertain, searchErr.Error())
-		}
-		if !s.finder.hasAll(wanted) {
-			return nil, s.notFound(turns)
-		}
-	}
-	return nil, errTurnUncertain
-}
-
-// notFound returns the error of a search that has read all partitions. found contains the
-// turns that it has found, the last one of the chain at its end. A turn that is retained
-// exists even if an earlier one is missing.
-func (s *turnStore) notFound(found []*chain.Turn) error {
-	if len(found) > 0 && found[len(found)-1].IsRetained(s.clock.Now()) {
-		return errors.Wrap(errTurnUncertain, "an earlier turn is missing")
-	}
-	return errNoTurn
-}
-
-// search looks for turns in their home partitions, then at other gateways that may have
-// served the turn id, then in all partitions, until all are in the index. It fails if a
-// turn was not found and some partition could not be read.
-func (s *turnStore) search(ctx context.Context, id string, wanted []string) error {
-	if err := s.finder.findInHomePartitions(ctx, wanted); err == nil && s.finder.hasAll(wanted) {
-		return nil
-	}
-	s.fetchFromPeers(ctx, id)
-	if s.finder.hasAll(wanted) {
-		return nil
-	}
-	return s.finder.findInAllPartitions(ctx, wanted)
-}
-
-// fetchFromPeers asks other gateways for the history of a turn and adds the turns in
-// their answer to the index.
-func (s *turnStore) fetchFromPeers(ctx context.Context, id string) {
-	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout.Duration())
-	defer cancel()
-	s.addRecords(s.queryPeers(ctx, id))
-}
-
 type turnsRequest struct {
 	Turn string `json:"turn"`
 }
--- a/pkg/chain/chain_test.go
+++ b/pkg/chain/chain_test.go
@@ -66,6 +66,16 @@
 		gomega.Expect(string(history[0].Output)).To(gomega.Equal("out a\n"))
 	})
 
+	ginkgo.It("evicts the turns that have been in it for longest beyond its bound, and counts them", func() {
+		turn := newTurn("a")
+		index := chain.NewIndex(2 * turn.TextBytes())
+		gomega.Expect(index.Add(0, turn)).To(gomega.BeZero())
+		gomega.Expect(index.Add(0, newTurn("b"))).To(gomega.BeZero())
+		gomega.Expect(index.Add(0, newTurn("c"))).To(gomega.Equal(1))
+		gomega.Expect(index.Turns([]string{"a", "b", "c"})).To(gomega.HaveLen(2))
+		gomega.Expect(index.Turns([]string{"a"})).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("keeps a turn for its retention and drops it afterwards", func() {
 		index := chain.NewIndex(maxIndexBytes)
 		index.Add(0, newTurn("a"))
--- a/pkg/chain/index.go
+++ b/pkg/chain/index.go
@@ -45,9 +45,9 @@
 // Add adds a turn, and retains those earlier turns of its history that are in the index
 // for as long as this one. If the index already contains a turn with this ID, Add only
 // replaces it by one that was written later, since a turn does not change after its end.
-// If the turns exceed the bound of the index, Add removes those that have been in it for
-// longest. The caller must not change the turn afterwards.
-func (x *Index) Add(now clock.Millis, turn *Turn) {
+// If the turns exceed the bound of the index, Add evicts those that have been in it for
+// longest, and returns how many. The caller must not change the turn afterwards.
+func (x *Index) Add(now clock.Millis, turn *Turn) (evicted int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	keepUntil := now + turn.Retention + retentionMargin
@@ -68,7 +68,9 @@
 	}
 	for x.totalBytes > x.maxBytes && len(x.expiries) > 1 {
 		x.removeFirstLocked()
+		evicted++
 	}
+	return evicted
 }
 
 // removeFirstLocked removes the turn that Expire examines next. The caller holds mu.
