Do not let a second home read a partition while the first one proceeds

Cause: a gateway that asks a home starts the same operation at a second home after 150 ms without a result. That is meant for a home that is gone. A home that reads a partition of some megabytes answers every 100 ms that it is still reading, but has no result for longer, so that both homes read the partition and each page used the store's rate twice.

Change: an operation at a home tells when it has seen progress, and a hedge then starts its delay anew. The answer of a home names the offset up to which it has read. A home that answers but reads nothing further counts as silent, so a second gateway that reaches the store still takes over. An earlier version names no offset and is treated as before.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 
@@ -331,3 +332,43 @@
 	defer g.loadExchange.mu.Unlock()
 	return string(g.loadExchange.current)
 }
+
+// HomeClient gives tests access to the homeClient of a gateway that is no home itself.
+type HomeClient struct{ *homeClient }
+
+// NewHomeClient returns a client of gateways whose calls answer answers.
+func NewHomeClient(gateways []homes.Gateway, answer func(address string) error) HomeClient {
+	table := homes.NewTable(clock.System())
+	table.SetGateways(gateways)
+	call := func(_ context.Context, address, _ string, _, _ any) error { return answer(address) }
+	return HomeClient{newHomeClient(table, call, clock.System(), zap.NewNop())}
+}
+
+// Run runs an operation at the homes of a partition. It reports whether it ran at this
+// gateway instead.
+func (c HomeClient) Run(ctx context.Context, partition spool.Partition, remote func(call func() error, progressed func()) error) (isLocal bool, err error) {
+	err = c.run(ctx, partition, homeOperation{
+		local: func(context.Context, func()) error {
+			isLocal = true
+			return nil
+		},
+		remote: func(_ context.Context, call remoteCall, progressed func()) error {
+			return remote(func() error { return call("", nil, nil) }, progressed)
+		},
+	})
+	return isLocal, err
+}
+
+// HomeOrder returns the addresses of gateways in the order in which they are homes of a
+// partition.
+func HomeOrder(gateways []homes.Gateway, partition spool.Partition) (addresses []string) {
+	rest := append([]homes.Gateway{}, gateways...)
+	for len(rest) > 0 {
+		table := homes.NewTable(clock.System())
+		table.SetGateways(rest)
+		first := table.Candidates(partition)[0]
+		addresses = append(addresses, first.Address)
+		rest = slices.DeleteFunc(rest, func(g homes.Gateway) bool { return g == first })
+	}
+	return addresses
+}
--- a/internal/gateway/grantlog.go
+++ b/internal/gateway/grantlog.go
@@ -154,15 +154,18 @@
 	var first firstResult[grantResult]
 	ledger := l.ledgerOf(record.Program)
 	request := grantRequest{Program: record.Program, Grant: record.Grant, Need: record.Need, Want: record.Want, Budget: record.Budget}
-	err = l.homes.run(ctx, ledger.reader.partition, func(ctx context.Context) error {
-		return first.set(l.requestLocally(ctx, record))
-	}, func(_ context.Context, call remoteCall) error {
-		for {
-			var reply grantResult
-			if err := call(methodRequestGrant, request, &reply); err != nil || !reply.Pending {
-				return first.set(reply, err)
+	err = l.homes.run(ctx, ledger.reader.partition, homeOperation{
+		local: func(ctx context.Context, _ func()) error {
+			return first.set(l.requestLocally(ctx, record))
+		},
+		remote: func(_ context.Context, call remoteCall, _ func()) error {
+			for {
+				var reply grantResult
+				if err := call(methodRequestGrant, request, &reply); err != nil || !reply.Pending {
+					return first.set(reply, err)
+				}
 			}
-		}
+		},
 	})
 	return first.get(), err
 }
@@ -278,15 +281,18 @@
 	var first firstResult[bool]
 	ledger := l.ledgerOf(program)
 	// The error is ignored: a program that cannot be looked up is treated as new.
-	_ = l.homes.run(ctx, ledger.reader.partition, func(ctx context.Context) error {
-		return first.set(ledger.knows(ctx, program))
-	}, func(_ context.Context, call remoteCall) error {
-		for {
-			var reply knowsProgramReply
-			if err := call(methodKnowsProgram, knowsProgramRequest{Program: program}, &reply); err != nil || !reply.Reading {
-				return first.set(reply.Known, err)
+	_ = l.homes.run(ctx, ledger.reader.partition, homeOperation{
+		local: func(ctx context.Context, _ func()) error {
+			return first.set(ledger.knows(ctx, program))
+		},
+		remote: func(_ context.Context, call remoteCall, _ func()) error {
+			for {
+				var reply knowsProgramReply
+				if err := call(methodKnowsProgram, knowsProgramRequest{Program: program}, &reply); err != nil || !reply.Reading {
+					return first.set(reply.Known, err)
+				}
 			}
-		}
+		},
 	})
 	return first.get()
 }
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -44,6 +44,12 @@
 // ended, or the cause of ctx when that ends. Attempts that still run are not stopped;
 // they should observe ctx.
 func (h *hedge) run(ctx context.Context, attempts ...func() error) error {
+	return h.runWithProgress(ctx, nil, attempts...)
+}
+
+// runWithProgress is run, except that a value on progress starts the delay anew: a running
+// attempt proceeds, though it has no result yet.
+func (h *hedge) runWithProgress(ctx context.Context, progress <-chan struct{}, attempts ...func() error) error {
 	results := make(chan error, len(attempts))
 	started, ended := 0, 0
 	start := func(done func()) {
@@ -56,10 +62,12 @@
 	}
 	start(func() {})
 	var overdue <-chan time.Time
+	restartDelay := func() {}
 	if h.delay > 0 {
 		ticker := time.NewTicker(h.delay.Duration())
 		defer ticker.Stop()
 		overdue = ticker.C
+		restartDelay = func() { ticker.Reset(h.delay.Duration()) }
 	}
 	for {
 		select {
@@ -71,6 +79,8 @@
 			if started < len(attempts) {
 				start(func() {})
 			}
+		case <-progress:
+			restartDelay()
 		case <-overdue:
 			if started == len(attempts) {
 				continue
--- a/internal/gateway/homeclient.go
+++ b/internal/gateway/homeclient.go
@@ -31,6 +31,15 @@
 // remoteCall calls a method of one home.
 type remoteCall func(method string, request, reply any) error
 
+// homeOperation is an operation on a partition. local runs it at this gateway, and remote
+// at another one. Both may run more than once and concurrently. They call progressed when
+// they see that the home proceeds, though it has no result yet. remote must call its home
+// at least every homeAnswerTime.
+type homeOperation struct {
+	local  func(ctx context.Context, progressed func()) error
+	remote func(ctx context.Context, call remoteCall, progressed func()) error
+}
+
 // homeClient runs an operation on a partition at one of the partition's homes. It is safe
 // for concurrent use.
 type homeClient struct {
@@ -54,19 +63,19 @@
 // run runs an operation: local if this gateway is the home, and remote otherwise. If the
 // homes answer that they cannot run it, it fails. It runs local without being the home
 // only if none of the homes answers for homeRetryTime, since all gateways would do so at
-// the same time. local and remote may run more than once and concurrently. remote must
-// call its home at least every homeAnswerTime.
-func (c *homeClient) run(ctx context.Context, partition spool.Partition, local func(ctx context.Context) error, remote func(ctx context.Context, call remoteCall) error) error {
+// the same time.
+func (c *homeClient) run(ctx context.Context, partition spool.Partition, operation homeOperation) error {
 	c.awaitHomes(ctx)
 	giveUpAt := c.clock.Now() + homeRetryTime
 	for {
-		isHome, err := c.askHomes(ctx, partition, local, remote)
+		candidates := c.homes.Candidates(partition)
+		isHome, err := c.askHomes(ctx, candidates, operation)
 		if err == nil || isHome || isRefusal(err) || ctx.Err() != nil {
 			return err
 		}
 		if c.clock.Now() >= giveUpAt {
 			c.log.Info("partition is used without its homes", zap.Stringer("partition", partition), zap.Error(err))
-			return local(ctx)
+			return operation.local(ctx, func() {})
 		}
 		if !clock.Pause(ctx, homeRetryDelay) {
 			return err
@@ -74,29 +83,36 @@
 	}
 }
 
-// askHomes runs an operation at the homes of a partition once. isHome reports that this
-// gateway is one of them.
-func (c *homeClient) askHomes(ctx context.Context, partition spool.Partition, local func(ctx context.Context) error, remote func(ctx context.Context, call remoteCall) error) (isHome bool, err error) {
+// askHomes runs an operation at candidates, the homes of a partition, once. isHome reports
+// that this gateway is one of them. A home that proceeds is not silent, so that no second one begins
+// with the same work.
+func (c *homeClient) askHomes(ctx context.Context, candidates []homes.Gateway, operation homeOperation) (isHome bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	candidates := c.homes.Candidates(partition)
 	if len(candidates) == 0 {
 		return false, errNoPeer
 	}
+	progress := make(chan struct{}, 1)
+	progressed := func() {
+		select {
+		case progress <- struct{}{}:
+		default:
+		}
+	}
 	var attempts []func() error
 	for _, home := range candidates {
 		if home.Address == "" {
 			isHome = true
-			attempts = append(attempts, func() error { return local(ctx) })
+			attempts = append(attempts, func() error { return operation.local(ctx, progressed) })
 			continue
 		}
-		attempts = append(attempts, func() error { return remote(ctx, c.callOf(ctx, home)) })
+		attempts = append(attempts, func() error { return operation.remote(ctx, c.callOf(ctx, home), progressed) })
 	}
 	order := c.hedge
 	if candidates[0].Address == "" {
 		order = c.failover
 	}
-	return isHome, order.run(ctx, attempts...)
+	return isHome, order.runWithProgress(ctx, progress, attempts...)
 }
 
 // callOf returns a function that calls a home and records whether it answers.
--- a/internal/gateway/turnfinder.go
+++ b/internal/gateway/turnfinder.go
@@ -42,6 +42,8 @@
 	// Reading reports that the home is still reading the partition. Otherwise, turns that
 	// are in neither list were not in it when the request arrived.
 	Reading bool `json:"reading,omitempty"`
+	// Position is the offset up to which the home has read the partition.
+	Position int64 `json:"position,omitempty"`
 }
 
 // turnLocation is the place of a turn in the partition of a findTurnsRequest.
@@ -126,10 +128,13 @@
 func (f *turnFinder) findIn(ctx context.Context, search *turnSearch, request findTurnsRequest) (located locatedTurns, err error) {
 	reader := f.turns.readers[request.Partition]
 	var first firstResult[[]turnLocation]
-	err = f.homes.run(ctx, reader.partition, func(ctx context.Context) error {
-		return first.set(f.read(ctx, search, request))
-	}, func(_ context.Context, call remoteCall) error {
-		return first.set(f.ask(call, search, request))
+	err = f.homes.run(ctx, reader.partition, homeOperation{
+		local: func(ctx context.Context, progressed func()) error {
+			return first.set(f.readWithProgress(ctx, search, request, progressed))
+		},
+		remote: func(_ context.Context, call remoteCall, progressed func()) error {
+			return first.set(f.ask(call, search, request, progressed))
+		},
 	})
 	return locatedTurns{reader: reader, turns: first.get()}, err
 }
@@ -156,9 +161,9 @@
 
 // ask looks for turns at one home, adds those that it sends to the search, and returns the
 // places of the others that it knows. It asks again while the home is reading the
-// partition.
-func (f *turnFinder) ask(call remoteCall, search *turnSearch, request findTurnsRequest) (located []turnLocation, err error) {
-	for {
+// partition, and calls progressed when the home has read some of it.
+func (f *turnFinder) ask(call remoteCall, search *turnSearch, request findTurnsRequest, progressed func()) (located []turnLocation, err error) {
+	for position := int64(0); ; {
 		var reply findTurnsReply
 		if err := call(methodFindTurns, request, &reply); err != nil {
 			return nil, err
@@ -169,6 +174,29 @@
 		if !reply.Reading || len(reply.Records)+len(reply.Located) >= len(request.Turns) {
 			return reply.Located, nil
 		}
+		if reply.Position > position {
+			position = reply.Position
+			progressed()
+		}
+	}
+}
+
+// readWithProgress is read, except that it calls progressed about every homeAnswerTime
+// while the partition is read.
+func (f *turnFinder) readWithProgress(ctx context.Context, search *turnSearch, request findTurnsRequest, progressed func()) (located []turnLocation, err error) {
+	reader := f.turns.readers[request.Partition]
+	for {
+		position := reader.position()
+		slice, cancel := context.WithTimeout(ctx, homeAnswerTime.Duration())
+		located, err = f.read(slice, search, request)
+		isOver := err == nil || slice.Err() == nil || ctx.Err() != nil
+		cancel()
+		if isOver {
+			return located, err
+		}
+		if reader.position() > position {
+			progressed()
+		}
 	}
 }
 
@@ -209,6 +237,7 @@
 	}
 	reply = f.reply(search, request, located)
 	reply.Reading = err != nil
+	reply.Position = f.turns.readers[request.Partition].position()
 	return reply, nil
 }
 
