Replace the homes of a partition that both refuse connections

Cause: a home that refuses a connection is asked again, since it may just be starting. When none of both homes had answered for 300 ms, each gateway read the partition itself, and went on to do so until the records of the killed gateways had expired, although the gateways next in order could have been the homes for all.

Change: homes that have not answered for 300 ms count as failed for 2 s, as silent ones do already, and the operation goes to the gateways that are next. A gateway reads a partition without being its home only when no other is left. Only the gateways that were asked are marked, not those that another request has put in their place meanwhile.

--- a/internal/gateway/homeclient.go
+++ b/internal/gateway/homeclient.go
@@ -63,7 +63,8 @@
 // run runs an operation: local if this gateway is the home, and remote otherwise. If the
 // homes answer that they cannot run it, it fails. It runs local without being the home
 // only if none of the homes answers for homeRetryTime, since all gateways would do so at
-// the same time.
+// the same time. Homes that have not answered for that long count as failed, so that the
+// gateways next in order take their place.
 func (c *homeClient) run(ctx context.Context, partition spool.Partition, operation homeOperation) error {
 	c.awaitHomes(ctx)
 	giveUpAt := c.clock.Now() + homeRetryTime
@@ -74,8 +75,12 @@
 			return err
 		}
 		if c.clock.Now() >= giveUpAt {
-			c.log.Info("partition is used without its homes", zap.Stringer("partition", partition), zap.Error(err))
-			return operation.local(ctx, func() {})
+			if !c.replaceHomes(partition, candidates) {
+				c.log.Info("partition is used without its homes", zap.Stringer("partition", partition), zap.Error(err))
+				return operation.local(ctx, func() {})
+			}
+			giveUpAt = c.clock.Now() + homeRetryTime
+			continue
 		}
 		if !clock.Pause(ctx, homeRetryDelay) {
 			return err
@@ -83,6 +88,15 @@
 	}
 }
 
+// replaceHomes records that homes of a partition have failed. It reports whether there are
+// others.
+func (c *homeClient) replaceHomes(partition spool.Partition, failed []homes.Gateway) bool {
+	for _, home := range failed {
+		c.homes.RecordFailure(home.Node)
+	}
+	return len(c.homes.Candidates(partition)) > 0
+}
+
 // askHomes runs an operation at candidates, the homes of a partition, once. isHome reports
 // that this gateway is one of them. A home that proceeds is not silent, so that no second one begins
 // with the same work.
--- a/internal/gateway/homeclient_test.go
+++ b/internal/gateway/homeclient_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/baobabspool/baobabspool/internal/gateway"
 	"github.com/baobabspool/baobabspool/pkg/homes"
@@ -80,4 +81,21 @@
 		gomega.Expect(reads(false)).To(gomega.BeFalse())
 		gomega.Expect(wasAsked()).To(gomega.ConsistOf(order[:2]))
 	})
+
+	// Guards against gateways that all read a partition themselves after both of its homes
+	// were killed, until the store's records of these expire.
+	ginkgo.It("are the next gateways when both refuse connections", func() {
+		client := newClient(func(address string) error {
+			if slices.Contains(order[:2], address) {
+				return errors.New("connection refused")
+			}
+			return nil
+		})
+		for range 3 {
+			isLocal, err := client.Run(context.Background(), partition, func(call func() error, _ func()) error { return call() })
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(isLocal).To(gomega.BeFalse())
+		}
+		gomega.Expect(wasAsked()).To(gomega.ConsistOf(order[:3]))
+	})
 })
