Look for a turn for as long as its partition is being read

Each refusal came from a search that would have ended with the turn: 500 ms for the home partition and 700 ms for all partitions had passed while the homes read what the killed gateways had known.

Cause: the searches were bounded by their duration. A search that gives up loses nothing of what the home has read, but the caller comes back only once or twice, and the next search in all partitions makes every home read.

Change: homeFindTimeout and fullFindTimeout bound the time in which a home reads nothing further. A search ends after three quarters of the time left at the latest, so that the turn can still run. Other gateways are asked after homeFindTimeout as before, now beside a search that goes on. A partition that does not answer is given up as early as before.

--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -29,6 +29,10 @@
 // longer wait.
 const budgetWait = 900 * clock.Millis(1)
 
+// historyTimeShare is the part of the time left, in percent, after which the search for the
+// history of a turn ends. The rest is for the run.
+const historyTimeShare = 75
+
 // request is the state of one request in the gateway. It is used by one goroutine.
 type request struct {
 	gateway  *Gateway
@@ -289,6 +293,8 @@
 	if !r.route.KeepsHistory || r.call.Previous == "" {
 		return ""
 	}
+	ctx, cancel := context.WithTimeout(ctx, (historyTimeShare * (r.deadline - r.gateway.clock.Now()) / 100).Duration())
+	defer cancel()
 	turns, err := r.gateway.turns.history(ctx, r.account, r.call.Previous)
 	switch {
 	case errors.Is(err, errNoTurn):
--- a/internal/gateway/turneviction_test.go
+++ b/internal/gateway/turneviction_test.go
@@ -23,8 +23,13 @@
 	smallMemoryMB  = 154
 	// longChainsReadRate is the bytes per second of all reads.
 	longChainsReadRate = 80e6
+	// slowReadRate lets a gateway read one of the four partitions within 1.7 s, of the 2.2 s
+	// that a request may wait for its history.
+	slowReadRate = 9e6
 	// storedRecordBytes is the size of the records in which their turns are stored.
 	storedRecordBytes = 96 << 10
+	// firstOfLastChain is the ID of the first turn of the last chain.
+	firstOfLastChain = "long-23-0"
 )
 
 // storeLongChains writes longChains chains of turns to the partitions in which gateways
@@ -88,4 +93,19 @@
 		}
 		gomega.Expect(served).To(gomega.BeNumerically(">", 0))
 	})
+
+	// Guards against a refusal of a kept turn after half a second although the partition in
+	// which it is stored is being read and its place is known in time.
+	ginkgo.It("are looked up for as long as their partitions are read", func() {
+		d := newDeployment()
+		d.memoryMB = smallMemoryMB
+		d.publish()
+		d.addEndpoint("m1", "models", streamTwoEvents)
+		nodes := d.startAndKill(1)
+		d.storeLongChains()
+		launchAll(nodes)
+		nodes[0].waitUntilServed("/review/warm", "key-1")
+		d.topics.SetReadRate(slowReadRate)
+		gomega.Expect(continueAtOnce(nodes, []string{firstOfLastChain})).To(gomega.Equal(map[int]int{http.StatusOK: 1}))
+	})
 })
--- a/internal/gateway/turnfinder.go
+++ b/internal/gateway/turnfinder.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// homeFindTimeout bounds a search in the home partitions of turns, and
-	// fullFindTimeout a search in all partitions.
+	// homeFindTimeout bounds the time without progress of a search in the home partition of
+	// a turn, and fullFindTimeout that of a search in all partitions. A partition that is
+	// being read proceeds.
 	homeFindTimeout = 500 * clock.Millis(1)
 	fullFindTimeout = 700 * clock.Millis(1)
 	// maxTurnsReplyBytes bounds the turns in one answer to another gateway, which can read
@@ -83,9 +84,9 @@
 }
 
 // find looks for turns in partitions, which maps each partition to the turns to look for,
-// and adds what it finds to the search. timeout bounds the time until their places are
-// known, but not the reads of turns that no home has sent. It returns the error of one
-// partition that failed; nil if there is none.
+// and adds what it finds to the search. timeout bounds the time in which no partition is
+// read further until the places of the turns are known, but not the reads of turns that no
+// home has sent. It returns the error of one partition that failed; nil if there is none.
 func (f *turnFinder) find(ctx context.Context, search *turnSearch, partitions map[int][]string, timeout clock.Millis) error {
 	located, err := f.locateAll(ctx, search, partitions, timeout)
 	for _, turns := range located {
@@ -99,8 +100,6 @@
 // locateAll looks for turns in partitions concurrently. It adds those to the search that
 // the homes have in their indexes, and returns the places of the others.
 func (f *turnFinder) locateAll(ctx context.Context, search *turnSearch, partitions map[int][]string, timeout clock.Millis) (located []locatedTurns, err error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
-	defer cancel()
 	type result struct {
 		located locatedTurns
 		err     error
@@ -108,7 +107,7 @@
 	results := make(chan result, len(partitions))
 	for partition, ids := range partitions {
 		go func() {
-			located, err := f.findIn(ctx, search, findTurnsRequest{Partition: partition, Turns: ids})
+			located, err := f.findIn(ctx, search, findTurnsRequest{Partition: partition, Turns: ids}, timeout)
 			results <- result{located: located, err: err}
 		}()
 	}
@@ -124,16 +123,25 @@
 }
 
 // findIn looks for turns in one partition. It adds those to the search that the home has
-// in its index, and returns the places of the others.
-func (f *turnFinder) findIn(ctx context.Context, search *turnSearch, request findTurnsRequest) (located locatedTurns, err error) {
+// in its index, and returns the places of the others. It fails when the home reads nothing
+// of the partition for a timeout.
+func (f *turnFinder) findIn(ctx context.Context, search *turnSearch, request findTurnsRequest, timeout clock.Millis) (located locatedTurns, err error) {
+	ctx, proceeds, cancel := withIdleTimeout(ctx, timeout)
+	defer cancel()
 	reader := f.turns.readers[request.Partition]
 	var first firstResult[[]turnLocation]
 	err = f.homes.run(ctx, reader.partition, homeOperation{
 		local: func(ctx context.Context, progressed func()) error {
-			return first.set(f.readWithProgress(ctx, search, request, progressed))
+			return first.set(f.readWithProgress(ctx, search, request, func() {
+				progressed()
+				proceeds()
+			}))
 		},
 		remote: func(_ context.Context, call remoteCall, progressed func()) error {
-			return first.set(f.ask(call, search, request, progressed))
+			return first.set(f.ask(call, search, request, func() {
+				progressed()
+				proceeds()
+			}))
 		},
 	})
 	return locatedTurns{reader: reader, turns: first.get()}, err
--- a/internal/gateway/turnlookup.go
+++ b/internal/gateway/turnlookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -40,13 +41,7 @@
 	if search.hasAll(wanted) {
 		return nil
 	}
-	// The error is ignored: a turn that was not found may be in any other partition.
-	_ = s.finder.findInHomePartitions(ctx, search, search.missing(wanted))
-	if search.hasAll(wanted) {
-		return nil
-	}
-	s.fetchFromPeers(ctx, search, id)
-	if search.hasAll(wanted) {
+	if s.findAtHomesOrPeers(ctx, search, id, wanted); search.hasAll(wanted) {
 		return nil
 	}
 	err := s.finder.findInAllPartitions(ctx, search, search.missing(wanted))
@@ -60,6 +55,29 @@
 	}
 }
 
+// findAtHomesOrPeers looks for turns in their home partitions. When that has failed, or has
+// lasted for homeFindTimeout, it also asks other gateways that may have served the turn id.
+// It ignores errors: a turn that was not found may be in any other partition.
+func (s *turnStore) findAtHomesOrPeers(ctx context.Context, search *turnSearch, id string, wanted []string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	atHomes := make(chan struct{})
+	go func() {
+		defer close(atHomes)
+		_ = s.finder.findInHomePartitions(ctx, search, search.missing(wanted))
+	}()
+	select {
+	case <-atHomes:
+	case <-time.After(homeFindTimeout.Duration()):
+	}
+	if search.hasAll(wanted) {
+		return
+	}
+	if s.fetchFromPeers(ctx, search, id); !search.hasAll(wanted) {
+		<-atHomes
+	}
+}
+
 // fetchFromPeers asks other gateways for the history of a turn and adds the turns in
 // their answer to the search.
 func (s *turnStore) fetchFromPeers(ctx context.Context, search *turnSearch, id string) {
