Load the histories of turns in the order in which requests ask for them

Cause: all requests loaded their histories at the same time and shared the rate of the reads equally, so that all came to the end of their time with most of a history. Nothing bounded the memory of the histories either: the index counts a turn only until it leaves the index, but a request keeps it until it ends. Two gateways had up to 125 MB resident with 23 such turns at once, on VMs of 154 MB.

A prompt that is too large is refused with 413 as soon as the places of its turns are known, before it is read.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -333,6 +333,32 @@
 	return string(g.loadExchange.current)
 }
 
+// Errors of reservations.
+var (
+	ErrHistoryTooLarge = errHistoryTooLarge
+	ErrHistoriesBusy   = errHistoriesBusy
+)
+
+// HistoryMemory gives tests access to the historyMemory of a gateway.
+type HistoryMemory struct{ *historyMemory }
+
+// NewHistoryMemory returns a memory of a capacity in bytes.
+func NewHistoryMemory(capacity int64) HistoryMemory { return HistoryMemory{newHistoryMemory(capacity)} }
+
+// NewReservation returns a reservation without any bytes.
+func (m HistoryMemory) NewReservation() HistoryReservation {
+	return HistoryReservation{m.newReservation()}
+}
+
+// HistoryReservation gives tests access to a historyReservation.
+type HistoryReservation struct{ *historyReservation }
+
+// Raise makes the reservation cover a number of bytes.
+func (r HistoryReservation) Raise(ctx context.Context, bytes int64) error { return r.raise(ctx, bytes) }
+
+// Release gives the memory back.
+func (r HistoryReservation) Release() { r.release() }
+
 // HomeClient gives tests access to the homeClient of a gateway that is no home itself.
 type HomeClient struct{ *homeClient }
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -54,6 +54,8 @@
 	// history holds the earlier turns that this turn continues, if the route stores
 	// turns.
 	history []*chain.Turn
+	// historyMemory is the memory that is reserved for history.
+	historyMemory *historyReservation
 	// tried holds the endpoints to which the request was sent, without an answer, in
 	// the present round.
 	tried map[spool.EndpointID]bool
@@ -249,6 +251,8 @@
 	if reason := r.reserveRecord(); reason != "" {
 		return reason
 	}
+	r.historyMemory = r.gateway.turns.memory.newReservation()
+	defer r.historyMemory.release()
 	if reason := r.prependHistory(ctx); reason != "" {
 		return reason
 	}
@@ -295,10 +299,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (historyTimeShare * (r.deadline - r.gateway.clock.Now()) / 100).Duration())
 	defer cancel()
-	turns, err := r.gateway.turns.history(ctx, r.account, r.call.Previous)
+	turns, err := r.gateway.turns.history(ctx, r.account, r.call.Previous, r.historyMemory)
 	switch {
 	case errors.Is(err, errNoTurn):
 		return reasonNoTurn
+	case errors.Is(err, errHistoryTooLarge):
+		return reasonPromptTooLarge
+	case errors.Is(err, errHistoriesBusy):
+		r.refusalErr = err
+		return reasonHistoriesBusy
 	case err != nil:
 		r.refusalErr = err
 		return reasonTurnUncertain
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -10,6 +10,7 @@
 const (
 	bufferShare  = 1.0 / 6
 	indexShare   = 1.0 / 8
+	historyShare = 1.0 / 6
 	runtimeShare = 0.7
 )
 
@@ -32,6 +33,9 @@
 // room for others.
 func (m memoryShares) indexBytes() int64 { return max(2*maxPromptBytes, int64(indexShare*m.bytes)) }
 
+// historyBytes returns the size of the histories of all requests in flight.
+func (m memoryShares) historyBytes() int64 { return int64(historyShare * m.bytes) }
+
 // LimitMemory makes the runtime of this process collect garbage in time to stay below its
 // share of the memory of a VM, in MB, unless the environment has set a lower limit.
 func LimitMemory(memoryMB int64) {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -19,6 +19,7 @@
 	reasonStartOverLimit  spool.Code = "startOverLimit"
 	reasonNoTurn          spool.Code = "noTurn"
 	reasonTurnUncertain   spool.Code = "turnUncertain"
+	reasonHistoriesBusy   spool.Code = "historiesBusy"
 	reasonStoreAway       spool.Code = "storeAway"
 	reasonBudgetSpent     spool.Code = "budgetSpent"
 	reasonBudgetUnknown   spool.Code = "budgetUnknown"
@@ -40,8 +41,8 @@
 	// retryStartup is for a gateway that has no configuration yet because it has just
 	// started.
 	retryStartup = 300 * clock.Millis(1)
-	// retryStore is for a store that does not answer. Outages of the store last
-	// seconds.
+	// retryStore is for a store that does not answer, or not as fast as histories are
+	// needed. Outages of the store last seconds.
 	retryStore = clock.Second
 	// retryEndpoint is for a service without an endpoint that can be used.
 	retryEndpoint = 250 * clock.Millis(1)
@@ -73,6 +74,7 @@
 	reasonStartOverLimit:  {status: http.StatusTooManyRequests},
 	reasonNoTurn:          {status: http.StatusNotFound},
 	reasonTurnUncertain:   {status: http.StatusServiceUnavailable, retryAfter: retryStore},
+	reasonHistoriesBusy:   {status: http.StatusServiceUnavailable, retryAfter: retryStore},
 	reasonStoreAway:       {status: http.StatusServiceUnavailable, retryAfter: retryStore},
 	reasonBudgetSpent:     {status: http.StatusPaymentRequired},
 	reasonBudgetUnknown:   {status: http.StatusServiceUnavailable, retryAfter: retryStore},
--- a/internal/gateway/turneviction_test.go
+++ b/internal/gateway/turneviction_test.go
@@ -26,6 +26,9 @@
 	// slowReadRate lets a gateway read one of the four partitions within 1.7 s, of the 2.2 s
 	// that a request may wait for its history.
 	slowReadRate = 9e6
+	// overloadReadRate lets a gateway read half of the chains in the time that a request may
+	// wait for its history.
+	overloadReadRate = 12e6
 	// storedRecordBytes is the size of the records in which their turns are stored.
 	storedRecordBytes = 96 << 10
 	// firstOfLastChain is the ID of the first turn of the last chain.
@@ -108,4 +111,23 @@
 		d.topics.SetReadRate(slowReadRate)
 		gomega.Expect(continueAtOnce(nodes, []string{firstOfLastChain})).To(gomega.Equal(map[int]int{http.StatusOK: 1}))
 	})
+
+	// Guards against loads of histories that all are late because they share the rate of the
+	// store, and that fill the memory of the VM together.
+	ginkgo.It("are served in part when the store cannot send all histories in time", func() {
+		d := newDeployment()
+		d.memoryMB = smallMemoryMB
+		d.publish()
+		d.addEndpoint("m1", "models", streamTwoEvents)
+		nodes := d.startAndKill(1)
+		ids := d.storeLongChains()
+		launchAll(nodes)
+		nodes[0].waitUntilServed("/review/warm", "key-1")
+		// The gateway learns the places of the turns.
+		gomega.Eventually(func() map[int]int { return continueAtOnce(nodes, ids[:1]) }, eventuallyTimeout).Should(gomega.HaveKey(http.StatusOK))
+		d.topics.SetReadRate(overloadReadRate)
+		statuses := continueAtOnce(nodes, ids)
+		gomega.Expect(statuses[http.StatusOK]).To(gomega.BeNumerically(">=", longChains/3), "%v", statuses)
+		gomega.Expect(statuses[http.StatusOK] + statuses[http.StatusServiceUnavailable]).To(gomega.Equal(longChains))
+	})
 })
--- a/internal/gateway/turnfinder.go
+++ b/internal/gateway/turnfinder.go
@@ -89,6 +89,18 @@
 // home has sent. It returns the error of one partition that failed; nil if there is none.
 func (f *turnFinder) find(ctx context.Context, search *turnSearch, partitions map[int][]string, timeout clock.Millis) error {
 	located, err := f.locateAll(ctx, search, partitions, timeout)
+	size := bytesOf(located)
+	if size == 0 {
+		return err
+	}
+	if err := search.reservation.raise(ctx, search.textBytes()+size); err != nil {
+		return err
+	}
+	end, busyErr := search.reservation.beginLoad(ctx)
+	if busyErr != nil {
+		return busyErr
+	}
+	defer end()
 	for _, turns := range located {
 		if fetchErr := f.fetch(ctx, search, turns); fetchErr != nil {
 			err = fetchErr
@@ -97,6 +109,24 @@
 	return err
 }
 
+// bytesOf returns the size of the records of located turns. A turn that is located in
+// several partitions counts once.
+func bytesOf(located []locatedTurns) (size int64) {
+	counted := map[string]bool{}
+	for _, partition := range located {
+		for _, turn := range partition.turns {
+			if counted[turn.Turn] {
+				continue
+			}
+			counted[turn.Turn] = true
+			for _, place := range turn.Places {
+				size += int64(place.Bytes)
+			}
+		}
+	}
+	return size
+}
+
 // locateAll looks for turns in partitions concurrently. It adds those to the search that
 // the homes have in their indexes, and returns the places of the others.
 func (f *turnFinder) locateAll(ctx context.Context, search *turnSearch, partitions map[int][]string, timeout clock.Millis) (located []locatedTurns, err error) {
@@ -238,7 +268,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, homeAnswerTime.Duration())
 	defer cancel()
-	search := newTurnSearch(f.turns.index)
+	search := newTurnSearch(f.turns.index, nil)
 	located, err := f.read(ctx, search, request)
 	if err != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return reply, err
--- a/internal/gateway/turnlookup.go
+++ b/internal/gateway/turnlookup.go
@@ -10,11 +10,12 @@
 	"github.com/baobabspool/baobabspool/pkg/spool"
 )
 
-// history returns the turn id preceded by all earlier turns that it continues. It fails
-// with errNoTurn if id belongs to another account or does not exist, and with
-// errTurnUncertain if that is not certain or an earlier turn was not found.
-func (s *turnStore) history(ctx context.Context, account spool.AccountID, id string) (turns []*chain.Turn, err error) {
-	search := newTurnSearch(s.index)
+// history returns the turn id preceded by all earlier turns that it continues, and raises
+// the reservation to their size. It fails with errNoTurn if id belongs to another account or
+// does not exist, with errTurnUncertain if that is not certain or an earlier turn was not
+// found, and with the errors of the reservation.
+func (s *turnStore) history(ctx context.Context, account spool.AccountID, id string, reservation *historyReservation) (turns []*chain.Turn, err error) {
+	search := newTurnSearch(s.index, reservation)
 	if err := s.lookUp(ctx, search, id, []string{id}); err != nil {
 		return nil, err
 	}
@@ -30,7 +31,8 @@
 	case err != nil:
 		return nil, err
 	}
-	return append(search.turns(last.History), last), nil
+	turns = append(search.turns(last.History), last)
+	return turns, reservation.raise(ctx, textBytes(turns))
 }
 
 // lookUp looks for turns in the index, in their home partitions, at other gateways that may
@@ -41,13 +43,19 @@
 	if search.hasAll(wanted) {
 		return nil
 	}
-	if s.findAtHomesOrPeers(ctx, search, id, wanted); search.hasAll(wanted) {
+	err := s.findAtHomesOrPeers(ctx, search, id, wanted)
+	switch {
+	case search.hasAll(wanted):
 		return nil
+	case errors.Is(err, errHistoryTooLarge), errors.Is(err, errHistoriesBusy):
+		return err
 	}
-	err := s.finder.findInAllPartitions(ctx, search, search.missing(wanted))
+	err = s.finder.findInAllPartitions(ctx, search, search.missing(wanted))
 	switch {
 	case search.hasAll(wanted):
 		return nil
+	case errors.Is(err, errHistoryTooLarge), errors.Is(err, errHistoriesBusy):
+		return err
 	case err != nil:
 		return errors.Wrap(errTurnUncertain, err.Error())
 	default:
@@ -57,25 +65,26 @@
 
 // findAtHomesOrPeers looks for turns in their home partitions. When that has failed, or has
 // lasted for homeFindTimeout, it also asks other gateways that may have served the turn id.
-// It ignores errors: a turn that was not found may be in any other partition.
-func (s *turnStore) findAtHomesOrPeers(ctx context.Context, search *turnSearch, id string, wanted []string) {
+// It returns the error of the home partitions. A turn that was not found may be in any other
+// partition.
+func (s *turnStore) findAtHomesOrPeers(ctx context.Context, search *turnSearch, id string, wanted []string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	atHomes := make(chan struct{})
-	go func() {
-		defer close(atHomes)
-		_ = s.finder.findInHomePartitions(ctx, search, search.missing(wanted))
-	}()
-	select {
-	case <-atHomes:
-	case <-time.After(homeFindTimeout.Duration()):
-	}
-	if search.hasAll(wanted) {
-		return
-	}
-	if s.fetchFromPeers(ctx, search, id); !search.hasAll(wanted) {
-		<-atHomes
+	peersAsked := make(chan struct{})
+	askPeers := time.AfterFunc(homeFindTimeout.Duration(), func() {
+		defer close(peersAsked)
+		if s.fetchFromPeers(ctx, search, id); search.hasAll(wanted) {
+			cancel()
+		}
+	})
+	err := s.finder.findInHomePartitions(ctx, search, search.missing(wanted))
+	switch {
+	case !askPeers.Stop():
+		<-peersAsked
+	case !search.hasAll(wanted):
+		s.fetchFromPeers(ctx, search, id)
 	}
+	return err
 }
 
 // fetchFromPeers asks other gateways for the history of a turn and adds the turns in
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -56,6 +56,8 @@
 	// locations contains, by partition, the places of the turns that readers have read.
 	locations []*chain.Locations
 	finder    *turnFinder
+	// memory bounds the histories of the requests in flight.
+	memory *historyMemory
 	// recordBytes bounds the size of a record.
 	recordBytes int
 	// logRetention is how long the store retains a record; 0 if that is not known.
@@ -66,8 +68,11 @@
 }
 
 func newTurnStore(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, t *telemetry.Telemetry, homes *homeClient, queryPeers func(ctx context.Context, turn string) [][]byte) *turnStore {
-	memory := newMemoryShares(settings.MemoryMB)
-	s := &turnStore{clock: systemClock, telemetry: t, index: chain.NewIndex(memory.indexBytes()), queryPeers: queryPeers, logRetention: settings.LogRetention, recordBytes: maxTurnRecordBytes}
+	shares := newMemoryShares(settings.MemoryMB)
+	s := &turnStore{
+		clock: systemClock, telemetry: t, index: chain.NewIndex(shares.indexBytes()), memory: newHistoryMemory(shares.historyBytes()),
+		queryPeers: queryPeers, logRetention: settings.LogRetention, recordBytes: maxTurnRecordBytes,
+	}
 	if settings.MaxRecordBytes > 0 {
 		s.recordBytes = min(s.recordBytes, settings.MaxRecordBytes)
 	}
--- a/internal/gateway/turnsearch.go
+++ b/internal/gateway/turnsearch.go
@@ -11,14 +11,17 @@
 // concurrent use.
 type turnSearch struct {
 	index *chain.Index
+	// reservation is the memory of the turns; nil if the search only answers another
+	// gateway.
+	reservation *historyReservation
 
 	mu sync.Mutex
 	// found contains the turns by ID. A turn is never removed.
 	found map[string]*chain.Turn
 }
 
-func newTurnSearch(index *chain.Index) *turnSearch {
-	return &turnSearch{index: index, found: map[string]*chain.Turn{}}
+func newTurnSearch(index *chain.Index, reservation *historyReservation) *turnSearch {
+	return &turnSearch{index: index, reservation: reservation, found: map[string]*chain.Turn{}}
 }
 
 // add adds a turn to the search.
@@ -68,3 +71,13 @@
 	}
 	return turns
 }
+
+// textBytes returns the size of the inputs and outputs of all turns of the search.
+func (s *turnSearch) textBytes() (size int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, turn := range s.found {
+		size += turn.TextBytes()
+	}
+	return size
+}
