Read turns with as many requests as the store answers fast

Cause: a gateway had three reads of turns under way at most, whatever the store and its link could do, and read the turns of one history one after another. With some 11 ms a read of 96 KiB that is 26 MB a second.

Change: readSlots begins with three reads and raises the bound up to twelve while reads take up to 50 ms; a read of 150 ms or more, or one that fails, lowers it. All gateways share the rate of the store: when they ask for more than it can send, reads become slow and every gateway returns to three, the fixed bound of before. The turns of a history are read concurrently within these slots.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -359,6 +359,33 @@
 // Release gives the memory back.
 func (r HistoryReservation) Release() { r.release() }
 
+// Durations of reads.
+const (
+	FastRead = fastRead
+	SlowRead = slowRead
+)
+
+// ReadSlots gives tests access to the readSlots of a gateway.
+type ReadSlots struct{ *readSlots }
+
+// NewReadSlots returns slots whose bound begins at lowest and rises to highest.
+func NewReadSlots(lowest, highest int) ReadSlots { return ReadSlots{newReadSlots(lowest, highest)} }
+
+// Acquire takes a slot for a read.
+func (s ReadSlots) Acquire(ctx context.Context) error { return s.acquire(ctx) }
+
+// Release returns the slot of a read that took a duration and ended with err.
+func (s ReadSlots) Release(took clock.Millis, err error) { s.release(took, err) }
+
+// Free returns the number of free slots.
+func (s ReadSlots) Free() (free int) {
+	for s.slots.TryAcquire(1) {
+		free++
+	}
+	s.slots.Release(int64(free))
+	return free
+}
+
 // HomeClient gives tests access to the homeClient of a gateway that is no home itself.
 type HomeClient struct{ *homeClient }
 
--- a/internal/gateway/grantlog.go
+++ b/internal/gateway/grantlog.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/baobabspool/baobabspool/internal/wire"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -130,7 +129,7 @@
 
 func newGrantLog(ctx context.Context, store spool.Store, systemClock clock.Clock, settings spool.GatewaySettings, homes *homeClient) *grantLog {
 	l := &grantLog{ctx: ctx, clock: systemClock, homes: homes, logRetention: settings.LogRetention, pending: map[string]*pendingGrant{}}
-	slots := semaphore.NewWeighted(maxBudgetPartitions)
+	slots := newReadSlots(maxBudgetPartitions, maxBudgetPartitions)
 	for i := range min(settings.Partitions, maxBudgetPartitions) {
 		partition := spool.Partition{Topic: spool.TopicBudgets, Index: i}
 		ledger := &budgetLedger{Ledger: spend.NewLedger(), index: i}
--- a/internal/gateway/historymemory.go
+++ b/internal/gateway/historymemory.go
@@ -7,9 +7,14 @@
 	"golang.org/x/sync/semaphore"
 )
 
-// freeHistoryBytes is the size up to which a history needs no reservation, so that ordinary
-// turns never wait for those with long histories.
-const freeHistoryBytes = 64 << 10
+const (
+	// freeHistoryBytes is the size up to which a history needs no reservation, so that
+	// ordinary turns never wait for those with long histories.
+	freeHistoryBytes = 64 << 10
+	// maxHistoryLoads bounds the histories that are loaded at the same time. One that waits
+	// for a silent partition does not hold up all others.
+	maxHistoryLoads = 3
+)
 
 // Errors of reservations.
 var (
@@ -30,7 +35,7 @@
 
 // newHistoryMemory returns a memory of a capacity in bytes, at least maxPromptBytes.
 func newHistoryMemory(capacity int64) *historyMemory {
-	return &historyMemory{free: semaphore.NewWeighted(max(capacity, maxPromptBytes)), loads: semaphore.NewWeighted(maxTurnReads)}
+	return &historyMemory{free: semaphore.NewWeighted(max(capacity, maxPromptBytes)), loads: semaphore.NewWeighted(maxHistoryLoads)}
 }
 
 // newReservation returns a reservation without any bytes.
--- a/internal/gateway/partitionreader.go
+++ b/internal/gateway/partitionreader.go
@@ -5,7 +5,6 @@
 	"sync"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -29,7 +28,7 @@
 	partition spool.Partition
 	clock     clock.Clock
 	// slots bounds the reads of several readers together.
-	slots *semaphore.Weighted
+	slots *readSlots
 	// apply takes the records of the partition, without gaps except for those that
 	// retention has removed. It may get a record twice.
 	apply func(page spool.LogPage)
@@ -53,7 +52,7 @@
 	err  error
 }
 
-func newPartitionReader(ctx context.Context, store spool.Store, systemClock clock.Clock, partition spool.Partition, slots *semaphore.Weighted, apply func(page spool.LogPage)) *partitionReader {
+func newPartitionReader(ctx context.Context, store spool.Store, systemClock clock.Clock, partition spool.Partition, slots *readSlots, apply func(page spool.LogPage)) *partitionReader {
 	return &partitionReader{ctx: ctx, store: store, clock: systemClock, partition: partition, slots: slots, apply: apply, pageBytes: maxPageBytes}
 }
 
@@ -177,10 +176,11 @@
 
 // readPage reads the page at an offset and adapts the size of the next one.
 func (r *partitionReader) readPage(from int64) (page spool.LogPage, err error) {
-	if err := r.slots.Acquire(r.ctx, 1); err != nil {
+	if err := r.slots.acquire(r.ctx); err != nil {
 		return page, err
 	}
-	defer r.slots.Release(1)
+	sentAt := r.clock.Now()
+	defer func() { r.slots.release(r.clock.Now()-sentAt, err) }()
 	ctx, cancel := context.WithTimeout(r.ctx, storeTimeout.Duration())
 	defer cancel()
 	page, err = r.store.Read(ctx, spool.ReadRequest{Partition: r.partition, From: from, MaxBytes: r.pageBytes})
@@ -212,10 +212,11 @@
 // readRecord reads one record, whatever the position is. It fails with spool.ErrTrimmed if
 // the partition no longer has it.
 func (r *partitionReader) readRecord(ctx context.Context, place chain.Location) (record []byte, err error) {
-	if err := r.slots.Acquire(ctx, 1); err != nil {
+	if err := r.slots.acquire(ctx); err != nil {
 		return nil, err
 	}
-	defer r.slots.Release(1)
+	sentAt := r.clock.Now()
+	defer func() { r.slots.release(r.clock.Now()-sentAt, err) }()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
 	defer cancel()
 	page, err := r.store.Read(ctx, spool.ReadRequest{Partition: r.partition, From: place.Offset, MaxBytes: pageBytesOf(place)})
--- a/internal/gateway/turnfinder.go
+++ b/internal/gateway/turnfinder.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
@@ -101,14 +102,25 @@
 		return busyErr
 	}
 	defer end()
-	for _, turns := range located {
-		if fetchErr := f.fetch(ctx, search, turns); fetchErr != nil {
-			err = fetchErr
-		}
+	if fetchErr := f.fetchAll(ctx, search, located); fetchErr != nil {
+		err = fetchErr
 	}
 	return err
 }
 
+// fetchAll fetches located turns, several at the same time. It returns the error of one that
+// failed; nil if there is none.
+func (f *turnFinder) fetchAll(ctx context.Context, search *turnSearch, located []locatedTurns) error {
+	var group errgroup.Group
+	group.SetLimit(maxTurnReads)
+	for _, partition := range located {
+		for _, turn := range partition.turns {
+			group.Go(func() error { return f.fetch(ctx, search, partition.reader, turn) })
+		}
+	}
+	return group.Wait()
+}
+
 // bytesOf returns the size of the records of located turns. A turn that is located in
 // several partitions counts once.
 func bytesOf(located []locatedTurns) (size int64) {
@@ -177,23 +189,21 @@
 	return locatedTurns{reader: reader, turns: first.get()}, err
 }
 
-// fetch reads turns from the store, unless they have been found meanwhile, and adds them to
-// the search and the index.
-func (f *turnFinder) fetch(ctx context.Context, search *turnSearch, located locatedTurns) error {
-	for _, place := range located.turns {
-		if search.hasAll([]string{place.Turn}) {
-			continue
-		}
-		records, err := located.reader.readRecords(ctx, place.Places)
-		if err != nil {
-			return err
-		}
-		turn, err := f.turns.addTurn(records)
-		if err != nil {
-			return errors.Wrapf(err, "turn %q", place.Turn)
-		}
-		search.add(turn)
+// fetch reads a turn from the store, unless it has been found meanwhile, and adds it to the
+// search and the index.
+func (f *turnFinder) fetch(ctx context.Context, search *turnSearch, reader *partitionReader, located turnLocation) error {
+	if search.hasAll([]string{located.Turn}) {
+		return nil
+	}
+	records, err := reader.readRecords(ctx, located.Places)
+	if err != nil {
+		return err
+	}
+	turn, err := f.turns.addTurn(records)
+	if err != nil {
+		return errors.Wrapf(err, "turn %q", located.Turn)
 	}
+	search.add(turn)
 	return nil
 }
 
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -6,7 +6,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/baobabspool/baobabspool/internal/telemetry"
 	"github.com/baobabspool/baobabspool/internal/wire"
@@ -39,9 +38,11 @@
 	methodTurns = "gateway.turns"
 	// maxQueriedPeers bounds the number of gateways that are queried for one turn.
 	maxQueriedPeers = 12
-	// maxTurnReads bounds the pages of turns that a gateway reads at the same time. With
-	// maxPageBytes, a VM with the slowest link receives them within half a second.
-	maxTurnReads = 3
+	// minTurnReads and maxTurnReads are the lowest and the highest bound of the pages of turns
+	// that a gateway reads at the same time. With maxPageBytes, a VM with the slowest link
+	// receives them within half a second.
+	minTurnReads = 3
+	maxTurnReads = 12
 )
 
 // turnStore stores turns in the partitions of a topic. A hash of the identifier selects
@@ -76,7 +77,7 @@
 	if settings.MaxRecordBytes > 0 {
 		s.recordBytes = min(s.recordBytes, settings.MaxRecordBytes)
 	}
-	slots := semaphore.NewWeighted(maxTurnReads)
+	slots := newReadSlots(minTurnReads, maxTurnReads)
 	for i := range settings.Partitions {
 		partition := spool.Partition{Topic: spool.TopicTurns, Index: i}
 		s.appenders = append(s.appenders, newAppender(ctx, store, partition, settings.MaxAppendBytes, systemClock))
