Give up the memory of a history once its stream has begun

Cause: a request kept its history to its end, to know the IDs of the turns and to store those again that the store may remove first. The text is not needed any more when the endpoint has got the whole prompt and the caller a part of the answer, since the request is not sent again then.

Change: a request keeps the IDs apart. With the first part of the answer it drops the turns, except those that may have to be stored again by its deadline, and returns the memory if none is left. httpconn.Response tells whether the request has been written.

--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -51,9 +51,11 @@
 	// body contains the parts of the body that is sent to the endpoint. They may begin with
 	// the history of the turn.
 	body httpconn.Body
-	// history holds the earlier turns that this turn continues, if the route stores
-	// turns.
-	history []*chain.Turn
+	// historyIDs are the IDs of the earlier turns that this turn continues, if the route
+	// stores turns. history contains these turns until releaseHistory, and afterwards only
+	// those that may have to be stored again.
+	historyIDs []string
+	history    []*chain.Turn
 	// historyMemory is the memory that is reserved for history.
 	historyMemory *historyReservation
 	// tried holds the endpoints to which the request was sent, without an answer, in
@@ -316,10 +318,27 @@
 		return reasonPromptTooLarge
 	}
 	r.history = turns
+	for _, turn := range turns {
+		r.historyIDs = append(r.historyIDs, turn.ID)
+	}
 	r.body = chain.Prompt(turns, r.exchange.Body())
 	return ""
 }
 
+// releaseHistory gives up the memory of the history once the caller has got a part of the
+// answer and the endpoint the whole prompt: the request is not sent again then. A long stream
+// would otherwise keep it from other requests.
+func (r *request) releaseHistory(response *httpconn.Response) {
+	if r.body == nil || !r.exchange.Started() || !response.RequestWritten() {
+		return
+	}
+	r.body = nil
+	r.history = r.gateway.turns.renewable(r.history, r.deadline, r.route.Retention)
+	if len(r.history) == 0 {
+		r.historyMemory.release()
+	}
+}
+
 // reserveRecord reserves the buffers of the records of a turn, so that a turn that cannot
 // be kept does not run. It returns the reason for refusing the request; empty if there is
 // none.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -62,6 +62,7 @@
 				response.Close(false)
 				return broken, endpoints.Cancelled
 			}
+			r.releaseHistory(response)
 		}
 		if err == nil {
 			err = r.reserveStream(len(splitter.Rest()), len(output))
@@ -137,11 +138,8 @@
 // it is durable.
 func (r *request) storeTurn(ctx context.Context, output []byte) error {
 	turn := &chain.Turn{
-		ID: r.call.Attempt, Account: r.account, Input: r.exchange.Body(), Output: output,
+		ID: r.call.Attempt, Account: r.account, History: r.historyIDs, Input: r.exchange.Body(), Output: output,
 		WrittenAt: r.gateway.clock.Now(), Retention: r.route.Retention,
 	}
-	for _, earlier := range r.history {
-		turn.History = append(turn.History, earlier.ID)
-	}
 	return r.gateway.turns.append(ctx, turn, r.history)
 }
--- a/internal/gateway/turneviction_test.go
+++ b/internal/gateway/turneviction_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/baobabspool/baobabspool/internal/standin"
 	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/clock"
 )
@@ -29,6 +32,8 @@
 	// overloadReadRate lets a gateway read half of the chains in the time that a request may
 	// wait for its history.
 	overloadReadRate = 12e6
+	// streamPause is the time between two of the three events of a long stream.
+	streamPause = 800 * time.Millisecond
 	// storedRecordBytes is the size of the records in which their turns are stored.
 	storedRecordBytes = 96 << 10
 	// firstOfLastChain is the ID of the first turn of the last chain.
@@ -130,4 +135,21 @@
 		gomega.Expect(statuses[http.StatusOK]).To(gomega.BeNumerically(">=", longChains/3), "%v", statuses)
 		gomega.Expect(statuses[http.StatusOK] + statuses[http.StatusServiceUnavailable]).To(gomega.Equal(longChains))
 	})
+
+	// Guards against long streams that keep the memory of their histories, which the endpoint
+	// has got already, from other turns.
+	ginkgo.It("do not wait for streams that have begun", func() {
+		d := newDeployment()
+		d.memoryMB = smallMemoryMB
+		d.publish()
+		d.addEndpoint("m1", "models", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
+			return u.AnswerStream(conn, request, streamPause, -1, "one", "two", "three")
+		})
+		nodes := d.startAndKill(1)
+		ids := d.storeLongChains()
+		launchAll(nodes)
+		nodes[0].waitUntilServed("/review/warm", "key-1")
+		gomega.Eventually(func() map[int]int { return continueAtOnce(nodes, ids[:1]) }, eventuallyTimeout).Should(gomega.HaveKey(http.StatusOK))
+		gomega.Expect(continueAtOnce(nodes, ids)).To(gomega.Equal(map[int]int{http.StatusOK: longChains}))
+	})
 })
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -133,12 +133,12 @@
 	return int(xxhash.Sum64String(id) % uint64(len(s.appenders)))
 }
 
-// append writes a turn that continues history and returns when it is durable. Those turns
-// of history that the store may remove before the new one are written again, because a
-// turn is retained together with its chain.
-func (s *turnStore) append(ctx context.Context, turn *chain.Turn, history []*chain.Turn) (err error) {
+// append writes a turn and returns when it is durable. renewable contains those turns of its
+// history that may have to be written again with it, because a turn is retained together
+// with its chain.
+func (s *turnStore) append(ctx context.Context, turn *chain.Turn, renewable []*chain.Turn) (err error) {
 	defer func() { err = errors.Wrapf(err, "store turn %q", turn.ID) }()
-	renewals := s.renewalsOf(turn, history)
+	renewals := s.renewalsOf(turn, renewable)
 	if len(renewals) == 0 {
 		return s.write(ctx, turn)
 	}
@@ -149,21 +149,30 @@
 	return group.Wait()
 }
 
-// renewalsOf returns copies, to be written with turn, of those turns of its history that
-// the store may remove before it.
+// renewalsOf returns copies, to be written with turn, of those turns that the store may
+// remove before it.
 func (s *turnStore) renewalsOf(turn *chain.Turn, history []*chain.Turn) (renewals []*chain.Turn) {
+	for _, earlier := range s.renewable(history, turn.WrittenAt, turn.Retention) {
+		renewed := *earlier
+		renewed.WrittenAt = turn.WrittenAt
+		renewals = append(renewals, &renewed)
+	}
+	return renewals
+}
+
+// renewable returns those turns of a history that the store may remove before a turn that
+// continues it and is written at a time.
+func (s *turnStore) renewable(history []*chain.Turn, writtenAt, retention clock.Millis) (renewable []*chain.Turn) {
 	if s.logRetention <= 0 {
 		return nil
 	}
+	next := &chain.Turn{WrittenAt: writtenAt, Retention: retention}
 	for _, earlier := range history {
-		if !turn.OutlivesRecord(earlier, s.logRetention) {
-			continue
+		if next.OutlivesRecord(earlier, s.logRetention) {
+			renewable = append(renewable, earlier)
 		}
-		renewed := *earlier
-		renewed.WrittenAt = turn.WrittenAt
-		renewals = append(renewals, &renewed)
 	}
-	return renewals
+	return renewable
 }
 
 // write writes a turn and returns when it is durable. It starts with the first partition
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -59,6 +59,10 @@
 	last bool
 }
 
+// RequestWritten reports whether the whole request has been written. Its body is not used any
+// more then.
+func (r *Response) RequestWritten() bool { return r.write.hasSucceeded() }
+
 // ConnectionReused reports whether an earlier call was sent on the connection. A response
 // that names no request may then be another copy of the response to that call.
 func (r *Response) ConnectionReused() bool { return r.conn.reused }
