Give the kept turns of a request and the turns of other gateways own files

No change of what the gateway does, except that the error of a search names the turn. handle.go loses what it does with kept turns (keptturn.go), turns.go and gateway.go lose the question to other gateways (turnpeers.go), and lookUp tells the errors of reservations by one function. The specs of kept turns, large turns, homes, reads and histories pass.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -298,30 +297,6 @@
 	return g.peerClients.Call(ctx, address, methodReturnGrants, grantReturnRequest{Program: id}, &struct{}{}, nil)
 }
 
-// queryTurns asks up to maxQueriedPeers randomly chosen gateways for the history of a
-// turn and returns the first non-empty answer; nil if there is none.
-func (g *Gateway) queryTurns(ctx context.Context, turn string) [][]byte {
-	addresses := g.shared.peerAddresses()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	addresses = addresses[:min(len(addresses), maxQueriedPeers)]
-	results := make(chan [][]byte, len(addresses))
-	for _, address := range addresses {
-		go func() {
-			var reply turnsReply
-			// The error is ignored: a gateway that does not answer contributes no
-			// records.
-			_ = g.lookupClients.Call(ctx, address, methodTurns, turnsRequest{Turn: turn}, &reply, nil)
-			results <- reply.Records
-		}()
-	}
-	for range addresses {
-		if records := <-results; len(records) > 0 {
-			return records
-		}
-	}
-	return nil
-}
-
 // callPeer calls one other gateway, preferably the one that last answered. It fails
 // with errNoPeer if no address is known.
 func (g *Gateway) callPeer(ctx context.Context, method string, request, reply any) error {
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -20,19 +20,11 @@
 // the timeout of a route.
 const defaultTimeout = 30 * clock.Second
 
-// maxPromptBytes bounds the size of a prompt with its history. Each VM can keep that much
-// in its index.
-const maxPromptBytes = 8 << 20
-
 // budgetWait bounds the wait for tokens of the program's budget. A slow store answers
 // within it. If it does not, a refusal that the caller can retry is better than a
 // longer wait.
 const budgetWait = 900 * clock.Millis(1)
 
-// historyTimeShare is the part of the time left, in percent, after which the search for the
-// history of a turn ends. The rest is for the run.
-const historyTimeShare = 75
-
 // request is the state of one request in the gateway. It is used by one goroutine.
 type request struct {
 	gateway  *Gateway
@@ -292,67 +284,6 @@
 	return int64(count) * int64(max(1, r.service.EventTokens))
 }
 
-// prependHistory puts the earlier turns of the program in front of the request body, if
-// the route stores turns and the request continues one. It returns the reason for
-// refusing the request; empty if there is none.
-func (r *request) prependHistory(ctx context.Context) spool.Code {
-	if !r.route.KeepsHistory || r.call.Previous == "" {
-		return ""
-	}
-	ctx, cancel := context.WithTimeout(ctx, (historyTimeShare * (r.deadline - r.gateway.clock.Now()) / 100).Duration())
-	defer cancel()
-	turns, err := r.gateway.turns.history(ctx, r.account, r.call.Previous, r.historyMemory)
-	switch {
-	case errors.Is(err, errNoTurn):
-		return reasonNoTurn
-	case errors.Is(err, errHistoryTooLarge):
-		return reasonPromptTooLarge
-	case errors.Is(err, errHistoriesBusy):
-		r.refusalErr = err
-		return reasonHistoriesBusy
-	case err != nil:
-		r.refusalErr = err
-		return reasonTurnUncertain
-	}
-	if textBytes(turns)+int64(len(r.exchange.Body())) > maxPromptBytes {
-		return reasonPromptTooLarge
-	}
-	r.history = turns
-	for _, turn := range turns {
-		r.historyIDs = append(r.historyIDs, turn.ID)
-	}
-	r.body = chain.Prompt(turns, r.exchange.Body())
-	return ""
-}
-
-// releaseHistory gives up the memory of the history once the caller has got a part of the
-// answer and the endpoint the whole prompt: the request is not sent again then. A long stream
-// would otherwise keep it from other requests.
-func (r *request) releaseHistory(response *httpconn.Response) {
-	if r.body == nil || !r.exchange.Started() || !response.RequestWritten() {
-		return
-	}
-	r.body = nil
-	r.history = r.gateway.turns.renewable(r.history, r.deadline, r.route.Retention)
-	if len(r.history) == 0 {
-		r.historyMemory.release()
-	}
-}
-
-// reserveRecord reserves the buffers of the records of a turn, so that a turn that cannot
-// be kept does not run. It returns the reason for refusing the request; empty if there is
-// none.
-func (r *request) reserveRecord() spool.Code {
-	if !r.route.KeepsHistory {
-		return ""
-	}
-	if err := r.exchange.Buffers().Reserve(int64(len(r.exchange.Body()))); err != nil {
-		r.refusalErr = err
-		return reasonBuffersFull
-	}
-	return ""
-}
-
 // beginBudget allocates tokens of the program's budget to the turn. If it cannot, it
 // returns the reason for refusing the request.
 func (r *request) beginBudget(ctx context.Context) (*turnBudget, spool.Code) {
--- a/internal/gateway/historymemory.go
+++ b/internal/gateway/historymemory.go
@@ -25,6 +25,12 @@
 	errHistoriesBusy = errors.New("histories of other requests are being loaded")
 )
 
+// isReservationError reports whether err is an error of a reservation. Further searches would
+// not help then.
+func isReservationError(err error) bool {
+	return errors.Is(err, errHistoryTooLarge) || errors.Is(err, errHistoriesBusy)
+}
+
 // historyMemory bounds the memory that the histories of all requests in flight take together,
 // and how many of them are loaded at the same time. Requests get their turn in the order in
 // which they ask. Under load the first ones are then served in time, while loads that share
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"github.com/baobabspool/baobabspool/internal/httpconn"
-	"github.com/baobabspool/baobabspool/pkg/chain"
 	"github.com/baobabspool/baobabspool/pkg/endpoints"
 	"github.com/baobabspool/baobabspool/pkg/events"
 )
@@ -133,13 +132,3 @@
 	}
 	return answered, endpoints.Answered
 }
-
-// storeTurn writes the turn with the data of its events to the store, and waits until
-// it is durable.
-func (r *request) storeTurn(ctx context.Context, output []byte) error {
-	turn := &chain.Turn{
-		ID: r.call.Attempt, Account: r.account, History: r.historyIDs, Input: r.exchange.Body(), Output: output,
-		WrittenAt: r.gateway.clock.Now(), Retention: r.route.Retention,
-	}
-	return r.gateway.turns.append(ctx, turn, r.history)
-}
--- a/internal/gateway/turnlookup.go
+++ b/internal/gateway/turnlookup.go
@@ -15,6 +15,7 @@
 // does not exist, with errTurnUncertain if that is not certain or an earlier turn was not
 // found, and with the errors of the reservation.
 func (s *turnStore) history(ctx context.Context, account spool.AccountID, id string, reservation *historyReservation) (turns []*chain.Turn, err error) {
+	defer func() { err = errors.Wrapf(err, "history of turn %q", id) }()
 	search := newTurnSearch(s.index, reservation)
 	if err := s.lookUp(ctx, search, id, []string{id}); err != nil {
 		return nil, err
@@ -44,17 +45,13 @@
 		return nil
 	}
 	err := s.findAtHomesOrPeers(ctx, search, id, wanted)
-	switch {
-	case search.hasAll(wanted):
-		return nil
-	case errors.Is(err, errHistoryTooLarge), errors.Is(err, errHistoriesBusy):
-		return err
+	if !search.hasAll(wanted) && !isReservationError(err) {
+		err = s.finder.findInAllPartitions(ctx, search, search.missing(wanted))
 	}
-	err = s.finder.findInAllPartitions(ctx, search, search.missing(wanted))
 	switch {
 	case search.hasAll(wanted):
 		return nil
-	case errors.Is(err, errHistoryTooLarge), errors.Is(err, errHistoriesBusy):
+	case isReservationError(err):
 		return err
 	case err != nil:
 		return errors.Wrap(errTurnUncertain, err.Error())
@@ -86,13 +83,3 @@
 	}
 	return err
 }
-
-// fetchFromPeers asks other gateways for the history of a turn and adds the turns in
-// their answer to the search.
-func (s *turnStore) fetchFromPeers(ctx context.Context, search *turnSearch, id string) {
-	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout.Duration())
-	defer cancel()
-	for _, turn := range s.addRecords(s.queryPeers(ctx, id)) {
-		search.add(turn)
-	}
-}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -32,12 +32,6 @@
 	maxTurnRecordBytes = 96 << 10
 	// slowestLinkBytes is the number of bytes per millisecond that the slowest VM sends.
 	slowestLinkBytes = 3750
-	// peerQueryTimeout bounds the query to gateways that may have served the turn.
-	peerQueryTimeout = 150 * clock.Millis(1)
-	// methodTurns asks a gateway for a turn and all earlier turns that it continues.
-	methodTurns = "gateway.turns"
-	// maxQueriedPeers bounds the number of gateways that are queried for one turn.
-	maxQueriedPeers = 12
 	// minTurnReads and maxTurnReads are the lowest and the highest bound of the pages of turns
 	// that a gateway reads at the same time. With maxPageBytes, a VM with the slowest link
 	// receives them within half a second.
@@ -214,17 +208,6 @@
 	return append(order, failing...)
 }
 
-type turnsRequest struct {
-	Turn string `json:"turn"`
-}
-
-type turnsReply struct {
-	// Records holds the encoded turn and all earlier turns that it continues. It is
-	// empty if the answering gateway does not have all of them in its index, or they
-	// exceed maxTurnsReplyBytes.
-	Records [][]byte `json:"records,omitempty"`
-}
-
 // handlers returns the handlers of methodTurns, which is answered from the index without
 // a call to the store, and of methodFindTurns.
 func (s *turnStore) handlers() wire.Mux {
