Set up the specs of long histories in one place

The specs share the start of a gateway before histories that exceed its index. No check changes; the one gateway stands where a list of one stood. The closure that tells of progress is callBoth; withIdleTimeout names the function that starts its time anew.

--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -8,14 +8,14 @@
 )
 
 // withIdleTimeout returns a context that ends with context.DeadlineExceeded as its cause
-// when progressed has not been called for a timeout. cancel releases its timer.
-func withIdleTimeout(ctx context.Context, timeout clock.Millis) (idle context.Context, progressed func(), cancel func()) {
+// when restart has not been called for a timeout. cancel releases its timer.
+func withIdleTimeout(ctx context.Context, timeout clock.Millis) (idle context.Context, restart, cancel func()) {
 	idle, end := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(timeout.Duration(), func() { end(context.DeadlineExceeded) })
-	progressed = func() { timer.Reset(timeout.Duration()) }
+	restart = func() { timer.Reset(timeout.Duration()) }
 	cancel = func() {
 		timer.Stop()
 		end(context.Canceled)
 	}
-	return idle, progressed, cancel
+	return idle, restart, cancel
 }
--- a/internal/gateway/turneviction_test.go
+++ b/internal/gateway/turneviction_test.go
@@ -59,16 +59,16 @@
 	return ids
 }
 
-// continueAtOnce sends one turn that continues each of the turns, the next one to the next
-// gateway, at the same time. It returns how many were answered with each status.
-func continueAtOnce(nodes []*node, ids []string) map[int]int {
+// continueAtOnce sends one turn that continues each of the turns, at the same time. It
+// returns how many were answered with each status.
+func (n *node) continueAtOnce(ids ...string) map[int]int {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	statuses := map[int]int{}
-	for i, id := range ids {
+	for _, id := range ids {
 		wg.Go(func() {
 			defer ginkgo.GinkgoRecover()
-			r, _ := nodes[i%len(nodes)].call("POST", "/chat/", "key-1", "more\n", withPrevious(id))
+			r, _ := n.call("POST", "/chat/", "key-1", "more\n", withPrevious(id))
 			mu.Lock()
 			defer mu.Unlock()
 			statuses[r.status]++
@@ -78,24 +78,42 @@
 	return statuses
 }
 
+// startBeforeLongChains starts a gateway that knows nothing of longChains chains of turns in
+// the store. It returns the IDs of their last turns.
+func startBeforeLongChains(d *deployment) (n *node, ids []string) {
+	d.memoryMB = smallMemoryMB
+	d.publish()
+	n = d.startAndKill(1)[0]
+	ids = d.storeLongChains()
+	n.launch()
+	n.waitUntilServed("/review/warm", "key-1")
+	return n, ids
+}
+
+// learnPlaces lets a gateway learn the places of all turns, by continuing one of them.
+func (n *node) learnPlaces(id string) {
+	gomega.Eventually(func() map[int]int { return n.continueAtOnce(id) }, eventuallyTimeout).Should(gomega.HaveKey(http.StatusOK))
+}
+
 var _ = ginkgo.Describe("Turns whose histories exceed the index", func() {
+	var (
+		d   *deployment
+		n   *node
+		ids []string
+	)
+	ginkgo.BeforeEach(func() {
+		d = newDeployment()
+		d.addEndpoint("m1", "models", streamTwoEvents)
+		n, ids = startBeforeLongChains(d)
+	})
+
 	// Guards against a 404 for a kept turn that leaves the index again, evicted by the
 	// histories of other requests, before the request that has loaded it uses it.
 	ginkgo.It("are never reported as missing", func() {
-		d := newDeployment()
-		d.memoryMB = smallMemoryMB
-		d.publish()
-		d.addEndpoint("m1", "models", streamTwoEvents)
-		nodes := d.startAndKill(1)
-		ids := d.storeLongChains()
 		d.topics.SetReadRate(longChainsReadRate)
-		launchAll(nodes)
-		for _, n := range nodes {
-			n.waitUntilServed("/review/warm", "key-1")
-		}
 		served := 0
 		for range 4 {
-			statuses := continueAtOnce(nodes, ids)
+			statuses := n.continueAtOnce(ids...)
 			gomega.Expect(statuses).NotTo(gomega.HaveKey(http.StatusNotFound))
 			served += statuses[http.StatusOK]
 		}
@@ -105,51 +123,31 @@
 	// Guards against a refusal of a kept turn after half a second although the partition in
 	// which it is stored is being read and its place is known in time.
 	ginkgo.It("are looked up for as long as their partitions are read", func() {
-		d := newDeployment()
-		d.memoryMB = smallMemoryMB
-		d.publish()
-		d.addEndpoint("m1", "models", streamTwoEvents)
-		nodes := d.startAndKill(1)
-		d.storeLongChains()
-		launchAll(nodes)
-		nodes[0].waitUntilServed("/review/warm", "key-1")
 		d.topics.SetReadRate(slowReadRate)
-		gomega.Expect(continueAtOnce(nodes, []string{firstOfLastChain})).To(gomega.Equal(map[int]int{http.StatusOK: 1}))
+		gomega.Expect(n.continueAtOnce(firstOfLastChain)).To(gomega.Equal(map[int]int{http.StatusOK: 1}))
 	})
 
 	// Guards against loads of histories that all are late because they share the rate of the
 	// store, and that fill the memory of the VM together.
 	ginkgo.It("are served in part when the store cannot send all histories in time", func() {
-		d := newDeployment()
-		d.memoryMB = smallMemoryMB
-		d.publish()
-		d.addEndpoint("m1", "models", streamTwoEvents)
-		nodes := d.startAndKill(1)
-		ids := d.storeLongChains()
-		launchAll(nodes)
-		nodes[0].waitUntilServed("/review/warm", "key-1")
-		// The gateway learns the places of the turns.
-		gomega.Eventually(func() map[int]int { return continueAtOnce(nodes, ids[:1]) }, eventuallyTimeout).Should(gomega.HaveKey(http.StatusOK))
+		n.learnPlaces(ids[0])
 		d.topics.SetReadRate(overloadReadRate)
-		statuses := continueAtOnce(nodes, ids)
+		statuses := n.continueAtOnce(ids...)
 		gomega.Expect(statuses[http.StatusOK]).To(gomega.BeNumerically(">=", longChains/3), "%v", statuses)
 		gomega.Expect(statuses[http.StatusOK] + statuses[http.StatusServiceUnavailable]).To(gomega.Equal(longChains))
 	})
+})
 
+var _ = ginkgo.Describe("Turns whose histories exceed the index, with long streams,", func() {
 	// Guards against long streams that keep the memory of their histories, which the endpoint
 	// has got already, from other turns.
 	ginkgo.It("do not wait for streams that have begun", func() {
 		d := newDeployment()
-		d.memoryMB = smallMemoryMB
-		d.publish()
 		d.addEndpoint("m1", "models", func(u *standin.Upstream, conn io.Writer, request standin.UpstreamRequest) bool {
 			return u.AnswerStream(conn, request, streamPause, -1, "one", "two", "three")
 		})
-		nodes := d.startAndKill(1)
-		ids := d.storeLongChains()
-		launchAll(nodes)
-		nodes[0].waitUntilServed("/review/warm", "key-1")
-		gomega.Eventually(func() map[int]int { return continueAtOnce(nodes, ids[:1]) }, eventuallyTimeout).Should(gomega.HaveKey(http.StatusOK))
-		gomega.Expect(continueAtOnce(nodes, ids)).To(gomega.Equal(map[int]int{http.StatusOK: longChains}))
+		n, ids := startBeforeLongChains(d)
+		n.learnPlaces(ids[0])
+		gomega.Expect(n.continueAtOnce(ids...)).To(gomega.Equal(map[int]int{http.StatusOK: longChains}))
 	})
 })
--- a/internal/gateway/turnfinder.go
+++ b/internal/gateway/turnfinder.go
@@ -168,27 +168,29 @@
 // in its index, and returns the places of the others. It fails when the home reads nothing
 // of the partition for a timeout.
 func (f *turnFinder) findIn(ctx context.Context, search *turnSearch, request findTurnsRequest, timeout clock.Millis) (located locatedTurns, err error) {
-	ctx, proceeds, cancel := withIdleTimeout(ctx, timeout)
+	ctx, restartTimeout, cancel := withIdleTimeout(ctx, timeout)
 	defer cancel()
 	reader := f.turns.readers[request.Partition]
 	var first firstResult[[]turnLocation]
 	err = f.homes.run(ctx, reader.partition, homeOperation{
 		local: func(ctx context.Context, progressed func()) error {
-			return first.set(f.readWithProgress(ctx, search, request, func() {
-				progressed()
-				proceeds()
-			}))
+			return first.set(f.readWithProgress(ctx, search, request, callBoth(progressed, restartTimeout)))
 		},
 		remote: func(_ context.Context, call remoteCall, progressed func()) error {
-			return first.set(f.ask(call, search, request, func() {
-				progressed()
-				proceeds()
-			}))
+			return first.set(f.ask(call, search, request, callBoth(progressed, restartTimeout)))
 		},
 	})
 	return locatedTurns{reader: reader, turns: first.get()}, err
 }
 
+// callBoth returns a function that calls two others.
+func callBoth(first, second func()) func() {
+	return func() {
+		first()
+		second()
+	}
+}
+
 // fetch reads a turn from the store, unless it has been found meanwhile, and adds it to the
 // search and the index.
 func (f *turnFinder) fetch(ctx context.Context, search *turnSearch, reader *partitionReader, located turnLocation) error {
