--- a/pkg/story/cause.go
+++ b/pkg/story/cause.go
@@ -83,6 +83,7 @@
 	"mayHaveRun":      "the request was sent, no complete answer came, and it must not be sent again",
 	"timeout":         "the time of the caller or of the route was over",
 	"internal":        "an error in the gateway; the line with noPanic has its stack",
+	"historiesBusy":   "the histories of other requests were being loaded, or took the memory, for as long as this one could wait",
 	"buffersFull":     "the buffers of all requests were in use, and this one needed more than its free part",
 	"stopping":        "the gateway was shutting down and took no requests any more",
 	"promptTooLarge":  "the prompt with its history was larger than a gateway keeps",
