Judge the size of a prompt by its text, not by its records

Cause: the reservation refused what exceeds the largest prompt, and counted the records of the turns that had still to be read. A record also holds the IDs of all earlier turns, so that 5 MB of text in 200 turns with long IDs were 13 MB of records; turns that arrived on two ways counted twice.

Change: a reservation that is larger than the memory gets all of it, and the size of the prompt is judged by the texts once they are there, as before. Turns that the search already has are not counted. The turns of one history are read from several partitions at the same time, and from one partition only until a read fails: with all turns at once, each turn of a silent partition would have waited for the timeout of a call.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -333,11 +333,8 @@
 	return string(g.loadExchange.current)
 }
 
-// Errors of reservations.
-var (
-	ErrHistoryTooLarge = errHistoryTooLarge
-	ErrHistoriesBusy   = errHistoriesBusy
-)
+// ErrHistoriesBusy is the error of a reservation that was not granted.
+var ErrHistoriesBusy = errHistoriesBusy
 
 // HistoryMemory gives tests access to the historyMemory of a gateway.
 type HistoryMemory struct{ *historyMemory }
--- a/internal/gateway/historymemory.go
+++ b/internal/gateway/historymemory.go
@@ -16,32 +16,23 @@
 	maxHistoryLoads = 3
 )
 
-// Errors of reservations.
-var (
-	// errHistoryTooLarge means that a prompt with its history exceeds maxPromptBytes.
-	errHistoryTooLarge = errors.New("prompt with its history is too large")
-	// errHistoriesBusy means that the histories of other requests took the memory or the reads
-	// for as long as the request could wait.
-	errHistoriesBusy = errors.New("histories of other requests are being loaded")
-)
-
-// isReservationError reports whether err is an error of a reservation. Further searches would
-// not help then.
-func isReservationError(err error) bool {
-	return errors.Is(err, errHistoryTooLarge) || errors.Is(err, errHistoriesBusy)
-}
+// errHistoriesBusy means that the histories of other requests took the memory or the reads for
+// as long as the request could wait.
+var errHistoriesBusy = errors.New("histories of other requests are being loaded")
 
 // historyMemory bounds the memory that the histories of all requests in flight take together,
 // and how many of them are loaded at the same time. Requests get their turn in the order in
 // which they ask. Under load the first ones are then served in time, while loads that share
 // the rate of the store equally would all be late. It is safe for concurrent use.
 type historyMemory struct {
+	capacity    int64
 	free, loads *semaphore.Weighted
 }
 
 // newHistoryMemory returns a memory of a capacity in bytes, at least maxPromptBytes.
 func newHistoryMemory(capacity int64) *historyMemory {
-	return &historyMemory{free: semaphore.NewWeighted(max(capacity, maxPromptBytes)), loads: semaphore.NewWeighted(maxHistoryLoads)}
+	capacity = max(capacity, maxPromptBytes)
+	return &historyMemory{capacity: capacity, free: semaphore.NewWeighted(capacity), loads: semaphore.NewWeighted(maxHistoryLoads)}
 }
 
 // newReservation returns a reservation without any bytes.
@@ -57,15 +48,12 @@
 	bytes int64
 }
 
-// raise makes the reservation cover a number of bytes. It gives up what is reserved before
-// it waits, so that requests that need more cannot block each other. It fails with
-// errHistoryTooLarge if the bytes exceed maxPromptBytes, and with errHistoriesBusy when ctx
-// ends before.
+// raise makes the reservation cover a number of bytes, or the whole memory if it is smaller.
+// It gives up what is reserved before it waits, so that requests that need more cannot block
+// each other. It fails with errHistoriesBusy when ctx ends before.
 func (r *historyReservation) raise(ctx context.Context, bytes int64) error {
-	switch {
-	case bytes > maxPromptBytes:
-		return errHistoryTooLarge
-	case bytes <= max(r.bytes, freeHistoryBytes):
+	bytes = min(bytes, r.memory.capacity)
+	if bytes <= max(r.bytes, freeHistoryBytes) {
 		return nil
 	}
 	r.release()
--- a/internal/gateway/homeclient.go
+++ b/internal/gateway/homeclient.go
@@ -98,8 +98,8 @@
 }
 
 // askHomes runs an operation at candidates, the homes of a partition, once. isHome reports
-// that this gateway is one of them. A home that proceeds is not silent, so that no second one begins
-// with the same work.
+// that this gateway is one of them. A home that proceeds is not silent, so that no second
+// one begins with the same work.
 func (c *homeClient) askHomes(ctx context.Context, candidates []homes.Gateway, operation homeOperation) (isHome bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/gateway/keptturn.go
+++ b/internal/gateway/keptturn.go
@@ -48,8 +48,6 @@
 	switch {
 	case errors.Is(err, errNoTurn):
 		return reasonNoTurn
-	case errors.Is(err, errHistoryTooLarge):
-		return reasonPromptTooLarge
 	case errors.Is(err, errHistoriesBusy):
 		r.refusalErr = err
 		return reasonHistoriesBusy
--- a/internal/gateway/turneviction_test.go
+++ b/internal/gateway/turneviction_test.go
@@ -151,3 +151,40 @@
 		gomega.Expect(n.continueAtOnce(ids...)).To(gomega.Equal(map[int]int{http.StatusOK: longChains}))
 	})
 })
+
+var _ = ginkgo.Describe("A turn whose history is close to the largest prompt", func() {
+	// Guards against a refusal for the size of the prompt that counts the records, which also
+	// hold the identifiers of all earlier turns, instead of the texts.
+	ginkgo.It("is served although its records are larger", func() {
+		const turns, idBytes, textBytes = 200, 400, 25 << 10
+		const otherTurns, otherTurnBytes = 800, 60 << 10
+		d := newDeployment()
+		d.memoryMB = smallMemoryMB
+		d.publish()
+		d.addEndpoint("m1", "models", streamTwoEvents)
+		n := d.startAndKill(1)[0]
+		var earlier []string
+		records := 0
+		for i := range turns {
+			turn := &chain.Turn{
+				ID: fmt.Sprintf("%d-%s", i, strings.Repeat("i", idBytes)), Account: "weavers", History: earlier, Retention: clock.Minute,
+				Input: []byte(strings.Repeat("x", textBytes)), Output: []byte("one\n"), WrittenAt: clock.System().Now(),
+			}
+			records += len(turn.Encode())
+			d.topics.AppendRecords(fmt.Sprintf("turns/%d", xxhash.Sum64String(turn.ID)%testPartitions), turn.EncodeRecords(storedRecordBytes)...)
+			earlier = append(earlier[:i:i], turn.ID)
+		}
+		gomega.Expect(records).To(gomega.BeNumerically(">", 8<<20))
+		// The turns of others fill the index when the partitions are read.
+		for i := range otherTurns {
+			turn := &chain.Turn{ID: fmt.Sprintf("other-%d", i), Account: "weavers", Retention: clock.Minute, Input: []byte(strings.Repeat("x", otherTurnBytes))}
+			d.topics.AppendRecords(fmt.Sprintf("turns/%d", i%testPartitions), turn.Encode())
+		}
+		n.launch()
+		n.waitUntilServed("/review/warm", "key-1")
+		for i := range testPartitions {
+			n.learnPlaces(fmt.Sprintf("other-%d", i))
+		}
+		n.learnPlaces(earlier[turns-1])
+	})
+})
--- a/internal/gateway/turnfinder.go
+++ b/internal/gateway/turnfinder.go
@@ -90,7 +90,7 @@
 // home has sent. It returns the error of one partition that failed; nil if there is none.
 func (f *turnFinder) find(ctx context.Context, search *turnSearch, partitions map[int][]string, timeout clock.Millis) error {
 	located, err := f.locateAll(ctx, search, partitions, timeout)
-	size := bytesOf(located)
+	size := bytesToFetch(search, located)
 	if size == 0 {
 		return err
 	}
@@ -108,26 +108,23 @@
 	return err
 }
 
-// fetchAll fetches located turns, several at the same time. It returns the error of one that
-// failed; nil if there is none.
+// fetchAll fetches located turns, from several partitions at the same time. It returns the
+// error of one partition that failed; nil if there is none.
 func (f *turnFinder) fetchAll(ctx context.Context, search *turnSearch, located []locatedTurns) error {
 	var group errgroup.Group
-	group.SetLimit(maxTurnReads)
 	for _, partition := range located {
-		for _, turn := range partition.turns {
-			group.Go(func() error { return f.fetch(ctx, search, partition.reader, turn) })
-		}
+		group.Go(func() error { return f.fetch(ctx, search, partition) })
 	}
 	return group.Wait()
 }
 
-// bytesOf returns the size of the records of located turns. A turn that is located in
-// several partitions counts once.
-func bytesOf(located []locatedTurns) (size int64) {
+// bytesToFetch returns the size of the records of those located turns that the search does
+// not have. A turn that is located in several partitions counts once.
+func bytesToFetch(search *turnSearch, located []locatedTurns) (size int64) {
 	counted := map[string]bool{}
 	for _, partition := range located {
 		for _, turn := range partition.turns {
-			if counted[turn.Turn] {
+			if counted[turn.Turn] || search.hasAll([]string{turn.Turn}) {
 				continue
 			}
 			counted[turn.Turn] = true
@@ -191,21 +188,24 @@
 	}
 }
 
-// fetch reads a turn from the store, unless it has been found meanwhile, and adds it to the
-// search and the index.
-func (f *turnFinder) fetch(ctx context.Context, search *turnSearch, reader *partitionReader, located turnLocation) error {
-	if search.hasAll([]string{located.Turn}) {
-		return nil
-	}
-	records, err := reader.readRecords(ctx, located.Places)
-	if err != nil {
-		return err
-	}
-	turn, err := f.turns.addTurn(records)
-	if err != nil {
-		return errors.Wrapf(err, "turn %q", located.Turn)
+// fetch reads turns of one partition from the store, unless they have been found meanwhile,
+// and adds them to the search and the index. It ends with the first one that fails, since a
+// partition that does not answer takes the timeout of a call for each.
+func (f *turnFinder) fetch(ctx context.Context, search *turnSearch, located locatedTurns) error {
+	for _, place := range located.turns {
+		if search.hasAll([]string{place.Turn}) {
+			continue
+		}
+		records, err := located.reader.readRecords(ctx, place.Places)
+		if err != nil {
+			return err
+		}
+		turn, err := f.turns.addTurn(records)
+		if err != nil {
+			return errors.Wrapf(err, "turn %q", place.Turn)
+		}
+		search.add(turn)
 	}
-	search.add(turn)
 	return nil
 }
 
--- a/internal/gateway/turnlookup.go
+++ b/internal/gateway/turnlookup.go
@@ -13,7 +13,7 @@
 // history returns the turn id preceded by all earlier turns that it continues, and raises
 // the reservation to their size. It fails with errNoTurn if id belongs to another account or
 // does not exist, with errTurnUncertain if that is not certain or an earlier turn was not
-// found, and with the errors of the reservation.
+// found, and with errHistoriesBusy if the reservation was not granted.
 func (s *turnStore) history(ctx context.Context, account spool.AccountID, id string, reservation *historyReservation) (turns []*chain.Turn, err error) {
 	defer func() { err = errors.Wrapf(err, "history of turn %q", id) }()
 	search := newTurnSearch(s.index, reservation)
@@ -45,13 +45,13 @@
 		return nil
 	}
 	err := s.findAtHomesOrPeers(ctx, search, id, wanted)
-	if !search.hasAll(wanted) && !isReservationError(err) {
+	if !search.hasAll(wanted) && !errors.Is(err, errHistoriesBusy) {
 		err = s.finder.findInAllPartitions(ctx, search, search.missing(wanted))
 	}
 	switch {
 	case search.hasAll(wanted):
 		return nil
-	case isReservationError(err):
+	case errors.Is(err, errHistoriesBusy):
 		return err
 	case err != nil:
 		return errors.Wrap(errTurnUncertain, err.Error())
